Lay out the workspace, the model and the interfaces between the crates

Cause: nothing stood yet; several parts have to be built side by side. Change: seven crates in one direction of dependency, the model (ids, sizes, records, log events, the closed error list with its answer table), the traits of the platform's clients, and the first derived states (records in force, endpoints, VMs).

--- /dev/null
+++ b/crates/geraniumshed-core/src/member/mod.rs
@@ -0,0 +1,1 @@
+//! Membership: which daemons are alive and which shards each should own.
--- /dev/null
+++ b/crates/geraniumshed-core/src/request/mod.rs
@@ -0,0 +1,1 @@
+//! The request path: routing, queues, limits, retries, tickets and keys.
--- /dev/null
+++ b/crates/geraniumshed-daemon/src/clock.rs
@@ -0,0 +1,25 @@
+//! The process's monotonic clock.
+
+use std::time::Instant;
+
+use geraniumshed_model::prelude::TimePoint;
+
+/// The clock from which all parts of one daemon read the time.
+#[derive(Debug, Clone, Copy)]
+pub struct ProcessClock {
+    start: Instant,
+}
+
+impl ProcessClock {
+    /// Starts a clock at zero.
+    pub fn start() -> Self {
+        Self {
+            start: Instant::now(),
+        }
+    }
+
+    /// Returns the present point of time.
+    pub fn now(&self) -> TimePoint {
+        TimePoint(u64::try_from(self.start.elapsed().as_micros()).unwrap_or(u64::MAX))
+    }
+}
--- /dev/null
+++ b/crates/geraniumshed-daemon/src/log/mod.rs
@@ -0,0 +1,1 @@
+//! Followers and writers of the log's streams.
--- /dev/null
+++ b/crates/geraniumshed-daemon/src/operator/mod.rs
@@ -0,0 +1,1 @@
+//! The operators' HTTP interface.
--- /dev/null
+++ b/crates/geraniumshed-daemon/src/schedule/mod.rs
@@ -0,0 +1,1 @@
+//! The drivers of the shards that this daemon owns.
--- /dev/null
+++ b/crates/geraniumshed-daemon/src/settings/mod.rs
@@ -0,0 +1,1 @@
+//! The daemon's settings, checked whole before anything starts.
--- /dev/null
+++ b/crates/geraniumshed-daemon/src/telemetry/mod.rs
@@ -0,0 +1,1 @@
+//! Metrics and traces.
--- /dev/null
+++ b/crates/geraniumshed-daemon/src/view.rs
@@ -0,0 +1,15 @@
+//! Read-only views of the state that a daemon's parts share.
+
+use std::sync::Arc;
+
+use geraniumshed_core::state::{ConfigState, EndpointDirectory, VmTable};
+use tokio::sync::watch;
+
+/// The records in force.
+pub type ConfigView = watch::Receiver<Arc<ConfigState>>;
+
+/// The endpoints of all services.
+pub type EndpointView = watch::Receiver<Arc<EndpointDirectory>>;
+
+/// The VMs that the platform lists.
+pub type VmView = watch::Receiver<Arc<VmTable>>;
--- /dev/null
+++ b/crates/geraniumshed-wire/src/log/mod.rs
@@ -0,0 +1,1 @@
+//! Entries of the log, in a compact binary encoding.
--- /dev/null
+++ b/crates/geraniumshed-wire/src/peer/mod.rs
@@ -0,0 +1,1 @@
+//! Calls between daemons.
--- /dev/null
+++ b/crates/geraniumshed-wire/src/platform/mod.rs
@@ -0,0 +1,1 @@
+//! The platform's HTTP interfaces, in JSON.
--- /dev/null
+++ b/crates/geraniumshed-wire/src/record/mod.rs
@@ -0,0 +1,1 @@
+//! Records as operators write them, in YAML of either schema.
--- /dev/null
+++ b/crates/geraniumshed/src/main.rs
@@ -0,0 +1,2 @@
+//! The geraniumshed binary.
+fn main() {}
