--- a/crates/geraniumshed-daemon/src/request/settings.rs
+++ b/crates/geraniumshed-daemon/src/request/settings.rs
@@ -56,10 +56,10 @@
             connect_timeout: Duration::from_millis(500),
             progress_timeout: Duration::from_secs(2),
             idle_timeout: Duration::from_secs(5),
-            answer_window: Duration::from_secs(600),
+            answer_window: Duration::from_mins(10),
             answer_total: 32 * 1024 * 1024,
             drain_notice: Duration::from_secs(3),
-            drain_limit: Duration::from_secs(600),
+            drain_limit: Duration::from_mins(10),
             key_shards: 16,
             tracing: false,
         }
