Number moves and exchanges, and add the cancellation of a job's tasks

Cause: a repeated MovedIn that is read after the task went on would put the task into two shards; a Start that is delayed in the network past its Forget would run a finished attempt again. Change: MovedOut and MovedIn carry the number of the move, an exchange carries its number within the term, and one Cancelled event covers all of a job's tasks in a shard.

--- a/crates/geraniumshed-model/src/event.rs
+++ b/crates/geraniumshed-model/src/event.rs
@@ -7,7 +7,7 @@
 use crate::endpoint::{EndpointEntry, EndpointId};
 use crate::id::{
     AttemptNumber, BootId, CheckpointId, DaemonId, DaemonIncarnation, KeyDigest, RecordGeneration,
-    RequestDigest, ShardId, ShardTerm, TaskId, VmId, WriterMark,
+    RecordName, RequestDigest, ShardId, ShardTerm, TaskId, VmId, WriterMark,
 };
 use crate::record::{RecordKey, RecordSpec, SchemaVersion};
 use crate::task::TaskOutcome;
@@ -196,23 +196,37 @@
         /// Whether the task runs again; otherwise it counts as completed.
         rerun: bool,
     },
+    /// The tasks of one generation of a job that are not ended are cancelled for good.
+    Cancelled {
+        /// The job.
+        job: RecordName,
+        /// The generation of the job.
+        generation: RecordGeneration,
+    },
     /// A task that cannot run in this shard goes to another one.
     MovedOut {
         /// The task.
         task: TaskId,
         /// The shard that takes the task.
         to: ShardId,
+        /// The number of this move, counted from 1 over the task's life.
+        hop: u32,
         /// The attempts taken so far.
         attempt: AttemptNumber,
         /// The checkpoint from which the task resumes.
         checkpoint: Option<CheckpointId>,
     },
-    /// A task that another shard could not run is taken; repeats are ignored.
+    /// A task that another shard could not run is taken.
+    ///
+    /// The giving shard's owner appends it under term 0, which no barrier voids. A repeat is known
+    /// by its `hop`, which is no higher than the one that the shard has seen for the task.
     MovedIn {
         /// The task.
         task: TaskId,
         /// The shard that gave the task away.
         from: ShardId,
+        /// The number of this move, counted from 1 over the task's life.
+        hop: u32,
         /// The attempts taken so far.
         attempt: AttemptNumber,
         /// The checkpoint from which the task resumes.
--- a/crates/geraniumshed-model/src/worker.rs
+++ b/crates/geraniumshed-model/src/worker.rs
@@ -118,6 +118,9 @@
     pub term: ShardTerm,
     /// The boot that the owner knows.
     pub boot: BootId,
+    /// The number of the exchange within its term, counted from 1; a worker rejects an exchange
+    /// whose number is not higher than the last, so that a delayed one can't start anything.
+    pub sequence: u64,
     /// The length of the lease from the time of receipt, or `None` to leave it as it is.
     pub lease: Option<TimeSpan>,
     /// The commands, in order.
