--- a/crates/geraniumshed-core/src/schedule/mod.rs
+++ b/crates/geraniumshed-core/src/schedule/mod.rs
@@ -1,1 +1,5 @@
-//! The scheduler of one shard: placement, quotas, interference, attempts and evictions.
+//! The scheduler: decides which worker runs which task.
+
+pub mod shard_map;
+
+pub use self::shard_map::{ShardMap, StableHasher, stable_hash};
--- /dev/null
+++ b/crates/geraniumshed-core/tests/shard_map.rs
@@ -0,0 +1,35 @@
+//! The assignment to shards is fixed over versions and visits every shard.
+
+use geraniumshed_core::schedule::{ShardMap, stable_hash};
+use geraniumshed_model::prelude::{ShardId, TaskId};
+
+#[rstest::rstest]
+#[case("worker-1", 0x47e7_3c9b_4c3c_6e74)]
+#[case("regrade/1/7", 0xa811_9e15_5e3b_1c10)]
+fn hash_is_fixed(#[case] text: &str, #[case] expected: u64) {
+    assert_eq!(stable_hash(&text), expected);
+}
+
+#[test]
+fn task_visits_every_shard() {
+    let map = ShardMap::new(5);
+    let task: TaskId = "regrade/1/7".parse().expect("a valid id");
+    let mut visited: Vec<ShardId> = (0..5).map(|hop| map.hop_shard(&task, hop)).collect();
+    assert_eq!(visited[0], map.home_shard(&task));
+    visited.sort();
+    assert_eq!(visited, map.shards().collect::<Vec<_>>());
+}
+
+#[test]
+fn replicas_spread_over_shards() {
+    let map = ShardMap::new(8);
+    let mut counts = [0_u32; 8];
+    for index in 0..800 {
+        let task: TaskId = format!("bookings/0/{index}").parse().expect("a valid id");
+        counts[usize::from(map.home_shard(&task).0)] += 1;
+    }
+    assert!(
+        counts.iter().all(|count| (60..=140).contains(count)),
+        "{counts:?}"
+    );
+}
