--- a/crates/geraniumshed-core/src/schedule/shard_map.rs
+++ b/crates/geraniumshed-core/src/schedule/shard_map.rs
@@ -42,8 +42,8 @@
 }
 
 impl Write for StableHasher {
-    fn write_str(&mut self, text: &str) -> fmt::Result {
-        self.write(text.as_bytes());
+    fn write_str(&mut self, s: &str) -> fmt::Result {
+        self.write(s.as_bytes());
         Ok(())
     }
 }
