--- a/crates/geraniumshed-core/src/schedule/shard_map.rs
+++ b/crates/geraniumshed-core/src/schedule/shard_map.rs
@@ -2,7 +2,7 @@
 
 use std::fmt::{self, Write};
 
-use geraniumshed_model::prelude::{ShardId, TaskId, VmId};
+use geraniumshed_model::prelude::{RegionName, ShardId, TaskId, VmId};
 
 /// The offset basis of the 64-bit FNV-1a hash.
 const FNV_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
@@ -57,48 +57,67 @@
 }
 
 /// The assignment of workers and tasks to a fixed number of shards, the same in all daemons.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+///
+/// A shard never spans regions: the shards go round the regions in turn.
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ShardMap {
     shards: u16,
+    regions: Vec<RegionName>,
 }
 
 impl ShardMap {
-    /// Creates the map of a number of shards.
+    /// Creates the map of a number of shards over regions, in an order that all daemons share.
     ///
     /// # Panics
     ///
-    /// Panics if the number is zero.
-    pub fn new(shards: u16) -> Self {
-        assert!(shards > 0, "a cluster has at least one shard");
-        Self { shards }
+    /// Panics if there is no region or if there are fewer shards than regions.
+    pub fn new(shards: u16, regions: Vec<RegionName>) -> Self {
+        assert!(!regions.is_empty(), "a cluster has at least one region");
+        assert!(
+            usize::from(shards) >= regions.len(),
+            "each region has at least one shard"
+        );
+        Self { shards, regions }
     }
 
     /// Returns all shards.
-    pub fn shards(self) -> impl Iterator<Item = ShardId> {
+    pub fn shards(&self) -> impl Iterator<Item = ShardId> + use<> {
         (0..self.shards).map(ShardId)
     }
 
-    /// Returns the shard that a worker belongs to.
-    pub fn worker_shard(self, worker: &VmId) -> ShardId {
-        self.pick(stable_hash(worker))
+    /// Returns the region of a shard's workers.
+    pub fn region(&self, shard: ShardId) -> &RegionName {
+        &self.regions[usize::from(shard.0) % self.regions.len()]
+    }
+
+    /// Returns the shard that a worker belongs to, unless its region is not in the settings.
+    pub fn worker_shard(&self, worker: &VmId, region: &RegionName) -> Option<ShardId> {
+        let own: Vec<_> = self
+            .shards()
+            .filter(|shard| self.region(*shard) == region)
+            .collect();
+        let index = pick(stable_hash(worker), own.len())?;
+        own.get(index).copied()
     }
 
     /// Returns the shard in which a task starts its life.
-    pub fn home_shard(self, task: &TaskId) -> ShardId {
-        self.pick(stable_hash(task))
+    pub fn home_shard(&self, task: &TaskId) -> ShardId {
+        self.hop_shard(task, 0)
     }
 
     /// Returns the shard that a task goes to with the move number `hop`.
     ///
     /// Over as many moves as there are shards, a task visits each of them once.
-    pub fn hop_shard(self, task: &TaskId, hop: u32) -> ShardId {
-        let home = u64::from(self.home_shard(task).0);
-        let next = (home + u64::from(hop)) % u64::from(self.shards);
+    pub fn hop_shard(&self, task: &TaskId, hop: u32) -> ShardId {
+        let shards = u64::from(self.shards);
+        let home = stable_hash(task) % shards;
+        let next = (home + u64::from(hop)) % shards;
         ShardId(u16::try_from(next).unwrap_or_default())
     }
+}
 
-    fn pick(self, hash: u64) -> ShardId {
-        let shard = hash % u64::from(self.shards);
-        ShardId(u16::try_from(shard).unwrap_or_default())
-    }
+/// Picks one of `count` things by a hash.
+fn pick(hash: u64, count: usize) -> Option<usize> {
+    let count = u64::try_from(count).ok().filter(|count| *count > 0)?;
+    usize::try_from(hash % count).ok()
 }
--- a/crates/geraniumshed-core/tests/shard_map.rs
+++ b/crates/geraniumshed-core/tests/shard_map.rs
@@ -1,7 +1,7 @@
 //! The assignment to shards is fixed over versions and visits every shard.
 
 use geraniumshed_core::schedule::{ShardMap, stable_hash};
-use geraniumshed_model::prelude::{ShardId, TaskId};
+use geraniumshed_model::prelude::{RegionName, ShardId, TaskId, VmId};
 
 #[rstest::rstest]
 #[case("worker-1", 0x47e7_3c9b_4c3c_6e74)]
@@ -12,7 +12,7 @@
 
 #[test]
 fn task_visits_every_shard() {
-    let map = ShardMap::new(5);
+    let map = shard_map(5, &["uy"]);
     let task: TaskId = "regrade/1/7".parse().expect("a valid id");
     let mut visited: Vec<ShardId> = (0..5).map(|hop| map.hop_shard(&task, hop)).collect();
     assert_eq!(visited[0], map.home_shard(&task));
@@ -22,7 +22,7 @@
 
 #[test]
 fn replicas_spread_over_shards() {
-    let map = ShardMap::new(8);
+    let map = shard_map(8, &["uy"]);
     let mut counts = [0_u32; 8];
     for index in 0..800 {
         let task: TaskId = format!("bookings/0/{index}").parse().expect("a valid id");
@@ -33,3 +33,24 @@
         "{counts:?}"
     );
 }
+
+#[test]
+fn worker_stays_in_its_region() {
+    let map = shard_map(7, &["uy", "tr"]);
+    for number in 0..200 {
+        let worker: VmId = format!("worker-{number}").parse().expect("a valid id");
+        let region: RegionName = ["uy", "tr"][number % 2].parse().expect("a valid name");
+        let shard = map.worker_shard(&worker, &region).expect("a known region");
+        assert_eq!(map.region(shard), &region);
+    }
+    let worker: VmId = "worker-1".parse().expect("a valid id");
+    let elsewhere: RegionName = "ar".parse().expect("a valid name");
+    assert_eq!(map.worker_shard(&worker, &elsewhere), None);
+}
+
+fn shard_map(shards: u16, regions: &[&str]) -> ShardMap {
+    let regions = regions
+        .iter()
+        .map(|name| name.parse().expect("a valid name"));
+    ShardMap::new(shards, regions.collect())
+}
