--- a/crates/geraniumshed-wire/src/platform/worker.rs
+++ b/crates/geraniumshed-wire/src/platform/worker.rs
@@ -310,6 +310,8 @@
     pub term: u64,
     /// The boot that the owner knows.
     pub boot: u64,
+    /// The number of the exchange within its term.
+    pub sequence: u64,
     /// The length of the lease, in microseconds.
     pub lease_micros: Option<u64>,
     /// The commands, in order.
@@ -323,6 +325,7 @@
         Self {
             term: request.term.0,
             boot: request.boot.0,
+            sequence: request.sequence,
             lease_micros: request.lease.map(span_to_micros),
             commands: request.commands.iter().map(Into::into).collect(),
             with_usage: request.with_usage,
@@ -337,6 +340,7 @@
         Ok(Self {
             term: ShardTerm(wire.term),
             boot: BootId(wire.boot),
+            sequence: wire.sequence,
             lease: wire.lease_micros.map(span_from_micros),
             commands: convert_all(wire.commands)?,
             with_usage: wire.with_usage,
