--- /dev/null
+++ b/crates/geraniumshed-wire/src/log/claim.rs
@@ -0,0 +1,104 @@
+//! Events of the `claims` stream on the wire.
+
+use geraniumshed_model::prelude::{ClaimEvent, DaemonIncarnation, ShardId, ShardTerm};
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+use super::codec::DecodeError;
+use super::name::{name_text, parse_name};
+
+/// The twin of [`ClaimEvent`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum WireClaim {
+    /// A daemon becomes the owner of a shard.
+    Claim {
+        /// The shard.
+        shard: u16,
+        /// The daemon.
+        daemon: SmolStr,
+        /// The daemon's incarnation.
+        incarnation: u64,
+    },
+    /// An owner repeats its claim.
+    Hold {
+        /// The shard.
+        shard: u16,
+        /// The daemon.
+        daemon: SmolStr,
+        /// The daemon's incarnation.
+        incarnation: u64,
+        /// The term of the claim.
+        term: u64,
+    },
+    /// An owner gives its shard up.
+    Release {
+        /// The shard.
+        shard: u16,
+        /// The term of the claim.
+        term: u64,
+    },
+}
+
+impl From<ClaimEvent> for WireClaim {
+    fn from(event: ClaimEvent) -> Self {
+        match event {
+            ClaimEvent::Claim {
+                shard,
+                daemon,
+                incarnation,
+            } => Self::Claim {
+                shard: shard.0,
+                daemon: name_text(&daemon),
+                incarnation: incarnation.0,
+            },
+            ClaimEvent::Hold {
+                shard,
+                daemon,
+                incarnation,
+                term,
+            } => Self::Hold {
+                shard: shard.0,
+                daemon: name_text(&daemon),
+                incarnation: incarnation.0,
+                term: term.0,
+            },
+            ClaimEvent::Release { shard, term } => Self::Release {
+                shard: shard.0,
+                term: term.0,
+            },
+        }
+    }
+}
+
+impl TryFrom<WireClaim> for ClaimEvent {
+    type Error = DecodeError;
+
+    fn try_from(wire: WireClaim) -> Result<Self, Self::Error> {
+        Ok(match wire {
+            WireClaim::Claim {
+                shard,
+                daemon,
+                incarnation,
+            } => Self::Claim {
+                shard: ShardId(shard),
+                daemon: parse_name(&daemon)?,
+                incarnation: DaemonIncarnation(incarnation),
+            },
+            WireClaim::Hold {
+                shard,
+                daemon,
+                incarnation,
+                term,
+            } => Self::Hold {
+                shard: ShardId(shard),
+                daemon: parse_name(&daemon)?,
+                incarnation: DaemonIncarnation(incarnation),
+                term: ShardTerm(term),
+            },
+            WireClaim::Release { shard, term } => Self::Release {
+                shard: ShardId(shard),
+                term: ShardTerm(term),
+            },
+        })
+    }
+}
--- /dev/null
+++ b/crates/geraniumshed-wire/src/log/codec.rs
@@ -0,0 +1,154 @@
+//! The encoding of one log entry.
+
+use std::fmt::{self, Display, Formatter};
+
+use bytes::Bytes;
+use geraniumshed_model::id::ParseIdError;
+use geraniumshed_model::prelude::{
+    ClaimEvent, ConfigEvent, DaemonIncarnation, EndpointEvent, KeyEvent, LogBatch, ShardEvent,
+    ShardTerm, WriterMark,
+};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+
+use super::claim::WireClaim;
+use super::config::WireConfig;
+use super::endpoint::WireEndpointEvent;
+use super::key::WireKeyEvent;
+use super::shard::WireShardEvent;
+
+/// The version of the encoding, the first byte of each entry.
+const FORMAT_VERSION: u8 = 1;
+
+/// An event of a stream, with the type that carries it on the wire.
+pub trait StreamEvent: Sized + Clone + Send + Sync + 'static {
+    /// The serialised twin of the event.
+    type Wire: Serialize + DeserializeOwned + From<Self> + TryInto<Self, Error = DecodeError>;
+}
+
+impl StreamEvent for ClaimEvent {
+    type Wire = WireClaim;
+}
+
+impl StreamEvent for ConfigEvent {
+    type Wire = WireConfig;
+}
+
+impl StreamEvent for EndpointEvent {
+    type Wire = WireEndpointEvent;
+}
+
+impl StreamEvent for ShardEvent {
+    type Wire = WireShardEvent;
+}
+
+impl StreamEvent for KeyEvent {
+    type Wire = WireKeyEvent;
+}
+
+/// An entry that can't be decoded.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum DecodeError {
+    /// The entry is empty.
+    Empty,
+    /// The entry is of a version that this program doesn't know.
+    UnknownVersion(u8),
+    /// The bytes are not a batch.
+    Malformed,
+    /// Bytes are left over after the batch.
+    TrailingBytes(usize),
+    /// A name in the entry is not valid.
+    InvalidName(ParseIdError),
+    /// A record says it is of one kind, and its text is of another.
+    KindMismatch,
+}
+
+impl Display for DecodeError {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Empty => f.write_str("the entry is empty"),
+            Self::UnknownVersion(version) => {
+                write!(f, "the entry has the unknown version {version}")
+            }
+            Self::Malformed => f.write_str("the entry is not a batch"),
+            Self::TrailingBytes(count) => write!(f, "{count} bytes follow the batch"),
+            Self::InvalidName(error) => Display::fmt(error, f),
+            Self::KindMismatch => f.write_str("the record's kind and its text differ"),
+        }
+    }
+}
+
+impl std::error::Error for DecodeError {}
+
+impl From<ParseIdError> for DecodeError {
+    fn from(error: ParseIdError) -> Self {
+        Self::InvalidName(error)
+    }
+}
+
+/// A batch that can't be encoded.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EncodeError;
+
+impl Display for EncodeError {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.write_str("the batch can't be encoded")
+    }
+}
+
+impl std::error::Error for EncodeError {}
+
+/// A batch on the wire.
+#[derive(Debug, Serialize, Deserialize)]
+struct WireBatch<W> {
+    incarnation: u64,
+    sequence: u64,
+    term: u64,
+    events: Vec<W>,
+}
+
+/// Encodes a batch as the body of a log entry.
+///
+/// # Errors
+///
+/// Returns an error if the serialiser fails, which no event of the model makes it do.
+pub fn encode_batch<E: StreamEvent>(batch: &LogBatch<E>) -> Result<Bytes, EncodeError> {
+    let wire = WireBatch {
+        incarnation: batch.mark.incarnation.0,
+        sequence: batch.mark.sequence,
+        term: batch.term.0,
+        events: batch.events.iter().cloned().map(E::Wire::from).collect(),
+    };
+    let body = postcard::to_extend(&wire, vec![FORMAT_VERSION]).map_err(|_| EncodeError)?;
+    Ok(Bytes::from(body))
+}
+
+/// Decodes the body of a log entry.
+///
+/// # Errors
+///
+/// Returns what is wrong with the bytes; no input makes it panic.
+pub fn decode_batch<E: StreamEvent>(body: &[u8]) -> Result<LogBatch<E>, DecodeError> {
+    let (version, rest) = body.split_first().ok_or(DecodeError::Empty)?;
+    if *version != FORMAT_VERSION {
+        return Err(DecodeError::UnknownVersion(*version));
+    }
+    let (wire, rest) = postcard::take_from_bytes::<WireBatch<E::Wire>>(rest)
+        .map_err(|_| DecodeError::Malformed)?;
+    if !rest.is_empty() {
+        return Err(DecodeError::TrailingBytes(rest.len()));
+    }
+    let events = wire
+        .events
+        .into_iter()
+        .map(TryInto::try_into)
+        .collect::<Result<_, _>>()?;
+    Ok(LogBatch {
+        mark: WriterMark {
+            incarnation: DaemonIncarnation(wire.incarnation),
+            sequence: wire.sequence,
+        },
+        term: ShardTerm(wire.term),
+        events,
+    })
+}
--- /dev/null
+++ b/crates/geraniumshed-wire/src/log/config.rs
@@ -0,0 +1,242 @@
+//! Events of the `config` stream on the wire.
+
+use geraniumshed_model::prelude::{
+    ConfigEvent, RecordBody, RecordGeneration, RecordKey, RecordKind, SchemaVersion, ShardId,
+};
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+use super::codec::DecodeError;
+use super::name::{name_text, parse_name};
+use super::snapshot::WirePart;
+use super::spec::WireSpec;
+
+/// The twin of [`RecordKind`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum WireKind {
+    /// A team.
+    Team,
+    /// A service.
+    Service,
+    /// A binding.
+    Binding,
+    /// A job.
+    Job,
+    /// A drain.
+    Drain,
+    /// A cancellation.
+    Cancel,
+    /// A stop.
+    Stop,
+}
+
+impl From<RecordKind> for WireKind {
+    fn from(kind: RecordKind) -> Self {
+        match kind {
+            RecordKind::Team => Self::Team,
+            RecordKind::Service => Self::Service,
+            RecordKind::Binding => Self::Binding,
+            RecordKind::Job => Self::Job,
+            RecordKind::Drain => Self::Drain,
+            RecordKind::Cancel => Self::Cancel,
+            RecordKind::Stop => Self::Stop,
+        }
+    }
+}
+
+impl From<WireKind> for RecordKind {
+    fn from(kind: WireKind) -> Self {
+        match kind {
+            WireKind::Team => Self::Team,
+            WireKind::Service => Self::Service,
+            WireKind::Binding => Self::Binding,
+            WireKind::Job => Self::Job,
+            WireKind::Drain => Self::Drain,
+            WireKind::Cancel => Self::Cancel,
+            WireKind::Stop => Self::Stop,
+        }
+    }
+}
+
+/// The twin of [`RecordKey`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WireKey {
+    kind: WireKind,
+    name: SmolStr,
+}
+
+impl From<RecordKey> for WireKey {
+    fn from(key: RecordKey) -> Self {
+        Self {
+            kind: key.kind.into(),
+            name: name_text(&key.name),
+        }
+    }
+}
+
+impl TryFrom<WireKey> for RecordKey {
+    type Error = DecodeError;
+
+    fn try_from(wire: WireKey) -> Result<Self, Self::Error> {
+        Ok(Self {
+            kind: wire.kind.into(),
+            name: parse_name(&wire.name)?,
+        })
+    }
+}
+
+/// The twin of [`RecordBody`].
+///
+/// Only the schemas 1 and 2 travel in binary; a later schema always travels as its text, so that
+/// programs that don't know it hold it whole.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum WireBody {
+    /// What the record says.
+    Known(WireSpec),
+    /// The text of the record.
+    Held(SmolStr),
+}
+
+impl From<RecordBody> for WireBody {
+    fn from(body: RecordBody) -> Self {
+        match body {
+            RecordBody::Known(spec) => Self::Known(spec.into()),
+            RecordBody::Held(text) => Self::Held(text),
+        }
+    }
+}
+
+impl TryFrom<WireBody> for RecordBody {
+    type Error = DecodeError;
+
+    fn try_from(wire: WireBody) -> Result<Self, Self::Error> {
+        Ok(match wire {
+            WireBody::Known(spec) => Self::Known(spec.try_into()?),
+            WireBody::Held(text) => Self::Held(text),
+        })
+    }
+}
+
+/// The twin of [`ConfigEvent`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum WireConfig {
+    /// An operator publishes a record.
+    Publish {
+        /// What identifies the record.
+        key: WireKey,
+        /// The schema.
+        schema: u16,
+        /// The generation that it replaces.
+        replaces: u64,
+        /// What it says.
+        body: WireBody,
+    },
+    /// An operator withdraws a record.
+    Withdraw {
+        /// What identifies the record.
+        key: WireKey,
+        /// The generation that is withdrawn.
+        replaces: u64,
+    },
+    /// A shard's owner reports a job's progress.
+    Progress {
+        /// The shard.
+        shard: u16,
+        /// The job.
+        job: WireKey,
+        /// The generation of the job.
+        generation: u64,
+        /// The tasks that completed.
+        completed: u32,
+        /// The tasks that failed.
+        failed: u32,
+    },
+    /// A part of a snapshot.
+    Snapshot(WirePart),
+}
+
+impl From<ConfigEvent> for WireConfig {
+    fn from(event: ConfigEvent) -> Self {
+        match event {
+            ConfigEvent::Publish {
+                key,
+                schema,
+                replaces,
+                body,
+            } => Self::Publish {
+                key: key.into(),
+                schema: schema.0,
+                replaces: replaces.0,
+                body: body.into(),
+            },
+            ConfigEvent::Withdraw { key, replaces } => Self::Withdraw {
+                key: key.into(),
+                replaces: replaces.0,
+            },
+            ConfigEvent::Progress {
+                shard,
+                job,
+                generation,
+                completed,
+                failed,
+            } => Self::Progress {
+                shard: shard.0,
+                job: job.into(),
+                generation: generation.0,
+                completed,
+                failed,
+            },
+            ConfigEvent::Snapshot(part) => Self::Snapshot(part.into()),
+        }
+    }
+}
+
+impl TryFrom<WireConfig> for ConfigEvent {
+    type Error = DecodeError;
+
+    fn try_from(wire: WireConfig) -> Result<Self, Self::Error> {
+        Ok(match wire {
+            WireConfig::Publish {
+                key,
+                schema,
+                replaces,
+                body,
+            } => {
+                let key = RecordKey::try_from(key)?;
+                let body = RecordBody::try_from(body)?;
+                check_kind(&key, &body)?;
+                Self::Publish {
+                    key,
+                    schema: SchemaVersion(schema),
+                    replaces: RecordGeneration(replaces),
+                    body,
+                }
+            }
+            WireConfig::Withdraw { key, replaces } => Self::Withdraw {
+                key: key.try_into()?,
+                replaces: RecordGeneration(replaces),
+            },
+            WireConfig::Progress {
+                shard,
+                job,
+                generation,
+                completed,
+                failed,
+            } => Self::Progress {
+                shard: ShardId(shard),
+                job: job.try_into()?,
+                generation: RecordGeneration(generation),
+                completed,
+                failed,
+            },
+            WireConfig::Snapshot(part) => Self::Snapshot(part.into()),
+        })
+    }
+}
+
+fn check_kind(key: &RecordKey, body: &RecordBody) -> Result<(), DecodeError> {
+    match body {
+        RecordBody::Known(spec) if spec.kind() != key.kind => Err(DecodeError::KindMismatch),
+        RecordBody::Known(_) | RecordBody::Held(_) => Ok(()),
+    }
+}
--- /dev/null
+++ b/crates/geraniumshed-wire/src/log/name.rs
@@ -0,0 +1,18 @@
+//! Names between the model and the wire.
+
+use std::str::FromStr;
+
+use geraniumshed_model::id::ParseIdError;
+use smol_str::{SmolStr, ToSmolStr};
+
+use super::codec::DecodeError;
+
+/// Returns the text of a name.
+pub(super) fn name_text(name: &impl ToSmolStr) -> SmolStr {
+    name.to_smolstr()
+}
+
+/// Checks the text of a name.
+pub(super) fn parse_name<T: FromStr<Err = ParseIdError>>(text: &SmolStr) -> Result<T, DecodeError> {
+    Ok(text.parse()?)
+}
--- /dev/null
+++ b/crates/geraniumshed-wire/src/log/snapshot.rs
@@ -0,0 +1,35 @@
+//! Parts of snapshots on the wire.
+
+use geraniumshed_model::prelude::SnapshotPart;
+use serde::{Deserialize, Serialize};
+
+/// The twin of [`SnapshotPart`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WirePart {
+    snapshot: u64,
+    index: u32,
+    count: u32,
+    bytes: Vec<u8>,
+}
+
+impl From<SnapshotPart> for WirePart {
+    fn from(part: SnapshotPart) -> Self {
+        Self {
+            snapshot: part.snapshot,
+            index: part.index,
+            count: part.count,
+            bytes: part.bytes,
+        }
+    }
+}
+
+impl From<WirePart> for SnapshotPart {
+    fn from(part: WirePart) -> Self {
+        Self {
+            snapshot: part.snapshot,
+            index: part.index,
+            count: part.count,
+            bytes: part.bytes,
+        }
+    }
+}
