Share the wire types of tasks and sizes between the log and the platform

The log's entries had twins of their own for what the platform's interfaces already carry; the cancellation and the number of a move are new events and travel now too.

--- a/crates/geraniumshed-wire/src/log/claim.rs
+++ b/crates/geraniumshed-wire/src/log/claim.rs
@@ -9,7 +9,7 @@
 
 /// The twin of [`ClaimEvent`].
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub enum WireClaim {
+pub enum ClaimEventWire {
     /// A daemon becomes the owner of a shard.
     Claim {
         /// The shard.
@@ -39,7 +39,7 @@
     },
 }
 
-impl From<ClaimEvent> for WireClaim {
+impl From<ClaimEvent> for ClaimEventWire {
     fn from(event: ClaimEvent) -> Self {
         match event {
             ClaimEvent::Claim {
@@ -70,12 +70,12 @@
     }
 }
 
-impl TryFrom<WireClaim> for ClaimEvent {
+impl TryFrom<ClaimEventWire> for ClaimEvent {
     type Error = DecodeError;
 
-    fn try_from(wire: WireClaim) -> Result<Self, Self::Error> {
+    fn try_from(wire: ClaimEventWire) -> Result<Self, Self::Error> {
         Ok(match wire {
-            WireClaim::Claim {
+            ClaimEventWire::Claim {
                 shard,
                 daemon,
                 incarnation,
@@ -84,7 +84,7 @@
                 daemon: parse_name(&daemon)?,
                 incarnation: DaemonIncarnation(incarnation),
             },
-            WireClaim::Hold {
+            ClaimEventWire::Hold {
                 shard,
                 daemon,
                 incarnation,
@@ -95,7 +95,7 @@
                 incarnation: DaemonIncarnation(incarnation),
                 term: ShardTerm(term),
             },
-            WireClaim::Release { shard, term } => Self::Release {
+            ClaimEventWire::Release { shard, term } => Self::Release {
                 shard: ShardId(shard),
                 term: ShardTerm(term),
             },
--- a/crates/geraniumshed-wire/src/log/codec.rs
+++ b/crates/geraniumshed-wire/src/log/codec.rs
@@ -3,7 +3,6 @@
 use std::fmt::{self, Display, Formatter};
 
 use bytes::Bytes;
-use geraniumshed_model::id::ParseIdError;
 use geraniumshed_model::prelude::{
     ClaimEvent, ConfigEvent, DaemonIncarnation, EndpointEvent, KeyEvent, LogBatch, ShardEvent,
     ShardTerm, WriterMark,
@@ -11,11 +10,12 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
-use super::claim::WireClaim;
-use super::config::WireConfig;
-use super::endpoint::WireEndpointEvent;
-use super::key::WireKeyEvent;
-use super::shard::WireShardEvent;
+use super::claim::ClaimEventWire;
+use super::config::ConfigEventWire;
+use super::endpoint::EndpointEventWire;
+use super::key::KeyEventWire;
+use super::shard::ShardEventWire;
+use crate::common::WireError;
 
 /// The version of the encoding, the first byte of each entry.
 const FORMAT_VERSION: u8 = 1;
@@ -27,23 +27,23 @@
 }
 
 impl StreamEvent for ClaimEvent {
-    type Wire = WireClaim;
+    type Wire = ClaimEventWire;
 }
 
 impl StreamEvent for ConfigEvent {
-    type Wire = WireConfig;
+    type Wire = ConfigEventWire;
 }
 
 impl StreamEvent for EndpointEvent {
-    type Wire = WireEndpointEvent;
+    type Wire = EndpointEventWire;
 }
 
 impl StreamEvent for ShardEvent {
-    type Wire = WireShardEvent;
+    type Wire = ShardEventWire;
 }
 
 impl StreamEvent for KeyEvent {
-    type Wire = WireKeyEvent;
+    type Wire = KeyEventWire;
 }
 
 /// An entry that can't be decoded.
@@ -57,8 +57,8 @@
     Malformed,
     /// Bytes are left over after the batch.
     TrailingBytes(usize),
-    /// A name in the entry is not valid.
-    InvalidName(ParseIdError),
+    /// A value in the entry breaks a rule of the model.
+    Invalid(WireError),
     /// A record says it is of one kind, and its text is of another.
     KindMismatch,
 }
@@ -72,7 +72,7 @@
             }
             Self::Malformed => f.write_str("the entry is not a batch"),
             Self::TrailingBytes(count) => write!(f, "{count} bytes follow the batch"),
-            Self::InvalidName(error) => Display::fmt(error, f),
+            Self::Invalid(error) => Display::fmt(error, f),
             Self::KindMismatch => f.write_str("the record's kind and its text differ"),
         }
     }
@@ -80,9 +80,9 @@
 
 impl std::error::Error for DecodeError {}
 
-impl From<ParseIdError> for DecodeError {
-    fn from(error: ParseIdError) -> Self {
-        Self::InvalidName(error)
+impl From<WireError> for DecodeError {
+    fn from(error: WireError) -> Self {
+        Self::Invalid(error)
     }
 }
 
@@ -100,7 +100,7 @@
 
 /// A batch on the wire.
 #[derive(Debug, Serialize, Deserialize)]
-struct WireBatch<W> {
+struct LogBatchWire<W> {
     incarnation: u64,
     sequence: u64,
     term: u64,
@@ -113,7 +113,7 @@
 ///
 /// Returns an error if the serialiser fails, which no event of the model makes it do.
 pub fn encode_batch<E: StreamEvent>(batch: &LogBatch<E>) -> Result<Bytes, EncodeError> {
-    let wire = WireBatch {
+    let wire = LogBatchWire {
         incarnation: batch.mark.incarnation.0,
         sequence: batch.mark.sequence,
         term: batch.term.0,
@@ -133,7 +133,7 @@
     if *version != FORMAT_VERSION {
         return Err(DecodeError::UnknownVersion(*version));
     }
-    let (wire, rest) = postcard::take_from_bytes::<WireBatch<E::Wire>>(rest)
+    let (wire, rest) = postcard::take_from_bytes::<LogBatchWire<E::Wire>>(rest)
         .map_err(|_| DecodeError::Malformed)?;
     if !rest.is_empty() {
         return Err(DecodeError::TrailingBytes(rest.len()));
--- a/crates/geraniumshed-wire/src/log/config.rs
+++ b/crates/geraniumshed-wire/src/log/config.rs
@@ -8,12 +8,12 @@
 
 use super::codec::DecodeError;
 use super::name::{name_text, parse_name};
-use super::snapshot::WirePart;
-use super::spec::WireSpec;
+use super::snapshot::SnapshotPartWire;
+use super::spec::RecordSpecWire;
 
 /// The twin of [`RecordKind`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub enum WireKind {
+pub enum RecordKindWire {
     /// A team.
     Team,
     /// A service.
@@ -30,7 +30,7 @@
     Stop,
 }
 
-impl From<RecordKind> for WireKind {
+impl From<RecordKind> for RecordKindWire {
     fn from(kind: RecordKind) -> Self {
         match kind {
             RecordKind::Team => Self::Team,
@@ -44,28 +44,28 @@
     }
 }
 
-impl From<WireKind> for RecordKind {
-    fn from(kind: WireKind) -> Self {
+impl From<RecordKindWire> for RecordKind {
+    fn from(kind: RecordKindWire) -> Self {
         match kind {
-            WireKind::Team => Self::Team,
-            WireKind::Service => Self::Service,
-            WireKind::Binding => Self::Binding,
-            WireKind::Job => Self::Job,
-            WireKind::Drain => Self::Drain,
-            WireKind::Cancel => Self::Cancel,
-            WireKind::Stop => Self::Stop,
+            RecordKindWire::Team => Self::Team,
+            RecordKindWire::Service => Self::Service,
+            RecordKindWire::Binding => Self::Binding,
+            RecordKindWire::Job => Self::Job,
+            RecordKindWire::Drain => Self::Drain,
+            RecordKindWire::Cancel => Self::Cancel,
+            RecordKindWire::Stop => Self::Stop,
         }
     }
 }
 
 /// The twin of [`RecordKey`].
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct WireKey {
-    kind: WireKind,
+pub struct RecordKeyWire {
+    kind: RecordKindWire,
     name: SmolStr,
 }
 
-impl From<RecordKey> for WireKey {
+impl From<RecordKey> for RecordKeyWire {
     fn from(key: RecordKey) -> Self {
         Self {
             kind: key.kind.into(),
@@ -74,10 +74,10 @@
     }
 }
 
-impl TryFrom<WireKey> for RecordKey {
+impl TryFrom<RecordKeyWire> for RecordKey {
     type Error = DecodeError;
 
-    fn try_from(wire: WireKey) -> Result<Self, Self::Error> {
+    fn try_from(wire: RecordKeyWire) -> Result<Self, Self::Error> {
         Ok(Self {
             kind: wire.kind.into(),
             name: parse_name(&wire.name)?,
@@ -90,14 +90,14 @@
 /// Only the schemas 1 and 2 travel in binary; a later schema always travels as its text, so that
 /// programs that don't know it hold it whole.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub enum WireBody {
+pub enum RecordBodyWire {
     /// What the record says.
-    Known(WireSpec),
+    Known(RecordSpecWire),
     /// The text of the record.
     Held(SmolStr),
 }
 
-impl From<RecordBody> for WireBody {
+impl From<RecordBody> for RecordBodyWire {
     fn from(body: RecordBody) -> Self {
         match body {
             RecordBody::Known(spec) => Self::Known(spec.into()),
@@ -106,35 +106,35 @@
     }
 }
 
-impl TryFrom<WireBody> for RecordBody {
+impl TryFrom<RecordBodyWire> for RecordBody {
     type Error = DecodeError;
 
-    fn try_from(wire: WireBody) -> Result<Self, Self::Error> {
+    fn try_from(wire: RecordBodyWire) -> Result<Self, Self::Error> {
         Ok(match wire {
-            WireBody::Known(spec) => Self::Known(spec.try_into()?),
-            WireBody::Held(text) => Self::Held(text),
+            RecordBodyWire::Known(spec) => Self::Known(spec.try_into()?),
+            RecordBodyWire::Held(text) => Self::Held(text),
         })
     }
 }
 
 /// The twin of [`ConfigEvent`].
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub enum WireConfig {
+pub enum ConfigEventWire {
     /// An operator publishes a record.
     Publish {
         /// What identifies the record.
-        key: WireKey,
+        key: RecordKeyWire,
         /// The schema.
         schema: u16,
         /// The generation that it replaces.
         replaces: u64,
         /// What it says.
-        body: WireBody,
+        body: RecordBodyWire,
     },
     /// An operator withdraws a record.
     Withdraw {
         /// What identifies the record.
-        key: WireKey,
+        key: RecordKeyWire,
         /// The generation that is withdrawn.
         replaces: u64,
     },
@@ -143,7 +143,7 @@
         /// The shard.
         shard: u16,
         /// The job.
-        job: WireKey,
+        job: RecordKeyWire,
         /// The generation of the job.
         generation: u64,
         /// The tasks that completed.
@@ -152,10 +152,10 @@
         failed: u32,
     },
     /// A part of a snapshot.
-    Snapshot(WirePart),
+    Snapshot(SnapshotPartWire),
 }
 
-impl From<ConfigEvent> for WireConfig {
+impl From<ConfigEvent> for ConfigEventWire {
     fn from(event: ConfigEvent) -> Self {
         match event {
             ConfigEvent::Publish {
@@ -191,12 +191,12 @@
     }
 }
 
-impl TryFrom<WireConfig> for ConfigEvent {
+impl TryFrom<ConfigEventWire> for ConfigEvent {
     type Error = DecodeError;
 
-    fn try_from(wire: WireConfig) -> Result<Self, Self::Error> {
+    fn try_from(wire: ConfigEventWire) -> Result<Self, Self::Error> {
         Ok(match wire {
-            WireConfig::Publish {
+            ConfigEventWire::Publish {
                 key,
                 schema,
                 replaces,
@@ -212,11 +212,11 @@
                     body,
                 }
             }
-            WireConfig::Withdraw { key, replaces } => Self::Withdraw {
+            ConfigEventWire::Withdraw { key, replaces } => Self::Withdraw {
                 key: key.try_into()?,
                 replaces: RecordGeneration(replaces),
             },
-            WireConfig::Progress {
+            ConfigEventWire::Progress {
                 shard,
                 job,
                 generation,
@@ -229,7 +229,7 @@
                 completed,
                 failed,
             },
-            WireConfig::Snapshot(part) => Self::Snapshot(part.into()),
+            ConfigEventWire::Snapshot(part) => Self::Snapshot(part.into()),
         })
     }
 }
--- a/crates/geraniumshed-wire/src/log/endpoint.rs
+++ b/crates/geraniumshed-wire/src/log/endpoint.rs
@@ -10,28 +10,28 @@
 
 use super::codec::DecodeError;
 use super::name::{name_text, parse_name};
-use super::shard::WireTask;
+use crate::common::TaskIdWire;
 
 /// The twin of [`EndpointId`].
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct WireEndpointId {
-    task: WireTask,
+pub struct EndpointIdWire {
+    task: TaskIdWire,
     attempt: u32,
 }
 
-impl From<EndpointId> for WireEndpointId {
+impl From<EndpointId> for EndpointIdWire {
     fn from(endpoint: EndpointId) -> Self {
         Self {
-            task: endpoint.task.into(),
+            task: (&endpoint.task).into(),
             attempt: endpoint.attempt.0,
         }
     }
 }
 
-impl TryFrom<WireEndpointId> for EndpointId {
+impl TryFrom<EndpointIdWire> for EndpointId {
     type Error = DecodeError;
 
-    fn try_from(wire: WireEndpointId) -> Result<Self, Self::Error> {
+    fn try_from(wire: EndpointIdWire) -> Result<Self, Self::Error> {
         Ok(Self {
             task: wire.task.try_into()?,
             attempt: AttemptNumber(wire.attempt),
@@ -41,14 +41,14 @@
 
 /// The twin of [`EndpointPhase`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub enum WireEndpointPhase {
+pub enum EndpointPhaseWire {
     /// The endpoint takes new requests.
     Ready,
     /// The endpoint takes no new requests.
     Leaving,
 }
 
-impl From<EndpointPhase> for WireEndpointPhase {
+impl From<EndpointPhase> for EndpointPhaseWire {
     fn from(phase: EndpointPhase) -> Self {
         match phase {
             EndpointPhase::Ready => Self::Ready,
@@ -57,29 +57,29 @@
     }
 }
 
-impl From<WireEndpointPhase> for EndpointPhase {
-    fn from(phase: WireEndpointPhase) -> Self {
+impl From<EndpointPhaseWire> for EndpointPhase {
+    fn from(phase: EndpointPhaseWire) -> Self {
         match phase {
-            WireEndpointPhase::Ready => Self::Ready,
-            WireEndpointPhase::Leaving => Self::Leaving,
+            EndpointPhaseWire::Ready => Self::Ready,
+            EndpointPhaseWire::Leaving => Self::Leaving,
         }
     }
 }
 
 /// The twin of [`EndpointEntry`].
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct WireEndpoint {
-    endpoint: WireEndpointId,
+pub struct EndpointEntryWire {
+    endpoint: EndpointIdWire,
     service: SmolStr,
     address: SocketAddr,
     vm: SmolStr,
     zone: SmolStr,
     slots: u32,
     connections: u32,
-    phase: WireEndpointPhase,
+    phase: EndpointPhaseWire,
 }
 
-impl From<EndpointEntry> for WireEndpoint {
+impl From<EndpointEntry> for EndpointEntryWire {
     fn from(entry: EndpointEntry) -> Self {
         Self {
             endpoint: entry.endpoint.into(),
@@ -94,10 +94,10 @@
     }
 }
 
-impl TryFrom<WireEndpoint> for EndpointEntry {
+impl TryFrom<EndpointEntryWire> for EndpointEntry {
     type Error = DecodeError;
 
-    fn try_from(wire: WireEndpoint) -> Result<Self, Self::Error> {
+    fn try_from(wire: EndpointEntryWire) -> Result<Self, Self::Error> {
         Ok(Self {
             endpoint: wire.endpoint.try_into()?,
             service: parse_name(&wire.service)?,
@@ -113,31 +113,31 @@
 
 /// The twin of [`EndpointEvent`].
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub enum WireEndpointEvent {
+pub enum EndpointEventWire {
     /// The shard's endpoints are these and no others.
     Full {
         /// The shard.
         shard: u16,
         /// All endpoints of the shard.
-        entries: Vec<WireEndpoint>,
+        entries: Vec<EndpointEntryWire>,
     },
     /// An endpoint appears or changes.
     Changed {
         /// The shard.
         shard: u16,
         /// The endpoint.
-        entry: WireEndpoint,
+        entry: EndpointEntryWire,
     },
     /// An endpoint is gone.
     Removed {
         /// The shard.
         shard: u16,
         /// The endpoint.
-        endpoint: WireEndpointId,
+        endpoint: EndpointIdWire,
     },
 }
 
-impl From<EndpointEvent> for WireEndpointEvent {
+impl From<EndpointEvent> for EndpointEventWire {
     fn from(event: EndpointEvent) -> Self {
         match event {
             EndpointEvent::Full { shard, entries } => Self::Full {
@@ -156,23 +156,23 @@
     }
 }
 
-impl TryFrom<WireEndpointEvent> for EndpointEvent {
+impl TryFrom<EndpointEventWire> for EndpointEvent {
     type Error = DecodeError;
 
-    fn try_from(wire: WireEndpointEvent) -> Result<Self, Self::Error> {
+    fn try_from(wire: EndpointEventWire) -> Result<Self, Self::Error> {
         Ok(match wire {
-            WireEndpointEvent::Full { shard, entries } => Self::Full {
+            EndpointEventWire::Full { shard, entries } => Self::Full {
                 shard: ShardId(shard),
                 entries: entries
                     .into_iter()
                     .map(TryInto::try_into)
                     .collect::<Result<_, _>>()?,
             },
-            WireEndpointEvent::Changed { shard, entry } => Self::Changed {
+            EndpointEventWire::Changed { shard, entry } => Self::Changed {
                 shard: ShardId(shard),
                 entry: entry.try_into()?,
             },
-            WireEndpointEvent::Removed { shard, endpoint } => Self::Removed {
+            EndpointEventWire::Removed { shard, endpoint } => Self::Removed {
                 shard: ShardId(shard),
                 endpoint: endpoint.try_into()?,
             },
--- a/crates/geraniumshed-wire/src/log/key.rs
+++ b/crates/geraniumshed-wire/src/log/key.rs
@@ -7,7 +7,7 @@
 
 /// The twin of [`KeyEvent`].
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub enum WireKeyEvent {
+pub enum KeyEventWire {
     /// The barrier of a new owner.
     Opened,
     /// A key is used up.
@@ -19,7 +19,7 @@
     },
 }
 
-impl From<KeyEvent> for WireKeyEvent {
+impl From<KeyEvent> for KeyEventWire {
     fn from(event: KeyEvent) -> Self {
         match event {
             KeyEvent::Opened => Self::Opened,
@@ -31,13 +31,13 @@
     }
 }
 
-impl TryFrom<WireKeyEvent> for KeyEvent {
+impl TryFrom<KeyEventWire> for KeyEvent {
     type Error = DecodeError;
 
-    fn try_from(wire: WireKeyEvent) -> Result<Self, Self::Error> {
+    fn try_from(wire: KeyEventWire) -> Result<Self, Self::Error> {
         Ok(match wire {
-            WireKeyEvent::Opened => Self::Opened,
-            WireKeyEvent::Claimed { key, request } => Self::Claimed {
+            KeyEventWire::Opened => Self::Opened,
+            KeyEventWire::Claimed { key, request } => Self::Claimed {
                 key: KeyDigest(key),
                 request: RequestDigest(request),
             },
--- a/crates/geraniumshed-wire/src/log/mod.rs
+++ b/crates/geraniumshed-wire/src/log/mod.rs
@@ -13,14 +13,14 @@
 mod snapshot;
 mod spec;
 
-pub use self::claim::WireClaim;
+pub use self::claim::ClaimEventWire;
 pub use self::codec::{DecodeError, EncodeError, StreamEvent, decode_batch, encode_batch};
-pub use self::config::{WireBody, WireConfig, WireKey, WireKind};
-pub use self::endpoint::{WireEndpoint, WireEndpointEvent, WireEndpointId, WireEndpointPhase};
-pub use self::key::WireKeyEvent;
-pub use self::shard::{WireOutcome, WireShardEvent, WireTask};
-pub use self::snapshot::WirePart;
+pub use self::config::{ConfigEventWire, RecordBodyWire, RecordKeyWire, RecordKindWire};
+pub use self::endpoint::{EndpointEntryWire, EndpointEventWire, EndpointIdWire, EndpointPhaseWire};
+pub use self::key::KeyEventWire;
+pub use self::shard::ShardEventWire;
+pub use self::snapshot::SnapshotPartWire;
 pub use self::spec::{
-    WireBinding, WireDrain, WireJob, WireScope, WireService, WireSize, WireSpec, WireTeam,
-    WireUrgency,
+    BindingSpecWire, DrainScopeWire, DrainSpecWire, JobSpecWire, RecordSpecWire, ServiceSpecWire,
+    TeamSpecWire,
 };
--- a/crates/geraniumshed-wire/src/log/name.rs
+++ b/crates/geraniumshed-wire/src/log/name.rs
@@ -6,6 +6,7 @@
 use smol_str::{SmolStr, ToSmolStr};
 
 use super::codec::DecodeError;
+use crate::common::WireError;
 
 /// Returns the text of a name.
 pub(super) fn name_text(name: &impl ToSmolStr) -> SmolStr {
@@ -14,5 +15,5 @@
 
 /// Checks the text of a name.
 pub(super) fn parse_name<T: FromStr<Err = ParseIdError>>(text: &SmolStr) -> Result<T, DecodeError> {
-    Ok(text.parse()?)
+    Ok(text.parse().map_err(WireError::from)?)
 }
--- a/crates/geraniumshed-wire/src/log/shard.rs
+++ b/crates/geraniumshed-wire/src/log/shard.rs
@@ -1,95 +1,25 @@
 //! Events of a shard's stream on the wire.
 
 use geraniumshed_model::prelude::{
-    AttemptNumber, BootId, CheckpointId, RecordGeneration, ShardEvent, ShardId, TaskId, TaskOutcome,
+    AttemptNumber, BootId, CheckpointId, RecordGeneration, ShardEvent, ShardId,
 };
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
 use super::codec::DecodeError;
 use super::name::{name_text, parse_name};
-use super::snapshot::WirePart;
-
-/// The twin of [`TaskId`].
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct WireTask {
-    record: SmolStr,
-    generation: u64,
-    index: u32,
-}
-
-impl From<TaskId> for WireTask {
-    fn from(task: TaskId) -> Self {
-        Self {
-            record: name_text(&task.record),
-            generation: task.generation.0,
-            index: task.index,
-        }
-    }
-}
-
-impl TryFrom<WireTask> for TaskId {
-    type Error = DecodeError;
-
-    fn try_from(wire: WireTask) -> Result<Self, Self::Error> {
-        Ok(Self {
-            record: parse_name(&wire.record)?,
-            generation: RecordGeneration(wire.generation),
-            index: wire.index,
-        })
-    }
-}
-
-/// The twin of [`TaskOutcome`].
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub enum WireOutcome {
-    /// The task did all of its work.
-    Completed,
-    /// The task ended with an error.
-    Failed(SmolStr),
-    /// The task was stopped.
-    Stopped(Option<SmolStr>),
-    /// The attempt never started.
-    NotStarted(SmolStr),
-}
-
-impl From<TaskOutcome> for WireOutcome {
-    fn from(outcome: TaskOutcome) -> Self {
-        match outcome {
-            TaskOutcome::Completed => Self::Completed,
-            TaskOutcome::Failed { reason } => Self::Failed(reason),
-            TaskOutcome::Stopped { checkpoint } => {
-                Self::Stopped(checkpoint.as_ref().map(name_text))
-            }
-            TaskOutcome::NotStarted { reason } => Self::NotStarted(reason),
-        }
-    }
-}
-
-impl TryFrom<WireOutcome> for TaskOutcome {
-    type Error = DecodeError;
-
-    fn try_from(wire: WireOutcome) -> Result<Self, Self::Error> {
-        Ok(match wire {
-            WireOutcome::Completed => Self::Completed,
-            WireOutcome::Failed(reason) => Self::Failed { reason },
-            WireOutcome::Stopped(checkpoint) => Self::Stopped {
-                checkpoint: parse_checkpoint(checkpoint)?,
-            },
-            WireOutcome::NotStarted(reason) => Self::NotStarted { reason },
-        })
-    }
-}
+use super::snapshot::SnapshotPartWire;
+use crate::common::{TaskIdWire, TaskOutcomeWire};
 
 /// The twin of [`ShardEvent`].
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub enum WireShardEvent {
+pub enum ShardEventWire {
     /// The barrier of a new owner.
     Opened,
     /// A task is to run on a worker.
     Placed {
         /// The task.
-        task: WireTask,
+        task: TaskIdWire,
         /// The attempt.
         attempt: u32,
         /// The worker.
@@ -100,34 +30,43 @@
     /// An attempt ended.
     Ended {
         /// The task.
-        task: WireTask,
+        task: TaskIdWire,
         /// The attempt.
         attempt: u32,
         /// How it ended.
-        outcome: WireOutcome,
+        outcome: TaskOutcomeWire,
     },
     /// Nobody can tell whether an attempt ran.
     Unknown {
         /// The task.
-        task: WireTask,
+        task: TaskIdWire,
         /// The attempt.
         attempt: u32,
     },
     /// An operator decided about an unknown attempt.
     Resolved {
         /// The task.
-        task: WireTask,
+        task: TaskIdWire,
         /// The attempt.
         attempt: u32,
         /// Whether the task runs again.
         rerun: bool,
     },
+    /// The tasks of a job that are not ended are cancelled.
+    Cancelled {
+        /// The name of the job.
+        job: SmolStr,
+        /// The generation of the job.
+        generation: u64,
+    },
     /// A task goes to another shard.
     MovedOut {
         /// The task.
-        task: WireTask,
+        task: TaskIdWire,
         /// The shard that takes the task.
         to: u16,
+        /// The number of this move.
+        hop: u32,
         /// The attempts taken so far.
         attempt: u32,
         /// The checkpoint.
@@ -136,19 +75,21 @@
     /// A task of another shard is taken.
     MovedIn {
         /// The task.
-        task: WireTask,
+        task: TaskIdWire,
         /// The shard that gave the task away.
         from: u16,
+        /// The number of this move.
+        hop: u32,
         /// The attempts taken so far.
         attempt: u32,
         /// The checkpoint.
         checkpoint: Option<SmolStr>,
     },
     /// A part of a snapshot.
-    Snapshot(WirePart),
+    Snapshot(SnapshotPartWire),
 }
 
-impl From<ShardEvent> for WireShardEvent {
+impl From<ShardEvent> for ShardEventWire {
     fn from(event: ShardEvent) -> Self {
         match event {
             ShardEvent::Opened => Self::Opened,
@@ -158,7 +99,7 @@
                 worker,
                 boot,
             } => Self::Placed {
-                task: task.into(),
+                task: (&task).into(),
                 attempt: attempt.0,
                 worker: name_text(&worker),
                 boot: boot.0,
@@ -168,12 +109,12 @@
                 attempt,
                 outcome,
             } => Self::Ended {
-                task: task.into(),
+                task: (&task).into(),
                 attempt: attempt.0,
-                outcome: outcome.into(),
+                outcome: (&outcome).into(),
             },
             ShardEvent::Unknown { task, attempt } => Self::Unknown {
-                task: task.into(),
+                task: (&task).into(),
                 attempt: attempt.0,
             },
             ShardEvent::Resolved {
@@ -181,29 +122,37 @@
                 attempt,
                 rerun,
             } => Self::Resolved {
-                task: task.into(),
+                task: (&task).into(),
                 attempt: attempt.0,
                 rerun,
             },
+            ShardEvent::Cancelled { job, generation } => Self::Cancelled {
+                job: name_text(&job),
+                generation: generation.0,
+            },
             ShardEvent::MovedOut {
                 task,
                 to,
+                hop,
                 attempt,
                 checkpoint,
             } => Self::MovedOut {
-                task: task.into(),
+                task: (&task).into(),
                 to: to.0,
+                hop,
                 attempt: attempt.0,
                 checkpoint: checkpoint.as_ref().map(name_text),
             },
             ShardEvent::MovedIn {
                 task,
                 from,
+                hop,
                 attempt,
                 checkpoint,
             } => Self::MovedIn {
-                task: task.into(),
+                task: (&task).into(),
                 from: from.0,
+                hop,
                 attempt: attempt.0,
                 checkpoint: checkpoint.as_ref().map(name_text),
             },
@@ -212,13 +161,13 @@
     }
 }
 
-impl TryFrom<WireShardEvent> for ShardEvent {
+impl TryFrom<ShardEventWire> for ShardEvent {
     type Error = DecodeError;
 
-    fn try_from(wire: WireShardEvent) -> Result<Self, Self::Error> {
+    fn try_from(wire: ShardEventWire) -> Result<Self, Self::Error> {
         Ok(match wire {
-            WireShardEvent::Opened => Self::Opened,
-            WireShardEvent::Placed {
+            ShardEventWire::Opened => Self::Opened,
+            ShardEventWire::Placed {
                 task,
                 attempt,
                 worker,
@@ -229,7 +178,7 @@
                 worker: parse_name(&worker)?,
                 boot: BootId(boot),
             },
-            WireShardEvent::Ended {
+            ShardEventWire::Ended {
                 task,
                 attempt,
                 outcome,
@@ -238,11 +187,11 @@
                 attempt: AttemptNumber(attempt),
                 outcome: outcome.try_into()?,
             },
-            WireShardEvent::Unknown { task, attempt } => Self::Unknown {
+            ShardEventWire::Unknown { task, attempt } => Self::Unknown {
                 task: task.try_into()?,
                 attempt: AttemptNumber(attempt),
             },
-            WireShardEvent::Resolved {
+            ShardEventWire::Resolved {
                 task,
                 attempt,
                 rerun,
@@ -251,29 +200,37 @@
                 attempt: AttemptNumber(attempt),
                 rerun,
             },
-            WireShardEvent::MovedOut {
+            ShardEventWire::Cancelled { job, generation } => Self::Cancelled {
+                job: parse_name(&job)?,
+                generation: RecordGeneration(generation),
+            },
+            ShardEventWire::MovedOut {
                 task,
                 to,
+                hop,
                 attempt,
                 checkpoint,
             } => Self::MovedOut {
                 task: task.try_into()?,
                 to: ShardId(to),
+                hop,
                 attempt: AttemptNumber(attempt),
                 checkpoint: parse_checkpoint(checkpoint)?,
             },
-            WireShardEvent::MovedIn {
+            ShardEventWire::MovedIn {
                 task,
                 from,
+                hop,
                 attempt,
                 checkpoint,
             } => Self::MovedIn {
                 task: task.try_into()?,
                 from: ShardId(from),
+                hop,
                 attempt: AttemptNumber(attempt),
                 checkpoint: parse_checkpoint(checkpoint)?,
             },
-            WireShardEvent::Snapshot(part) => Self::Snapshot(part.into()),
+            ShardEventWire::Snapshot(part) => Self::Snapshot(part.into()),
         })
     }
 }
--- a/crates/geraniumshed-wire/src/log/snapshot.rs
+++ b/crates/geraniumshed-wire/src/log/snapshot.rs
@@ -5,14 +5,14 @@
 
 /// The twin of [`SnapshotPart`].
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct WirePart {
+pub struct SnapshotPartWire {
     snapshot: u64,
     index: u32,
     count: u32,
     bytes: Vec<u8>,
 }
 
-impl From<SnapshotPart> for WirePart {
+impl From<SnapshotPart> for SnapshotPartWire {
     fn from(part: SnapshotPart) -> Self {
         Self {
             snapshot: part.snapshot,
@@ -23,8 +23,8 @@
     }
 }
 
-impl From<WirePart> for SnapshotPart {
-    fn from(part: WirePart) -> Self {
+impl From<SnapshotPartWire> for SnapshotPart {
+    fn from(part: SnapshotPartWire) -> Self {
         Self {
             snapshot: part.snapshot,
             index: part.index,
--- a/crates/geraniumshed-wire/src/log/spec.rs
+++ b/crates/geraniumshed-wire/src/log/spec.rs
@@ -1,98 +1,37 @@
 //! What records say, on the wire.
 
-use std::time::Duration;
-
 use geraniumshed_model::prelude::{
-    AcceleratorCount, BindingSpec, CancelSpec, DrainScope, DrainSpec, JobSpec, MemorySize,
-    ProcessorShare, RecordGeneration, RecordSpec, RequestRate, ResourceSize, ServiceSpec,
-    SlotCount, TeamSpec, TimeSpan, UrgencyClass,
+    BindingSpec, CancelSpec, DrainScope, DrainSpec, JobSpec, RecordGeneration, RecordSpec,
+    RequestRate, ServiceSpec, SlotCount, TeamSpec,
 };
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
 use super::codec::DecodeError;
 use super::name::{name_text, parse_name};
-
-/// The twin of [`ResourceSize`].
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct WireSize {
-    processors: u32,
-    memory: u64,
-    accelerators: u32,
-}
-
-impl From<ResourceSize> for WireSize {
-    fn from(size: ResourceSize) -> Self {
-        Self {
-            processors: size.processors.0,
-            memory: size.memory.0,
-            accelerators: size.accelerators.0,
-        }
-    }
-}
-
-impl From<WireSize> for ResourceSize {
-    fn from(wire: WireSize) -> Self {
-        Self {
-            processors: ProcessorShare(wire.processors),
-            memory: MemorySize(wire.memory),
-            accelerators: AcceleratorCount(wire.accelerators),
-        }
-    }
-}
-
-/// The twin of [`UrgencyClass`].
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub enum WireUrgency {
-    /// Work that fills idle capacity.
-    Background,
-    /// Ordinary work.
-    Normal,
-    /// Work that goes first.
-    Urgent,
-}
-
-impl From<UrgencyClass> for WireUrgency {
-    fn from(urgency: UrgencyClass) -> Self {
-        match urgency {
-            UrgencyClass::Background => Self::Background,
-            UrgencyClass::Normal => Self::Normal,
-            UrgencyClass::Urgent => Self::Urgent,
-        }
-    }
-}
-
-impl From<WireUrgency> for UrgencyClass {
-    fn from(wire: WireUrgency) -> Self {
-        match wire {
-            WireUrgency::Background => Self::Background,
-            WireUrgency::Normal => Self::Normal,
-            WireUrgency::Urgent => Self::Urgent,
-        }
-    }
-}
+use crate::common::{ResourceSizeWire, UrgencyClassWire, span_from_micros, span_to_micros};
 
 /// The twin of [`TeamSpec`].
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct WireTeam {
-    quota: WireSize,
+pub struct TeamSpecWire {
+    quota: ResourceSizeWire,
     weight: u32,
     rate: Option<u32>,
 }
 
 /// The twin of [`ServiceSpec`].
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct WireService {
+pub struct ServiceSpecWire {
     team: SmolStr,
     replicas: u32,
-    size: WireSize,
+    size: ResourceSizeWire,
     group: SmolStr,
     command: SmolStr,
     slots: u32,
     connections: u32,
     deadline_us: u64,
     latency_goal_us: u64,
-    urgency: WireUrgency,
+    urgency: UrgencyClassWire,
     queue_limit: u32,
     idempotent: bool,
     listener: bool,
@@ -100,29 +39,29 @@
 
 /// The twin of [`BindingSpec`].
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct WireBinding {
+pub struct BindingSpecWire {
     service: SmolStr,
     team: SmolStr,
-    urgency: WireUrgency,
+    urgency: UrgencyClassWire,
     deadline_us: Option<u64>,
 }
 
 /// The twin of [`JobSpec`].
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct WireJob {
+pub struct JobSpecWire {
     team: SmolStr,
     tasks: u32,
-    size: WireSize,
+    size: ResourceSizeWire,
     group: SmolStr,
     command: SmolStr,
-    urgency: WireUrgency,
+    urgency: UrgencyClassWire,
     idempotent: bool,
     failure_limit: u32,
 }
 
 /// The twin of [`DrainScope`].
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub enum WireScope {
+pub enum DrainScopeWire {
     /// One VM.
     Vm(SmolStr),
     /// A rack.
@@ -133,30 +72,30 @@
 
 /// The twin of [`DrainSpec`].
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct WireDrain {
-    scope: WireScope,
+pub struct DrainSpecWire {
+    scope: DrainScopeWire,
 }
 
 /// The twin of [`RecordSpec`].
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub enum WireSpec {
+pub enum RecordSpecWire {
     /// A team.
-    Team(WireTeam),
+    Team(TeamSpecWire),
     /// A service.
-    Service(Box<WireService>),
+    Service(Box<ServiceSpecWire>),
     /// A binding.
-    Binding(WireBinding),
+    Binding(BindingSpecWire),
     /// A job.
-    Job(Box<WireJob>),
+    Job(Box<JobSpecWire>),
     /// A drain.
-    Drain(WireDrain),
+    Drain(DrainSpecWire),
     /// A cancellation of the job of this generation.
     Cancel(u64),
     /// A stop.
     Stop,
 }
 
-impl From<RecordSpec> for WireSpec {
+impl From<RecordSpec> for RecordSpecWire {
     fn from(spec: RecordSpec) -> Self {
         match spec {
             RecordSpec::Team(team) => Self::Team(team.into()),
@@ -170,25 +109,25 @@
     }
 }
 
-impl TryFrom<WireSpec> for RecordSpec {
+impl TryFrom<RecordSpecWire> for RecordSpec {
     type Error = DecodeError;
 
-    fn try_from(wire: WireSpec) -> Result<Self, Self::Error> {
+    fn try_from(wire: RecordSpecWire) -> Result<Self, Self::Error> {
         Ok(match wire {
-            WireSpec::Team(team) => Self::Team(team.into()),
-            WireSpec::Service(service) => Self::Service((*service).try_into()?),
-            WireSpec::Binding(binding) => Self::Binding(binding.try_into()?),
-            WireSpec::Job(job) => Self::Job((*job).try_into()?),
-            WireSpec::Drain(drain) => Self::Drain(drain.try_into()?),
-            WireSpec::Cancel(generation) => Self::Cancel(CancelSpec {
+            RecordSpecWire::Team(team) => Self::Team(team.into()),
+            RecordSpecWire::Service(service) => Self::Service((*service).try_into()?),
+            RecordSpecWire::Binding(binding) => Self::Binding(binding.try_into()?),
+            RecordSpecWire::Job(job) => Self::Job((*job).try_into()?),
+            RecordSpecWire::Drain(drain) => Self::Drain(drain.try_into()?),
+            RecordSpecWire::Cancel(generation) => Self::Cancel(CancelSpec {
                 generation: RecordGeneration(generation),
             }),
-            WireSpec::Stop => Self::Stop,
+            RecordSpecWire::Stop => Self::Stop,
         })
     }
 }
 
-impl From<TeamSpec> for WireTeam {
+impl From<TeamSpec> for TeamSpecWire {
     fn from(team: TeamSpec) -> Self {
         Self {
             quota: team.quota.into(),
@@ -198,8 +137,8 @@
     }
 }
 
-impl From<WireTeam> for TeamSpec {
-    fn from(wire: WireTeam) -> Self {
+impl From<TeamSpecWire> for TeamSpec {
+    fn from(wire: TeamSpecWire) -> Self {
         Self {
             quota: wire.quota.into(),
             weight: wire.weight,
@@ -208,7 +147,7 @@
     }
 }
 
-impl From<ServiceSpec> for WireService {
+impl From<ServiceSpec> for ServiceSpecWire {
     fn from(service: ServiceSpec) -> Self {
         Self {
             team: name_text(&service.team),
@@ -218,8 +157,8 @@
             command: service.command,
             slots: service.slots.0,
             connections: service.connections,
-            deadline_us: span_micros(service.deadline),
-            latency_goal_us: span_micros(service.latency_goal),
+            deadline_us: span_to_micros(service.deadline),
+            latency_goal_us: span_to_micros(service.latency_goal),
             urgency: service.urgency.into(),
             queue_limit: service.queue_limit,
             idempotent: service.idempotent,
@@ -228,10 +167,10 @@
     }
 }
 
-impl TryFrom<WireService> for ServiceSpec {
+impl TryFrom<ServiceSpecWire> for ServiceSpec {
     type Error = DecodeError;
 
-    fn try_from(wire: WireService) -> Result<Self, Self::Error> {
+    fn try_from(wire: ServiceSpecWire) -> Result<Self, Self::Error> {
         Ok(Self {
             team: parse_name(&wire.team)?,
             replicas: wire.replicas,
@@ -240,8 +179,8 @@
             command: wire.command,
             slots: SlotCount(wire.slots),
             connections: wire.connections,
-            deadline: micros_span(wire.deadline_us),
-            latency_goal: micros_span(wire.latency_goal_us),
+            deadline: span_from_micros(wire.deadline_us),
+            latency_goal: span_from_micros(wire.latency_goal_us),
             urgency: wire.urgency.into(),
             queue_limit: wire.queue_limit,
             idempotent: wire.idempotent,
@@ -250,31 +189,31 @@
     }
 }
 
-impl From<BindingSpec> for WireBinding {
+impl From<BindingSpec> for BindingSpecWire {
     fn from(binding: BindingSpec) -> Self {
         Self {
             service: name_text(&binding.service),
             team: name_text(&binding.team),
             urgency: binding.urgency.into(),
-            deadline_us: binding.deadline.map(span_micros),
+            deadline_us: binding.deadline.map(span_to_micros),
         }
     }
 }
 
-impl TryFrom<WireBinding> for BindingSpec {
+impl TryFrom<BindingSpecWire> for BindingSpec {
     type Error = DecodeError;
 
-    fn try_from(wire: WireBinding) -> Result<Self, Self::Error> {
+    fn try_from(wire: BindingSpecWire) -> Result<Self, Self::Error> {
         Ok(Self {
             service: parse_name(&wire.service)?,
             team: parse_name(&wire.team)?,
             urgency: wire.urgency.into(),
-            deadline: wire.deadline_us.map(micros_span),
+            deadline: wire.deadline_us.map(span_from_micros),
         })
     }
 }
 
-impl From<JobSpec> for WireJob {
+impl From<JobSpec> for JobSpecWire {
     fn from(job: JobSpec) -> Self {
         Self {
             team: name_text(&job.team),
@@ -289,10 +228,10 @@
     }
 }
 
-impl TryFrom<WireJob> for JobSpec {
+impl TryFrom<JobSpecWire> for JobSpec {
     type Error = DecodeError;
 
-    fn try_from(wire: WireJob) -> Result<Self, Self::Error> {
+    fn try_from(wire: JobSpecWire) -> Result<Self, Self::Error> {
         Ok(Self {
             team: parse_name(&wire.team)?,
             tasks: wire.tasks,
@@ -306,36 +245,28 @@
     }
 }
 
-impl From<DrainSpec> for WireDrain {
+impl From<DrainSpec> for DrainSpecWire {
     fn from(drain: DrainSpec) -> Self {
         Self {
             scope: match drain.scope {
-                DrainScope::Vm(vm) => WireScope::Vm(name_text(&vm)),
-                DrainScope::Rack(rack) => WireScope::Rack(name_text(&rack)),
-                DrainScope::Zone(zone) => WireScope::Zone(name_text(&zone)),
+                DrainScope::Vm(vm) => DrainScopeWire::Vm(name_text(&vm)),
+                DrainScope::Rack(rack) => DrainScopeWire::Rack(name_text(&rack)),
+                DrainScope::Zone(zone) => DrainScopeWire::Zone(name_text(&zone)),
             },
         }
     }
 }
 
-impl TryFrom<WireDrain> for DrainSpec {
+impl TryFrom<DrainSpecWire> for DrainSpec {
     type Error = DecodeError;
 
-    fn try_from(wire: WireDrain) -> Result<Self, Self::Error> {
+    fn try_from(wire: DrainSpecWire) -> Result<Self, Self::Error> {
         Ok(Self {
             scope: match &wire.scope {
-                WireScope::Vm(vm) => DrainScope::Vm(parse_name(vm)?),
-                WireScope::Rack(rack) => DrainScope::Rack(parse_name(rack)?),
-                WireScope::Zone(zone) => DrainScope::Zone(parse_name(zone)?),
+                DrainScopeWire::Vm(vm) => DrainScope::Vm(parse_name(vm)?),
+                DrainScopeWire::Rack(rack) => DrainScope::Rack(parse_name(rack)?),
+                DrainScopeWire::Zone(zone) => DrainScope::Zone(parse_name(zone)?),
             },
         })
     }
 }
-
-fn span_micros(span: TimeSpan) -> u64 {
-    u64::try_from(span.0.as_micros()).unwrap_or(u64::MAX)
-}
-
-fn micros_span(micros: u64) -> TimeSpan {
-    TimeSpan(Duration::from_micros(micros))
-}
--- a/crates/geraniumshed-wire/tests/log_codec.rs
+++ b/crates/geraniumshed-wire/tests/log_codec.rs
@@ -211,15 +211,21 @@
             attempt,
             rerun: true,
         },
+        ShardEvent::Cancelled {
+            job: name("regrade-17"),
+            generation: RecordGeneration(3),
+        },
         ShardEvent::MovedOut {
             task: task(),
             to: ShardId(2),
+            hop: 1,
             attempt,
             checkpoint: None,
         },
         ShardEvent::MovedIn {
             task: task(),
             from: ShardId(2),
+            hop: 2,
             attempt,
             checkpoint: Some(name("c-1")),
         },
