Read operators' records of both schemas from YAML

Documents are read into a tree of nodes that know their lines, and readers of sections collect every problem with path, line, value, what is allowed and a hint. Both schemas convert into the one model; records of an unknown schema are held as text. Records in force are written back in their own schema, so that what an operator gets can be changed and published again.

--- /dev/null
+++ b/crates/geraniumshed-wire/src/document/section.rs
@@ -0,0 +1,321 @@
+//! The fields of one section of a document.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use smol_str::{SmolStr, format_smolstr};
+
+use super::field::{FieldRule, suggest};
+use super::node::{DocumentNode, NodeValue};
+use super::problem::{FieldProblem, ProblemList};
+
+/// What readers of a document share: the overrides and what was found.
+#[derive(Debug, Default)]
+pub struct ReadContext {
+    /// Values that replace those of the document, by the name of their variable.
+    overrides: BTreeMap<SmolStr, SmolStr>,
+    /// The paths of all fields that were asked for.
+    asked: BTreeSet<SmolStr>,
+    /// What is wrong.
+    pub problems: ProblemList,
+}
+
+impl ReadContext {
+    /// Creates a context in which environment variables replace values of the document.
+    ///
+    /// The variables are named as [`override_name`] says.
+    pub fn with_overrides(overrides: BTreeMap<SmolStr, SmolStr>) -> Self {
+        Self {
+            overrides,
+            ..Self::default()
+        }
+    }
+
+    /// Returns the paths of all fields that were asked for.
+    pub fn asked(&self) -> &BTreeSet<SmolStr> {
+        &self.asked
+    }
+
+    /// Reports variables that replace no field that was asked for.
+    pub fn close_overrides(&mut self) {
+        let known: BTreeSet<_> = self.asked.iter().map(|path| override_name(path)).collect();
+        for (name, value) in &self.overrides {
+            if known.contains(name) {
+                continue;
+            }
+            self.problems.push(FieldProblem {
+                line: 0,
+                path: name.clone(),
+                value: value.clone(),
+                problem: SmolStr::new_static("is set by a variable that names no field"),
+                allowed: SmolStr::default(),
+                hint: suggest(name, known.iter().map(SmolStr::as_str)),
+            });
+        }
+    }
+
+    fn replaced(&self, path: &str) -> Option<&SmolStr> {
+        if self.overrides.is_empty() {
+            return None;
+        }
+        self.overrides.get(&override_name(path))
+    }
+}
+
+/// The beginning of the names of environment variables that replace fields.
+pub const OVERRIDE_PREFIX: &str = "GERANIUMSHED_";
+
+/// Returns the name of the environment variable that replaces a field, such as
+/// `GERANIUMSHED_DAEMON_ZONE` for `daemon.zone`.
+pub fn override_name(path: &str) -> SmolStr {
+    let letters = path.chars().map(|letter| match letter {
+        '.' => '_',
+        other => other.to_ascii_uppercase(),
+    });
+    OVERRIDE_PREFIX.chars().chain(letters).collect()
+}
+
+/// A reader of the fields of one section.
+#[derive(Debug)]
+pub struct SectionReader<'a> {
+    path: SmolStr,
+    line: u32,
+    fields: &'a [(SmolStr, DocumentNode)],
+    known: Vec<SmolStr>,
+}
+
+impl<'a> SectionReader<'a> {
+    /// Opens the section that a node holds; an empty node is an empty section.
+    pub fn open(path: &str, node: &'a DocumentNode, context: &mut ReadContext) -> Self {
+        let fields = match &node.value {
+            NodeValue::Section(fields) => fields.as_slice(),
+            NodeValue::Null => &[],
+            other => {
+                context.problems.push(FieldProblem {
+                    line: node.line,
+                    path: path.into(),
+                    value: other.shown(),
+                    problem: SmolStr::new_static("is not a section"),
+                    allowed: SmolStr::new_static("fields, each on a line of its own"),
+                    hint: SmolStr::new_static("indent the fields below the name of the section"),
+                });
+                &[]
+            }
+        };
+        Self {
+            path: path.into(),
+            line: node.line,
+            fields,
+            known: Vec::new(),
+        }
+    }
+
+    /// Returns the line on which the section begins.
+    pub fn line(&self) -> u32 {
+        self.line
+    }
+
+    /// Returns the path of a field of this section.
+    pub fn path(&self, name: &str) -> SmolStr {
+        if self.path.is_empty() {
+            SmolStr::new(name)
+        } else {
+            format_smolstr!("{}.{name}", self.path)
+        }
+    }
+
+    /// Returns the node of a field, if the field is there.
+    pub fn node(&mut self, name: &str) -> Option<&'a DocumentNode> {
+        self.known.push(name.into());
+        self.fields
+            .iter()
+            .find(|(field, _)| field == name)
+            .map(|(_, node)| node)
+    }
+
+    /// Opens a section within this one; a missing one is empty.
+    #[must_use]
+    pub fn section(&mut self, name: &str, context: &mut ReadContext) -> SectionReader<'a> {
+        let path = self.path(name);
+        let line = self.line;
+        match self.node(name) {
+            Some(node) => SectionReader::open(&path, node, context),
+            None => SectionReader {
+                path,
+                line,
+                fields: &[],
+                known: Vec::new(),
+            },
+        }
+    }
+
+    /// Reads a field that has to be there.
+    pub fn required<R: FieldRule>(
+        &mut self,
+        name: &str,
+        rule: &R,
+        context: &mut ReadContext,
+    ) -> Option<R::Value> {
+        let found = self.optional(name, rule, context)?;
+        if found.is_none() {
+            context.problems.push(FieldProblem {
+                line: self.line,
+                path: self.path(name),
+                value: SmolStr::default(),
+                problem: SmolStr::new_static("is missing"),
+                allowed: rule.allowed(),
+                hint: format_smolstr!("add `{name}:` to this section"),
+            });
+        }
+        found
+    }
+
+    /// Reads a field, or takes a default if it is missing.
+    pub fn defaulted<R: FieldRule>(
+        &mut self,
+        name: &str,
+        rule: &R,
+        default: R::Value,
+        context: &mut ReadContext,
+    ) -> Option<R::Value> {
+        self.optional(name, rule, context)
+            .map(|found| found.unwrap_or(default))
+    }
+
+    /// Reads a field that may be missing; the outer `None` means that its value is wrong.
+    pub fn optional<R: FieldRule>(
+        &mut self,
+        name: &str,
+        rule: &R,
+        context: &mut ReadContext,
+    ) -> Option<Option<R::Value>> {
+        let path = self.path(name);
+        context.asked.insert(path.clone());
+        let node = self.node(name);
+        let replaced = context.replaced(&path).map(|text| scalar_node(text));
+        let Some(node) = replaced.as_ref().or(node) else {
+            return Some(None);
+        };
+        if node.value == NodeValue::Null {
+            return Some(None);
+        }
+        read_node(&path, node, rule, context).map(Some)
+    }
+
+    /// Reads a list of values; a missing one is empty.
+    pub fn list<R: FieldRule>(
+        &mut self,
+        name: &str,
+        rule: &R,
+        context: &mut ReadContext,
+    ) -> Option<Vec<R::Value>> {
+        let path = self.path(name);
+        context.asked.insert(path.clone());
+        let node = self.node(name);
+        let replaced = context.replaced(&path).map(|text| list_node(text));
+        let Some(node) = replaced.as_ref().or(node) else {
+            return Some(Vec::new());
+        };
+        let NodeValue::List(nodes) = &node.value else {
+            context.problems.push(FieldProblem {
+                line: node.line,
+                path,
+                value: node.value.shown(),
+                problem: SmolStr::new_static("is not a list"),
+                allowed: format_smolstr!("a list of {}", rule.allowed()),
+                hint: SmolStr::new_static("write `[a, b]`, or one `- a` a line"),
+            });
+            return None;
+        };
+        let mut values = Vec::new();
+        for (index, node) in nodes.iter().enumerate() {
+            let path = format_smolstr!("{path}[{index}]");
+            values.push(read_node(&path, node, rule, context));
+        }
+        values.into_iter().collect()
+    }
+
+    /// Reports a rule that several fields break together.
+    pub fn report(&self, name: &str, problem: &str, hint: &str, context: &mut ReadContext) {
+        let field = self.fields.iter().find(|(field, _)| field == name);
+        context.problems.push(FieldProblem {
+            line: field.map_or(self.line, |(_, node)| node.line),
+            path: self.path(name),
+            value: field.map_or(SmolStr::default(), |(_, node)| node.value.shown()),
+            problem: problem.into(),
+            allowed: SmolStr::default(),
+            hint: hint.into(),
+        });
+    }
+
+    /// Reports fields that were never asked for.
+    pub fn close(self, context: &mut ReadContext) {
+        for (name, node) in self.fields {
+            if self.known.contains(name) {
+                continue;
+            }
+            let known = self.known.iter().map(SmolStr::as_str);
+            let names: Vec<_> = known.clone().collect();
+            context.problems.push(FieldProblem {
+                line: node.line,
+                path: self.path(name),
+                value: SmolStr::default(),
+                problem: SmolStr::new_static("is not a field of this section"),
+                allowed: if names.is_empty() {
+                    SmolStr::new_static("no fields")
+                } else {
+                    SmolStr::new(names.join(", "))
+                },
+                hint: suggest(name, known),
+            });
+        }
+    }
+}
+
+/// Reads the value of a node by a rule.
+fn read_node<R: FieldRule>(
+    path: &SmolStr,
+    node: &DocumentNode,
+    rule: &R,
+    context: &mut ReadContext,
+) -> Option<R::Value> {
+    match rule.read(&node.value) {
+        Ok(value) => Some(value),
+        Err(broken) => {
+            let problem = match node.line {
+                0 => format_smolstr!("{}, as set by {}", broken.problem, override_name(path)),
+                _ => broken.problem,
+            };
+            context.problems.push(FieldProblem {
+                line: node.line,
+                path: path.clone(),
+                value: node.value.shown(),
+                problem,
+                allowed: rule.allowed(),
+                hint: broken.hint,
+            });
+            None
+        }
+    }
+}
+
+/// Reads an override as a scalar of a document, on line 0.
+fn scalar_node(text: &str) -> DocumentNode {
+    let value = match text {
+        "true" => NodeValue::Flag(true),
+        "false" => NodeValue::Flag(false),
+        other => other
+            .parse()
+            .map_or_else(|_| NodeValue::Text(SmolStr::new(other)), NodeValue::Whole),
+    };
+    DocumentNode { line: 0, value }
+}
+
+/// Reads an override as a list of scalars between commas, on line 0.
+fn list_node(text: &str) -> DocumentNode {
+    let parts = text.split(',').map(str::trim);
+    let nodes = parts.filter(|part| !part.is_empty()).map(scalar_node);
+    DocumentNode {
+        line: 0,
+        value: NodeValue::List(nodes.collect()),
+    }
+}
--- a/crates/geraniumshed-wire/src/lib.rs
+++ b/crates/geraniumshed-wire/src/lib.rs
@@ -4,6 +4,7 @@
 //! `From` and `TryFrom` are the only way between the two, so that the model is free to change.
 
 pub mod common;
+pub mod document;
 pub mod log;
 pub mod operator;
 pub mod peer;
--- /dev/null
+++ b/crates/geraniumshed-wire/src/record/draft.rs
@@ -0,0 +1,139 @@
+//! Records that are about to be published.
+
+use geraniumshed_model::prelude::{
+    ConfigEvent, RecordBody, RecordGeneration, RecordKey, RecordKind, RecordName, SchemaVersion,
+};
+use smol_str::SmolStr;
+
+use super::read::{NAME_RULE, read_spec};
+use super::style::UnitStyle;
+use crate::document::{
+    ChoiceField, DocumentText, ParsedField, ProblemList, ReadContext, SectionReader, WholeField,
+    parse_document, split_documents,
+};
+
+/// The words for kinds.
+const KIND_WORDS: &[(&str, RecordKind)] = &[
+    ("team", RecordKind::Team),
+    ("service", RecordKind::Service),
+    ("binding", RecordKind::Binding),
+    ("job", RecordKind::Job),
+    ("drain", RecordKind::Drain),
+    ("cancel", RecordKind::Cancel),
+    ("stop", RecordKind::Stop),
+];
+
+/// A record as an operator wrote it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RecordDraft {
+    /// What identifies the record.
+    pub key: RecordKey,
+    /// The schema in which it is written.
+    pub schema: SchemaVersion,
+    /// The generation that it replaces, if the operator named one.
+    pub replaces: Option<RecordGeneration>,
+    /// What it says.
+    pub body: RecordBody,
+    /// The text in which it is written.
+    pub text: SmolStr,
+    /// The line of the file before which its text begins.
+    pub lines_before: u32,
+}
+
+impl RecordDraft {
+    /// Returns the event that publishes the record in place of a generation.
+    pub fn publish(&self, replaces: RecordGeneration) -> ConfigEvent {
+        ConfigEvent::Publish {
+            key: self.key.clone(),
+            schema: self.schema,
+            replaces,
+            body: self.body.clone(),
+        }
+    }
+}
+
+/// Reads all records of a file.
+///
+/// # Errors
+///
+/// Returns everything that is wrong with any of the records.
+pub fn read_records(file: &str) -> Result<Vec<RecordDraft>, ProblemList> {
+    let mut drafts = Vec::new();
+    let mut problems = ProblemList::default();
+    for document in split_documents(file) {
+        match read_record(&document) {
+            Ok(draft) => drafts.push(draft),
+            Err(mut found) => problems.problems.append(&mut found.problems),
+        }
+    }
+    if problems.is_empty() {
+        Ok(drafts)
+    } else {
+        Err(problems)
+    }
+}
+
+/// Reads one record.
+///
+/// # Errors
+///
+/// Returns everything that is wrong with the record.
+pub fn read_record(document: &DocumentText) -> Result<RecordDraft, ProblemList> {
+    let mut context = ReadContext::default();
+    let draft = read_draft(document, &mut context);
+    match draft {
+        Some(draft) if context.problems.is_empty() => Ok(draft),
+        _ => {
+            context.problems.settle(document.lines_before);
+            Err(context.problems)
+        }
+    }
+}
+
+fn read_draft(document: &DocumentText, context: &mut ReadContext) -> Option<RecordDraft> {
+    let node = match parse_document(&document.text) {
+        Ok(node) => node,
+        Err(problems) => {
+            context.problems = problems;
+            return None;
+        }
+    };
+    let mut section = SectionReader::open("", &node, context);
+    let schema = section.required("schema", &WholeField(1..=u32::from(u16::MAX)), context);
+    let kind = section.required("kind", &ChoiceField(KIND_WORDS), context);
+    let name = section.required("name", &ParsedField::<RecordName>::new(NAME_RULE), context);
+    let replaces = section.optional("replaces", &WholeField(0..=u32::MAX), context);
+    let schema = SchemaVersion(u16::try_from(schema?).ok()?);
+    let Some(style) = UnitStyle::of(schema) else {
+        return Some(RecordDraft {
+            key: RecordKey {
+                kind: kind?,
+                name: name?,
+            },
+            schema,
+            replaces: replaces?.map(|number| RecordGeneration(number.into())),
+            body: RecordBody::Held(SmolStr::new(&document.text)),
+            text: SmolStr::new(&document.text),
+            lines_before: document.lines_before,
+        });
+    };
+    let kind = kind?;
+    let key = RecordKey {
+        kind,
+        // A record without a valid name is read on, so that all of its problems are found.
+        name: name.clone().or_else(|| "unnamed".parse().ok())?,
+    };
+    let mut spec = section.section("spec", context);
+    let body = read_spec(&key, &mut spec, style, context);
+    spec.close(context);
+    section.close(context);
+    name?;
+    Some(RecordDraft {
+        key,
+        schema,
+        replaces: replaces?.map(|number| RecordGeneration(number.into())),
+        body: RecordBody::Known(body?),
+        text: SmolStr::new(&document.text),
+        lines_before: document.lines_before,
+    })
+}
--- /dev/null
+++ b/crates/geraniumshed-wire/src/record/style.rs
@@ -0,0 +1,144 @@
+//! How the two schemas write sizes and times.
+
+use std::ops::RangeInclusive;
+
+use geraniumshed_model::prelude::{
+    AcceleratorCount, MemorySize, ProcessorShare, ResourceSize, SchemaVersion, TimeSpan,
+};
+use serde_json::{Map, Value};
+use smol_str::{SmolStr, format_smolstr};
+
+use crate::document::{MilliField, RangeField, ReadContext, SectionReader, WholeField};
+
+/// The processors that one task or quota may have at most, in thousandths of one.
+const PROCESSOR_LIMIT_MILLI: u32 = 100_000_000;
+/// The memory that one task or quota may have at most, in megabytes.
+const MEMORY_LIMIT_MB: u32 = 1_000_000_000;
+/// The accelerators that one task or quota may have at most.
+const ACCELERATOR_LIMIT: u32 = 100_000;
+/// The number of bytes in a megabyte.
+const BYTES_PER_MB: u64 = 1_000_000;
+
+/// The fields of a JSON object.
+pub(super) type FieldMap = Map<String, Value>;
+
+/// The way in which a schema writes sizes and times.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum UnitStyle {
+    /// Schema 1: plain numbers, memory in megabytes, times in milliseconds.
+    Plain,
+    /// Schema 2: numbers with units.
+    Units,
+}
+
+impl UnitStyle {
+    /// Returns the style of a schema, if the schema is known.
+    pub fn of(schema: SchemaVersion) -> Option<Self> {
+        match schema {
+            SchemaVersion::OLD => Some(Self::Plain),
+            SchemaVersion::NEW => Some(Self::Units),
+            _ => None,
+        }
+    }
+
+    /// Returns the name of a field that holds a time.
+    pub fn span_name(self, name: &str) -> SmolStr {
+        match self {
+            Self::Plain => format_smolstr!("{name}_ms"),
+            Self::Units => SmolStr::new(name),
+        }
+    }
+}
+
+/// Reads a size.
+pub(super) fn read_size(
+    section: &mut SectionReader<'_>,
+    style: UnitStyle,
+    context: &mut ReadContext,
+) -> Option<ResourceSize> {
+    let (processors, memory) = match style {
+        UnitStyle::Plain => {
+            let rule = MilliField(1..=PROCESSOR_LIMIT_MILLI);
+            let processors = section.required("cpus", &rule, context);
+            let rule = WholeField(1..=MEMORY_LIMIT_MB);
+            let memory = section.required("memory_mb", &rule, context);
+            (
+                processors.map(ProcessorShare),
+                memory.map(|number| MemorySize(u64::from(number) * BYTES_PER_MB)),
+            )
+        }
+        UnitStyle::Units => {
+            let rule = RangeField(ProcessorShare(1)..=ProcessorShare(PROCESSOR_LIMIT_MILLI));
+            let processors = section.required("processors", &rule, context);
+            let limit = MemorySize(u64::from(MEMORY_LIMIT_MB) * BYTES_PER_MB);
+            let memory = section.required(
+                "memory",
+                &RangeField(MemorySize(BYTES_PER_MB)..=limit),
+                context,
+            );
+            (processors, memory)
+        }
+    };
+    let rule = WholeField(0..=ACCELERATOR_LIMIT);
+    let accelerators = section.defaulted("accelerators", &rule, 0, context);
+    Some(ResourceSize {
+        processors: processors?,
+        memory: memory?,
+        accelerators: AcceleratorCount(accelerators?),
+    })
+}
+
+/// Reads a time that may be missing; the outer `None` means that its value is wrong.
+#[expect(
+    clippy::option_option,
+    reason = "missing and wrong values are told apart"
+)]
+pub(super) fn read_span(
+    section: &mut SectionReader<'_>,
+    name: &str,
+    range: RangeInclusive<TimeSpan>,
+    style: UnitStyle,
+    context: &mut ReadContext,
+) -> Option<Option<TimeSpan>> {
+    let name = style.span_name(name);
+    match style {
+        UnitStyle::Plain => {
+            let limit = u32::try_from(range.end().0.as_millis()).unwrap_or(u32::MAX);
+            let found = section.optional(&name, &WholeField(1..=limit), context)?;
+            Some(found.map(|millis| TimeSpan(std::time::Duration::from_millis(millis.into()))))
+        }
+        UnitStyle::Units => section.optional(&name, &RangeField(range), context),
+    }
+}
+
+/// Writes a size.
+pub(super) fn write_size(fields: &mut FieldMap, size: &ResourceSize, style: UnitStyle) {
+    match style {
+        UnitStyle::Plain => {
+            let milli = size.processors.0;
+            let cpus = if milli.is_multiple_of(1000) {
+                Value::from(milli / 1000)
+            } else {
+                Value::from(f64::from(milli) / 1000.0)
+            };
+            fields.insert("cpus".into(), cpus);
+            fields.insert("memory_mb".into(), (size.memory.0 / BYTES_PER_MB).into());
+        }
+        UnitStyle::Units => {
+            fields.insert("processors".into(), size.processors.to_string().into());
+            fields.insert("memory".into(), size.memory.to_string().into());
+        }
+    }
+    if size.accelerators.0 > 0 {
+        fields.insert("accelerators".into(), size.accelerators.0.into());
+    }
+}
+
+/// Writes a time.
+pub(super) fn write_span(fields: &mut FieldMap, name: &str, span: TimeSpan, style: UnitStyle) {
+    let value = match style {
+        UnitStyle::Plain => Value::from(u64::try_from(span.0.as_millis()).unwrap_or(u64::MAX)),
+        UnitStyle::Units => Value::from(span.to_string()),
+    };
+    fields.insert(style.span_name(name).into(), value);
+}
