Add the stand-ins of the platform, of workers and of endpoints

Over loopback TCP: a log with retention and lost answers, a lagging VM list, workers that run simulated tasks under one lease with checkpoints and interference, endpoints with slots and faults, a fault-injecting TCP proxy, the record of what ran where and its judge, one handle for all of them and a control interface over HTTP. hyper instead of warp, since faults break answers off at any byte.

--- /dev/null
+++ b/crates/geraniumshed-standin/src/seed.rs
@@ -0,0 +1,27 @@
+//! Seeded chance: the same seed and the same parts give the same draws.
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+/// The offset basis of the FNV-1a hash.
+const FNV_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
+
+/// The prime of the FNV-1a hash.
+const FNV_PRIME: u64 = 0x0100_0000_01b3;
+
+/// Mixes a seed with named parts into a new seed.
+pub fn mix_seed(seed: u64, parts: &[&str]) -> u64 {
+    let mut hash = FNV_BASIS ^ seed.wrapping_mul(FNV_PRIME);
+    for part in parts {
+        for byte in part.bytes().chain([0xff]) {
+            hash = (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME);
+        }
+    }
+    // The last bytes of the input reach the upper bits only through this step.
+    hash ^ (hash >> 29)
+}
+
+/// Creates a generator from a seed and named parts.
+pub fn seeded_rng(seed: u64, parts: &[&str]) -> ChaCha8Rng {
+    ChaCha8Rng::seed_from_u64(mix_seed(seed, parts))
+}
--- /dev/null
+++ b/crates/geraniumshed-standin/src/set/mod.rs
@@ -0,0 +1,13 @@
+//! All stand-ins of one cluster behind one handle.
+
+mod cluster;
+mod control;
+mod fault;
+mod settings;
+
+pub use self::cluster::{SetStatus, StandinSet, WorkerStatus};
+pub use self::control::ControlServer;
+pub use self::fault::{FaultCommand, FaultError, LogFault, ProxyAction, ProxyTarget, VmListFault};
+pub use self::settings::{
+    EntrySettings, LogSettings, StandinSettings, WorkerSettings, ZoneSettings,
+};
--- /dev/null
+++ b/crates/geraniumshed-standin/src/worker/state.rs
@@ -0,0 +1,536 @@
+//! The rules that a worker obeys.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use geraniumshed_model::prelude::{
+    AttemptNumber, AttemptPhase, BootId, CheckpointId, ClassName, CommandResult, EndedAttempt,
+    EndedReport, ExchangeReply, ExchangeRequest, ResourceSize, SeizeReply, SeizeRequest, ShardTerm,
+    TaskClass, TaskId, TaskOutcome, TaskSpec, TimePoint, TimeSpan, VmId, WorkerCommand,
+};
+use rand::RngExt;
+use smol_str::{SmolStr, format_smolstr};
+
+use super::attempt::{AttemptStep, ResumePoint, WorkerAttempt};
+use super::checkpoint::CheckpointStore;
+use super::interference::InterferenceMatrix;
+use super::ledger::{AttemptBegin, WorkerLedger};
+use super::usage::{UsageHistory, measure};
+use crate::command::SimulateCommand;
+use crate::endpoint::{EndpointConfig, EndpointServer};
+use crate::seed::seeded_rng;
+use crate::truth::{ExecutionEnd, TruthLedger};
+
+/// The pause between samples of usage.
+const SAMPLE_PAUSE: Duration = Duration::from_millis(250);
+
+/// What one worker is.
+#[derive(Debug, Clone)]
+pub struct WorkerConfig {
+    /// The VM.
+    pub vm: VmId,
+    /// The size.
+    pub size: ResourceSize,
+    /// The lag of reports of usage.
+    pub usage_lag: Duration,
+    /// The seed.
+    pub seed: u64,
+    /// Whether a fault proxy stands in front of each endpoint.
+    pub proxied: bool,
+    /// How tasks slow one another down.
+    pub interference: InterferenceMatrix,
+    /// The checkpoints.
+    pub checkpoints: CheckpointStore,
+    /// The record of truth.
+    pub ledger: TruthLedger,
+}
+
+/// Why a worker does not obey a call.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum WorkerRefusal {
+    /// The worker holds a higher term.
+    StaleTerm(ShardTerm),
+    /// The worker has been restarted.
+    WrongBoot(BootId),
+    /// The exchange came after a later one.
+    StaleSequence(u64),
+}
+
+/// A start that a worker is told.
+struct StartCommand {
+    spec: TaskSpec,
+    attempt: AttemptNumber,
+    size: ResourceSize,
+    checkpoint: Option<CheckpointId>,
+}
+
+/// The state of a worker.
+#[derive(Debug)]
+pub struct WorkerState {
+    config: WorkerConfig,
+    ledger: WorkerLedger,
+    boot: BootId,
+    term: ShardTerm,
+    sequence: u64,
+    lease: Option<TimePoint>,
+    running: BTreeMap<TaskId, WorkerAttempt>,
+    ended: BTreeMap<(TaskId, AttemptNumber), EndedReport>,
+    /// The highest attempt of each task that this boot has seen.
+    latest: BTreeMap<TaskId, AttemptNumber>,
+    changed: BTreeSet<TaskId>,
+    usage: UsageHistory,
+    fails_everything: bool,
+}
+
+impl WorkerState {
+    /// Creates a worker in its first boot.
+    pub fn new(config: WorkerConfig) -> Self {
+        Self {
+            ledger: WorkerLedger::new(&config),
+            config,
+            boot: BootId(1),
+            term: ShardTerm::default(),
+            sequence: 0,
+            lease: None,
+            running: BTreeMap::new(),
+            ended: BTreeMap::new(),
+            latest: BTreeMap::new(),
+            changed: BTreeSet::new(),
+            usage: UsageHistory::default(),
+            fails_everything: false,
+        }
+    }
+
+    /// Makes every attempt fail from now on, or no longer.
+    pub fn set_fails_everything(&mut self, fails: bool) {
+        self.fails_everything = fails;
+    }
+
+    /// Returns the endpoints.
+    pub fn endpoints(&mut self) -> impl Iterator<Item = (&TaskId, &mut EndpointServer)> {
+        self.running
+            .iter_mut()
+            .filter_map(|(task, attempt)| Some((task, attempt.endpoint.as_mut()?)))
+    }
+
+    /// Ends everything without a trace and boots anew.
+    pub fn reboot(&mut self, now: TimePoint) {
+        self.settle(now);
+        for (_, attempt) in std::mem::take(&mut self.running) {
+            self.ledger.kill(now, &attempt);
+            if let Some(endpoint) = attempt.endpoint {
+                endpoint.end(ExecutionEnd::Killed);
+            }
+        }
+        let next = Self::new(self.config.clone());
+        let boot = self.boot.next();
+        let fails_everything = self.fails_everything;
+        *self = next;
+        self.boot = boot;
+        self.fails_everything = fails_everything;
+    }
+
+    /// Obeys a new owner.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal if the worker holds a higher term.
+    pub fn seize(
+        &mut self,
+        now: TimePoint,
+        request: &SeizeRequest,
+    ) -> Result<SeizeReply, WorkerRefusal> {
+        self.settle(now);
+        if request.term < self.term {
+            return Err(WorkerRefusal::StaleTerm(self.term));
+        }
+        if request.term > self.term {
+            self.sequence = 0;
+        }
+        self.term = request.term;
+        self.changed.clear();
+        Ok(SeizeReply {
+            boot: self.boot,
+            size: self.config.size,
+            running: self.running.values().map(WorkerAttempt::report).collect(),
+            ended: self.ended.values().cloned().collect(),
+        })
+    }
+
+    /// Obeys the owner's commands.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal if the term, the boot or the number of the exchange has passed.
+    pub fn exchange(
+        &mut self,
+        now: TimePoint,
+        request: ExchangeRequest,
+    ) -> Result<ExchangeReply, WorkerRefusal> {
+        self.settle(now);
+        if request.boot != self.boot {
+            return Err(WorkerRefusal::WrongBoot(self.boot));
+        }
+        if request.term != self.term {
+            return Err(WorkerRefusal::StaleTerm(self.term));
+        }
+        if request.sequence <= self.sequence {
+            return Err(WorkerRefusal::StaleSequence(self.sequence));
+        }
+        self.sequence = request.sequence;
+        if let Some(lease) = request.lease {
+            self.lease = Some(now + lease.0);
+        }
+        let commands = request.commands.into_iter();
+        let results = commands.map(|command| self.obey(now, command)).collect();
+        self.settle(now);
+        let changed = std::mem::take(&mut self.changed);
+        let changed = changed.iter().filter_map(|task| self.running.get(task));
+        let usage = request.with_usage.then_some(self.config.usage_lag);
+        Ok(ExchangeReply {
+            results,
+            changed: changed.map(WorkerAttempt::report).collect(),
+            ended: self.ended.values().cloned().collect(),
+            usage: usage.and_then(|lag| self.usage.report(now, lag)),
+        })
+    }
+
+    /// Brings everything up to the present time.
+    pub fn settle(&mut self, now: TimePoint) {
+        self.end_lease(now);
+        let tasks: Vec<TaskId> = self.running.keys().cloned().collect();
+        for task in tasks {
+            self.step_attempt(now, &task);
+        }
+        self.adjust_speeds();
+        if self.usage.is_due(now, SAMPLE_PAUSE) {
+            self.usage
+                .add(now, self.running.values().map(measure).collect());
+        }
+    }
+
+    /// Returns the time at which something changes next, if no call comes.
+    pub fn next_change(&self, now: TimePoint) -> Option<TimePoint> {
+        let attempts = self.running.values();
+        let changes = attempts.filter_map(|attempt| attempt.next_change(now));
+        changes.chain(self.lease).min()
+    }
+
+    /// Stops all batch tasks once the lease has lapsed.
+    fn end_lease(&mut self, now: TimePoint) {
+        let Some(lapse) = self.lease.filter(|lease| *lease <= now) else {
+            return;
+        };
+        self.lease = None;
+        let batch = self.running.iter().filter(|(_, a)| a.is_batch());
+        let tasks: Vec<TaskId> = batch.map(|(task, _)| task.clone()).collect();
+        for task in tasks {
+            // Work up to the lapse counts, later work does not.
+            let Some(attempt) = self.running.get_mut(&task) else {
+                continue;
+            };
+            if attempt.counted < lapse {
+                attempt.count_work(lapse);
+            }
+            let is_done = attempt.phase == AttemptPhase::Running && attempt.work >= attempt.total();
+            if is_done {
+                self.step_attempt(lapse, &task);
+                continue;
+            }
+            let kept = attempt.command.checkpoint.is_some();
+            self.stop_attempt(now, &task, kept);
+        }
+    }
+
+    fn step_attempt(&mut self, now: TimePoint, task: &TaskId) {
+        let Some(attempt) = self.running.get_mut(task) else {
+            return;
+        };
+        match attempt.step(now) {
+            AttemptStep::Same => {}
+            AttemptStep::Started => {
+                self.changed.insert(task.clone());
+            }
+            AttemptStep::Finished => {
+                let outcome = if attempt.fails {
+                    TaskOutcome::Failed {
+                        reason: "the task failed by chance, as its command says".into(),
+                    }
+                } else {
+                    TaskOutcome::Completed
+                };
+                self.end_attempt(now, task, outcome);
+            }
+            AttemptStep::Stopped { kept } => self.stop_attempt(now, task, kept),
+        }
+    }
+
+    fn stop_attempt(&mut self, now: TimePoint, task: &TaskId, kept: bool) {
+        let Some(attempt) = self.running.get(task) else {
+            return;
+        };
+        let checkpoint = kept.then(|| {
+            let checkpoints = &self.config.checkpoints;
+            checkpoints.keep(task, attempt.attempt, attempt.work)
+        });
+        self.end_attempt(now, task, TaskOutcome::Stopped { checkpoint });
+    }
+
+    fn end_attempt(&mut self, now: TimePoint, task: &TaskId, outcome: TaskOutcome) {
+        let Some(attempt) = self.running.remove(task) else {
+            return;
+        };
+        self.ledger.end(now, &attempt, &outcome);
+        let run_time = now.since(attempt.begin);
+        self.add_ended(task, attempt.attempt, outcome, run_time);
+        if let Some(endpoint) = attempt.endpoint {
+            endpoint.end(ExecutionEnd::CutOff);
+        }
+    }
+
+    fn add_ended(
+        &mut self,
+        task: &TaskId,
+        attempt: AttemptNumber,
+        outcome: TaskOutcome,
+        run_time: Duration,
+    ) {
+        let report = EndedReport {
+            ended: EndedAttempt {
+                task: task.clone(),
+                attempt,
+                outcome,
+            },
+            run_time: TimeSpan(run_time),
+        };
+        self.changed.remove(task);
+        self.ended.insert((task.clone(), attempt), report);
+    }
+
+    /// Changes the speeds to what the attempts' neighbours leave.
+    fn adjust_speeds(&mut self) {
+        let loads: Vec<(TaskId, ClassName, f64)> = self
+            .running
+            .iter()
+            .map(|(task, a)| (task.clone(), a.spec.group.clone(), a.load()))
+            .collect();
+        for (task, attempt) in &mut self.running {
+            let others = loads.iter().filter(|(other, _, _)| other != task);
+            let neighbours = others.map(|(_, group, load)| (group, *load));
+            let interference = &self.config.interference;
+            let slowdown = interference.slowdown(&attempt.spec.group, neighbours);
+            attempt.speed = attempt.throttle.min(100) * 10_000 / slowdown;
+            if let Some(endpoint) = &attempt.endpoint {
+                endpoint.set_slowdown(slowdown);
+            }
+        }
+    }
+
+    fn obey(&mut self, now: TimePoint, command: WorkerCommand) -> CommandResult {
+        match command {
+            WorkerCommand::Start {
+                spec,
+                attempt,
+                size,
+                checkpoint,
+            } => self.start(
+                now,
+                StartCommand {
+                    spec,
+                    attempt,
+                    size,
+                    checkpoint,
+                },
+            ),
+            WorkerCommand::Stop {
+                task,
+                attempt,
+                grace,
+            } => {
+                self.stop(now, &task, attempt, grace.0);
+                CommandResult::Done
+            }
+            WorkerCommand::Throttle {
+                task,
+                attempt,
+                percent,
+            } => self.throttle(now, &task, attempt, percent),
+            WorkerCommand::Forget { task, attempt } => {
+                self.ended.remove(&(task, attempt));
+                CommandResult::Done
+            }
+        }
+    }
+
+    /// Starts an attempt that is newer than any seen of its task.
+    fn start(&mut self, now: TimePoint, start: StartCommand) -> CommandResult {
+        let task = start.spec.task.clone();
+        let latest = self.latest.get(&task).copied().unwrap_or_default();
+        if start.attempt == latest {
+            return CommandResult::Done;
+        }
+        if start.attempt < latest {
+            return refused(format_smolstr!("attempt {latest} came before"));
+        }
+        if self.running.contains_key(&task) {
+            return refused("an earlier attempt runs");
+        }
+        if start.spec.class == TaskClass::Batch && self.lease.is_none() {
+            return refused("the worker has no lease");
+        }
+        if !self.has_room(&start.size) {
+            self.ledger.overload(now, &task, start.attempt);
+            return refused("the worker has no room for the attempt");
+        }
+        self.latest.insert(task.clone(), start.attempt);
+        if let Err(reason) = self.run(now, start) {
+            let attempt = self.latest[&task];
+            self.add_ended(
+                &task,
+                attempt,
+                TaskOutcome::Failed { reason },
+                Duration::ZERO,
+            );
+        }
+        CommandResult::Done
+    }
+
+    fn has_room(&self, size: &ResourceSize) -> bool {
+        let held = self
+            .running
+            .values()
+            .fold(*size, |sum, attempt| sum.plus(&attempt.size));
+        held.fits(&self.config.size)
+    }
+
+    fn run(&mut self, now: TimePoint, start: StartCommand) -> Result<(), SmolStr> {
+        if self.fails_everything {
+            return Err("the worker fails everything that it starts".into());
+        }
+        let command = SimulateCommand::parse(&start.spec.command, start.spec.class)?;
+        let resume = self.resume_point(&start.spec.task, start.checkpoint.clone())?;
+        let endpoint = match start.spec.class {
+            TaskClass::Batch => None,
+            TaskClass::Service | TaskClass::Listener => Some(self.open_endpoint(&start, &command)?),
+        };
+        let begin = AttemptBegin {
+            spec: &start.spec,
+            attempt: start.attempt,
+            size: start.size,
+            boot: self.boot,
+            command: &command,
+            resume: &resume,
+        };
+        let mark = self.ledger.begin(now, &begin);
+        let fails = self.draws_failure(&start, &command);
+        let attempt = WorkerAttempt {
+            attempt: start.attempt,
+            size: start.size,
+            phase: AttemptPhase::Starting,
+            mark,
+            begin: now,
+            ready: now + command.start,
+            stop_by: None,
+            work: resume.work,
+            counted: now,
+            speed: 1000,
+            throttle: 100,
+            endpoint,
+            fails,
+            command,
+            spec: start.spec,
+        };
+        let task = attempt.spec.task.clone();
+        self.changed.insert(task.clone());
+        self.running.insert(task, attempt);
+        Ok(())
+    }
+
+    fn resume_point(
+        &self,
+        task: &TaskId,
+        checkpoint: Option<CheckpointId>,
+    ) -> Result<ResumePoint, SmolStr> {
+        let Some(id) = checkpoint else {
+            return Ok(ResumePoint {
+                checkpoint: None,
+                work: Duration::ZERO,
+            });
+        };
+        let work = self.config.checkpoints.work(&id, task);
+        let work = work.ok_or_else(|| format_smolstr!("checkpoint {id} is lost"))?;
+        Ok(ResumePoint {
+            checkpoint: Some(id),
+            work,
+        })
+    }
+
+    fn open_endpoint(
+        &self,
+        start: &StartCommand,
+        command: &SimulateCommand,
+    ) -> Result<EndpointServer, SmolStr> {
+        let slots = usize::try_from(start.spec.slots.0.max(1)).unwrap_or(1);
+        let connections = usize::try_from(start.spec.connections.max(1)).unwrap_or(1);
+        let config = EndpointConfig {
+            name: format_smolstr!("{}@{}", start.spec.task, start.attempt),
+            service: start.spec.task.record.as_str().into(),
+            vm: self.config.vm.as_str().into(),
+            slots,
+            connections,
+            command: command.clone(),
+            seed: self.config.seed,
+            proxied: self.config.proxied,
+        };
+        EndpointServer::bind(config, self.config.ledger.clone())
+            .map_err(|error| format_smolstr!("no port for the endpoint: {error}"))
+    }
+
+    fn draws_failure(&self, start: &StartCommand, command: &SimulateCommand) -> bool {
+        let name = format!("{}@{}", start.spec.task, start.attempt);
+        let mut rng = seeded_rng(self.config.seed, &["failure", &name]);
+        rng.random_bool(command.fail)
+    }
+
+    /// Stops an attempt; one that never came here will not start either.
+    fn stop(&mut self, now: TimePoint, task: &TaskId, attempt: AttemptNumber, grace: Duration) {
+        if let Some(running) = self.running.get_mut(task)
+            && running.attempt == attempt
+        {
+            running.begin_stop(now, grace);
+            self.changed.insert(task.clone());
+            return;
+        }
+        let latest = self.latest.get(task).copied().unwrap_or_default();
+        if attempt > latest {
+            self.latest.insert(task.clone(), attempt);
+            let outcome = TaskOutcome::NotStarted {
+                reason: "the attempt was stopped before it came to the worker".into(),
+            };
+            self.add_ended(task, attempt, outcome, Duration::ZERO);
+        }
+    }
+
+    fn throttle(
+        &mut self,
+        now: TimePoint,
+        task: &TaskId,
+        attempt: AttemptNumber,
+        percent: u32,
+    ) -> CommandResult {
+        match self.running.get_mut(task) {
+            Some(running) if running.attempt == attempt => {
+                running.count_work(now);
+                running.throttle = percent;
+                CommandResult::Done
+            }
+            _ => refused("the attempt does not run"),
+        }
+    }
+}
+
+fn refused(reason: impl Into<SmolStr>) -> CommandResult {
+    CommandResult::Refused {
+        reason: reason.into(),
+    }
+}
