--- /dev/null
+++ b/crates/geraniumshed-daemon/src/request/flight.rs
@@ -0,0 +1,304 @@
+//! The life of one request in this daemon, from its arrival at the dispatcher to its answer.
+
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::StreamExt as _;
+use futures::stream::FuturesUnordered;
+use geraniumshed_core::request::{
+    AttemptResult, AttemptReturn, DispatchAction, DispatchEvent, EndpointIndex, QueuedRequest,
+};
+use geraniumshed_model::prelude::{ErrorKind, TimePoint};
+use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
+use tokio::sync::oneshot;
+use tokio::time::Sleep;
+
+use super::answer::{EntryAnswer, EntryError};
+use super::attempt::{AttemptEnd, AttemptRequest, parts_body, run_attempt};
+use super::body::RequestBody;
+use super::gate::ServiceGate;
+use super::pool::EndpointPool;
+use super::shared::EntryShared;
+use super::status::add_one;
+
+/// The longest time that a daemon sleeps for an event that may never come.
+const FAR_FUTURE: Duration = Duration::from_hours(24);
+
+/// The shortest time after which an attempt without an answer looks stalled.
+const LEAST_STALL: Duration = Duration::from_millis(250);
+
+/// One request on its way through the dispatcher to an endpoint and back.
+#[derive(Debug)]
+pub struct RequestFlight {
+    /// The parts of the daemon that all requests share.
+    pub shared: Arc<EntryShared>,
+    /// The dispatcher of the service.
+    pub gate: Arc<ServiceGate>,
+    /// The request as the dispatcher sees it.
+    pub queued: QueuedRequest,
+    /// The request as endpoints see it.
+    pub request: AttemptRequest,
+    /// The body.
+    pub body: RequestBody,
+    /// Ends when the caller is gone.
+    pub caller: oneshot::Receiver<()>,
+}
+
+/// The timers of a request.
+struct FlightTimers {
+    give_up: Pin<Box<Sleep>>,
+    hedge: Pin<Box<Sleep>>,
+    stall: Pin<Box<Sleep>>,
+}
+
+/// An attempt that ended, with its endpoint.
+type EndedAttempt = (EndpointIndex, AttemptEnd);
+
+impl RequestFlight {
+    /// Runs the request to its answer.
+    pub async fn run(mut self) -> EntryAnswer {
+        let (sender, actions) = unbounded_channel();
+        let id = self.queued.id;
+        let event = DispatchEvent::Arrived(self.queued.clone());
+        self.gate.arrive(self.shared.now(), id, event, sender);
+        let answer = self.drive(actions).await;
+        self.gate.leave(id);
+        answer
+    }
+
+    async fn drive(&mut self, mut actions: UnboundedReceiver<DispatchAction>) -> EntryAnswer {
+        let mut attempts = FuturesUnordered::new();
+        let mut flying: Vec<(EndpointIndex, Arc<EndpointPool>)> = Vec::new();
+        let mut timers = FlightTimers::new();
+        let mut caller_gone = false;
+        loop {
+            tokio::select! {
+                biased;
+                action = actions.recv() => match action {
+                    Some(DispatchAction::Send { endpoint, hedge_after, .. }) => {
+                        let pool = self.gate.pool(endpoint);
+                        timers.arm(hedge_after, self.gate.stall_time());
+                        if let Some(pool) = &pool {
+                            flying.push((endpoint, Arc::clone(pool)));
+                        }
+                        attempts.push(self.attempt(endpoint, pool));
+                    }
+                    Some(DispatchAction::Wait { until, .. }) => {
+                        let delay = until.since(self.shared.now());
+                        timers.give_up.as_mut().reset(tokio::time::Instant::now() + delay);
+                    }
+                    Some(DispatchAction::Fail { kind, retry_after, .. }) => {
+                        return failure(kind, retry_after);
+                    }
+                    None => return failure(ErrorKind::Internal, Duration::ZERO),
+                },
+                Some((endpoint, end)) = attempts.next(), if !attempts.is_empty() => {
+                    flying.retain(|(index, _)| *index != endpoint);
+                    if let Some(answer) = self.settle(endpoint, end) {
+                        self.abandon(&flying);
+                        return answer;
+                    }
+                }
+                () = timers.hedge.as_mut(), if timers.hedge_is_armed() => {
+                    timers.disarm_hedge();
+                    self.tell(DispatchEvent::HedgeDue(self.queued.id));
+                }
+                () = timers.stall.as_mut(), if !flying.is_empty() => {
+                    timers.disarm_stall();
+                    self.replace_pools(&flying);
+                }
+                () = timers.give_up.as_mut(), if flying.is_empty() => {
+                    timers.disarm_give_up();
+                    self.tell(DispatchEvent::WaitedOut(self.queued.id));
+                }
+                _ = &mut self.caller, if !caller_gone => {
+                    caller_gone = true;
+                    if attempts.is_empty() {
+                        self.tell(DispatchEvent::Withdrawn(self.queued.id));
+                        add_one(&self.shared.counters.hung_up);
+                        return failure(ErrorKind::DeadlineInQueue, Duration::ZERO);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Starts an attempt at an endpoint.
+    fn attempt(
+        &mut self,
+        endpoint: EndpointIndex,
+        pool: Option<Arc<EndpointPool>>,
+    ) -> impl Future<Output = EndedAttempt> + use<> {
+        let body = self.next_body();
+        let request = self.request.clone();
+        let shared = Arc::clone(&self.shared);
+        let remaining = self.queued.deadline.since(shared.now());
+        add_one(&shared.counters.attempts);
+        async move {
+            let (Some(pool), Some(body)) = (pool, body) else {
+                return (endpoint, AttemptEnd::refused());
+            };
+            let end = run_attempt(&pool, request, body, remaining, &shared.settings).await;
+            (endpoint, end)
+        }
+    }
+
+    /// Returns the body for the next attempt; a streamed one is at hand only once.
+    fn next_body(&mut self) -> Option<reqwest::Body> {
+        match &mut self.body {
+            RequestBody::Whole(bytes) => Some(Bytes::clone(bytes).into()),
+            RequestBody::Parts(_) => {
+                let empty = RequestBody::Spent;
+                match std::mem::replace(&mut self.body, empty) {
+                    RequestBody::Parts(parts) => Some(parts_body(parts)),
+                    RequestBody::Whole(_) | RequestBody::Spent => None,
+                }
+            }
+            RequestBody::Spent => None,
+        }
+    }
+
+    /// Reports an attempt's end, and returns the answer if there is one to pass on.
+    fn settle(&self, endpoint: EndpointIndex, end: AttemptEnd) -> Option<EntryAnswer> {
+        let ended = AttemptReturn {
+            request: self.queued.id,
+            endpoint,
+            result: end.result,
+            in_flight: end.in_flight,
+        };
+        if matches!(end.result, AttemptResult::TimedOut | AttemptResult::Lost) {
+            self.replace_pool(endpoint);
+        }
+        let Some(rest) = end.rest else {
+            self.tell(DispatchEvent::Returned(ended));
+            return end.answer;
+        };
+        let gate = Arc::clone(&self.gate);
+        let shared = Arc::clone(&self.shared);
+        let open_ended = self.request.open_ended;
+        tokio::spawn(async move {
+            let progress = (!open_ended).then_some(shared.settings.progress_timeout);
+            let patience = Some(shared.settings.body_timeout);
+            shared.counters.active.fetch_add(1, Ordering::Relaxed);
+            let result = rest.pass_on(progress, patience).await;
+            shared.counters.active.fetch_sub(1, Ordering::Relaxed);
+            let ended = AttemptReturn { result, ..ended };
+            gate.handle(shared.now(), DispatchEvent::Returned(ended));
+        });
+        end.answer
+    }
+
+    /// Gives up the attempts that another one made superfluous.
+    fn abandon(&self, flying: &[(EndpointIndex, Arc<EndpointPool>)]) {
+        for (endpoint, _) in flying {
+            self.tell(DispatchEvent::Returned(AttemptReturn {
+                request: self.queued.id,
+                endpoint: *endpoint,
+                result: AttemptResult::Abandoned,
+                in_flight: None,
+            }));
+        }
+    }
+
+    fn replace_pools(&self, flying: &[(EndpointIndex, Arc<EndpointPool>)]) {
+        for (endpoint, _) in flying {
+            self.replace_pool(*endpoint);
+        }
+    }
+
+    fn replace_pool(&self, endpoint: EndpointIndex) {
+        let Some(pool) = self.gate.pool(endpoint) else {
+            return;
+        };
+        if pool.replace(self.shared.now(), &self.shared.settings) {
+            add_one(&self.shared.counters.pools_replaced);
+        }
+    }
+
+    fn tell(&self, event: DispatchEvent) {
+        self.gate.handle(self.shared.now(), event);
+    }
+}
+
+impl FlightTimers {
+    fn new() -> Self {
+        let never = || Box::pin(tokio::time::sleep(FAR_FUTURE));
+        Self {
+            give_up: never(),
+            hedge: never(),
+            stall: never(),
+        }
+    }
+
+    fn arm(&mut self, hedge: Option<Duration>, stall: Option<Duration>) {
+        let now = tokio::time::Instant::now();
+        self.hedge.as_mut().reset(now + hedge.unwrap_or(FAR_FUTURE));
+        let stall = stall.map_or(FAR_FUTURE, |stall| stall.max(LEAST_STALL));
+        self.stall.as_mut().reset(now + stall);
+    }
+
+    fn hedge_is_armed(&self) -> bool {
+        !self.hedge.is_elapsed()
+    }
+
+    fn disarm_hedge(&mut self) {
+        let never = tokio::time::Instant::now() + FAR_FUTURE;
+        self.hedge.as_mut().reset(never);
+    }
+
+    fn disarm_stall(&mut self) {
+        let never = tokio::time::Instant::now() + FAR_FUTURE;
+        self.stall.as_mut().reset(never);
+    }
+
+    fn disarm_give_up(&mut self) {
+        let never = tokio::time::Instant::now() + FAR_FUTURE;
+        self.give_up.as_mut().reset(never);
+    }
+}
+
+/// Returns the answer to a request that failed.
+fn failure(kind: ErrorKind, retry_after: Duration) -> EntryAnswer {
+    let (detail, hint) = failure_text(kind);
+    EntryError::new(kind, detail, hint)
+        .after(retry_after)
+        .into()
+}
+
+/// Returns what is wrong and what can be done, for the errors of the dispatcher.
+fn failure_text(kind: ErrorKind) -> (&'static str, &'static str) {
+    match kind {
+        ErrorKind::Overloaded => (
+            "the service can't answer the request in time",
+            "send the request again after the time in Retry-After",
+        ),
+        ErrorKind::NoEndpoint => (
+            "the service has no endpoint that takes requests",
+            "ask an operator whether the service has replicas running",
+        ),
+        ErrorKind::EndpointRefused => (
+            "no endpoint of the service accepts connections",
+            "send the request again after the time in Retry-After",
+        ),
+        ErrorKind::DeadlineInQueue => (
+            "the request waited until it could no longer be answered in time",
+            "send the request again after the time in Retry-After",
+        ),
+        ErrorKind::DeadlineAtEndpoint => (
+            "the endpoint did not answer before the deadline",
+            "find out whether the request ran before you send it again without a key",
+        ),
+        _ => (
+            "the endpoint's answer did not arrive whole",
+            "find out whether the request ran before you send it again without a key",
+        ),
+    }
+}
+
+/// Returns the deadline of a request.
+pub fn deadline_of(now: TimePoint, service: Duration, asked: Option<Duration>) -> TimePoint {
+    now + asked.map_or(service, |asked| asked.min(service))
+}
--- a/crates/geraniumshed-daemon/src/request/settings.rs
+++ b/crates/geraniumshed-daemon/src/request/settings.rs
@@ -36,6 +36,8 @@
     pub drain_notice: Duration,
     /// The longest time that a planned stop waits for requests in flight.
     pub drain_limit: Duration,
+    /// The round trip to another availability zone.
+    pub zone_distance: Duration,
     /// The number of shards that idempotency keys are spread over.
     pub key_shards: u16,
     /// Whether spans are created.
@@ -60,6 +62,7 @@
             answer_total: 32 * 1024 * 1024,
             drain_notice: Duration::from_secs(3),
             drain_limit: Duration::from_mins(10),
+            zone_distance: Duration::from_millis(6),
             key_shards: 16,
             tracing: false,
         }
