Follow and write the log's streams

Writers number their batches per stream and run of a daemon, repeat an append whose answer was lost under the same mark, and resolve once the stream's follower has read the batch back. Followers drop repeats, void entries behind a higher term, and report what retention took.

A batch of any term raises the stream's barrier, not only Opened: the reader of a stream whose Opened has expired then voids the same entries as one that read it.

--- a/crates/geraniumshed-core/src/state/mod.rs
+++ b/crates/geraniumshed-core/src/state/mod.rs
@@ -1,9 +1,15 @@
 //! The state that every daemon derives from the log and from the VM list.
 
+pub mod append_budget;
 pub mod config;
 pub mod directory;
+pub mod entry_filter;
+pub mod retry_delay;
 pub mod vm_table;
 
+pub use self::append_budget::AppendBudget;
 pub use self::config::{ConfigState, PublishVerdict};
 pub use self::directory::EndpointDirectory;
+pub use self::entry_filter::{EntryFilter, EntryVerdict};
+pub use self::retry_delay::RetryDelay;
 pub use self::vm_table::VmTable;
--- a/crates/geraniumshed-daemon/src/clock.rs
+++ b/crates/geraniumshed-daemon/src/clock.rs
@@ -1,8 +1,7 @@
 //! The process's monotonic clock.
 
-use std::time::Instant;
-
 use geraniumshed_model::prelude::TimePoint;
+use tokio::time::Instant;
 
 /// The clock from which all parts of one daemon read the time.
 #[derive(Debug, Clone, Copy)]
--- /dev/null
+++ b/crates/geraniumshed-daemon/src/log/context.rs
@@ -0,0 +1,141 @@
+//! What all followers and writers of one daemon share.
+
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+
+use bytes::Bytes;
+use geraniumshed_core::state::{AppendBudget, RetryDelay};
+use geraniumshed_model::prelude::{DaemonIncarnation, LogOffset, LogStream};
+use geraniumshed_platform::{LogClient, LogPage, PlatformError};
+
+use super::settings::LogSettings;
+use crate::clock::ProcessClock;
+
+/// What a daemon has sent to the log and read from it so far.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct LogUsage {
+    /// The appends that were sent.
+    pub appends: u64,
+    /// The bytes of these appends.
+    pub append_bytes: u64,
+    /// The reads that were sent.
+    pub reads: u64,
+    /// The bytes of the entries that were read.
+    pub read_bytes: u64,
+}
+
+/// What all followers and writers of one daemon share: the client, the budget and the numbering.
+#[derive(Debug)]
+pub struct LogContext<L> {
+    client: L,
+    incarnation: DaemonIncarnation,
+    settings: LogSettings,
+    clock: ProcessClock,
+    budget: Mutex<AppendBudget>,
+    sequences: Mutex<BTreeMap<LogStream, u64>>,
+    appends: AtomicU64,
+    append_bytes: AtomicU64,
+    reads: AtomicU64,
+    read_bytes: AtomicU64,
+}
+
+impl<L: LogClient> LogContext<L> {
+    /// Opens the context of one run of a daemon.
+    pub fn open(
+        client: L,
+        incarnation: DaemonIncarnation,
+        settings: LogSettings,
+        clock: ProcessClock,
+    ) -> Arc<Self> {
+        let budget = AppendBudget::new(settings.append_rate, settings.append_burst);
+        Arc::new(Self {
+            client,
+            incarnation,
+            settings,
+            clock,
+            budget: Mutex::new(budget),
+            sequences: Mutex::default(),
+            appends: AtomicU64::new(0),
+            append_bytes: AtomicU64::new(0),
+            reads: AtomicU64::new(0),
+            read_bytes: AtomicU64::new(0),
+        })
+    }
+
+    /// Returns the incarnation that marks the daemon's appends.
+    pub fn incarnation(&self) -> DaemonIncarnation {
+        self.incarnation
+    }
+
+    /// Returns the settings.
+    pub fn settings(&self) -> &LogSettings {
+        &self.settings
+    }
+
+    /// Returns what was sent and read so far.
+    pub fn usage(&self) -> LogUsage {
+        LogUsage {
+            appends: self.appends.load(Ordering::Relaxed),
+            append_bytes: self.append_bytes.load(Ordering::Relaxed),
+            reads: self.reads.load(Ordering::Relaxed),
+            read_bytes: self.read_bytes.load(Ordering::Relaxed),
+        }
+    }
+
+    /// Waits until the daemon may send one more append.
+    pub(super) async fn append_turn(&self) {
+        let wait = self
+            .budget
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .reserve(self.clock.now());
+        if !wait.is_zero() {
+            tokio::time::sleep(wait).await;
+        }
+    }
+
+    /// Returns the number of the daemon's next batch in a stream.
+    pub(super) fn next_sequence(&self, stream: LogStream) -> u64 {
+        let mut sequences = self
+            .sequences
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let sequence = sequences.entry(stream).or_default();
+        *sequence += 1;
+        *sequence
+    }
+
+    /// Returns the delay for a series of calls about a stream.
+    pub(super) fn retry_delay(&self, stream: LogStream) -> RetryDelay {
+        let seed = geraniumshed_core::schedule::stable_hash(&stream) ^ self.incarnation.0;
+        RetryDelay::new(self.settings.retry_floor, self.settings.retry_ceiling, seed)
+    }
+
+    /// Appends an entry once.
+    pub(super) async fn append(
+        &self,
+        stream: LogStream,
+        body: Bytes,
+    ) -> Result<LogOffset, PlatformError> {
+        self.appends.fetch_add(1, Ordering::Relaxed);
+        let length = u64::try_from(body.len()).unwrap_or(u64::MAX);
+        self.append_bytes.fetch_add(length, Ordering::Relaxed);
+        self.client.append(stream, body).await
+    }
+
+    /// Reads a page once, waiting for the first entry.
+    pub(super) async fn read(
+        &self,
+        stream: LogStream,
+        from: LogOffset,
+        wait: std::time::Duration,
+    ) -> Result<LogPage, PlatformError> {
+        self.reads.fetch_add(1, Ordering::Relaxed);
+        let page = self.client.read(stream, from, wait).await?;
+        let length: usize = page.entries.iter().map(|entry| entry.body.len()).sum();
+        let length = u64::try_from(length).unwrap_or(u64::MAX);
+        self.read_bytes.fetch_add(length, Ordering::Relaxed);
+        Ok(page)
+    }
+}
--- a/crates/geraniumshed-wire/src/log/codec.rs
+++ b/crates/geraniumshed-wire/src/log/codec.rs
@@ -24,26 +24,40 @@
 pub trait StreamEvent: Sized + Clone + Send + Sync + 'static {
     /// The serialised twin of the event.
     type Wire: Serialize + DeserializeOwned + From<Self> + TryInto<Self, Error = DecodeError>;
+
+    /// Whether only the stream's owner appends, so that a higher term voids what follows of lower
+    /// ones.
+    const OWNED: bool;
 }
 
 impl StreamEvent for ClaimEvent {
     type Wire = ClaimEventWire;
+
+    const OWNED: bool = false;
 }
 
 impl StreamEvent for ConfigEvent {
     type Wire = ConfigEventWire;
+
+    const OWNED: bool = false;
 }
 
 impl StreamEvent for EndpointEvent {
     type Wire = EndpointEventWire;
+
+    const OWNED: bool = false;
 }
 
 impl StreamEvent for ShardEvent {
     type Wire = ShardEventWire;
+
+    const OWNED: bool = true;
 }
 
 impl StreamEvent for KeyEvent {
     type Wire = KeyEventWire;
+
+    const OWNED: bool = true;
 }
 
 /// An entry that can't be decoded.
