Schedule a shard's tasks from claim to end, and drive it by an actor

Cause: nothing brought the workers to what operators publish. Placement, quotas, preemption, interference, the reaction ladder, quarantine, drains and moves are in; so far the tests cover replicas, jobs, drains, cancellation and infeasible jobs.

--- /dev/null
+++ b/crates/geraniumshed-core/src/schedule/placement.rs
@@ -0,0 +1,308 @@
+//! Which waiting task goes to which worker.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use geraniumshed_model::prelude::{
+    AttemptNumber, RackName, ResourceSize, ShardEvent, TaskId, TaskSpec, TeamName, TimePoint,
+    UrgencyClass, VmId, ZoneName,
+};
+
+use super::scheduler::ShardScheduler;
+use super::settings::PlacementPolicy;
+use super::task_queue::WaitReason;
+use super::wanted::TaskGroup;
+use super::worker_entry::{AttemptStage, WorkerAttempt, WorkerEntry};
+
+/// The largest number of placements in one pass, so that one entry of the log stays small.
+const PLACEMENTS_PER_PASS: usize = 256;
+/// The number of a group's tasks that are placed before other groups have their turn.
+const PLACEMENTS_PER_TURN: usize = 8;
+/// The penalty for each replica of the same service on the same worker.
+const SAME_WORKER_PENALTY: f64 = 8.0;
+/// The penalty for each replica of the same service on the same rack.
+const SAME_RACK_PENALTY: f64 = 2.0;
+/// The penalty for each replica of the same service in the same zone.
+const SAME_ZONE_PENALTY: f64 = 0.5;
+
+/// What each team's tasks reserve in the shard.
+pub(super) type TeamUsage = BTreeMap<TeamName, ResourceSize>;
+
+/// A group's place among those that wait: its class and urgency, its team's share, its name.
+type GroupRank = (Reverse<(bool, UrgencyClass)>, u64, TaskGroup);
+
+impl ShardScheduler {
+    /// Places as many waiting tasks as there is room for.
+    ///
+    /// Groups take turns, a few tasks at a time: services first, then by urgency, then the team
+    /// that uses the least of its share.
+    pub(super) fn plan(&mut self, now: TimePoint) {
+        if !self.plan_due {
+            return;
+        }
+        self.plan_due = false;
+        let mut usage = self.team_usage();
+        let groups = self.queue.groups().map(|(group, _)| group);
+        let mut turns: BTreeSet<_> = groups.filter_map(|g| self.group_rank(g, &usage)).collect();
+        let mut left = PLACEMENTS_PER_PASS;
+        while let Some((_, _, group)) = turns.pop_first() {
+            if left == 0 {
+                self.plan_due = true;
+                return;
+            }
+            let (placed, more) = self.place_group(now, &group, &mut usage);
+            left = left.saturating_sub(placed);
+            if more {
+                turns.extend(self.group_rank(&group, &usage));
+            }
+        }
+    }
+
+    /// Returns a group's place among those that wait; lower goes first.
+    fn group_rank(&self, group: &TaskGroup, usage: &TeamUsage) -> Option<GroupRank> {
+        let template = &self.wanted.group(group)?.template;
+        let service = template.class.is_latency_critical();
+        let used = usage.get(&template.team).copied().unwrap_or_default();
+        let share = self.weighted_share(&template.team, &used);
+        Some((Reverse((service, template.urgency)), share, group.clone()))
+    }
+
+    /// Places a few tasks of a group; returns how many, and whether more may follow.
+    fn place_group(
+        &mut self,
+        now: TimePoint,
+        group: &TaskGroup,
+        usage: &mut TeamUsage,
+    ) -> (usize, bool) {
+        let Some(waiting) = self.queue.group_mut(group) else {
+            return (0, false);
+        };
+        let more = waiting.indices.len() > PLACEMENTS_PER_TURN;
+        let few = waiting.indices.iter().copied().take(PLACEMENTS_PER_TURN);
+        let indices: Vec<_> = few.collect();
+        let mut placed = 0;
+        for index in indices {
+            let Some(spec) = self.spec(&group.task(index)) else {
+                continue;
+            };
+            let used = usage.entry(spec.team.clone()).or_default();
+            match self.choose(now, &spec, used) {
+                Ok(worker) => {
+                    *used = used.plus(&spec.size);
+                    self.preemption.remove(&spec.task);
+                    self.intend(now, &worker, spec);
+                    placed += 1;
+                }
+                Err(reason) => {
+                    if reason == WaitReason::NoRoom {
+                        self.preempt(now, &spec);
+                    }
+                    self.note_blocked(now, group, reason);
+                    return (placed, false);
+                }
+            }
+        }
+        if let Some(waiting) = self.queue.group_mut(group) {
+            waiting.blocked_since = None;
+            waiting.reason = None;
+        }
+        (placed, more)
+    }
+
+    fn note_blocked(&mut self, now: TimePoint, group: &TaskGroup, reason: WaitReason) {
+        if let Some(waiting) = self.queue.group_mut(group) {
+            waiting.blocked_since.get_or_insert(now);
+            waiting.reason = Some(reason);
+        }
+    }
+
+    /// Chooses the worker for a task.
+    fn choose(
+        &self,
+        now: TimePoint,
+        spec: &Arc<TaskSpec>,
+        used: &ResourceSize,
+    ) -> Result<VmId, WaitReason> {
+        if !self.quota_allows(spec, used) {
+            return Err(WaitReason::Quota);
+        }
+        let size = self.reserved_size(spec);
+        let candidates = self.workers.iter().filter(|(id, worker)| {
+            worker.is_placeable() && self.accepts(now, id) && worker.has_room(&size)
+        });
+        let candidates = candidates.filter(|(_, worker)| !holds_task(worker, &spec.task));
+        let best = match self.settings.policy {
+            PlacementPolicy::FirstFit => candidates.map(|(id, _)| id).next(),
+            PlacementPolicy::Scored => {
+                let spread = ReplicaSpread::of(self, spec);
+                let scored = candidates
+                    .map(|(id, worker)| (self.score(now, worker, spec, &size, &spread), id));
+                scored
+                    .min_by(|(a, x), (b, y)| a.total_cmp(b).then_with(|| x.cmp(y)))
+                    .map(|(_, id)| id)
+            }
+        };
+        best.cloned().ok_or(WaitReason::NoRoom)
+    }
+
+    /// Scores a worker for a task; lower is better.
+    fn score(
+        &self,
+        now: TimePoint,
+        worker: &WorkerEntry,
+        spec: &TaskSpec,
+        size: &ResourceSize,
+        spread: &ReplicaSpread,
+    ) -> f64 {
+        let left = dominant_share(&worker.free().minus(size), &worker.size);
+        let idle_accelerators = f64::from(worker.free().accelerators.0);
+        let wasted = if size.accelerators.0 == 0 {
+            idle_accelerators
+        } else {
+            0.0
+        };
+        let slowdown = self.predicted_slowdown(now, worker, spec);
+        left + wasted + slowdown + spread.penalty(worker)
+    }
+
+    /// Gives a placement to the log and reserves its room.
+    pub(super) fn intend(&mut self, now: TimePoint, id: &VmId, spec: Arc<TaskSpec>) {
+        let attempt = self.next_attempt(&spec.task);
+        let size = self.reserved_size(&spec);
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        let Some(boot) = worker.boot else {
+            return;
+        };
+        let task = spec.task.clone();
+        let known = WorkerAttempt::new(AttemptStage::Intended, size, Some(spec), boot, now);
+        worker.attempts.insert((task.clone(), attempt), known);
+        self.queue.add_intent(&task);
+        self.outbox.push(ShardEvent::Placed {
+            task,
+            attempt,
+            worker: id.clone(),
+            boot,
+        });
+    }
+
+    fn next_attempt(&self, task: &TaskId) -> AttemptNumber {
+        let logged = self.state.task(task).map(|entry| entry.attempts);
+        let seen = self.workers.values().flat_map(|worker| {
+            let first = (task.clone(), AttemptNumber(0));
+            let last = (task.clone(), AttemptNumber(u32::MAX));
+            worker
+                .attempts
+                .range(first..=last)
+                .map(|((_, attempt), _)| *attempt)
+        });
+        let last = seen.chain(logged).max().unwrap_or_default();
+        last.next()
+    }
+
+    /// Returns the size to reserve for a task: the declared one, or what its like used if larger.
+    pub(super) fn reserved_size(&self, spec: &TaskSpec) -> ResourceSize {
+        let observed = self.usage.observed(&spec.group);
+        observed.map_or(spec.size, |size| spec.size.max(&size))
+    }
+
+    /// Returns what each team's tasks reserve in the shard.
+    fn team_usage(&self) -> TeamUsage {
+        let mut usage = TeamUsage::new();
+        let attempts = self.workers.values().flat_map(|w| w.attempts.values());
+        for known in attempts.filter(|known| known.is_live()) {
+            if let Some(spec) = &known.spec {
+                let used = usage.entry(spec.team.clone()).or_default();
+                *used = used.plus(&known.size);
+            }
+        }
+        usage
+    }
+
+    /// Returns a team's use in relation to its weight, for comparison only.
+    fn weighted_share(&self, team: &TeamName, used: &ResourceSize) -> u64 {
+        let weight = self.wanted.team(team).map_or(1, |spec| spec.weight.max(1));
+        let capacity = self.capacity();
+        let share = dominant_share(used, &capacity) / f64::from(weight);
+        share_key(share)
+    }
+
+    /// Returns the size of all workers on which tasks may be placed.
+    pub(super) fn capacity(&self) -> ResourceSize {
+        self.workers
+            .values()
+            .filter(|worker| worker.is_placeable())
+            .fold(ResourceSize::default(), |sum, worker| {
+                sum.plus(&worker.size)
+            })
+    }
+}
+
+/// Returns a share as a whole number that sorts alike.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the share is not negative and far below the limit"
+)]
+fn share_key(share: f64) -> u64 {
+    (share * 1e9) as u64
+}
+
+fn holds_task(worker: &WorkerEntry, task: &TaskId) -> bool {
+    let mut keys = worker.attempts.iter();
+    keys.any(|((of, _), known)| of == task && known.is_live())
+}
+
+/// Returns the largest of the parts of a size in relation to a whole.
+pub(super) fn dominant_share(part: &ResourceSize, whole: &ResourceSize) -> f64 {
+    let ratio = |part: f64, whole: f64| if whole > 0.0 { part / whole } else { 0.0 };
+    let processors = ratio(f64::from(part.processors.0), f64::from(whole.processors.0));
+    let memory = ratio(part.memory.0 as f64, whole.memory.0 as f64);
+    let accelerators = ratio(
+        f64::from(part.accelerators.0),
+        f64::from(whole.accelerators.0),
+    );
+    processors.max(memory).max(accelerators)
+}
+
+/// Where the replicas of a service are.
+#[derive(Debug, Default)]
+struct ReplicaSpread {
+    workers: BTreeMap<VmId, f64>,
+    racks: BTreeMap<RackName, f64>,
+    zones: BTreeMap<ZoneName, f64>,
+}
+
+impl ReplicaSpread {
+    fn of(scheduler: &ShardScheduler, spec: &TaskSpec) -> Self {
+        let mut spread = Self::default();
+        if !spec.class.is_latency_critical() {
+            return spread;
+        }
+        for worker in scheduler.workers.values() {
+            let Some(vm) = &worker.vm else {
+                continue;
+            };
+            let replicas = worker.attempts.iter().filter(|((task, _), known)| {
+                task.record == spec.task.record && known.is_live() && known.stop.is_none()
+            });
+            let count = replicas.count() as f64;
+            *spread.workers.entry(vm.vm.clone()).or_default() += count;
+            *spread.racks.entry(vm.rack.clone()).or_default() += count;
+            *spread.zones.entry(vm.zone.clone()).or_default() += count;
+        }
+        spread
+    }
+
+    fn penalty(&self, worker: &WorkerEntry) -> f64 {
+        let Some(vm) = &worker.vm else {
+            return 0.0;
+        };
+        let count = |counts: Option<&f64>| counts.copied().unwrap_or_default();
+        count(self.workers.get(&vm.vm)) * SAME_WORKER_PENALTY
+            + count(self.racks.get(&vm.rack)) * SAME_RACK_PENALTY
+            + count(self.zones.get(&vm.zone)) * SAME_ZONE_PENALTY
+    }
+}
--- /dev/null
+++ b/crates/geraniumshed-core/src/schedule/wanted.rs
@@ -0,0 +1,299 @@
+//! The tasks that the records in force ask for.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use geraniumshed_model::prelude::{
+    DrainScope, JobSpec, LogOffset, OperatorRecord, RecordGeneration, RecordKey, RecordKind,
+    RecordName, RecordSpec, ServiceSpec, ShardId, SlotCount, TaskClass, TaskId, TaskSpec, TeamName,
+    TeamSpec, VmEntry,
+};
+
+use super::shard_map::ShardMap;
+use super::task_entry::TaskEntry;
+use crate::state::ConfigState;
+
+/// A generation of a record whose tasks are alike; services have generation 0.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TaskGroup {
+    /// The record.
+    pub record: RecordName,
+    /// The generation of a job, or zero for a service.
+    pub generation: RecordGeneration,
+}
+
+impl TaskGroup {
+    /// Returns the group that a task belongs to.
+    pub fn of(task: &TaskId) -> Self {
+        Self {
+            record: task.record.clone(),
+            generation: task.generation,
+        }
+    }
+
+    /// Returns the id of the group's task of an index.
+    pub fn task(&self, index: u32) -> TaskId {
+        TaskId {
+            record: self.record.clone(),
+            generation: self.generation,
+            index,
+        }
+    }
+}
+
+/// What a record asks for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WantedGroup {
+    /// The first task; the others differ from it by their index.
+    pub template: Arc<TaskSpec>,
+    /// The number of tasks.
+    pub count: u32,
+    /// Whether an operator cancelled the job.
+    pub cancelled: bool,
+    /// The latency that a service should stay below at the 99th percentile.
+    pub latency_goal: Option<Duration>,
+    /// The indices of the tasks whose home is this shard.
+    pub home: Vec<u32>,
+}
+
+impl WantedGroup {
+    /// Returns what to run for the task of an index.
+    pub fn spec(&self, index: u32) -> TaskSpec {
+        let mut spec = TaskSpec::clone(&self.template);
+        spec.task.index = index;
+        spec
+    }
+
+    /// Tells whether a task failed for good.
+    ///
+    /// A task that may not run twice has one attempt, since an error tells nothing of what it did.
+    pub fn is_failed(&self, entry: &TaskEntry) -> bool {
+        if self.template.class.is_latency_critical() {
+            return false;
+        }
+        let limit = if self.template.idempotent {
+            self.template.failure_limit.max(1)
+        } else {
+            1
+        };
+        entry.failures >= limit
+    }
+}
+
+/// The tasks that the records in force ask for, as one shard sees them.
+#[derive(Debug, Clone, Default)]
+pub struct WantedTasks {
+    groups: BTreeMap<TaskGroup, WantedGroup>,
+    teams: BTreeMap<TeamName, TeamSpec>,
+    drains: BTreeSet<DrainScope>,
+    config: Arc<ConfigState>,
+}
+
+impl WantedTasks {
+    /// Returns what the records ask for of a group.
+    pub fn group(&self, group: &TaskGroup) -> Option<&WantedGroup> {
+        self.groups.get(group)
+    }
+
+    /// Returns all groups.
+    pub fn groups(&self) -> impl Iterator<Item = (&TaskGroup, &WantedGroup)> {
+        self.groups.iter()
+    }
+
+    /// Returns a team.
+    pub fn team(&self, team: &TeamName) -> Option<&TeamSpec> {
+        self.teams.get(team)
+    }
+
+    /// Returns the offset after the last entry of the `config` stream that is taken in.
+    pub fn applied(&self) -> LogOffset {
+        self.config.applied()
+    }
+
+    /// Tells whether a group's record was withdrawn or replaced, and is not merely unknown yet.
+    pub fn is_withdrawn(&self, group: &TaskGroup) -> bool {
+        let is_service = group.generation == RecordGeneration::default();
+        let kind = if is_service {
+            RecordKind::Service
+        } else {
+            RecordKind::Job
+        };
+        let key = RecordKey {
+            kind,
+            name: group.record.clone(),
+        };
+        let known = self.config.generation(&key);
+        known > RecordGeneration::default() && known >= group.generation
+    }
+
+    /// Tells whether an operator drains a VM.
+    pub fn is_drained(&self, vm: &VmEntry) -> bool {
+        self.drains.iter().any(|scope| match scope {
+            DrainScope::Vm(id) => *id == vm.vm,
+            DrainScope::Rack(rack) => *rack == vm.rack,
+            DrainScope::Zone(zone) => *zone == vm.zone,
+        })
+    }
+
+    /// Takes the records in force in and returns the groups that changed.
+    pub fn update(
+        &mut self,
+        config: &Arc<ConfigState>,
+        map: &ShardMap,
+        shard: ShardId,
+    ) -> BTreeSet<TaskGroup> {
+        let mut groups = BTreeMap::new();
+        for record in config.records(RecordKind::Service) {
+            if let RecordSpec::Service(spec) = &record.spec {
+                let group = service_group(record);
+                let wanted = wanted_service(config, record, spec);
+                groups.insert(group, wanted);
+            }
+        }
+        for record in config.records(RecordKind::Job) {
+            if let RecordSpec::Job(spec) = &record.spec {
+                let group = TaskGroup {
+                    record: record.key.name.clone(),
+                    generation: record.generation,
+                };
+                let wanted = wanted_job(config, record, spec);
+                groups.insert(group, wanted);
+            }
+        }
+        for (group, wanted) in &mut groups {
+            wanted.home = match self.groups.get(group) {
+                Some(old) if old.count == wanted.count => old.home.clone(),
+                _ => home_indices(group, wanted.count, map, shard),
+            };
+        }
+        self.teams = teams(config);
+        self.drains = drains(config);
+        self.config = Arc::clone(config);
+        let old = std::mem::replace(&mut self.groups, groups);
+        changed_groups(&old, &self.groups)
+    }
+}
+
+fn changed_groups(
+    old: &BTreeMap<TaskGroup, WantedGroup>,
+    new: &BTreeMap<TaskGroup, WantedGroup>,
+) -> BTreeSet<TaskGroup> {
+    let gone = old.keys().filter(|group| !new.contains_key(group));
+    let changed = new
+        .iter()
+        .filter(|(group, wanted)| old.get(group) != Some(wanted))
+        .map(|(group, _)| group);
+    gone.chain(changed).cloned().collect()
+}
+
+fn home_indices(group: &TaskGroup, count: u32, map: &ShardMap, shard: ShardId) -> Vec<u32> {
+    (0..count)
+        .filter(|index| map.home_shard(&group.task(*index)) == shard)
+        .collect()
+}
+
+fn service_group(record: &OperatorRecord) -> TaskGroup {
+    TaskGroup {
+        record: record.key.name.clone(),
+        generation: RecordGeneration::default(),
+    }
+}
+
+fn wanted_service(
+    config: &ConfigState,
+    record: &OperatorRecord,
+    spec: &ServiceSpec,
+) -> WantedGroup {
+    let class = if spec.listener {
+        TaskClass::Listener
+    } else {
+        TaskClass::Service
+    };
+    let template = TaskSpec {
+        task: service_group(record).task(0),
+        team: spec.team.clone(),
+        class,
+        group: spec.group.clone(),
+        urgency: spec.urgency,
+        size: spec.size,
+        command: spec.command.clone(),
+        idempotent: true,
+        failure_limit: 0,
+        slots: spec.slots,
+        connections: spec.connections,
+    };
+    let stop = RecordKey {
+        kind: RecordKind::Stop,
+        name: record.key.name.clone(),
+    };
+    let stopped = config.record(&stop).is_some();
+    WantedGroup {
+        template: Arc::new(template),
+        count: if stopped { 0 } else { spec.replicas },
+        cancelled: false,
+        latency_goal: Some(spec.latency_goal.0),
+        home: Vec::new(),
+    }
+}
+
+fn wanted_job(config: &ConfigState, record: &OperatorRecord, spec: &JobSpec) -> WantedGroup {
+    let template = TaskSpec {
+        task: TaskId {
+            record: record.key.name.clone(),
+            generation: record.generation,
+            index: 0,
+        },
+        team: spec.team.clone(),
+        class: TaskClass::Batch,
+        group: spec.group.clone(),
+        urgency: spec.urgency,
+        size: spec.size,
+        command: spec.command.clone(),
+        idempotent: spec.idempotent,
+        failure_limit: spec.failure_limit,
+        slots: SlotCount(0),
+        connections: 0,
+    };
+    WantedGroup {
+        template: Arc::new(template),
+        count: spec.tasks,
+        cancelled: is_cancelled(config, record),
+        latency_goal: None,
+        home: Vec::new(),
+    }
+}
+
+fn is_cancelled(config: &ConfigState, job: &OperatorRecord) -> bool {
+    let key = RecordKey {
+        kind: RecordKind::Cancel,
+        name: job.key.name.clone(),
+    };
+    config
+        .record(&key)
+        .is_some_and(|record| match &record.spec {
+            RecordSpec::Cancel(spec) => spec.generation == job.generation,
+            _ => false,
+        })
+}
+
+fn teams(config: &ConfigState) -> BTreeMap<TeamName, TeamSpec> {
+    let mut teams = BTreeMap::new();
+    for record in config.records(RecordKind::Team) {
+        let name = record.key.name.as_str().parse();
+        if let (RecordSpec::Team(spec), Ok(name)) = (&record.spec, name) {
+            teams.insert(name, spec.clone());
+        }
+    }
+    teams
+}
+
+fn drains(config: &ConfigState) -> BTreeSet<DrainScope> {
+    let specs = config
+        .records(RecordKind::Drain)
+        .filter_map(|record| match &record.spec {
+            RecordSpec::Drain(spec) => Some(spec.scope.clone()),
+            _ => None,
+        });
+    specs.collect()
+}
--- a/crates/geraniumshed-core/src/state/config.rs
+++ b/crates/geraniumshed-core/src/state/config.rs
@@ -98,7 +98,8 @@
         }
     }
 
-    fn generation(&self, key: &RecordKey) -> RecordGeneration {
+    /// Returns the last generation of a key, also if it was withdrawn, or zero if there is none.
+    pub fn generation(&self, key: &RecordKey) -> RecordGeneration {
         self.generations.get(key).copied().unwrap_or_default()
     }
 }
--- /dev/null
+++ b/crates/geraniumshed-core/tests/schedule_support/mod.rs
@@ -0,0 +1,381 @@
+//! A small log and small workers in memory, which judge the scheduler by their own records.
+#![allow(dead_code, reason = "each test file uses a part of the support")]
+#![allow(
+    unreachable_pub,
+    reason = "each test file includes the support as a module"
+)]
+
+pub mod fake_worker;
+pub mod fixture;
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use geraniumshed_core::schedule::{
+    OwnerStage, SchedulerSettings, ShardAction, ShardInput, ShardScheduler, WorkerFault,
+};
+use geraniumshed_core::state::{ConfigState, EndpointDirectory, VmTable};
+use geraniumshed_model::prelude::*;
+
+use self::fake_worker::FakeWorker;
+use self::fixture::shard_map;
+
+/// Something that an owner asked for and that has not happened yet.
+#[derive(Debug, Clone, PartialEq)]
+pub struct PendingWork {
+    /// The owner that asked.
+    pub owner: usize,
+    /// What it asked for.
+    pub action: ShardAction,
+}
+
+/// What happens to a piece of pending work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum WorkFate {
+    /// It takes effect and its owner learns so.
+    Done,
+    /// It takes no effect and its owner learns so.
+    Refused,
+    /// It takes effect and its owner can't tell.
+    AnswerLost,
+    /// It takes no effect and its owner can't tell.
+    RequestLost,
+}
+
+/// One run of a daemon that owns the shard, or thinks so.
+#[derive(Debug, Clone)]
+pub struct FakeOwner {
+    pub scheduler: ShardScheduler,
+    pub term: ShardTerm,
+    pub read: usize,
+    pub alive: bool,
+}
+
+/// A log, workers and owners of one shard.
+#[derive(Debug, Clone)]
+pub struct FakeCluster {
+    pub now: TimePoint,
+    pub settings: SchedulerSettings,
+    pub log: Vec<LogBatch<ShardEvent>>,
+    pub workers: BTreeMap<VmId, FakeWorker>,
+    pub owners: Vec<FakeOwner>,
+    pub pending: VecDeque<PendingWork>,
+    pub config: Arc<ConfigState>,
+    pub config_end: LogOffset,
+    pub vms: Arc<VmTable>,
+    pub directory: EndpointDirectory,
+    pub progress: BTreeMap<RecordName, (u32, u32)>,
+    pub moves: Vec<(ShardId, ShardEvent)>,
+    pub log_down: bool,
+    next_term: u64,
+}
+
+/// The shard that the cluster consists of.
+pub const SHARD: ShardId = ShardId(0);
+
+impl FakeCluster {
+    /// Creates a cluster with workers and without an owner.
+    pub fn new(settings: SchedulerSettings, workers: Vec<FakeWorker>) -> Self {
+        let mut cluster = Self {
+            now: TimePoint(1_000_000),
+            settings,
+            log: Vec::new(),
+            workers: workers.into_iter().map(|w| (w.vm.vm.clone(), w)).collect(),
+            owners: Vec::new(),
+            pending: VecDeque::new(),
+            config: Arc::default(),
+            config_end: LogOffset(0),
+            vms: Arc::default(),
+            directory: EndpointDirectory::default(),
+            progress: BTreeMap::new(),
+            moves: Vec::new(),
+            log_down: false,
+            next_term: 1,
+        };
+        cluster.list_vms();
+        cluster
+    }
+
+    /// Starts a new owner, which claims the shard, and returns its index.
+    pub fn take_over(&mut self) -> usize {
+        let term = ShardTerm(self.next_term);
+        self.next_term += 1;
+        let scheduler =
+            ShardScheduler::new(SHARD, term, shard_map(), self.settings.clone(), self.now);
+        self.owners.push(FakeOwner {
+            scheduler,
+            term,
+            read: 0,
+            alive: true,
+        });
+        let owner = self.owners.len() - 1;
+        self.input(owner, ShardInput::Config(Arc::clone(&self.config)));
+        self.input(owner, ShardInput::Vms(Arc::clone(&self.vms)));
+        owner
+    }
+
+    /// Gives an owner an input and keeps what it asks for.
+    pub fn input(&mut self, owner: usize, input: ShardInput) {
+        let entry = &mut self.owners[owner];
+        if !entry.alive {
+            return;
+        }
+        for action in entry.scheduler.handle(self.now, input) {
+            self.pending.push_back(PendingWork { owner, action });
+        }
+    }
+
+    /// Publishes a record.
+    pub fn publish(&mut self, name: &str, spec: RecordSpec) {
+        let key = RecordKey {
+            kind: spec.kind(),
+            name: name.parse().expect("a valid name"),
+        };
+        let replaces = self.config.generation(&key);
+        self.configure(ConfigEvent::Publish {
+            key,
+            schema: SchemaVersion::NEW,
+            replaces,
+            body: RecordBody::Known(spec),
+        });
+    }
+
+    /// Withdraws a record.
+    pub fn withdraw(&mut self, kind: RecordKind, name: &str) {
+        let key = RecordKey {
+            kind,
+            name: name.parse().expect("a valid name"),
+        };
+        let replaces = self.config.generation(&key);
+        self.configure(ConfigEvent::Withdraw { key, replaces });
+    }
+
+    fn configure(&mut self, event: ConfigEvent) {
+        let mut config = ConfigState::clone(&self.config);
+        config.apply(self.config_end, &event);
+        self.config_end = self.config_end.next();
+        self.config = Arc::new(config);
+        for owner in 0..self.owners.len() {
+            self.input(owner, ShardInput::Config(Arc::clone(&self.config)));
+        }
+    }
+
+    /// Lists the VMs as they are and tells the owners.
+    pub fn list_vms(&mut self) {
+        let mut vms = VmTable::clone(&self.vms);
+        let listed = self.workers.values().filter(|worker| worker.exists);
+        let entries = listed.map(|worker| worker.vm.clone()).collect();
+        vms.apply(self.now, Duration::ZERO, true, entries);
+        self.vms = Arc::new(vms);
+        for owner in 0..self.owners.len() {
+            self.input(owner, ShardInput::Vms(Arc::clone(&self.vms)));
+        }
+    }
+
+    /// Lets an owner read the next entry of the log; returns whether there was one.
+    pub fn read_next(&mut self, owner: usize) -> bool {
+        let entry = &mut self.owners[owner];
+        let Some(batch) = self.log.get(entry.read).cloned() else {
+            return false;
+        };
+        let offset = LogOffset(entry.read as u64);
+        entry.read += 1;
+        self.input(owner, ShardInput::Read { offset, batch });
+        true
+    }
+
+    /// Lets a piece of pending work meet its fate.
+    pub fn perform(&mut self, index: usize, fate: WorkFate) {
+        let Some(work) = self.pending.remove(index) else {
+            return;
+        };
+        let owner = work.owner;
+        let effect = matches!(fate, WorkFate::Done | WorkFate::AnswerLost);
+        match work.action {
+            ShardAction::Append(events) => {
+                if effect && !self.log_down {
+                    self.append(owner, events.clone());
+                }
+                if fate != WorkFate::Done || self.log_down {
+                    self.input(owner, ShardInput::AppendFailed(events));
+                }
+            }
+            ShardAction::Seize {
+                worker, request, ..
+            } => {
+                let reply = self.seize(&worker, &request, effect);
+                let outcome = answer(reply, fate);
+                self.input(owner, ShardInput::Seized { worker, outcome });
+            }
+            ShardAction::Exchange {
+                worker, request, ..
+            } => {
+                let sequence = request.sequence;
+                let reply = self.exchange(&worker, &request, effect);
+                let outcome = answer(reply, fate);
+                self.input(
+                    owner,
+                    ShardInput::Exchanged {
+                        worker,
+                        sequence,
+                        outcome,
+                    },
+                );
+            }
+            ShardAction::Publish(events) => {
+                let term = self.owners[owner].term;
+                for event in &events {
+                    self.directory.apply(term, event);
+                }
+            }
+            ShardAction::Report(events) => self.take_reports(&events),
+            ShardAction::Move { to, event } => self.moves.push((to, event)),
+            ShardAction::Superseded => {}
+        }
+    }
+
+    fn append(&mut self, owner: usize, events: Vec<ShardEvent>) {
+        let term = self.owners[owner].term;
+        let mark = WriterMark {
+            incarnation: DaemonIncarnation(term.0),
+            sequence: self.log.len() as u64 + 1,
+        };
+        self.log.push(LogBatch { mark, term, events });
+    }
+
+    fn seize(
+        &mut self,
+        worker: &VmId,
+        request: &SeizeRequest,
+        effect: bool,
+    ) -> Result<SeizeReply, WorkerFault> {
+        let now = self.now;
+        let worker = self
+            .workers
+            .get_mut(worker)
+            .filter(|w| w.reachable && effect);
+        worker.ok_or(WorkerFault::NoEffect)?.seize(now, request)
+    }
+
+    fn exchange(
+        &mut self,
+        id: &VmId,
+        request: &ExchangeRequest,
+        effect: bool,
+    ) -> Result<ExchangeReply, WorkerFault> {
+        let now = self.now;
+        let rules = self.settings.rules;
+        let others: Vec<_> = self
+            .workers
+            .iter()
+            .filter(|(other, _)| *other != id)
+            .flat_map(|(_, worker)| worker.running_batch(now))
+            .collect();
+        let worker = self.workers.get_mut(id).filter(|w| w.reachable && effect);
+        let worker = worker.ok_or(WorkerFault::NoEffect)?;
+        worker.exchange(now, request, rules, &others)
+    }
+
+    fn take_reports(&mut self, events: &[ConfigEvent]) {
+        for event in events {
+            if let ConfigEvent::Progress {
+                job,
+                completed,
+                failed,
+                ..
+            } = event
+            {
+                self.progress
+                    .insert(job.name.clone(), (*completed, *failed));
+            }
+        }
+    }
+
+    /// Lets everything happen that can without time going by.
+    pub fn settle(&mut self) {
+        for _ in 0..10_000 {
+            let mut quiet = true;
+            while !self.pending.is_empty() {
+                quiet = false;
+                let fate = if self.log_down && self.is_append(0) {
+                    WorkFate::Refused
+                } else {
+                    WorkFate::Done
+                };
+                self.perform(0, fate);
+            }
+            for owner in 0..self.owners.len() {
+                while self.owners[owner].alive && self.read_next(owner) {
+                    quiet = false;
+                }
+            }
+            if quiet {
+                return;
+            }
+        }
+        panic!("the cluster does not come to rest");
+    }
+
+    fn is_append(&self, index: usize) -> bool {
+        let work = self.pending.get(index);
+        work.is_some_and(|work| matches!(work.action, ShardAction::Append(_)))
+    }
+
+    /// Lets time go by in small steps, with everything that happens meanwhile.
+    pub fn run(&mut self, span: Duration) {
+        const STEP: Duration = Duration::from_millis(50);
+        let end = self.now + span;
+        while self.now < end {
+            self.now = self.now + STEP;
+            for worker in self.workers.values_mut() {
+                worker.advance(self.now);
+            }
+            if self.now.0.is_multiple_of(1_000_000) {
+                self.list_vms();
+            }
+            for owner in 0..self.owners.len() {
+                self.input(owner, ShardInput::Tick);
+            }
+            self.settle();
+        }
+    }
+
+    /// Returns the owner that acts.
+    pub fn active(&self) -> &ShardScheduler {
+        let ready = self
+            .owners
+            .iter()
+            .rev()
+            .find(|owner| owner.alive && owner.scheduler.stage() == OwnerStage::Ready);
+        &ready.expect("an owner acts").scheduler
+    }
+
+    /// Returns all runs that the workers recorded of a record's tasks, in the order of time.
+    pub fn runs(&self, record: &str) -> Vec<fake_worker::TaskRun> {
+        let mut runs: Vec<_> = self
+            .workers
+            .values()
+            .flat_map(|worker| worker.runs.iter())
+            .filter(|run| run.task.record.as_str() == record)
+            .cloned()
+            .collect();
+        runs.sort_by_key(|run| (run.begin, run.task.clone(), run.attempt));
+        runs
+    }
+
+    /// Returns the endpoints of a service that take requests.
+    pub fn ready_endpoints(&self, service: &str) -> Vec<EndpointEntry> {
+        let service = service.parse().expect("a valid name");
+        let entries = self.directory.endpoints(&service);
+        let ready = entries.filter(|entry| entry.phase == EndpointPhase::Ready);
+        ready.cloned().collect()
+    }
+}
+
+fn answer<R>(reply: Result<R, WorkerFault>, fate: WorkFate) -> Result<R, WorkerFault> {
+    match fate {
+        WorkFate::Done | WorkFate::Refused => reply,
+        WorkFate::AnswerLost | WorkFate::RequestLost => Err(WorkerFault::AnswerLost),
+    }
+}
