--- a/crates/geraniumshed-model/src/prelude.rs
+++ b/crates/geraniumshed-model/src/prelude.rs
@@ -8,8 +8,8 @@
 };
 pub use crate::id::{
     AttemptNumber, BootId, CheckpointId, ClassName, DaemonId, DaemonIncarnation, KeyDigest,
-    LogOffset, RackName, RecordGeneration, RecordName, RegionName, RequestDigest, RequestId,
-    ShardId, ShardTerm, TaskId, TeamName, VmId, WriterMark, ZoneName,
+    LogOffset, ParseIdError, RackName, RecordGeneration, RecordName, RegionName, RequestDigest,
+    RequestId, ShardId, ShardTerm, TaskId, TeamName, VmId, WriterMark, ZoneName,
 };
 pub use crate::record::{
     BindingSpec, CancelSpec, DrainScope, DrainSpec, JobSpec, OperatorRecord, RecordKey, RecordKind,
--- a/crates/geraniumshed-wire/src/operator/mod.rs
+++ b/crates/geraniumshed-wire/src/operator/mod.rs
@@ -1,1 +1,15 @@
 //! The operators' HTTP interface, in JSON.
+
+pub mod problem;
+pub mod reply;
+pub mod status;
+
+pub use self::problem::{PROBLEM_TYPE_BASE, ProblemDocument};
+pub use self::reply::{
+    CheckReply, CheckedRecord, HistoryEntry, HistoryReply, LevelRequest, PublishReply, RecordList,
+    ResolveRequest, TaskDecision,
+};
+pub use self::status::{
+    ClusterStatus, ConfigProgress, DaemonState, JobState, LogState, MetricValue, PeerState,
+    ServiceState, ShardState, TaskState,
+};
