--- a/crates/geraniumshed-standin/src/endpoint/mod.rs
+++ b/crates/geraniumshed-standin/src/endpoint/mod.rs
@@ -13,3 +13,4 @@
 pub use self::fault::EndpointFault;
 pub use self::handler::{HEADER_IN_FLIGHT, HEADER_LEAVING, HEADER_OUTCOME, HEADER_REQUEST_ID};
 pub use self::server::{EndpointConfig, EndpointServer};
+pub use self::service_time::draw_times;
--- a/crates/geraniumshed-standin/src/endpoint/service_time.rs
+++ b/crates/geraniumshed-standin/src/endpoint/service_time.rs
@@ -12,6 +12,12 @@
 /// The latencies of which the percentile is taken.
 const WINDOW_REQUESTS: usize = 256;
 
+/// Draws the times of an endpoint's first requests, as callers that compare with an ideal need them.
+pub fn draw_times(seed: u64, name: &str, command: &SimulateCommand, count: usize) -> Vec<Duration> {
+    let mut times = ServiceTimes::new(seed, name, command);
+    (0..count).map(|_| times.draw(None)).collect()
+}
+
 /// Draws the time that each request takes and keeps the latest latencies.
 #[derive(Debug)]
 pub(super) struct ServiceTimes {
--- /dev/null
+++ b/crates/geraniumshed-standin/tests/judge.rs
@@ -0,0 +1,263 @@
+//! The judge finds each breach and holds nothing against a record without one.
+
+use geraniumshed_standin::truth::{
+    CallerRecord, ExecutionEnd, ExecutionRecord, JudgeLimits, LeavingRecord, OverloadRecord,
+    PlacementEnd, PlacementRecord, PromiseKind, RefusalCause, RefusalRecord, TruthRecord, VmRecord,
+    judge,
+};
+use geraniumshed_wire::common::ResourceSizeWire;
+use rstest::rstest;
+
+/// The bound of the default limits, in microseconds.
+const LEAVING_BOUND: u64 = 3_000_000;
+
+fn processors(processors: u32) -> ResourceSizeWire {
+    ResourceSizeWire {
+        processors: processors * 1000,
+        ..ResourceSizeWire::default()
+    }
+}
+
+fn placement(
+    task: &str,
+    attempt: u32,
+    begin: u64,
+    end: u64,
+    outcome: PlacementEnd,
+) -> PlacementRecord {
+    PlacementRecord {
+        task: task.into(),
+        attempt,
+        vm: "w1".into(),
+        boot: 1,
+        batch: true,
+        idempotent: false,
+        size: processors(2),
+        resumed_from: None,
+        work_before: 0,
+        work_after: 0,
+        work_total: 0,
+        begin,
+        end: Some(end),
+        outcome: Some(outcome),
+    }
+}
+
+fn resumed(checkpoint: &str, placement: PlacementRecord) -> PlacementRecord {
+    PlacementRecord {
+        resumed_from: Some(checkpoint.into()),
+        ..placement
+    }
+}
+
+fn stopped(checkpoint: &str) -> PlacementEnd {
+    PlacementEnd::Stopped {
+        checkpoint: Some(checkpoint.into()),
+    }
+}
+
+fn execution(request: &str, key: &str, begin: u64) -> ExecutionRecord {
+    ExecutionRecord {
+        request: request.into(),
+        key: (!key.is_empty()).then(|| key.into()),
+        idempotent: false,
+        service: "booking".into(),
+        endpoint: "booking/0/0@1".into(),
+        vm: "w1".into(),
+        path: "/book".into(),
+        begin,
+        end: Some(begin + 10),
+        outcome: Some(ExecutionEnd::Answered),
+    }
+}
+
+fn caller(request: &str, told: &str) -> CallerRecord {
+    CallerRecord {
+        request: request.into(),
+        key: None,
+        told: told.into(),
+        own_answer: (told == "ran").then_some(true),
+        cut_off: false,
+    }
+}
+
+/// What is judged.
+struct Sheet {
+    record: TruthRecord,
+    callers: Vec<CallerRecord>,
+}
+
+/// A record in which everything went well and each promise had a case.
+fn sound() -> Sheet {
+    let record = TruthRecord {
+        vms: vec![VmRecord {
+            vm: "w1".into(),
+            size: processors(4),
+        }],
+        executions: vec![execution("r1", "k1", 100), execution("r2", "", 200)],
+        refusals: Vec::new(),
+        placements: vec![
+            placement("regrade/1/0", 1, 0, 50, stopped("c1")),
+            resumed(
+                "c1",
+                placement("regrade/1/0", 2, 60, 90, PlacementEnd::Completed),
+            ),
+            placement("regrade/1/1", 1, 0, 60, PlacementEnd::Completed),
+            placement("regrade/1/2", 1, 60, 90, PlacementEnd::Completed),
+        ],
+        overloads: Vec::new(),
+        leavings: vec![LeavingRecord {
+            name: "w1".into(),
+            since: 1000,
+        }],
+    };
+    let callers = vec![caller("r1", "ran"), caller("r3", "not-run")];
+    Sheet { record, callers }
+}
+
+fn broken(sheet: &Sheet) -> Vec<PromiseKind> {
+    let report = judge(&sheet.record, &sheet.callers, JudgeLimits::default());
+    let rows = report.rows.iter().filter(|row| !row.held());
+    rows.map(|row| row.promise).collect()
+}
+
+#[test]
+fn a_sound_record_holds_with_a_case_for_each_promise() {
+    let sheet = sound();
+    let limits = JudgeLimits {
+        settled: true,
+        ..JudgeLimits::default()
+    };
+    let report = judge(&sheet.record, &sheet.callers, limits);
+    assert!(report.held(), "{report}");
+    assert!(report.counted(), "{report}");
+}
+
+#[test]
+fn an_empty_record_holds_and_counts_nothing() {
+    let report = judge(&TruthRecord::default(), &[], JudgeLimits::default());
+    assert!(report.held() && !report.counted());
+    assert!(report.to_string().contains("nothing counted"));
+}
+
+type Breach = fn(&mut Sheet);
+
+#[rstest]
+#[case::beyond_size(PromiseKind::Capacity, |s: &mut Sheet| {
+    s.record.placements.push(placement("x/1/0", 1, 80, 85, PlacementEnd::Completed));
+})]
+#[case::never_ended_beyond_size(PromiseKind::Capacity, |s: &mut Sheet| {
+    let mut endless = placement("x/1/0", 1, 95, 0, PlacementEnd::Completed);
+    endless.end = None;
+    s.record.placements.push(PlacementRecord { task: "y/1/0".into(), ..endless.clone() });
+    s.record.placements.push(PlacementRecord { task: "z/1/0".into(), ..endless.clone() });
+    s.record.placements.push(endless);
+})]
+#[case::told_to_start_beyond_size(PromiseKind::Capacity, |s: &mut Sheet| {
+    let overload = OverloadRecord { vm: "w1".into(), task: "x/1/0".into(), attempt: 1, at: 5 };
+    s.record.overloads.push(overload);
+})]
+#[case::overlap(PromiseKind::SingleRun, |s: &mut Sheet| {
+    s.record.placements[1].begin = 49;
+    s.record.placements[1].vm = "w2".into();
+})]
+#[case::overlap_without_end(PromiseKind::SingleRun, |s: &mut Sheet| {
+    s.record.placements[0].end = None;
+    s.record.placements[0].vm = "w2".into();
+})]
+#[case::after_completion(PromiseKind::SingleRun, |s: &mut Sheet| {
+    s.record.placements.push(placement("regrade/1/1", 2, 95, 99, PlacementEnd::Failed));
+})]
+#[case::from_scratch(PromiseKind::ResumeOnce, |s: &mut Sheet| {
+    s.record.placements[1].resumed_from = None;
+})]
+#[case::twice_from_one_checkpoint(PromiseKind::ResumeOnce, |s: &mut Sheet| {
+    s.record.placements[1].outcome = Some(stopped("c2"));
+    let again = placement("regrade/1/0", 3, 95, 99, PlacementEnd::Completed);
+    s.record.placements.push(resumed("c1", again));
+})]
+#[case::by_guess(PromiseKind::ResumeOnce, |s: &mut Sheet| {
+    s.record.placements[1].outcome = Some(PlacementEnd::Killed);
+    let again = placement("regrade/1/0", 3, 95, 99, PlacementEnd::Completed);
+    s.record.placements.push(resumed("c1", again));
+})]
+#[case::foreign_answer(PromiseKind::OwnAnswer, |s: &mut Sheet| {
+    s.callers[0].own_answer = Some(false);
+})]
+#[case::false_refusal(PromiseKind::TrueRefusal, |s: &mut Sheet| {
+    s.callers.push(caller("r2", "not-run"));
+})]
+#[case::doubled_request(PromiseKind::AtMostOnce, |s: &mut Sheet| {
+    s.record.executions.push(execution("r1", "", 300));
+})]
+#[case::doubled_key(PromiseKind::AtMostOnce, |s: &mut Sheet| {
+    s.record.executions.push(execution("r9", "k1", 300));
+})]
+#[case::late_run(PromiseKind::LeavingQuiet, |s: &mut Sheet| {
+    s.record.executions.push(execution("r9", "", 1001 + LEAVING_BOUND));
+})]
+#[case::late_arrival(PromiseKind::LeavingQuiet, |s: &mut Sheet| {
+    s.record.refusals.push(RefusalRecord {
+        request: "r9".into(),
+        endpoint: "booking/0/0@1".into(),
+        vm: "w1".into(),
+        at: 1001 + LEAVING_BOUND,
+        cause: RefusalCause::Leaving,
+    });
+})]
+#[case::cut_at_endpoint(PromiseKind::GracefulStop, |s: &mut Sheet| {
+    s.record.executions[0].outcome = Some(ExecutionEnd::CutOff);
+})]
+#[case::cut_at_caller(PromiseKind::GracefulStop, |s: &mut Sheet| s.callers[0].cut_off = true)]
+fn each_breach_is_found_and_no_other(#[case] promise: PromiseKind, #[case] breach: Breach) {
+    let mut sheet = sound();
+    breach(&mut sheet);
+    assert_eq!(broken(&sheet), [promise]);
+}
+
+#[test]
+fn a_checkpoint_that_is_never_resumed_is_found_once_things_have_settled() {
+    let mut sheet = sound();
+    sheet.record.placements.remove(1);
+    assert!(broken(&sheet).is_empty());
+    let limits = JudgeLimits {
+        settled: true,
+        ..JudgeLimits::default()
+    };
+    let report = judge(&sheet.record, &sheet.callers, limits);
+    assert!(!report.row(PromiseKind::ResumeOnce).unwrap().held());
+}
+
+#[rstest]
+#[case::idempotent_rerun_after_a_kill(|s: &mut Sheet| {
+    s.record.placements[2].outcome = Some(PlacementEnd::Killed);
+    s.record.placements[2].idempotent = true;
+    let again = placement("regrade/1/1", 2, 95, 99, PlacementEnd::Completed);
+    s.record.placements.push(PlacementRecord { idempotent: true, ..again });
+})]
+#[case::idempotent_request_hedged(|s: &mut Sheet| {
+    let read = ExecutionRecord { idempotent: true, ..execution("r9", "", 100) };
+    s.record.executions.push(read.clone());
+    s.record.executions.push(read);
+})]
+#[case::just_in_time(|s: &mut Sheet| {
+    s.record.executions.push(execution("r9", "", 1000 + LEAVING_BOUND));
+})]
+#[case::hand_over_at_the_same_time(|s: &mut Sheet| {
+    s.record.placements[1].begin = 50;
+    s.record.placements[2].end = Some(50);
+})]
+#[case::two_copies_of_a_replica(|s: &mut Sheet| {
+    let replica = PlacementRecord {
+        batch: false,
+        size: processors(0),
+        ..placement("booking/0/0", 1, 0, 90, PlacementEnd::Killed)
+    };
+    s.record.placements.push(PlacementRecord { attempt: 2, begin: 10, ..replica.clone() });
+    s.record.placements.push(replica);
+})]
+fn what_is_allowed_is_no_breach(#[case] change: Breach) {
+    let mut sheet = sound();
+    change(&mut sheet);
+    assert!(broken(&sheet).is_empty());
+}
