Dispatch keyed requests at most once, whichever daemon they come to

Cause: a caller whose answer was lost could not send its request again safely. Change: tickets that only their issuer dispatches, callers' keys claimed by the owner of the key's shard, answers kept and replayed, and requests passed on to the daemon that may dispatch them. KeyPage tells where to read on, since a page of repeats alone could not be passed safely otherwise. A daemon that can't look a key up answers key-unchecked (unknown), as an earlier request with the key may have run.

--- a/crates/geraniumshed-daemon/src/request/flight.rs
+++ b/crates/geraniumshed-daemon/src/request/flight.rs
@@ -12,6 +12,8 @@
     AttemptResult, AttemptReturn, DispatchAction, DispatchEvent, EndpointIndex, QueuedRequest,
 };
 use geraniumshed_model::prelude::{ErrorKind, TimePoint};
+use http::header::CONTENT_LENGTH;
+use http::{HeaderMap, Method};
 use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
 use tokio::sync::oneshot;
 use tokio::time::Sleep;
@@ -20,9 +22,11 @@
 use super::attempt::{AttemptEnd, AttemptRequest, parts_body, run_attempt};
 use super::body::RequestBody;
 use super::gate::ServiceGate;
+use super::header;
 use super::pool::EndpointPool;
 use super::shared::EntryShared;
 use super::status::add_one;
+use super::target::ServiceTarget;
 
 /// The longest time that a daemon sleeps for an event that may never come.
 const FAR_FUTURE: Duration = Duration::from_hours(24);
@@ -34,17 +38,27 @@
 #[derive(Debug)]
 pub struct RequestFlight {
     /// The parts of the daemon that all requests share.
-    pub shared: Arc<EntryShared>,
-    /// The dispatcher of the service.
-    pub gate: Arc<ServiceGate>,
-    /// The request as the dispatcher sees it.
-    pub queued: QueuedRequest,
-    /// The request as endpoints see it.
-    pub request: AttemptRequest,
+    shared: Arc<EntryShared>,
+    gate: Arc<ServiceGate>,
+    queued: QueuedRequest,
+    request: AttemptRequest,
+    body: RequestBody,
+    caller: oneshot::Receiver<()>,
+}
+
+/// A request that is ready to be dispatched.
+#[derive(Debug)]
+pub struct ReadyRequest {
+    /// The method.
+    pub method: Method,
+    /// The path and query within the service, with a leading slash.
+    pub target: String,
+    /// The headers as the caller sent them.
+    pub headers: HeaderMap,
     /// The body.
     pub body: RequestBody,
-    /// Ends when the caller is gone.
-    pub caller: oneshot::Receiver<()>,
+    /// The time until which an answer is of use.
+    pub deadline: TimePoint,
 }
 
 /// The timers of a request.
@@ -58,6 +72,45 @@
 type EndedAttempt = (EndpointIndex, AttemptEnd);
 
 impl RequestFlight {
+    /// Prepares a request for its service's dispatcher.
+    pub fn new(
+        shared: &Arc<EntryShared>,
+        service: &ServiceTarget,
+        ready: ReadyRequest,
+        caller: oneshot::Receiver<()>,
+    ) -> Self {
+        let id = shared.next_id();
+        let replayable = matches!(ready.body, RequestBody::Whole(_));
+        let mut headers = ready.headers;
+        header::remove_hop_headers(&mut headers);
+        header::remove_own_headers(&mut headers);
+        if replayable {
+            headers.remove(CONTENT_LENGTH);
+        }
+        let queued = QueuedRequest {
+            id,
+            urgency: service.urgency,
+            arrived: shared.now(),
+            deadline: ready.deadline,
+            idempotent: service.spec.idempotent || ready.method.is_safe(),
+            replayable,
+        };
+        Self {
+            gate: shared.gate(&service.service, &service.spec),
+            shared: Arc::clone(shared),
+            queued,
+            request: AttemptRequest {
+                id,
+                method: ready.method,
+                target: ready.target,
+                headers,
+                open_ended: service.spec.listener,
+            },
+            body: ready.body,
+            caller,
+        }
+    }
+
     /// Runs the request to its answer.
     pub async fn run(mut self) -> EntryAnswer {
         let (sender, actions) = unbounded_channel();
--- a/crates/geraniumshed-daemon/src/request/header.rs
+++ b/crates/geraniumshed-daemon/src/request/header.rs
@@ -22,6 +22,12 @@
 /// Tells that an endpoint is leaving.
 pub static LEAVING: HeaderName = HeaderName::from_static("geraniumshed-leaving");
 
+/// Makes a request's repeats safe.
+pub static IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+
+/// Tells that an answer was kept from an earlier request with the same key.
+pub static REPLAYED: HeaderName = HeaderName::from_static("geraniumshed-replayed");
+
 /// The headers of one connection, which are not passed on.
 static HOP_HEADERS: [HeaderName; 7] = [
     CONNECTION,
--- a/crates/geraniumshed-daemon/src/request/intake.rs
+++ b/crates/geraniumshed-daemon/src/request/intake.rs
@@ -6,7 +6,6 @@
 
 use bytes::Buf;
 use futures::Stream;
-use geraniumshed_core::request::QueuedRequest;
 use geraniumshed_model::prelude::{ErrorKind, RecordName, TimeSpan};
 use http::header::{CONNECTION, CONTENT_LENGTH};
 use http::{HeaderMap, HeaderValue, Method, StatusCode};
@@ -14,10 +13,14 @@
 use warp::reply::Response;
 
 use super::answer::{AnswerBody, EntryAnswer, EntryError};
-use super::attempt::AttemptRequest;
 use super::body::{RequestBody, read_body};
-use super::flight::{RequestFlight, deadline_of};
+use super::flight::{ReadyRequest, RequestFlight, deadline_of};
+use super::forward::PeerForwarder;
 use super::header;
+use super::issue::{TICKETS_PATH, issue_tickets};
+use super::key_log::KeyLog;
+use super::keyed::{KeyRoute, KeyedEntry, KeyedRequest};
+use super::passing::{idempotency_key, pass_on};
 use super::shared::EntryShared;
 use super::status::{add_one, take_one};
 use super::target::{ServiceTarget, find_target};
@@ -42,28 +45,31 @@
 }
 
 /// Answers one request of a caller.
-pub async fn answer_request<S, B>(
-    shared: Arc<EntryShared>,
+pub async fn answer_request<P, K, S, B>(
+    keyed: Arc<KeyedEntry<P, K>>,
     incoming: IncomingRequest,
     stream: S,
 ) -> Response
 where
+    P: PeerForwarder,
+    K: KeyLog,
     S: Stream<Item = Result<B, warp::Error>> + Send + 'static,
     B: Buf + Send,
 {
+    let shared = &keyed.shared;
     let method = incoming.method.clone();
     if incoming.path == HEALTH_PATH {
-        return finish(&shared, health(&shared), &method);
+        return finish(shared, health(shared), &method);
     }
     add_one(&shared.counters.received);
     add_one(&shared.counters.active);
-    let answer = match route(&shared, incoming, stream).await {
+    let answer = match route(&keyed, incoming, stream).await {
         Ok(answer) => answer,
         Err(error) => error.into(),
     };
     take_one(&shared.counters.active);
     shared.counters.count_outcome(answer.outcome);
-    finish(&shared, answer, &method)
+    finish(shared, answer, &method)
 }
 
 /// Converts an answer for the library; during a planned stop, it asks the caller to reconnect.
@@ -75,15 +81,21 @@
     answer.into_response(method)
 }
 
-async fn route<S, B>(
-    shared: &Arc<EntryShared>,
+async fn route<P, K, S, B>(
+    keyed: &Arc<KeyedEntry<P, K>>,
     incoming: IncomingRequest,
     stream: S,
 ) -> Result<EntryAnswer, EntryError>
 where
+    P: PeerForwarder,
+    K: KeyLog,
     S: Stream<Item = Result<B, warp::Error>> + Send + 'static,
     B: Buf + Send,
 {
+    let shared = &keyed.shared;
+    if incoming.path == TICKETS_PATH {
+        return issue_tickets(keyed, &incoming.method, incoming.query.as_deref());
+    }
     check_headers(&incoming.headers, shared.settings.header_limit)?;
     let (name, target) = split_path(&incoming)?;
     let service = {
@@ -92,54 +104,65 @@
     };
     let service = service.ok_or_else(|| unknown_service(&name))?;
     let asked = asked_deadline(&incoming.headers)?;
+    let key = idempotency_key(&incoming.headers)?;
     shared.take_rate(&service).map_err(rate_limited)?;
     let declared = declared_length(&incoming.headers);
     let body = read_body(stream, declared, &shared.settings, &shared.memory).await?;
-    Ok(dispatch(shared, &service, incoming, target, body, asked).await)
+    let ready = ReadyRequest {
+        method: incoming.method,
+        target,
+        headers: incoming.headers,
+        body,
+        deadline: deadline_of(shared.now(), service.deadline, asked),
+    };
+    match key {
+        Some(key) => serve_keyed(keyed, name, service, key, ready).await,
+        None => Ok(dispatch(shared, &service, ready).await),
+    }
+}
+
+/// Serves a request with a key here, or passes it on to the daemon that may dispatch it.
+async fn serve_keyed<P, K>(
+    keyed: &Arc<KeyedEntry<P, K>>,
+    name: RecordName,
+    service: ServiceTarget,
+    key: String,
+    mut ready: ReadyRequest,
+) -> Result<EntryAnswer, EntryError>
+where
+    P: PeerForwarder,
+    K: KeyLog,
+{
+    let RequestBody::Whole(body) = std::mem::replace(&mut ready.body, RequestBody::Spent) else {
+        return Err(EntryError::new(
+            ErrorKind::BodyTooLarge,
+            "the body is too large for a request with a key",
+            "send a smaller body, or send the request without a key",
+        ));
+    };
+    let route = keyed.route(&service.service, &key)?;
+    let request = KeyedRequest {
+        name,
+        service,
+        key,
+        ready,
+        body,
+    };
+    match route {
+        KeyRoute::Peer(peer, incarnation) => pass_on(keyed, peer, incarnation, request).await,
+        KeyRoute::OwnTicket(_) | KeyRoute::OwnKey(..) => Ok(keyed.serve(request, route).await),
+    }
 }
 
 /// Hands a request to the dispatcher in a task of its own, which outlives the caller.
 async fn dispatch(
     shared: &Arc<EntryShared>,
     service: &ServiceTarget,
-    incoming: IncomingRequest,
-    target: String,
-    body: RequestBody,
-    asked: Option<Duration>,
+    ready: ReadyRequest,
 ) -> EntryAnswer {
-    let now = shared.now();
-    let id = shared.next_id();
-    let queued = QueuedRequest {
-        id,
-        urgency: service.urgency,
-        arrived: now,
-        deadline: deadline_of(now, service.deadline, asked),
-        idempotent: service.spec.idempotent || incoming.method.is_safe(),
-        replayable: matches!(body, RequestBody::Whole(_)),
-    };
-    let mut headers = incoming.headers;
-    header::remove_hop_headers(&mut headers);
-    header::remove_own_headers(&mut headers);
-    if matches!(body, RequestBody::Whole(_)) {
-        headers.remove(CONTENT_LENGTH);
-    }
     let (gone, caller) = oneshot::channel();
-    let flight = RequestFlight {
-        shared: Arc::clone(shared),
-        gate: shared.gate(&service.service, &service.spec),
-        queued,
-        request: AttemptRequest {
-            id,
-            method: incoming.method,
-            target,
-            headers,
-            open_ended: service.spec.listener,
-        },
-        body,
-        caller,
-    };
-    let task = tokio::spawn(flight.run());
-    let answer = task.await;
+    let flight = RequestFlight::new(shared, service, ready, caller);
+    let answer = tokio::spawn(flight.run()).await;
     drop(gone);
     answer.unwrap_or_else(|_| {
         EntryError::new(ErrorKind::Internal, "the daemon failed", "tell an operator").into()
--- a/crates/geraniumshed-daemon/src/request/key_log.rs
+++ b/crates/geraniumshed-daemon/src/request/key_log.rs
@@ -20,6 +20,8 @@
 pub struct KeyPage {
     /// The first offset that the log still keeps.
     pub first: LogOffset,
+    /// The offset from which to read on: after the last entry read, repeated appends included.
+    pub next: LogOffset,
     /// The offset after the last entry of the stream, whether or not it is on this page.
     pub end: LogOffset,
     /// The entries, in the order of their offsets; repeated appends are left out.
--- a/crates/geraniumshed-daemon/src/request/listener.rs
+++ b/crates/geraniumshed-daemon/src/request/listener.rs
@@ -18,6 +18,8 @@
 use super::forward::PeerForwarder;
 use super::intake::{IncomingRequest, answer_request};
 use super::key_log::KeyLog;
+use super::keyed::KeyedEntry;
+use super::passing::PeerEntry;
 use super::shared::EntryShared;
 use super::status::{EntryStatus, add_one, take_one};
 use super::{EntryContext, EntrySettings};
@@ -37,9 +39,10 @@
 
 /// The running listener.
 #[derive(Debug)]
-pub struct EntryHandle {
+pub struct EntryHandle<P, K> {
     address: SocketAddr,
     shared: Arc<EntryShared>,
+    keyed: Arc<KeyedEntry<P, K>>,
     stop: watch::Sender<bool>,
     served: tokio::task::JoinHandle<()>,
 }
@@ -53,7 +56,7 @@
     pub async fn bind<P, K>(
         context: EntryContext<P, K>,
         settings: EntrySettings,
-    ) -> io::Result<EntryHandle>
+    ) -> io::Result<EntryHandle<P, K>>
     where
         P: PeerForwarder,
         K: KeyLog,
@@ -64,19 +67,26 @@
         let address = listener.local_addr()?;
         let shared = Arc::new(EntryShared::new(&context, settings));
         shared.refresh();
+        let keyed = Arc::new(KeyedEntry::open(
+            Arc::clone(&shared),
+            context.forwarder.clone(),
+            context.key_log.clone(),
+            context.seed,
+        ));
         tokio::spawn(follow_views(context, Arc::clone(&shared)));
         let (stop, stopped) = watch::channel(false);
-        let served = tokio::spawn(accept_callers(listener, Arc::clone(&shared), stopped));
+        let served = tokio::spawn(accept_callers(listener, Arc::clone(&keyed), stopped));
         Ok(EntryHandle {
             address,
             shared,
+            keyed,
             stop,
             served,
         })
     }
 }
 
-impl EntryHandle {
+impl<P: PeerForwarder, K: KeyLog> EntryHandle<P, K> {
     /// Returns the address at which callers are served.
     pub fn local_addr(&self) -> SocketAddr {
         self.address
@@ -88,6 +98,11 @@
         EntryStatus::read(&self.shared.counters, draining)
     }
 
+    /// Returns what takes the requests that peers pass on.
+    pub fn forward_service(&self) -> PeerEntry<P, K> {
+        PeerEntry::new(Arc::clone(&self.keyed))
+    }
+
     /// Stops gracefully: fails the health check, waits for the balancer, finishes what runs.
     pub async fn drain(self) -> EntryStatus {
         let settings = &self.shared.settings;
@@ -100,16 +115,16 @@
 }
 
 /// Accepts connections until the stop, then lets the open ones finish what they have.
-async fn accept_callers(
+async fn accept_callers<P: PeerForwarder, K: KeyLog>(
     listener: TcpListener,
-    shared: Arc<EntryShared>,
+    keyed: Arc<KeyedEntry<P, K>>,
     mut stopped: watch::Receiver<bool>,
 ) {
     let graceful = GracefulShutdown::new();
     loop {
         tokio::select! {
             accepted = listener.accept() => match accepted {
-                Ok((stream, _)) => serve_connection(stream, &shared, &graceful),
+                Ok((stream, _)) => serve_connection(stream, &keyed, &graceful),
                 Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
             },
             Ok(()) = stopped.changed() => break,
@@ -117,23 +132,28 @@
     }
     // Connections that the system accepted before the stop are served like all others.
     while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
-        serve_connection(stream, &shared, &graceful);
+        serve_connection(stream, &keyed, &graceful);
     }
     drop(listener);
     graceful.shutdown().await;
-    while shared.counters.active.load(Ordering::Relaxed) > 0 {
+    while keyed.shared.counters.active.load(Ordering::Relaxed) > 0 {
         tokio::time::sleep(TICK).await;
     }
 }
 
 /// Serves one connection in a task of its own, if the limit allows one more.
-fn serve_connection(stream: TcpStream, shared: &Arc<EntryShared>, graceful: &GracefulShutdown) {
+fn serve_connection<P: PeerForwarder, K: KeyLog>(
+    stream: TcpStream,
+    keyed: &Arc<KeyedEntry<P, K>>,
+    graceful: &GracefulShutdown,
+) {
+    let shared = &keyed.shared;
     let settings = &shared.settings;
     if graceful.count() >= settings.connection_limit {
         return;
     }
     drop(stream.set_nodelay(true));
-    let service = TowerToHyperService::new(warp::service(caller_routes(Arc::clone(shared))));
+    let service = TowerToHyperService::new(warp::service(caller_routes(Arc::clone(keyed))));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(settings.header_timeout)
@@ -149,29 +169,29 @@
 }
 
 /// Returns the one route that takes all requests of callers.
-fn caller_routes(
-    shared: Arc<EntryShared>,
+fn caller_routes<P: PeerForwarder, K: KeyLog>(
+    keyed: Arc<KeyedEntry<P, K>>,
 ) -> impl warp::Filter<Extract = (warp::reply::Response,), Error = warp::Rejection> + Clone {
     let query = warp::query::raw()
         .map(Some)
         .or(warp::any().map(|| None))
         .unify();
     warp::any()
-        .map(move || Arc::clone(&shared))
+        .map(move || Arc::clone(&keyed))
         .and(warp::method())
         .and(warp::path::full())
         .and(query)
         .and(warp::header::headers_cloned())
         .and(warp::body::stream())
         .then(
-            |shared, method, path: warp::path::FullPath, query, headers, stream| {
+            |keyed, method, path: warp::path::FullPath, query, headers, stream| {
                 let incoming = IncomingRequest {
                     method,
                     path: path.as_str().into(),
                     query,
                     headers,
                 };
-                answer_request(shared, incoming, stream)
+                answer_request(keyed, incoming, stream)
             },
         )
 }
--- a/crates/geraniumshed-daemon/src/request/mod.rs
+++ b/crates/geraniumshed-daemon/src/request/mod.rs
@@ -7,6 +7,11 @@
 mod gate;
 mod header;
 mod intake;
+mod issue;
+mod kept;
+mod key_shard;
+mod keyed;
+mod passing;
 mod pool;
 mod shared;
 mod target;
@@ -25,5 +30,6 @@
 };
 pub use self::key_log::{KeyEntry, KeyLog, KeyLogError, KeyPage};
 pub use self::listener::{EntryHandle, EntryListener};
+pub use self::passing::PeerEntry;
 pub use self::settings::EntrySettings;
 pub use self::status::EntryStatus;
--- a/crates/geraniumshed-daemon/src/request/settings.rs
+++ b/crates/geraniumshed-daemon/src/request/settings.rs
@@ -34,6 +34,12 @@
     pub answer_total: usize,
     /// The time for which the health check fails before connections are closed on a planned stop.
     pub drain_notice: Duration,
+    /// The bytes that the answer to a keyed request may have.
+    pub keyed_answer_limit: usize,
+    /// The time for which a ticket may be used after it was issued.
+    pub ticket_lifetime: Duration,
+    /// The shortest time between two appends to one shard's stream of keys.
+    pub key_append_interval: Duration,
     /// The longest time that a planned stop waits for requests in flight.
     pub drain_limit: Duration,
     /// The round trip to another availability zone.
@@ -60,6 +66,9 @@
             idle_timeout: Duration::from_secs(5),
             answer_window: Duration::from_mins(10),
             answer_total: 32 * 1024 * 1024,
+            keyed_answer_limit: 1024 * 1024,
+            ticket_lifetime: Duration::from_mins(10),
+            key_append_interval: Duration::from_millis(200),
             drain_notice: Duration::from_secs(3),
             drain_limit: Duration::from_mins(10),
             zone_distance: Duration::from_millis(6),
--- a/crates/geraniumshed-daemon/src/request/shared.rs
+++ b/crates/geraniumshed-daemon/src/request/shared.rs
@@ -74,6 +74,11 @@
         self.clock.now()
     }
 
+    /// Returns the incarnation of the daemon.
+    pub fn incarnation(&self) -> DaemonIncarnation {
+        self.incarnation
+    }
+
     /// Returns a new request id, unique over all daemons.
     pub fn next_id(&self) -> RequestId {
         let number = self.next_request.fetch_add(1, Ordering::Relaxed);
--- a/crates/geraniumshed-daemon/tests/request/main.rs
+++ b/crates/geraniumshed-daemon/tests/request/main.rs
@@ -1,4 +1,6 @@
 //! The request path over real TCP, judged on the endpoints' own records.
 
+mod keyed;
+mod keys;
 mod path;
 mod support;
--- a/crates/geraniumshed-daemon/tests/request/support.rs
+++ b/crates/geraniumshed-daemon/tests/request/support.rs
@@ -9,10 +9,7 @@
 use bytes::Bytes;
 use geraniumshed_core::state::{ConfigState, EndpointDirectory, VmTable};
 use geraniumshed_daemon::clock::ProcessClock;
-use geraniumshed_daemon::request::{
-    EntryContext, EntryHandle, EntryListener, EntrySettings, ForwardAnswer, ForwardError,
-    ForwardRequest, KeyEntry, KeyLog, KeyLogError, KeyOwner, KeyPage, PeerForwarder,
-};
+use geraniumshed_daemon::request::{EntryContext, EntryHandle, EntryListener, EntrySettings};
 use geraniumshed_model::prelude::*;
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt as _, Full};
@@ -23,6 +20,8 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
+use crate::keys::{TestLog, TestPeers};
+
 /// What an endpoint does with its requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum EndpointFault {
@@ -162,56 +161,9 @@
     }
 }
 
-/// A forwarder without peers.
-#[derive(Debug, Clone, Copy)]
-pub struct NoPeers;
-
-impl PeerForwarder for NoPeers {
-    fn issuer(&self, _incarnation: DaemonIncarnation) -> Option<SocketAddr> {
-        None
-    }
-
-    fn owner(&self, _shard: ShardId) -> KeyOwner {
-        KeyOwner::Nobody
-    }
-
-    async fn forward(
-        &self,
-        _peer: SocketAddr,
-        _request: ForwardRequest,
-    ) -> Result<ForwardAnswer, ForwardError> {
-        Err(ForwardError::NotSent)
-    }
-}
-
-/// A log of keys that is down.
-#[derive(Debug, Clone, Copy)]
-pub struct NoLog;
-
-impl KeyLog for NoLog {
-    async fn append(
-        &self,
-        _shard: ShardId,
-        _term: ShardTerm,
-        _events: Vec<KeyEvent>,
-    ) -> Result<LogOffset, KeyLogError> {
-        Err(KeyLogError::Unavailable)
-    }
-
-    async fn read(
-        &self,
-        _shard: ShardId,
-        _from: LogOffset,
-        _wait: Duration,
-    ) -> Result<KeyPage, KeyLogError> {
-        let _: Vec<KeyEntry> = Vec::new();
-        Err(KeyLogError::Unavailable)
-    }
-}
-
 /// A daemon's entry over fixed views.
 pub struct TestEntry {
-    pub handle: EntryHandle,
+    pub handle: EntryHandle<TestPeers, TestLog>,
     pub endpoints: watch::Sender<Arc<EndpointDirectory>>,
     pub config: watch::Sender<Arc<ConfigState>>,
     pub vms: watch::Sender<Arc<VmTable>>,
@@ -301,6 +253,18 @@
         spec: ServiceSpec,
         addresses: &[SocketAddr],
         settings: EntrySettings,
+    ) -> Self {
+        let peers = TestPeers::alone();
+        Self::bind_as(spec, addresses, settings, peers, TestLog::default()).await
+    }
+
+    /// Binds one daemon of several.
+    pub async fn bind_as(
+        spec: ServiceSpec,
+        addresses: &[SocketAddr],
+        settings: EntrySettings,
+        peers: TestPeers,
+        key_log: TestLog,
     ) -> Self {
         let (config, config_view) = watch::channel(Arc::new(config_with(spec)));
         let (endpoints, endpoint_view) = watch::channel(Arc::new(directory_of(addresses)));
@@ -310,14 +274,15 @@
             seed: 7,
             own: "d0".parse().expect("valid"),
             zone: "a".parse().expect("valid"),
-            incarnation: DaemonIncarnation(11),
+            incarnation: peers.own,
             config: config_view,
             endpoints: endpoint_view,
             vms: vm_view,
-            forwarder: NoPeers,
-            key_log: NoLog,
+            forwarder: peers.clone(),
+            key_log,
         };
         let handle = EntryListener::bind(context, settings).await.expect("bound");
+        peers.join(handle.forward_service());
         Self {
             handle,
             endpoints,
--- a/crates/geraniumshed-model/src/error.rs
+++ b/crates/geraniumshed-model/src/error.rs
@@ -87,6 +87,8 @@
     IssuerGone,
     /// The key was used before and its answer is no longer kept.
     KeyExpired,
+    /// The key's earlier requests can't be looked up now, so that nobody can tell whether one ran.
+    KeyUnchecked,
     /// The log can't be reached, so that nothing could be claimed or accepted.
     LogUnavailable,
     /// The log did not confirm whether a record was accepted.
@@ -139,7 +141,7 @@
 
 /// The table from kind to answer, one row a kind.
 #[rustfmt::skip]
-pub const ERROR_ANSWERS: [ErrorAnswer; 27] = [
+pub const ERROR_ANSWERS: [ErrorAnswer; 28] = [
     answer(K::Malformed, "malformed", 400, NotRun, Never, "The request can't be understood"),
     answer(K::Unauthorized, "unauthorized", 401, NotRun, Never, "Credentials are missing or wrong"),
     answer(K::Forbidden, "forbidden", 403, NotRun, Never, "The route is not for callers"),
@@ -163,6 +165,7 @@
     answer(K::MismatchedAnswer, "mismatched-answer", 502, Unknown, Ask, "The endpoint answered another request"),
     answer(K::IssuerGone, "issuer-gone", 502, Unknown, Ask, "The ticket's issuer can't be reached"),
     answer(K::KeyExpired, "key-expired", 410, Unknown, Ask, "The key's answer is no longer kept"),
+    answer(K::KeyUnchecked, "key-unchecked", 503, Unknown, Later, "The key can't be looked up"),
     answer(K::LogUnavailable, "log-unavailable", 503, NotRun, Later, "The log can't be reached"),
     answer(K::LogUnconfirmed, "log-unconfirmed", 503, Unknown, Ask, "The log did not confirm the record"),
     answer(K::NotServing, "not-serving", 503, NotRun, Later, "The daemon takes no requests now"),
