Tell in each page of keys where to read on

Cause: KeyPage got the field next, which the log's side did not fill in yet. Change: the offset after the last entry read, repeats included. Conclusion: compiles; the reader's tests stay as they are.

--- a/crates/geraniumshed-daemon/src/log/key_streams.rs
+++ b/crates/geraniumshed-daemon/src/log/key_streams.rs
@@ -67,8 +67,13 @@
                 filter: EntryFilter::default(),
             };
         }
+        let next = page
+            .entries
+            .last()
+            .map_or(from, |entry| entry.offset.next());
         KeyPage {
             first: page.first,
+            next,
             end: page.end,
             entries: page
                 .entries
