Advise callers of an unchecked key to ask first, as for all unknown outcomes

Cause: the answer table's test found that key-unchecked told callers to come back later although its outcome is unknown; it was right. Conclusion: the table's test passes unchanged.

--- a/crates/geraniumshed-model/src/error.rs
+++ b/crates/geraniumshed-model/src/error.rs
@@ -165,7 +165,7 @@
     answer(K::MismatchedAnswer, "mismatched-answer", 502, Unknown, Ask, "The endpoint answered another request"),
     answer(K::IssuerGone, "issuer-gone", 502, Unknown, Ask, "The ticket's issuer can't be reached"),
     answer(K::KeyExpired, "key-expired", 410, Unknown, Ask, "The key's answer is no longer kept"),
-    answer(K::KeyUnchecked, "key-unchecked", 503, Unknown, Later, "The key can't be looked up"),
+    answer(K::KeyUnchecked, "key-unchecked", 503, Unknown, Ask, "The key can't be looked up"),
     answer(K::LogUnavailable, "log-unavailable", 503, NotRun, Later, "The log can't be reached"),
     answer(K::LogUnconfirmed, "log-unconfirmed", 503, Unknown, Ask, "The log did not confirm the record"),
     answer(K::NotServing, "not-serving", 503, NotRun, Later, "The daemon takes no requests now"),
