Count the bytes and calls of the platform's stand-ins

Each server counts whole TCP payloads and calls by route; the set sums them over all workers and shows them as GET /traffic, for the slopes of docs/CAPACITY.md.

--- a/crates/geraniumshed-standin/src/endpoint/handler.rs
+++ b/crates/geraniumshed-standin/src/endpoint/handler.rs
@@ -109,6 +109,13 @@
 }
 
 impl HttpHandler for EndpointHandler {
+    fn route(&self, request: &Request<Incoming>) -> &'static str {
+        match request.uri().path() {
+            "/health" => "health",
+            _ => "request",
+        }
+    }
+
     async fn handle(&self, request: Request<Incoming>) -> Result<HttpReply, BrokenOff> {
         let is_health = request.method() == Method::GET && request.uri().path() == "/health";
         let mut reply = if is_health {
--- a/crates/geraniumshed-standin/src/http/mod.rs
+++ b/crates/geraniumshed-standin/src/http/mod.rs
@@ -3,6 +3,7 @@
 mod body;
 mod reply;
 mod server;
+mod traffic;
 
 pub use self::body::{BodyStep, ReplyBody};
 pub use self::reply::{
@@ -11,3 +12,4 @@
 };
 pub(crate) use self::server::open_listener;
 pub use self::server::{BrokenOff, HttpHandler, HttpServer, ServerMode};
+pub use self::traffic::{RouteTraffic, TrafficReport};
--- a/crates/geraniumshed-standin/src/http/server.rs
+++ b/crates/geraniumshed-standin/src/http/server.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use http::{Request, Response};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -17,6 +17,7 @@
 use tokio::time::sleep;
 
 use super::ReplyBody;
+use super::traffic::{CountedStream, TrafficCounter, TrafficReport};
 
 /// The connections that wait in the kernel for the server.
 const BACKLOG_CONNECTIONS: u32 = 1024;
@@ -58,6 +59,9 @@
         &self,
         request: Request<Incoming>,
     ) -> impl Future<Output = Result<Response<ReplyBody>, BrokenOff>> + Send;
+
+    /// Returns the name under which calls like this one are counted.
+    fn route(&self, request: &Request<Incoming>) -> &'static str;
 }
 
 /// A running HTTP server; dropping it drops all its connections.
@@ -65,6 +69,7 @@
 pub struct HttpServer {
     address: SocketAddr,
     mode: watch::Sender<ServerMode>,
+    traffic: Arc<TrafficCounter>,
     task: JoinHandle<()>,
 }
 
@@ -78,16 +83,19 @@
         let listener = open_listener(SocketAddr::from((Ipv4Addr::LOCALHOST, port)))?;
         let address = listener.local_addr()?;
         let (mode, mode_view) = watch::channel(ServerMode::Open);
+        let traffic = Arc::new(TrafficCounter::default());
         let acceptor = ConnectionAcceptor {
             address,
             mode: mode_view,
             permits: Arc::new(Semaphore::new(connections)),
+            traffic: Arc::clone(&traffic),
             handler,
         };
         let task = tokio::spawn(acceptor.run(listener));
         Ok(Self {
             address,
             mode,
+            traffic,
             task,
         })
     }
@@ -102,6 +110,11 @@
         self.mode.send_replace(mode);
     }
 
+    /// Returns what went through the server so far.
+    pub fn traffic(&self) -> TrafficReport {
+        self.traffic.report()
+    }
+
     /// Returns how the server treats connections.
     pub fn mode(&self) -> ServerMode {
         *self.mode.borrow()
@@ -119,6 +132,7 @@
     address: SocketAddr,
     mode: watch::Receiver<ServerMode>,
     permits: Arc<Semaphore>,
+    traffic: Arc<TrafficCounter>,
     handler: H,
 }
 
@@ -162,8 +176,10 @@
         drop(stream.set_nodelay(true));
         let handler = self.handler.clone();
         let mode = self.mode.clone();
+        let traffic = Arc::clone(&self.traffic);
+        let stream = CountedStream::new(stream, Arc::clone(&traffic));
         connections.spawn(async move {
-            let service = service_fn(|request| answer(&handler, mode.clone(), request));
+            let service = service_fn(|request| answer(&handler, &traffic, mode.clone(), request));
             let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
             if let Err(error) = connection.await {
                 log::trace!("a connection ended early: {error}");
@@ -190,12 +206,15 @@
 /// Answers a request once the server is not silent.
 async fn answer<H: HttpHandler>(
     handler: &H,
+    traffic: &TrafficCounter,
     mut mode: watch::Receiver<ServerMode>,
     request: Request<Incoming>,
 ) -> Result<Response<ReplyBody>, BrokenOff> {
     let open = mode.wait_for(|mode| *mode == ServerMode::Open).await;
     open.map_err(|_| BrokenOff).map(drop)?;
+    let route = handler.route(&request);
     let reply = handler.handle(request).await?;
+    traffic.add_call(route, reply.body().size_hint().exact().unwrap_or(0));
     let open = mode.wait_for(|mode| *mode == ServerMode::Open).await;
     open.map_err(|_| BrokenOff).map(drop)?;
     Ok(reply)
--- a/crates/geraniumshed-standin/src/log/server.rs
+++ b/crates/geraniumshed-standin/src/log/server.rs
@@ -16,8 +16,8 @@
 use super::store::{LogStore, Retention, StoredPage};
 use crate::clock::TruthClock;
 use crate::http::{
-    BrokenOff, HttpHandler, HttpReply, HttpServer, ServerMode, binary_reply, error_reply,
-    query_value, read_body,
+    BrokenOff, HttpHandler, HttpReply, HttpServer, ServerMode, TrafficReport, binary_reply,
+    error_reply, query_value, read_body,
 };
 
 /// The connections that the log takes at once.
@@ -83,6 +83,11 @@
         *self.shared.mode()
     }
 
+    /// Returns what went through the log so far.
+    pub fn traffic(&self) -> TrafficReport {
+        self.server.traffic()
+    }
+
     /// Changes how the log treats connections.
     pub fn set_server_mode(&self, mode: ServerMode) {
         self.server.set_mode(mode);
@@ -120,6 +125,25 @@
 }
 
 impl HttpHandler for LogHandler {
+    fn route(&self, request: &Request<Incoming>) -> &'static str {
+        let appends = request.method() == Method::POST;
+        let stream = request.uri().path().strip_prefix("/streams/").unwrap_or("");
+        let kind = stream.split('-').next().unwrap_or("");
+        match (kind, appends) {
+            ("config", true) => "append config",
+            ("config", false) => "read config",
+            ("claims", true) => "append claims",
+            ("claims", false) => "read claims",
+            ("endpoints", true) => "append endpoints",
+            ("endpoints", false) => "read endpoints",
+            ("shard", true) => "append shard",
+            ("shard", false) => "read shard",
+            ("keys", true) => "append keys",
+            ("keys", false) => "read keys",
+            _ => "other",
+        }
+    }
+
     async fn handle(&self, request: Request<Incoming>) -> Result<HttpReply, BrokenOff> {
         let path = request.uri().path().to_owned();
         let Some(stream) = path.strip_prefix("/streams/") else {
--- a/crates/geraniumshed-standin/src/set/cluster.rs
+++ b/crates/geraniumshed-standin/src/set/cluster.rs
@@ -14,6 +14,7 @@
 use super::fault::{FaultCommand, FaultError, LogFault, ProxyAction, ProxyTarget, VmListFault};
 use super::settings::{EntrySettings, StandinSettings};
 use crate::clock::{TruthClock, micros};
+use crate::http::TrafficReport;
 use crate::log::{LogMode, LogServer, Retention};
 use crate::proxy::FaultProxy;
 use crate::seed::mix_seed;
@@ -64,6 +65,17 @@
     pub workers: Vec<WorkerStatus>,
 }
 
+/// What went through the platform's interfaces.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct SetTraffic {
+    /// The log.
+    pub log: TrafficReport,
+    /// The VM list.
+    pub vm_list: TrafficReport,
+    /// The control interfaces of all workers.
+    pub workers: TrafficReport,
+}
+
 /// Where a worker listens.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct WorkerStatus {
@@ -187,6 +199,16 @@
         }
     }
 
+    /// Returns what went through the platform's interfaces so far.
+    pub fn traffic(&self) -> SetTraffic {
+        let workers = self.workers.values().map(|worker| worker.server.traffic());
+        SetTraffic {
+            log: self.log.traffic(),
+            vm_list: self.vm_list.traffic(),
+            workers: workers.fold(TrafficReport::default(), |sum, each| sum.plus(&each)),
+        }
+    }
+
     /// Adds an entry VM to the VM list, or changes its address.
     ///
     /// # Errors
--- a/crates/geraniumshed-standin/src/set/control.rs
+++ b/crates/geraniumshed-standin/src/set/control.rs
@@ -6,6 +6,7 @@
 //! | `GET /executions` | the runs of requests |
 //! | `GET /placements` | the attempts of tasks |
 //! | `GET /record` | everything that the stand-ins wrote down |
+//! | `GET /traffic` | the calls and bytes of the platform's interfaces |
 //! | `GET /report?settled=true` | the promises judged on it |
 //! | `POST /faults` with a [`FaultCommand`] | nothing, once the fault is switched |
 
@@ -57,16 +58,21 @@
 }
 
 impl HttpHandler for ControlHandler {
+    fn route(&self, _: &Request<Incoming>) -> &'static str {
+        "control"
+    }
+
     async fn handle(&self, request: Request<Incoming>) -> Result<HttpReply, BrokenOff> {
         let path = request.uri().path().to_owned();
         match (request.method(), path.as_str()) {
             (&Method::GET, "/status") => Ok(json_reply(StatusCode::OK, &self.set.status())),
+            (&Method::GET, "/traffic") => Ok(json_reply(StatusCode::OK, &self.set.traffic())),
             (&Method::GET, "/report") => Ok(self.report(request.uri().query())),
             (&Method::GET, "/executions" | "/placements" | "/record") => Ok(self.record(&path)),
             (&Method::POST, "/faults") => Ok(self.switch(&read_body(request).await?)),
             _ => Ok(text_reply(
                 StatusCode::NOT_FOUND,
-                "use GET /status, /executions, /placements, /record, /report or POST /faults\n",
+                "use GET /status, /executions, /placements, /record, /report, /traffic or POST /faults\n",
             )),
         }
     }
--- a/crates/geraniumshed-standin/src/set/mod.rs
+++ b/crates/geraniumshed-standin/src/set/mod.rs
@@ -5,7 +5,7 @@
 mod fault;
 mod settings;
 
-pub use self::cluster::{SetStatus, StandinSet, WorkerStatus};
+pub use self::cluster::{SetStatus, SetTraffic, StandinSet, WorkerStatus};
 pub use self::control::ControlServer;
 pub use self::fault::{FaultCommand, FaultError, LogFault, ProxyAction, ProxyTarget, VmListFault};
 pub use self::settings::{
--- a/crates/geraniumshed-standin/src/vm_list/server.rs
+++ b/crates/geraniumshed-standin/src/vm_list/server.rs
@@ -13,7 +13,8 @@
 use super::store::VmStore;
 use crate::clock::{TruthClock, micros};
 use crate::http::{
-    BrokenOff, HttpHandler, HttpReply, HttpServer, ServerMode, error_reply, json_reply, query_value,
+    BrokenOff, HttpHandler, HttpReply, HttpServer, ServerMode, TrafficReport, error_reply,
+    json_reply, query_value,
 };
 
 /// The connections that the list takes at once.
@@ -84,6 +85,11 @@
         self.shared.state().mode
     }
 
+    /// Returns what went through the list so far.
+    pub fn traffic(&self) -> TrafficReport {
+        self.server.traffic()
+    }
+
     /// Changes how the list treats connections.
     pub fn set_server_mode(&self, mode: ServerMode) {
         self.server.set_mode(mode);
@@ -142,6 +148,10 @@
 }
 
 impl HttpHandler for VmListHandler {
+    fn route(&self, _: &Request<Incoming>) -> &'static str {
+        "vms"
+    }
+
     async fn handle(&self, request: Request<Incoming>) -> Result<HttpReply, BrokenOff> {
         let since = query_value(request.uri().query(), "since").unwrap_or("0");
         let known_route = request.method() == Method::GET && request.uri().path() == "/vms";
--- a/crates/geraniumshed-standin/src/worker/server.rs
+++ b/crates/geraniumshed-standin/src/worker/server.rs
@@ -23,7 +23,8 @@
 use crate::clock::TruthClock;
 use crate::endpoint::EndpointFault;
 use crate::http::{
-    BrokenOff, HttpHandler, HttpReply, HttpServer, ServerMode, binary_reply, error_reply, read_body,
+    BrokenOff, HttpHandler, HttpReply, HttpServer, ServerMode, TrafficReport, binary_reply,
+    error_reply, read_body,
 };
 use crate::proxy::FaultProxy;
 
@@ -92,6 +93,11 @@
         self.server.address()
     }
 
+    /// Returns what went through the worker's control interface so far.
+    pub fn traffic(&self) -> TrafficReport {
+        self.server.traffic()
+    }
+
     /// Switches a fault.
     pub fn switch(&self, switch: WorkerSwitch) {
         match switch {
@@ -200,6 +206,14 @@
 }
 
 impl HttpHandler for WorkerHandler {
+    fn route(&self, request: &Request<Incoming>) -> &'static str {
+        match request.uri().path() {
+            "/seize" => "seize",
+            "/exchange" => "exchange",
+            _ => "other",
+        }
+    }
+
     async fn handle(&self, request: Request<Incoming>) -> Result<HttpReply, BrokenOff> {
         let path = request.uri().path().to_owned();
         if request.method() != Method::POST {
