Feed the views of records, endpoints and VMs from the log and the list

A feed has caught up only by a read that began after its start or after the last pause of the process.

A whole list without most of its VMs is left out for a minute, since the platform is known to answer with an empty one by mistake.

--- a/crates/geraniumshed-core/src/state/directory.rs
+++ b/crates/geraniumshed-core/src/state/directory.rs
@@ -1,16 +1,25 @@
 //! The endpoints of all services, derived from the `endpoints` stream.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use geraniumshed_model::prelude::{
     EndpointEntry, EndpointEvent, EndpointId, RecordName, ShardId, ShardTerm,
 };
 
+/// The endpoints of one service.
+type ServiceEndpoints = BTreeMap<EndpointId, EndpointEntry>;
+
+/// The endpoints of one shard, each with its service.
+type ShardEndpoints = BTreeMap<EndpointId, RecordName>;
+
 /// The endpoints of all services.
+///
+/// Copies share the services and shards that they have in common.
 #[derive(Debug, Clone, Default)]
 pub struct EndpointDirectory {
-    services: BTreeMap<RecordName, BTreeMap<EndpointId, EndpointEntry>>,
-    shards: BTreeMap<EndpointId, ShardId>,
+    services: BTreeMap<RecordName, Arc<ServiceEndpoints>>,
+    shards: BTreeMap<ShardId, Arc<ShardEndpoints>>,
     terms: BTreeMap<ShardId, ShardTerm>,
 }
 
@@ -20,7 +29,20 @@
         self.services
             .get(service)
             .into_iter()
-            .flat_map(BTreeMap::values)
+            .flat_map(|endpoints| endpoints.values())
+    }
+
+    /// Returns the number of endpoints of all services.
+    pub fn len(&self) -> usize {
+        self.services
+            .values()
+            .map(|endpoints| endpoints.len())
+            .sum()
+    }
+
+    /// Tells whether there is no endpoint.
+    pub fn is_empty(&self) -> bool {
+        self.services.is_empty()
     }
 
     /// Applies an event that an owner appended under a term.
@@ -40,19 +62,14 @@
         match event {
             EndpointEvent::Full { entries, .. } => self.replace_shard(shard, entries),
             EndpointEvent::Changed { entry, .. } => self.insert(shard, entry.clone()),
-            EndpointEvent::Removed { endpoint, .. } => self.remove(endpoint),
+            EndpointEvent::Removed { endpoint, .. } => self.remove(shard, endpoint),
         }
     }
 
     fn replace_shard(&mut self, shard: ShardId, entries: &[EndpointEntry]) {
-        let stale: Vec<_> = self
-            .shards
-            .iter()
-            .filter(|(_, owner)| **owner == shard)
-            .map(|(endpoint, _)| endpoint.clone())
-            .collect();
-        for endpoint in &stale {
-            self.remove(endpoint);
+        let stale = self.shards.remove(&shard).unwrap_or_default();
+        for (endpoint, service) in stale.iter() {
+            self.remove_from_service(service, endpoint);
         }
         for entry in entries {
             self.insert(shard, entry.clone());
@@ -60,16 +77,28 @@
     }
 
     fn insert(&mut self, shard: ShardId, entry: EndpointEntry) {
-        self.shards.insert(entry.endpoint.clone(), shard);
+        let owned = Arc::make_mut(self.shards.entry(shard).or_default());
+        owned.insert(entry.endpoint.clone(), entry.service.clone());
         let service = self.services.entry(entry.service.clone()).or_default();
-        service.insert(entry.endpoint.clone(), entry);
+        Arc::make_mut(service).insert(entry.endpoint.clone(), entry);
     }
 
-    fn remove(&mut self, endpoint: &EndpointId) {
-        self.shards.remove(endpoint);
-        self.services.retain(|_, endpoints| {
-            endpoints.remove(endpoint);
-            !endpoints.is_empty()
-        });
+    fn remove(&mut self, shard: ShardId, endpoint: &EndpointId) {
+        let Some(owned) = self.shards.get_mut(&shard) else {
+            return;
+        };
+        if let Some(service) = Arc::make_mut(owned).remove(endpoint) {
+            self.remove_from_service(&service, endpoint);
+        }
+    }
+
+    fn remove_from_service(&mut self, service: &RecordName, endpoint: &EndpointId) {
+        let Some(endpoints) = self.services.get_mut(service) else {
+            return;
+        };
+        Arc::make_mut(endpoints).remove(endpoint);
+        if endpoints.is_empty() {
+            self.services.remove(service);
+        }
     }
 }
--- a/crates/geraniumshed-core/src/state/vm_table.rs
+++ b/crates/geraniumshed-core/src/state/vm_table.rs
@@ -1,15 +1,20 @@
 //! The VMs as the platform lists them, with the age of the list.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use geraniumshed_model::prelude::{TimePoint, VmEntry, VmId, VmPhase, VmRole};
 
+/// The time for which a list that lost most of its VMs at once is not believed.
+const DOUBT_TIME: Duration = Duration::from_mins(1);
+
 /// The VMs of the platform's list.
 #[derive(Debug, Clone, Default)]
 pub struct VmTable {
-    entries: BTreeMap<VmId, VmEntry>,
+    entries: Arc<BTreeMap<VmId, VmEntry>>,
     as_of: Option<TimePoint>,
+    doubted: Option<TimePoint>,
 }
 
 impl VmTable {
@@ -30,18 +35,45 @@
         self.as_of
     }
 
-    /// Applies a page of the list that is `age` old at `now`.
+    /// Applies a page of the list that is `age` old at `now`, and tells whether it was believed.
     ///
-    /// VMs that are missing from a whole page are gone.
-    pub fn apply(&mut self, now: TimePoint, age: Duration, whole: bool, entries: Vec<VmEntry>) {
+    /// VMs that are missing from a whole page are gone. A whole page without most of the VMs is
+    /// left out at first, since the platform is known to answer with an empty list by mistake.
+    pub fn apply(
+        &mut self,
+        now: TimePoint,
+        age: Duration,
+        whole: bool,
+        entries: Vec<VmEntry>,
+    ) -> bool {
+        if whole && self.is_doubtful(now, &entries) {
+            return false;
+        }
+        self.doubted = None;
+        self.as_of = Some(now - age);
+        if entries.is_empty() && !whole {
+            return true;
+        }
+        let held = Arc::make_mut(&mut self.entries);
         if whole {
-            for entry in self.entries.values_mut() {
+            for entry in held.values_mut() {
                 entry.phase = VmPhase::Gone;
             }
         }
         for entry in entries {
-            self.entries.insert(entry.vm.clone(), entry);
+            held.insert(entry.vm.clone(), entry);
         }
-        self.as_of = Some(now - age);
+        true
+    }
+
+    fn is_doubtful(&mut self, now: TimePoint, entries: &[VmEntry]) -> bool {
+        let live = |entry: &&VmEntry| entry.phase != VmPhase::Gone;
+        let before = self.entries.values().filter(live).count();
+        let after = entries.iter().filter(live).count();
+        if after * 2 >= before {
+            return false;
+        }
+        let since = *self.doubted.get_or_insert(now);
+        now.since(since) < DOUBT_TIME
     }
 }
--- a/crates/geraniumshed-daemon/src/lib.rs
+++ b/crates/geraniumshed-daemon/src/lib.rs
@@ -10,5 +10,6 @@
 pub mod request;
 pub mod schedule;
 pub mod settings;
+pub mod state;
 pub mod telemetry;
 pub mod view;
--- a/crates/geraniumshed-daemon/src/log/context.rs
+++ b/crates/geraniumshed-daemon/src/log/context.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use geraniumshed_core::state::{AppendBudget, RetryDelay};
-use geraniumshed_model::prelude::{DaemonIncarnation, LogOffset, LogStream};
+use geraniumshed_model::prelude::{DaemonIncarnation, LogOffset, LogStream, TimePoint};
 use geraniumshed_platform::{LogClient, LogPage, PlatformError};
 
 use super::settings::LogSettings;
@@ -83,6 +83,11 @@
         }
     }
 
+    /// Returns the present point of time.
+    pub(super) fn now(&self) -> TimePoint {
+        self.clock.now()
+    }
+
     /// Waits until the daemon may send one more append.
     pub(super) async fn append_turn(&self) {
         let wait = self
--- a/crates/geraniumshed-daemon/src/log/follower.rs
+++ b/crates/geraniumshed-daemon/src/log/follower.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use geraniumshed_core::state::{EntryFilter, EntryVerdict};
-use geraniumshed_model::prelude::{LogBatch, LogOffset, LogStream};
+use geraniumshed_model::prelude::{LogBatch, LogOffset, LogStream, TimePoint};
 use geraniumshed_platform::{LogClient, LogEntry, LogPage, PlatformError};
 use geraniumshed_wire::log::{DecodeError, StreamEvent, decode_batch};
 use tokio::sync::mpsc;
@@ -40,6 +40,8 @@
     CaughtUp {
         /// The offset after the last entry.
         end: LogOffset,
+        /// When the read began that found the end.
+        asked: TimePoint,
     },
 }
 
@@ -79,6 +81,11 @@
         self.items.recv().await
     }
 
+    /// Returns the next item if one is there already.
+    pub fn try_next(&mut self) -> Option<FollowerItem<E>> {
+        self.items.try_recv().ok()
+    }
+
     /// Returns the table through which a writer to the same stream learns of its entries.
     pub fn readback(&self) -> StreamReadback {
         self.readback.clone()
@@ -104,11 +111,12 @@
     let mut delay = context.retry_delay(cursor.stream);
     loop {
         let wait = context.settings().poll_wait;
+        let asked = context.now();
         let result = context.read(cursor.stream, cursor.next, wait).await;
         let handed_on = match result {
             Ok(page) if page.end >= cursor.next => {
                 delay.reset();
-                cursor.hand_on_page(page).await
+                cursor.hand_on_page(page, asked).await
             }
             Err(PlatformError::Expired { first }) if first > cursor.next => {
                 delay.reset();
@@ -127,7 +135,7 @@
 }
 
 impl<E: StreamEvent> StreamCursor<E> {
-    async fn hand_on_page(&mut self, page: LogPage) -> Result<(), ReceiverGone> {
+    async fn hand_on_page(&mut self, page: LogPage, asked: TimePoint) -> Result<(), ReceiverGone> {
         for entry in page.entries {
             self.hand_on_entry(entry).await?;
         }
@@ -136,7 +144,7 @@
         }
         if self.next == page.end {
             let end = self.next;
-            self.hand_on(FollowerItem::CaughtUp { end }).await?;
+            self.hand_on(FollowerItem::CaughtUp { end, asked }).await?;
         }
         Ok(())
     }
--- a/crates/geraniumshed-daemon/src/log/mod.rs
+++ b/crates/geraniumshed-daemon/src/log/mod.rs
@@ -16,4 +16,4 @@
 pub use self::readback::StreamReadback;
 pub use self::settings::LogSettings;
 pub use self::task_guard::TaskGuard;
-pub use self::writer::StreamWriter;
+pub use self::writer::{EventPosition, StreamWriter};
--- a/crates/geraniumshed-daemon/src/log/writer.rs
+++ b/crates/geraniumshed-daemon/src/log/writer.rs
@@ -27,13 +27,22 @@
     }
 }
 
+/// The place of appended events in their stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct EventPosition {
+    /// The offset of the entry.
+    pub offset: LogOffset,
+    /// The index of the first event within the entry.
+    pub index: usize,
+}
+
 /// Events that go into one entry, and who waits for them.
 #[derive(Debug)]
 struct AppendCall<E> {
     term: ShardTerm,
     events: Vec<E>,
     since: Instant,
-    caller: oneshot::Sender<AppendResult>,
+    caller: oneshot::Sender<Result<EventPosition, AppendError>>,
 }
 
 impl<E: StreamEvent> StreamWriter<E> {
@@ -73,6 +82,20 @@
     /// Returns [`AppendError::Unconfirmed`] if the events may count all the same. The stream tells
     /// as soon as a later append of this daemon has been read back.
     pub async fn append(&self, term: ShardTerm, events: Vec<E>) -> Result<LogOffset, AppendError> {
+        let position = self.append_at(term, events).await?;
+        Ok(position.offset)
+    }
+
+    /// Appends events like [`Self::append`], and tells where in their entry they stand.
+    ///
+    /// # Errors
+    ///
+    /// Returns the same errors as [`Self::append`].
+    pub async fn append_at(
+        &self,
+        term: ShardTerm,
+        events: Vec<E>,
+    ) -> Result<EventPosition, AppendError> {
         let (caller, result) = oneshot::channel();
         let call = AppendCall {
             term,
@@ -146,15 +169,16 @@
         };
         let deadline = first.since + self.context.settings().append_patience;
         let term = first.term;
-        let (events, callers): (Vec<_>, Vec<_>) = calls
-            .into_iter()
-            .map(|call| (call.events, call.caller))
-            .unzip();
-        let events = events.into_iter().flatten().collect();
+        let mut events = Vec::new();
+        let mut callers = Vec::new();
+        for call in calls {
+            callers.push((events.len(), call.caller));
+            events.extend(call.events);
+        }
         let result = self.append_events(term, events, deadline).await;
-        for caller in callers {
+        for (index, caller) in callers {
             // A caller that has gone away needs no answer.
-            let _ = caller.send(result);
+            let _ = caller.send(result.map(|offset| EventPosition { offset, index }));
         }
     }
 
--- a/crates/geraniumshed-daemon/src/operator/history.rs
+++ b/crates/geraniumshed-daemon/src/operator/history.rs
@@ -77,10 +77,9 @@
         if found != key {
             continue;
         }
-        let previous = entries.last().map_or(0, |entry| entry.generation);
         let (verdict, generation) = match verdict {
             PublishVerdict::Accepted(generation) => ("accepted", generation.0),
-            PublishVerdict::Held => ("held", previous),
+            PublishVerdict::Held(generation) => ("held", generation.0),
             PublishVerdict::Conflict { current, .. } => ("conflict", current.0),
             PublishVerdict::NotPublished => continue,
         };
--- /dev/null
+++ b/crates/geraniumshed-daemon/src/state/mod.rs
@@ -0,0 +1,14 @@
+//! The feeds that keep the daemon's view of the records, the endpoints and the VMs up to date.
+
+pub mod config_feed;
+pub mod config_publisher;
+pub mod endpoint_feed;
+pub mod pause_watch;
+pub mod verdict_table;
+pub mod vm_feed;
+
+pub use self::config_feed::ConfigFeed;
+pub use self::config_publisher::ConfigPublisher;
+pub use self::endpoint_feed::EndpointFeed;
+pub use self::pause_watch::PauseWatch;
+pub use self::vm_feed::{VmFeed, VmFeedSettings};
--- a/crates/geraniumshed-daemon/tests/log_stream.rs
+++ b/crates/geraniumshed-daemon/tests/state/log_stream.rs
@@ -1,12 +1,10 @@
 //! Followers and writers of the log's streams, under faults of the log.
 
-mod fake_log;
-
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
-use fake_log::{AppendFault, FakeLog};
+use crate::fake_log::{AppendFault, FakeLog};
 use geraniumshed_daemon::clock::ProcessClock;
 use geraniumshed_daemon::log::{
     AppendError, FollowerItem, KeyStreams, LogContext, LogSettings, StreamFollower, StreamWriter,
@@ -53,7 +51,7 @@
     loop {
         match follower.next().await.unwrap() {
             FollowerItem::Batch { offset, batch } => batches.push((offset, batch)),
-            FollowerItem::CaughtUp { end } if end >= offset => return batches,
+            FollowerItem::CaughtUp { end, .. } if end >= offset => return batches,
             FollowerItem::CaughtUp { .. }
             | FollowerItem::Unreadable { .. }
             | FollowerItem::Lost { .. } => {}
@@ -227,8 +225,8 @@
     }
     let item = follower.next().await.unwrap();
     assert!(matches!(item, FollowerItem::Unreadable { .. }), "{item:?}");
-    let end = LogOffset(11);
-    assert_eq!(follower.next().await, Some(FollowerItem::CaughtUp { end }));
+    let item = follower.next().await.unwrap();
+    assert!(matches!(item, FollowerItem::CaughtUp { end, .. } if end == LogOffset(11)));
 }
 
 #[tokio::test(start_paused = true)]
--- /dev/null
+++ b/crates/geraniumshed-daemon/tests/state/main.rs
@@ -0,0 +1,5 @@
+//! The daemon's state: what it follows and writes on the log.
+
+mod fake_log;
+mod feed;
+mod log_stream;
