Add the command line for operators

One command a file, with help and documented exit codes; tables or JSON; conflict, unreachable and not confirmed are told apart, and a request that changes something goes to the next daemon only if no connection was made. Nothing is published if any record of any file is wrong.

--- a/crates/geraniumshed-daemon/src/operator/backend.rs
+++ b/crates/geraniumshed-daemon/src/operator/backend.rs
@@ -36,8 +36,13 @@
     /// Returns the records in force.
     fn config(&self) -> Arc<ConfigState>;
 
-    /// Returns the generation of a record, which a withdrawal counts up too, or zero.
-    fn generation(&self, key: &RecordKey) -> RecordGeneration;
+    /// Returns the generation of a record in force, or zero if there is none.
+    fn generation(&self, key: &RecordKey) -> RecordGeneration {
+        let config = self.config();
+        config
+            .record(key)
+            .map_or(RecordGeneration::default(), |record| record.generation)
+    }
 
     /// Appends a change and returns the generation in force once its verdict is known.
     ///
--- a/crates/geraniumshed-daemon/src/settings/read.rs
+++ b/crates/geraniumshed-daemon/src/settings/read.rs
@@ -23,6 +23,9 @@
 /// The environment variable that holds the operators' secret.
 pub const SECRET_VARIABLE: &str = "GERANIUMSHED_OPERATOR_SECRET";
 
+/// The environment variable in which operators' clients find the daemons.
+pub const URL_VARIABLE: &str = "GERANIUMSHED_OPERATOR_URL";
+
 /// What a name may look like.
 const NAME_RULE: &str = "1 to 63 letters, digits, `-`, `_` or `.`, starting with a letter or digit";
 /// The words for the form of log lines.
@@ -99,6 +102,7 @@
         .map(|(name, value)| (SmolStr::new(name), SmolStr::new(value)))
         .collect();
     let secret = variables.remove(SECRET_VARIABLE);
+    variables.remove(URL_VARIABLE);
     let mut context = ReadContext::with_overrides(variables);
     let settings = read_daemon(&node, secret, &mut context);
     context.close_overrides();
--- /dev/null
+++ b/crates/geraniumshed/src/bench/mod.rs
@@ -0,0 +1,17 @@
+//! Benchmarks, run by `geraniumshed bench NAME`.
+
+use crate::output::ExitStatus;
+
+/// A benchmark that the command line can run.
+#[derive(Debug, Clone, Copy)]
+pub struct BenchEntry {
+    /// The name by which the command line runs it.
+    pub name: &'static str,
+    /// What it measures, in one line.
+    pub summary: &'static str,
+    /// Runs it with the arguments after its name.
+    pub run: fn(&[String]) -> ExitStatus,
+}
+
+/// All benchmarks.
+pub const BENCHES: &[BenchEntry] = &[];
--- /dev/null
+++ b/crates/geraniumshed/src/command/mod.rs
@@ -0,0 +1,24 @@
+//! The commands, one a file.
+
+pub mod arguments;
+pub mod bench;
+pub mod cancel;
+pub mod check;
+pub mod dev;
+pub mod drain;
+pub mod get;
+pub mod history;
+pub mod list;
+pub mod loglevel;
+pub mod parse;
+pub mod publish;
+pub mod resolve;
+pub mod run;
+pub mod session;
+pub mod standin;
+pub mod status;
+pub mod stop;
+pub mod wait;
+pub mod withdraw;
+
+pub use self::parse::run_command;
--- /dev/null
+++ b/crates/geraniumshed/src/command/wait.rs
@@ -0,0 +1,56 @@
+//! Waiting until a configuration is in force everywhere.
+
+use std::time::{Duration, Instant};
+
+use geraniumshed_model::prelude::TimeSpan;
+use tokio::time::sleep;
+
+use crate::client::{ClientError, OperatorClient};
+use crate::output::{ExitStatus, ProgressLine};
+
+/// The longest wait, unless the operator says otherwise.
+const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
+/// The time between two questions.
+const POLL_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Waits until all live daemons have applied the configuration up to an offset.
+pub async fn wait_in_force(
+    client: &OperatorClient,
+    offset: u64,
+    timeout: Option<TimeSpan>,
+) -> Result<ExitStatus, ClientError> {
+    let timeout = timeout.map_or(DEFAULT_TIMEOUT, |span| span.0);
+    let start = Instant::now();
+    let mut line = ProgressLine::open();
+    loop {
+        let text = match client.status().await {
+            Ok(status) => {
+                let config = status.config;
+                if config.in_force_everywhere && config.lowest_applied >= offset {
+                    line.show(&format!(
+                        "in force everywhere ({} daemons)",
+                        status.peers.len() + 1
+                    ));
+                    line.close();
+                    return Ok(ExitStatus::Done);
+                }
+                format!("waiting for {}", config.lagging.join(", "))
+            }
+            Err(error @ ClientError::Unreachable(_)) => format!("waiting: {error}"),
+            Err(error) => {
+                line.close();
+                return Err(error);
+            }
+        };
+        line.show(&text);
+        if start.elapsed() >= timeout {
+            line.close();
+            eprintln!(
+                "error: accepted, but not in force everywhere after {} (hint: see `geraniumshed status`)",
+                TimeSpan(timeout)
+            );
+            return Ok(ExitStatus::NotConfirmed);
+        }
+        sleep(POLL_INTERVAL).await;
+    }
+}
--- /dev/null
+++ b/crates/geraniumshed/src/command/withdraw.rs
@@ -0,0 +1,40 @@
+//! `geraniumshed withdraw`.
+
+use geraniumshed_model::prelude::TimeSpan;
+
+use super::arguments::operator_arguments;
+use super::publish::publish_table;
+use super::session::{print_reply, run_session};
+use super::wait::wait_in_force;
+use crate::output::ExitStatus;
+
+operator_arguments! {
+    /// The options of `geraniumshed withdraw`.
+    WithdrawArguments {
+        #[options(free, help = "the record, as KIND/NAME")]
+        record: Option<String>,
+        #[options(no_short, help = "the generation that is withdrawn", meta = "N")]
+        replaces: Option<u64>,
+        #[options(help = "wait until the withdrawal is in force everywhere")]
+        wait: bool,
+        #[options(no_short, help = "the longest wait (default 30s)", meta = "SPAN")]
+        timeout: Option<TimeSpan>,
+    }
+}
+
+/// Runs the command.
+pub fn execute(arguments: WithdrawArguments) -> ExitStatus {
+    let Some(record) = &arguments.record else {
+        eprintln!("error: no record is named (hint: geraniumshed withdraw KIND/NAME)");
+        return ExitStatus::Usage;
+    };
+    run_session(&arguments, async |client| {
+        let reply = client.withdraw(record, arguments.replaces).await?;
+        let offset = reply.offset;
+        print_reply(arguments.output, &vec![reply], publish_table);
+        if !arguments.wait {
+            return Ok(ExitStatus::Done);
+        }
+        wait_in_force(&client, offset, arguments.timeout).await
+    })
+}
