Connect the scheduler to the daemon's log and judge records that are gone

Cause: a record that is not in force is either withdrawn or not yet known; stopping its tasks in the second case would undo what an earlier owner did. Two writers of one daemon to one stream would void one another's entries. Change: a job's generation counts as past by its name's last or the kind's highest dropped one, a service only after the bound within which records are known everywhere; LogStreams keeps one writer a stream.

--- a/crates/geraniumshed-core/src/schedule/lifecycle.rs
+++ b/crates/geraniumshed-core/src/schedule/lifecycle.rs
@@ -246,7 +246,7 @@
                 }
                 let unreachable = worker.is_unreachable(now, self.settings.lease);
                 let leaving = worker.is_leaving() || (unreachable && is_replica(&key.0));
-                if let Some(reason) = self.stop_reason(leaving, key) {
+                if let Some(reason) = self.stop_reason(now, leaving, key) {
                     stops.push((id.clone(), key.clone(), reason));
                 }
             }
@@ -256,11 +256,12 @@
         }
     }
 
-    fn stop_reason(&self, leaving: bool, key: &AttemptKey) -> Option<StopReason> {
+    fn stop_reason(&self, now: TimePoint, leaving: bool, key: &AttemptKey) -> Option<StopReason> {
         let (task, attempt) = key;
         let wanted = self.wanted.group(&TaskGroup::of(task));
         let unwanted = match wanted {
-            None => self.wanted.is_withdrawn(&TaskGroup::of(task)),
+            None if is_replica(task) => self.knows_services(now),
+            None => self.wanted.is_past_job(&TaskGroup::of(task)),
             Some(wanted) => {
                 let cancelled = self.state.is_cancelled(&task.record, task.generation);
                 task.index >= wanted.count || wanted.cancelled || cancelled
@@ -275,6 +276,13 @@
         leaving.then_some(StopReason::Drained)
     }
 
+    /// Tells whether a service without a record was withdrawn, and is not merely unknown yet.
+    ///
+    /// A new owner may know less of the `config` stream than the one before it did.
+    fn knows_services(&self, now: TimePoint) -> bool {
+        now.since(self.opened) >= self.settings.config_lag
+    }
+
     /// Tells whether a later attempt of a replica takes requests.
     pub(super) fn newer_runs(&self, task: &TaskId, attempt: AttemptNumber) -> bool {
         if !is_replica(task) {
--- a/crates/geraniumshed-core/src/schedule/scheduler.rs
+++ b/crates/geraniumshed-core/src/schedule/scheduler.rs
@@ -64,6 +64,8 @@
     pub(super) plan_due: bool,
     /// Whether the log dropped entries that no snapshot stands for.
     pub(super) history_lost: bool,
+    /// When the owner started to act.
+    pub(super) opened: TimePoint,
     last_input: TimePoint,
 }
 
@@ -101,6 +103,7 @@
             log_retry_at: None,
             plan_due: true,
             history_lost: false,
+            opened: now,
             last_input: now,
         }
     }
@@ -204,6 +207,7 @@
         if !replayed {
             return;
         }
+        self.opened = now;
         self.inherit_placements(now);
         self.take_vms(now, Arc::clone(&self.vms));
         self.endpoints.touch();
--- a/crates/geraniumshed-core/src/schedule/settings.rs
+++ b/crates/geraniumshed-core/src/schedule/settings.rs
@@ -20,6 +20,8 @@
     pub call_retry: Duration,
     /// The age up to which the platform's list of VMs lags.
     pub list_lag: Duration,
+    /// The time within which a daemon knows every record that any other daemon knew.
+    pub config_lag: Duration,
     /// The margin for clocks that run at different rates.
     pub drift_margin: Duration,
     /// The delay of a tick from which the process counts as having been paused.
@@ -67,6 +69,7 @@
             end_poll: Duration::from_secs(1),
             call_retry: Duration::from_millis(500),
             list_lag: Duration::from_secs(15),
+            config_lag: Duration::from_secs(13),
             drift_margin: Duration::from_secs(3),
             pause_limit: Duration::from_secs(5),
             service_grace: Duration::from_mins(1),
--- a/crates/geraniumshed-core/src/schedule/wanted.rs
+++ b/crates/geraniumshed-core/src/schedule/wanted.rs
@@ -111,20 +111,19 @@
         self.config.applied()
     }
 
-    /// Tells whether a group's record was withdrawn or replaced, and is not merely unknown yet.
-    pub fn is_withdrawn(&self, group: &TaskGroup) -> bool {
-        let is_service = group.generation == RecordGeneration::default();
-        let kind = if is_service {
-            RecordKind::Service
-        } else {
-            RecordKind::Job
-        };
-        let key = RecordKey {
-            kind,
-            name: group.record.clone(),
+    /// Tells whether a job's generation was withdrawn, replaced or finished, and is not merely
+    /// unknown yet.
+    ///
+    /// A generation never occurs twice in a kind, so that what is not above the last one of its
+    /// name, or the highest one dropped, has been in force before.
+    pub fn is_past_job(&self, group: &TaskGroup) -> bool {
+        let Some(table) = self.config.table(RecordKind::Job) else {
+            return false;
         };
-        let known = self.config.generation(&key);
-        known > RecordGeneration::default() && known >= group.generation
+        let last = table
+            .entry(&group.record)
+            .map_or_else(|| table.floor(), |entry| entry.latest);
+        group.generation <= last
     }
 
     /// Tells whether an operator drains a VM.
--- a/crates/geraniumshed-daemon/src/schedule/mod.rs
+++ b/crates/geraniumshed-daemon/src/schedule/mod.rs
@@ -5,10 +5,12 @@
 //! go out together.
 
 mod lane;
+mod log_streams;
 mod shard_actor;
 mod shard_handle;
 mod streams;
 mod worker_link;
 
+pub use self::log_streams::{LogReader, LogStreams};
 pub use self::shard_handle::{ShardContext, ShardHandle};
 pub use self::streams::{ShardItem, ShardReader, ShardStreams, StreamFault};
