--- a/crates/geraniumshed-core/tests/ownership.rs
+++ b/crates/geraniumshed-core/tests/ownership.rs
@@ -358,7 +358,7 @@
                     }
                     Step::Outage => cluster.log_down ^= true,
                     Step::Wait(seconds) => {
-                        cluster.now = TimePoint(cluster.now.0 + seconds * 1_000_000)
+                        cluster.now = TimePoint(cluster.now.0 + seconds * 1_000_000);
                     }
                 }
                 let claims = cluster.claims();
