--- a/crates/geraniumshed/src/client/operator.rs
+++ b/crates/geraniumshed/src/client/operator.rs
@@ -80,27 +80,47 @@
     }
 
     /// Returns the state of the cluster.
+    ///
+    /// # Errors
+    ///
+    /// Returns how the call failed.
     pub async fn status(&self) -> Result<ClusterStatus, ClientError> {
         self.read("/operator/status").await
     }
 
     /// Returns the records in force, of one kind if it is named.
+    ///
+    /// # Errors
+    ///
+    /// Returns how the call failed.
     pub async fn list(&self, kind: Option<&str>) -> Result<RecordList, ClientError> {
         let query = kind.map_or(String::new(), |kind| format!("?kind={kind}"));
         self.read(&format!("/operator/records{query}")).await
     }
 
     /// Returns one record in force.
+    ///
+    /// # Errors
+    ///
+    /// Returns how the call failed.
     pub async fn get(&self, key: &str) -> Result<RecordDocument, ClientError> {
         self.read(&format!("/operator/records/{key}")).await
     }
 
     /// Returns all publications of a record.
+    ///
+    /// # Errors
+    ///
+    /// Returns how the call failed.
     pub async fn history(&self, key: &str) -> Result<HistoryReply, ClientError> {
         self.read(&format!("/operator/records/{key}/history")).await
     }
 
     /// Publishes the one record that a text holds.
+    ///
+    /// # Errors
+    ///
+    /// Returns how the call failed.
     pub async fn publish(&self, text: &str) -> Result<PublishReply, ClientError> {
         let build = |url: &str| {
             let url = format!("{url}/operator/records");
@@ -110,6 +130,10 @@
     }
 
     /// Withdraws a record.
+    ///
+    /// # Errors
+    ///
+    /// Returns how the call failed.
     pub async fn withdraw(
         &self,
         key: &str,
@@ -124,6 +148,10 @@
     }
 
     /// Decides about a task of which nobody can tell whether it ran.
+    ///
+    /// # Errors
+    ///
+    /// Returns how the call failed.
     pub async fn resolve(
         &self,
         task: &str,
@@ -137,6 +165,10 @@
     }
 
     /// Changes the level of log lines of one daemon.
+    ///
+    /// # Errors
+    ///
+    /// Returns how the call failed.
     pub async fn set_log_level(&self, level: &str) -> Result<LevelRequest, ClientError> {
         let request = LevelRequest {
             level: level.into(),
--- a/crates/geraniumshed/src/command/cancel.rs
+++ b/crates/geraniumshed/src/command/cancel.rs
@@ -3,8 +3,9 @@
 use geraniumshed_model::prelude::TimeSpan;
 
 use super::arguments::operator_arguments;
+use super::change::publish_text;
 use super::session::run_session;
-use super::stop::publish_text;
+use super::wait::WaitOptions;
 use crate::output::ExitStatus;
 
 operator_arguments! {
@@ -30,7 +31,10 @@
         let generation = record.replaces;
         let text =
             format!("schema: 2\nkind: cancel\nname: {job}\nspec:\n  generation: {generation}\n");
-        let wait = arguments.wait.then_some(arguments.timeout);
-        publish_text(&client, &text, arguments.output, wait).await
+        let options = WaitOptions {
+            wait: arguments.wait,
+            timeout: arguments.timeout,
+        };
+        publish_text(&client, &text, arguments.output, options).await
     })
 }
--- a/crates/geraniumshed/src/command/drain.rs
+++ b/crates/geraniumshed/src/command/drain.rs
@@ -3,8 +3,9 @@
 use geraniumshed_model::prelude::TimeSpan;
 
 use super::arguments::operator_arguments;
+use super::change::{finish_change, publish_text};
 use super::session::run_session;
-use super::stop::{finish_change, publish_text};
+use super::wait::WaitOptions;
 use crate::output::ExitStatus;
 
 operator_arguments! {
@@ -38,13 +39,16 @@
     };
     let (kind, name) = scope;
     run_session(&arguments, async |client| {
-        let wait = arguments.wait.then_some(arguments.timeout);
+        let options = WaitOptions {
+            wait: arguments.wait,
+            timeout: arguments.timeout,
+        };
         let record = format!("{kind}-{name}");
         if arguments.undo {
             let reply = client.withdraw(&format!("drain/{record}"), None).await?;
-            return finish_change(&client, reply, arguments.output, wait).await;
+            return finish_change(&client, reply, arguments.output, options).await;
         }
         let text = format!("schema: 2\nkind: drain\nname: {record}\nspec:\n  {kind}: {name}\n");
-        publish_text(&client, &text, arguments.output, wait).await
+        publish_text(&client, &text, arguments.output, options).await
     })
 }
--- a/crates/geraniumshed/src/command/mod.rs
+++ b/crates/geraniumshed/src/command/mod.rs
@@ -3,6 +3,7 @@
 pub mod arguments;
 pub mod bench;
 pub mod cancel;
+pub mod change;
 pub mod check;
 pub mod dev;
 pub mod drain;
--- a/crates/geraniumshed/src/command/publish.rs
+++ b/crates/geraniumshed/src/command/publish.rs
@@ -1,15 +1,15 @@
 //! `geraniumshed publish`.
 
 use geraniumshed_model::prelude::TimeSpan;
-use geraniumshed_wire::operator::PublishReply;
 use geraniumshed_wire::record::RecordDraft;
 
 use super::arguments::{OperatorArguments, operator_arguments};
+use super::change::publish_table;
 use super::check::read_files;
 use super::session::{print_reply, report_error, run_session};
-use super::wait::wait_in_force;
+use super::wait::{WaitOptions, wait_in_force};
 use crate::client::{ClientError, OperatorClient};
-use crate::output::{ExitStatus, TextTable};
+use crate::output::ExitStatus;
 
 operator_arguments! {
     /// The options of `geraniumshed publish`.
@@ -63,22 +63,10 @@
         }
     }
     print_reply(arguments.output, &replies, publish_table);
-    if !arguments.wait {
-        return Ok(ExitStatus::Done);
-    }
+    let options = WaitOptions {
+        wait: arguments.wait,
+        timeout: arguments.timeout,
+    };
     let offset = replies.iter().map(|reply| reply.offset).max().unwrap_or(0);
-    wait_in_force(client, offset, arguments.timeout).await
-}
-
-/// Returns a table of accepted records.
-pub fn publish_table(replies: &Vec<PublishReply>) -> String {
-    let mut table = TextTable::new(&["KIND", "NAME", "GENERATION"]);
-    for reply in replies {
-        table.row(vec![
-            reply.kind.to_string(),
-            reply.name.to_string(),
-            reply.generation.to_string(),
-        ]);
-    }
-    table.render()
+    wait_in_force(client, offset, options).await
 }
--- a/crates/geraniumshed/src/command/stop.rs
+++ b/crates/geraniumshed/src/command/stop.rs
@@ -1,14 +1,12 @@
 //! `geraniumshed stop`.
 
 use geraniumshed_model::prelude::TimeSpan;
-use geraniumshed_wire::operator::PublishReply;
 
 use super::arguments::operator_arguments;
-use super::publish::publish_table;
-use super::session::{print_reply, run_session};
-use super::wait::wait_in_force;
-use crate::client::{ClientError, OperatorClient};
-use crate::output::{ExitStatus, OutputFormat};
+use super::change::{finish_change, publish_text};
+use super::session::run_session;
+use super::wait::WaitOptions;
+use crate::output::ExitStatus;
 
 operator_arguments! {
     /// The options of `geraniumshed stop`.
@@ -31,48 +29,17 @@
         return ExitStatus::Usage;
     };
     run_session(&arguments, async |client| {
-        let wait = arguments.wait.then_some(arguments.timeout);
+        let options = WaitOptions {
+            wait: arguments.wait,
+            timeout: arguments.timeout,
+        };
         if arguments.undo {
             let reply = client.withdraw(&format!("stop/{service}"), None).await?;
-            return finish_change(&client, reply, arguments.output, wait).await;
+            return finish_change(&client, reply, arguments.output, options).await;
         }
         // A stop of a service that is not there would lie in wait for one of that name.
         client.get(&format!("service/{service}")).await?;
         let text = format!("schema: 2\nkind: stop\nname: {service}\n");
-        publish_text(&client, &text, arguments.output, wait).await
+        publish_text(&client, &text, arguments.output, options).await
     })
 }
-
-/// Publishes a record that a command has written, and waits if `wait` is given.
-#[expect(
-    clippy::option_option,
-    reason = "the wait and its limit are both optional"
-)]
-pub async fn publish_text(
-    client: &OperatorClient,
-    text: &str,
-    output: OutputFormat,
-    wait: Option<Option<TimeSpan>>,
-) -> Result<ExitStatus, ClientError> {
-    let reply = client.publish(text).await?;
-    finish_change(client, reply, output, wait).await
-}
-
-/// Prints a change that was accepted, and waits if `wait` is given.
-#[expect(
-    clippy::option_option,
-    reason = "the wait and its limit are both optional"
-)]
-pub async fn finish_change(
-    client: &OperatorClient,
-    reply: PublishReply,
-    output: OutputFormat,
-    wait: Option<Option<TimeSpan>>,
-) -> Result<ExitStatus, ClientError> {
-    let offset = reply.offset;
-    print_reply(output, &vec![reply], publish_table);
-    match wait {
-        Some(timeout) => wait_in_force(client, offset, timeout).await,
-        None => Ok(ExitStatus::Done),
-    }
-}
--- a/crates/geraniumshed/src/command/wait.rs
+++ b/crates/geraniumshed/src/command/wait.rs
@@ -13,13 +13,29 @@
 /// The time between two questions.
 const POLL_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Waits until all live daemons have applied the configuration up to an offset.
+/// Whether and how long a command waits for its change.
+#[derive(Debug, Clone, Copy)]
+pub struct WaitOptions {
+    /// Whether the command waits.
+    pub wait: bool,
+    /// The longest wait, unless it is the usual one.
+    pub timeout: Option<TimeSpan>,
+}
+
+/// Waits, if the options ask for it, until all live daemons have applied the configuration up to an offset.
+///
+/// # Errors
+///
+/// Returns how the call failed.
 pub async fn wait_in_force(
     client: &OperatorClient,
     offset: u64,
-    timeout: Option<TimeSpan>,
+    options: WaitOptions,
 ) -> Result<ExitStatus, ClientError> {
-    let timeout = timeout.map_or(DEFAULT_TIMEOUT, |span| span.0);
+    if !options.wait {
+        return Ok(ExitStatus::Done);
+    }
+    let timeout = options.timeout.map_or(DEFAULT_TIMEOUT, |span| span.0);
     let start = Instant::now();
     let mut line = ProgressLine::open();
     loop {
--- a/crates/geraniumshed/src/command/withdraw.rs
+++ b/crates/geraniumshed/src/command/withdraw.rs
@@ -3,9 +3,9 @@
 use geraniumshed_model::prelude::TimeSpan;
 
 use super::arguments::operator_arguments;
-use super::publish::publish_table;
-use super::session::{print_reply, run_session};
-use super::wait::wait_in_force;
+use super::change::finish_change;
+use super::session::run_session;
+use super::wait::WaitOptions;
 use crate::output::ExitStatus;
 
 operator_arguments! {
@@ -30,11 +30,10 @@
     };
     run_session(&arguments, async |client| {
         let reply = client.withdraw(record, arguments.replaces).await?;
-        let offset = reply.offset;
-        print_reply(arguments.output, &vec![reply], publish_table);
-        if !arguments.wait {
-            return Ok(ExitStatus::Done);
-        }
-        wait_in_force(&client, offset, arguments.timeout).await
+        let options = WaitOptions {
+            wait: arguments.wait,
+            timeout: arguments.timeout,
+        };
+        finish_change(&client, reply, arguments.output, options).await
     })
 }
--- /dev/null
+++ b/crates/geraniumshed/src/logging.rs
@@ -0,0 +1,66 @@
+//! The process's log.
+
+use flexi_logger::{
+    AdaptiveFormat, FlexiLoggerError, LogSpecification, Logger, LoggerHandle, json_format,
+};
+use geraniumshed_daemon::settings::{TelemetrySettings, TextFormat};
+use geraniumshed_model::prelude::{ErrorKind, ProblemError};
+use smol_str::{ToSmolStr, format_smolstr};
+
+/// What a level may look like.
+const LEVEL_HINT: &str =
+    "use off, error, warn, info, debug or trace, also by module: `info, geraniumshed_core=debug`";
+
+/// The running log; its level can be changed from any clone.
+#[derive(Clone)]
+pub struct LogHandle {
+    logger: LoggerHandle,
+}
+
+impl std::fmt::Debug for LogHandle {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("LogHandle").finish_non_exhaustive()
+    }
+}
+
+impl LogHandle {
+    /// Opens the log of this process on standard error.
+    ///
+    /// # Errors
+    ///
+    /// Returns `Malformed` if the level can't be understood.
+    pub fn open(settings: &TelemetrySettings) -> Result<Self, ProblemError> {
+        let level = parse_level(&settings.log_level)?;
+        let logger = Logger::with(level).log_to_stderr();
+        let logger = match settings.log_format {
+            TextFormat::Text => logger.adaptive_format_for_stderr(AdaptiveFormat::Detailed),
+            TextFormat::Json => logger.format(json_format),
+        };
+        let logger = logger.start().map_err(unusable)?;
+        Ok(Self { logger })
+    }
+
+    /// Changes the level, which may differ by module.
+    ///
+    /// # Errors
+    ///
+    /// Returns `Malformed` if the level can't be understood.
+    pub fn set_level(&self, level: &str) -> Result<(), ProblemError> {
+        self.logger.set_new_spec(parse_level(level)?);
+        Ok(())
+    }
+}
+
+fn parse_level(level: &str) -> Result<LogSpecification, ProblemError> {
+    LogSpecification::parse(level).map_err(|_| {
+        ProblemError::new(
+            ErrorKind::Malformed,
+            format_smolstr!("`{level}` is not a level of the log"),
+            LEVEL_HINT,
+        )
+    })
+}
+
+fn unusable(error: FlexiLoggerError) -> ProblemError {
+    ProblemError::new(ErrorKind::Internal, error.to_smolstr(), "report this")
+}
