Read the sections of the request path, the log and the scheduler whole

The reader of the request path's section took new fields from the defaults without asking, so that an operator could not set them and the example did not list them. It now names every field, so that a new one stops the build here; the log's followers and the scheduler get sections of their own, and rules over several fields (renewals within a lease, retry delays) are checked.

--- a/crates/geraniumshed-daemon/src/settings/daemon.rs
+++ b/crates/geraniumshed-daemon/src/settings/daemon.rs
@@ -5,14 +5,16 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use geraniumshed_core::schedule::SchedulerSettings;
 use geraniumshed_model::prelude::{DaemonId, RegionName, ZoneName};
 use geraniumshed_platform::HttpTimeouts;
 use smol_str::SmolStr;
 
+use crate::log::LogSettings;
 use crate::request::EntrySettings;
 
 /// The settings of one daemon.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone)]
 pub struct DaemonSettings {
     /// Who the daemon is.
     pub identity: DaemonIdentity,
@@ -22,6 +24,10 @@
     pub platform: PlatformSettings,
     /// The request path.
     pub entry: EntrySettings,
+    /// The log's followers and writers.
+    pub log: LogSettings,
+    /// The scheduler.
+    pub scheduler: SchedulerSettings,
     /// The operators' interface.
     pub operators: OperatorSettings,
     /// The interface between daemons.
--- a/crates/geraniumshed-daemon/src/settings/mod.rs
+++ b/crates/geraniumshed-daemon/src/settings/mod.rs
@@ -5,8 +5,9 @@
 //! field `daemon.zone`.
 
 pub mod daemon;
+mod parts;
 pub mod read;
-pub mod section;
+mod section;
 
 pub use self::daemon::{
     ClusterSettings, DaemonIdentity, DaemonSettings, OperatorSecret, OperatorSettings, OperatorTls,
--- a/crates/geraniumshed-daemon/src/settings/read.rs
+++ b/crates/geraniumshed-daemon/src/settings/read.rs
@@ -17,8 +17,8 @@
     ClusterSettings, DaemonIdentity, DaemonSettings, OperatorSecret, OperatorSettings, OperatorTls,
     PeerListen, PlatformSettings, TelemetrySettings, TextFormat,
 };
+use super::parts::{read_entry, read_log, read_scheduler};
 use super::section::FieldReader;
-use crate::request::EntrySettings;
 
 /// The environment variable that holds the operators' secret.
 pub const SECRET_VARIABLE: &str = "GERANIUMSHED_OPERATOR_SECRET";
@@ -62,7 +62,7 @@
 impl std::error::Error for SettingsError {}
 
 /// Settings with the paths of all fields that they may have.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone)]
 pub struct ReadSettings {
     /// The settings.
     pub settings: DaemonSettings,
@@ -127,6 +127,8 @@
     let cluster = read_cluster(&mut root, region, context);
     let platform = read_platform(&mut root, context);
     let entry = read_entry(&mut root, context);
+    let log = read_log(&mut root, context);
+    let scheduler = read_scheduler(&mut root, context);
     let operators = read_operators(&mut root, secret, context);
     let peers = read_peers(&mut root, context);
     let telemetry = read_telemetry(&mut root, context);
@@ -141,6 +143,8 @@
         cluster,
         platform: platform?,
         entry,
+        log: log?,
+        scheduler: scheduler?,
         operators: operators?,
         peers: peers?,
         telemetry,
@@ -182,7 +186,7 @@
     } else if !regions.contains(&own) {
         reader.section.report(
             "regions",
-            "leave out the daemon's own region",
+            "lacks the daemon's own region",
             "list all regions, in the same order in all daemons",
             reader.context,
         );
@@ -215,45 +219,6 @@
     })
 }
 
-fn read_entry(root: &mut SectionReader<'_>, context: &mut ReadContext) -> Option<EntrySettings> {
-    let default = EntrySettings::default();
-    let mut reader = FieldReader::open(root, "callers", context);
-    let listen = reader.address("listen");
-    let connection_limit = reader.connections("connection_limit", default.connection_limit);
-    let header_limit = reader.buffer("header_limit", default.header_limit);
-    let body_limit = reader.bytes("body_limit", default.body_limit);
-    let buffer_limit = reader.buffer("buffer_limit", default.buffer_limit);
-    let buffer_total = reader.buffer("buffer_total", default.buffer_total);
-    let header_timeout = reader.span("header_timeout", default.header_timeout);
-    let body_timeout = reader.span("body_timeout", default.body_timeout);
-    let connect_timeout = reader.span("connect_timeout", default.connect_timeout);
-    let progress_timeout = reader.span("progress_timeout", default.progress_timeout);
-    let idle_timeout = reader.span("idle_timeout", default.idle_timeout);
-    let answer_window = reader.span("answer_window", default.answer_window);
-    let answer_total = reader.buffer("answer_total", default.answer_total);
-    let drain_notice = reader.span("drain_notice", default.drain_notice);
-    let drain_limit = reader.span("drain_limit", default.drain_limit);
-    reader.close();
-    Some(EntrySettings {
-        listen: listen?,
-        connection_limit: connection_limit?,
-        header_limit: header_limit?,
-        body_limit: body_limit?,
-        buffer_limit: buffer_limit?,
-        buffer_total: buffer_total?,
-        header_timeout: header_timeout?,
-        body_timeout: body_timeout?,
-        connect_timeout: connect_timeout?,
-        progress_timeout: progress_timeout?,
-        idle_timeout: idle_timeout?,
-        answer_window: answer_window?,
-        answer_total: answer_total?,
-        drain_notice: drain_notice?,
-        drain_limit: drain_limit?,
-        ..default
-    })
-}
-
 fn read_operators(
     root: &mut SectionReader<'_>,
     secret: Option<SmolStr>,
@@ -264,7 +229,7 @@
     let listen = reader.address("listen");
     let secret = read_secret(&mut reader, secret);
     let tls = read_tls(&mut reader);
-    let connection_limit = reader.connections("connection_limit", default.connection_limit);
+    let connection_limit = reader.number("connection_limit", default.connection_limit);
     let header_limit = reader.buffer("header_limit", default.header_limit);
     let body_limit = reader.bytes("body_limit", default.body_limit);
     let header_timeout = reader.span("header_timeout", default.header_timeout);
--- a/crates/geraniumshed-daemon/src/settings/section.rs
+++ b/crates/geraniumshed-daemon/src/settings/section.rs
@@ -91,13 +91,18 @@
             .defaulted(name, &WholeField(range), default, self.context)
     }
 
-    /// Reads a number of connections.
-    pub(super) fn connections(&mut self, name: &str, default: usize) -> Option<usize> {
+    /// Reads a number of things that are held at once.
+    pub(super) fn number(&mut self, name: &str, default: usize) -> Option<usize> {
         let default = u32::try_from(default).unwrap_or(u32::MAX);
         let number = self.whole(name, 1..=1_000_000, default)?;
         usize::try_from(number).ok()
     }
 
+    /// Reports a rule that several fields break together.
+    pub(super) fn report(&mut self, name: &str, problem: &str, hint: &str) {
+        self.section.report(name, problem, hint, self.context);
+    }
+
     /// Reports fields that were never asked for.
     pub(super) fn close(self) {
         self.section.close(self.context);
--- a/crates/geraniumshed-daemon/tests/settings_file.rs
+++ b/crates/geraniumshed-daemon/tests/settings_file.rs
@@ -65,7 +65,11 @@
 
 #[test]
 fn the_example_shows_the_defaults() {
-    assert_eq!(read(EXAMPLE), read(REQUIRED));
+    // The sections of the core are compared by their debug form, which shows every field.
+    assert_eq!(
+        format!("{:#?}", read(EXAMPLE)),
+        format!("{:#?}", read(REQUIRED))
+    );
 }
 
 #[test]
@@ -164,6 +168,33 @@
     assert!(!found.contains("sesame"), "{found}");
 }
 
+#[rstest]
+#[case::renewal(
+    "scheduler: {lease: 10s, renewal: 6s}",
+    "scheduler.renewal: `6s` leaves no time"
+)]
+#[case::retry(
+    "log: {retry_floor: 2s, retry_ceiling: 1s}",
+    "log.retry_floor: `2s` is longer"
+)]
+#[case::regions(
+    "cluster: {regions: [ankara]}",
+    "cluster.regions: `(a list)` lacks"
+)]
+#[case::tls(
+    "operators: {tls: {key: a.pem}}",
+    "operators.tls.certificate: and `key` belong"
+)]
+fn fields_that_do_not_fit_together_are_reported(#[case] section: &str, #[case] expected: &str) {
+    let name = section.split(':').next().unwrap();
+    let rest: Vec<&str> = REQUIRED
+        .lines()
+        .filter(|line| !line.starts_with(name))
+        .collect();
+    let found = problems(&format!("{}\n{section}\n", rest.join("\n")), &[]);
+    assert!(found.contains(expected), "{found}");
+}
+
 #[test]
 fn operators_need_a_secret_or_certificates() {
     let problems = read_settings(EXAMPLE, std::iter::empty()).unwrap_err();
