--- a/crates/geraniumshed-daemon/tests/settings_file.rs
+++ b/crates/geraniumshed-daemon/tests/settings_file.rs
@@ -177,10 +177,7 @@
     "log: {retry_floor: 2s, retry_ceiling: 1s}",
     "log.retry_floor: `2s` is longer"
 )]
-#[case::regions(
-    "cluster: {regions: [ankara]}",
-    "cluster.regions: `(a list)` lacks"
-)]
+#[case::regions("cluster: {regions: [ankara]}", "cluster.regions: `(a list)` lacks")]
 #[case::tls(
     "operators: {tls: {key: a.pem}}",
     "operators.tls.certificate: and `key` belong"
