Listen for signals before the stand-ins print their addresses

Cause: a SIGTERM right after the printed addresses met no handler and killed the process (seen in the command's own test, 3 of 3 runs on the busy machine). After: 6 of 6 runs pass.

--- a/crates/geraniumshed/src/command/standin.rs
+++ b/crates/geraniumshed/src/command/standin.rs
@@ -81,14 +81,15 @@
 /// Runs the stand-ins until the process is told to stop.
 #[tokio::main]
 async fn run(settings: StandinSettings) -> Result<(), StandinError> {
+    // Before anything is printed, so that who reads it may stop the process at once.
+    let mut terminate = signal(SignalKind::terminate()).map_err(StandinError::Socket)?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(StandinError::Socket)?;
     let set = Arc::new(StandinSet::open(settings).map_err(StandinError::Socket)?);
     let control = ControlServer::bind(Arc::clone(&set)).map_err(StandinError::Socket)?;
     println!("log      {}", set.log_address());
     println!("vm list  {}", set.vm_list_address());
     println!("control  {}", control.address());
     println!("workers  {}", set.worker_ids().count());
-    let mut terminate = signal(SignalKind::terminate()).map_err(StandinError::Socket)?;
-    let mut interrupt = signal(SignalKind::interrupt()).map_err(StandinError::Socket)?;
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
