Renew operators' certificates without a restart

The listener follows its files and keeps the certificates in use while a file is broken. Cases over real connections: a right, a missing, a foreign and an expired operators' certificate, broken and renewed files.

--- a/crates/geraniumshed-daemon/src/operator/listener.rs
+++ b/crates/geraniumshed-daemon/src/operator/listener.rs
@@ -11,7 +11,6 @@
 use hyper_util::server::graceful::{GracefulShutdown, Watcher};
 use hyper_util::service::TowerToHyperService;
 use log::{debug, warn};
-use rustls::ServerConfig;
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
@@ -24,7 +23,7 @@
 
 use super::backend::OperatorBackend;
 use super::serve::{OperatorContext, OperatorRequest, serve_request};
-use super::tls::TlsLoader;
+use super::tls::{TlsFollower, TlsLoader};
 use crate::settings::OperatorSettings;
 
 /// The pause after a failure to accept, such as too many open files.
@@ -56,9 +55,8 @@
         backend: B,
         settings: OperatorSettings,
     ) -> io::Result<OperatorHandle> {
-        let loader = settings.tls.clone().map(TlsLoader::new);
-        let tls = match loader {
-            Some(loader) => Some(loader.load().map_err(io::Error::other)?),
+        let tls = match settings.tls.clone().map(TlsLoader::new) {
+            Some(loader) => Some(TlsFollower::spawn(loader).map_err(io::Error::other)?),
             None => None,
         };
         let listener = TcpListener::bind(settings.listen).await?;
@@ -100,7 +98,7 @@
 struct OperatorServer<B> {
     connections: Arc<Semaphore>,
     context: OperatorContext<B>,
-    tls: Option<Arc<ServerConfig>>,
+    tls: Option<Arc<TlsFollower>>,
 }
 
 async fn accept_operators<B: OperatorBackend>(
@@ -152,7 +150,7 @@
         return;
     };
     let patience = server.context.settings.header_timeout;
-    match timeout(patience, TlsAcceptor::from(tls).accept(stream)).await {
+    match timeout(patience, TlsAcceptor::from(tls.config()).accept(stream)).await {
         Ok(Ok(stream)) => serve_connection(server, stream, watcher).await,
         Ok(Err(error)) => warn!("operators' listener: handshake failed: {error}"),
         Err(_) => warn!("operators' listener: handshake took too long"),
--- a/crates/geraniumshed-daemon/src/operator/mod.rs
+++ b/crates/geraniumshed-daemon/src/operator/mod.rs
@@ -20,4 +20,4 @@
 pub use self::listener::{OperatorHandle, OperatorListener};
 pub use self::route::{OPERATOR_ROUTES, OperatorRoute, RouteEntry};
 pub use self::summary::{summarize_jobs, summarize_services};
-pub use self::tls::{TlsError, TlsLoader};
+pub use self::tls::{TlsError, TlsFollower, TlsLoader};
--- a/crates/geraniumshed-daemon/src/operator/tls.rs
+++ b/crates/geraniumshed-daemon/src/operator/tls.rs
@@ -1,14 +1,19 @@
 //! TLS for operators.
 
 use std::fmt::{self, Display, Formatter};
+use std::fs;
 use std::path::Path;
 use std::sync::Arc;
+use std::time::{Duration, SystemTime};
 
+use log::{info, warn};
 use rustls::pki_types::pem::PemObject;
 use rustls::pki_types::{CertificateDer, PrivateKeyDer};
 use rustls::server::WebPkiClientVerifier;
 use rustls::{RootCertStore, ServerConfig};
 use smol_str::{SmolStr, ToSmolStr};
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
 
 use crate::settings::OperatorTls;
 
@@ -49,6 +54,21 @@
         Self { settings }
     }
 
+    /// Returns when each file was written last.
+    fn file_versions(&self) -> Vec<Option<SystemTime>> {
+        let settings = &self.settings;
+        let files = [
+            Some(&settings.certificate),
+            Some(&settings.key),
+            settings.client_authority.as_ref(),
+        ];
+        files
+            .into_iter()
+            .flatten()
+            .map(|path| fs::metadata(path).and_then(|data| data.modified()).ok())
+            .collect()
+    }
+
     /// Loads the certificates from their files.
     ///
     /// # Errors
@@ -79,6 +99,64 @@
     }
 }
 
+/// The time between two looks at the files.
+const RELOAD_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Certificates that follow their files, so that they are renewed without a restart.
+#[derive(Debug)]
+pub struct TlsFollower {
+    config: watch::Receiver<Arc<ServerConfig>>,
+    task: JoinHandle<()>,
+}
+
+impl TlsFollower {
+    /// Loads the certificates and spawns a task that loads them again when a file changes.
+    ///
+    /// # Errors
+    ///
+    /// Returns which file is wrong and why.
+    pub fn spawn(loader: TlsLoader) -> Result<Arc<Self>, TlsError> {
+        let versions = loader.file_versions();
+        let (sender, config) = watch::channel(loader.load()?);
+        let task = tokio::spawn(follow_files(loader, versions, sender));
+        Ok(Arc::new(Self { config, task }))
+    }
+
+    /// Returns the certificates that are in use now.
+    pub fn config(&self) -> Arc<ServerConfig> {
+        Arc::clone(&self.config.borrow())
+    }
+}
+
+impl Drop for TlsFollower {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Loads the certificates again whenever a file changes; wrong files leave the old ones in use.
+async fn follow_files(
+    loader: TlsLoader,
+    mut versions: Vec<Option<SystemTime>>,
+    sender: watch::Sender<Arc<ServerConfig>>,
+) {
+    loop {
+        tokio::time::sleep(RELOAD_INTERVAL).await;
+        let found = loader.file_versions();
+        if found == versions {
+            continue;
+        }
+        match loader.load() {
+            Ok(config) => {
+                info!("operators' certificates were loaded again");
+                versions = found;
+                sender.send_replace(config);
+            }
+            Err(error) => warn!("operators' certificates stay as they were: {error}"),
+        }
+    }
+}
+
 fn read_certificates(path: &Path) -> Result<Vec<CertificateDer<'static>>, TlsError> {
     let certificates = CertificateDer::pem_file_iter(path)
         .map_err(|error| file_error(path, &error))?
--- a/crates/geraniumshed-daemon/tests/operator_api.rs
+++ b/crates/geraniumshed-daemon/tests/operator/api.rs
@@ -1,123 +1,23 @@
-//! The operators' interface over real connections, with a fake daemon behind it.
+//! The operators' interface over real connections.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use geraniumshed_core::state::{ConfigState, PublishVerdict};
-use geraniumshed_daemon::operator::{
-    ConfigCommand, OperatorBackend, OperatorHandle, OperatorListener,
-};
+use geraniumshed_daemon::operator::{OperatorBackend, OperatorHandle, OperatorListener};
 use geraniumshed_daemon::settings::{OperatorSecret, OperatorSettings};
-use geraniumshed_model::prelude::{
-    ConfigEvent, ErrorKind, LogOffset, ProblemError, RecordGeneration, RecordKey, TaskId,
-};
-use geraniumshed_wire::operator::{
-    ClusterStatus, HistoryEntry, MetricValue, ProblemDocument, PublishReply, RecordList,
-    TaskDecision,
-};
+use geraniumshed_model::prelude::LogOffset;
+use geraniumshed_wire::operator::{ProblemDocument, PublishReply, RecordList, TaskDecision};
 use reqwest::{Client, Method, RequestBuilder, StatusCode};
 use rstest::rstest;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
+use crate::fake::FakeDaemon;
+
 const SECRET: &str = "a secret of enough letters";
 const JOB: &str =
     "schema: 2\nkind: job\nname: sync\nspec: {team: t, processors: 1, memory: 1GB, command: run}\n";
 
-#[derive(Debug, Default)]
-struct FakeState {
-    config: ConfigState,
-    generations: BTreeMap<RecordKey, RecordGeneration>,
-    resolved: Vec<(TaskId, TaskDecision)>,
-    level: String,
-}
-
-/// A daemon that accepts changes at once, without a log.
-#[derive(Debug, Clone, Default)]
-struct FakeDaemon(Arc<Mutex<FakeState>>);
-
-impl OperatorBackend for FakeDaemon {
-    fn config(&self) -> Arc<ConfigState> {
-        Arc::new(self.0.lock().unwrap().config.clone())
-    }
-
-    fn generation(&self, key: &RecordKey) -> RecordGeneration {
-        let state = self.0.lock().unwrap();
-        state.generations.get(key).copied().unwrap_or_default()
-    }
-
-    async fn change(&self, command: ConfigCommand) -> Result<RecordGeneration, ProblemError> {
-        let (key, event) = match command {
-            ConfigCommand::Publish {
-                key,
-                schema,
-                replaces,
-                body,
-            } => {
-                let replaces = replaces.unwrap_or(self.generation(&key));
-                (
-                    key.clone(),
-                    ConfigEvent::Publish {
-                        key,
-                        schema,
-                        replaces,
-                        body,
-                    },
-                )
-            }
-            ConfigCommand::Withdraw { key, replaces } => {
-                let replaces = replaces.unwrap_or(self.generation(&key));
-                (key.clone(), ConfigEvent::Withdraw { key, replaces })
-            }
-        };
-        let mut state = self.0.lock().unwrap();
-        let offset = state.config.applied();
-        match state.config.apply(offset, &event) {
-            PublishVerdict::Accepted(generation) => {
-                state.generations.insert(key, generation);
-                Ok(generation)
-            }
-            PublishVerdict::Conflict { current, replaces } => Err(ProblemError::new(
-                ErrorKind::GenerationConflict,
-                format!("`{key}` is at generation {current}, not {replaces}"),
-                "get the record, change it and publish again",
-            )),
-            other => panic!("unexpected verdict {other:?}"),
-        }
-    }
-
-    async fn history(&self, _key: &RecordKey) -> Result<Vec<HistoryEntry>, ProblemError> {
-        Err(ProblemError::new(
-            ErrorKind::LogUnavailable,
-            "the log is down",
-            "wait",
-        ))
-    }
-
-    async fn resolve(&self, task: TaskId, decision: TaskDecision) -> Result<(), ProblemError> {
-        self.0.lock().unwrap().resolved.push((task, decision));
-        Ok(())
-    }
-
-    async fn status(&self) -> ClusterStatus {
-        ClusterStatus::default()
-    }
-
-    async fn metrics(&self) -> Vec<MetricValue> {
-        vec![MetricValue {
-            name: "entry.received".into(),
-            value: 3.0,
-        }]
-    }
-
-    fn set_log_level(&self, level: &str) -> Result<(), ProblemError> {
-        level.clone_into(&mut self.0.lock().unwrap().level);
-        Ok(())
-    }
-}
-
 fn settings() -> OperatorSettings {
     OperatorSettings {
         secret: OperatorSecret::new(SECRET),
--- /dev/null
+++ b/crates/geraniumshed-daemon/tests/operator/main.rs
@@ -0,0 +1,5 @@
+//! The operators' interface, with a fake daemon behind it.
+
+mod api;
+mod certificates;
+mod fake;
