Measure the dispatch policy against an ideal queue, and borrow fewer taken slots

Change: a deterministic driver of the real dispatchers beside baselines and an ideal queue; a refused request waits for an own slot; the price of borrowing grows with the share of refusals; the baselines' rules ignore breakers, as plain ones do. Two faults put in by hand (retry without a check of idempotence; a refusal after a lost attempt called not-run) each fail the new property test.

--- a/crates/geraniumshed-core/src/request/dispatcher.rs
+++ b/crates/geraniumshed-core/src/request/dispatcher.rs
@@ -22,6 +22,12 @@
 /// The time that a request probably loses when a borrowed slot turns out to be taken.
 const BORROW_PRICE: Duration = Duration::from_millis(1);
 
+/// The weight of one borrowed slot in the estimate of how many turn out to be taken.
+const REFUSAL_WEIGHT: f64 = 1.0 / 16.0;
+
+/// The most that the estimate may be, so that borrowing is tried again now and then.
+const REFUSAL_LIMIT: f64 = 0.95;
+
 /// The time for which a queue may hold requests before the latency goal limits it.
 const BURST_LENGTH: Duration = Duration::from_millis(500);
 
@@ -37,6 +43,15 @@
     in_flight: usize,
     hedged: bool,
     touched: bool,
+    borrowed: Option<EndpointIndex>,
+    bounced: bool,
+}
+
+/// An endpoint with a free slot.
+#[derive(Debug, Clone, Copy)]
+struct FoundEndpoint {
+    index: EndpointIndex,
+    is_borrowed: bool,
 }
 
 /// Decides where and when the requests of one service go.
@@ -50,6 +65,7 @@
     retries: TrafficBudget,
     hedges: TrafficBudget,
     full_since: Option<TimePoint>,
+    refusal_share: f64,
     rng: ChaCha8Rng,
 }
 
@@ -64,6 +80,7 @@
             retries: TrafficBudget::new(policy.retry_share),
             hedges: TrafficBudget::new(policy.hedge_share),
             full_since: None,
+            refusal_share: 0.0,
             rng: ChaCha8Rng::seed_from_u64(seed),
             policy,
         }
@@ -173,9 +190,17 @@
         };
         active.in_flight = active.in_flight.saturating_sub(1);
         active.touched |= !ended.result.is_unrun();
-        if ended.result == AttemptResult::Busy {
+        let was_busy = ended.result == AttemptResult::Busy;
+        if active.borrowed == Some(ended.endpoint) {
+            let refused = f64::from(u8::from(was_busy));
+            let share = self.refusal_share + (refused - self.refusal_share) * REFUSAL_WEIGHT;
+            self.refusal_share = share.min(REFUSAL_LIMIT);
+        }
+        if was_busy {
             // A full endpoint may be asked again once it had time to finish something.
             active.tried.retain(|index| *index != ended.endpoint);
+            active.attempts = active.attempts.saturating_sub(1);
+            active.bounced = true;
         }
         if ended.result.is_final() {
             self.active.remove(&ended.request);
@@ -292,9 +317,12 @@
     fn send_waiting(&mut self, now: TimePoint, actions: &mut Vec<DispatchAction>) {
         while let Some(next) = self.queue.peek() {
             let id = next.id;
-            let tried = self.active.get(&id).map(|active| active.tried.clone());
-            let tried = tried.unwrap_or_default();
-            let may_borrow = self.is_borrowing_worth_it(now);
+            let Some(active) = self.active.get(&id) else {
+                self.queue.pop();
+                continue;
+            };
+            let tried = active.tried.clone();
+            let may_borrow = !active.bounced && self.is_borrowing_worth_it(now);
             let Some(endpoint) = self.find_endpoint(now, &tried, may_borrow) else {
                 break;
             };
@@ -318,34 +346,52 @@
             return true;
         }
         let waiting = self.queue.len() as f64;
-        self.mean_latency().mul_f64(waiting / f64::from(capacity)) > BORROW_PRICE
+        let price = BORROW_PRICE.div_f64(1.0 - self.refusal_share);
+        self.mean_latency().mul_f64(waiting / f64::from(capacity)) > price
     }
 
+    /// Finds an endpoint with a free slot, which may be borrowed.
     fn find_endpoint(
         &mut self,
         now: TimePoint,
         tried: &[EndpointIndex],
         may_borrow: bool,
-    ) -> Option<EndpointIndex> {
+    ) -> Option<FoundEndpoint> {
         let mean = self.mean_latency();
         let policy = &self.policy;
         let own = self.router.choose(now, policy, mean, tried, &mut self.rng);
-        if own.is_some() || !may_borrow {
-            return own;
+        if let Some(index) = own {
+            return Some(FoundEndpoint {
+                index,
+                is_borrowed: false,
+            });
+        }
+        if !may_borrow {
+            return None;
         }
-        self.router.borrow(now, policy, mean, tried, &mut self.rng)
+        let index = self
+            .router
+            .borrow(now, policy, mean, tried, &mut self.rng)?;
+        Some(FoundEndpoint {
+            index,
+            is_borrowed: true,
+        })
     }
 
     fn send(
         &mut self,
         now: TimePoint,
         id: RequestId,
-        endpoint: EndpointIndex,
+        found: FoundEndpoint,
         actions: &mut Vec<DispatchAction>,
     ) {
+        let endpoint = found.index;
         let Some(active) = self.active.get_mut(&id) else {
             return;
         };
+        if found.is_borrowed {
+            active.borrowed = Some(endpoint);
+        }
         active.tried.push(endpoint);
         active.attempts += 1;
         active.in_flight += 1;
@@ -406,6 +452,8 @@
             in_flight: 0,
             hedged: false,
             touched: false,
+            borrowed: None,
+            bounced: false,
         }
     }
 }
--- a/crates/geraniumshed-core/src/request/endpoint_state.rs
+++ b/crates/geraniumshed-core/src/request/endpoint_state.rs
@@ -15,14 +15,14 @@
 /// The time for which an endpoint's report of its requests in flight is of use.
 const REPORT_AGE: Duration = Duration::from_millis(100);
 
-/// The time for which an endpoint that said it is full gets no borrowed requests.
-const BUSY_PAUSE: Duration = Duration::from_millis(20);
+/// The time for which an endpoint that said it is full gets nothing new.
+const BUSY_PAUSE: Duration = Duration::from_millis(5);
 
 /// The time for which an endpoint's own word that it is leaving counts without any other.
 const LEAVING_PAUSE: Duration = Duration::from_secs(30);
 
 /// The share of its distance to the service's mean that an unused estimate loses in a second.
-const FORGET_SHARE: f64 = 0.2;
+const FORGET_RATE: f64 = 0.2;
 
 /// One request in flight at an endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -144,7 +144,7 @@
     /// Returns the time that a request sent now probably takes here, without the way there.
     pub fn expected_latency(&self, now: TimePoint, service: Duration) -> Duration {
         let idle = now.since(self.heard).as_secs_f64();
-        let share = 1.0 - (1.0 - FORGET_SHARE).powf(idle);
+        let share = (idle * FORGET_RATE).min(1.0);
         let mut estimate = self.latency;
         if estimate.mean().is_zero() {
             estimate.record(service);
--- a/crates/geraniumshed-core/src/request/policy.rs
+++ b/crates/geraniumshed-core/src/request/policy.rs
@@ -12,11 +12,11 @@
     Planned,
     /// By power of two choices over the daemon's own in-flight requests per slot.
     TwoChoices,
-    /// At random.
+    /// At random, without limits or circuit breakers, to compare with.
     Random,
-    /// One after the other.
+    /// One after the other, without limits or circuit breakers, to compare with.
     RoundRobin,
-    /// The fewest of the daemon's own requests in flight per slot.
+    /// The fewest of the daemon's own requests in flight per slot, to compare with.
     LeastInFlight,
 }
 
--- a/crates/geraniumshed-core/src/request/router.rs
+++ b/crates/geraniumshed-core/src/request/router.rs
@@ -129,16 +129,16 @@
                 self.best_of_two(tried, rng, |state| state.has_any_slot(now), price)
             }
             RouteRule::Random => {
-                let all = self.indices_of(tried, |state| state.is_usable(now));
+                let all = self.indices_of(tried, |state| !state.is_leaving(now));
                 pick(&all, rng)
             }
             RouteRule::RoundRobin => {
-                let all = self.indices_of(tried, |state| state.is_usable(now));
+                let all = self.indices_of(tried, |state| !state.is_leaving(now));
                 self.turn += 1;
                 (!all.is_empty()).then(|| all[self.turn % all.len()])
             }
             RouteRule::LeastInFlight => self
-                .candidates(tried, |state| state.is_usable(now))
+                .candidates(tried, |state| !state.is_leaving(now))
                 .min_by(|(_, a), (_, b)| a.load().total_cmp(&b.load()))
                 .map(|(index, _)| index),
         }
--- /dev/null
+++ b/crates/geraniumshed-core/tests/request_dispatcher.rs
@@ -0,0 +1,283 @@
+//! The dispatcher under random interleavings of arrivals, results and passing time.
+
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use geraniumshed_core::request::router::RouteView;
+use geraniumshed_core::request::{
+    AttemptResult, AttemptReturn, DispatchAction, DispatchEvent, DispatchPolicy, EndpointIndex,
+    QueuedRequest, ServiceDispatcher,
+};
+use geraniumshed_model::prelude::*;
+use proptest::prelude::*;
+use rstest::rstest;
+
+const SLOTS: u32 = 2;
+
+fn entry(index: u32) -> EndpointEntry {
+    EndpointEntry {
+        endpoint: EndpointId {
+            task: TaskId {
+                record: "booking".parse().expect("valid"),
+                generation: RecordGeneration(0),
+                index,
+            },
+            attempt: AttemptNumber(1),
+        },
+        service: "booking".parse().expect("valid"),
+        address: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
+        vm: format!("w{index}").parse().expect("valid"),
+        zone: "a".parse().expect("valid"),
+        slots: SlotCount(SLOTS),
+        connections: 60,
+        phase: EndpointPhase::Ready,
+    }
+}
+
+fn view(endpoints: u32) -> RouteView {
+    let own: VmId = "d0".parse().expect("valid");
+    let zone: ZoneName = "a".parse().expect("valid");
+    RouteView {
+        daemons: BTreeMap::from([(own.clone(), zone)]),
+        own,
+        endpoints: (0..endpoints).map(entry).collect(),
+        vms: BTreeMap::new(),
+    }
+}
+
+fn dispatcher(endpoints: u32) -> ServiceDispatcher {
+    let zone = "a".parse().expect("valid");
+    let policy = DispatchPolicy::new(zone, 4, Duration::from_millis(200));
+    let mut dispatcher = ServiceDispatcher::new(policy, 3);
+    dispatcher.update(TimePoint(0), &view(endpoints));
+    dispatcher
+}
+
+fn request(id: u128, now: TimePoint, idempotent: bool) -> QueuedRequest {
+    QueuedRequest {
+        id: RequestId(id),
+        urgency: UrgencyClass::Normal,
+        arrived: now,
+        deadline: now + Duration::from_secs(1),
+        idempotent,
+        replayable: true,
+    }
+}
+
+/// The records of one run, against which the dispatcher's promises are checked.
+#[derive(Default)]
+struct Records {
+    flying: Vec<(RequestId, EndpointIndex)>,
+    touched: BTreeMap<RequestId, u32>,
+    ends: BTreeMap<RequestId, ErrorKind>,
+    answered: BTreeMap<RequestId, u32>,
+}
+
+impl Records {
+    fn act(&mut self, actions: Vec<DispatchAction>, idempotent: bool) {
+        for action in actions {
+            match action {
+                DispatchAction::Send {
+                    request, endpoint, ..
+                } => {
+                    let touched = self.touched.get(&request).copied().unwrap_or(0);
+                    assert!(
+                        idempotent || touched == 0,
+                        "sent again after it may have run"
+                    );
+                    assert!(!self.ends.contains_key(&request), "sent after its end");
+                    self.flying.push((request, endpoint));
+                    let held = self.flying.iter().filter(|(_, e)| *e == endpoint).count();
+                    assert!(held <= SLOTS as usize, "above the slots");
+                }
+                DispatchAction::Wait { .. } => {}
+                DispatchAction::Fail { request, kind, .. } => {
+                    let unrun = kind.answer().outcome == RunOutcome::NotRun;
+                    let touched = self.touched.contains_key(&request);
+                    assert!(!(unrun && touched), "a false not-run");
+                    assert!(self.ends.insert(request, kind).is_none(), "two ends");
+                    assert!(
+                        !self.answered.contains_key(&request),
+                        "failed after its answer"
+                    );
+                }
+            }
+        }
+    }
+}
+
+const RESULTS: [AttemptResult; 8] = [
+    AttemptResult::Answered,
+    AttemptResult::Refused,
+    AttemptResult::Busy,
+    AttemptResult::Leaving,
+    AttemptResult::TimedOut,
+    AttemptResult::Lost,
+    AttemptResult::Truncated,
+    AttemptResult::Mismatched,
+];
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 200,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(11),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn promises_hold_in_any_order(
+        idempotent in any::<bool>(),
+        steps in prop::collection::vec((0_u8..5, any::<u16>(), 0_u64..50_000), 1..120),
+    ) {
+        let mut dispatcher = dispatcher(3);
+        let mut records = Records::default();
+        let mut now = TimePoint(0);
+        let mut sent = 0_u128;
+        for (step, choice, pause) in steps {
+            now = now + Duration::from_micros(pause);
+            let event = match step {
+                0 | 1 => {
+                    sent += 1;
+                    DispatchEvent::Arrived(request(sent, now, idempotent))
+                }
+                2 if !records.flying.is_empty() => {
+                    let index = usize::from(choice) % records.flying.len();
+                    let (id, endpoint) = records.flying.swap_remove(index);
+                    let result = RESULTS[usize::from(choice / 7) % RESULTS.len()];
+                    if !result.is_unrun() {
+                        *records.touched.entry(id).or_default() += 1;
+                    }
+                    if result == AttemptResult::Answered {
+                        *records.answered.entry(id).or_default() += 1;
+                    }
+                    DispatchEvent::Returned(AttemptReturn {
+                        request: id,
+                        endpoint,
+                        result,
+                        in_flight: None,
+                    })
+                }
+                3 => DispatchEvent::HedgeDue(RequestId(u128::from(choice) % (sent + 1))),
+                4 if choice % 3 == 0 => {
+                    DispatchEvent::WaitedOut(RequestId(u128::from(choice) % (sent + 1)))
+                }
+                _ => DispatchEvent::Tick,
+            };
+            let actions = dispatcher.handle(now, event);
+            records.act(actions, idempotent);
+        }
+        prop_assert!(records.ends.len() + records.answered.len() <= usize::try_from(sent).expect("small"));
+    }
+}
+
+#[rstest]
+#[case::refused(AttemptResult::Refused, true)]
+#[case::busy(AttemptResult::Busy, true)]
+#[case::leaving(AttemptResult::Leaving, true)]
+#[case::lost(AttemptResult::Lost, false)]
+#[case::timed_out(AttemptResult::TimedOut, false)]
+#[case::truncated(AttemptResult::Truncated, false)]
+#[case::mismatched(AttemptResult::Mismatched, false)]
+fn a_booking_is_sent_again_only_if_it_did_not_run(
+    #[case] result: AttemptResult,
+    #[case] again: bool,
+) {
+    let mut dispatcher = dispatcher(3);
+    let now = TimePoint(1000);
+    let sent = dispatcher.handle(now, DispatchEvent::Arrived(request(1, now, false)));
+    let [DispatchAction::Send { endpoint, .. }] = sent[..] else {
+        panic!("{sent:?}");
+    };
+    let actions = dispatcher.handle(
+        now,
+        DispatchEvent::Returned(AttemptReturn {
+            request: RequestId(1),
+            endpoint,
+            result,
+            in_flight: None,
+        }),
+    );
+    let resent = actions
+        .iter()
+        .any(|action| matches!(action, DispatchAction::Send { .. }));
+    assert_eq!(resent, again, "{actions:?}");
+}
+
+#[test]
+fn what_cannot_be_served_in_time_is_refused_at_arrival() {
+    let mut dispatcher = dispatcher(1);
+    let now = TimePoint(0);
+    let refused: Vec<_> = (0..20)
+        .flat_map(|id| dispatcher.handle(now, DispatchEvent::Arrived(request(id, now, false))))
+        .filter_map(|action| match action {
+            DispatchAction::Fail {
+                kind, retry_after, ..
+            } => Some((kind, retry_after)),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(
+        refused.len(),
+        20 - 2 - 4,
+        "two slots, four places in the queue"
+    );
+    for (kind, retry_after) in refused {
+        assert_eq!(kind, ErrorKind::Overloaded);
+        assert!(retry_after > Duration::ZERO);
+    }
+}
+
+#[test]
+fn without_endpoints_the_answer_comes_at_once() {
+    let mut dispatcher = dispatcher(0);
+    let now = TimePoint(0);
+    let actions = dispatcher.handle(now, DispatchEvent::Arrived(request(1, now, false)));
+    assert!(matches!(
+        actions[..],
+        [DispatchAction::Fail {
+            kind: ErrorKind::NoEndpoint,
+            ..
+        }]
+    ));
+}
+
+#[test]
+fn an_endpoint_that_refuses_is_left_out_and_tried_again_later() {
+    let mut dispatcher = dispatcher(1);
+    let mut now = TimePoint(0);
+    let mut sends = 0;
+    for id in 0..100 {
+        now = now + Duration::from_millis(5);
+        let actions = dispatcher.handle(now, DispatchEvent::Arrived(request(id, now, false)));
+        for action in actions {
+            if let DispatchAction::Send {
+                request, endpoint, ..
+            } = action
+            {
+                sends += 1;
+                dispatcher.handle(
+                    now,
+                    DispatchEvent::Returned(AttemptReturn {
+                        request,
+                        endpoint,
+                        result: AttemptResult::Refused,
+                        in_flight: None,
+                    }),
+                );
+            }
+        }
+    }
+    assert_eq!(
+        sends, 3,
+        "the breaker opens after three failures for 500 ms"
+    );
+    now = now + Duration::from_millis(600);
+    let actions = dispatcher.handle(now, DispatchEvent::Arrived(request(200, now, false)));
+    assert!(
+        actions
+            .iter()
+            .any(|action| matches!(action, DispatchAction::Send { .. }))
+    );
+}
--- a/crates/geraniumshed/src/bench/mod.rs
+++ b/crates/geraniumshed/src/bench/mod.rs
@@ -1,5 +1,7 @@
 //! Benchmarks, run by `geraniumshed bench NAME`.
 
+pub mod request;
+
 use crate::output::ExitStatus;
 
 /// A benchmark that the command line can run.
@@ -14,4 +16,8 @@
 }
 
 /// All benchmarks.
-pub const BENCHES: &[BenchEntry] = &[];
+pub const BENCHES: &[BenchEntry] = &[BenchEntry {
+    name: "request",
+    summary: "dispatch policy against baselines and an ideal queue (decisions only, no sockets)",
+    run: request::run_command,
+}];
--- /dev/null
+++ b/crates/geraniumshed/src/bench/request/mod.rs
@@ -0,0 +1,14 @@
+//! `bench request`: the request path under load, side by side with baselines.
+
+pub mod ideal;
+pub mod model;
+pub mod plot;
+pub mod policies;
+pub mod profile;
+pub mod run;
+pub mod summary;
+
+pub use self::model::{ModelOptions, ModelReport, RequestEnd, run_model};
+pub use self::profile::{LoadProfile, LoadRequest};
+pub use self::run::{BenchError, RequestBenchOptions, run, run_command};
+pub use self::summary::RunSummary;
