Say overloaded when endpoints stayed full until a request waited out

Cause: since refused requests wait for an own slot, a service whose only endpoint stays full was answered deadline-in-queue (504) instead of overloaded (503); the test of busy endpoints found it. Change: the kind follows from why the request waited. Conclusion: the test passes unchanged.

--- a/crates/geraniumshed-core/src/request/dispatcher.rs
+++ b/crates/geraniumshed-core/src/request/dispatcher.rs
@@ -164,7 +164,13 @@
             return;
         };
         let wait = self.expected_wait(now, request.urgency);
-        self.fail_active(id, ErrorKind::DeadlineInQueue, wait, actions);
+        let bounced = self.active.get(&id).is_some_and(|active| active.bounced);
+        let kind = if bounced {
+            ErrorKind::Overloaded
+        } else {
+            ErrorKind::DeadlineInQueue
+        };
+        self.fail_active(id, kind, wait, actions);
     }
 
     fn on_returned(
