Count repeated appends once in a record's history

Cause: the history replayed every entry of the log, also the second copy of an append whose answer was lost, and showed it as a conflict that never was. The filter that all readers apply now goes before it. Where the log has dropped entries, the replay had no basis and called every publication a conflict; such verdicts are unknown now. A test with repeats, pages and dropped entries covers both; the next generation to replace comes from the configuration itself, also for held records.

--- a/crates/geraniumshed-daemon/src/operator/backend.rs
+++ b/crates/geraniumshed-daemon/src/operator/backend.rs
@@ -36,12 +36,9 @@
     /// Returns the records in force.
     fn config(&self) -> Arc<ConfigState>;
 
-    /// Returns the generation of a record in force, or zero if there is none.
+    /// Returns the generation that the next publication of a record has to replace, or zero.
     fn generation(&self, key: &RecordKey) -> RecordGeneration {
-        let config = self.config();
-        config
-            .record(key)
-            .map_or(RecordGeneration::default(), |record| record.generation)
+        self.config().generation(key)
     }
 
     /// Appends a change and returns the generation in force once its verdict is known.
--- a/crates/geraniumshed-daemon/src/operator/history.rs
+++ b/crates/geraniumshed-daemon/src/operator/history.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use geraniumshed_core::state::{ConfigState, PublishVerdict};
+use geraniumshed_core::state::{ConfigState, EntryFilter, EntryVerdict, PublishVerdict};
 use geraniumshed_model::prelude::{
     ConfigEvent, ErrorKind, LogBatch, LogOffset, LogStream, ProblemError, RecordKey,
 };
@@ -13,6 +13,9 @@
 
 /// Reads all publications of a record that the log still keeps.
 ///
+/// Repeated appends count once, as for every reader. Where the log has dropped entries, nobody can
+/// tell from it which generation was in force, so that the verdicts are `unknown`.
+///
 /// # Errors
 ///
 /// Returns `LogUnavailable` if the log can't be read.
@@ -20,20 +23,21 @@
     log: &L,
     key: &RecordKey,
 ) -> Result<Vec<HistoryEntry>, ProblemError> {
-    let mut state = ConfigState::default();
-    let mut entries = Vec::new();
+    let mut reader = HistoryReader::new(key);
     let mut offset = LogOffset(0);
     loop {
         let page = read_page(log, offset).await?;
+        if page.first > offset {
+            reader.whole = false;
+        }
         for entry in &page.entries {
             offset = entry.offset.next();
-            let Ok(batch) = decode_batch::<ConfigEvent>(&entry.body) else {
-                continue;
-            };
-            append_batch(&mut entries, &mut state, key, entry.offset, &batch);
+            if let Ok(batch) = decode_batch::<ConfigEvent>(&entry.body) {
+                reader.read_batch(entry.offset, &batch);
+            }
         }
         if page.entries.is_empty() || offset >= page.end {
-            return Ok(entries);
+            return Ok(reader.entries);
         }
     }
 }
@@ -55,41 +59,67 @@
     })
 }
 
-fn append_batch(
-    entries: &mut Vec<HistoryEntry>,
-    state: &mut ConfigState,
-    key: &RecordKey,
-    offset: LogOffset,
-    batch: &LogBatch<ConfigEvent>,
-) {
-    for event in &batch.events {
-        let verdict = state.apply(offset, event);
-        let (found, action, schema, replaces) = match event {
-            ConfigEvent::Publish {
-                key,
+/// A reader of the `config` stream that keeps what concerns one record.
+#[derive(Debug)]
+struct HistoryReader<'a> {
+    key: &'a RecordKey,
+    filter: EntryFilter,
+    state: ConfigState,
+    whole: bool,
+    entries: Vec<HistoryEntry>,
+}
+
+impl<'a> HistoryReader<'a> {
+    fn new(key: &'a RecordKey) -> Self {
+        Self {
+            key,
+            filter: EntryFilter::default(),
+            state: ConfigState::default(),
+            whole: true,
+            entries: Vec::new(),
+        }
+    }
+
+    fn read_batch(&mut self, offset: LogOffset, batch: &LogBatch<ConfigEvent>) {
+        if self.filter.judge_shared(offset, batch.mark) != EntryVerdict::Counts {
+            return;
+        }
+        for event in &batch.events {
+            let verdict = self.state.apply(offset, event);
+            let (key, action, schema, replaces) = match event {
+                ConfigEvent::Publish {
+                    key,
+                    schema,
+                    replaces,
+                    ..
+                } => (key, "publish", schema.0, replaces.0),
+                ConfigEvent::Withdraw { key, replaces } => (key, "withdraw", 0, replaces.0),
+                ConfigEvent::Progress { .. } | ConfigEvent::Snapshot(_) => continue,
+            };
+            if key != self.key {
+                continue;
+            }
+            let (verdict, generation) = self.describe(&verdict);
+            self.entries.push(HistoryEntry {
+                offset: offset.0,
+                action: SmolStr::new_static(action),
                 schema,
                 replaces,
-                ..
-            } => (key, "publish", schema.0, replaces.0),
-            ConfigEvent::Withdraw { key, replaces } => (key, "withdraw", 0, replaces.0),
-            ConfigEvent::Progress { .. } | ConfigEvent::Snapshot(_) => continue,
-        };
-        if found != key {
-            continue;
+                verdict: SmolStr::new_static(verdict),
+                generation,
+            });
         }
-        let (verdict, generation) = match verdict {
+    }
+
+    fn describe(&self, verdict: &PublishVerdict) -> (&'static str, u64) {
+        if !self.whole {
+            return ("unknown", 0);
+        }
+        match verdict {
             PublishVerdict::Accepted(generation) => ("accepted", generation.0),
             PublishVerdict::Held(generation) => ("held", generation.0),
             PublishVerdict::Conflict { current, .. } => ("conflict", current.0),
-            PublishVerdict::NotPublished => continue,
-        };
-        entries.push(HistoryEntry {
-            offset: offset.0,
-            action: SmolStr::new_static(action),
-            schema,
-            replaces,
-            verdict: SmolStr::new_static(verdict),
-            generation,
-        });
+            PublishVerdict::NotPublished => ("not published", 0),
+        }
     }
 }
--- a/crates/geraniumshed-daemon/tests/operator/fake.rs
+++ b/crates/geraniumshed-daemon/tests/operator/fake.rs
@@ -1,6 +1,5 @@
 //! A fake daemon behind the operators' interface.
 
-use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
 
 use geraniumshed_core::state::{ConfigState, PublishVerdict};
@@ -13,7 +12,6 @@
 #[derive(Debug, Default)]
 pub struct FakeState {
     pub config: ConfigState,
-    pub generations: BTreeMap<RecordKey, RecordGeneration>,
     pub resolved: Vec<(TaskId, TaskDecision)>,
     pub level: String,
 }
@@ -27,11 +25,6 @@
         Arc::new(self.0.lock().unwrap().config.clone())
     }
 
-    fn generation(&self, key: &RecordKey) -> RecordGeneration {
-        let state = self.0.lock().unwrap();
-        state.generations.get(key).copied().unwrap_or_default()
-    }
-
     async fn change(&self, command: ConfigCommand) -> Result<RecordGeneration, ProblemError> {
         let (key, event) = match command {
             ConfigCommand::Publish {
@@ -59,10 +52,7 @@
         let mut state = self.0.lock().unwrap();
         let offset = state.config.applied();
         match state.config.apply(offset, &event) {
-            PublishVerdict::Accepted(generation) => {
-                state.generations.insert(key, generation);
-                Ok(generation)
-            }
+            PublishVerdict::Accepted(generation) => Ok(generation),
             PublishVerdict::Conflict { current, replaces } => Err(ProblemError::new(
                 ErrorKind::GenerationConflict,
                 format!("`{key}` is at generation {current}, not {replaces}"),
--- a/crates/geraniumshed-daemon/tests/operator/main.rs
+++ b/crates/geraniumshed-daemon/tests/operator/main.rs
@@ -3,3 +3,4 @@
 mod api;
 mod certificates;
 mod fake;
+mod history;
--- a/crates/geraniumshed-wire/src/operator/reply.rs
+++ b/crates/geraniumshed-wire/src/operator/reply.rs
@@ -56,9 +56,9 @@
     pub schema: u16,
     /// The generation that the operator meant to replace.
     pub replaces: u64,
-    /// What became of it: `accepted`, `held` or `conflict`.
+    /// What became of it: `accepted`, `held`, `conflict`, or `unknown` once the log dropped entries.
     pub verdict: SmolStr,
-    /// The generation that was in force afterwards.
+    /// The latest generation afterwards, or zero if it is unknown.
     pub generation: u64,
 }
 
--- a/crates/geraniumshed/src/command/history.rs
+++ b/crates/geraniumshed/src/command/history.rs
@@ -1,5 +1,6 @@
 //! `geraniumshed history`.
 
+use geraniumshed_model::prelude::RecordKind;
 use geraniumshed_wire::operator::HistoryReply;
 use smol_str::format_smolstr;
 
@@ -30,20 +31,22 @@
     })
 }
 
-/// Returns the key that a name stands for.
+/// Returns the key that a name stands for, also if its record is no longer in force.
 async fn find_key(client: &OperatorClient, record: &str) -> Result<String, ClientError> {
     if record.contains('/') {
         return Ok(record.to_owned());
     }
-    let list = client.list(None).await?;
-    let named = list.records.iter().filter(|found| found.name == record);
-    let keys: Vec<String> = named
-        .map(|found| format!("{}/{record}", found.kind))
-        .collect();
+    let mut keys = Vec::new();
+    for kind in RecordKind::all() {
+        let key = format!("{kind}/{record}");
+        if !client.history(&key).await?.entries.is_empty() {
+            keys.push(key);
+        }
+    }
     match keys.as_slice() {
         [key] => Ok(key.clone()),
         [] => Err(ClientError::Settings(format_smolstr!(
-            "no record `{record}` is in force (hint: name a withdrawn one as KIND/NAME)"
+            "no record `{record}` was ever published (hint: see `geraniumshed list`)"
         ))),
         keys => Err(ClientError::Settings(format_smolstr!(
             "`{record}` may be {} (hint: name its kind too)",
