--- a/crates/geraniumshed-daemon/tests/request/support.rs
+++ b/crates/geraniumshed-daemon/tests/request/support.rs
@@ -41,6 +41,8 @@
     Silent,
     /// Closes connections at once.
     Closed,
+    /// Runs, and answers with this many bytes.
+    Large(usize),
 }
 
 /// A running endpoint with a record of what it ran.
@@ -135,7 +137,11 @@
             _ => {}
         }
         self.in_flight.fetch_sub(1, Ordering::SeqCst);
-        Ok(response.body(Full::new(bytes)).expect("valid"))
+        let answer = match fault {
+            EndpointFault::Large(size) => Bytes::from(vec![b'x'; size]),
+            _ => bytes,
+        };
+        Ok(response.body(Full::new(answer)).expect("valid"))
     }
 
     /// Answers by hand with a body that is cut off half-way.
