Let daemons know each other, claim shards and pass requests on

A request that found no connection is not sent; anything else without an answer is lost, and its connection is dropped.

Four daemons over loopback with heartbeats of 100 ms: each runs two of eight shards, a dead one's go to the rest, and one that leaves stops its own before it releases them.

--- a/crates/geraniumshed-core/src/member/mod.rs
+++ b/crates/geraniumshed-core/src/member/mod.rs
@@ -4,14 +4,14 @@
 //! another one claim; a wrong hint costs a handover and nothing else.
 
 pub mod claim_table;
-pub mod identity;
+pub mod leaving_notes;
 pub mod owner_map;
 pub mod ownership_plan;
 pub mod peer_table;
 pub mod spread;
 
 pub use self::claim_table::{ClaimTable, ShardClaim};
-pub use self::identity::{PeerIdentity, PeerReport};
+pub use self::leaving_notes::LeavingNotes;
 pub use self::owner_map::{OwnerMap, ShardOwner};
 pub use self::ownership_plan::{OwnershipPlan, OwnershipTiming, PeerSight};
 pub use self::peer_table::{PeerTable, PeerTiming};
--- a/crates/geraniumshed-core/src/member/ownership_plan.rs
+++ b/crates/geraniumshed-core/src/member/ownership_plan.rs
@@ -4,11 +4,11 @@
 use std::time::Duration;
 
 use geraniumshed_model::prelude::{
-    ClaimEvent, DaemonId, DaemonIncarnation, LogOffset, ShardId, ShardTerm, TimePoint,
+    ClaimEvent, DaemonId, DaemonIncarnation, LogOffset, PeerIdentity, PeerReport, ShardId,
+    ShardTerm, TimePoint,
 };
 
 use super::claim_table::ClaimTable;
-use super::identity::{PeerIdentity, PeerReport};
 use super::owner_map::{OwnerMap, ShardOwner};
 use super::spread::spread_shards;
 use crate::schedule::ShardMap;
--- a/crates/geraniumshed-core/src/member/peer_table.rs
+++ b/crates/geraniumshed-core/src/member/peer_table.rs
@@ -4,9 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use geraniumshed_model::prelude::{DaemonId, DaemonIncarnation, LogOffset, TimePoint};
-
-use super::identity::PeerReport;
+use geraniumshed_model::prelude::{DaemonId, DaemonIncarnation, LogOffset, PeerReport, TimePoint};
 
 /// How often peers are asked, and when they count as dead.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/geraniumshed-core/tests/ownership.rs
+++ b/crates/geraniumshed-core/tests/ownership.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use geraniumshed_core::member::{
-    ClaimTable, OwnershipPlan, OwnershipTiming, PeerIdentity, PeerReport, PeerSight, spread_shards,
+    ClaimTable, OwnershipPlan, OwnershipTiming, PeerSight, spread_shards,
 };
 use geraniumshed_core::schedule::ShardMap;
 use geraniumshed_model::prelude::*;
--- a/crates/geraniumshed-core/tests/peer_table.rs
+++ b/crates/geraniumshed-core/tests/peer_table.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
-use geraniumshed_core::member::{PeerIdentity, PeerReport, PeerTable, PeerTiming};
+use geraniumshed_core::member::{PeerTable, PeerTiming};
 use geraniumshed_model::prelude::*;
 
 fn address(number: usize) -> SocketAddr {
--- a/crates/geraniumshed-daemon/src/lib.rs
+++ b/crates/geraniumshed-daemon/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod clock;
 pub mod log;
 pub mod operator;
+pub mod ownership;
 pub mod peer;
 pub mod request;
 pub mod schedule;
--- /dev/null
+++ b/crates/geraniumshed-daemon/src/peer/link.rs
@@ -0,0 +1,59 @@
+//! Passes requests on to peers.
+
+use std::net::SocketAddr;
+
+use geraniumshed_model::prelude::{DaemonIncarnation, ShardId};
+
+use super::hub::PeerHub;
+use super::pool::{CallError, PeerPool};
+use crate::request::{ForwardAnswer, ForwardError, ForwardRequest, KeyOwner, PeerForwarder};
+use crate::view::OwnershipView;
+
+/// Passes requests on to peers; its clones share their connections.
+#[derive(Debug, Clone)]
+pub struct PeerLink {
+    hub: PeerHub,
+    pool: PeerPool,
+    owners: OwnershipView,
+}
+
+impl PeerLink {
+    /// Opens a link over the connections of a pool.
+    pub fn open(hub: PeerHub, pool: PeerPool, owners: OwnershipView) -> Self {
+        Self { hub, pool, owners }
+    }
+}
+
+impl PeerForwarder for PeerLink {
+    fn issuer(&self, incarnation: DaemonIncarnation) -> Option<SocketAddr> {
+        self.hub.address_of(incarnation)
+    }
+
+    fn owner(&self, shard: ShardId) -> KeyOwner {
+        let owners = self.owners.borrow();
+        if let Some(term) = owners.own_term(shard) {
+            return KeyOwner::Own(term);
+        }
+        owners
+            .owner_address(shard)
+            .map_or(KeyOwner::Nobody, KeyOwner::Peer)
+    }
+
+    async fn forward(
+        &self,
+        peer: SocketAddr,
+        request: ForwardRequest,
+    ) -> Result<ForwardAnswer, ForwardError> {
+        match self.pool.forward(peer, request.into()).await {
+            Ok(answer) => Ok(answer.into()),
+            Err(CallError::NotSent(error)) => {
+                log::debug!("peer {peer} can't be reached: {error}");
+                Err(ForwardError::NotSent)
+            }
+            Err(error) => {
+                log::debug!("peer {peer} did not answer a request: {error}");
+                Err(ForwardError::Lost)
+            }
+        }
+    }
+}
--- a/crates/geraniumshed-daemon/src/view.rs
+++ b/crates/geraniumshed-daemon/src/view.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use geraniumshed_core::member::OwnerMap;
 use geraniumshed_core::state::{ConfigState, EndpointDirectory, VmTable};
 use tokio::sync::watch;
 
@@ -13,3 +14,6 @@
 
 /// The VMs that the platform lists.
 pub type VmView = watch::Receiver<Arc<VmTable>>;
+
+/// Who owns which shard.
+pub type OwnershipView = watch::Receiver<Arc<OwnerMap>>;
--- a/crates/geraniumshed-daemon/tests/state/main.rs
+++ b/crates/geraniumshed-daemon/tests/state/main.rs
@@ -3,3 +3,4 @@
 mod fake_log;
 mod feed;
 mod log_stream;
+mod peers;
--- /dev/null
+++ b/crates/geraniumshed-daemon/tests/state/peers.rs
@@ -0,0 +1,292 @@
+//! Daemons that claim shards and pass requests on to each other over real connections.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use geraniumshed_core::member::{OwnershipTiming, PeerTiming};
+use geraniumshed_core::schedule::ShardMap;
+use geraniumshed_core::state::VmTable;
+use geraniumshed_daemon::clock::ProcessClock;
+use geraniumshed_daemon::log::{LogContext, LogSettings};
+use geraniumshed_daemon::ownership::{OwnershipContext, OwnershipHandle, ShardKeeper, ShardRunner};
+use geraniumshed_daemon::peer::{
+    OwnState, PeerBeat, PeerHub, PeerLink, PeerPool, PeerServer, PeerSettings,
+};
+use geraniumshed_daemon::request::{
+    ForwardAnswer, ForwardError, ForwardRequest, ForwardService, HeaderPair, KeyOwner,
+    PeerForwarder,
+};
+use geraniumshed_daemon::state::ConfigFeed;
+use geraniumshed_model::prelude::*;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep, timeout};
+
+use crate::fake_log::FakeLog;
+
+const SHARDS: u16 = 8;
+
+/// The longest time that any step of these tests may take.
+const LIMIT: Duration = Duration::from_secs(20);
+
+/// Answers with what it was asked.
+#[derive(Clone)]
+struct EchoService;
+
+impl ForwardService for EchoService {
+    async fn serve(&self, request: ForwardRequest) -> ForwardAnswer {
+        if request.target.as_str() == "/silent" {
+            sleep(LIMIT).await;
+        }
+        ForwardAnswer {
+            status: 200,
+            headers: request.headers,
+            body: request.body,
+        }
+    }
+}
+
+/// Counts what runs for the shards.
+struct CountingRunner {
+    running: watch::Sender<usize>,
+}
+
+/// What runs for one shard.
+struct Running(watch::Sender<usize>);
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.0.send_modify(|count| *count -= 1);
+    }
+}
+
+impl ShardRunner for CountingRunner {
+    type Running = Running;
+
+    fn start(&mut self, _: ShardId, _: ShardTerm) -> Running {
+        self.running.send_modify(|count| *count += 1);
+        Running(self.running.clone())
+    }
+
+    fn stop(&mut self, _: ShardId, running: Running) -> impl Future<Output = ()> + Send + 'static {
+        drop(running);
+        std::future::ready(())
+    }
+}
+
+/// One daemon, as far as these tests need it.
+struct Daemon {
+    hub: PeerHub,
+    beat: PeerBeat,
+    ownership: OwnershipHandle,
+    link: PeerLink,
+    server: PeerServer,
+    running: watch::Receiver<usize>,
+    config: ConfigFeed,
+    _keeper: ShardKeeper,
+    _serving: watch::Sender<bool>,
+    _vms: watch::Sender<Arc<VmTable>>,
+}
+
+fn settings() -> PeerSettings {
+    PeerSettings {
+        timing: PeerTiming {
+            beat_interval: Duration::from_millis(100),
+            suspect_after: Duration::from_millis(800),
+        },
+        ..PeerSettings::default()
+    }
+}
+
+fn start(log: &FakeLog, listener: TcpListener, seeds: &[SocketAddr], number: u64) -> Daemon {
+    let clock = ProcessClock::start();
+    let incarnation = DaemonIncarnation(number);
+    let context = LogContext::open(log.clone(), incarnation, LogSettings::default(), clock);
+    let config = ConfigFeed::spawn(&context, clock);
+    let (serving, serving_view) = watch::channel(true);
+    let mut table = VmTable::default();
+    table.apply(clock.now(), Duration::ZERO, true, Vec::new());
+    let (vms, vm_view) = watch::channel(Arc::new(table));
+    let own = OwnState {
+        identity: PeerIdentity {
+            daemon: format!("d-{number}").parse().unwrap(),
+            incarnation,
+            region: "r".parse().unwrap(),
+            zone: "z".parse().unwrap(),
+            address: listener.local_addr().unwrap(),
+        },
+        seeds: seeds.to_vec(),
+        config: config.view(),
+        vms: vm_view,
+        serving: serving_view,
+    };
+    let settings = settings();
+    let hub = PeerHub::open(own, settings.timing, clock);
+    let pool = PeerPool::open(settings.clone());
+    let server = PeerServer::bind(listener, hub.clone(), EchoService, settings.clone()).unwrap();
+    let beat = PeerBeat::spawn(hub.clone(), pool.clone(), &settings);
+    let own = OwnershipContext {
+        hub: hub.clone(),
+        map: ShardMap::new(SHARDS, vec!["r".parse().unwrap()]),
+        timing: OwnershipTiming {
+            settle_time: Duration::from_millis(500),
+            yield_interval: Duration::from_millis(100),
+            ..OwnershipTiming::default()
+        },
+    };
+    let ownership = OwnershipHandle::spawn(&context, own);
+    let (running_sender, running) = watch::channel(0);
+    let runner = CountingRunner {
+        running: running_sender,
+    };
+    Daemon {
+        link: PeerLink::open(hub.clone(), pool, ownership.view()),
+        _keeper: ShardKeeper::spawn(ownership.clone(), runner),
+        hub,
+        beat,
+        ownership,
+        server,
+        running,
+        config,
+        _serving: serving,
+        _vms: vms,
+    }
+}
+
+async fn start_all(log: &FakeLog, count: u64) -> Vec<Daemon> {
+    let mut listeners = Vec::new();
+    for _ in 0..count {
+        listeners.push(TcpListener::bind("127.0.0.1:0").await.unwrap());
+    }
+    let seeds: Vec<_> = listeners.iter().map(|l| l.local_addr().unwrap()).collect();
+    let mut daemons = Vec::new();
+    for (listener, number) in listeners.into_iter().zip(1..) {
+        daemons.push(start(log, listener, &seeds, number));
+    }
+    daemons
+}
+
+/// Waits until a daemon runs a number of shards.
+async fn wait_running(daemon: &Daemon, count: usize) {
+    let mut running = daemon.running.clone();
+    let waited = timeout(LIMIT, running.wait_for(|running| *running == count)).await;
+    let seen = *daemon.running.borrow();
+    waited
+        .unwrap_or_else(|_| panic!("runs {seen} shards instead of {count}"))
+        .unwrap();
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn shards_go_to_live_daemons_and_stop_with_notice() {
+    let log = FakeLog::default();
+    let mut daemons = start_all(&log, 4).await;
+    for daemon in &daemons {
+        wait_running(daemon, 2).await;
+    }
+
+    drop(daemons.remove(0));
+    let sum = async {
+        while daemons.iter().map(|d| *d.running.borrow()).sum::<usize>() < usize::from(SHARDS) {
+            sleep(Duration::from_millis(20)).await;
+        }
+    };
+    timeout(LIMIT, sum).await.unwrap();
+
+    let leaving = daemons.remove(0);
+    timeout(LIMIT, leaving.ownership.leave()).await.unwrap();
+    assert_eq!(*leaving.running.borrow(), 0);
+    for daemon in &daemons {
+        wait_running(daemon, 4).await;
+    }
+}
+
+fn request(target: &str, remaining: Duration) -> ForwardRequest {
+    ForwardRequest {
+        incarnation: Some(DaemonIncarnation(2)),
+        service: "booking".parse().unwrap(),
+        method: "POST".into(),
+        target: target.into(),
+        headers: vec![HeaderPair {
+            name: "traceparent".into(),
+            value: Bytes::from_static(b"00-ff"),
+        }],
+        body: Bytes::from(vec![7; 1_000_000]),
+        remaining: TimeSpan(remaining),
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn requests_are_passed_on_whole() {
+    let log = FakeLog::default();
+    let mut daemons = start_all(&log, 2).await;
+    wait_running(&daemons[0], 4).await;
+    wait_running(&daemons[1], 4).await;
+    let peer = daemons[0].link.issuer(DaemonIncarnation(2)).unwrap();
+    assert_eq!(peer, daemons[1].server.local_addr());
+    let owners: Vec<_> = (0..SHARDS)
+        .map(|shard| daemons[0].link.owner(ShardId(shard)))
+        .collect();
+    let own = owners.iter().filter(|o| matches!(o, KeyOwner::Own(_)));
+    assert_eq!(own.count(), 4, "{owners:?}");
+    assert_eq!(
+        owners
+            .iter()
+            .filter(|o| **o == KeyOwner::Peer(peer))
+            .count(),
+        4
+    );
+
+    let answer = daemons[0].link.forward(peer, request("/", LIMIT)).await;
+    let answer = answer.unwrap();
+    assert_eq!((answer.status, answer.body.len()), (200, 1_000_000));
+    assert_eq!(answer.headers, request("/", LIMIT).headers);
+
+    let begin = Instant::now();
+    let short = Duration::from_millis(200);
+    let silent = daemons[0]
+        .link
+        .forward(peer, request("/silent", short))
+        .await;
+    assert_eq!(silent, Err(ForwardError::Lost));
+    assert!(begin.elapsed() < LIMIT);
+
+    drop(daemons.remove(1));
+    sleep(Duration::from_millis(50)).await;
+    let gone = daemons[0].link.forward(peer, request("/", LIMIT)).await;
+    assert_eq!(gone, Err(ForwardError::NotSent));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn daemons_know_when_a_change_is_in_force_everywhere() {
+    let log = FakeLog::default();
+    let daemons = start_all(&log, 3).await;
+    for daemon in &daemons {
+        let settled = async {
+            while !daemon.hub.is_settled() || daemon.hub.live().len() < 2 {
+                sleep(Duration::from_millis(20)).await;
+            }
+        };
+        timeout(LIMIT, settled).await.unwrap();
+    }
+    let key = RecordKey {
+        kind: RecordKind::Stop,
+        name: "a".parse().unwrap(),
+    };
+    let publisher = daemons[0].config.publisher();
+    let body = RecordBody::Known(RecordSpec::Stop);
+    publisher
+        .publish(key, SchemaVersion::NEW, RecordGeneration(0), body)
+        .await
+        .unwrap();
+    let everywhere = async {
+        while daemons[0].hub.applied_everywhere() < LogOffset(1) {
+            daemons[0].beat.ask_all().await;
+        }
+    };
+    timeout(LIMIT, everywhere).await.unwrap();
+    for daemon in &daemons {
+        assert_eq!(daemon.config.view().borrow().applied(), LogOffset(1));
+    }
+}
--- a/crates/geraniumshed-model/src/lib.rs
+++ b/crates/geraniumshed-model/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod error;
 pub mod event;
 pub mod id;
+pub mod peer;
 pub mod prelude;
 pub mod record;
 pub mod resource;
--- a/crates/geraniumshed-core/src/member/identity.rs
+++ b/crates/geraniumshed-model/src/peer.rs
@@ -2,9 +2,8 @@
 
 use std::net::SocketAddr;
 
-use geraniumshed_model::prelude::{
-    DaemonId, DaemonIncarnation, EndpointId, LogOffset, RegionName, ZoneName,
-};
+use crate::endpoint::EndpointId;
+use crate::id::{DaemonId, DaemonIncarnation, LogOffset, RegionName, ZoneName};
 
 /// Who a daemon is and where it is reached.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
--- a/crates/geraniumshed-model/src/prelude.rs
+++ b/crates/geraniumshed-model/src/prelude.rs
@@ -11,6 +11,7 @@
     LogOffset, ParseIdError, RackName, RecordGeneration, RecordName, RegionName, RequestDigest,
     RequestId, ShardId, ShardTerm, TaskId, TeamName, VmId, WriterMark, ZoneName,
 };
+pub use crate::peer::{PeerIdentity, PeerReport};
 pub use crate::record::{
     BindingSpec, CancelSpec, DrainScope, DrainSpec, JobSpec, OperatorRecord, RecordKey, RecordKind,
     RecordSpec, SchemaVersion, ServiceSpec, TeamSpec,
