--- a/crates/geraniumshed-core/src/schedule/lifecycle.rs
+++ b/crates/geraniumshed-core/src/schedule/lifecycle.rs
@@ -78,10 +78,11 @@
         let worker = self.workers.entry(placement.worker).or_default();
         let rebooted = worker.is_seized() && worker.boot != Some(placement.boot);
         let key = (task.clone(), attempt);
+        let size = spec.as_ref().map_or_else(ResourceSize::default, |s| s.size);
+        // The append seemed to have failed, so that the room may have been given away since.
+        let crowded = !worker.attempts.contains_key(&key) && !worker.has_room(&size);
         let known = worker.attempts.entry(key).or_insert_with(|| {
-            // The append seemed to have failed, so that its room was given away.
             let stage = AttemptStage::Intended;
-            let size = spec.as_ref().map_or_else(ResourceSize::default, |s| s.size);
             WorkerAttempt::new(stage, size, spec, placement.boot, now)
         });
         if known.stage == AttemptStage::Intended {
@@ -90,7 +91,7 @@
         known.unlogged = false;
         let unsent = known.stage == (AttemptStage::Placed { sent: false });
         let rebooted = rebooted && self.settings.rules.check_boot;
-        if unsent && (known.stop.is_some() || rebooted) {
+        if unsent && (known.stop.is_some() || rebooted || crowded) {
             let key = (task.clone(), attempt);
             known.end(
                 &key,
@@ -128,10 +129,12 @@
         if let Some(entry) = self.workers.get_mut(worker) {
             let boot = entry.boot;
             if let Some(known) = entry.attempts.get_mut(&key) {
-                let reported = matches!(&known.stage, AttemptStage::Ended(_));
-                known.stage = AttemptStage::Logged;
-                if !reported || boot != Some(known.boot) {
-                    entry.attempts.remove(&key);
+                if !known.is_held() {
+                    let reported = matches!(&known.stage, AttemptStage::Ended(_));
+                    known.stage = AttemptStage::Logged;
+                    if !reported || boot != Some(known.boot) {
+                        entry.attempts.remove(&key);
+                    }
                 }
             }
         }
--- a/crates/geraniumshed-core/src/schedule/worker_replies.rs
+++ b/crates/geraniumshed-core/src/schedule/worker_replies.rs
@@ -230,8 +230,10 @@
         let Some(known) = worker.attempts.get_mut(&key) else {
             return;
         };
-        if matches!(known.stage, AttemptStage::Ended(_) | AttemptStage::Logged) {
-            return;
+        if !known.is_live() {
+            // It was given up while its worker seemed to be gone.
+            known.stop = Some(StopReason::Orphaned);
+            known.stop_since = now;
         }
         let started = !known.is_held();
         known.observe(running);
@@ -301,7 +303,11 @@
         let fresh = if let Some(known) = worker.attempts.get_mut(&key) {
             let fresh = known.is_live();
             if fresh && known.stage != AttemptStage::Intended {
-                known.stage = AttemptStage::Ended(report.clone());
+                known.stage = if placed {
+                    AttemptStage::Ended(report.clone())
+                } else {
+                    AttemptStage::Logged
+                };
             }
             fresh
         } else {
