--- a/crates/geraniumshed-core/src/schedule/lifecycle.rs
+++ b/crates/geraniumshed-core/src/schedule/lifecycle.rs
@@ -11,7 +11,7 @@
 use super::shard_state::StateChange;
 use super::task_entry::is_replica;
 use super::wanted::TaskGroup;
-use super::worker_entry::{AttemptKey, AttemptStage, StopReason, WorkerAttempt};
+use super::worker_entry::{AttemptKey, AttemptStage, StopReason, UnloggedPlacement, WorkerAttempt};
 
 impl ShardScheduler {
     /// Creates the attempts that the log shows on the shard's workers under earlier owners.
@@ -88,7 +88,7 @@
         if known.stage == AttemptStage::Intended {
             known.stage = AttemptStage::Placed { sent: false };
         }
-        known.unlogged = false;
+        known.unlogged = None;
         let unsent = known.stage == (AttemptStage::Placed { sent: false });
         let rebooted = rebooted && self.settings.rules.check_boot;
         if unsent && (known.stop.is_some() || rebooted || crowded) {
@@ -101,22 +101,92 @@
         self.refresh_task(task);
     }
 
-    /// Drops a placement that the log did not confirm, and gives its room back.
+    /// Takes in that the log did not confirm a placement.
     ///
-    /// A replica's placement is kept and started without the log, since one replica too many
-    /// breaks no promise.
+    /// A replica starts without the log, since one replica too many breaks no promise; its
+    /// placement is given to the log again.
+    pub(super) fn fail_placement(&mut self, task: &TaskId, attempt: AttemptNumber, worker: &VmId) {
+        let key = (task.clone(), attempt);
+        let entry = self.workers.get_mut(worker);
+        match entry.and_then(|entry| entry.attempts.get_mut(&key)) {
+            Some(known) if is_replica(task) && known.is_live() => {
+                known.unlogged = Some(UnloggedPlacement::Waiting);
+            }
+            _ => self.drop_intent(task, attempt, worker),
+        }
+    }
+
+    /// Gives the placements of replicas that started without the log to the log again.
+    pub(super) fn propose_unlogged(&mut self) {
+        for (id, worker) in &mut self.workers {
+            for ((task, attempt), known) in &mut worker.attempts {
+                if known.unlogged != Some(UnloggedPlacement::Waiting) {
+                    continue;
+                }
+                known.unlogged = Some(UnloggedPlacement::Proposed);
+                self.outbox.push(ShardEvent::Placed {
+                    task: task.clone(),
+                    attempt: *attempt,
+                    worker: id.clone(),
+                    boot: known.boot,
+                });
+            }
+        }
+    }
+
+    /// Takes note that the log has settled events of this owner, whether or not they count.
+    pub(super) fn settle_events(&mut self, events: &[ShardEvent]) {
+        for event in events {
+            match event {
+                ShardEvent::Ended { task, attempt, .. } => self.settle_end(task, *attempt),
+                ShardEvent::Placed { task, .. }
+                | ShardEvent::Unknown { task, .. }
+                | ShardEvent::MovedOut { task, .. } => {
+                    self.queue.remove_intent(task);
+                    self.refresh_task(task);
+                }
+                ShardEvent::Opened
+                | ShardEvent::Resolved { .. }
+                | ShardEvent::Cancelled { .. }
+                | ShardEvent::MovedIn { .. }
+                | ShardEvent::Snapshot(_) => {}
+            }
+        }
+    }
+
+    /// Lets go of an attempt whose end the log has, though it never had its placement.
+    fn settle_end(&mut self, task: &TaskId, attempt: AttemptNumber) {
+        let key = (task.clone(), attempt);
+        let entry = self.state.task(task);
+        if entry.is_some_and(|entry| entry.placement(attempt).is_some()) {
+            return;
+        }
+        let workers = self.workers.iter();
+        let mut holders = workers.filter(|(_, worker)| {
+            let known = worker.attempts.get(&key);
+            known.is_some_and(|known| matches!(known.stage, AttemptStage::Ended(_)))
+        });
+        if let Some(id) = holders.next().map(|(id, _)| id.clone()) {
+            self.take_ended(task, attempt, &id);
+        } else {
+            self.queue.remove_intent(task);
+            self.refresh_task(task);
+        }
+    }
+
+    /// Drops a placement that doesn't count, and gives its room back.
     pub(super) fn drop_intent(&mut self, task: &TaskId, attempt: AttemptNumber, worker: &VmId) {
         self.queue.remove_intent(task);
         let key = (task.clone(), attempt);
         if let Some(entry) = self.workers.get_mut(worker) {
             match entry.attempts.get_mut(&key) {
-                Some(known) if is_replica(task) && self.log_retry_at.is_some() => {
-                    known.unlogged = true;
-                }
                 Some(known) if known.stage == AttemptStage::Intended => {
                     entry.attempts.remove(&key);
                 }
-                Some(known) => known.stop = Some(StopReason::Orphaned),
+                Some(known) => {
+                    known.unlogged = None;
+                    known.stop = Some(StopReason::Orphaned);
+                }
                 None => {}
             }
         }
@@ -128,13 +198,13 @@
         let key = (task.clone(), attempt);
         if let Some(entry) = self.workers.get_mut(worker) {
             let boot = entry.boot;
-            if let Some(known) = entry.attempts.get_mut(&key) {
-                if !known.is_held() {
-                    let reported = matches!(&known.stage, AttemptStage::Ended(_));
-                    known.stage = AttemptStage::Logged;
-                    if !reported || boot != Some(known.boot) {
-                        entry.attempts.remove(&key);
-                    }
+            if let Some(known) = entry.attempts.get_mut(&key)
+                && !known.is_held()
+            {
+                let reported = matches!(&known.stage, AttemptStage::Ended(_));
+                known.stage = AttemptStage::Logged;
+                if !reported || boot != Some(known.boot) {
+                    entry.attempts.remove(&key);
                 }
             }
         }
--- a/crates/geraniumshed-core/src/schedule/placement.rs
+++ b/crates/geraniumshed-core/src/schedule/placement.rs
@@ -6,13 +6,13 @@
 
 use geraniumshed_model::prelude::{
     AttemptNumber, RackName, ResourceSize, ShardEvent, TaskId, TaskSpec, TeamName, TimePoint,
-    UrgencyClass, VmId, ZoneName,
+    UrgencyClass, VmId, VmPhase, ZoneName,
 };
 
 use super::scheduler::ShardScheduler;
 use super::settings::PlacementPolicy;
 use super::task_queue::WaitReason;
-use super::wanted::TaskGroup;
+use super::wanted::{TaskGroup, WantedGroup};
 use super::worker_entry::{AttemptStage, WorkerAttempt, WorkerEntry};
 
 /// The largest number of placements in one pass, so that one entry of the log stays small.
@@ -79,6 +79,13 @@
             return (0, false);
         };
         let more = waiting.indices.len() > PLACEMENTS_PER_TURN;
+        let replicas = self.wanted.group(group).is_some_and(is_service);
+        if replicas && !self.knows_inventories(now) {
+            return (0, false);
+        }
+        let Some(waiting) = self.queue.group_mut(group) else {
+            return (0, false);
+        };
         let few = waiting.indices.iter().copied().take(PLACEMENTS_PER_TURN);
         let indices: Vec<_> = few.collect();
         let mut placed = 0;
@@ -110,6 +117,18 @@
         (placed, more)
     }
 
+    /// Tells whether replicas that the log does not show would have been seen by now.
+    ///
+    /// An earlier owner may have started them while the log was down.
+    fn knows_inventories(&self, now: TimePoint) -> bool {
+        let mut listed = self
+            .workers
+            .values()
+            .filter(|worker| worker.phase() != VmPhase::Gone);
+        let waited = now.since(self.opened) >= self.settings.inventory_wait;
+        waited || listed.all(WorkerEntry::is_seized)
+    }
+
     fn note_blocked(&mut self, now: TimePoint, group: &TaskGroup, reason: WaitReason) {
         if let Some(waiting) = self.queue.group_mut(group) {
             waiting.blocked_since.get_or_insert(now);
@@ -240,6 +259,10 @@
     }
 }
 
+fn is_service(wanted: &WantedGroup) -> bool {
+    wanted.template.class.is_latency_critical()
+}
+
 /// Returns a share as a whole number that sorts alike.
 #[expect(
     clippy::cast_possible_truncation,
--- a/crates/geraniumshed-core/src/schedule/scheduler.rs
+++ b/crates/geraniumshed-core/src/schedule/scheduler.rs
@@ -186,6 +186,9 @@
         for change in changes {
             self.take_change(now, change);
         }
+        if own {
+            self.settle_events(&batch.events);
+        }
     }
 
     /// Takes in that entries are missing.
@@ -270,7 +273,7 @@
                     attempt,
                     worker,
                     ..
-                } => self.drop_intent(task, *attempt, worker),
+                } => self.fail_placement(task, *attempt, worker),
                 ShardEvent::Ended { task, attempt, .. } => self.repropose_end(task, *attempt),
                 ShardEvent::MovedOut { task, .. } => self.refresh_task(task),
                 ShardEvent::Cancelled { job, generation } => {
@@ -313,6 +316,7 @@
             self.stop_unwanted(now);
             self.propose_ends();
             if !log_waits {
+                self.propose_unlogged();
                 self.propose_cancels();
                 self.plan(now);
                 self.move_blocked(now);
--- a/crates/geraniumshed-core/src/schedule/settings.rs
+++ b/crates/geraniumshed-core/src/schedule/settings.rs
@@ -18,6 +18,8 @@
     pub end_poll: Duration,
     /// The time that a failed call to a worker waits before it is repeated.
     pub call_retry: Duration,
+    /// The time that a new owner waits for its workers' inventories before it places replicas.
+    pub inventory_wait: Duration,
     /// The age up to which the platform's list of VMs lags.
     pub list_lag: Duration,
     /// The time within which a daemon knows every record that any other daemon knew.
@@ -68,6 +70,7 @@
             active_poll: Duration::from_millis(250),
             end_poll: Duration::from_secs(1),
             call_retry: Duration::from_millis(500),
+            inventory_wait: Duration::from_secs(2),
             list_lag: Duration::from_secs(15),
             config_lag: Duration::from_secs(13),
             drift_margin: Duration::from_secs(3),
--- a/crates/geraniumshed-core/src/schedule/worker_calls.rs
+++ b/crates/geraniumshed-core/src/schedule/worker_calls.rs
@@ -269,7 +269,7 @@
         }
         match self.stage {
             AttemptStage::Placed { .. } => true,
-            AttemptStage::Intended => self.unlogged || !settings.rules.log_before_start,
+            AttemptStage::Intended => self.unlogged.is_some() || !settings.rules.log_before_start,
             AttemptStage::Inherited
             | AttemptStage::Held(_)
             | AttemptStage::Ended(_)
--- a/crates/geraniumshed-core/src/schedule/worker_entry.rs
+++ b/crates/geraniumshed-core/src/schedule/worker_entry.rs
@@ -51,6 +51,15 @@
     Orphaned,
 }
 
+/// How far the placement of a replica is that the log did not confirm.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum UnloggedPlacement {
+    /// The placement has to be given to the log again.
+    Waiting,
+    /// The placement was given to the log again.
+    Proposed,
+}
+
 /// One attempt on a worker.
 #[derive(Debug, Clone)]
 pub struct WorkerAttempt {
@@ -82,8 +91,8 @@
     pub used: Option<ResourceSize>,
     /// When the attempt is expected to end, by the run times of its like.
     pub end_expected: Option<TimePoint>,
-    /// Whether a placement that the log did not confirm may start, as replicas may in an outage.
-    pub unlogged: bool,
+    /// How far a replica's placement is that starts without the log, as replicas may in an outage.
+    pub unlogged: Option<UnloggedPlacement>,
 }
 
 /// The share of its processors that an attempt has without a throttle, in percent.
@@ -113,7 +122,7 @@
             throttle_done: FULL_SHARE_PERCENT,
             used: None,
             end_expected: None,
-            unlogged: false,
+            unlogged: None,
         }
     }
 
--- a/crates/geraniumshed-core/src/schedule/worker_replies.rs
+++ b/crates/geraniumshed-core/src/schedule/worker_replies.rs
@@ -303,7 +303,7 @@
         let fresh = if let Some(known) = worker.attempts.get_mut(&key) {
             let fresh = known.is_live();
             if fresh && known.stage != AttemptStage::Intended {
-                known.stage = if placed {
+                known.stage = if placed || known.unlogged.is_some() {
                     AttemptStage::Ended(report.clone())
                 } else {
                     AttemptStage::Logged
--- /dev/null
+++ b/crates/geraniumshed-core/tests/schedule_faults.rs
@@ -0,0 +1,316 @@
+//! Owners that die, wake late or race, workers that restart or fail, a log that is down: judged on
+//! the workers' own records.
+
+mod schedule_support;
+
+use std::time::Duration;
+
+use geraniumshed_core::schedule::{OwnerStage, SchedulerSettings, ShardInput, TaskPhase};
+use geraniumshed_model::prelude::*;
+use schedule_support::fixture::{job, service, size, task, workers};
+use schedule_support::{FakeCluster, WorkFate, judge_runs};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn started(count: u32, spec: JobSpec) -> FakeCluster {
+    let mut cluster = FakeCluster::new(SchedulerSettings::default(), workers(count));
+    cluster.publish("regrade", RecordSpec::Job(spec));
+    cluster.take_over();
+    cluster.settle();
+    cluster
+}
+
+fn long_job(tasks: u32, processors: u32, idempotent: bool) -> JobSpec {
+    JobSpec {
+        command: "run=30s".into(),
+        ..job(tasks, processors, idempotent)
+    }
+}
+
+fn worker_id(number: u32) -> VmId {
+    format!("worker-{number}").parse().expect("a valid id")
+}
+
+fn phases(cluster: &FakeCluster, tasks: u32) -> Vec<TaskPhase> {
+    let state = cluster.active().state();
+    let entries = (0..tasks).map(|index| state.task(&task("regrade", 1, index)));
+    entries
+        .map(|entry| entry.expect("a known task").phase.clone())
+        .collect()
+}
+
+#[rstest::rstest]
+#[case::killed(true)]
+#[case::paused_and_woken(false)]
+fn next_owner_takes_running_tasks_on(#[case] killed: bool) {
+    let mut cluster = started(2, long_job(8, 2, false));
+    cluster.run(5 * SECOND);
+    cluster.owners[0].alive = false;
+    cluster.run(20 * SECOND);
+    cluster.take_over();
+    cluster.run(2 * SECOND);
+    if !killed {
+        cluster.owners[0].alive = true;
+    }
+    cluster.run(60 * SECOND);
+    assert_eq!(judge_runs(&cluster, false), Vec::<String>::new());
+    assert_eq!(cluster.runs("regrade").len(), 8, "no task ran twice");
+    assert_eq!(phases(&cluster, 8), vec![TaskPhase::Completed; 8]);
+    if !killed {
+        assert_eq!(cluster.owners[0].scheduler.stage(), OwnerStage::Superseded);
+    }
+}
+
+#[test]
+fn owner_that_wakes_confirms_its_term_before_it_starts_anything() {
+    let mut cluster = started(2, long_job(2, 8, false));
+    cluster.run(SECOND);
+    cluster.now = cluster.now + 20 * SECOND;
+    cluster.publish("late", RecordSpec::Job(job(1, 1, true)));
+    assert_eq!(cluster.owners[0].scheduler.stage(), OwnerStage::Suspended);
+    let starts = cluster.pending.iter().any(|work| match &work.action {
+        geraniumshed_core::schedule::ShardAction::Exchange { request, .. } => {
+            !request.commands.is_empty()
+        }
+        _ => false,
+    });
+    assert!(!starts, "a suspended owner commands no worker");
+    cluster.settle();
+    assert_eq!(cluster.owners[0].scheduler.stage(), OwnerStage::Ready);
+}
+
+#[rstest::rstest]
+#[case::may_repeat(true, TaskPhase::Completed)]
+#[case::may_not_repeat(false, TaskPhase::Unknown)]
+fn restarted_worker_loses_its_runs(#[case] idempotent: bool, #[case] expected: TaskPhase) {
+    let mut cluster = started(1, long_job(1, 2, idempotent));
+    cluster.run(5 * SECOND);
+    cluster
+        .workers
+        .get_mut(&worker_id(0))
+        .expect("a worker")
+        .reboot();
+    cluster.run(60 * SECOND);
+    assert_eq!(phases(&cluster, 1), vec![expected]);
+    assert_eq!(judge_runs(&cluster, idempotent), Vec::<String>::new());
+}
+
+#[rstest::rstest]
+#[case::run_again(true, 2)]
+#[case::counts_as_completed(false, 1)]
+fn operator_decides_about_an_unknown_task(#[case] rerun: bool, #[case] runs: usize) {
+    let mut cluster = started(1, long_job(1, 2, false));
+    cluster.run(5 * SECOND);
+    cluster
+        .workers
+        .get_mut(&worker_id(0))
+        .expect("a worker")
+        .reboot();
+    cluster.run(20 * SECOND);
+    let unknown = cluster.active().status().unknown;
+    assert_eq!(unknown, vec![task("regrade", 1, 0)]);
+    let task = unknown[0].clone();
+    cluster.input(0, ShardInput::Resolve { task, rerun });
+    cluster.run(60 * SECOND);
+    assert_eq!(phases(&cluster, 1), vec![TaskPhase::Completed]);
+    assert_eq!(cluster.runs("regrade").len(), runs);
+}
+
+#[test]
+fn worker_that_is_gone_frees_its_tasks_only_after_every_lease() {
+    let mut cluster = started(2, long_job(2, 8, true));
+    cluster.run(2 * SECOND);
+    cluster
+        .workers
+        .get_mut(&worker_id(0))
+        .expect("a worker")
+        .vanish();
+    cluster.run(SECOND);
+    let settings = SchedulerSettings::default();
+    let wait = settings.list_lag + settings.lease + settings.drift_margin;
+    cluster.run(wait.saturating_sub(3 * SECOND));
+    assert_eq!(
+        cluster.runs("regrade").len(),
+        2,
+        "the task waits for the lease to lapse"
+    );
+    cluster.run(60 * SECOND);
+    assert_eq!(phases(&cluster, 2), vec![TaskPhase::Completed; 2]);
+    assert_eq!(judge_runs(&cluster, true), Vec::<String>::new());
+}
+
+#[test]
+fn unreachable_worker_that_is_listed_keeps_its_batch_task() {
+    let mut cluster = started(2, long_job(1, 8, true));
+    cluster.run(2 * SECOND);
+    cluster
+        .workers
+        .get_mut(&worker_id(0))
+        .expect("a worker")
+        .reachable = false;
+    cluster.run(300 * SECOND);
+    assert_eq!(
+        cluster.runs("regrade").len(),
+        1,
+        "nobody knows that it doesn't run"
+    );
+    cluster
+        .workers
+        .get_mut(&worker_id(0))
+        .expect("a worker")
+        .reachable = true;
+    cluster.run(120 * SECOND);
+    assert_eq!(phases(&cluster, 1), vec![TaskPhase::Completed]);
+}
+
+#[test]
+fn log_outage_starts_replicas_and_no_batch_task() {
+    let mut cluster = started(3, long_job(4, 1, false));
+    cluster.run(2 * SECOND);
+    cluster.log_down = true;
+    cluster.publish("bookings", RecordSpec::Service(service(3, 1)));
+    cluster.publish("night", RecordSpec::Job(job(2, 1, false)));
+    cluster.run(30 * SECOND);
+    assert_eq!(cluster.ready_endpoints("bookings").len(), 3);
+    assert_eq!(cluster.runs("night"), Vec::new());
+    // The owner dies within the outage, and the next one waits for the log.
+    cluster.owners[0].alive = false;
+    cluster.take_over();
+    cluster.run(10 * SECOND);
+    assert_eq!(cluster.runs("night"), Vec::new());
+    cluster.log_down = false;
+    cluster.run(90 * SECOND);
+    assert_eq!(cluster.runs("night").len(), 2);
+    assert_eq!(
+        cluster.runs("bookings").len(),
+        3,
+        "running replicas are taken on"
+    );
+    assert_eq!(judge_runs(&cluster, false), Vec::<String>::new());
+    assert_eq!(phases(&cluster, 4), vec![TaskPhase::Completed; 4]);
+}
+
+#[test]
+fn lost_start_answer_runs_the_task_once() {
+    let mut cluster = started(1, long_job(1, 2, false));
+    let start = |work: &schedule_support::PendingWork| match &work.action {
+        geraniumshed_core::schedule::ShardAction::Exchange { request, .. } => {
+            !request.commands.is_empty()
+        }
+        _ => false,
+    };
+    cluster.publish("second", RecordSpec::Job(long_job(1, 2, false)));
+    while !cluster.pending.iter().any(start) {
+        if !cluster.pending.is_empty() {
+            cluster.perform(0, WorkFate::Done);
+        } else if !cluster.read_next(0) {
+            cluster.now = cluster.now + SECOND / 10;
+            cluster.input(0, ShardInput::Tick);
+        }
+    }
+    let index = cluster.pending.iter().position(start).expect("a start");
+    cluster.perform(index, WorkFate::AnswerLost);
+    cluster.run(60 * SECOND);
+    assert_eq!(cluster.runs("second").len(), 1);
+    assert_eq!(judge_runs(&cluster, false), Vec::<String>::new());
+}
+
+#[test]
+fn urgent_task_preempts_and_starts_within_its_bound() {
+    let mut cluster = started(
+        2,
+        JobSpec {
+            command: "run=600s".into(),
+            ..job(8, 2, true)
+        },
+    );
+    cluster.run(5 * SECOND);
+    let published = cluster.now;
+    cluster.publish(
+        "rush",
+        RecordSpec::Job(JobSpec {
+            urgency: UrgencyClass::Urgent,
+            ..job(1, 4, true)
+        }),
+    );
+    cluster.run(3 * SECOND);
+    let runs = cluster.runs("rush");
+    let first = runs.first().expect("the urgent task started");
+    let latency = first.begin.since(published);
+    assert!(latency <= Duration::from_millis(1_100), "{latency:?}");
+    assert_eq!(
+        cluster.active().status().counters.preempted,
+        2,
+        "no more than needed"
+    );
+    assert_eq!(judge_runs(&cluster, true), Vec::<String>::new());
+}
+
+#[test]
+fn worker_that_fails_everything_is_quarantined_and_probed() {
+    let mut cluster = FakeCluster::new(SchedulerSettings::default(), workers(2));
+    cluster
+        .workers
+        .get_mut(&worker_id(0))
+        .expect("a worker")
+        .fails_starts = true;
+    for number in 0..6 {
+        cluster.publish(&format!("job-{number}"), RecordSpec::Job(job(2, 1, false)));
+    }
+    cluster.take_over();
+    cluster.run(30 * SECOND);
+    let status = cluster.active().status();
+    assert!(status.workers[0].quarantined, "{:?}", status.workers);
+    for number in 0..6 {
+        assert_eq!(cluster.runs(&format!("job-{number}")).len(), 2);
+    }
+    cluster
+        .workers
+        .get_mut(&worker_id(0))
+        .expect("a worker")
+        .fails_starts = false;
+    cluster.run(60 * SECOND);
+    cluster.publish("probe", RecordSpec::Job(job(12, 1, false)));
+    cluster.run(30 * SECOND);
+    let status = cluster.active().status();
+    assert!(!status.workers[0].quarantined, "the probe went well");
+}
+
+#[test]
+fn team_stays_within_its_quota_and_shares_by_weight() {
+    let mut cluster = FakeCluster::new(SchedulerSettings::default(), workers(4));
+    let team = |quota, weight| {
+        RecordSpec::Team(TeamSpec {
+            quota: size(quota, 1_000),
+            weight,
+            rate: None,
+        })
+    };
+    cluster.publish("atelier", team(6, 1));
+    let endless = JobSpec {
+        command: "run=600s".into(),
+        ..job(40, 1, true)
+    };
+    cluster.publish("regrade", RecordSpec::Job(endless.clone()));
+    for (name, weight) in [("heavy", 3), ("light", 1)] {
+        cluster.publish(name, team(1_000, weight));
+        let team = name.parse().expect("a valid name");
+        let spec = JobSpec {
+            team,
+            ..endless.clone()
+        };
+        cluster.publish(&format!("{name}-job"), RecordSpec::Job(spec));
+    }
+    cluster.take_over();
+    cluster.run(10 * SECOND);
+    assert_eq!(cluster.runs("regrade").len(), 6);
+    let (heavy, light) = (
+        cluster.runs("heavy-job").len(),
+        cluster.runs("light-job").len(),
+    );
+    assert_eq!(heavy + light, 26, "the rest of 32 processors is shared");
+    assert!(
+        (17..=21).contains(&heavy),
+        "three quarters go to the heavy team: {heavy}"
+    );
+}
--- a/crates/geraniumshed-core/tests/schedule_property.rs
+++ b/crates/geraniumshed-core/tests/schedule_property.rs
@@ -159,10 +159,16 @@
     cluster.run_by(Duration::from_secs(400), Duration::from_millis(500));
 }
 
+/// Returns a number from the environment, for longer runs by hand.
+fn env_number<N: std::str::FromStr>(name: &str, usual: N) -> N {
+    let text = std::env::var(name).ok();
+    text.and_then(|text| text.parse().ok()).unwrap_or(usual)
+}
+
 proptest! {
     #![proptest_config(Config {
-        cases: 160,
-        rng_seed: RngSeed::Fixed(17),
+        cases: env_number("SCHEDULE_CASES", 160),
+        rng_seed: RngSeed::Fixed(env_number("SCHEDULE_SEED", 17)),
         failure_persistence: None,
         max_shrink_iters: 400,
         ..Config::default()
--- a/crates/geraniumshed-core/tests/schedule_support/fake_worker.rs
+++ b/crates/geraniumshed-core/tests/schedule_support/fake_worker.rs
@@ -388,8 +388,15 @@
             .values()
             .fold(size, |sum, run| sum.plus(&run.size));
         if !held.fits(&self.vm.size) {
-            let live: Vec<_> = self.live.keys().map(|(task, n)| format!("{task}@{n}")).collect();
-            let fault = format!("{} is over its size by {} beside {live:?}", self.vm.vm, spec.task);
+            let live: Vec<_> = self
+                .live
+                .keys()
+                .map(|(task, n)| format!("{task}@{n}"))
+                .collect();
+            let fault = format!(
+                "{} is over its size by {} beside {live:?}",
+                self.vm.vm, spec.task
+            );
             self.faults.push(fault);
         }
         let local = self.live.keys().any(|(task, _)| *task == spec.task);
--- a/crates/geraniumshed-core/tests/schedule_support/mod.rs
+++ b/crates/geraniumshed-core/tests/schedule_support/mod.rs
@@ -13,7 +13,8 @@
 use std::time::Duration;
 
 use geraniumshed_core::schedule::{
-    OwnerStage, SchedulerSettings, ShardAction, ShardInput, ShardScheduler, ShardState, TaskPhase, WorkerFault,
+    OwnerStage, SchedulerSettings, ShardAction, ShardInput, ShardScheduler, ShardState, TaskPhase,
+    WorkerFault,
 };
 use geraniumshed_core::state::{ConfigState, EndpointDirectory, VmTable};
 use geraniumshed_model::prelude::*;
@@ -442,9 +443,7 @@
             let goes_on = match &pair[0].outcome {
                 Some(TaskOutcome::Stopped {
                     checkpoint: Some(checkpoint),
-                }) => {
-                    idempotent || fake_worker::resume_point(checkpoint) == pair[1].resumed_at
-                }
+                }) => idempotent || fake_worker::resume_point(checkpoint) == pair[1].resumed_at,
                 // A worker that restarts before its owner logged the end takes the end with it.
                 Some(
                     TaskOutcome::Completed
