--- a/crates/geraniumshed-daemon/src/settings/parts.rs
+++ b/crates/geraniumshed-daemon/src/settings/parts.rs
@@ -111,6 +111,7 @@
     let active_poll = reader.span("active_poll", default.active_poll);
     let end_poll = reader.span("end_poll", default.end_poll);
     let call_retry = reader.span("call_retry", default.call_retry);
+    let inventory_wait = reader.span("inventory_wait", default.inventory_wait);
     let list_lag = reader.span("list_lag", default.list_lag);
     let config_lag = reader.span("config_lag", default.config_lag);
     let drift_margin = reader.span("drift_margin", default.drift_margin);
@@ -143,6 +144,7 @@
         active_poll: active_poll?,
         end_poll: end_poll?,
         call_retry: call_retry?,
+        inventory_wait: inventory_wait?,
         list_lag: list_lag?,
         config_lag: config_lag?,
         drift_margin: drift_margin?,
