--- a/crates/geraniumshed-core/src/schedule/placement.rs
+++ b/crates/geraniumshed-core/src/schedule/placement.rs
@@ -150,7 +150,8 @@
         let candidates = self.workers.iter().filter(|(id, worker)| {
             worker.is_placeable() && self.accepts(now, id) && worker.has_room(&size)
         });
-        let candidates = candidates.filter(|(_, worker)| !holds_task(worker, &spec.task));
+        let candidates = candidates
+            .filter(|(id, worker)| !holds_task(worker, &spec.task) && !self.avoids(now, id, spec));
         let best = match self.settings.policy {
             PlacementPolicy::FirstFit => candidates.map(|(id, _)| id).next(),
             PlacementPolicy::Scored => {
--- a/crates/geraniumshed-core/src/schedule/scheduler.rs
+++ b/crates/geraniumshed-core/src/schedule/scheduler.rs
@@ -23,6 +23,7 @@
 use super::usage_book::UsageBook;
 use super::wanted::{TaskGroup, WantedTasks};
 use super::worker_entry::WorkerEntry;
+use super::worker_health::FailureTable;
 use crate::state::VmTable;
 
 /// How far the owner of a shard has come.
@@ -55,6 +56,7 @@
     pub(super) interference: InterferenceTable,
     pub(super) quotas: QuotaTable,
     pub(super) preemption: PreemptionTable,
+    pub(super) failures: FailureTable,
     pub(super) endpoints: EndpointFeed,
     pub(super) progress: ProgressFeed,
     pub(super) counters: ShardCounters,
@@ -95,6 +97,7 @@
             interference: InterferenceTable::default(),
             quotas: QuotaTable::default(),
             preemption: PreemptionTable::default(),
+            failures: FailureTable::default(),
             endpoints: EndpointFeed::default(),
             progress: ProgressFeed::default(),
             counters: ShardCounters::default(),
--- a/crates/geraniumshed-core/src/schedule/worker_health.rs
+++ b/crates/geraniumshed-core/src/schedule/worker_health.rs
@@ -1,8 +1,8 @@
 //! Workers that fail the starts of several different jobs: quarantine and probes.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
-use geraniumshed_model::prelude::{RecordName, TaskId, TimePoint, VmId};
+use geraniumshed_model::prelude::{RecordName, TaskId, TaskSpec, TimePoint, VmId};
 
 use super::scheduler::ShardScheduler;
 use super::worker_entry::WorkerAttempt;
@@ -37,10 +37,50 @@
     }
 }
 
+/// The workers on which attempts of a task failed under the present owner.
+#[derive(Debug, Clone, Default)]
+pub struct FailureTable {
+    workers: BTreeMap<TaskId, BTreeSet<VmId>>,
+}
+
+impl FailureTable {
+    /// Takes in that an attempt of a task failed on a worker.
+    fn note(&mut self, task: &TaskId, worker: &VmId) {
+        let workers = self.workers.entry(task.clone()).or_default();
+        workers.insert(worker.clone());
+    }
+
+    /// Forgets a task that has ended.
+    pub fn forget(&mut self, task: &TaskId) {
+        self.workers.remove(task);
+    }
+
+    /// Tells whether an attempt of a task failed on a worker.
+    fn has_failed(&self, task: &TaskId, worker: &VmId) -> bool {
+        let workers = self.workers.get(task);
+        workers.is_some_and(|workers| workers.contains(worker))
+    }
+}
+
 impl ShardScheduler {
+    /// Tells whether a task should wait for another worker, since it failed on this one.
+    ///
+    /// Else a worker that fails everything, which always has room, would use up a task's attempts.
+    pub(super) fn avoids(&self, now: TimePoint, id: &VmId, spec: &TaskSpec) -> bool {
+        if !self.failures.has_failed(&spec.task, id) {
+            return false;
+        }
+        self.workers.iter().any(|(other, worker)| {
+            let fresh = !self.failures.has_failed(&spec.task, other);
+            let usable = worker.is_placeable() && self.accepts(now, other);
+            fresh && usable && spec.size.fits(&worker.size)
+        })
+    }
+
     /// Takes in that an attempt on a worker failed or could not start.
     pub(super) fn note_start_failure(&mut self, now: TimePoint, id: &VmId, task: &TaskId) {
         let limit = self.settings.quarantine_jobs;
+        self.failures.note(task, id);
         if let Some(worker) = self.workers.get_mut(id) {
             worker.health.note_failure(now, &task.record, limit);
         }
--- a/crates/geraniumshed-core/src/schedule/worker_replies.rs
+++ b/crates/geraniumshed-core/src/schedule/worker_replies.rs
@@ -333,6 +333,9 @@
             self.note_start_failure(now, id, &key.0);
         } else {
             self.note_start_success(id);
+            if ended.outcome == TaskOutcome::Completed {
+                self.failures.forget(&key.0);
+            }
         }
         self.plan_due = true;
     }
--- a/crates/geraniumshed-core/tests/schedule_faults.rs
+++ b/crates/geraniumshed-core/tests/schedule_faults.rs
@@ -314,3 +314,15 @@
         "three quarters go to the heavy team: {heavy}"
     );
 }
+
+#[test]
+fn failing_worker_uses_up_no_task() {
+    let mut cluster = FakeCluster::new(SchedulerSettings::default(), workers(3));
+    let bad = cluster.workers.get_mut(&worker_id(0)).expect("a worker");
+    bad.fails_runs = true;
+    cluster.publish("regrade", RecordSpec::Job(job(24, 2, true)));
+    cluster.take_over();
+    cluster.run(120 * SECOND);
+    let name: RecordName = "regrade".parse().expect("a valid name");
+    assert_eq!(cluster.progress.get(&name), Some(&(24, 0)));
+}
--- a/crates/geraniumshed-core/tests/schedule_support/fake_worker.rs
+++ b/crates/geraniumshed-core/tests/schedule_support/fake_worker.rs
@@ -50,6 +50,8 @@
     pub faults: Vec<String>,
     /// Whether the worker refuses all starts.
     pub fails_starts: bool,
+    /// Whether everything that the worker runs fails at once.
+    pub fails_runs: bool,
     /// Whether stopped tasks write a checkpoint.
     pub checkpoints: bool,
     /// The latency that replicas on this worker report, by the load of their neighbours.
@@ -74,6 +76,7 @@
             runs: Vec::new(),
             faults: Vec::new(),
             fails_starts: false,
+            fails_runs: false,
             checkpoints: true,
             latency: None,
             live: BTreeMap::new(),
@@ -378,6 +381,10 @@
             throttle: 100,
         };
         self.live.insert(key.clone(), run);
+        if self.fails_runs {
+            let reason = "the disk is full".into();
+            self.end(&key, now, TaskOutcome::Failed { reason });
+        }
         self.changed.push(key);
         CommandResult::Done
     }
