Join the parts into one daemon, and try all promises in one process

Cause: the request path, the scheduler, the log and the peers stood side by side; nothing served a request or ran a job from end to end. Change: the daemon's wiring (node), `run` with a graceful stop on SIGTERM, and `dev`, which runs the stand-ins and three daemons over loopback TCP. The stand-ins' command says whether a service's requests are idempotent; without that, hedged quotes counted as doubled. Before: no path.

--- a/crates/geraniumshed-core/src/member/mod.rs
+++ b/crates/geraniumshed-core/src/member/mod.rs
@@ -14,5 +14,5 @@
 pub use self::leaving_notes::LeavingNotes;
 pub use self::owner_map::{OwnerMap, ShardOwner};
 pub use self::ownership_plan::{OwnershipPlan, OwnershipTiming, PeerSight};
-pub use self::peer_table::{PeerTable, PeerTiming};
+pub use self::peer_table::{PeerSighting, PeerTable, PeerTiming};
 pub use self::spread::spread_shards;
--- a/crates/geraniumshed-core/src/member/peer_table.rs
+++ b/crates/geraniumshed-core/src/member/peer_table.rs
@@ -25,6 +25,17 @@
     }
 }
 
+/// What operators see of one peer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PeerSighting {
+    /// The peer's last report.
+    pub report: PeerReport,
+    /// Whether the peer seems alive.
+    pub alive: bool,
+    /// The time since the first heartbeat that got no answer, or zero.
+    pub silent: Duration,
+}
+
 /// What is known of one peer.
 #[derive(Debug, Clone, Default)]
 struct PeerEntry {
@@ -129,6 +140,19 @@
             .filter_map(|peer| peer.report.as_ref())
     }
 
+    /// Returns what is known of each peer that has ever answered, alive or not.
+    pub fn sightings(&self, now: TimePoint) -> impl Iterator<Item = PeerSighting> {
+        self.peers.values().filter_map(move |peer| {
+            Some(PeerSighting {
+                report: peer.report.clone()?,
+                alive: !peer.is_suspected(self.timing, now),
+                silent: peer
+                    .missed
+                    .map_or(Duration::ZERO, |missed| now.since(missed)),
+            })
+        })
+    }
+
     /// Returns the address of an incarnation that seems alive.
     pub fn address_of(&self, incarnation: DaemonIncarnation, now: TimePoint) -> Option<SocketAddr> {
         self.live(now)
--- a/crates/geraniumshed-daemon/src/lib.rs
+++ b/crates/geraniumshed-daemon/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod clock;
 pub mod log;
+pub mod node;
 pub mod operator;
 pub mod ownership;
 pub mod peer;
--- a/crates/geraniumshed-daemon/src/log/context.rs
+++ b/crates/geraniumshed-daemon/src/log/context.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 
 use bytes::Bytes;
 use geraniumshed_core::state::{AppendBudget, RetryDelay};
@@ -38,6 +39,8 @@
     append_bytes: AtomicU64,
     reads: AtomicU64,
     read_bytes: AtomicU64,
+    /// The point of time of the last call that succeeded, in microseconds.
+    answered: AtomicU64,
 }
 
 impl<L: LogClient> LogContext<L> {
@@ -60,6 +63,7 @@
             append_bytes: AtomicU64::new(0),
             reads: AtomicU64::new(0),
             read_bytes: AtomicU64::new(0),
+            answered: AtomicU64::new(0),
         })
     }
 
@@ -88,6 +92,16 @@
         self.clock.now()
     }
 
+    /// Returns the time since the last call that succeeded.
+    pub fn silence(&self) -> Duration {
+        let answered = TimePoint(self.answered.load(Ordering::Relaxed));
+        self.clock.now().since(answered)
+    }
+
+    fn note_answer(&self) {
+        self.answered.store(self.clock.now().0, Ordering::Relaxed);
+    }
+
     /// Waits until the daemon may send one more append.
     pub(super) async fn append_turn(&self) {
         let wait = self
@@ -126,7 +140,9 @@
         self.appends.fetch_add(1, Ordering::Relaxed);
         let length = u64::try_from(body.len()).unwrap_or(u64::MAX);
         self.append_bytes.fetch_add(length, Ordering::Relaxed);
-        self.client.append(stream, body).await
+        let offset = self.client.append(stream, body).await?;
+        self.note_answer();
+        Ok(offset)
     }
 
     /// Reads a page once, waiting for the first entry.
@@ -138,6 +154,7 @@
     ) -> Result<LogPage, PlatformError> {
         self.reads.fetch_add(1, Ordering::Relaxed);
         let page = self.client.read(stream, from, wait).await?;
+        self.note_answer();
         let length: usize = page.entries.iter().map(|entry| entry.body.len()).sum();
         let length = u64::try_from(length).unwrap_or(u64::MAX);
         self.read_bytes.fetch_add(length, Ordering::Relaxed);
--- a/crates/geraniumshed-daemon/src/operator/serve.rs
+++ b/crates/geraniumshed-daemon/src/operator/serve.rs
@@ -7,7 +7,7 @@
 use geraniumshed_model::prelude::{ErrorKind, ProblemError, TaskId};
 use geraniumshed_wire::operator::{LevelRequest, MetricValue, ResolveRequest};
 use http::{HeaderMap, Method, StatusCode};
-use log::{info, warn};
+use log::{Level, info, log};
 use serde::de::DeserializeOwned;
 use smol_str::format_smolstr;
 
@@ -21,6 +21,9 @@
 use super::route::OperatorRoute;
 use crate::settings::OperatorSettings;
 
+/// The status from which on an error is the daemon's own.
+const INTERNAL_STATUS: u16 = 500;
+
 /// What all requests share.
 #[derive(Debug, Clone)]
 pub(super) struct OperatorContext<B> {
@@ -54,7 +57,19 @@
             reply
         }
         Err(error) => {
-            warn!("operator: {} {}: {error}", request.method, request.path);
+            // An operator who asks for what is not there needs no one's attention.
+            let is_own_fault = error.kind.answer().status >= INTERNAL_STATUS;
+            let level = if is_own_fault {
+                Level::Warn
+            } else {
+                Level::Info
+            };
+            log!(
+                level,
+                "operator: {} {}: {error}",
+                request.method,
+                request.path
+            );
             OperatorReply::from(&error)
         }
     }
--- a/crates/geraniumshed-daemon/src/peer/hub.rs
+++ b/crates/geraniumshed-daemon/src/peer/hub.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use geraniumshed_core::member::{LeavingNotes, PeerTable, PeerTiming};
+use geraniumshed_core::member::{LeavingNotes, PeerSighting, PeerTable, PeerTiming};
 use geraniumshed_model::prelude::{
     DaemonId, DaemonIncarnation, EndpointId, LogOffset, PeerIdentity, PeerReport, TimePoint,
     VmPhase, VmRole,
@@ -82,6 +82,11 @@
         self.table().live(self.now()).cloned().collect()
     }
 
+    /// Returns what is known of each peer that has ever answered, alive or not.
+    pub fn sightings(&self) -> Vec<PeerSighting> {
+        self.table().sightings(self.now()).collect()
+    }
+
     /// Returns the peer interface of an incarnation that seems alive.
     pub fn address_of(&self, incarnation: DaemonIncarnation) -> Option<SocketAddr> {
         if incarnation == self.identity().incarnation {
--- a/crates/geraniumshed-daemon/src/request/listener.rs
+++ b/crates/geraniumshed-daemon/src/request/listener.rs
@@ -47,6 +47,18 @@
     served: tokio::task::JoinHandle<()>,
 }
 
+/// A reader of the request path's counters.
+#[derive(Debug, Clone)]
+pub struct StatusReader(Arc<EntryShared>);
+
+impl StatusReader {
+    /// Returns a snapshot of the counters.
+    pub fn status(&self) -> EntryStatus {
+        let draining = self.0.draining.load(Ordering::Relaxed);
+        EntryStatus::read(&self.0.counters, draining)
+    }
+}
+
 impl EntryListener {
     /// Binds the listener and starts serving callers.
     ///
@@ -94,8 +106,12 @@
 
     /// Returns a snapshot of the counters.
     pub fn status(&self) -> EntryStatus {
-        let draining = self.shared.draining.load(Ordering::Relaxed);
-        EntryStatus::read(&self.shared.counters, draining)
+        self.status_reader().status()
+    }
+
+    /// Returns a reader of the counters that outlives the handle.
+    pub fn status_reader(&self) -> StatusReader {
+        StatusReader(Arc::clone(&self.shared))
     }
 
     /// Returns what takes the requests that peers pass on.
--- a/crates/geraniumshed-daemon/src/request/mod.rs
+++ b/crates/geraniumshed-daemon/src/request/mod.rs
@@ -29,7 +29,7 @@
     PeerForwarder,
 };
 pub use self::key_log::{KeyEntry, KeyLog, KeyLogError, KeyPage};
-pub use self::listener::{EntryHandle, EntryListener};
+pub use self::listener::{EntryHandle, EntryListener, StatusReader};
 pub use self::passing::PeerEntry;
 pub use self::settings::EntrySettings;
 pub use self::status::EntryStatus;
--- a/crates/geraniumshed-standin/src/command.rs
+++ b/crates/geraniumshed-standin/src/command.rs
@@ -11,6 +11,7 @@
 //! | `spread` | `0` to `1` | service | the part of that time that is drawn by chance |
 //! | `answer` | a size, such as `1KB` | service | the padding of each answer |
 //! | `queue` | a number | service | the requests that wait for a slot |
+//! | `idempotent` | `yes` or `no` | service | whether a second run of any request does no harm |
 //! | `linger` | a span | service | the time for which an idle endpoint stays before it stops |
 //! | `start` | a span | both | the time until the attempt works |
 //! | `use` | `0%` to `400%` | both | the processors used, relative to the declared size |
@@ -44,6 +45,8 @@
     pub answer: usize,
     /// The requests that wait for a slot, or `None` for as many as there are slots.
     pub queue: Option<usize>,
+    /// Whether a second run of a request of any method does no harm.
+    pub idempotent: bool,
     /// The time for which an idle endpoint stays before it stops.
     pub linger: Duration,
     /// The time until the attempt works.
@@ -64,6 +67,7 @@
             spread: 0.0,
             answer: 0,
             queue: None,
+            idempotent: false,
             linger: Duration::from_millis(500),
             start: Duration::from_millis(10),
             use_percent: 80,
@@ -106,6 +110,7 @@
             "spread" => self.spread = parse_share(name, value)?,
             "answer" => self.answer = parse_length(name, value)?,
             "queue" => self.queue = Some(parse_number(name, value, QUEUE_LIMIT)?),
+            "idempotent" => self.idempotent = parse_switch(name, value)?,
             "linger" => self.linger = parse_span(name, value)?,
             "start" => self.start = parse_span(name, value)?,
             "use" => self.use_percent = parse_percent(name, value)?,
@@ -136,6 +141,16 @@
     Ok(span.0)
 }
 
+fn parse_switch(name: &str, value: &str) -> Result<bool, SmolStr> {
+    match value {
+        "yes" => Ok(true),
+        "no" => Ok(false),
+        _ => Err(format_smolstr!(
+            "`{name}={value}` is neither `yes` nor `no`"
+        )),
+    }
+}
+
 fn parse_share(name: &str, value: &str) -> Result<f64, SmolStr> {
     match value.parse::<f64>() {
         Ok(share) if (0.0..=1.0).contains(&share) => Ok(share),
--- a/crates/geraniumshed/src/client/operator.rs
+++ b/crates/geraniumshed/src/client/operator.rs
@@ -4,6 +4,7 @@
 use std::fs;
 use std::time::Duration;
 
+use geraniumshed_daemon::settings::OperatorSecret;
 use geraniumshed_wire::operator::{
     ClusterStatus, HistoryReply, LevelRequest, ProblemDocument, PublishReply, RecordList,
     ResolveRequest, TaskDecision,
@@ -33,6 +34,8 @@
     pub url: Option<String>,
     /// The file of the operators' secret.
     pub secret_file: Option<String>,
+    /// The operators' secret itself, which goes before the file.
+    pub secret: Option<OperatorSecret>,
     /// The file of the authority that signed the daemons' certificates, in PEM.
     pub authority: Option<String>,
     /// The file of the operator's certificate and key, in PEM.
@@ -259,6 +262,9 @@
 }
 
 fn client_secret(settings: &ClientSettings) -> Result<Option<SmolStr>, ClientError> {
+    if let Some(secret) = &settings.secret {
+        return Ok(Some(SmolStr::new(secret.expose())));
+    }
     let Some(path) = &settings.secret_file else {
         return Ok(env::var(SECRET_VARIABLE).ok().map(SmolStr::new));
     };
--- a/crates/geraniumshed/src/command/arguments.rs
+++ b/crates/geraniumshed/src/command/arguments.rs
@@ -50,6 +50,7 @@
                     secret_file: self.secret_file.clone(),
                     authority: self.authority.clone(),
                     identity: self.identity.clone(),
+                    secret: None,
                 }
             }
 
--- a/crates/geraniumshed/src/command/dev.rs
+++ b/crates/geraniumshed/src/command/dev.rs
@@ -1,7 +1,12 @@
 //! `geraniumshed dev`.
 
+use geraniumshed_daemon::settings::TelemetrySettings;
+use geraniumshed_standin::truth::PromiseReport;
 use gumdrop::Options;
+use smol_str::SmolStr;
 
+use crate::dev::{DevCluster, DevError, DevProfile, run_once};
+use crate::logging::LogHandle;
 use crate::output::ExitStatus;
 
 /// The options of `geraniumshed dev`.
@@ -31,6 +36,77 @@
 
 /// Runs the command.
 pub fn execute(arguments: DevArguments) -> ExitStatus {
-    eprintln!("error: dev is not there yet: {arguments:?}");
-    ExitStatus::Failure
+    let profile = match arguments.profile.parse() {
+        Ok(profile) => profile,
+        Err(error) => {
+            eprintln!("error: {error}");
+            return ExitStatus::Usage;
+        }
+    };
+    let telemetry = TelemetrySettings {
+        log_level: SmolStr::new_static("warn"),
+        ..TelemetrySettings::default()
+    };
+    let log = match LogHandle::open(&telemetry) {
+        Ok(log) => log,
+        Err(error) => {
+            eprintln!("error: {error}");
+            return ExitStatus::Failure;
+        }
+    };
+    match run(&arguments, profile, log) {
+        Ok(status) => status,
+        Err(error) => {
+            eprintln!("error: {error}");
+            ExitStatus::Failure
+        }
+    }
+}
+
+/// Opens the cluster, and either does all work once or stays up until it is told to stop.
+#[tokio::main]
+async fn run(
+    arguments: &DevArguments,
+    profile: DevProfile,
+    log: LogHandle,
+) -> Result<ExitStatus, DevError> {
+    let mut cluster = DevCluster::open(profile, arguments.seed, log).await?;
+    if arguments.once {
+        let report = run_once(&mut cluster, profile).await?;
+        return Ok(print_report(&report, arguments.json));
+    }
+    print_addresses(&cluster);
+    let stopped = tokio::signal::ctrl_c().await;
+    stopped.map_err(DevError::Standin)?;
+    Ok(ExitStatus::Done)
+}
+
+/// Prints what was found; only promises that were tried and held count as done.
+fn print_report(report: &PromiseReport, json: bool) -> ExitStatus {
+    if json {
+        let text = serde_json::to_string_pretty(report);
+        println!("{}", text.unwrap_or_default());
+    } else {
+        print!("{report}");
+    }
+    if report.held() && report.counted() {
+        ExitStatus::Done
+    } else {
+        ExitStatus::Failure
+    }
+}
+
+fn print_addresses(cluster: &DevCluster) {
+    for daemon in &cluster.daemons {
+        let handle = &daemon.handle;
+        let id = &handle.identity().daemon;
+        println!("{id}  callers    http://{}", handle.entry_address());
+        println!("{id}  operators  http://{}", handle.operator_address());
+    }
+    println!("stand-ins  control    http://{}", cluster.control_address());
+    println!(
+        "try: curl -X POST http://{}/services/bookings/try",
+        cluster.entry_addresses()[0]
+    );
+    println!("(publish examples/camara.yaml first; Ctrl-C stops)");
 }
--- a/crates/geraniumshed/src/command/run.rs
+++ b/crates/geraniumshed/src/command/run.rs
@@ -1,7 +1,15 @@
 //! `geraniumshed run`.
 
+use std::env;
+use std::path::Path;
+
+use geraniumshed_daemon::node::Daemon;
+use geraniumshed_daemon::settings::{DaemonSettings, open_settings};
+use geraniumshed_daemon::telemetry::TraceHandle;
 use gumdrop::Options;
+use tokio::signal::unix::{SignalKind, signal};
 
+use crate::logging::LogHandle;
 use crate::output::ExitStatus;
 
 /// The options of `geraniumshed run`.
@@ -15,6 +23,53 @@
 
 /// Runs the command.
 pub fn execute(arguments: RunArguments) -> ExitStatus {
-    eprintln!("error: run is not there yet: {arguments:?}");
-    ExitStatus::Failure
+    let Some(path) = arguments.settings else {
+        eprintln!("error: no settings are named (hint: run --settings FILE)");
+        return ExitStatus::Usage;
+    };
+    let settings = match open_settings(Path::new(&path), env::vars()) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("error: the settings in `{path}` can't be used:\n{error}");
+            return ExitStatus::Invalid;
+        }
+    };
+    let log = match LogHandle::open(&settings.telemetry) {
+        Ok(log) => log,
+        Err(error) => {
+            eprintln!("error: {error}");
+            return ExitStatus::Invalid;
+        }
+    };
+    match run(settings, log) {
+        Ok(()) => ExitStatus::Done,
+        Err(error) => {
+            eprintln!("error: {error}");
+            ExitStatus::Failure
+        }
+    }
+}
+
+/// Runs the daemon until the process is told to stop, and then stops it gracefully.
+#[tokio::main]
+async fn run(settings: DaemonSettings, log: LogHandle) -> Result<(), Box<dyn std::error::Error>> {
+    // Before anything is printed, so that who reads it may stop the process at once.
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let traces = TraceHandle::open(&settings.telemetry, &settings.identity)?;
+    let daemon = Daemon::spawn(settings, log).await?;
+    println!("callers    {}", daemon.entry_address());
+    println!("operators  {}", daemon.operator_address());
+    println!("peers      {}", daemon.identity().address);
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    log::info!("stopping: finishing the requests in flight");
+    daemon.drain().await;
+    if let Some(traces) = traces {
+        tokio::task::spawn_blocking(|| traces.close()).await?;
+    }
+    log::info!("stopped");
+    Ok(())
 }
--- a/crates/geraniumshed/src/logging.rs
+++ b/crates/geraniumshed/src/logging.rs
@@ -3,6 +3,7 @@
 use flexi_logger::{
     AdaptiveFormat, FlexiLoggerError, LogSpecification, Logger, LoggerHandle, json_format,
 };
+use geraniumshed_daemon::node::LevelControl;
 use geraniumshed_daemon::settings::{TelemetrySettings, TextFormat};
 use geraniumshed_model::prelude::{ErrorKind, ProblemError};
 use smol_str::{ToSmolStr, format_smolstr};
@@ -51,6 +52,12 @@
     }
 }
 
+impl LevelControl for LogHandle {
+    fn set_level(&self, level: &str) -> Result<(), ProblemError> {
+        self.set_level(level)
+    }
+}
+
 fn parse_level(level: &str) -> Result<LogSpecification, ProblemError> {
     LogSpecification::parse(level).map_err(|_| {
         ProblemError::new(
