--- a/crates/geraniumshed-core/src/state/config.rs
+++ b/crates/geraniumshed-core/src/state/config.rs
@@ -142,6 +142,11 @@
         }
     }
 
+    /// Raises the generation above which new names of a kind start.
+    pub fn raise_floor(&mut self, kind: RecordKind, floor: RecordGeneration) {
+        self.table_mut(kind).raise_floor(floor);
+    }
+
     fn conflict(&self, key: &RecordKey, replaces: RecordGeneration) -> Option<PublishVerdict> {
         let current = self.generation(key);
         (current != replaces).then_some(PublishVerdict::Conflict { current, replaces })
--- a/crates/geraniumshed-daemon/src/state/config_feed.rs
+++ b/crates/geraniumshed-daemon/src/state/config_feed.rs
@@ -3,12 +3,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use geraniumshed_core::state::ConfigState;
+use geraniumshed_core::state::{ConfigReplica, ConfigState};
 use geraniumshed_model::prelude::{
     ConfigEvent, DaemonIncarnation, LogBatch, LogOffset, LogStream, TimePoint,
 };
 use geraniumshed_platform::LogClient;
-use tokio::sync::watch;
+use geraniumshed_wire::log::decode_config_snapshot;
+use tokio::sync::{Notify, watch};
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
 use super::config_publisher::ConfigPublisher;
@@ -29,6 +30,7 @@
     view: ConfigView,
     caught_up: watch::Receiver<bool>,
     publisher: ConfigPublisher,
+    adopt: Arc<Notify>,
     _task: TaskGuard,
 }
 
@@ -43,17 +45,20 @@
         let publisher = ConfigPublisher::new(writer, view.clone(), verdicts.clone());
         let state = FeedState {
             incarnation: context.incarnation(),
-            config: ConfigState::default(),
+            replica: ConfigReplica::default(),
             view: view_sender,
             caught_up: caught_up_sender,
             verdicts,
             resumed: clock.now(),
         };
+        let adopt = Arc::new(Notify::new());
+        let pause = PauseWatch::start(clock);
         Self {
             view,
             caught_up,
             publisher,
-            _task: TaskGuard::spawn(feed(follower, state, PauseWatch::start(clock))),
+            adopt: Arc::clone(&adopt),
+            _task: TaskGuard::spawn(feed(follower, state, pause, adopt)),
         }
     }
 
@@ -68,6 +73,12 @@
         self.caught_up.clone()
     }
 
+    /// Returns what makes the feed go on without entries that the log has dropped, when no snapshot
+    /// stands for them.
+    pub(super) fn adopt(&self) -> Arc<Notify> {
+        Arc::clone(&self.adopt)
+    }
+
     /// Returns the handle through which records are published.
     pub fn publisher(&self) -> ConfigPublisher {
         self.publisher.clone()
@@ -77,7 +88,7 @@
 /// What the follower's task keeps.
 struct FeedState {
     incarnation: DaemonIncarnation,
-    config: ConfigState,
+    replica: ConfigReplica,
     view: watch::Sender<Arc<ConfigState>>,
     caught_up: watch::Sender<bool>,
     verdicts: VerdictTable,
@@ -88,6 +99,7 @@
     mut follower: StreamFollower<ConfigEvent>,
     mut state: FeedState,
     mut pause: PauseWatch,
+    adopt: Arc<Notify>,
 ) {
     let mut tick = interval(PAUSE_TICK);
     tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -107,6 +119,10 @@
                 }
                 sleep(PUBLISH_INTERVAL).await;
             }
+            () = adopt.notified() => {
+                state.replica.adopt();
+                state.publish();
+            }
             _ = tick.tick() => {}
         }
         if let Some(resumed) = pause.look() {
@@ -121,42 +137,48 @@
     fn take(&mut self, item: FollowerItem<ConfigEvent>) -> bool {
         match item {
             FollowerItem::Batch { offset, batch } => {
-                self.apply(offset, &batch);
+                self.apply(offset, batch);
                 false
             }
             FollowerItem::Unreadable { offset, .. } => {
-                self.config.advance(offset.next());
+                self.replica.advance(offset.next());
                 false
             }
             FollowerItem::Lost { first, .. } => {
-                self.config.advance(first);
+                self.replica.lose(first);
+                self.caught_up.send_replace(false);
                 false
             }
             FollowerItem::CaughtUp { end, asked } => {
-                self.config.advance(end);
+                self.replica.reach_end(end);
                 // An answer from before a pause says nothing of what came since.
-                asked >= self.resumed
+                asked >= self.resumed && self.replica.is_complete()
             }
         }
     }
 
-    fn apply(&mut self, offset: LogOffset, batch: &LogBatch<ConfigEvent>) {
+    fn apply(&mut self, offset: LogOffset, batch: LogBatch<ConfigEvent>) {
         let own = batch.mark.incarnation == self.incarnation;
-        for (index, event) in batch.events.iter().enumerate() {
-            let verdict = self.config.apply(offset, event);
-            if own {
-                let position = EventPosition { offset, index };
-                self.verdicts.insert(position, verdict);
-            }
+        let (verdicts, snapshot) = self.replica.apply(offset, batch);
+        for (index, verdict) in verdicts.into_iter().enumerate().filter(|_| own) {
+            let position = EventPosition { offset, index };
+            self.verdicts.insert(position, verdict);
+        }
+        let Some(snapshot) = snapshot else {
+            return;
+        };
+        match decode_config_snapshot(&snapshot.bytes) {
+            Ok(snapshot) => self.replica.restore(ConfigState::from_snapshot(snapshot)),
+            Err(error) => log::error!("a snapshot of the records can't be read: {error}"),
         }
-        self.config.advance(offset.next());
     }
 
     fn publish(&self) {
         self.view.send_if_modified(|view| {
-            let changed = view.applied() != self.config.applied();
+            let config = self.replica.config();
+            let changed = view.applied() != config.applied();
             if changed {
-                *view = Arc::new(self.config.clone());
+                *view = Arc::new(config.clone());
             }
             changed
         });
--- a/crates/geraniumshed-daemon/src/state/config_publisher.rs
+++ b/crates/geraniumshed-daemon/src/state/config_publisher.rs
@@ -1,16 +1,22 @@
 //! Publishes operators' records and tells what became of them.
 
+use std::time::Duration;
+
 use geraniumshed_core::state::PublishVerdict;
 use geraniumshed_model::prelude::{
     ConfigEvent, ErrorKind, ProblemError, RecordBody, RecordGeneration, RecordKey, SchemaVersion,
     ShardTerm,
 };
 use smol_str::format_smolstr;
+use tokio::time::timeout;
 
 use super::verdict_table::VerdictTable;
 use crate::log::{AppendError, EventPosition, StreamWriter};
 use crate::view::ConfigView;
 
+/// The time within which an entry that was read back has to be applied here.
+const VERDICT_PATIENCE: Duration = Duration::from_secs(5);
+
 /// Publishes operators' records.
 #[derive(Debug, Clone)]
 pub struct ConfigPublisher {
@@ -98,9 +104,8 @@
     /// Waits until the entry has been applied here and returns its verdict.
     async fn verdict(&self, position: EventPosition) -> Option<PublishVerdict> {
         let mut view = self.view.clone();
-        view.wait_for(|config| config.applied() > position.offset)
-            .await
-            .ok()?;
+        let applied = view.wait_for(|config| config.applied() > position.offset);
+        timeout(VERDICT_PATIENCE, applied).await.ok()?.ok()?;
         self.verdicts.take(position)
     }
 }
--- a/crates/geraniumshed-daemon/src/state/mod.rs
+++ b/crates/geraniumshed-daemon/src/state/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod config_feed;
 pub mod config_publisher;
+pub mod config_snapshots;
 pub mod endpoint_feed;
 pub mod pause_watch;
 pub mod verdict_table;
@@ -9,6 +10,7 @@
 
 pub use self::config_feed::ConfigFeed;
 pub use self::config_publisher::ConfigPublisher;
+pub use self::config_snapshots::{ConfigSnapshots, SnapshotSettings};
 pub use self::endpoint_feed::EndpointFeed;
 pub use self::pause_watch::PauseWatch;
 pub use self::vm_feed::{VmFeed, VmFeedSettings};
--- a/crates/geraniumshed-daemon/tests/state/fake_log.rs
+++ b/crates/geraniumshed-daemon/tests/state/fake_log.rs
@@ -57,6 +57,7 @@
     streams: BTreeMap<LogStream, FakeStream>,
     faults: VecDeque<AppendFault>,
     down: bool,
+    latency: Duration,
     appends: u64,
 }
 
@@ -77,6 +78,11 @@
         self.state().faults.extend(faults);
     }
 
+    /// Sets the time that each append takes.
+    pub fn set_latency(&self, latency: Duration) {
+        self.state().latency = latency;
+    }
+
     /// Takes the log down or brings it back.
     pub fn set_down(&self, down: bool) {
         self.state().down = down;
@@ -153,6 +159,8 @@
 
 impl LogClient for FakeLog {
     async fn append(&self, stream: LogStream, body: Bytes) -> Result<LogOffset, PlatformError> {
+        let latency = self.state().latency;
+        sleep(latency).await;
         let fault = {
             let mut state = self.state();
             state.appends += 1;
--- a/crates/geraniumshed-daemon/tests/state/main.rs
+++ b/crates/geraniumshed-daemon/tests/state/main.rs
@@ -4,3 +4,4 @@
 mod feed;
 mod log_stream;
 mod peers;
+mod snapshots;
--- a/crates/geraniumshed-model/src/lib.rs
+++ b/crates/geraniumshed-model/src/lib.rs
@@ -4,6 +4,7 @@
 //! of encodings or of I/O: `geraniumshed-wire` converts them to bytes and back, and
 //! `geraniumshed-core` takes decisions over them.
 
+pub mod config_snapshot;
 pub mod endpoint;
 pub mod error;
 pub mod event;
--- a/crates/geraniumshed-wire/src/log/mod.rs
+++ b/crates/geraniumshed-wire/src/log/mod.rs
@@ -6,6 +6,7 @@
 mod claim;
 mod codec;
 mod config;
+mod config_snapshot;
 mod endpoint;
 mod key;
 mod name;
@@ -16,6 +17,7 @@
 pub use self::claim::ClaimEventWire;
 pub use self::codec::{DecodeError, EncodeError, StreamEvent, decode_batch, encode_batch};
 pub use self::config::{ConfigEventWire, RecordBodyWire, RecordKeyWire, RecordKindWire};
+pub use self::config_snapshot::{decode_config_snapshot, encode_config_snapshot};
 pub use self::endpoint::{EndpointEntryWire, EndpointEventWire, EndpointIdWire, EndpointPhaseWire};
 pub use self::key::KeyEventWire;
 pub use self::shard::ShardEventWire;
