--- a/crates/geraniumshed-wire/src/document/text.rs
+++ b/crates/geraniumshed-wire/src/document/text.rs
@@ -16,8 +16,10 @@
 
 /// Splits a file into its documents, which stand between lines that begin with `---`.
 ///
-/// Documents that hold nothing but comments are left out.
+/// Documents that hold nothing but comments are left out. Lines end as YAML says: by a line feed, a
+/// carriage return, or both.
 pub fn split_documents(file: &str) -> Vec<DocumentText> {
+    let file = file.replace("\r\n", "\n").replace('\r', "\n");
     let mut documents = vec![DocumentText {
         lines_before: 0,
         text: String::new(),
@@ -50,12 +52,15 @@
 pub fn parse_document(text: &str) -> Result<DocumentNode, ProblemList> {
     serde_saphyr::from_str::<DocumentNode>(text).map_err(|error| {
         let line = error.location().map_or(1, |location| location.line());
+        let message = error.without_snippet().to_string();
+        // The parser's own place counts from the beginning of the document, not of the file.
+        let (problem, _) = message.rsplit_once(" at line ").unwrap_or((&message, ""));
         let mut problems = ProblemList::default();
         problems.push(FieldProblem {
             line: u32::try_from(line).unwrap_or(u32::MAX),
             path: SmolStr::default(),
             value: SmolStr::default(),
-            problem: SmolStr::new(error.without_snippet().to_string()),
+            problem: SmolStr::new(problem),
             allowed: SmolStr::default(),
             hint: SmolStr::new_static("check indentation, colons and quotes on this line"),
         });
--- a/crates/geraniumshed-wire/tests/record_files.rs
+++ b/crates/geraniumshed-wire/tests/record_files.rs
@@ -157,6 +157,17 @@
     );
 }
 
+#[rstest]
+#[case::unix("\n")]
+#[case::dos("\r\n")]
+#[case::bare_returns("\r")]
+fn lines_are_counted_alike_whatever_ends_them(#[case] end: &str) {
+    let file = "schema: 2\nkind: stop\nname: a\n---\nschema: 2\nkind: stop\nname: \"-\"\n";
+    let found = problems(&file.replace('\n', end));
+    assert!(found[0].starts_with("line 7: name: "), "{found:#?}");
+    assert_eq!(found.len(), 1);
+}
+
 #[test]
 fn a_record_of_an_unknown_schema_is_held_as_text() {
     let file = "schema: 3\nkind: service\nname: s\nreplaces: 4\nspec:\n  anything: at all\n";
@@ -168,6 +179,10 @@
 
 #[rstest]
 #[case::syntax("schema: 2\nkind: [team\nname: t\n", "line ")]
+#[case::later(
+    "schema: 2\nkind: stop\nname: a\n---\nschema: 2\nname: -\n",
+    "line 6: block sequence entries are not allowed in this context (hint"
+)]
 #[case::not_a_section("just text\n", "is not a section")]
 #[case::duplicate("schema: 2\nschema: 1\nkind: stop\nname: s\n", "duplicate")]
 #[case::empty_name("schema: 2\nkind: stop\nname:\n", "name: is missing")]
