--- a/crates/geraniumshed-daemon/src/log/writer.rs
+++ b/crates/geraniumshed-daemon/src/log/writer.rs
@@ -12,6 +12,7 @@
 use super::append_error::AppendError;
 use super::context::LogContext;
 use super::readback::{AppendResult, StreamReadback};
+use crate::telemetry::{HopName, HopSpan};
 
 /// A handle of the task that appends to one stream; the task ends with its last handle.
 #[derive(Debug)]
@@ -195,11 +196,26 @@
         };
         let batch = LogBatch { mark, term, events };
         let body = encode_batch(&batch).map_err(|_| AppendError::Unavailable)?;
+        let span = HopSpan::root(HopName::LogAppend);
+        span.set("stream", self.stream.to_string());
+        let result = self.send_and_confirm(&body, sequence, deadline).await;
+        if let Err(error) = result {
+            span.fail(error.to_string());
+        }
+        result
+    }
+
+    async fn send_and_confirm(
+        &self,
+        body: &Bytes,
+        sequence: u64,
+        deadline: Instant,
+    ) -> AppendResult {
         let Some(readback) = &self.readback else {
-            return self.send(&body, deadline).await;
+            return self.send(body, deadline).await;
         };
         let confirmed = readback.expect(sequence);
-        let result = self.send_until_read(&body, deadline, confirmed).await;
+        let result = self.send_until_read(body, deadline, confirmed).await;
         readback.forget(sequence);
         result
     }
--- a/crates/geraniumshed-daemon/src/node/daemon.rs
+++ b/crates/geraniumshed-daemon/src/node/daemon.rs
@@ -9,7 +9,7 @@
 use geraniumshed_core::member::OwnershipTiming;
 use geraniumshed_core::schedule::ShardMap;
 use geraniumshed_model::id::ParseIdError;
-use geraniumshed_model::prelude::{DaemonIncarnation, PeerIdentity};
+use geraniumshed_model::prelude::{DaemonIncarnation, PeerIdentity, VmId};
 use geraniumshed_platform::{HttpLog, HttpVmList, HttpWorkers};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
@@ -25,7 +25,9 @@
 use crate::request::{EntryContext, EntryHandle, EntryListener, EntryStatus};
 use crate::schedule::{LogStreams, ShardContext};
 use crate::settings::DaemonSettings;
-use crate::state::{ConfigFeed, EndpointFeed, VmFeed, VmFeedSettings};
+use crate::state::{
+    ConfigFeed, ConfigSnapshots, EndpointFeed, SnapshotSettings, VmFeed, VmFeedSettings,
+};
 use crate::telemetry::{MetricReporter, ReporterHandle};
 
 /// The time that a planned stop gives the shards to be released.
@@ -98,6 +100,7 @@
 #[derive(Debug)]
 struct NodeRest {
     _keeper: ShardKeeper,
+    _snapshots: ConfigSnapshots,
     _server: PeerServer,
     beat: PeerBeat,
     _reporter: Option<ReporterHandle>,
@@ -165,16 +168,13 @@
         };
         let ownership = OwnershipHandle::spawn(&context, own);
         let keeper = ShardKeeper::spawn(ownership.clone(), runners.clone());
+        let snapshots = SnapshotSettings::default();
+        let snapshots = ConfigSnapshots::spawn(&feeds.config, ownership.view(), snapshots);
 
         let entry_context = EntryContext {
             clock,
             seed: incarnation.0,
-            own: settings
-                .identity
-                .id
-                .as_str()
-                .parse()
-                .map_err(StartError::Identity)?,
+            own: own_vm(&settings)?,
             zone: settings.identity.zone.clone(),
             incarnation,
             config: feeds.config.view(),
@@ -212,6 +212,7 @@
 
         let rest = NodeRest {
             _keeper: keeper,
+            _snapshots: snapshots,
             _server: server,
             beat,
             _reporter: reporter,
@@ -230,6 +231,12 @@
     }
 }
 
+/// Returns the id of the VM that the daemon runs on, which is the daemon's own.
+fn own_vm(settings: &DaemonSettings) -> Result<VmId, StartError> {
+    let id = settings.identity.id.as_str();
+    id.parse().map_err(StartError::Identity)
+}
+
 impl NodeFeeds {
     /// Spawns all feeds.
     fn spawn(
--- a/crates/geraniumshed-daemon/tests/state/peers.rs
+++ b/crates/geraniumshed-daemon/tests/state/peers.rs
@@ -80,6 +80,8 @@
 struct Daemon {
     hub: PeerHub,
     beat: PeerBeat,
+    pool: PeerPool,
+    context: Arc<LogContext<FakeLog>>,
     ownership: OwnershipHandle,
     link: PeerLink,
     server: PeerServer,
@@ -100,7 +102,13 @@
     }
 }
 
-fn start(log: &FakeLog, listener: TcpListener, seeds: &[SocketAddr], number: u64) -> Daemon {
+fn start(
+    log: &FakeLog,
+    listener: TcpListener,
+    seeds: &[SocketAddr],
+    number: u64,
+    settings: &PeerSettings,
+) -> Daemon {
     let clock = ProcessClock::start();
     let incarnation = DaemonIncarnation(number);
     let context = LogContext::open(log.clone(), incarnation, LogSettings::default(), clock);
@@ -122,11 +130,10 @@
         vms: vm_view,
         serving: serving_view,
     };
-    let settings = settings();
     let hub = PeerHub::open(own, settings.timing, clock);
     let pool = PeerPool::open(settings.clone());
     let server = PeerServer::bind(listener, hub.clone(), EchoService, settings.clone()).unwrap();
-    let beat = PeerBeat::spawn(hub.clone(), pool.clone(), &settings);
+    let beat = PeerBeat::spawn(hub.clone(), pool.clone(), settings);
     let own = OwnershipContext {
         hub: hub.clone(),
         map: ShardMap::new(SHARDS, vec!["r".parse().unwrap()]),
@@ -142,7 +149,9 @@
         running: running_sender,
     };
     Daemon {
-        link: PeerLink::open(hub.clone(), pool, ownership.view()),
+        link: PeerLink::open(hub.clone(), pool.clone(), ownership.view()),
+        pool,
+        context,
         _keeper: ShardKeeper::spawn(ownership.clone(), runner),
         hub,
         beat,
@@ -156,6 +165,10 @@
 }
 
 async fn start_all(log: &FakeLog, count: u64) -> Vec<Daemon> {
+    start_all_with(log, count, &settings()).await
+}
+
+async fn start_all_with(log: &FakeLog, count: u64, settings: &PeerSettings) -> Vec<Daemon> {
     let mut listeners = Vec::new();
     for _ in 0..count {
         listeners.push(TcpListener::bind("127.0.0.1:0").await.unwrap());
@@ -163,7 +176,7 @@
     let seeds: Vec<_> = listeners.iter().map(|l| l.local_addr().unwrap()).collect();
     let mut daemons = Vec::new();
     for (listener, number) in listeners.into_iter().zip(1..) {
-        daemons.push(start(log, listener, &seeds, number));
+        daemons.push(start(log, listener, &seeds, number, settings));
     }
     daemons
 }
@@ -290,3 +303,42 @@
         assert_eq!(daemon.config.view().borrow().applied(), LogOffset(1));
     }
 }
+
+/// Prints what 24 idle daemons send; run with `--ignored --no-capture`.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+#[ignore = "measures"]
+async fn measure_idle_traffic() {
+    const SECONDS: u64 = 20;
+    let log = FakeLog::default();
+    let daemons = start_all_with(&log, 24, &PeerSettings::default()).await;
+    sleep(Duration::from_secs(10)).await;
+    let snapshot = || -> Vec<_> {
+        daemons
+            .iter()
+            .map(|daemon| {
+                let sent = daemon.pool.traffic().0;
+                let served = daemon.server.traffic();
+                let usage = daemon.context.usage();
+                let bytes = sent.written + sent.read + served.written + served.read;
+                (bytes, usage.appends, usage.reads)
+            })
+            .collect()
+    };
+    let before = snapshot();
+    sleep(Duration::from_secs(SECONDS)).await;
+    let rate = |count: u64| count as f64 / SECONDS as f64;
+    let rates: Vec<_> = before
+        .iter()
+        .zip(snapshot())
+        .map(|(before, after)| {
+            let bytes = rate(after.0 - before.0);
+            (bytes, rate(after.1 - before.1), rate(after.2 - before.2))
+        })
+        .collect();
+    let most = rates.iter().map(|rate| rate.0).fold(0.0, f64::max);
+    let mean = rates.iter().map(|rate| rate.0).sum::<f64>() / rates.len() as f64;
+    println!("peer bytes a second, both ways: mean {mean:.0}, most {most:.0}");
+    let appends: f64 = rates.iter().map(|rate| rate.1).sum();
+    let reads: f64 = rates.iter().map(|rate| rate.2).sum();
+    println!("all 24 daemons: {appends:.2} appends and {reads:.2} reads a second");
+}
