Prove the request path and recovery with real daemons under faults

38 tests, each with a cluster of its own: the stand-ins in the test's process, three daemons as processes, fault proxies between all of them, and loopback addresses of its own. Judged on the stand-ins' records: endpoint faults, silent connections, lossy links, keys sent to all daemons or again after a kill or a pause, planned stops, platform outages, two faults by seed, and, for batch work, dead, paused and cut-off owners, dead, rebooted and partitioned workers, lost answers, log outages, rolling replacement, cold start, drains, a lost rack and a zone that is cut off.

--- /dev/null
+++ b/crates/geraniumshed/tests/faults/fault_pairs.rs
@@ -0,0 +1,189 @@
+//! Two faults at once, chosen by seed, with keyed bookings that are sent again and again.
+
+use std::time::Duration;
+
+use futures::future::join_all;
+use geraniumshed_standin::endpoint::EndpointFault;
+use geraniumshed_standin::proxy::ProxyPlan;
+use geraniumshed_standin::seed::seeded_rng;
+use geraniumshed_standin::set::{FaultCommand, LogFault, ProxyAction, ProxyTarget, VmListFault};
+use nix::sys::signal::Signal;
+use rand::seq::IndexedRandom;
+use rstest::rstest;
+use tokio::time::sleep;
+
+use crate::harness::{BOOKING, Caller, CallerReply, Cluster, ClusterPlan, within};
+
+/// The keys that are sent under the faults.
+const KEYS: usize = 60;
+
+/// The times that each key is sent, each time to the next daemon.
+const ROUNDS: usize = 3;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Fault {
+    DaemonKilled,
+    DaemonPaused,
+    EndpointSilent,
+    EndpointCuts,
+    EndpointCrosses,
+    ConnectionsFrozen,
+    LogDown,
+    LogAnswersLost,
+    ListEmpty,
+    NetworkLossy,
+}
+
+const FAULTS: [Fault; 10] = [
+    Fault::DaemonKilled,
+    Fault::DaemonPaused,
+    Fault::EndpointSilent,
+    Fault::EndpointCuts,
+    Fault::EndpointCrosses,
+    Fault::ConnectionsFrozen,
+    Fault::LogDown,
+    Fault::LogAnswersLost,
+    Fault::ListEmpty,
+    Fault::NetworkLossy,
+];
+
+fn begin(cluster: &mut Cluster, fault: Fault) {
+    let endpoint = |fault| FaultCommand::Endpoint {
+        task: Some("booking/0/1".into()),
+        fault,
+    };
+    match fault {
+        Fault::DaemonKilled => cluster.daemons[1].process.kill(),
+        Fault::DaemonPaused => cluster.daemons[2].process.signal(Signal::SIGSTOP),
+        Fault::EndpointSilent => cluster.switch(&endpoint(EndpointFault::Silent)),
+        Fault::EndpointCuts => cluster.switch(&endpoint(EndpointFault::CutBody)),
+        Fault::EndpointCrosses => cluster.switch(&endpoint(EndpointFault::WrongRequest)),
+        Fault::ConnectionsFrozen => cluster.switch(&FaultCommand::Proxy {
+            target: ProxyTarget::All,
+            action: ProxyAction::Freeze,
+        }),
+        Fault::LogDown => cluster.switch(&FaultCommand::Log(LogFault {
+            down: true,
+            ..LogFault::default()
+        })),
+        Fault::LogAnswersLost => cluster.switch(&FaultCommand::Log(LogFault {
+            lose_all_answers: true,
+            ..LogFault::default()
+        })),
+        Fault::ListEmpty => cluster.switch(&FaultCommand::VmList(VmListFault {
+            empty: true,
+            ..VmListFault::default()
+        })),
+        Fault::NetworkLossy => cluster.switch(&FaultCommand::Proxy {
+            target: ProxyTarget::All,
+            action: ProxyAction::Plan(ProxyPlan {
+                delay_us: 3_000,
+                jitter_us: 5_000,
+                loss: 0.05,
+                ..ProxyPlan::default()
+            }),
+        }),
+    }
+}
+
+fn end(cluster: &mut Cluster, fault: Fault) {
+    match fault {
+        Fault::DaemonKilled => cluster.daemons[1].restart(),
+        Fault::DaemonPaused => cluster.daemons[2].process.signal(Signal::SIGCONT),
+        Fault::EndpointSilent | Fault::EndpointCuts | Fault::EndpointCrosses => {
+            cluster.switch(&FaultCommand::Endpoint {
+                task: None,
+                fault: EndpointFault::None,
+            });
+        }
+        Fault::ConnectionsFrozen => {}
+        Fault::LogDown | Fault::LogAnswersLost => {
+            cluster.switch(&FaultCommand::Log(LogFault::default()));
+        }
+        Fault::ListEmpty => cluster.switch(&FaultCommand::VmList(VmListFault::default())),
+        Fault::NetworkLossy => cluster.switch(&FaultCommand::Proxy {
+            target: ProxyTarget::All,
+            action: ProxyAction::Plan(ProxyPlan::default()),
+        }),
+    }
+}
+
+/// Sends every key to a daemon of its own turn and returns what came back.
+async fn send_all(cluster: &Cluster, keys: &[String], round: usize) -> Vec<CallerReply> {
+    let daemons = cluster.callers();
+    let posts = keys.iter().enumerate().map(|(index, key)| {
+        let daemon = daemons[(index + round) % daemons.len()];
+        let (caller, key) = (cluster.caller.clone(), key.clone());
+        async move {
+            // Spread over a second, so that the faults meet requests of every age.
+            sleep(Duration::from_millis(17 * index as u64)).await;
+            caller
+                .post(daemon, "booking", "serve=100ms", Some(&key))
+                .await
+        }
+    });
+    join_all(posts).await
+}
+
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn two_faults_at_once_never_double_a_booking(#[values(1, 2, 3, 4)] seed: u64) {
+    let mut rng = seeded_rng(seed, &["fault pair"]);
+    let pair: Vec<Fault> = FAULTS.sample(&mut rng, 2).copied().collect();
+    println!("seed {seed}: {pair:?}");
+    let mut cluster = Cluster::open(ClusterPlan::default()).await;
+    cluster.publish(0, BOOKING).await;
+    cluster.await_service("booking").await;
+    cluster.await_replicas("booking", 3).await;
+    let mut keys: Vec<String> = (0..KEYS / 2).map(|_| Caller::next_id()).collect();
+    for _ in 0..KEYS / 2 {
+        keys.push(cluster.caller.ticket(cluster.daemons[0].callers).await);
+    }
+    let mut replies = Vec::new();
+    for fault in &pair {
+        begin(&mut cluster, *fault);
+    }
+    for round in 0..ROUNDS {
+        replies.extend(send_all(&cluster, &keys, round).await);
+    }
+    for fault in &pair {
+        end(&mut cluster, *fault);
+    }
+    for daemon in cluster.callers() {
+        within(
+            Duration::from_secs(20),
+            "bookings are served again",
+            async || {
+                let reply = cluster.caller.post(daemon, "booking", "", None).await;
+                reply.is_served().then_some(())
+            },
+        )
+        .await;
+    }
+    let last = send_all(&cluster, &keys, 0).await;
+    for reply in &last {
+        let runs = cluster.runs_of(reply.record.request.as_str());
+        let told = reply.record.told.as_str();
+        assert!(
+            told != "not-run" || runs == 0,
+            "{pair:?}: {reply:?} ran {runs} times"
+        );
+        assert!(
+            told != "ran" || runs == 1,
+            "{pair:?}: {reply:?} ran {runs} times"
+        );
+    }
+    replies.extend(last);
+    for key in &keys {
+        let runs = cluster.runs_of(key);
+        assert!(
+            runs <= 1,
+            "{pair:?}: {key} ran {runs} times\n{}",
+            cluster.last_lines()
+        );
+    }
+    let foreign = replies
+        .iter()
+        .find(|reply| reply.record.own_answer == Some(false));
+    assert!(foreign.is_none(), "{pair:?}: {foreign:?}");
+}
--- /dev/null
+++ b/crates/geraniumshed/tests/faults/harness/cluster.rs
@@ -0,0 +1,405 @@
+//! A cluster: the stand-ins, and daemons behind proxies.
+
+use std::fs;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+use geraniumshed_standin::set::{EntrySettings, FaultCommand};
+use geraniumshed_standin::truth::{
+    CallerRecord, JudgeLimits, PlacementEnd, PlacementRecord, PromiseReport, TruthRecord, judge,
+};
+use geraniumshed_standin::{FaultProxy, StandinSet, StandinSettings};
+use serde_json::Value;
+use tokio::sync::{Semaphore, SemaphorePermit};
+
+use super::caller::Caller;
+use super::load::TimedReply;
+use super::process::{DaemonProcess, OPERATOR_SECRET};
+use super::wait::{eventually, found_within, within};
+
+/// The clusters that run at once in this process.
+static CLUSTERS: Semaphore = Semaphore::const_new(4);
+
+/// The number of the next cluster of this process.
+static NEXT_CLUSTER: AtomicU32 = AtomicU32::new(0);
+
+/// The port of a daemon's interface for callers.
+const CALLER_PORT: u16 = 8080;
+
+/// The port of a daemon's interface for operators.
+const OPERATOR_PORT: u16 = 8081;
+
+/// The port of a daemon's interface for peers.
+const PEER_PORT: u16 = 8082;
+
+/// What a cluster is made of.
+#[derive(Debug, Clone)]
+pub struct ClusterPlan {
+    /// The number of daemons.
+    pub daemons: usize,
+    /// The stand-ins.
+    pub standins: StandinSettings,
+    /// Settings that are added to a section of each daemon's file, as `section: line`.
+    pub settings: Vec<(&'static str, &'static str)>,
+}
+
+impl Default for ClusterPlan {
+    fn default() -> Self {
+        Self {
+            daemons: 3,
+            standins: StandinSettings {
+                proxied: true,
+                interference: false,
+                ..StandinSettings::default()
+            },
+            settings: Vec::new(),
+        }
+    }
+}
+
+/// A daemon with its addresses and proxies.
+#[derive(Debug)]
+pub struct ClusterDaemon {
+    pub process: DaemonProcess,
+    pub callers: SocketAddr,
+    pub operators: SocketAddr,
+    /// The proxy in front of its interface for peers.
+    pub peers: FaultProxy,
+    /// The proxy between it and the log.
+    pub log: FaultProxy,
+    /// The proxy between it and the VM list.
+    pub vm_list: FaultProxy,
+    settings: PathBuf,
+}
+
+impl ClusterDaemon {
+    /// Starts the daemon again after it has ended.
+    pub fn restart(&mut self) {
+        self.process = DaemonProcess::spawn(&self.settings);
+    }
+}
+
+/// A running cluster; everything ends when it is dropped.
+#[derive(Debug)]
+pub struct Cluster {
+    pub set: Arc<StandinSet>,
+    pub daemons: Vec<ClusterDaemon>,
+    pub caller: Caller,
+    _permit: SemaphorePermit<'static>,
+}
+
+impl Cluster {
+    /// Opens a cluster and waits until all daemons take requests.
+    pub async fn open(plan: ClusterPlan) -> Self {
+        let permit = CLUSTERS.acquire().await.unwrap();
+        let set = Arc::new(StandinSet::open(plan.standins.clone()).unwrap());
+        let network = Network::next();
+        let mut daemons = Vec::new();
+        for index in 0..plan.daemons {
+            daemons.push(open_daemon(&set, &network, &plan, index));
+        }
+        let cluster = Self {
+            set,
+            daemons,
+            caller: Caller::new(),
+            _permit: permit,
+        };
+        for index in 0..plan.daemons {
+            cluster.await_healthy(index).await;
+        }
+        cluster
+    }
+
+    /// Waits until a daemon's health check passes.
+    pub async fn await_healthy(&self, index: usize) {
+        let daemon = &self.daemons[index];
+        let url = format!("http://{}/health", daemon.callers);
+        eventually("the daemon is healthy", async || {
+            let response = self.caller.client().get(&url).send().await.ok()?;
+            (response.status().as_u16() == 200).then_some(())
+        })
+        .await;
+    }
+
+    /// Returns the callers' addresses of all daemons.
+    pub fn callers(&self) -> Vec<SocketAddr> {
+        self.daemons.iter().map(|daemon| daemon.callers).collect()
+    }
+
+    /// Publishes the records of a text, one by one, through a daemon.
+    pub async fn publish(&self, index: usize, records: &str) {
+        for record in records.split("\n---\n") {
+            let (status, answer) = self.try_publish(index, record).await;
+            assert!(status < 300, "{status}: {answer}");
+        }
+    }
+
+    /// Publishes one record and returns the status and the answer.
+    pub async fn try_publish(&self, index: usize, record: &str) -> (u16, Value) {
+        let url = format!("http://{}/operator/records", self.daemons[index].operators);
+        let request = self.caller.client().post(url).body(record.to_owned());
+        let response = request.bearer_auth(OPERATOR_SECRET).send().await.unwrap();
+        let status = response.status().as_u16();
+        (status, response.json().await.unwrap_or_default())
+    }
+
+    /// Returns the tasks that wait or need an operator, from all daemons.
+    pub async fn open_tasks(&self) -> Vec<Value> {
+        let mut tasks = Vec::new();
+        for index in 0..self.daemons.len() {
+            let status = self.status(index).await.unwrap_or_default();
+            tasks.extend(status["tasks"].as_array().cloned().unwrap_or_default());
+        }
+        tasks
+    }
+
+    /// Returns what a daemon tells operators of the cluster.
+    pub async fn status(&self, index: usize) -> Option<Value> {
+        let url = format!("http://{}/operator/status", self.daemons[index].operators);
+        let request = self.caller.client().get(url).bearer_auth(OPERATOR_SECRET);
+        let request = request.timeout(Duration::from_secs(2));
+        request.send().await.ok()?.json().await.ok()
+    }
+
+    /// Waits until every daemon serves a service.
+    pub async fn await_service(&self, service: &str) {
+        for daemon in &self.daemons {
+            within(
+                Duration::from_secs(30),
+                "the service is served",
+                async || {
+                    let reply = self.caller.post(daemon.callers, service, "", None).await;
+                    reply.is_served().then_some(())
+                },
+            )
+            .await;
+        }
+    }
+
+    /// Waits until a service has as many endpoints as it should.
+    pub async fn await_replicas(&self, service: &str, replicas: usize) {
+        let prefix = format!("{service}/");
+        eventually("all replicas run", async || {
+            let status = self.set.status();
+            let endpoints = status
+                .workers
+                .iter()
+                .flat_map(|worker| worker.endpoints.keys());
+            let running = endpoints.filter(|task| task.starts_with(&prefix)).count();
+            (running == replicas).then_some(())
+        })
+        .await;
+    }
+
+    /// Waits until the stand-ins' record shows something.
+    pub async fn await_record(
+        &self,
+        what: &str,
+        limit: Duration,
+        is_met: impl Fn(&TruthRecord) -> bool,
+    ) {
+        let ledger = self.set.ledger();
+        let look = async || is_met(&ledger.snapshot()).then_some(());
+        if found_within(limit, look).await.is_some() {
+            return;
+        }
+        let placements = ledger.snapshot().placements;
+        let is_open = |p: &&PlacementRecord| p.outcome != Some(PlacementEnd::Completed);
+        let unfinished: Vec<_> = placements.iter().filter(is_open).collect();
+        panic!(
+            "not within {limit:?}: {what}\nof {} attempts these did not complete: {unfinished:#?}\n\
+             open tasks: {:#?}\n{}",
+            placements.len(),
+            self.open_tasks().await,
+            self.last_lines()
+        );
+    }
+
+    /// Returns how often the request of an id ran.
+    pub fn runs_of(&self, id: &str) -> usize {
+        let executions = self.set.ledger().snapshot().executions;
+        let runs = executions.iter().filter(|run| path_id(&run.path) == id);
+        runs.count()
+    }
+
+    /// Switches a fault of the stand-ins.
+    pub fn switch(&self, fault: &FaultCommand) {
+        self.set.switch(fault).unwrap();
+    }
+
+    /// Judges the promises on the record and on what callers saw.
+    pub fn judge(&self, callers: &[CallerRecord], limits: JudgeLimits) -> PromiseReport {
+        let mut record = self.set.ledger().snapshot();
+        for execution in &mut record.executions {
+            // A caller knows its request by the id that it chose.
+            execution.request = path_id(&execution.path).into();
+        }
+        judge(&record, callers, limits)
+    }
+
+    /// Fails the test unless every promise holds.
+    pub fn assert_held(&self, replies: &[TimedReply]) {
+        let records: Vec<CallerRecord> = replies
+            .iter()
+            .map(|timed| timed.reply.record.clone())
+            .collect();
+        let report = self.judge(&records, JudgeLimits::default());
+        assert!(report.held(), "{report}\n{}", self.last_lines());
+    }
+
+    /// Fails the test unless every promise holds; `settled` also asks for every resume.
+    pub fn assert_record_held(&self, settled: bool) {
+        let limits = JudgeLimits {
+            settled,
+            ..JudgeLimits::default()
+        };
+        let report = self.judge(&[], limits);
+        assert!(report.held(), "{report}\n{}", self.last_lines());
+    }
+
+    /// Waits until a number of a job's tasks have completed.
+    pub async fn await_completed(&self, job: &str, tasks: usize, limit: Duration) {
+        let what = format!("{tasks} tasks of {job} complete");
+        self.await_record(&what, limit, |record| completed(record, job) >= tasks)
+            .await;
+    }
+
+    /// Waits until a number of a job's tasks run.
+    pub async fn await_running(&self, job: &str, tasks: usize) {
+        let limit = Duration::from_secs(30);
+        self.await_record("the tasks run", limit, |record| {
+            let of_job = record.placements.iter().filter(|p| is_of(&p.task, job));
+            of_job.filter(|p| p.end.is_none()).count() >= tasks
+        })
+        .await;
+    }
+
+    /// Returns the last lines that each daemon printed.
+    pub fn last_lines(&self) -> String {
+        let lines = self
+            .daemons
+            .iter()
+            .map(|daemon| daemon.process.last_lines());
+        lines.collect::<Vec<_>>().join("\n--\n")
+    }
+}
+
+/// Returns the id that a caller put into the path of its request.
+fn path_id(path: &str) -> &str {
+    let (_, query) = path.split_once('?').unwrap_or_default();
+    let id = query.split('&').find_map(|pair| pair.strip_prefix("id="));
+    id.unwrap_or("")
+}
+
+/// Returns the number of a job's tasks that have completed.
+pub fn completed(record: &TruthRecord, job: &str) -> usize {
+    let of_job = record.placements.iter().filter(|p| is_of(&p.task, job));
+    let done = of_job.filter(|p| p.outcome == Some(PlacementEnd::Completed));
+    done.count()
+}
+
+/// Tells whether a task belongs to a record.
+pub fn is_of(task: &str, name: &str) -> bool {
+    task.split('/').next() == Some(name)
+}
+
+/// The loopback addresses and the directory of one cluster.
+struct Network {
+    /// The second and third part of the addresses.
+    parts: (u8, u8),
+    directory: PathBuf,
+}
+
+impl Network {
+    /// Takes addresses that no other cluster of this machine's tests has.
+    fn next() -> Self {
+        let process = std::process::id();
+        let number = NEXT_CLUSTER.fetch_add(1, Ordering::SeqCst);
+        let mixed = process.wrapping_mul(64).wrapping_add(number);
+        let part = |value: u32, base: u32, count: u32| u8::try_from(base + value % count).unwrap();
+        let directory =
+            PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("faults-{process}-{number}"));
+        fs::create_dir_all(&directory).unwrap();
+        Self {
+            parts: (part(mixed / 250, 10, 240), part(mixed, 1, 250)),
+            directory,
+        }
+    }
+
+    fn address(&self, index: usize, port: u16) -> SocketAddr {
+        let last = u8::try_from(index + 1).unwrap();
+        let (second, third) = self.parts;
+        SocketAddr::from((Ipv4Addr::new(127, second, third, last), port))
+    }
+}
+
+fn open_daemon(
+    set: &StandinSet,
+    network: &Network,
+    plan: &ClusterPlan,
+    index: usize,
+) -> ClusterDaemon {
+    let seed = plan.standins.seed;
+    let peer_listen = network.address(index, PEER_PORT);
+    let proxy = |target| FaultProxy::bind(0, target, seed).unwrap();
+    let (peers, log, vm_list) = (
+        proxy(peer_listen),
+        proxy(set.log_address()),
+        proxy(set.vm_list_address()),
+    );
+    let zones = &plan.standins.zones;
+    let zone = &zones[index % zones.len()];
+    let entry = EntrySettings {
+        vm: format!("entry-{index}").parse().unwrap(),
+        zone: zone.name.clone(),
+        address: peers.address(),
+    };
+    set.add_entry(&entry).unwrap();
+    let callers = network.address(index, CALLER_PORT);
+    let operators = network.address(index, OPERATOR_PORT);
+    let mut sections = vec![
+        ("daemon", format!("id: entry-{index}")),
+        ("daemon", format!("region: {}", zone.region)),
+        ("daemon", format!("zone: {}", zone.name)),
+        ("cluster", "shards: 4".into()),
+        ("platform", format!("log: {}", log.address())),
+        ("platform", format!("vm_list: {}", vm_list.address())),
+        ("callers", format!("listen: {callers}")),
+        ("operators", format!("listen: {operators}")),
+        ("peers", format!("listen: {peer_listen}")),
+        ("peers", format!("advertise: {}", peers.address())),
+    ];
+    let added = plan.settings.iter();
+    sections.extend(added.map(|(section, line)| (*section, (*line).to_owned())));
+    let settings = network.directory.join(format!("entry-{index}.yaml"));
+    fs::write(&settings, settings_text(&sections)).unwrap();
+    ClusterDaemon {
+        process: DaemonProcess::spawn(&settings),
+        callers,
+        operators,
+        peers,
+        log,
+        vm_list,
+        settings,
+    }
+}
+
+/// Writes settings, with the lines of each section together.
+fn settings_text(lines: &[(&str, String)]) -> String {
+    let mut text = String::new();
+    let mut done: Vec<&str> = Vec::new();
+    for (section, _) in lines {
+        if done.contains(section) {
+            continue;
+        }
+        done.push(section);
+        text.extend([section, ":\n"]);
+        for (_, line) in lines.iter().filter(|(other, _)| other == section) {
+            text.extend(["  ", line, "\n"]);
+        }
+    }
+    text
+}
--- /dev/null
+++ b/crates/geraniumshed/tests/faults/harness/process.rs
@@ -0,0 +1,77 @@
+//! One daemon's process.
+
+use std::fs::File;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::time::Duration;
+
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+
+use super::wait::within;
+
+/// The secret of all test operators.
+pub const OPERATOR_SECRET: &str = "a secret of tests alone";
+
+/// A running process of the daemon, which is killed when dropped.
+#[derive(Debug)]
+pub struct DaemonProcess {
+    child: Child,
+    output: PathBuf,
+}
+
+impl DaemonProcess {
+    /// Starts a daemon with a file of settings; what it prints goes to a file beside it.
+    pub fn spawn(settings: &Path) -> Self {
+        let output = settings.with_extension("log");
+        let file = File::options().create(true).append(true).open(&output);
+        let file = file.unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_geraniumshed"))
+            .args(["run", "--settings"])
+            .arg(settings)
+            .env("GERANIUMSHED_OPERATOR_SECRET", OPERATOR_SECRET)
+            .stdin(Stdio::null())
+            .stdout(file.try_clone().unwrap())
+            .stderr(file)
+            .spawn()
+            .unwrap();
+        Self { child, output }
+    }
+
+    /// Sends a signal.
+    pub fn signal(&self, signal: Signal) {
+        let id = i32::try_from(self.child.id()).unwrap();
+        kill(Pid::from_raw(id), signal).unwrap();
+    }
+
+    /// Kills the process and waits for its end.
+    pub fn kill(&mut self) {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+    }
+
+    /// Waits until the process ends by itself.
+    pub async fn ended(&mut self, limit: Duration) -> ExitStatus {
+        within(limit, "the daemon ends", async || {
+            self.child.try_wait().unwrap()
+        })
+        .await
+    }
+
+    /// Returns the last lines that the process printed.
+    pub fn last_lines(&self) -> String {
+        let text = std::fs::read_to_string(&self.output).unwrap_or_default();
+        let lines: Vec<&str> = text.lines().rev().take(12).collect();
+        lines.into_iter().rev().collect::<Vec<_>>().join("\n")
+    }
+}
+
+impl Drop for DaemonProcess {
+    fn drop(&mut self) {
+        if self.child.try_wait().is_ok_and(|status| status.is_none()) {
+            // A stopped process is killed all the same.
+            drop(self.child.kill());
+            drop(self.child.wait());
+        }
+    }
+}
