Check that garbage on the peer interface ends only its own connection

A frame that is no call, a frame length above the limit and an HTTP request each close the connection without an answer, and a peer's request is served afterwards.

--- a/crates/geraniumshed-daemon/tests/state/peers.rs
+++ b/crates/geraniumshed-daemon/tests/state/peers.rs
@@ -20,7 +20,8 @@
 };
 use geraniumshed_daemon::state::ConfigFeed;
 use geraniumshed_model::prelude::*;
-use tokio::net::TcpListener;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, timeout};
 
@@ -342,3 +343,23 @@
     let reads: f64 = rates.iter().map(|rate| rate.2).sum();
     println!("all 24 daemons: {appends:.2} appends and {reads:.2} reads a second");
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn garbage_ends_only_its_own_connection() {
+    let log = FakeLog::default();
+    let daemons = start_all(&log, 2).await;
+    let address = daemons[1].server.local_addr();
+    let frame = [&[0, 0, 0, 8][..], &[0xff; 8]].concat();
+    let too_large = [0xff; 64].to_vec();
+    for garbage in [frame, too_large, b"GET / HTTP/1.1\r\n\r\n".to_vec()] {
+        let mut stream = TcpStream::connect(address).await.unwrap();
+        stream.write_all(&garbage).await.unwrap();
+        let mut answer = Vec::new();
+        let closed = timeout(LIMIT, stream.read_to_end(&mut answer)).await;
+        // A reset closes the connection as well.
+        drop(closed.expect("the connection stays open"));
+        assert!(answer.is_empty(), "{answer:?}");
+    }
+    let answer = daemons[0].link.forward(address, request("/", LIMIT)).await;
+    assert_eq!(answer.unwrap().status, 200);
+}
