Measure placement under hidden interference and spread replicas on a cold start

Cause: the bench showed that batch tasks filled each worker as it was seized, so that all eight replicas of a service ended on the last one; a replica on a full cluster waited for batch to end; and nothing kept batch away from a service that it was known to slow down. Change: bench schedule; only urgent batch is placed before all inventories are known (2 s at most); replicas preempt batch; a worker gets no batch task that would slow its services by more than 20% by what was learned. The search uses urgent tasks, which are placed as early as all were before.

--- a/crates/geraniumshed-core/src/schedule/interference.rs
+++ b/crates/geraniumshed-core/src/schedule/interference.rs
@@ -7,6 +7,7 @@
 
 use super::placement::dominant_share;
 use super::scheduler::ShardScheduler;
+use super::settings::PlacementPolicy;
 use super::worker_entry::{WorkerAttempt, WorkerEntry};
 
 /// How colocated tasks' interference is learned and weighed.
@@ -20,6 +21,8 @@
     pub service_weight: f64,
     /// The weight of a batch task's predicted slowdown against packing.
     pub batch_weight: f64,
+    /// The predicted slowdown of a service beyond which a worker gets no batch task; 0 means none.
+    pub service_limit: f64,
 }
 
 impl Default for InterferenceSettings {
@@ -29,6 +32,7 @@
             half_life: Duration::from_mins(30),
             service_weight: 8.0,
             batch_weight: 1.0,
+            service_limit: 0.2,
         }
     }
 }
@@ -156,6 +160,30 @@
         caused.sum::<f64>() + suffered * self.slowdown_weight(spec)
     }
 
+    /// Tells whether a worker's services are predicted to bear a task beside them.
+    pub(super) fn tolerates(&self, now: TimePoint, worker: &WorkerEntry, spec: &TaskSpec) -> bool {
+        if spec.class.is_latency_critical() || self.settings.policy == PlacementPolicy::FirstFit {
+            return true;
+        }
+        let settings = &self.settings.interference;
+        let own_load = dominant_share(&spec.size, &worker.size);
+        let mut services = worker.attempts.iter().filter(|(_, known)| {
+            let other = known.spec.as_ref();
+            known.is_live() && other.is_some_and(|other| other.class.is_latency_critical())
+        });
+        services.all(|(key, known)| {
+            let Some(other) = &known.spec else {
+                return true;
+            };
+            let table = &self.interference;
+            let half_life = settings.half_life;
+            let added = table.pair(now, &other.group, &spec.group, half_life) * own_load;
+            let loads = neighbour_loads(worker, Some(key));
+            let present = table.predict(now, &other.group, &loads, half_life);
+            added <= f64::EPSILON || present + added <= settings.service_limit
+        })
+    }
+
     fn slowdown_weight(&self, spec: &TaskSpec) -> f64 {
         if spec.class.is_latency_critical() {
             self.settings.interference.service_weight
--- a/crates/geraniumshed-core/src/schedule/placement.rs
+++ b/crates/geraniumshed-core/src/schedule/placement.rs
@@ -79,8 +79,8 @@
             return (0, false);
         };
         let more = waiting.indices.len() > PLACEMENTS_PER_TURN;
-        let replicas = self.wanted.group(group).is_some_and(is_service);
-        if replicas && !self.knows_inventories(now) {
+        let urgent = self.wanted.group(group).is_some_and(is_urgent_batch);
+        if !urgent && !self.knows_inventories(now) {
             return (0, false);
         }
         let Some(waiting) = self.queue.group_mut(group) else {
@@ -117,9 +117,10 @@
         (placed, more)
     }
 
-    /// Tells whether replicas that the log does not show would have been seen by now.
+    /// Tells whether all workers, and replicas that the log does not show, were seen by now.
     ///
-    /// An earlier owner may have started them while the log was down.
+    /// An earlier owner may have started replicas while the log was down. Batch tasks would fill
+    /// the first workers seen, so that replicas could not spread.
     fn knows_inventories(&self, now: TimePoint) -> bool {
         let mut listed = self
             .workers
@@ -150,9 +151,17 @@
         let candidates = self.workers.iter().filter(|(id, worker)| {
             worker.is_placeable() && self.accepts(now, id) && worker.has_room(&size)
         });
-        let candidates = candidates
-            .filter(|(id, worker)| !holds_task(worker, &spec.task) && !self.avoids(now, id, spec));
-        let best = match self.settings.policy {
+        let candidates = candidates.filter(|(id, worker)| {
+            !holds_task(worker, &spec.task)
+                && !self.avoids(now, id, spec)
+                && self.tolerates(now, worker, spec)
+        });
+        let policy = if spec.class.is_latency_critical() {
+            PlacementPolicy::Scored
+        } else {
+            self.settings.policy
+        };
+        let best = match policy {
             PlacementPolicy::FirstFit => candidates.map(|(id, _)| id).next(),
             PlacementPolicy::Scored => {
                 let spread = ReplicaSpread::of(self, spec);
@@ -260,8 +269,9 @@
     }
 }
 
-fn is_service(wanted: &WantedGroup) -> bool {
-    wanted.template.class.is_latency_critical()
+fn is_urgent_batch(wanted: &WantedGroup) -> bool {
+    let spec = &wanted.template;
+    !spec.class.is_latency_critical() && spec.urgency == UrgencyClass::Urgent
 }
 
 /// Returns a share as a whole number that sorts alike.
--- a/crates/geraniumshed-core/src/schedule/preemption.rs
+++ b/crates/geraniumshed-core/src/schedule/preemption.rs
@@ -38,9 +38,10 @@
 const GRACE_MARGIN: Duration = Duration::from_secs(2);
 
 impl ShardScheduler {
-    /// Stops batch tasks so that an urgent task gets room, unless that is under way.
+    /// Stops batch tasks so that an urgent task or a replica gets room, unless that is under way.
     pub(super) fn preempt(&mut self, now: TimePoint, spec: &TaskSpec) {
-        if spec.urgency != UrgencyClass::Urgent {
+        let critical = spec.class.is_latency_critical();
+        if !critical && spec.urgency != UrgencyClass::Urgent {
             return;
         }
         self.preemption.expire(now);
--- a/crates/geraniumshed-core/src/schedule/settings.rs
+++ b/crates/geraniumshed-core/src/schedule/settings.rs
@@ -95,7 +95,7 @@
     }
 }
 
-/// Which worker is chosen among those that have room for a task.
+/// Which worker is chosen among those that have room for a batch task; replicas always spread.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum PlacementPolicy {
     /// The worker with the best score of packing, spreading and predicted interference.
--- a/crates/geraniumshed-core/tests/schedule_search.rs
+++ b/crates/geraniumshed-core/tests/schedule_search.rs
@@ -134,7 +134,9 @@
         ..SchedulerSettings::default()
     };
     let mut cluster = FakeCluster::new(settings, workers(2));
+    // Urgent tasks are placed as soon as any worker is seized, which gives the shortest ways.
     let tasks = JobSpec {
+        urgency: UrgencyClass::Urgent,
         command: "run until ended".into(),
         ..job(2, 8, false)
     };
--- a/crates/geraniumshed/src/bench/mod.rs
+++ b/crates/geraniumshed/src/bench/mod.rs
@@ -1,6 +1,7 @@
 //! Benchmarks, run by `geraniumshed bench NAME`.
 
 pub mod request;
+pub mod schedule;
 
 use crate::output::ExitStatus;
 
@@ -16,8 +17,15 @@
 }
 
 /// All benchmarks.
-pub const BENCHES: &[BenchEntry] = &[BenchEntry {
-    name: "request",
-    summary: "dispatch policy against baselines and an ideal queue (decisions only, no sockets)",
-    run: request::run_command,
-}];
+pub const BENCHES: &[BenchEntry] = &[
+    BenchEntry {
+        name: "request",
+        summary: "dispatch policy against baselines and an ideal queue (decisions only, no sockets)",
+        run: request::run_command,
+    },
+    BenchEntry {
+        name: "schedule",
+        summary: "placement under hidden interference against baselines (decisions only, no sockets)",
+        run: schedule::run_command,
+    },
+];
--- /dev/null
+++ b/crates/geraniumshed/src/bench/schedule/run.rs
@@ -0,0 +1,286 @@
+//! One run of the core over the model's workers.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use geraniumshed_core::schedule::{
+    LadderSettings, PlacementPolicy, ReactionPolicy, SchedulerSettings, ShardAction, ShardCounters,
+    ShardInput, ShardMap, ShardScheduler,
+};
+use geraniumshed_core::state::{ConfigState, VmTable};
+use geraniumshed_model::prelude::*;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::model::{LATENCY_ALONE, ModelWorker, SlowdownMatrix};
+
+/// The number of workers.
+const WORKERS: u32 = 16;
+/// The time between two steps of the model.
+const STEP: Duration = Duration::from_millis(200);
+/// The classes of services.
+const SERVICES: [&str; 2] = ["booking", "quote"];
+/// The classes of batch tasks.
+const BATCHES: [&str; 4] = ["regrade", "rebuild", "sync", "export"];
+/// The first part of a run, which the figures leave out.
+const WARM_UP: Duration = Duration::from_mins(5);
+
+/// What one policy came to.
+#[derive(Debug)]
+pub struct PolicyReport {
+    /// The median slowdown of replicas, over all steps; 1 means none.
+    pub slowdown_p50: f64,
+    /// The 99th percentile of the slowdown of replicas, over all steps.
+    pub slowdown_p99: f64,
+    /// The batch work done, in seconds of running alone times processors.
+    pub batch_work: f64,
+    /// What the scheduler did.
+    pub counters: ShardCounters,
+    /// The starts for each second of the core's own processor time.
+    pub starts_per_second: f64,
+}
+
+/// Runs the core under one policy.
+pub fn run_policy(
+    policy: PlacementPolicy,
+    reaction: ReactionPolicy,
+    seed: u64,
+    minutes: u64,
+) -> PolicyReport {
+    let settings = SchedulerSettings {
+        policy,
+        ladder: LadderSettings {
+            reaction,
+            ..LadderSettings::default()
+        },
+        ..SchedulerSettings::default()
+    };
+    let mut cluster = BenchCluster::open(settings, seed);
+    let end = cluster.now + Duration::from_mins(minutes);
+    let warm = cluster.now + WARM_UP;
+    let (mut slowdowns, mut batch_work) = (Vec::new(), 0.0);
+    while cluster.now < end {
+        let (step_slowdowns, step_work) = cluster.step();
+        if cluster.now >= warm {
+            slowdowns.extend(step_slowdowns);
+            batch_work += step_work;
+        }
+    }
+    slowdowns.sort_by(f64::total_cmp);
+    let counters = cluster.scheduler.status().counters;
+    PolicyReport {
+        slowdown_p50: percentile(&slowdowns, 50),
+        slowdown_p99: percentile(&slowdowns, 99),
+        batch_work,
+        counters,
+        starts_per_second: counters.starts as f64 / cluster.core_time.as_secs_f64(),
+    }
+}
+
+fn percentile(sorted: &[f64], percent: usize) -> f64 {
+    let index = sorted.len() * percent / 100;
+    sorted.get(index).copied().unwrap_or(f64::NAN)
+}
+
+/// The core over the model's workers, with a log whose entries are read back one step later.
+#[derive(Debug)]
+struct BenchCluster {
+    now: TimePoint,
+    scheduler: ShardScheduler,
+    workers: BTreeMap<VmId, ModelWorker>,
+    matrix: SlowdownMatrix,
+    rng: ChaCha8Rng,
+    actions: Vec<ShardAction>,
+    offset: LogOffset,
+    vms: VmTable,
+    core_time: Duration,
+}
+
+impl BenchCluster {
+    fn open(settings: SchedulerSettings, seed: u64) -> Self {
+        let now = TimePoint(1_000_000);
+        let region: RegionName = parse("uy");
+        let map = ShardMap::new(1, vec![region]);
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let matrix = draw_matrix(&mut rng);
+        let workers = (0..WORKERS).map(|number| ModelWorker::new(worker_vm(number)));
+        let mut cluster = Self {
+            now,
+            scheduler: ShardScheduler::new(ShardId(0), ShardTerm(1), map, settings, now),
+            workers: workers.map(|w| (w.vm().vm.clone(), w)).collect(),
+            matrix,
+            rng,
+            actions: Vec::new(),
+            offset: LogOffset(0),
+            vms: VmTable::default(),
+            core_time: Duration::ZERO,
+        };
+        cluster.input(ShardInput::Config(Arc::new(records())));
+        cluster
+    }
+
+    fn input(&mut self, input: ShardInput) {
+        let begin = Instant::now();
+        let actions = self.scheduler.handle(self.now, input);
+        self.core_time += begin.elapsed();
+        self.actions.extend(actions);
+    }
+
+    /// Lets one step of time go by; returns the replicas' slowdowns and the batch work done.
+    fn step(&mut self) -> (Vec<f64>, f64) {
+        self.now = self.now + STEP;
+        let (mut slowdowns, mut batch) = (Vec::new(), 0.0);
+        for worker in self.workers.values_mut() {
+            let measure = worker.step(self.now, STEP, &self.matrix);
+            slowdowns.extend(measure.service);
+            batch += measure.batch;
+        }
+        let listed = self.workers.values().map(|worker| worker.vm().clone());
+        let listed = listed.collect();
+        self.vms.apply(self.now, Duration::ZERO, true, listed);
+        let vms = Arc::new(self.vms.clone());
+        self.input(ShardInput::Vms(vms));
+        self.input(ShardInput::Tick);
+        for action in std::mem::take(&mut self.actions) {
+            self.perform(action);
+        }
+        (slowdowns, batch)
+    }
+
+    fn perform(&mut self, action: ShardAction) {
+        match action {
+            ShardAction::Append(events) => {
+                let offset = self.offset;
+                self.offset = offset.next();
+                let mark = WriterMark {
+                    incarnation: DaemonIncarnation(1),
+                    sequence: offset.0 + 1,
+                };
+                let term = ShardTerm(1);
+                let batch = LogBatch { mark, term, events };
+                self.input(ShardInput::Read { offset, batch });
+            }
+            ShardAction::Seize { worker, .. } => {
+                let outcome = Ok(self.workers[&worker].seize());
+                self.input(ShardInput::Seized { worker, outcome });
+            }
+            ShardAction::Exchange {
+                worker, request, ..
+            } => {
+                let Some(entry) = self.workers.get_mut(&worker) else {
+                    return;
+                };
+                let reply = entry.exchange(self.now, &request, &self.matrix, &mut self.rng);
+                self.input(ShardInput::Exchanged {
+                    worker,
+                    sequence: request.sequence,
+                    outcome: Ok(reply),
+                });
+            }
+            ShardAction::Publish(_)
+            | ShardAction::Report(_)
+            | ShardAction::Move { .. }
+            | ShardAction::Superseded => {}
+        }
+    }
+}
+
+fn parse<T: std::str::FromStr>(text: &str) -> T
+where
+    T::Err: std::fmt::Debug,
+{
+    text.parse().expect("the bench's names are valid")
+}
+
+fn worker_vm(number: u32) -> VmEntry {
+    VmEntry {
+        vm: parse(&format!("worker-{number}")),
+        role: VmRole::Worker,
+        phase: VmPhase::Live,
+        region: parse("uy"),
+        zone: parse(&format!("zone-{}", number % 3)),
+        rack: parse(&format!("rack-{}", number / 8)),
+        address: parse(&format!("127.0.0.1:{}", 10_000 + number)),
+        size: processors(32),
+    }
+}
+
+fn processors(count: u32) -> ResourceSize {
+    ResourceSize {
+        processors: ProcessorShare(count * 1000),
+        memory: MemorySize(u64::from(count) * 3_900_000_000),
+        accelerators: AcceleratorCount(0),
+    }
+}
+
+/// Draws how classes slow one another down: a third of the pairs strongly, the others hardly.
+fn draw_matrix(rng: &mut ChaCha8Rng) -> SlowdownMatrix {
+    let mut matrix = SlowdownMatrix::new();
+    for class in SERVICES.iter().chain(&BATCHES) {
+        for neighbour in &BATCHES {
+            let strong = rng.random_bool(1.0 / 3.0);
+            let slowdown = if strong {
+                rng.random_range(0.8..2.5)
+            } else {
+                rng.random_range(0.0..0.1)
+            };
+            matrix.insert((parse(class), parse(neighbour)), slowdown);
+        }
+    }
+    matrix
+}
+
+/// Returns the records: services on an eighth of the processors, and batch work for all the rest.
+fn records() -> ConfigState {
+    let mut config = ConfigState::default();
+    let mut offset = LogOffset(0);
+    let services = SERVICES.map(|name| (name, RecordSpec::Service(service(name))));
+    let jobs = BATCHES.map(|name| (name, RecordSpec::Job(job(name))));
+    for (name, spec) in services.into_iter().chain(jobs) {
+        let key = RecordKey {
+            kind: spec.kind(),
+            name: parse(name),
+        };
+        let event = ConfigEvent::Publish {
+            key,
+            schema: SchemaVersion::NEW,
+            replaces: RecordGeneration(0),
+            body: RecordBody::Known(spec),
+        };
+        config.apply(offset, &event);
+        offset = offset.next();
+    }
+    config
+}
+
+fn service(name: &str) -> ServiceSpec {
+    ServiceSpec {
+        team: parse("agents"),
+        replicas: 8,
+        size: processors(4),
+        group: parse(name),
+        command: "serve".into(),
+        slots: SlotCount(8),
+        connections: 60,
+        deadline: TimeSpan(Duration::from_secs(1)),
+        latency_goal: TimeSpan(LATENCY_ALONE.mul_f64(1.2)),
+        urgency: UrgencyClass::Normal,
+        queue_limit: 100,
+        idempotent: false,
+        listener: false,
+    }
+}
+
+fn job(name: &str) -> JobSpec {
+    JobSpec {
+        team: parse(name),
+        tasks: 20_000,
+        size: processors(4),
+        group: parse(name),
+        command: "run=2m".into(),
+        urgency: UrgencyClass::Normal,
+        idempotent: true,
+        failure_limit: 3,
+    }
+}
