--- a/crates/geraniumshed-daemon/src/settings/daemon.rs
+++ b/crates/geraniumshed-daemon/src/settings/daemon.rs
@@ -195,7 +195,7 @@
 impl Default for TelemetrySettings {
     fn default() -> Self {
         Self {
-            log_level: SmolStr::new_static("info"),
+            log_level: SmolStr::new_static("info, tarpc=warn"),
             log_format: TextFormat::Text,
             statsd: None,
             metric_interval: Duration::from_secs(10),
--- a/crates/geraniumshed/src/command/publish.rs
+++ b/crates/geraniumshed/src/command/publish.rs
@@ -50,7 +50,9 @@
         match client.publish(&draft.text).await {
             Ok(reply) => replies.push(reply),
             Err(error) => {
-                print_reply(arguments.output, &replies, publish_table);
+                if !replies.is_empty() {
+                    print_reply(arguments.output, &replies, publish_table);
+                }
                 eprintln!(
                     "`{}` failed; {} of {} records were accepted, {} were not sent",
                     draft.key,
--- a/crates/geraniumshed/src/logging.rs
+++ b/crates/geraniumshed/src/logging.rs
@@ -6,6 +6,7 @@
 use geraniumshed_daemon::node::LevelControl;
 use geraniumshed_daemon::settings::{TelemetrySettings, TextFormat};
 use geraniumshed_model::prelude::{ErrorKind, ProblemError};
+use log::LevelFilter;
 use smol_str::{ToSmolStr, format_smolstr};
 
 /// What a level may look like.
@@ -58,14 +59,27 @@
     }
 }
 
-fn parse_level(level: &str) -> Result<LogSpecification, ProblemError> {
-    LogSpecification::parse(level).map_err(|_| {
+/// Reads a level, which may differ by module.
+///
+/// # Errors
+///
+/// Returns `Malformed` if the level can't be understood.
+pub fn parse_level(level: &str) -> Result<LogSpecification, ProblemError> {
+    let error = || {
         ProblemError::new(
             ErrorKind::Malformed,
             format_smolstr!("`{level}` is not a level of the log"),
             LEVEL_HINT,
         )
-    })
+    };
+    // The library takes a lone word that is no level for a module, and then logs nothing else.
+    let words = level
+        .split(',')
+        .map(|part| part.rsplit_once('=').map_or(part, |(_, level)| level));
+    for word in words {
+        word.trim().parse::<LevelFilter>().map_err(|_| error())?;
+    }
+    LogSpecification::parse(level).map_err(|_| error())
 }
 
 fn unusable(error: FlexiLoggerError) -> ProblemError {
