--- a/crates/geraniumshed-daemon/src/node/backend.rs
+++ b/crates/geraniumshed-daemon/src/node/backend.rs
@@ -23,10 +23,10 @@
 use crate::operator::{
     ConfigCommand, OperatorBackend, read_history, summarize_jobs, summarize_services,
 };
-use crate::peer::PeerHub;
+use crate::peer::{PeerHub, PeerPool};
 use crate::request::StatusReader;
 use crate::state::ConfigPublisher;
-use crate::telemetry::MetricSet;
+use crate::telemetry::{MetricName, MetricSet};
 use crate::view::{ConfigView, EndpointView, OwnershipView};
 
 /// The silence after which the log counts as out of reach; it is read at least this often.
@@ -53,6 +53,8 @@
     pub endpoints: EndpointView,
     /// The peers.
     pub hub: PeerHub,
+    /// The connections to the peers.
+    pub pool: PeerPool,
     /// Who owns which shard.
     pub owners: OwnershipView,
     /// The schedulers of the shards that this daemon owns.
@@ -89,7 +91,11 @@
 
     /// Reads the present values of all metrics.
     pub async fn read_metrics(&self) -> MetricSet {
-        collect_metrics(&self.status().await, &self.parts.entry.status())
+        let mut set = collect_metrics(&self.status().await, &self.parts.entry.status());
+        let (beats, forwards) = self.parts.pool.traffic();
+        let bytes = beats.read + beats.written + forwards.read + forwards.written;
+        set.count(MetricName::PeersBytes, bytes);
+        set
     }
 
     fn daemon_state(&self) -> DaemonState {
--- a/crates/geraniumshed-daemon/src/node/daemon.rs
+++ b/crates/geraniumshed-daemon/src/node/daemon.rs
@@ -180,7 +180,7 @@
             config: feeds.config.view(),
             endpoints: feeds.endpoints.view(),
             vms: feeds.vms.view(),
-            forwarder: PeerLink::open(hub.clone(), pool, ownership.view()),
+            forwarder: PeerLink::open(hub.clone(), pool.clone(), ownership.view()),
             key_log: KeyStreams::open(&context),
         };
         let entry = EntryListener::bind(entry_context, settings.entry.clone())
@@ -195,6 +195,7 @@
             publisher: feeds.config.publisher(),
             endpoints: feeds.endpoints.view(),
             hub: hub.clone(),
+            pool,
             owners: ownership.view(),
             runners,
             map,
--- a/crates/geraniumshed-daemon/src/telemetry/metric.rs
+++ b/crates/geraniumshed-daemon/src/telemetry/metric.rs
@@ -68,6 +68,7 @@
     ConfigLowestApplied, "config.lowest_applied", Gauge, "The lowest such offset of all live daemons.";
     PeersLive, "peers.live", Gauge, "Other daemons that answer.";
     PeersSuspected, "peers.suspected", Gauge, "Other daemons that do not.";
+    PeersBytes, "peers.bytes", Counter, "Bytes of calls to other daemons and of their answers.";
     ShardsOwned, "shards.owned", Gauge, "Shards that this daemon owns.";
     ShardsOwnerless, "shards.ownerless", Gauge, "Shards that no daemon owns.";
     TasksRunning, "tasks.running", Gauge, "Tasks that run, of the shards that this daemon owns.";
--- /dev/null
+++ b/crates/geraniumshed/src/bench/capacity/fit.rs
@@ -0,0 +1,232 @@
+//! Unit costs and slopes from snapshots.
+
+use std::collections::BTreeMap;
+
+use serde::Serialize;
+use smol_str::SmolStr;
+
+use super::snapshot::CapacitySnapshot;
+
+/// A straight line through measured points.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize)]
+pub struct LinearFit {
+    /// The value at zero.
+    pub base: f64,
+    /// The growth of the value with each unit.
+    pub slope: f64,
+    /// The standard error of the slope.
+    pub error: f64,
+}
+
+impl LinearFit {
+    /// Fits a line by least squares.
+    pub fn through(points: &[(f64, f64)]) -> Self {
+        let count = points.len() as f64;
+        if points.len() < 2 {
+            let base = points.first().map_or(0.0, |(_, y)| *y);
+            return Self {
+                base,
+                slope: 0.0,
+                error: f64::INFINITY,
+            };
+        }
+        let mean_x = points.iter().map(|(x, _)| x).sum::<f64>() / count;
+        let mean_y = points.iter().map(|(_, y)| y).sum::<f64>() / count;
+        let spread: f64 = points.iter().map(|(x, _)| (x - mean_x).powi(2)).sum();
+        if spread == 0.0 {
+            return Self {
+                base: mean_y,
+                slope: 0.0,
+                error: f64::INFINITY,
+            };
+        }
+        let joint: f64 = points
+            .iter()
+            .map(|(x, y)| (x - mean_x) * (y - mean_y))
+            .sum();
+        let slope = joint / spread;
+        let base = mean_y - slope * mean_x;
+        let residue: f64 = points
+            .iter()
+            .map(|(x, y)| (y - base - slope * x).powi(2))
+            .sum();
+        let freedom = (count - 2.0).max(1.0);
+        Self {
+            base,
+            slope,
+            error: (residue / freedom / spread).sqrt(),
+        }
+    }
+
+    /// Returns the value at a point.
+    pub fn at(&self, x: f64) -> f64 {
+        self.base + self.slope * x
+    }
+}
+
+/// What control costs one daemon.
+#[derive(Debug, Clone, Default, PartialEq, Serialize)]
+pub struct CostModel {
+    /// The processor time of a daemon at rest, in milliseconds a second, by the workers it owns.
+    pub idle_processor: LinearFit,
+    /// The memory of a daemon, in bytes, by all tasks of the cluster.
+    pub resident: LinearFit,
+    /// The bytes a second at rest between a daemon and its workers, by the workers it owns.
+    pub worker_bytes: LinearFit,
+    /// The bytes a second at rest between a daemon and log and list, by the workers it owns.
+    pub platform_bytes: LinearFit,
+    /// The bytes a second at rest between a daemon and its peers, by the number of daemons.
+    pub peer_bytes: LinearFit,
+    /// The entries a second that a daemon appends at rest.
+    pub idle_appends: f64,
+    /// The bytes of control for each start of a task, over all daemons.
+    pub start_bytes: f64,
+    /// The processor time for each start of a task, over all daemons, in milliseconds.
+    pub start_processor: f64,
+    /// The entries for each start of a task.
+    pub start_appends: f64,
+    /// The bytes of control for each change of the configuration, by the number of daemons.
+    pub change_bytes: LinearFit,
+    /// The processor time for each change, over all daemons, in milliseconds.
+    pub change_processor: LinearFit,
+}
+
+/// What happened between two snapshots of a run.
+#[derive(Debug, Clone)]
+struct PhaseCost {
+    phase: SmolStr,
+    workers: f64,
+    daemons: f64,
+    tasks: f64,
+    seconds: f64,
+    processor_ms: f64,
+    resident: f64,
+    log_bytes: f64,
+    list_bytes: f64,
+    worker_bytes: f64,
+    peer_bytes: f64,
+    appends: f64,
+}
+
+impl PhaseCost {
+    fn between(begin: &CapacitySnapshot, end: &CapacitySnapshot) -> Self {
+        let grown = |begin: u64, end: u64| end.saturating_sub(begin) as f64;
+        Self {
+            phase: begin.phase.clone(),
+            workers: f64::from(begin.workers),
+            daemons: f64::from(begin.daemons),
+            tasks: f64::from(begin.tasks),
+            seconds: grown(begin.at_ms, end.at_ms) / 1000.0,
+            processor_ms: grown(begin.processor_ms, end.processor_ms),
+            resident: end.resident as f64,
+            log_bytes: grown(begin.log_bytes, end.log_bytes),
+            list_bytes: grown(begin.list_bytes, end.list_bytes),
+            worker_bytes: grown(begin.worker_bytes, end.worker_bytes),
+            peer_bytes: grown(begin.peer_bytes, end.peer_bytes),
+            appends: grown(begin.appends, end.appends),
+        }
+    }
+
+    /// Returns a cost by daemon and second.
+    fn rate(&self, cost: f64) -> f64 {
+        cost / self.daemons / self.seconds
+    }
+
+    fn control_bytes(&self) -> f64 {
+        self.log_bytes + self.list_bytes + self.worker_bytes + self.peer_bytes
+    }
+}
+
+/// The records that the phase `config` publishes.
+pub const CONFIG_CHANGES: f64 = 60.0;
+
+/// Fits the costs to the snapshots of several runs.
+pub fn fit_costs(snapshots: &[CapacitySnapshot]) -> CostModel {
+    let phases = phase_costs(snapshots);
+    let of = |name: &str| -> Vec<&PhaseCost> {
+        phases.iter().filter(|phase| phase.phase == name).collect()
+    };
+    let idle = of("idle");
+    let start = of("start");
+    let config = of("config");
+    let line = |points: Vec<(f64, f64)>| LinearFit::through(&points);
+    let by_workers = |cost: fn(&PhaseCost) -> f64| {
+        line(
+            idle.iter()
+                .map(|p| (p.workers / p.daemons, p.rate(cost(p))))
+                .collect(),
+        )
+    };
+    let extra = |cost: fn(&PhaseCost) -> f64| mean_extra(&start, &idle, cost);
+    CostModel {
+        idle_processor: by_workers(|p| p.processor_ms),
+        resident: line(idle.iter().map(|p| (p.tasks, p.resident)).collect()),
+        worker_bytes: by_workers(|p| p.worker_bytes),
+        platform_bytes: by_workers(|p| p.log_bytes + p.list_bytes),
+        peer_bytes: line(
+            idle.iter()
+                .map(|p| (p.daemons, p.rate(p.peer_bytes)))
+                .collect(),
+        ),
+        idle_appends: mean(idle.iter().map(|p| p.rate(p.appends))),
+        start_bytes: extra(PhaseCost::control_bytes),
+        start_processor: extra(|p| p.processor_ms),
+        start_appends: extra(|p| p.appends),
+        change_bytes: change_line(&config, &idle, |p| p.log_bytes),
+        change_processor: change_line(&config, &idle, |p| p.processor_ms),
+    }
+}
+
+/// Pairs the snapshots of each run in the order in which they were taken.
+fn phase_costs(snapshots: &[CapacitySnapshot]) -> Vec<PhaseCost> {
+    let mut runs: BTreeMap<&SmolStr, Vec<&CapacitySnapshot>> = BTreeMap::new();
+    for snapshot in snapshots {
+        runs.entry(&snapshot.run).or_default().push(snapshot);
+    }
+    let pairs = runs.values().flat_map(|run| run.windows(2));
+    pairs
+        .map(|pair| PhaseCost::between(pair[0], pair[1]))
+        .collect()
+}
+
+/// Returns the cost at rest, by second over all daemons, of the run like a phase's.
+fn idle_rate(phase: &PhaseCost, idle: &[&PhaseCost], cost: fn(&PhaseCost) -> f64) -> f64 {
+    let alike = idle.iter().filter(|other| {
+        other.workers == phase.workers
+            && other.daemons == phase.daemons
+            && other.tasks == phase.tasks
+    });
+    mean(alike.map(|other| cost(other) / other.seconds))
+}
+
+/// Returns what each start cost above what the cluster costs at rest.
+fn mean_extra(start: &[&PhaseCost], idle: &[&PhaseCost], cost: fn(&PhaseCost) -> f64) -> f64 {
+    mean(start.iter().map(|phase| {
+        let rest = idle_rate(phase, idle, cost) * phase.seconds;
+        ((cost(phase) - rest) / phase.tasks).max(0.0)
+    }))
+}
+
+/// Fits what each change of the configuration costs to the number of daemons.
+fn change_line(
+    config: &[&PhaseCost],
+    idle: &[&PhaseCost],
+    cost: fn(&PhaseCost) -> f64,
+) -> LinearFit {
+    let points: Vec<_> = config
+        .iter()
+        .map(|phase| {
+            let rest = idle_rate(phase, idle, cost) * phase.seconds;
+            (
+                phase.daemons,
+                ((cost(phase) - rest) / CONFIG_CHANGES).max(0.0),
+            )
+        })
+        .collect();
+    LinearFit::through(&points)
+}
+
+fn mean(values: impl Iterator<Item = f64>) -> f64 {
+    let (sum, count) = values.fold((0.0, 0.0), |(sum, count), value| (sum + value, count + 1.0));
+    if count == 0.0 { 0.0 } else { sum / count }
+}
--- /dev/null
+++ b/crates/geraniumshed/src/bench/capacity/report.rs
@@ -0,0 +1,223 @@
+//! The costs of control at the sizes of today and at the target.
+
+use std::error::Error;
+use std::fmt::Write as _;
+use std::fs;
+
+use gumdrop::Options;
+use serde::Serialize;
+
+use super::fit::{CostModel, LinearFit, fit_costs};
+use super::snapshot::CapacitySnapshot;
+
+/// The seconds of a day.
+const DAY_SECONDS: f64 = 86_400.0;
+
+/// The options of `bench capacity fit`.
+#[derive(Debug, Options)]
+pub struct FitArguments {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(no_short, help = "file of the snapshots", meta = "FILE")]
+    file: String,
+    #[options(no_short, help = "print JSON in place of tables")]
+    json: bool,
+}
+
+/// A size of a cluster.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize)]
+pub struct ClusterSize {
+    /// The name.
+    pub name: &'static str,
+    /// The daemons.
+    pub daemons: f64,
+    /// The workers.
+    pub workers: f64,
+    /// The tasks that run.
+    pub tasks: f64,
+    /// The starts of tasks a second at the peak.
+    pub peak_starts: f64,
+    /// The starts of tasks on an ordinary day.
+    pub day_starts: f64,
+    /// The changes of the configuration on an ordinary day, jobs included.
+    pub day_changes: f64,
+}
+
+/// The sizes of today and the target.
+pub const CLUSTER_SIZES: [ClusterSize; 3] = [
+    ClusterSize {
+        name: "Cámara",
+        daemons: 6.0,
+        workers: 50.0,
+        tasks: 500.0,
+        peak_starts: 10.0,
+        day_starts: 5_000.0,
+        day_changes: 500.0,
+    },
+    ClusterSize {
+        name: "Yıldız",
+        daemons: 7.0,
+        workers: 65.0,
+        tasks: 650.0,
+        peak_starts: 10.0,
+        day_starts: 5_000.0,
+        day_changes: 500.0,
+    },
+    ClusterSize {
+        name: "target",
+        daemons: 24.0,
+        workers: 840.0,
+        tasks: 14_500.0,
+        peak_starts: 230.0,
+        day_starts: 300_000.0,
+        day_changes: 12_900.0,
+    },
+];
+
+/// What control costs one daemon at one size.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct SizeCost {
+    /// The size.
+    pub size: ClusterSize,
+    /// The processor time at rest, in percent of a core.
+    pub idle_processor: f64,
+    /// The processor time on the average of a day, in percent of a core.
+    pub day_processor: f64,
+    /// The processor time at the peak of starts, in percent of a core.
+    pub peak_processor: f64,
+    /// The memory, in millions of bytes.
+    pub memory: f64,
+    /// The bytes a second at rest.
+    pub idle_bytes: f64,
+    /// The bytes a second on the average of a day.
+    pub day_bytes: f64,
+    /// The bytes a second at the peak of starts.
+    pub peak_bytes: f64,
+    /// The entries a second of all daemons at the peak of starts.
+    pub peak_appends: f64,
+}
+
+/// Works out what control costs one daemon at a size.
+pub fn size_cost(model: &CostModel, size: ClusterSize) -> SizeCost {
+    let own_workers = size.workers / size.daemons;
+    let idle_bytes = model.worker_bytes.at(own_workers)
+        + model.platform_bytes.at(own_workers)
+        + model.peer_bytes.at(size.daemons);
+    let change_bytes = model.change_bytes.at(size.daemons) / size.daemons;
+    let day = |starts: f64, changes: f64| {
+        (size.day_starts / DAY_SECONDS / size.daemons) * starts
+            + (size.day_changes / DAY_SECONDS) * changes
+    };
+    let peak = size.peak_starts / size.daemons;
+    let change_processor = model.change_processor.at(size.daemons) / size.daemons;
+    let idle_processor = model.idle_processor.at(own_workers) / 10.0;
+    SizeCost {
+        size,
+        idle_processor,
+        day_processor: idle_processor + day(model.start_processor, change_processor) / 10.0,
+        peak_processor: idle_processor + peak * model.start_processor / 10.0,
+        memory: model.resident.at(size.tasks) / 1e6,
+        idle_bytes,
+        day_bytes: idle_bytes + day(model.start_bytes, change_bytes),
+        peak_bytes: idle_bytes + peak * model.start_bytes,
+        peak_appends: size.daemons * model.idle_appends + size.peak_starts * model.start_appends,
+    }
+}
+
+/// Fits the costs to a file of snapshots and prints them.
+///
+/// # Errors
+///
+/// Returns what can't be read.
+pub fn execute(arguments: &FitArguments) -> Result<(), Box<dyn Error>> {
+    let text = fs::read_to_string(&arguments.file)?;
+    let snapshots: Result<Vec<CapacitySnapshot>, _> =
+        text.lines().map(serde_json::from_str).collect();
+    let model = fit_costs(&snapshots?);
+    let costs: Vec<_> = CLUSTER_SIZES
+        .iter()
+        .map(|size| size_cost(&model, *size))
+        .collect();
+    if arguments.json {
+        let document = serde_json::json!({ "model": model, "sizes": costs });
+        println!("{}", serde_json::to_string_pretty(&document)?);
+    } else {
+        print!("{}", model_table(&model)?);
+        println!();
+        print!("{}", cost_table(&costs)?);
+    }
+    Ok(())
+}
+
+/// Prints the fitted lines as a table.
+fn model_table(model: &CostModel) -> Result<String, std::fmt::Error> {
+    let mut text = String::from("| cost of one daemon | base | slope | error of the slope |\n");
+    text.push_str("| --- | --- | --- | --- |\n");
+    let mut row = |name: &str, fit: &LinearFit, scale: f64| {
+        let (base, slope, error) = (fit.base * scale, fit.slope * scale, fit.error * scale);
+        writeln!(text, "| {name} | {base:.4} | {slope:.6} | {error:.6} |")
+    };
+    row(
+        "processor at rest, % of a core, by own worker",
+        &model.idle_processor,
+        0.1,
+    )?;
+    row("memory, MB, by task of the cluster", &model.resident, 1e-6)?;
+    row(
+        "bytes/s with workers, by own worker",
+        &model.worker_bytes,
+        1.0,
+    )?;
+    row(
+        "bytes/s with log and list, by own worker",
+        &model.platform_bytes,
+        1.0,
+    )?;
+    row("bytes/s with peers, by daemon", &model.peer_bytes, 1.0)?;
+    row(
+        "log bytes of a change, all daemons, by daemon",
+        &model.change_bytes,
+        1.0,
+    )?;
+    row(
+        "processor ms of a change, all daemons, by daemon",
+        &model.change_processor,
+        1.0,
+    )?;
+    writeln!(text)?;
+    writeln!(
+        text,
+        "Each start of a task costs {:.0} bytes, {:.3} ms of processor time and {:.4}",
+        model.start_bytes, model.start_processor, model.start_appends
+    )?;
+    writeln!(
+        text,
+        "log entries. A daemon at rest appends {:.3} entries a second.",
+        model.idle_appends
+    )?;
+    Ok(text)
+}
+
+/// Prints the costs at all sizes as a table.
+fn cost_table(costs: &[SizeCost]) -> Result<String, std::fmt::Error> {
+    let mut text = String::from(
+        "| size | CPU % rest/day/peak | memory MB | bytes/s rest/day/peak | appends/s peak, all |\n\
+         | --- | --- | --- | --- | --- |\n",
+    );
+    for cost in costs {
+        writeln!(
+            text,
+            "| {} | {:.2} / {:.2} / {:.2} | {:.0} | {:.0} / {:.0} / {:.0} | {:.0} |",
+            cost.size.name,
+            cost.idle_processor,
+            cost.day_processor,
+            cost.peak_processor,
+            cost.memory,
+            cost.idle_bytes,
+            cost.day_bytes,
+            cost.peak_bytes,
+            cost.peak_appends,
+        )?;
+    }
+    Ok(text)
+}
--- a/crates/geraniumshed/src/bench/mod.rs
+++ b/crates/geraniumshed/src/bench/mod.rs
@@ -1,5 +1,6 @@
 //! Benchmarks, run by `geraniumshed bench NAME`.
 
+pub mod capacity;
 pub mod request;
 pub mod schedule;
 
@@ -28,4 +29,9 @@
         summary: "placement under hidden interference against baselines (decisions only, no sockets)",
         run: schedule::run_command,
     },
+    BenchEntry {
+        name: "capacity",
+        summary: "costs of control at small sizes, and extrapolated (see scripts/capacity.sh)",
+        run: capacity::run_command,
+    },
 ];
--- a/crates/geraniumshed/src/client/operator.rs
+++ b/crates/geraniumshed/src/client/operator.rs
@@ -10,7 +10,7 @@
     ResolveRequest, TaskDecision,
 };
 use geraniumshed_wire::record::RecordDocument;
-use reqwest::{Certificate, Client, Identity, Method, RequestBuilder};
+use reqwest::{Certificate, Client, Identity, Method, RequestBuilder, Response};
 use serde::de::DeserializeOwned;
 use smol_str::{SmolStr, ToSmolStr, format_smolstr};
 
@@ -167,6 +167,20 @@
         self.send(Method::POST, build).await
     }
 
+    /// Returns the present values of all metrics, as lines of a name and a value.
+    ///
+    /// # Errors
+    ///
+    /// Returns how the call failed.
+    pub async fn metrics(&self) -> Result<String, ClientError> {
+        let build = |url: &str| self.client.get(format!("{url}/operator/metrics"));
+        let response = self.send_raw(&Method::GET, build).await?;
+        response
+            .text()
+            .await
+            .map_err(|error| ClientError::Settings(error_chain(&error)))
+    }
+
     /// Changes the level of log lines of one daemon.
     ///
     /// # Errors
@@ -189,15 +203,25 @@
         self.send(Method::GET, build).await
     }
 
+    /// Sends a request and reads the answer's document.
+    async fn send<T: DeserializeOwned>(
+        &self,
+        method: Method,
+        build: impl Fn(&str) -> RequestBuilder,
+    ) -> Result<T, ClientError> {
+        let response = self.send_raw(&method, build).await?;
+        read_answer(response, &method).await
+    }
+
     /// Sends a request to the first daemon that can be reached.
     ///
     /// A request that changes something is sent on to the next daemon only if no connection was
     /// made, so that it is never sent twice.
-    async fn send<T: DeserializeOwned>(
+    async fn send_raw(
         &self,
-        method: Method,
+        method: &Method,
         build: impl Fn(&str) -> RequestBuilder,
-    ) -> Result<T, ClientError> {
+    ) -> Result<Response, ClientError> {
         let mut last = ClientError::Settings("no URL is named (hint: use --url)".into());
         for url in &self.urls {
             let mut request = build(url);
@@ -205,7 +229,7 @@
                 request = request.bearer_auth(secret);
             }
             let error = match request.send().await {
-                Ok(response) => return read_answer(response, &method).await,
+                Ok(response) => return Ok(response),
                 Err(error) => error,
             };
             if error.is_builder() {
@@ -214,7 +238,7 @@
                 )));
             }
             let reason = format_smolstr!("{url}: {}", error_chain(&error));
-            if method != Method::GET && !error.is_connect() {
+            if *method != Method::GET && !error.is_connect() {
                 return Err(ClientError::AnswerLost(reason));
             }
             last = ClientError::Unreachable(reason);
@@ -224,7 +248,7 @@
 }
 
 async fn read_answer<T: DeserializeOwned>(
-    response: reqwest::Response,
+    response: Response,
     method: &Method,
 ) -> Result<T, ClientError> {
     let status = response.status();
