--- a/crates/geraniumshed-daemon/src/node/daemon.rs
+++ b/crates/geraniumshed-daemon/src/node/daemon.rs
@@ -151,15 +151,7 @@
         let beat = PeerBeat::spawn(hub.clone(), pool.clone(), &peer_settings);
 
         let map = ShardMap::new(settings.cluster.shards, settings.cluster.regions.clone());
-        let scheduling = ShardContext {
-            streams: LogStreams::open(&context, feeds.endpoints.writer(), feeds.config.publisher()),
-            workers: HttpWorkers::open(timeouts),
-            clock,
-            map: map.clone(),
-            settings: settings.scheduler.clone(),
-            config: feeds.config.view(),
-            vms: feeds.vms.view(),
-        };
+        let scheduling = feeds.shard_context(&settings, &context, clock, map.clone());
         let runners = ShardRunners::new(scheduling, caught_up.clone());
         let own = OwnershipContext {
             hub: hub.clone(),
@@ -254,6 +246,25 @@
         }
     }
 
+    /// Returns what the schedulers of shards work with.
+    fn shard_context(
+        &self,
+        settings: &DaemonSettings,
+        context: &Arc<LogContext<HttpLog>>,
+        clock: ProcessClock,
+        map: ShardMap,
+    ) -> ShardContext<NodeStreams, HttpWorkers> {
+        ShardContext {
+            streams: LogStreams::open(context, self.endpoints.writer(), self.config.publisher()),
+            workers: HttpWorkers::open(settings.platform.timeouts()),
+            clock,
+            map,
+            settings: settings.scheduler.clone(),
+            config: self.config.view(),
+            vms: self.vms.view(),
+        }
+    }
+
     /// Returns what each feed tells of having caught up.
     fn caught_up(&self) -> [watch::Receiver<bool>; 3] {
         [
--- a/crates/geraniumshed/src/bench/capacity/fit.rs
+++ b/crates/geraniumshed/src/bench/capacity/fit.rs
@@ -94,6 +94,7 @@
 /// What happened between two snapshots of a run.
 #[derive(Debug, Clone)]
 struct PhaseCost {
+    run: SmolStr,
     phase: SmolStr,
     workers: f64,
     daemons: f64,
@@ -112,6 +113,7 @@
     fn between(begin: &CapacitySnapshot, end: &CapacitySnapshot) -> Self {
         let grown = |begin: u64, end: u64| end.saturating_sub(begin) as f64;
         Self {
+            run: begin.run.clone(),
             phase: begin.phase.clone(),
             workers: f64::from(begin.workers),
             daemons: f64::from(begin.daemons),
@@ -189,13 +191,9 @@
         .collect()
 }
 
-/// Returns the cost at rest, by second over all daemons, of the run like a phase's.
+/// Returns the cost at rest, by second over all daemons, of a phase's run.
 fn idle_rate(phase: &PhaseCost, idle: &[&PhaseCost], cost: fn(&PhaseCost) -> f64) -> f64 {
-    let alike = idle.iter().filter(|other| {
-        other.workers == phase.workers
-            && other.daemons == phase.daemons
-            && other.tasks == phase.tasks
-    });
+    let alike = idle.iter().filter(|other| other.run == phase.run);
     mean(alike.map(|other| cost(other) / other.seconds))
 }
 
--- a/crates/geraniumshed/src/bench/capacity/snapshot.rs
+++ b/crates/geraniumshed/src/bench/capacity/snapshot.rs
@@ -9,6 +9,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use smol_str::SmolStr;
+use tokio::runtime::Builder;
 
 use super::process::read_usage;
 use crate::client::{ClientSettings, OperatorClient};
@@ -101,9 +102,9 @@
 /// # Errors
 ///
 /// Returns what can't be read or written.
-#[tokio::main(flavor = "current_thread")]
-pub async fn execute(arguments: &SnapshotArguments) -> Result<(), Box<dyn Error>> {
-    let snapshot = take_snapshot(arguments).await?;
+pub fn execute(arguments: &SnapshotArguments) -> Result<(), Box<dyn Error>> {
+    let runtime = Builder::new_current_thread().enable_all().build()?;
+    let snapshot = runtime.block_on(take_snapshot(arguments))?;
     let mut file = OpenOptions::new()
         .create(true)
         .append(true)
@@ -157,7 +158,7 @@
 
 /// Adds what the calling sides count, so that each byte counts once.
 async fn read_peer_bytes(arguments: &SnapshotArguments) -> Result<u64, Box<dyn Error>> {
-    let mut bytes = 0.0;
+    let mut bytes = 0;
     for url in arguments.urls.split(',') {
         let client = OperatorClient::open(&ClientSettings {
             url: Some(url.trim().to_owned()),
@@ -168,8 +169,8 @@
         let served = metrics.lines().filter_map(|line| line.split_once(' '));
         let mut served = served.filter(|(name, _)| *name == "peers.bytes");
         if let Some((_, value)) = served.next() {
-            bytes += value.trim().parse::<f64>()?;
+            bytes += value.trim().parse::<u64>()?;
         }
     }
-    Ok(bytes as u64)
+    Ok(bytes)
 }
