Take the shards of a daemon that only the log doesn't answer

Heartbeats now say that the log has not answered for 8 s. Such a peer counts as unable to act, but only to a daemon that the log has been answering for 10 s itself: after an outage of the log for all, the first one back would otherwise take every shard.

--- a/crates/geraniumshed-core/src/member/ownership_plan.rs
+++ b/crates/geraniumshed-core/src/member/ownership_plan.rs
@@ -47,6 +47,8 @@
     pub live: &'a [PeerReport],
     /// Whether each peer has answered or is suspected.
     pub settled: bool,
+    /// Whether the log has been answering this daemon for some time.
+    pub log_steady: bool,
 }
 
 /// Which shards this daemon claims, holds and gives up.
@@ -131,7 +133,8 @@
     /// Returns the events to append now, all in one entry.
     pub fn tick(&mut self, now: TimePoint, sight: PeerSight<'_>) -> Vec<ClaimEvent> {
         self.note_seen(now, sight.live);
-        self.spread = self.wanted_spread(sight.live);
+        let able = able_peers(sight);
+        self.spread = self.wanted_spread(&able);
         if !self.caught_up {
             return Vec::new();
         }
@@ -143,7 +146,7 @@
             return events;
         }
         if sight.settled {
-            events.extend(self.new_claims(now, sight.live));
+            events.extend(self.new_claims(now, &able));
             self.choose_yield(now);
         }
         events.extend(self.holds(now));
@@ -362,6 +365,19 @@
     }
 }
 
+/// Returns the peers that can act for their shards.
+///
+/// A peer that the log doesn't answer can start nothing. That it is the peer's fault, and not the
+/// log's, is known only to a daemon that the log has been answering all the while.
+fn able_peers(sight: PeerSight<'_>) -> Vec<PeerReport> {
+    sight
+        .live
+        .iter()
+        .filter(|report| !(sight.log_steady && report.log_silent))
+        .cloned()
+        .collect()
+}
+
 fn find_live(live: &[PeerReport], incarnation: DaemonIncarnation) -> Option<&PeerReport> {
     live.iter()
         .find(|report| report.identity.incarnation == incarnation)
--- a/crates/geraniumshed-core/tests/ownership.rs
+++ b/crates/geraniumshed-core/tests/ownership.rs
@@ -32,6 +32,7 @@
         identity: identity.clone(),
         applied: LogOffset(0),
         serving: true,
+        log_silent: false,
         leaving,
         leaving_endpoints: Vec::new(),
     }
@@ -126,6 +127,7 @@
         let sight = PeerSight {
             live: &live,
             settled: true,
+            log_steady: !self.log_down,
         };
         let events = daemon.plan.tick(self.now, sight);
         if events.is_empty() {
@@ -289,6 +291,33 @@
     assert_eq!(map.own_shards().count(), usize::from(SHARDS));
 }
 
+#[rstest]
+#[case::own_log_answers(true, SHARDS)]
+#[case::own_log_was_silent_too(false, SHARDS / 2)]
+fn a_peer_that_the_log_does_not_answer_loses_its_shards(
+    #[case] log_steady: bool,
+    #[case] owned: u16,
+) {
+    let mut cluster = Cluster::start(4, &["a"]);
+    cluster.run(5);
+    let mut silent = report(&cluster.daemons[0].identity, false);
+    silent.log_silent = true;
+    let live = [silent];
+    let sight = PeerSight {
+        live: &live,
+        settled: true,
+        log_steady,
+    };
+    let now = TimePoint(cluster.now.0 + 20_000_000);
+    let claims = cluster.daemons[2].plan.tick(now, sight);
+    let end = LogOffset(cluster.log.len() as u64);
+    for event in &claims {
+        cluster.daemons[2].plan.apply(end, event);
+    }
+    let map = cluster.daemons[2].plan.owner_map(sight.live);
+    assert_eq!(map.own_shards().count(), usize::from(owned));
+}
+
 #[test]
 fn the_next_daemon_watches_an_owner() {
     let mut cluster = Cluster::start(6, &["a"]);
--- a/crates/geraniumshed-core/tests/peer_table.rs
+++ b/crates/geraniumshed-core/tests/peer_table.rs
@@ -21,6 +21,7 @@
         },
         applied: LogOffset(applied),
         serving: true,
+        log_silent: false,
         leaving: false,
         leaving_endpoints: Vec::new(),
     }
--- a/crates/geraniumshed-daemon/src/log/context.rs
+++ b/crates/geraniumshed-daemon/src/log/context.rs
@@ -10,6 +10,7 @@
 use geraniumshed_model::prelude::{DaemonIncarnation, LogOffset, LogStream, TimePoint};
 use geraniumshed_platform::{LogClient, LogPage, PlatformError};
 
+use super::health::LogHealth;
 use super::settings::LogSettings;
 use crate::clock::ProcessClock;
 
@@ -41,6 +42,7 @@
     read_bytes: AtomicU64,
     /// The point of time of the last call that succeeded, in microseconds.
     answered: AtomicU64,
+    health: LogHealth,
 }
 
 impl<L: LogClient> LogContext<L> {
@@ -64,6 +66,7 @@
             reads: AtomicU64::new(0),
             read_bytes: AtomicU64::new(0),
             answered: AtomicU64::new(0),
+            health: LogHealth::start(clock),
         })
     }
 
@@ -77,6 +80,11 @@
         &self.settings
     }
 
+    /// Returns whether the log answers.
+    pub fn health(&self) -> LogHealth {
+        self.health.clone()
+    }
+
     /// Returns what was sent and read so far.
     pub fn usage(&self) -> LogUsage {
         LogUsage {
@@ -153,7 +161,11 @@
         wait: std::time::Duration,
     ) -> Result<LogPage, PlatformError> {
         self.reads.fetch_add(1, Ordering::Relaxed);
-        let page = self.client.read(stream, from, wait).await?;
+        let read = self.client.read(stream, from, wait).await;
+        if matches!(read, Ok(_) | Err(PlatformError::Expired { .. })) {
+            self.health.note_answer();
+        }
+        let page = read?;
         self.note_answer();
         let length: usize = page.entries.iter().map(|entry| entry.body.len()).sum();
         let length = u64::try_from(length).unwrap_or(u64::MAX);
--- a/crates/geraniumshed-daemon/src/node/daemon.rs
+++ b/crates/geraniumshed-daemon/src/node/daemon.rs
@@ -144,6 +144,7 @@
             seeds: settings.peers.seeds.clone(),
             config: feeds.config.view(),
             vms: feeds.vms.view(),
+            log: context.health(),
             serving: caught_up.clone(),
         };
         let hub = PeerHub::open(own, peer_settings.timing, clock);
--- a/crates/geraniumshed-daemon/src/ownership/actor.rs
+++ b/crates/geraniumshed-daemon/src/ownership/actor.rs
@@ -48,6 +48,7 @@
         let sight = PeerSight {
             live: &live,
             settled: self.hub.is_settled(),
+            log_steady: self.hub.is_log_steady(),
         };
         if !self.appending {
             let events = self.plan.tick(self.hub.now(), sight);
--- a/crates/geraniumshed-daemon/src/peer/hub.rs
+++ b/crates/geraniumshed-daemon/src/peer/hub.rs
@@ -13,6 +13,7 @@
 use tokio::sync::watch;
 
 use crate::clock::ProcessClock;
+use crate::log::LogHealth;
 use crate::view::{ConfigView, VmView};
 
 /// Where a daemon learns what it tells of itself.
@@ -26,6 +27,8 @@
     pub config: ConfigView,
     /// The VMs that the platform lists.
     pub vms: VmView,
+    /// Whether the log answers.
+    pub log: LogHealth,
     /// Whether the daemon has caught up and takes requests.
     pub serving: watch::Receiver<bool>,
 }
@@ -72,6 +75,7 @@
             identity: own.identity.clone(),
             applied: own.config.borrow().applied(),
             serving: *own.serving.borrow(),
+            log_silent: own.log.is_silent(),
             leaving: self.shared.leaving.load(Ordering::Relaxed),
             leaving_endpoints: self.notes().recent(self.now()),
         }
@@ -100,6 +104,11 @@
         self.shared.own.vms.borrow().as_of().is_some() && self.table().is_settled(self.now())
     }
 
+    /// Tells whether the log has been answering this daemon for some time.
+    pub fn is_log_steady(&self) -> bool {
+        self.shared.own.log.is_steady()
+    }
+
     /// Returns the offset of `config` that every daemon that seems alive has applied, as far as
     /// their last reports tell.
     pub fn applied_everywhere(&self) -> LogOffset {
--- a/crates/geraniumshed-daemon/tests/state/peers.rs
+++ b/crates/geraniumshed-daemon/tests/state/peers.rs
@@ -129,6 +129,7 @@
         seeds: seeds.to_vec(),
         config: config.view(),
         vms: vm_view,
+        log: context.health(),
         serving: serving_view,
     };
     let hub = PeerHub::open(own, settings.timing, clock);
--- a/crates/geraniumshed-model/src/peer.rs
+++ b/crates/geraniumshed-model/src/peer.rs
@@ -29,6 +29,8 @@
     pub applied: LogOffset,
     /// Whether it has caught up and takes requests.
     pub serving: bool,
+    /// Whether the log has not answered it for some seconds.
+    pub log_silent: bool,
     /// Whether it is about to stop.
     pub leaving: bool,
     /// Endpoints that it has lately seen to be leaving.
--- a/crates/geraniumshed-wire/src/peer/report.rs
+++ b/crates/geraniumshed-wire/src/peer/report.rs
@@ -26,6 +26,8 @@
     pub applied: u64,
     /// Whether it has caught up and takes requests.
     pub serving: bool,
+    /// Whether the log has not answered it for some seconds.
+    pub log_silent: bool,
     /// Whether it is about to stop.
     pub leaving: bool,
     /// Endpoints that it has lately seen to be leaving.
@@ -43,6 +45,7 @@
             address: identity.address,
             applied: report.applied.0,
             serving: report.serving,
+            log_silent: report.log_silent,
             leaving: report.leaving,
             leaving_endpoints: report
                 .leaving_endpoints
@@ -67,6 +70,7 @@
             },
             applied: LogOffset(wire.applied),
             serving: wire.serving,
+            log_silent: wire.log_silent,
             leaving: wire.leaving,
             leaving_endpoints: wire
                 .leaving_endpoints
