--- a/crates/geraniumshed/tests/faults/fault_pairs.rs
+++ b/crates/geraniumshed/tests/faults/fault_pairs.rs
@@ -12,7 +12,7 @@
 use rstest::rstest;
 use tokio::time::sleep;
 
-use crate::harness::{BOOKING, Caller, CallerReply, Cluster, ClusterPlan, within};
+use crate::harness::{Caller, CallerReply, Cluster, ClusterPlan, TEAM, within};
 
 /// The keys that are sent under the faults.
 const KEYS: usize = 60;
@@ -132,9 +132,8 @@
     let pair: Vec<Fault> = FAULTS.sample(&mut rng, 2).copied().collect();
     println!("seed {seed}: {pair:?}");
     let mut cluster = Cluster::open(ClusterPlan::default()).await;
-    cluster.publish(0, BOOKING).await;
-    cluster.await_service("booking").await;
-    cluster.await_replicas("booking", 3).await;
+    cluster.publish(0, TEAM).await;
+    cluster.serve_bookings().await;
     let mut keys: Vec<String> = (0..KEYS / 2).map(|_| Caller::next_id()).collect();
     for _ in 0..KEYS / 2 {
         keys.push(cluster.caller.ticket(cluster.daemons[0].callers).await);
--- a/crates/geraniumshed/tests/faults/harness/cluster.rs
+++ b/crates/geraniumshed/tests/faults/harness/cluster.rs
@@ -18,6 +18,7 @@
 use super::caller::Caller;
 use super::load::TimedReply;
 use super::process::{DaemonProcess, OPERATOR_SECRET};
+use super::records::BOOKING;
 use super::wait::{eventually, found_within, within};
 
 /// The clusters that run at once in this process.
@@ -164,6 +165,13 @@
         request.send().await.ok()?.json().await.ok()
     }
 
+    /// Publishes the booking service and waits until all its replicas serve.
+    pub async fn serve_bookings(&self) {
+        self.publish(0, BOOKING).await;
+        self.await_service("booking").await;
+        self.await_replicas("booking", 3).await;
+    }
+
     /// Waits until every daemon serves a service.
     pub async fn await_service(&self, service: &str) {
         for daemon in &self.daemons {
--- a/crates/geraniumshed/tests/faults/harness/records.rs
+++ b/crates/geraniumshed/tests/faults/harness/records.rs
@@ -7,14 +7,9 @@
 name: bookings
 spec: {quota: {processors: 1000, memory: 4TB}}";
 
-/// A service whose requests must not run twice, with the team that it belongs to.
+/// A service whose requests must not run twice.
 pub const BOOKING: &str = "\
 schema: 2
-kind: team
-name: bookings
-spec: {quota: {processors: 1000, memory: 4TB}}
----
-schema: 2
 kind: service
 name: booking
 spec:
--- a/crates/geraniumshed/tests/faults/main.rs
+++ b/crates/geraniumshed/tests/faults/main.rs
@@ -4,5 +4,6 @@
 
 mod fault_pairs;
 mod harness;
+mod owner_faults;
 mod request_faults;
-mod schedule_faults;
+mod worker_faults;
--- a/crates/geraniumshed/tests/faults/request_faults.rs
+++ b/crates/geraniumshed/tests/faults/request_faults.rs
@@ -11,7 +11,7 @@
 use tokio::time::sleep;
 
 use crate::harness::{
-    BOOKING, Caller, CallerReply, Cluster, ClusterPlan, Load, LoadPlan, TimedReply, within,
+    Caller, CallerReply, Cluster, ClusterPlan, Load, LoadPlan, TEAM, TimedReply, within,
 };
 
 /// The time after which answers have to be normal once all open connections went silent.
@@ -23,9 +23,8 @@
 /// Opens a cluster that serves bookings.
 async fn open_booking() -> Cluster {
     let cluster = Cluster::open(ClusterPlan::default()).await;
-    cluster.publish(0, BOOKING).await;
-    cluster.await_service("booking").await;
-    cluster.await_replicas("booking", 3).await;
+    cluster.publish(0, TEAM).await;
+    cluster.serve_bookings().await;
     cluster
 }
 
--- /dev/null
+++ b/crates/geraniumshed/tests/faults/worker_faults.rs
@@ -0,0 +1,275 @@
+//! Faults of workers, racks and availability zones, while batch tasks run.
+
+use std::time::Duration;
+
+use geraniumshed_model::prelude::{VmId, VmPhase};
+use geraniumshed_standin::StandinSettings;
+use geraniumshed_standin::proxy::{ProxyMode, ProxyPlan};
+use geraniumshed_standin::set::WorkerSettings;
+use geraniumshed_standin::truth::{PlacementEnd, PlacementRecord};
+use geraniumshed_standin::worker::WorkerSwitch;
+use rstest::rstest;
+use tokio::time::sleep;
+
+use crate::harness::{
+    Cluster, ClusterPlan, Load, LoadPlan, PATIENCE, TEAM, attempts, busy_zone, is_of, job,
+    open_cluster, running_vm, short_plan, within, workers_in,
+};
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_start_whose_answer_is_lost_runs_once() {
+    let cluster = open_cluster().await;
+    for _ in 0..4 {
+        for vm in cluster.set.worker_ids() {
+            let switch = WorkerSwitch::LoseAnswer;
+            cluster.set.worker(vm).unwrap().switch(switch);
+        }
+        sleep(Duration::from_millis(50)).await;
+    }
+    cluster
+        .publish(0, &job("regrade", 18, "simulate run=300ms", false))
+        .await;
+    cluster.await_completed("regrade", 18, PATIENCE).await;
+    cluster.assert_record_held(true);
+    assert_eq!(attempts(&cluster.set.ledger().snapshot(), "regrade"), 18);
+}
+
+#[rstest]
+#[case::killed(WorkerSwitch::Kill)]
+#[case::rebooted(WorkerSwitch::Reboot)]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_dead_worker_runs_idempotent_tasks_again_and_others_never(#[case] switch: WorkerSwitch) {
+    let cluster = open_cluster().await;
+    cluster
+        .publish(0, &job("archive", 6, "simulate run=3s", true))
+        .await;
+    cluster
+        .publish(0, &job("regrade", 6, "simulate run=3s", false))
+        .await;
+    cluster.await_running("archive", 6).await;
+    cluster.await_running("regrade", 6).await;
+    let vm = running_vm(&cluster.set.ledger().snapshot(), "regrade").unwrap();
+    match switch {
+        WorkerSwitch::Kill => cluster.set.kill_worker(&vm).unwrap(),
+        _ => cluster.set.worker(&vm).unwrap().switch(switch),
+    }
+    cluster.await_completed("archive", 6, PATIENCE).await;
+    let record = cluster.set.ledger().snapshot();
+    let lost = record
+        .placements
+        .iter()
+        .filter(|p| is_of(&p.task, "regrade"));
+    let lost = lost
+        .filter(|p| p.outcome == Some(PlacementEnd::Killed))
+        .count();
+    assert!(lost > 0, "no regrade ran on the worker");
+    cluster.await_completed("regrade", 6 - lost, PATIENCE).await;
+    within(PATIENCE, "operators see the unknown tasks", async || {
+        let tasks = cluster.open_tasks().await;
+        let unknown = tasks.iter().filter(|task| task["state"] == "unknown");
+        (unknown.count() == lost).then_some(())
+    })
+    .await;
+    cluster.assert_record_held(false);
+    assert_eq!(attempts(&cluster.set.ledger().snapshot(), "regrade"), 6);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_partitioned_worker_keeps_its_tasks_to_itself() {
+    let cluster = open_cluster().await;
+    cluster
+        .publish(0, &job("archive", 12, "simulate run=5s", true))
+        .await;
+    cluster.await_running("archive", 12).await;
+    let vm = running_vm(&cluster.set.ledger().snapshot(), "archive").unwrap();
+    cluster
+        .set
+        .worker(&vm)
+        .unwrap()
+        .switch(WorkerSwitch::Partition);
+    sleep(Duration::from_secs(12)).await;
+    cluster.assert_record_held(false);
+    cluster.set.worker(&vm).unwrap().switch(WorkerSwitch::Heal);
+    cluster.await_completed("archive", 12, PATIENCE).await;
+    cluster.assert_record_held(true);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_drained_vm_gives_its_tasks_away_with_their_checkpoints() {
+    let cluster = open_cluster().await;
+    cluster.serve_bookings().await;
+    cluster
+        .publish(0, &job("regrade", 12, "simulate run=6s", false))
+        .await;
+    cluster.await_running("regrade", 12).await;
+    let plan = LoadPlan::of("booking");
+    let load = Load::spawn(cluster.caller.clone(), cluster.callers(), plan);
+    let vm = running_vm(&cluster.set.ledger().snapshot(), "regrade").unwrap();
+    let drain = format!("schema: 2\nkind: drain\nname: maintenance\nspec: {{vm: {vm}}}\n");
+    cluster.publish(1, &drain).await;
+    cluster
+        .await_record("the VM is empty", PATIENCE, |record| {
+            let on_vm = record.placements.iter().filter(|p| p.vm == vm.as_str());
+            on_vm.filter(|p| p.end.is_none()).count() == 0
+        })
+        .await;
+    cluster.await_completed("regrade", 12, PATIENCE).await;
+    let replies = load.stop().await;
+    cluster.assert_held(&replies);
+    cluster.assert_record_held(true);
+    let record = cluster.set.ledger().snapshot();
+    let stopped = record
+        .placements
+        .iter()
+        .filter(|p| is_of(&p.task, "regrade"));
+    let stopped = stopped.filter(|p| matches!(p.outcome, Some(PlacementEnd::Stopped { .. })));
+    assert!(stopped.count() > 0, "nothing was moved");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_worker_that_fails_everything_and_a_job_that_fits_nowhere_stop_nobody() {
+    let standins = StandinSettings {
+        proxied: true,
+        interference: false,
+        workers: WorkerSettings {
+            count: 4,
+            ..WorkerSettings::default()
+        },
+        ..StandinSettings::default()
+    };
+    let plan = ClusterPlan {
+        standins,
+        ..short_plan()
+    };
+    let cluster = Cluster::open(plan).await;
+    cluster.publish(0, TEAM).await;
+    let vm: VmId = "worker-0".parse().unwrap();
+    cluster
+        .set
+        .worker(&vm)
+        .unwrap()
+        .switch(WorkerSwitch::FailEverything);
+    let huge = job("huge", 1, "simulate run=1s", false);
+    cluster
+        .publish(0, &huge.replace("processors: 1", "processors: 300"))
+        .await;
+    for index in 0..6 {
+        let record = job(&format!("archive-{index}"), 4, "simulate run=100ms", true);
+        cluster.publish(index % 3, &record).await;
+    }
+    for index in 0..6 {
+        cluster
+            .await_completed(&format!("archive-{index}"), 4, PATIENCE)
+            .await;
+    }
+    cluster.assert_record_held(true);
+    within(
+        PATIENCE,
+        "operators see that the job fits nowhere",
+        async || {
+            let tasks = cluster.open_tasks().await;
+            let mut huge = tasks.iter().filter(|task| {
+                task["task"]
+                    .as_str()
+                    .is_some_and(|t| t.starts_with("huge/"))
+            });
+            huge.any(|task| task["state"] == "infeasible").then_some(())
+        },
+    )
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_vm_that_the_list_shows_as_leaving_gets_nothing_new_after_seconds() {
+    let cluster = open_cluster().await;
+    cluster.serve_bookings().await;
+    let plan = LoadPlan::of("booking");
+    let load = Load::spawn(cluster.caller.clone(), cluster.callers(), plan);
+    let vm = running_vm(&cluster.set.ledger().snapshot(), "booking").unwrap();
+    sleep(Duration::from_secs(1)).await;
+    cluster.set.set_phase(&vm, VmPhase::Leaving).unwrap();
+    sleep(Duration::from_secs(8)).await;
+    let replies = load.stop().await;
+    let unserved = replies.iter().find(|timed| !timed.reply.is_served());
+    assert!(unserved.is_none(), "{unserved:?}");
+    cluster.assert_held(&replies);
+    let record = cluster.set.ledger().snapshot();
+    assert!(
+        record.executions.iter().any(|run| run.vm == vm.as_str()),
+        "nothing ran there"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lost_rack_costs_neither_bookings_nor_idempotent_tasks() {
+    let cluster = open_cluster().await;
+    cluster.serve_bookings().await;
+    cluster
+        .publish(0, &job("archive", 12, "simulate run=2s", true))
+        .await;
+    cluster.await_service("booking").await;
+    cluster.await_replicas("booking", 3).await;
+    cluster.await_running("archive", 12).await;
+    // All workers of a zone stand in one rack.
+    for vm in workers_in(&cluster, busy_zone(&cluster, "archive")) {
+        cluster.set.kill_worker(&vm).unwrap();
+    }
+    let record = cluster.set.ledger().snapshot();
+    let killed = |p: &PlacementRecord| p.outcome == Some(PlacementEnd::Killed);
+    assert!(
+        record.placements.iter().any(killed),
+        "nothing ran in the rack"
+    );
+    sleep(Duration::from_secs(2)).await;
+    let plan = LoadPlan::of("booking");
+    let load = Load::spawn(cluster.caller.clone(), cluster.callers(), plan);
+    cluster.await_completed("archive", 12, PATIENCE).await;
+    let replies = load.stop().await;
+    let unserved = replies.iter().find(|timed| !timed.reply.is_served());
+    assert!(unserved.is_none(), "{unserved:?}");
+    cluster.assert_held(&replies);
+    cluster.await_replicas("booking", 3).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_zone_that_is_cut_off_and_comes_back_doubles_nothing_and_reverts_nothing() {
+    let cluster = open_cluster().await;
+    cluster
+        .publish(0, &job("archive", 12, "simulate run=3s", true))
+        .await;
+    cluster.await_running("archive", 12).await;
+    let zone = busy_zone(&cluster, "archive");
+    let other = (zone + 1) % cluster.daemons.len();
+    let silent = ProxyPlan {
+        mode: ProxyMode::Silent,
+        ..ProxyPlan::default()
+    };
+    let set_zone = |plan: ProxyPlan, switch: WorkerSwitch| {
+        let daemon = &cluster.daemons[zone];
+        for proxy in [&daemon.peers, &daemon.log, &daemon.vm_list] {
+            proxy.set_plan(plan);
+        }
+        for vm in workers_in(&cluster, zone) {
+            cluster.set.worker(&vm).unwrap().switch(switch);
+        }
+    };
+    set_zone(silent, WorkerSwitch::Partition);
+    // The cut lasts longer than a lease.
+    sleep(Duration::from_secs(8)).await;
+    cluster
+        .publish(other, &job("rebuild", 4, "simulate run=100ms", false))
+        .await;
+    cluster.assert_record_held(false);
+    set_zone(ProxyPlan::default(), WorkerSwitch::Heal);
+    cluster.await_completed("archive", 12, PATIENCE).await;
+    cluster.await_completed("rebuild", 4, PATIENCE).await;
+    let record = job("rebuild", 4, "simulate run=100ms", false);
+    let (status, answer) = cluster
+        .try_publish(zone, &format!("{record}replaces: 0\n"))
+        .await;
+    assert_eq!(
+        status, 409,
+        "the daemon of the zone does not know the record: {answer}"
+    );
+    cluster.assert_record_held(true);
+}
