Hold batch tasks whose history the log has dropped

Cause: an owner that found its shard's first entries gone set a flag and went on, so that a task without an entry was placed as if it had never run; after a restart of the workers nobody could tell otherwise. Ruled out: running the idempotent ones by guess, since one may still run on a worker out of reach. Change: batch groups in force at that moment wait, shown as unknown with what an operator can do (publish a new generation); services start as before. The test of passing requests on waits until the daemon has read its peer's claims.

--- a/crates/geraniumshed-core/src/schedule/scheduler.rs
+++ b/crates/geraniumshed-core/src/schedule/scheduler.rs
@@ -66,6 +66,8 @@
     pub(super) plan_due: bool,
     /// Whether the log dropped entries that no snapshot stands for.
     pub(super) history_lost: bool,
+    /// The batch groups that may have run in entries that are lost.
+    pub(super) held: BTreeSet<TaskGroup>,
     /// When the owner started to act.
     pub(super) opened: TimePoint,
     last_input: TimePoint,
@@ -106,6 +108,7 @@
             log_retry_at: None,
             plan_due: true,
             history_lost: false,
+            held: BTreeSet::new(),
             opened: now,
             last_input: now,
         }
@@ -214,6 +217,7 @@
             return;
         }
         self.opened = now;
+        self.hold_unknown_history();
         self.inherit_placements(now);
         self.take_vms(now, Arc::clone(&self.vms));
         self.endpoints.touch();
@@ -230,6 +234,17 @@
         }
     }
 
+    /// Holds all batch groups if their tasks may have run in entries that are lost.
+    ///
+    /// A task without any entry would otherwise be placed as if it had never run.
+    fn hold_unknown_history(&mut self) {
+        if !self.history_lost {
+            return;
+        }
+        let batch = self.wanted.groups().filter(|(_, wanted)| wanted.is_batch());
+        self.held = batch.map(|(group, _)| group.clone()).collect();
+    }
+
     /// Stops to act for good.
     pub(super) fn supersede(&mut self) {
         if self.stage != OwnerStage::Superseded {
--- a/crates/geraniumshed-core/src/schedule/status.rs
+++ b/crates/geraniumshed-core/src/schedule/status.rs
@@ -119,7 +119,21 @@
             tasks: count(waiting.indices.len()),
             reason: waiting.reason.clone().unwrap_or(WaitReason::NoRoom),
         });
-        groups.collect()
+        groups.chain(self.held_status()).collect()
+    }
+
+    /// Returns the groups whose tasks wait since the log dropped what it knew of them.
+    fn held_status(&self) -> impl Iterator<Item = WaitingStatus> {
+        self.held.iter().filter_map(|group| {
+            let wanted = self.wanted.group(group)?;
+            let home = wanted.home.iter().map(|index| group.task(*index));
+            let tasks = home.filter(|task| self.state.task(task).is_none()).count();
+            (tasks > 0).then(|| WaitingStatus {
+                group: group.clone(),
+                tasks: count(tasks),
+                reason: WaitReason::HistoryLost,
+            })
+        })
     }
 
     fn unknown_tasks(&self) -> Vec<TaskId> {
@@ -145,6 +159,7 @@
         match self {
             Self::NoRoom => f.write_str("no worker has room"),
             Self::Quota => f.write_str("the team's quota is used up"),
+            Self::HistoryLost => f.write_str("the log no longer tells whether they ran"),
             Self::Infeasible(reason) => write!(f, "infeasible: {reason}"),
         }
     }
--- a/crates/geraniumshed-core/src/schedule/task_queue.rs
+++ b/crates/geraniumshed-core/src/schedule/task_queue.rs
@@ -18,6 +18,8 @@
     Quota,
     /// No worker of the cluster is large enough.
     Infeasible(SmolStr),
+    /// The log dropped entries that may tell of earlier runs.
+    HistoryLost,
 }
 
 /// The tasks of one group that wait.
@@ -142,6 +144,7 @@
         }
         match self.state.task(task) {
             Some(entry) => self.entry_waits(task, entry, wanted),
+            None if self.held.contains(&TaskGroup::of(task)) => false,
             None => wanted.home.binary_search(&task.index).is_ok(),
         }
     }
--- a/crates/geraniumshed-core/src/schedule/wanted.rs
+++ b/crates/geraniumshed-core/src/schedule/wanted.rs
@@ -65,11 +65,16 @@
         spec
     }
 
+    /// Tells whether the tasks end by themselves.
+    pub fn is_batch(&self) -> bool {
+        !self.template.class.is_latency_critical()
+    }
+
     /// Tells whether a task failed for good.
     ///
     /// A task that may not run twice has one attempt, since an error tells nothing of what it did.
     pub fn is_failed(&self, entry: &TaskEntry) -> bool {
-        if self.template.class.is_latency_critical() {
+        if !self.is_batch() {
             return false;
         }
         let limit = if self.template.idempotent {
--- a/crates/geraniumshed-core/tests/schedule_faults.rs
+++ b/crates/geraniumshed-core/tests/schedule_faults.rs
@@ -5,8 +5,11 @@
 
 use std::time::Duration;
 
-use geraniumshed_core::schedule::{OwnerStage, SchedulerSettings, ShardInput, TaskPhase};
+use geraniumshed_core::schedule::{
+    OwnerStage, SchedulerSettings, ShardInput, TaskPhase, WaitReason,
+};
 use geraniumshed_model::prelude::*;
+use schedule_support::fake_worker::FakeWorker;
 use schedule_support::fixture::{job, service, size, task, workers};
 use schedule_support::{FakeCluster, WorkFate, judge_runs};
 
@@ -326,3 +329,36 @@
     let name: RecordName = "regrade".parse().expect("a valid name");
     assert_eq!(cluster.progress.get(&name), Some(&(24, 0)));
 }
+
+#[rstest::rstest]
+#[case::must_not_run_twice(false)]
+#[case::may_run_twice(true)]
+fn tasks_whose_history_the_log_dropped_wait_for_an_operator(#[case] idempotent: bool) {
+    let mut cluster = started(2, job(4, 2, idempotent));
+    cluster.run(60 * SECOND);
+    assert_eq!(cluster.runs("regrade").len(), 4);
+    cluster.owners[0].alive = false;
+    // Restarted workers can't tell either what they ran before.
+    cluster.workers.values_mut().for_each(FakeWorker::reboot);
+    let dropped = cluster.log.len();
+    let next = cluster.take_over();
+    cluster.owners[next].read = dropped;
+    cluster.input(next, ShardInput::Lost);
+    cluster.run(60 * SECOND);
+    assert_eq!(
+        cluster.runs("regrade").len(),
+        4,
+        "no task ran again by guess"
+    );
+    let waiting = cluster.active().status().waiting;
+    let held: Vec<_> = waiting
+        .iter()
+        .map(|group| (group.tasks, &group.reason))
+        .collect();
+    assert_eq!(held, vec![(4, &WaitReason::HistoryLost)]);
+
+    cluster.publish("regrade", RecordSpec::Job(job(4, 2, idempotent)));
+    cluster.run(60 * SECOND);
+    assert_eq!(cluster.runs("regrade").len(), 8, "a new generation runs");
+    assert_eq!(judge_runs(&cluster, idempotent), Vec::<String>::new());
+}
--- a/crates/geraniumshed-daemon/src/node/status.rs
+++ b/crates/geraniumshed-daemon/src/node/status.rs
@@ -70,6 +70,7 @@
         match group.reason {
             WaitReason::Infeasible(_) => state.infeasible += group.tasks,
             WaitReason::NoRoom | WaitReason::Quota => state.waiting += group.tasks,
+            WaitReason::HistoryLost => state.unknown += group.tasks,
         }
     }
     state
@@ -110,6 +111,11 @@
             SmolStr::new_static("the team's quota is used up"),
             "wait, or publish a larger quota for the team",
         ),
+        WaitReason::HistoryLost => (
+            "unknown",
+            SmolStr::new_static("the log no longer tells whether these tasks ran"),
+            "find out whether they ran; if not, publish the job again as a new generation",
+        ),
         WaitReason::Infeasible(reason) => (
             "infeasible",
             reason.clone(),
--- a/crates/geraniumshed-daemon/tests/state/peers.rs
+++ b/crates/geraniumshed-daemon/tests/state/peers.rs
@@ -240,18 +240,20 @@
     wait_running(&daemons[1], 4).await;
     let peer = daemons[0].link.issuer(DaemonIncarnation(2)).unwrap();
     assert_eq!(peer, daemons[1].server.local_addr());
-    let owners: Vec<_> = (0..SHARDS)
-        .map(|shard| daemons[0].link.owner(ShardId(shard)))
-        .collect();
-    let own = owners.iter().filter(|o| matches!(o, KeyOwner::Own(_)));
-    assert_eq!(own.count(), 4, "{owners:?}");
-    assert_eq!(
-        owners
-            .iter()
-            .filter(|o| **o == KeyOwner::Peer(peer))
-            .count(),
-        4
-    );
+    // A daemon learns of its peer's claims from the log, a little after the peer itself.
+    let owners_seen = async {
+        loop {
+            let owners = (0..SHARDS).map(|shard| daemons[0].link.owner(ShardId(shard)));
+            let owners: Vec<_> = owners.collect();
+            let own = owners.iter().filter(|o| matches!(o, KeyOwner::Own(_)));
+            let of_peer = owners.iter().filter(|o| **o == KeyOwner::Peer(peer));
+            if (own.count(), of_peer.count()) == (4, 4) {
+                return;
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
+    };
+    timeout(LIMIT, owners_seen).await.unwrap();
 
     let answer = daemons[0].link.forward(peer, request("/", LIMIT)).await;
     let answer = answer.unwrap();
