Create spans on the request path, and measure what the daemon adds on loopback

Cause: traces ended at the listener, and nothing measured the daemon's own share of a latency. Change: spans for accept, queue, forward and each attempt, written into the next hop's traceparent, only when traces are on; bench overhead sends the same open load directly and through a daemon over TCP, with latencies from the time at which a request was due.

--- a/crates/geraniumshed-daemon/src/request/flight.rs
+++ b/crates/geraniumshed-daemon/src/request/flight.rs
@@ -27,6 +27,7 @@
 use super::shared::EntryShared;
 use super::status::add_one;
 use super::target::ServiceTarget;
+use crate::telemetry::{HopName, HopSpan};
 
 /// The longest time that a daemon sleeps for an event that may never come.
 const FAR_FUTURE: Duration = Duration::from_hours(24);
@@ -44,6 +45,8 @@
     request: AttemptRequest,
     body: RequestBody,
     caller: oneshot::Receiver<()>,
+    span: Option<HopSpan>,
+    queue_span: Option<HopSpan>,
 }
 
 /// A request that is ready to be dispatched.
@@ -59,6 +62,8 @@
     pub body: RequestBody,
     /// The time until which an answer is of use.
     pub deadline: TimePoint,
+    /// The span of the request, if spans are created.
+    pub span: Option<HopSpan>,
 }
 
 /// The timers of a request.
@@ -108,6 +113,8 @@
             },
             body: ready.body,
             caller,
+            queue_span: ready.span.as_ref().map(|span| span.child(HopName::Queue)),
+            span: ready.span,
         }
     }
 
@@ -185,8 +192,13 @@
         endpoint: EndpointIndex,
         pool: Option<Arc<EndpointPool>>,
     ) -> impl Future<Output = EndedAttempt> + use<> {
+        self.queue_span = None;
         let body = self.next_body();
-        let request = self.request.clone();
+        let mut request = self.request.clone();
+        let span = self.span.as_ref().map(|span| span.child(HopName::Attempt));
+        if let Some(span) = &span {
+            span.inject(&mut request.headers);
+        }
         let shared = Arc::clone(&self.shared);
         let remaining = self.queued.deadline.since(shared.now());
         add_one(&shared.counters.attempts);
@@ -195,6 +207,12 @@
                 return (endpoint, AttemptEnd::refused());
             };
             let end = run_attempt(&pool, request, body, remaining, &shared.settings).await;
+            if let Some(span) = &span {
+                span.set("endpoint", pool.address().to_string());
+                if end.result.is_failure() {
+                    span.fail(format!("{:?}", end.result));
+                }
+            }
             (endpoint, end)
         }
     }
--- a/crates/geraniumshed-daemon/src/request/intake.rs
+++ b/crates/geraniumshed-daemon/src/request/intake.rs
@@ -24,6 +24,7 @@
 use super::shared::EntryShared;
 use super::status::{add_one, take_one};
 use super::target::{ServiceTarget, find_target};
+use crate::telemetry::{HopName, HopSpan};
 
 /// The path of the balancer's health check.
 const HEALTH_PATH: &str = "/health";
@@ -108,12 +109,17 @@
     shared.take_rate(&service).map_err(rate_limited)?;
     let declared = declared_length(&incoming.headers);
     let body = read_body(stream, declared, &shared.settings, &shared.memory).await?;
+    let span = shared
+        .settings
+        .tracing
+        .then(|| HopSpan::receive(HopName::Accept, &incoming.headers));
     let ready = ReadyRequest {
         method: incoming.method,
         target,
         headers: incoming.headers,
         body,
         deadline: deadline_of(shared.now(), service.deadline, asked),
+        span,
     };
     match key {
         Some(key) => serve_keyed(keyed, name, service, key, ready).await,
--- a/crates/geraniumshed-daemon/src/request/passing.rs
+++ b/crates/geraniumshed-daemon/src/request/passing.rs
@@ -18,6 +18,7 @@
 use super::keyed::{KeyRoute, KeyedEntry, KeyedRequest, issuer_gone, unchecked};
 use super::status::add_one;
 use super::target::find_target;
+use crate::telemetry::{HopName, HopSpan};
 
 /// The time that a peer has beyond a request's deadline to say what became of it.
 const ANSWER_GRACE: Duration = Duration::from_millis(100);
@@ -64,12 +65,17 @@
         };
         let method = Method::from_bytes(request.method.as_bytes())
             .map_err(|_| malformed("the method is not valid"))?;
+        let span = shared
+            .settings
+            .tracing
+            .then(|| HopSpan::receive(HopName::Accept, &headers));
         let ready = ReadyRequest {
             method,
             target: request.target.into(),
             headers,
             body: RequestBody::Spent,
             deadline: shared.now() + request.remaining.0,
+            span,
         };
         let keyed = KeyedRequest {
             service,
@@ -111,6 +117,11 @@
     let remaining = ready.deadline.since(keyed.shared.now());
     let mut headers = ready.headers;
     header::remove_hop_headers(&mut headers);
+    let span = ready.span.as_ref().map(|span| span.child(HopName::Forward));
+    if let Some(span) = &span {
+        span.set("peer", peer.to_string());
+        span.inject(&mut headers);
+    }
     let forward = ForwardRequest {
         incarnation,
         service: request.name,
--- a/crates/geraniumshed/src/bench/mod.rs
+++ b/crates/geraniumshed/src/bench/mod.rs
@@ -1,6 +1,7 @@
 //! Benchmarks, run by `geraniumshed bench NAME`.
 
 pub mod capacity;
+pub mod overhead;
 pub mod request;
 pub mod schedule;
 
@@ -34,4 +35,9 @@
         summary: "costs of control at small sizes, and extrapolated (see scripts/capacity.sh)",
         run: capacity::run_command,
     },
+    BenchEntry {
+        name: "overhead",
+        summary: "what the daemon adds to a request on loopback, over real TCP",
+        run: overhead::run_overhead,
+    },
 ];
