Keep a pause of the daemon from passing for the service's latency; arm timers only when needed

Change: the mean weighs samples by the time since the last one and clips outliers; timers are armed only when needed, and an attempt takes the service's lock once less.

--- a/crates/geraniumshed-core/src/request/dispatcher.rs
+++ b/crates/geraniumshed-core/src/request/dispatcher.rs
@@ -182,7 +182,7 @@
         let mean = self.mean_latency();
         let took = self.router.on_returned(now, ended, mean);
         if let (Some(took), AttemptResult::Answered) = (took, ended.result) {
-            self.latency.record(took);
+            self.latency.record(now, took);
         }
         self.settle(now, ended, actions);
         self.send_waiting(now, actions);
--- a/crates/geraniumshed-core/src/request/endpoint_state.rs
+++ b/crates/geraniumshed-core/src/request/endpoint_state.rs
@@ -147,7 +147,7 @@
         let share = (idle * FORGET_RATE).min(1.0);
         let mut estimate = self.latency;
         if estimate.mean().is_zero() {
-            estimate.record(service);
+            estimate.record(now, service);
         }
         estimate.decay_towards(service, share);
         estimate.mean().max(self.mean_age(now))
@@ -189,7 +189,7 @@
         match result {
             AttemptResult::Answered => {
                 self.breaker.on_success();
-                self.latency.record(took);
+                self.latency.record(now, took);
                 self.heard = now;
                 self.limit.observe(self.latency.mean(), service);
             }
@@ -204,12 +204,12 @@
             }
             AttemptResult::Abandoned => {
                 self.breaker.on_neutral();
-                self.latency.record(took);
+                self.latency.record(now, took);
                 self.heard = now;
             }
             AttemptResult::TimedOut => {
                 self.breaker.on_failure(now);
-                self.latency.record(took);
+                self.latency.record(now, took);
                 self.heard = now;
                 self.limit.observe(self.latency.mean(), service);
             }
--- a/crates/geraniumshed-core/src/request/latency.rs
+++ b/crates/geraniumshed-core/src/request/latency.rs
@@ -2,8 +2,22 @@
 
 use std::time::Duration;
 
-/// The weight of a new sample in the running mean.
-const MEAN_WEIGHT: f64 = 1.0 / 32.0;
+use geraniumshed_model::prelude::TimePoint;
+
+/// The highest weight of a new sample in the running mean.
+const MOST_WEIGHT: f64 = 1.0 / 32.0;
+
+/// The lowest weight of a new sample in the running mean.
+const LEAST_WEIGHT: f64 = 1.0 / 1024.0;
+
+/// The time over which the mean follows its samples when there are many.
+const MEAN_SPAN: Duration = Duration::from_secs(1);
+
+/// The most that a sample counts for, in multiples of the mean.
+///
+/// After a pause of the daemon, all attempts in flight look slow at once; they must not pass for
+/// the service's new latency.
+const OUTLIER_RATIO: f64 = 8.0;
 
 /// The step by which quantile estimates move, as a share of the mean.
 const QUANTILE_STEP: f64 = 0.2;
@@ -18,11 +32,12 @@
     p95: f64,
     p99: f64,
     samples: u32,
+    recorded: TimePoint,
 }
 
 impl LatencyEstimate {
     /// Takes one sample into the estimates.
-    pub fn record(&mut self, sample: Duration) {
+    pub fn record(&mut self, now: TimePoint, sample: Duration) {
         let micros = sample.as_secs_f64() * 1e6;
         self.samples = self.samples.saturating_add(1);
         if self.samples == 1 {
@@ -31,11 +46,14 @@
                 p95: micros,
                 p99: micros,
                 samples: 1,
+                recorded: now,
             };
             return;
         }
-        let weight = MEAN_WEIGHT.max(1.0 / f64::from(self.samples));
-        self.mean += (micros - self.mean) * weight;
+        let weight = self.weight(now);
+        let clipped = micros.min(self.mean * OUTLIER_RATIO);
+        self.mean += (clipped - self.mean) * weight;
+        self.recorded = now;
         self.p95 = step_quantile(self.p95, micros, 0.95, self.mean);
         self.p99 = step_quantile(self.p99, micros, 0.99, self.mean);
     }
@@ -60,6 +78,16 @@
         self.known(self.p99)
     }
 
+    /// Returns the weight of a new sample: the less, the sooner it follows the one before.
+    fn weight(&self, now: TimePoint) -> f64 {
+        let share = now.since(self.recorded).as_secs_f64() / MEAN_SPAN.as_secs_f64();
+        let weight = share.clamp(LEAST_WEIGHT, MOST_WEIGHT);
+        if self.samples < KNOWN_SAMPLES {
+            return weight.max(1.0 / f64::from(self.samples));
+        }
+        weight
+    }
+
     fn known(&self, micros: f64) -> Option<Duration> {
         (self.samples >= KNOWN_SAMPLES).then(|| Duration::from_secs_f64(micros.max(0.0) / 1e6))
     }
--- a/crates/geraniumshed-core/tests/request_dispatcher.rs
+++ b/crates/geraniumshed-core/tests/request_dispatcher.rs
@@ -47,8 +47,12 @@
 }
 
 fn dispatcher(endpoints: u32) -> ServiceDispatcher {
+    dispatcher_with(endpoints, 4)
+}
+
+fn dispatcher_with(endpoints: u32, queue_limit: usize) -> ServiceDispatcher {
     let zone = "a".parse().expect("valid");
-    let policy = DispatchPolicy::new(zone, 4, Duration::from_millis(200));
+    let policy = DispatchPolicy::new(zone, queue_limit, Duration::from_millis(200));
     let mut dispatcher = ServiceDispatcher::new(policy, 3);
     dispatcher.update(TimePoint(0), &view(endpoints));
     dispatcher
@@ -281,3 +285,63 @@
             .any(|action| matches!(action, DispatchAction::Send { .. }))
     );
 }
+
+/// Returns the endpoint's answers to all requests in `flying` at once.
+fn answer_all(
+    dispatcher: &mut ServiceDispatcher,
+    now: TimePoint,
+    flying: Vec<(RequestId, EndpointIndex)>,
+) -> Vec<DispatchAction> {
+    let mut actions = Vec::new();
+    for (request, endpoint) in flying {
+        actions.extend(dispatcher.handle(
+            now,
+            DispatchEvent::Returned(AttemptReturn {
+                request,
+                endpoint,
+                result: AttemptResult::Answered,
+                in_flight: None,
+            }),
+        ));
+    }
+    actions
+}
+
+fn sends(actions: &[DispatchAction]) -> Vec<(RequestId, EndpointIndex)> {
+    actions
+        .iter()
+        .filter_map(|action| match action {
+            DispatchAction::Send {
+                request, endpoint, ..
+            } => Some((*request, *endpoint)),
+            _ => None,
+        })
+        .collect()
+}
+
+#[test]
+fn a_pause_of_the_daemon_does_not_make_it_refuse_what_came_meanwhile() {
+    let mut dispatcher = dispatcher_with(32, 1000);
+    let mut now = TimePoint(0);
+    let mut id = 0;
+    let mut arrive = |dispatcher: &mut ServiceDispatcher, now| {
+        id += 1;
+        dispatcher.handle(now, DispatchEvent::Arrived(request(id, now, false)))
+    };
+    for _ in 0..500 {
+        let sent = sends(&arrive(&mut dispatcher, now));
+        now = now + Duration::from_millis(1);
+        answer_all(&mut dispatcher, now, sent);
+    }
+    let mut flying = Vec::new();
+    for _ in 0..64 {
+        flying.extend(sends(&arrive(&mut dispatcher, now)));
+    }
+    now = now + Duration::from_millis(600);
+    answer_all(&mut dispatcher, now, flying);
+    let refused = (0..600)
+        .flat_map(|_| arrive(&mut dispatcher, now))
+        .filter(|action| matches!(action, DispatchAction::Fail { .. }))
+        .count();
+    assert_eq!(refused, 0, "600 requests of 1 ms on 64 slots take 10 ms");
+}
--- a/crates/geraniumshed-daemon/src/request/flight.rs
+++ b/crates/geraniumshed-daemon/src/request/flight.rs
@@ -29,9 +29,6 @@
 use super::target::ServiceTarget;
 use crate::telemetry::{HopName, HopSpan};
 
-/// The longest time that a daemon sleeps for an event that may never come.
-const FAR_FUTURE: Duration = Duration::from_hours(24);
-
 /// The shortest time after which an attempt without an answer looks stalled.
 const LEAST_STALL: Duration = Duration::from_millis(250);
 
@@ -66,11 +63,15 @@
     pub span: Option<HopSpan>,
 }
 
+/// A timer that is armed now and then.
+type FlightTimer = Option<Pin<Box<Sleep>>>;
+
 /// The timers of a request.
+#[derive(Default)]
 struct FlightTimers {
-    give_up: Pin<Box<Sleep>>,
-    hedge: Pin<Box<Sleep>>,
-    stall: Pin<Box<Sleep>>,
+    give_up: FlightTimer,
+    hedge: FlightTimer,
+    stall: FlightTimer,
 }
 
 /// An attempt that ended, with its endpoint.
@@ -132,15 +133,16 @@
     async fn drive(&mut self, mut actions: UnboundedReceiver<DispatchAction>) -> EntryAnswer {
         let mut attempts = FuturesUnordered::new();
         let mut flying: Vec<(EndpointIndex, Arc<EndpointPool>)> = Vec::new();
-        let mut timers = FlightTimers::new();
+        let mut timers = FlightTimers::default();
         let mut caller_gone = false;
         loop {
             tokio::select! {
                 biased;
                 action = actions.recv() => match action {
                     Some(DispatchAction::Send { endpoint, hedge_after, .. }) => {
-                        let pool = self.gate.pool(endpoint);
-                        timers.arm(hedge_after, self.gate.stall_time());
+                        let (pool, stall_time) = self.gate.way_to(endpoint);
+                        timers.hedge = hedge_after.map(armed);
+                        timers.stall = stall_time.map(|time| armed(time.max(LEAST_STALL)));
                         if let Some(pool) = &pool {
                             flying.push((endpoint, Arc::clone(pool)));
                         }
@@ -148,7 +150,7 @@
                     }
                     Some(DispatchAction::Wait { until, .. }) => {
                         let delay = until.since(self.shared.now());
-                        timers.give_up.as_mut().reset(tokio::time::Instant::now() + delay);
+                        timers.give_up = Some(armed(delay));
                     }
                     Some(DispatchAction::Fail { kind, retry_after, .. }) => {
                         return failure(kind, retry_after);
@@ -162,16 +164,16 @@
                         return answer;
                     }
                 }
-                () = timers.hedge.as_mut(), if timers.hedge_is_armed() => {
-                    timers.disarm_hedge();
+                () = due(&mut timers.hedge), if !flying.is_empty() => {
+                    timers.hedge = None;
                     self.tell(DispatchEvent::HedgeDue(self.queued.id));
                 }
-                () = timers.stall.as_mut(), if !flying.is_empty() => {
-                    timers.disarm_stall();
+                () = due(&mut timers.stall), if !flying.is_empty() => {
+                    timers.stall = None;
                     self.replace_pools(&flying);
                 }
-                () = timers.give_up.as_mut(), if flying.is_empty() => {
-                    timers.disarm_give_up();
+                () = due(&mut timers.give_up), if flying.is_empty() => {
+                    timers.give_up = None;
                     self.tell(DispatchEvent::WaitedOut(self.queued.id));
                 }
                 _ = &mut self.caller, if !caller_gone => {
@@ -281,7 +283,7 @@
     }
 
     fn replace_pool(&self, endpoint: EndpointIndex) {
-        let Some(pool) = self.gate.pool(endpoint) else {
+        let (Some(pool), _) = self.gate.way_to(endpoint) else {
             return;
         };
         if pool.replace(self.shared.now(), &self.shared.settings) {
@@ -294,40 +296,16 @@
     }
 }
 
-impl FlightTimers {
-    fn new() -> Self {
-        let never = || Box::pin(tokio::time::sleep(FAR_FUTURE));
-        Self {
-            give_up: never(),
-            hedge: never(),
-            stall: never(),
-        }
-    }
-
-    fn arm(&mut self, hedge: Option<Duration>, stall: Option<Duration>) {
-        let now = tokio::time::Instant::now();
-        self.hedge.as_mut().reset(now + hedge.unwrap_or(FAR_FUTURE));
-        let stall = stall.map_or(FAR_FUTURE, |stall| stall.max(LEAST_STALL));
-        self.stall.as_mut().reset(now + stall);
-    }
-
-    fn hedge_is_armed(&self) -> bool {
-        !self.hedge.is_elapsed()
-    }
-
-    fn disarm_hedge(&mut self) {
-        let never = tokio::time::Instant::now() + FAR_FUTURE;
-        self.hedge.as_mut().reset(never);
-    }
-
-    fn disarm_stall(&mut self) {
-        let never = tokio::time::Instant::now() + FAR_FUTURE;
-        self.stall.as_mut().reset(never);
-    }
+/// Creates an armed timer.
+fn armed(delay: Duration) -> Pin<Box<Sleep>> {
+    Box::pin(tokio::time::sleep(delay))
+}
 
-    fn disarm_give_up(&mut self) {
-        let never = tokio::time::Instant::now() + FAR_FUTURE;
-        self.give_up.as_mut().reset(never);
+/// Waits for a timer; one that is not armed never ends.
+async fn due(timer: &mut FlightTimer) {
+    match timer {
+        Some(sleep) => sleep.as_mut().await,
+        None => std::future::pending().await,
     }
 }
 
--- a/crates/geraniumshed-daemon/src/request/gate.rs
+++ b/crates/geraniumshed-daemon/src/request/gate.rs
@@ -5,6 +5,7 @@
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
 
 use geraniumshed_core::request::router::RouteView;
 use geraniumshed_core::request::{
@@ -16,6 +17,9 @@
 use super::pool::EndpointPool;
 use super::settings::EntrySettings;
 
+/// The time after which an attempt looks stalled, in multiples of the 99th percentile.
+const STALL_FACTOR: u32 = 4;
+
 /// The dispatcher of one service behind a lock.
 #[derive(Debug)]
 pub struct ServiceGate {
@@ -97,14 +101,12 @@
         self.lock().waiters.remove(&id);
     }
 
-    /// Returns the pool of an endpoint.
-    pub fn pool(&self, endpoint: EndpointIndex) -> Option<Arc<EndpointPool>> {
-        self.lock().pools.get(&endpoint).map(Arc::clone)
-    }
-
-    /// Returns the time after which an attempt without an answer looks stalled.
-    pub fn stall_time(&self) -> Option<std::time::Duration> {
-        self.lock().dispatcher.latency().p99().map(|p99| p99 * 4)
+    /// Returns the pool of an endpoint, and the time after which an attempt looks stalled.
+    pub fn way_to(&self, endpoint: EndpointIndex) -> (Option<Arc<EndpointPool>>, Option<Duration>) {
+        let state = self.lock();
+        let pool = state.pools.get(&endpoint).map(Arc::clone);
+        let p99 = state.dispatcher.latency().p99();
+        (pool, p99.map(|p99| p99 * STALL_FACTOR))
     }
 
     fn lock(&self) -> MutexGuard<'_, GateState> {
--- a/crates/geraniumshed/src/bench/request/summary.rs
+++ b/crates/geraniumshed/src/bench/request/summary.rs
@@ -76,6 +76,12 @@
         let is_unknown = |end: &&_| matches!(end, Some(RequestEnd::Unknown(_)));
         summary.unknown_percent = percent(report.ends.iter().filter(is_unknown).count(), total);
         summary.lost = count(None);
+        let is_useful = |end: &&_| match end {
+            Some(RequestEnd::Answered(latency)) => *latency <= useful_limit(profile),
+            Some(RequestEnd::Refused | RequestEnd::Unknown(_)) | None => false,
+        };
+        let useful = report.ends.iter().filter(is_useful).count();
+        summary.useful_percent = useful_percent(profile, length, useful);
         summary.doubled = if profile.idempotent {
             0
         } else {
@@ -109,12 +115,11 @@
             histogram.saturating_record(u64::try_from(latency.as_micros()).unwrap_or(u64::MAX));
         }
         let millis = |quantile| histogram.value_at_quantile(quantile) as f64 / 1000.0;
-        let limit = profile.deadline + profile.caller_delay * 2;
+        let limit = useful_limit(profile);
         let useful = latencies
             .iter()
             .filter(|latency| **latency <= limit)
             .count();
-        let capacity = profile.slot_total() / profile.mean().as_secs_f64() * length.as_secs_f64();
         Self {
             profile: profile.name.into(),
             policy: policy.into(),
@@ -123,7 +128,7 @@
             p50_ms: millis(0.5),
             p99_ms: millis(0.99),
             p999_ms: millis(0.999),
-            useful_percent: useful as f64 / capacity * 100.0,
+            useful_percent: useful_percent(profile, length, useful),
             refused_percent: 0.0,
             unknown_percent: 0.0,
             doubled: 0,
@@ -134,6 +139,19 @@
     }
 }
 
+/// Returns the latency up to which an answer is of use to its caller.
+///
+/// The deadline counts from the arrival at a daemon.
+fn useful_limit(profile: &LoadProfile) -> Duration {
+    profile.deadline + profile.caller_delay * 2
+}
+
+/// Returns useful answers in percent of what all slots can do in the time of the arrivals.
+fn useful_percent(profile: &LoadProfile, length: Duration, useful: usize) -> f64 {
+    let capacity = profile.slot_total() / profile.mean().as_secs_f64() * length.as_secs_f64();
+    useful as f64 / capacity * 100.0
+}
+
 /// Returns the heading of the table of summaries.
 pub fn table_heading() -> String {
     format!(
