--- a/crates/geraniumshed/src/bench/capacity/fit.rs
+++ b/crates/geraniumshed/src/bench/capacity/fit.rs
@@ -64,19 +64,83 @@
     }
 }
 
+/// A plane through measured points: a base and a slope for each of two sizes.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize)]
+pub struct PlaneFit {
+    /// The value at zero.
+    pub base: f64,
+    /// The growth with each unit of the first size.
+    pub first: f64,
+    /// The growth with each unit of the second size.
+    pub second: f64,
+    /// The root of the mean squared distance of the points from the plane.
+    pub error: f64,
+}
+
+/// A measured point: two sizes and the value.
+pub type PlanePoint = (f64, f64, f64);
+
+impl PlaneFit {
+    /// Fits a plane by least squares; without enough points it is flat.
+    pub fn through(points: &[PlanePoint]) -> Self {
+        let count = (points.len() as f64).max(1.0);
+        let mean = |read: fn(&PlanePoint) -> f64| points.iter().map(read).sum::<f64>() / count;
+        let joint = |left: fn(&PlanePoint) -> f64, right: fn(&PlanePoint) -> f64| {
+            let (mean_left, mean_right) = (mean(left), mean(right));
+            let products = points
+                .iter()
+                .map(|p| (left(p) - mean_left) * (right(p) - mean_right));
+            products.sum::<f64>()
+        };
+        let (first_spread, second_spread) = (joint(|p| p.0, |p| p.0), joint(|p| p.1, |p| p.1));
+        let shared = joint(|p| p.0, |p| p.1);
+        let (first_joint, second_joint) = (joint(|p| p.0, |p| p.2), joint(|p| p.1, |p| p.2));
+        let determinant = first_spread * second_spread - shared * shared;
+        if determinant == 0.0 {
+            let base = mean(|p| p.2);
+            return Self {
+                base,
+                ..Self::default()
+            };
+        }
+        let first = (first_joint * second_spread - second_joint * shared) / determinant;
+        let second = (second_joint * first_spread - first_joint * shared) / determinant;
+        let base = mean(|p| p.2) - first * mean(|p| p.0) - second * mean(|p| p.1);
+        let residues = points
+            .iter()
+            .map(|(x, y, z)| (z - base - first * x - second * y).powi(2));
+        let error = (residues.sum::<f64>() / count).sqrt();
+        Self {
+            base,
+            first,
+            second,
+            error,
+        }
+    }
+
+    /// Returns the value at a point.
+    pub fn at(&self, first: f64, second: f64) -> f64 {
+        self.base + self.first * first + self.second * second
+    }
+}
+
 /// What control costs one daemon.
 #[derive(Debug, Clone, Default, PartialEq, Serialize)]
 pub struct CostModel {
-    /// The processor time of a daemon at rest, in milliseconds a second, by the workers it owns.
-    pub idle_processor: LinearFit,
-    /// The memory of a daemon, in bytes, by all tasks of the cluster.
-    pub resident: LinearFit,
-    /// The bytes a second at rest between a daemon and its workers, by the workers it owns.
-    pub worker_bytes: LinearFit,
-    /// The bytes a second at rest between a daemon and log and list, by the workers it owns.
-    pub platform_bytes: LinearFit,
-    /// The bytes a second at rest between a daemon and its peers, by the number of daemons.
-    pub peer_bytes: LinearFit,
+    /// The processor time of a daemon at rest, in milliseconds a second, by the workers and the
+    /// tasks of its shards.
+    pub idle_processor: PlaneFit,
+    /// The memory of a daemon, in bytes, by the workers and the tasks of its shards.
+    pub resident: PlaneFit,
+    /// The bytes a second at rest between a daemon and its workers, by the workers and the tasks of
+    /// its shards.
+    pub worker_bytes: PlaneFit,
+    /// The bytes a second at rest between a daemon and the log, by the shards that it owns.
+    pub log_bytes: LinearFit,
+    /// The bytes a second at rest between a daemon and the list of VMs.
+    pub list_bytes: f64,
+    /// The most bytes a second at rest between a daemon and its peers.
+    pub peer_bytes: f64,
     /// The entries a second that a daemon appends at rest.
     pub idle_appends: f64,
     /// The bytes of control for each start of a task, over all daemons.
@@ -139,6 +203,9 @@
     }
 }
 
+/// The shards of the clusters that `scripts/capacity.sh` runs.
+pub const MEASURED_SHARDS: f64 = 24.0;
+
 /// The records that the phase `config` publishes.
 pub const CONFIG_CHANGES: f64 = 60.0;
 
@@ -151,25 +218,27 @@
     let idle = of("idle");
     let start = of("start");
     let config = of("config");
-    let line = |points: Vec<(f64, f64)>| LinearFit::through(&points);
-    let by_workers = |cost: fn(&PhaseCost) -> f64| {
-        line(
-            idle.iter()
-                .map(|p| (p.workers / p.daemons, p.rate(cost(p))))
-                .collect(),
-        )
+    let log_points: Vec<_> = idle
+        .iter()
+        .map(|p| (MEASURED_SHARDS / p.daemons, p.rate(p.log_bytes)))
+        .collect();
+    let plane = |cost: fn(&PhaseCost) -> f64| {
+        let points = idle
+            .iter()
+            .map(|p| (p.workers / p.daemons, p.tasks / p.daemons, cost(p)));
+        PlaneFit::through(&points.collect::<Vec<_>>())
     };
     let extra = |cost: fn(&PhaseCost) -> f64| mean_extra(&start, &idle, cost);
     CostModel {
-        idle_processor: by_workers(|p| p.processor_ms),
-        resident: line(idle.iter().map(|p| (p.tasks, p.resident)).collect()),
-        worker_bytes: by_workers(|p| p.worker_bytes),
-        platform_bytes: by_workers(|p| p.log_bytes + p.list_bytes),
-        peer_bytes: line(
-            idle.iter()
-                .map(|p| (p.daemons, p.rate(p.peer_bytes)))
-                .collect(),
-        ),
+        idle_processor: plane(|p| p.rate(p.processor_ms)),
+        resident: plane(|p| p.resident),
+        worker_bytes: plane(|p| p.rate(p.worker_bytes)),
+        log_bytes: LinearFit::through(&log_points),
+        list_bytes: mean(idle.iter().map(|p| p.rate(p.list_bytes))),
+        peer_bytes: idle
+            .iter()
+            .map(|p| p.rate(p.peer_bytes))
+            .fold(0.0, f64::max),
         idle_appends: mean(idle.iter().map(|p| p.rate(p.appends))),
         start_bytes: extra(PhaseCost::control_bytes),
         start_processor: extra(|p| p.processor_ms),
--- a/crates/geraniumshed/src/bench/capacity/report.rs
+++ b/crates/geraniumshed/src/bench/capacity/report.rs
@@ -31,6 +31,8 @@
     pub name: &'static str,
     /// The daemons.
     pub daemons: f64,
+    /// The shards.
+    pub shards: f64,
     /// The workers.
     pub workers: f64,
     /// The tasks that run.
@@ -48,6 +50,7 @@
     ClusterSize {
         name: "Cámara",
         daemons: 6.0,
+        shards: 12.0,
         workers: 50.0,
         tasks: 500.0,
         peak_starts: 10.0,
@@ -57,6 +60,7 @@
     ClusterSize {
         name: "Yıldız",
         daemons: 7.0,
+        shards: 14.0,
         workers: 65.0,
         tasks: 650.0,
         peak_starts: 10.0,
@@ -66,6 +70,7 @@
     ClusterSize {
         name: "target",
         daemons: 24.0,
+        shards: 48.0,
         workers: 840.0,
         tasks: 14_500.0,
         peak_starts: 230.0,
@@ -100,9 +105,11 @@
 /// Works out what control costs one daemon at a size.
 pub fn size_cost(model: &CostModel, size: ClusterSize) -> SizeCost {
     let own_workers = size.workers / size.daemons;
-    let idle_bytes = model.worker_bytes.at(own_workers)
-        + model.platform_bytes.at(own_workers)
-        + model.peer_bytes.at(size.daemons);
+    let own_tasks = size.tasks / size.daemons;
+    let idle_bytes = model.worker_bytes.at(own_workers, own_tasks)
+        + model.log_bytes.at(size.shards / size.daemons)
+        + model.list_bytes
+        + model.peer_bytes;
     let change_bytes = model.change_bytes.at(size.daemons) / size.daemons;
     let day = |starts: f64, changes: f64| {
         (size.day_starts / DAY_SECONDS / size.daemons) * starts
@@ -110,13 +117,13 @@
     };
     let peak = size.peak_starts / size.daemons;
     let change_processor = model.change_processor.at(size.daemons) / size.daemons;
-    let idle_processor = model.idle_processor.at(own_workers) / 10.0;
+    let idle_processor = model.idle_processor.at(own_workers, own_tasks) / 10.0;
     SizeCost {
         size,
         idle_processor,
         day_processor: idle_processor + day(model.start_processor, change_processor) / 10.0,
         peak_processor: idle_processor + peak * model.start_processor / 10.0,
-        memory: model.resident.at(size.tasks) / 1e6,
+        memory: model.resident.at(own_workers, own_tasks) / 1e6,
         idle_bytes,
         day_bytes: idle_bytes + day(model.start_bytes, change_bytes),
         peak_bytes: idle_bytes + peak * model.start_bytes,
@@ -158,22 +165,10 @@
         writeln!(text, "| {name} | {base:.4} | {slope:.6} | {error:.6} |")
     };
     row(
-        "processor at rest, % of a core, by own worker",
-        &model.idle_processor,
-        0.1,
-    )?;
-    row("memory, MB, by task of the cluster", &model.resident, 1e-6)?;
-    row(
-        "bytes/s with workers, by own worker",
-        &model.worker_bytes,
-        1.0,
-    )?;
-    row(
-        "bytes/s with log and list, by own worker",
-        &model.platform_bytes,
+        "bytes/s with the log at rest, by own shard",
+        &model.log_bytes,
         1.0,
     )?;
-    row("bytes/s with peers, by daemon", &model.peer_bytes, 1.0)?;
     row(
         "log bytes of a change, all daemons, by daemon",
         &model.change_bytes,
@@ -184,7 +179,7 @@
         &model.change_processor,
         1.0,
     )?;
-    writeln!(text)?;
+    text.push_str(&rest_table(model)?);
     writeln!(
         text,
         "Each start of a task costs {:.0} bytes, {:.3} ms of processor time and {:.4}",
@@ -198,6 +193,33 @@
     Ok(text)
 }
 
+/// Prints what a daemon costs at rest, by the workers and the tasks of its shards.
+fn rest_table(model: &CostModel) -> Result<String, std::fmt::Error> {
+    let mut text = String::from(
+        "\n| cost of one daemon at rest | base | by own worker | by own task | error |\n\
+         | --- | --- | --- | --- | --- |\n",
+    );
+    let rows = [
+        ("processor, % of a core", &model.idle_processor, 0.1),
+        ("memory, MB", &model.resident, 1e-6),
+        ("bytes/s with workers", &model.worker_bytes, 1.0),
+    ];
+    for (name, fit, scale) in rows {
+        let values = [fit.base, fit.first, fit.second, fit.error].map(|value| value * scale);
+        let [base, first, second, error] = values;
+        writeln!(
+            text,
+            "| {name} | {base:.3} | {first:.5} | {second:.5} | {error:.3} |"
+        )?;
+    }
+    writeln!(
+        text,
+        "\nAt rest a daemon spends {:.0} bytes/s with the list of VMs and at most {:.0} with peers.",
+        model.list_bytes, model.peer_bytes
+    )?;
+    Ok(text)
+}
+
 /// Prints the costs at all sizes as a table.
 fn cost_table(costs: &[SizeCost]) -> Result<String, std::fmt::Error> {
     let mut text = String::from(
