Read workers' usage every 20 s in place of 10 s

Cause: at the target the reports of usage cost a daemon about 1,190 of 2,900 bytes/s at rest; 2,000 are allowed in all. Change: usage_interval is 20 s.

--- a/crates/geraniumshed-core/src/schedule/settings.rs
+++ b/crates/geraniumshed-core/src/schedule/settings.rs
@@ -84,7 +84,7 @@
             move_after: Duration::from_secs(2),
             endpoint_refresh: Duration::from_mins(5),
             progress_interval: Duration::from_secs(1),
-            usage_interval: Duration::from_secs(10),
+            usage_interval: Duration::from_secs(20),
             quarantine_jobs: 3,
             probe_after: Duration::from_mins(1),
             interference: InterferenceSettings::default(),
--- a/crates/geraniumshed/src/bench/capacity/mod.rs
+++ b/crates/geraniumshed/src/bench/capacity/mod.rs
@@ -14,7 +14,7 @@
 
 use crate::output::ExitStatus;
 
-pub use self::fit::{CostModel, LinearFit, fit_costs};
+pub use self::fit::{CostModel, LinearFit, PlaneFit, fit_costs};
 pub use self::snapshot::CapacitySnapshot;
 
 /// The options of `bench capacity`.
