Remove what nothing calls, and say when callers are served

Cause: a last read of the change found a sum of bytes and a longest time that nothing reads, and a doc comment that says callers wait for the catch-up, which they don't. Conclusion: no behaviour changed.

--- a/crates/geraniumshed-daemon/src/node/daemon.rs
+++ b/crates/geraniumshed-daemon/src/node/daemon.rs
@@ -117,7 +117,7 @@
 }
 
 impl Daemon {
-    /// Starts a daemon. It serves callers once it has caught up with the log.
+    /// Starts a daemon. It schedules once it has caught up with the log; callers are served at once.
     ///
     /// # Errors
     ///
--- a/crates/geraniumshed/src/bench/capacity/snapshot.rs
+++ b/crates/geraniumshed/src/bench/capacity/snapshot.rs
@@ -90,13 +90,6 @@
     pub appends: u64,
 }
 
-impl CapacitySnapshot {
-    /// Returns all bytes of control, each counted once.
-    pub fn control_bytes(&self) -> u64 {
-        self.log_bytes + self.list_bytes + self.worker_bytes + self.peer_bytes
-    }
-}
-
 /// Appends a snapshot to a file.
 ///
 /// # Errors
--- a/crates/geraniumshed/src/dev/config_check.rs
+++ b/crates/geraniumshed/src/dev/config_check.rs
@@ -20,7 +20,6 @@
 pub struct ConfigCheck {
     accepted: BTreeMap<SmolStr, u64>,
     row: PromiseRow,
-    slowest: Duration,
 }
 
 impl Default for ConfigCheck {
@@ -28,7 +27,6 @@
         Self {
             accepted: BTreeMap::new(),
             row: PromiseRow::new(PromiseKind::ConfigInForce),
-            slowest: Duration::ZERO,
         }
     }
 }
@@ -49,16 +47,10 @@
                 sleep(POLL_INTERVAL).await;
             }
         }
-        self.slowest = self.slowest.max(begin.elapsed());
         self.row.counted += 1;
         self.accepted.insert(key, generation);
     }
 
-    /// Returns the longest time that an accepted record took to be in force everywhere.
-    pub fn slowest(&self) -> Duration {
-        self.slowest
-    }
-
     /// Looks at all daemons once more, and returns what was found.
     ///
     /// Jobs that have finished are no longer in force, which is no reversion.
