--- /dev/null
+++ b/crates/geraniumshed-batch/src/leader/feeds.rs
@@ -0,0 +1,79 @@
+//! What the leader reads all the time: new requests and registered workers.
+
+use std::time::Duration;
+
+use geraniumshed_core::job::{JobId, JobRequest};
+use geraniumshed_model::prelude::LogOffset;
+
+use super::event::{LeaderEvent, LeaderHandle};
+use super::load::decode_request;
+use crate::site::SiteFeed;
+use crate::store::{KeyedRecord, StoreClient, StoreError, read_newest};
+use crate::topic::REQUESTS;
+
+/// How long a read waits for a request to be added.
+const REQUEST_WAIT: Duration = Duration::from_secs(2);
+/// The time between two reads of requests, in which several may gather.
+const REQUEST_GAP: Duration = Duration::from_millis(15);
+/// The time between two reads of the registered workers.
+const LISTING_PAUSE: Duration = Duration::from_millis(500);
+/// The pause after a failed read.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
+/// Reads new requests from an offset on until the leader ends.
+pub(super) async fn feed_requests<S: StoreClient>(
+    store: S,
+    handle: LeaderHandle,
+    mut next: LogOffset,
+) {
+    while !handle.is_closed() {
+        match read_requests(&store, next).await {
+            Ok((records, offset)) => {
+                next = offset;
+                let requests: Vec<(JobId, JobRequest)> = records
+                    .iter()
+                    .filter(|record| !record.value.is_empty())
+                    .filter_map(decode_request)
+                    .collect();
+                if !requests.is_empty() {
+                    handle.send(LeaderEvent::Submitted(requests));
+                }
+                tokio::time::sleep(REQUEST_GAP).await;
+            }
+            Err(error) => {
+                log::debug!("new requests can't be read: {error}");
+                tokio::time::sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn read_requests<S: StoreClient>(
+    store: &S,
+    next: LogOffset,
+) -> Result<(Vec<KeyedRecord>, LogOffset), StoreError> {
+    match store.read(REQUESTS, next, REQUEST_WAIT).await {
+        Ok(batch) => Ok((batch.records, batch.next)),
+        Err(StoreError::Expired(_)) => {
+            log::info!("requests from offset {next} on have expired; reading the newest of all");
+            read_newest(store, REQUESTS).await
+        }
+        Err(error) => Err(error),
+    }
+}
+
+/// Reads the registered workers until the leader ends.
+pub(super) async fn feed_workers<F: SiteFeed>(feed: F, handle: LeaderHandle) {
+    while !handle.is_closed() {
+        match feed.workers().await {
+            Ok(listings) => {
+                handle.send(LeaderEvent::Listed(listings));
+                tokio::time::sleep(LISTING_PAUSE).await;
+            }
+            Err(error) => {
+                log::debug!("the registered workers can't be read: {error}");
+                tokio::time::sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/geraniumshed-batch/src/leader/run.rs
@@ -0,0 +1,288 @@
+//! The leader's task: events go to the planner, and what it decides is stored and carried out.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use geraniumshed_core::assignment::{CancelOutcome, JobPlanner, PlannerSettings, StoreBatch};
+use geraniumshed_core::job::{JobId, QueueName, QueuePolicy};
+use geraniumshed_core::membership::LeaderTerm;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{Instant, sleep_until};
+
+use super::calls::carry_out;
+use super::event::{LeaderEvent, LeaderHandle, LeaderQuery};
+use super::feeds::{feed_requests, feed_workers};
+use super::load::TakeOver;
+use super::writer::{BatchWriter, WaitingSince};
+use crate::clock::NodeClock;
+use crate::site::{HoldOutcome, SiteFeed, WorkerCaller};
+use crate::store::StoreClient;
+
+/// The time between two appends, in which changes gather.
+const APPEND_GAP: Duration = Duration::from_millis(15);
+/// The longest time between two advances of the planner.
+const ADVANCE_PAUSE: Duration = Duration::from_millis(50);
+/// The time between two placements without any event, since pauses end with time.
+const REVISIT_PAUSE: Duration = Duration::from_millis(200);
+/// The time for which an append may wait before other nodes are asked whether the store answers.
+const STORE_SILENCE_LIMIT: Duration = Duration::from_millis(900);
+
+/// What the leader's task works with.
+#[derive(Debug, Clone)]
+pub(crate) struct LeaderContext<S, F, W> {
+    /// The store.
+    pub(crate) store: S,
+    /// What the platform publishes.
+    pub(crate) feed: F,
+    /// The calls to workers.
+    pub(crate) caller: W,
+    /// The clocks.
+    pub(crate) clock: NodeClock,
+    /// The planner's settings.
+    pub(crate) settings: PlannerSettings,
+}
+
+/// Why the leader's task has ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum LeaderEnd {
+    /// A later leader has taken over.
+    Deposed,
+    /// It was asked to resign, or another node is better placed.
+    Resigned,
+}
+
+/// Spawns the leader's task and returns its handle and the channel on which its end is told.
+pub(crate) fn run<S, F, W>(
+    context: LeaderContext<S, F, W>,
+    term: LeaderTerm,
+    found: TakeOver,
+    queues: BTreeMap<QueueName, QueuePolicy>,
+    silence: mpsc::UnboundedSender<LeaderHandleOutpaced>,
+) -> (LeaderHandle, oneshot::Receiver<LeaderEnd>)
+where
+    S: StoreClient,
+    F: SiteFeed,
+    W: WorkerCaller,
+{
+    let (handle, events) = LeaderHandle::open();
+    let (batches, waiting) = BatchWriter::spawn(context.store.clone(), handle.clone(), term);
+    let next_request = found.next_request;
+    let store = context.store.clone();
+    tokio::spawn(feed_requests(store, handle.clone(), next_request));
+    tokio::spawn(feed_workers(context.feed.clone(), handle.clone()));
+    let mut planner = JobPlanner::new(context.settings.clone(), term.first_token());
+    planner.replace_queues(queues);
+    let mut task = LeaderTask {
+        caller: context.caller,
+        clock: context.clock,
+        handle: handle.clone(),
+        planner,
+        batches,
+        waiting,
+        silence,
+        asked_at: None,
+        stored: 0,
+        sent: 0,
+        next_append: Instant::now(),
+        next_revisit: Instant::now(),
+        cancels: Vec::new(),
+    };
+    task.restore(found);
+    let (sender, end) = oneshot::channel();
+    tokio::spawn(async move {
+        let reason = task.run(events).await;
+        if sender.send(reason).is_err() {
+            log::debug!("nobody waits for the end of the leader's task");
+        }
+    });
+    (handle, end)
+}
+
+/// Asks whether other nodes reach the store; the answer goes to [`LeaderHandle::outpace`].
+#[derive(Debug, Clone)]
+pub(crate) struct LeaderHandleOutpaced(pub(crate) LeaderHandle);
+
+impl LeaderHandle {
+    /// Tells the leader that another node reaches the store while it doesn't.
+    pub(crate) fn outpace(&self) {
+        self.send(LeaderEvent::Outpaced);
+    }
+}
+
+#[derive(Debug)]
+struct LeaderTask<W> {
+    caller: W,
+    clock: NodeClock,
+    handle: LeaderHandle,
+    planner: JobPlanner,
+    batches: mpsc::UnboundedSender<StoreBatch>,
+    waiting: WaitingSince,
+    silence: mpsc::UnboundedSender<LeaderHandleOutpaced>,
+    /// When other nodes were last asked whether they reach the store.
+    asked_at: Option<Instant>,
+    stored: u64,
+    sent: u64,
+    next_append: Instant,
+    next_revisit: Instant,
+    /// Cancellations that are answered once a batch is stored.
+    cancels: Vec<(u64, oneshot::Sender<CancelOutcome>)>,
+}
+
+impl<W: WorkerCaller> LeaderTask<W> {
+    fn restore(&mut self, found: TakeOver) {
+        let now = self.clock.moment();
+        log::info!("leading with {} jobs from the store", found.jobs.len());
+        for (id, request, image) in found.jobs {
+            match image {
+                Some(image) => self.planner.restore(now, id, request, image),
+                None => self.planner.submit(id, request),
+            }
+        }
+    }
+
+    async fn run(mut self, mut events: mpsc::UnboundedReceiver<LeaderEvent>) -> LeaderEnd {
+        loop {
+            self.step();
+            let wake = self.wake_at();
+            tokio::select! {
+                event = events.recv() => {
+                    let Some(event) = event else {
+                        return LeaderEnd::Resigned;
+                    };
+                    if let Some(end) = self.handle_event(event) {
+                        return end;
+                    }
+                    while let Ok(event) = events.try_recv() {
+                        if let Some(end) = self.handle_event(event) {
+                            return end;
+                        }
+                    }
+                }
+                () = sleep_until(wake) => {}
+            }
+        }
+    }
+
+    /// Advances the planner, stores its changes and carries its calls out.
+    fn step(&mut self) {
+        let now = Instant::now();
+        if self.next_revisit <= now {
+            self.next_revisit = now + REVISIT_PAUSE;
+            self.planner.revisit();
+        }
+        self.planner.advance(self.clock.moment());
+        if self.stored == self.sent
+            && self.next_append <= now
+            && let Some(batch) = self.planner.take_batch()
+        {
+            self.sent = batch.number;
+            self.next_append = now + APPEND_GAP;
+            if self.batches.send(batch).is_err() {
+                log::debug!("the writer has ended; its event tells why");
+            }
+        }
+        for action in self.planner.take_actions() {
+            carry_out(&self.caller, &self.handle, action);
+        }
+        self.watch_store(now);
+    }
+
+    /// Returns when the next step is due without any event.
+    fn wake_at(&self) -> Instant {
+        let advance = Instant::now() + ADVANCE_PAUSE;
+        if self.stored == self.sent && self.planner.has_changes() {
+            return advance.min(self.next_append);
+        }
+        advance
+    }
+
+    /// Asks other nodes whether they reach the store, if it doesn't answer here.
+    fn watch_store(&mut self, now: Instant) {
+        let Some(since) = *self.waiting.borrow() else {
+            self.asked_at = None;
+            return;
+        };
+        let last = self.asked_at.map_or(since, |asked| asked.max(since));
+        if now.duration_since(last) < STORE_SILENCE_LIMIT {
+            return;
+        }
+        self.asked_at = Some(now);
+        log::warn!("the store has left an append unanswered; asking other nodes");
+        let question = LeaderHandleOutpaced(self.handle.clone());
+        if self.silence.send(question).is_err() {
+            log::debug!("the node is stopping");
+        }
+    }
+
+    fn handle_event(&mut self, event: LeaderEvent) -> Option<LeaderEnd> {
+        let now = self.clock.moment();
+        match event {
+            LeaderEvent::Submitted(requests) => {
+                for (id, request) in requests {
+                    self.planner.submit(id, request);
+                }
+            }
+            LeaderEvent::Listed(listings) => self.planner.list_workers(now, listings),
+            LeaderEvent::StartAnswered(worker, task, run, reply) => {
+                self.planner.start_answered(now, &worker, task, run, reply);
+            }
+            LeaderEvent::StopAnswered(worker, reply) => self.planner.stop_answered(&worker, reply),
+            LeaderEvent::HoldAnswered(worker, mark, outcome) => match outcome {
+                HoldOutcome::Answered(reply) => {
+                    self.planner.hold_answered(now, &worker, mark, reply);
+                }
+                HoldOutcome::OtherWorker => self.planner.hold_failed(now, &worker, mark, true),
+                HoldOutcome::Failed(_) => self.planner.hold_failed(now, &worker, mark, false),
+                HoldOutcome::Fenced => {
+                    if self.planner.is_newest_token(&worker, mark) {
+                        log::warn!("worker {worker} has seen the token of a later leader");
+                        return Some(LeaderEnd::Deposed);
+                    }
+                    self.planner.hold_failed(now, &worker, mark, false);
+                }
+            },
+            LeaderEvent::Stored(number) => self.batch_stored(number),
+            LeaderEvent::Queues(queues) => self.planner.replace_queues(queues),
+            LeaderEvent::Query(query) => self.answer(query),
+            LeaderEvent::Deposed => return Some(LeaderEnd::Deposed),
+            LeaderEvent::Outpaced | LeaderEvent::Resign => return Some(LeaderEnd::Resigned),
+        }
+        None
+    }
+
+    fn batch_stored(&mut self, number: u64) {
+        self.stored = number;
+        self.planner.batch_stored(self.clock.moment(), number);
+        let (done, waiting): (Vec<_>, Vec<_>) = std::mem::take(&mut self.cancels)
+            .into_iter()
+            .partition(|(batch, _)| *batch <= number);
+        self.cancels = waiting;
+        for (batch, sender) in done {
+            reply(sender, CancelOutcome::StoredBy(batch));
+        }
+    }
+
+    fn answer(&mut self, query: LeaderQuery) {
+        match query {
+            LeaderQuery::Status(id, sender) => reply(sender, self.planner.status(id)),
+            LeaderQuery::Pending(queue, sender) => {
+                reply(sender, self.planner.pending_count(&queue));
+            }
+            LeaderQuery::Cancel(id, sender) => self.cancel(id, sender),
+        }
+    }
+
+    fn cancel(&mut self, id: JobId, sender: oneshot::Sender<CancelOutcome>) {
+        match self.planner.cancel(self.clock.moment(), id) {
+            CancelOutcome::StoredBy(batch) => self.cancels.push((batch, sender)),
+            outcome => reply(sender, outcome),
+        }
+    }
+}
+
+/// Answers a query; a caller that has gone needs no answer.
+fn reply<T>(sender: oneshot::Sender<T>, answer: T) {
+    if sender.send(answer).is_err() {
+        log::debug!("a client went before its answer was there");
+    }
+}
--- /dev/null
+++ b/crates/geraniumshed-batch/src/lib.rs
@@ -0,0 +1,20 @@
+//! Batch jobs on the platform.
+//!
+//! Each daemon runs a [`BatchNode`]. All nodes take jobs from clients and store them; one of them,
+//! the leader, runs the planner that places tasks on workers. What the platform offers is reached
+//! through the traits of [`store`] and [`site`], so that the same code runs on the platform and on
+//! stand-ins.
+
+pub mod clock;
+pub mod leader;
+pub mod member;
+pub mod node;
+pub mod peer;
+pub mod service;
+pub mod site;
+pub mod store;
+pub mod topic;
+pub mod wire;
+
+pub use node::{BatchNode, NodeSettings};
+pub use service::{CallOutcome, JobService};
--- /dev/null
+++ b/crates/geraniumshed-batch/src/node.rs
@@ -0,0 +1,209 @@
+//! A node: the part of a daemon that handles batch jobs.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use geraniumshed_core::assignment::PlannerSettings;
+use geraniumshed_core::membership::{LeaderRecord, MemberIdentity};
+use geraniumshed_model::prelude::TimePoint;
+use tokio::sync::Notify;
+
+use crate::clock::NodeClock;
+use crate::leader::{LeaderContext, LeaderHandle};
+use crate::member;
+use crate::peer::{PeerPool, PeerServer};
+use crate::service::{JobService, PeerHandler};
+use crate::site::{ConfigVersion, SiteConfig, SiteFeed, WorkerCaller};
+use crate::store::StoreClient;
+
+/// The time after its last heartbeat for which a member counts as alive.
+const MEMBER_MEMORY: Duration = Duration::from_millis(1200);
+/// How long a read of the configuration waits for a change.
+const CONFIG_WAIT: Duration = Duration::from_secs(3);
+/// The pause after a failed read of the configuration.
+const CONFIG_RETRY: Duration = Duration::from_millis(150);
+
+/// The settings of a node.
+#[derive(Debug, Clone, PartialEq)]
+pub struct NodeSettings {
+    /// This process.
+    pub identity: MemberIdentity,
+    /// The order in which nodes of a new cluster claim to lead; the lowest goes first.
+    pub first_rank: u32,
+    /// The planner's settings.
+    pub planner: PlannerSettings,
+}
+
+/// A member that sends heartbeats to this process.
+#[derive(Debug, Clone)]
+pub(crate) struct HeardMember {
+    pub(crate) member: MemberIdentity,
+    pub(crate) heard_at: TimePoint,
+    pub(crate) first_heard_at: TimePoint,
+    pub(crate) is_stopping: bool,
+}
+
+/// What this process knows of the others.
+#[derive(Debug, Default)]
+pub(crate) struct MemberView {
+    /// The newest leader.
+    pub(crate) leader: Option<LeaderRecord>,
+    /// The planner, while this process leads.
+    pub(crate) handle: Option<LeaderHandle>,
+    /// The members that send heartbeats to this process.
+    pub(crate) heard: BTreeMap<SocketAddr, HeardMember>,
+    /// The members that the leader hears of.
+    pub(crate) peers: Vec<MemberIdentity>,
+}
+
+impl MemberView {
+    /// Returns the live members that may lead next, the best first.
+    ///
+    /// The member that was heard of last goes first: in a rolling restart it has its restart
+    /// behind it.
+    pub(crate) fn successors(&self, now: TimePoint) -> Vec<&HeardMember> {
+        let is_live =
+            |one: &&HeardMember| !one.is_stopping && now.since(one.heard_at) < MEMBER_MEMORY;
+        let mut members: Vec<&HeardMember> = self.heard.values().filter(is_live).collect();
+        members.sort_by_key(|one| std::cmp::Reverse(one.first_heard_at));
+        members
+    }
+}
+
+/// What the tasks of a node share.
+#[derive(Debug)]
+pub(crate) struct NodeShared<S, F: SiteFeed, W> {
+    pub(crate) settings: NodeSettings,
+    pub(crate) context: LeaderContext<S, F, W>,
+    pub(crate) pool: PeerPool,
+    view: Mutex<MemberView>,
+    config: Mutex<Option<Arc<SiteConfig<F::Routes>>>>,
+    pub(crate) is_stopping: AtomicBool,
+    /// Notified when this process is asked to lead.
+    pub(crate) asked_to_lead: Notify,
+}
+
+impl<S: StoreClient, F: SiteFeed, W: WorkerCaller> NodeShared<S, F, W> {
+    pub(crate) fn clock(&self) -> NodeClock {
+        self.context.clock
+    }
+
+    pub(crate) fn view(&self) -> MutexGuard<'_, MemberView> {
+        self.view.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn config(&self) -> Option<Arc<SiteConfig<F::Routes>>> {
+        let config = self.config.lock().unwrap_or_else(PoisonError::into_inner);
+        config.clone()
+    }
+
+    pub(crate) fn config_version(&self) -> ConfigVersion {
+        self.config().map_or(ConfigVersion(0), |one| one.version)
+    }
+
+    /// Puts a configuration in force if it is newer than the one that is.
+    pub(crate) fn apply_config(&self, config: SiteConfig<F::Routes>) {
+        if self
+            .config()
+            .is_some_and(|one| one.version >= config.version)
+        {
+            return;
+        }
+        log::info!(
+            "configuration {} with {} queues is in force",
+            config.version.0,
+            config.queues.len()
+        );
+        if let Some(handle) = self.view().handle.clone() {
+            handle.replace_queues(config.queues.clone());
+        }
+        let mut current = self.config.lock().unwrap_or_else(PoisonError::into_inner);
+        *current = Some(Arc::new(config));
+    }
+
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.is_stopping.load(Ordering::Relaxed)
+    }
+}
+
+/// A running node.
+#[derive(Debug)]
+pub struct BatchNode<S, F: SiteFeed, W> {
+    shared: Arc<NodeShared<S, F, W>>,
+}
+
+impl<S: StoreClient, F: SiteFeed, W: WorkerCaller> BatchNode<S, F, W> {
+    /// Spawns a node, which serves its peers at the address of its identity.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error if peers can't be served.
+    pub async fn spawn(settings: NodeSettings, store: S, feed: F, caller: W) -> io::Result<Self> {
+        let context = LeaderContext {
+            store,
+            feed,
+            caller,
+            clock: NodeClock::start(),
+            settings: settings.planner.clone(),
+        };
+        let address = settings.identity.address;
+        let shared = Arc::new(NodeShared {
+            settings,
+            context,
+            pool: PeerPool::default(),
+            view: Mutex::default(),
+            config: Mutex::default(),
+            is_stopping: AtomicBool::new(false),
+            asked_to_lead: Notify::new(),
+        });
+        PeerServer::bind(address, PeerHandler::new(Arc::clone(&shared))).await?;
+        tokio::spawn(follow_config(Arc::clone(&shared)));
+        tokio::spawn(member::run(Arc::clone(&shared)));
+        Ok(Self { shared })
+    }
+
+    /// Returns the service that takes clients' calls.
+    pub fn service(&self) -> JobService<S, F, W> {
+        JobService::new(Arc::clone(&self.shared))
+    }
+
+    /// Begins a planned stop: hands the lead on, and takes no part in elections any more.
+    pub fn begin_stop(&self) {
+        self.shared.is_stopping.store(true, Ordering::Relaxed);
+        if let Some(handle) = &self.shared.view().handle {
+            handle.resign();
+        }
+    }
+}
+
+/// Keeps the newest configuration in force.
+async fn follow_config<S, F, W>(shared: Arc<NodeShared<S, F, W>>)
+where
+    S: StoreClient,
+    F: SiteFeed,
+    W: WorkerCaller,
+{
+    let feed = shared.context.feed.clone();
+    loop {
+        match feed.config().await {
+            Ok((config, next)) => {
+                if let Some(config) = config {
+                    shared.apply_config(config);
+                }
+                // A wait that fails or ends without a change leads to another read all the same.
+                if let Err(error) = feed.config_changed(next, CONFIG_WAIT).await {
+                    log::debug!("waiting for a configuration failed: {error}");
+                    tokio::time::sleep(CONFIG_RETRY).await;
+                }
+            }
+            Err(error) => {
+                log::debug!("the configuration can't be read: {error}");
+                tokio::time::sleep(CONFIG_RETRY).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/geraniumshed-batch/src/peer/server.rs
@@ -0,0 +1,92 @@
+//! Answers the calls of other nodes.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use futures::StreamExt;
+use tarpc::serde_transport;
+use tarpc::server::{BaseChannel, Channel};
+use tarpc::tokio_serde::formats::Bincode;
+use tarpc::tokio_util::codec::Framed;
+use tokio::net::{TcpListener, TcpStream};
+
+use super::stream::{frame_codec, prepare_stream};
+use crate::service::PeerHandler;
+use crate::site::{SiteFeed, WorkerCaller};
+use crate::store::StoreClient;
+use crate::wire::NodePeer;
+
+/// The pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// The calls that one connection may have in flight.
+const CALL_LIMIT: usize = 256;
+
+/// The running server for other nodes.
+#[derive(Debug)]
+pub struct PeerServer {
+    address: SocketAddr,
+}
+
+impl PeerServer {
+    /// Serves other nodes at an address until the process ends.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error if the address can't be listened on.
+    pub(crate) async fn bind<S, F, W>(
+        address: SocketAddr,
+        handler: PeerHandler<S, F, W>,
+    ) -> io::Result<Self>
+    where
+        S: StoreClient,
+        F: SiteFeed,
+        W: WorkerCaller,
+    {
+        let listener = TcpListener::bind(address).await?;
+        let address = listener.local_addr()?;
+        tokio::spawn(accept(listener, handler));
+        Ok(Self { address })
+    }
+
+    /// Returns the address at which other nodes are served.
+    pub fn local_addr(&self) -> SocketAddr {
+        self.address
+    }
+}
+
+async fn accept<S, F, W>(listener: TcpListener, handler: PeerHandler<S, F, W>)
+where
+    S: StoreClient,
+    F: SiteFeed,
+    W: WorkerCaller,
+{
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!("a node's connection could not be accepted: {error}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        if let Err(error) = prepare_stream(&stream) {
+            log::debug!("a node's connection ended at once: {error}");
+            continue;
+        }
+        tokio::spawn(serve(stream, handler.clone()));
+    }
+}
+
+async fn serve<S, F, W>(stream: TcpStream, handler: PeerHandler<S, F, W>)
+where
+    S: StoreClient,
+    F: SiteFeed,
+    W: WorkerCaller,
+{
+    let transport = serde_transport::new(Framed::new(stream, frame_codec()), Bincode::default());
+    BaseChannel::with_defaults(transport)
+        .execute(handler.serve())
+        .for_each_concurrent(CALL_LIMIT, |call| call)
+        .await;
+}
--- /dev/null
+++ b/crates/geraniumshed-batch/src/service.rs
@@ -0,0 +1,385 @@
+//! Clients' calls: what a node answers itself, and what it passes on.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use geraniumshed_core::assignment::{CancelOutcome, JobStatus};
+use geraniumshed_core::job::{JobId, JobPhase, JobRequest, QueueName};
+use geraniumshed_core::membership::MemberIdentity;
+use tarpc::context::Context;
+use tokio::sync::oneshot;
+use tokio::time::{Instant, sleep, timeout_at};
+
+use crate::leader::{LeaderHandle, LeaderQuery};
+use crate::node::{HeardMember, NodeShared};
+use crate::site::{SiteConfig, SiteFeed, WorkerCaller};
+use crate::store::{AppendCondition, KeyedRecord, StoreClient, StoreError};
+use crate::topic::{LEADERS, REQUESTS, job_key};
+use crate::wire::{
+    BeatReplyWire, BeatWire, JobAnswerWire, JobCallWire, JobRequestWire, MemberWire, NodePeer,
+    encode,
+};
+
+/// The time within which the store answers the append of a job, before another way is tried.
+const APPEND_LIMIT: Duration = Duration::from_millis(500);
+/// The time within which a peer answers a call that was passed on.
+const PEER_LIMIT: Duration = Duration::from_millis(800);
+/// The pause between two attempts.
+const RETRY_PAUSE: Duration = Duration::from_millis(50);
+/// The time for which a job that certainly isn't stored is tried again.
+const REFUSAL_LIMIT: Duration = Duration::from_millis(900);
+/// The time that remains for the answer to reach the client.
+const ANSWER_MARGIN: Duration = Duration::from_millis(120);
+/// The time for which a call that was passed on is tried.
+const PASSED_LIMIT: Duration = Duration::from_millis(700);
+/// The time that a stored job may take to reach the leader.
+const ARRIVAL_LIMIT: Duration = Duration::from_millis(400);
+/// The number of peers that are tried when the store refuses this node.
+const RELAY_PEERS: usize = 2;
+
+/// What a client is answered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallOutcome {
+    /// The job is stored.
+    Accepted,
+    /// How far the job is.
+    Status(JobPhase),
+    /// The cancellation is stored.
+    Cancelled,
+    /// There is no such job.
+    Unknown,
+    /// The number of jobs of a queue of which no task has started.
+    Pending(u64),
+    /// Nothing was done; the client may come back.
+    Unavailable,
+    /// The call may have taken effect.
+    Undecided,
+}
+
+/// Takes clients' calls; its clones share the node.
+#[derive(Debug)]
+pub struct JobService<S, F: SiteFeed, W> {
+    shared: Arc<NodeShared<S, F, W>>,
+}
+
+impl<S, F: SiteFeed, W> Clone for JobService<S, F, W> {
+    fn clone(&self) -> Self {
+        Self {
+            shared: Arc::clone(&self.shared),
+        }
+    }
+}
+
+impl<S: StoreClient, F: SiteFeed, W: WorkerCaller> JobService<S, F, W> {
+    pub(crate) fn new(shared: Arc<NodeShared<S, F, W>>) -> Self {
+        Self { shared }
+    }
+
+    /// Returns the configuration in force.
+    pub fn config(&self) -> Option<Arc<SiteConfig<F::Routes>>> {
+        self.shared.config()
+    }
+
+    /// Tells whether clients should be sent to this node.
+    pub fn is_ready(&self) -> bool {
+        !self.shared.is_stopping() && self.shared.config().is_some()
+    }
+
+    /// Stores a job.
+    pub async fn submit(&self, id: JobId, request: &JobRequest, deadline: Instant) -> CallOutcome {
+        let body = JobRequestWire::from(request);
+        let started = Instant::now();
+        let deadline = deadline - ANSWER_MARGIN;
+        let mut may_be_stored = false;
+        loop {
+            match self.store_request(id, &body).await {
+                Ok(()) => return CallOutcome::Accepted,
+                Err(StoreError::Refused) => {}
+                Err(error) => {
+                    log::info!("job {id}: storing it has no answer: {error}");
+                    may_be_stored = true;
+                }
+            }
+            match self.relay(&JobCallWire::Submit(id.0, body.clone())).await {
+                Some(JobAnswerWire::Accepted) => return CallOutcome::Accepted,
+                Some(JobAnswerWire::Unavailable) | None => {}
+                Some(_) => may_be_stored = true,
+            }
+            // A repeat may turn an undecided call into an accepted one, so it is worth the time.
+            let has_given_up = !may_be_stored && started.elapsed() > REFUSAL_LIMIT;
+            if has_given_up || Instant::now() + RETRY_PAUSE >= deadline {
+                break;
+            }
+            sleep(RETRY_PAUSE).await;
+        }
+        if may_be_stored {
+            log::warn!("job {id}: whether it is stored isn't known");
+            return CallOutcome::Undecided;
+        }
+        log::warn!("job {id}: refused, since the store can't be reached");
+        CallOutcome::Unavailable
+    }
+
+    /// Returns how far a job is.
+    pub async fn status(&self, id: JobId, deadline: Instant) -> CallOutcome {
+        self.ask_leader(JobCallWire::Status(id.0), deadline).await
+    }
+
+    /// Cancels a job.
+    pub async fn cancel(&self, id: JobId, deadline: Instant) -> CallOutcome {
+        let started = Instant::now();
+        loop {
+            let outcome = self.ask_leader(JobCallWire::Cancel(id.0), deadline).await;
+            // A job that was accepted a moment ago may be on its way to the leader.
+            if outcome != CallOutcome::Unknown || started.elapsed() > ARRIVAL_LIMIT {
+                return outcome;
+            }
+            sleep(RETRY_PAUSE).await;
+        }
+    }
+
+    /// Counts the jobs of a queue of which no task has started.
+    pub async fn pending(&self, queue: &QueueName, deadline: Instant) -> CallOutcome {
+        let call = JobCallWire::Pending(queue.0.clone());
+        self.ask_leader(call, deadline).await
+    }
+
+    async fn store_request(&self, id: JobId, body: &JobRequestWire) -> Result<(), StoreError> {
+        let record = KeyedRecord {
+            key: job_key(id),
+            value: encode(body),
+        };
+        let store = &self.shared.context.store;
+        store
+            .append(REQUESTS, vec![record], AppendCondition::None, APPEND_LIMIT)
+            .await
+            .map(|_| ())
+    }
+
+    /// Passes a call to nodes that may reach the store, one after the other.
+    async fn relay(&self, call: &JobCallWire) -> Option<JobAnswerWire> {
+        let mut answer = None;
+        for member in self.relays() {
+            let passed = self
+                .shared
+                .pool
+                .call(member.address, call.clone(), PEER_LIMIT)
+                .await;
+            match passed {
+                Ok(JobAnswerWire::Unavailable) => {
+                    answer = answer.or(Some(JobAnswerWire::Unavailable));
+                }
+                Ok(JobAnswerWire::Undecided) | Err(crate::peer::PeerFailure::Unanswered) => {
+                    answer = Some(JobAnswerWire::Undecided);
+                }
+                Ok(decided) => return Some(decided),
+                Err(_) => {}
+            }
+        }
+        answer
+    }
+
+    /// Returns other nodes, the leader first.
+    fn relays(&self) -> Vec<MemberIdentity> {
+        let own = &self.shared.settings.identity;
+        let now = self.shared.clock().now();
+        let view = self.shared.view();
+        let leader = view.leader.iter().map(|record| &record.member);
+        let peers = view.peers.iter();
+        let heard = view.successors(now).into_iter().map(|one| &one.member);
+        let mut relays: Vec<MemberIdentity> = Vec::new();
+        for member in leader.chain(peers).chain(heard) {
+            if member.address != own.address && !relays.contains(member) {
+                relays.push(member.clone());
+            }
+        }
+        relays.truncate(RELAY_PEERS);
+        relays
+    }
+
+    /// Asks the leader, wherever it is, until it answers or the client's time is up.
+    async fn ask_leader(&self, call: JobCallWire, deadline: Instant) -> CallOutcome {
+        let deadline = deadline - ANSWER_MARGIN;
+        loop {
+            let answer = match self.own_leader() {
+                Some(handle) => ask_own(&handle, &call, deadline).await,
+                None => self.ask_remote(&call).await,
+            };
+            if let Some(outcome) = answer {
+                return outcome;
+            }
+            if Instant::now() + RETRY_PAUSE >= deadline {
+                log::info!("no leader answered {call:?} in time");
+                return CallOutcome::Unavailable;
+            }
+            sleep(RETRY_PAUSE).await;
+        }
+    }
+
+    fn own_leader(&self) -> Option<LeaderHandle> {
+        self.shared.view().handle.clone()
+    }
+
+    async fn ask_remote(&self, call: &JobCallWire) -> Option<CallOutcome> {
+        let leader = self.shared.view().leader.clone()?;
+        if leader.member == self.shared.settings.identity {
+            return None;
+        }
+        let address = leader.member.address;
+        let answer = self
+            .shared
+            .pool
+            .call(address, call.clone(), PEER_LIMIT)
+            .await;
+        match answer {
+            Ok(JobAnswerWire::Unavailable | JobAnswerWire::Undecided) | Err(_) => None,
+            Ok(JobAnswerWire::Accepted) => Some(CallOutcome::Accepted),
+            Ok(JobAnswerWire::Status(phase)) => Some(CallOutcome::Status(phase.into())),
+            Ok(JobAnswerWire::Cancelled) => Some(CallOutcome::Cancelled),
+            Ok(JobAnswerWire::Unknown) => Some(CallOutcome::Unknown),
+            Ok(JobAnswerWire::Pending(count)) => Some(CallOutcome::Pending(count)),
+        }
+    }
+}
+
+/// Asks the planner of this process; returns nothing if it ends or takes too long.
+async fn ask_own(
+    handle: &LeaderHandle,
+    call: &JobCallWire,
+    deadline: Instant,
+) -> Option<CallOutcome> {
+    match call {
+        JobCallWire::Submit(..) => None,
+        JobCallWire::Status(id) => {
+            let (sender, answer) = oneshot::channel();
+            handle.query(LeaderQuery::Status(JobId(*id), sender));
+            let status = timeout_at(deadline, answer).await.ok()?.ok()?;
+            Some(match status {
+                JobStatus::Unknown => CallOutcome::Unknown,
+                JobStatus::Known(phase) => CallOutcome::Status(phase),
+            })
+        }
+        JobCallWire::Cancel(id) => {
+            let (sender, answer) = oneshot::channel();
+            handle.query(LeaderQuery::Cancel(JobId(*id), sender));
+            let outcome = timeout_at(deadline, answer).await.ok()?.ok()?;
+            Some(match outcome {
+                CancelOutcome::Unknown => CallOutcome::Unknown,
+                CancelOutcome::AlreadyEnded | CancelOutcome::StoredBy(_) => CallOutcome::Cancelled,
+            })
+        }
+        JobCallWire::Pending(queue) => {
+            let (sender, answer) = oneshot::channel();
+            handle.query(LeaderQuery::Pending(QueueName(queue.clone()), sender));
+            let count = timeout_at(deadline, answer).await.ok()?.ok()?;
+            Some(CallOutcome::Pending(count as u64))
+        }
+    }
+}
+
+/// Answers the calls of other nodes.
+#[derive(Debug)]
+pub(crate) struct PeerHandler<S, F: SiteFeed, W> {
+    service: JobService<S, F, W>,
+}
+
+impl<S, F: SiteFeed, W> Clone for PeerHandler<S, F, W> {
+    fn clone(&self) -> Self {
+        Self {
+            service: self.service.clone(),
+        }
+    }
+}
+
+impl<S: StoreClient, F: SiteFeed, W: WorkerCaller> PeerHandler<S, F, W> {
+    pub(crate) fn new(shared: Arc<NodeShared<S, F, W>>) -> Self {
+        Self {
+            service: JobService::new(shared),
+        }
+    }
+
+    fn shared(&self) -> &NodeShared<S, F, W> {
+        &self.service.shared
+    }
+}
+
+impl<S: StoreClient, F: SiteFeed, W: WorkerCaller> NodePeer for PeerHandler<S, F, W> {
+    async fn beat(self, _: Context, beat: BeatWire) -> BeatReplyWire {
+        let shared = self.shared();
+        let member = MemberIdentity::from(beat.member);
+        let config_version = shared.config_version().0;
+        let now = shared.clock().now();
+        let mut view = shared.view();
+        let first_heard_at = view
+            .heard
+            .get(&member.address)
+            .filter(|known| known.member == member)
+            .map_or(now, |known| known.first_heard_at);
+        let heard = HeardMember {
+            member: member.clone(),
+            heard_at: now,
+            first_heard_at,
+            is_stopping: beat.is_stopping,
+        };
+        view.heard.insert(member.address, heard);
+        let successors = view.successors(now);
+        let rank = successors.iter().position(|one| one.member == member);
+        let peers = successors
+            .iter()
+            .map(|one| MemberWire::from(one.member.clone()))
+            .collect();
+        BeatReplyWire {
+            incarnation: shared.settings.identity.incarnation,
+            is_leading: view.handle.is_some(),
+            rank: rank.and_then(|rank| u32::try_from(rank).ok()),
+            peers,
+            config_version,
+        }
+    }
+
+    async fn call(self, _: Context, call: JobCallWire) -> JobAnswerWire {
+        let deadline = Instant::now() + PASSED_LIMIT;
+        if let JobCallWire::Submit(id, body) = &call {
+            return match self.service.store_request(JobId(*id), body).await {
+                Ok(()) => JobAnswerWire::Accepted,
+                Err(StoreError::Refused) => JobAnswerWire::Unavailable,
+                Err(_) => JobAnswerWire::Undecided,
+            };
+        }
+        let Some(handle) = self.service.own_leader() else {
+            return JobAnswerWire::Unavailable;
+        };
+        match ask_own(&handle, &call, deadline).await {
+            Some(CallOutcome::Accepted) => JobAnswerWire::Accepted,
+            Some(CallOutcome::Status(phase)) => JobAnswerWire::Status(phase.into()),
+            Some(CallOutcome::Cancelled) => JobAnswerWire::Cancelled,
+            Some(CallOutcome::Unknown) => JobAnswerWire::Unknown,
+            Some(CallOutcome::Pending(count)) => JobAnswerWire::Pending(count),
+            Some(CallOutcome::Unavailable) => JobAnswerWire::Unavailable,
+            Some(CallOutcome::Undecided) | None => JobAnswerWire::Undecided,
+        }
+    }
+
+    async fn config(self, _: Context) -> Bytes {
+        let config = self.shared().config();
+        config.map(|one| one.source.clone()).unwrap_or_default()
+    }
+
+    async fn probe_store(self, _: Context) -> bool {
+        let store = &self.shared().context.store;
+        store.newest(LEADERS, None).await.is_ok()
+    }
+
+    async fn succeed(self, _: Context, term: u64) {
+        let shared = self.shared();
+        let is_known = shared
+            .view()
+            .leader
+            .as_ref()
+            .is_some_and(|record| record.term.0 <= term);
+        if is_known {
+            shared.asked_to_lead.notify_one();
+        }
+    }
+}
--- /dev/null
+++ b/crates/geraniumshed-batch/src/wire/image.rs
@@ -0,0 +1,116 @@
+//! The stored form of a job's progress.
+
+use geraniumshed_core::job::{
+    JobImage, OccurrenceImage, PlacementImage, TaskImage, TaskStage, WorkerId,
+};
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+/// How far a job is, as it is stored.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JobImageWire {
+    is_cancelled: bool,
+    has_failed: bool,
+    is_completed: bool,
+    has_started: bool,
+    ended_unix_ms: u64,
+    ended_occurrences: u32,
+    occurrences: Vec<OccurrenceWire>,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct OccurrenceWire {
+    number: u32,
+    tasks: Vec<TaskWire>,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct TaskWire {
+    stage: StageWire,
+    run: u32,
+    failures: u32,
+    checkpoint: Option<SmolStr>,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+enum StageWire {
+    Waiting,
+    Placed(SmolStr),
+    Done,
+}
+
+impl From<JobImage> for JobImageWire {
+    fn from(image: JobImage) -> Self {
+        Self {
+            is_cancelled: image.is_cancelled,
+            has_failed: image.has_failed,
+            is_completed: image.is_completed,
+            has_started: image.has_started,
+            ended_unix_ms: image.ended_unix_ms,
+            ended_occurrences: image.ended_occurrences,
+            occurrences: image
+                .occurrences
+                .into_iter()
+                .map(|one| OccurrenceWire {
+                    number: one.number,
+                    tasks: one.tasks.into_iter().map(TaskWire::from).collect(),
+                })
+                .collect(),
+        }
+    }
+}
+
+impl From<JobImageWire> for JobImage {
+    fn from(wire: JobImageWire) -> Self {
+        Self {
+            is_cancelled: wire.is_cancelled,
+            has_failed: wire.has_failed,
+            is_completed: wire.is_completed,
+            has_started: wire.has_started,
+            ended_unix_ms: wire.ended_unix_ms,
+            ended_occurrences: wire.ended_occurrences,
+            occurrences: wire
+                .occurrences
+                .into_iter()
+                .map(|one| OccurrenceImage {
+                    number: one.number,
+                    tasks: one.tasks.into_iter().map(TaskImage::from).collect(),
+                })
+                .collect(),
+        }
+    }
+}
+
+impl From<TaskImage> for TaskWire {
+    fn from(task: TaskImage) -> Self {
+        let stage = match task.stage {
+            TaskStage::Waiting => StageWire::Waiting,
+            TaskStage::Placed(placement) => StageWire::Placed(placement.worker.0),
+            TaskStage::Done => StageWire::Done,
+        };
+        Self {
+            stage,
+            run: task.run,
+            failures: task.failures,
+            checkpoint: task.checkpoint,
+        }
+    }
+}
+
+impl From<TaskWire> for TaskImage {
+    fn from(wire: TaskWire) -> Self {
+        let stage = match wire.stage {
+            StageWire::Waiting => TaskStage::Waiting,
+            StageWire::Placed(worker) => TaskStage::Placed(PlacementImage {
+                worker: WorkerId(worker),
+            }),
+            StageWire::Done => TaskStage::Done,
+        };
+        Self {
+            stage,
+            run: wire.run,
+            failures: wire.failures,
+            checkpoint: wire.checkpoint,
+        }
+    }
+}
--- /dev/null
+++ b/crates/geraniumshed-batch/src/wire/mod.rs
@@ -0,0 +1,15 @@
+//! The forms in which jobs, leaders and calls between nodes are stored and sent.
+
+mod call;
+mod codec;
+mod image;
+mod leader;
+mod peer;
+mod request;
+
+pub use call::{JobAnswerWire, JobCallWire, JobPhaseWire};
+pub use codec::{WireDecodeError, decode, encode};
+pub use image::JobImageWire;
+pub use leader::MemberWire;
+pub use peer::{BeatReplyWire, BeatWire, NodePeer, NodePeerClient};
+pub use request::JobRequestWire;
--- /dev/null
+++ b/crates/geraniumshed-batch/src/wire/peer.rs
@@ -0,0 +1,52 @@
+//! The calls between nodes.
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+use super::call::{JobAnswerWire, JobCallWire};
+use super::leader::MemberWire;
+
+/// A heartbeat to the leader.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BeatWire {
+    /// The sender.
+    pub member: MemberWire,
+    /// The version of the configuration that the sender has in force.
+    pub config_version: u64,
+    /// Whether the sender is about to stop.
+    pub is_stopping: bool,
+}
+
+/// The answer to a heartbeat.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BeatReplyWire {
+    /// The incarnation of the process that answers.
+    pub incarnation: u64,
+    /// Whether the process leads.
+    pub is_leading: bool,
+    /// The sender's rank among those who may follow the leader, if it is one of them.
+    pub rank: Option<u32>,
+    /// The members that the leader hears of.
+    pub peers: Vec<MemberWire>,
+    /// The version of the configuration in force.
+    pub config_version: u64,
+}
+
+/// The calls between nodes.
+#[tarpc::service]
+pub trait NodePeer {
+    /// Tells that the sender lives, and asks whether the callee leads.
+    async fn beat(beat: BeatWire) -> BeatReplyWire;
+
+    /// Passes a client's call on.
+    async fn call(call: JobCallWire) -> JobAnswerWire;
+
+    /// Returns the configuration in force, in the platform's own form.
+    async fn config() -> Bytes;
+
+    /// Asks the callee whether the store answers its calls.
+    async fn probe_store() -> bool;
+
+    /// Asks the callee to lead, since the leader of this term doesn't any more.
+    async fn succeed(term: u64);
+}
--- /dev/null
+++ b/crates/geraniumshed-core/src/assignment/action.rs
@@ -0,0 +1,83 @@
+//! What the planner takes and hands out.
+
+use geraniumshed_model::prelude::TimePoint;
+
+use crate::job::{JobId, JobImage, JobPhase, TaskKey};
+use crate::worker::{HoldMark, HoldRequest, PaceOrder, StartOrder, StopOrder, WorkerCall};
+
+/// The time of an event by both clocks.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct PlannerMoment {
+    /// The point of the monotonic clock.
+    pub point: TimePoint,
+    /// The time of day, in milliseconds of Unix time.
+    pub unix_ms: u64,
+}
+
+/// A call to a worker that is due.
+#[derive(Debug, Clone, PartialEq)]
+pub enum PlannerAction {
+    /// Starts a task.
+    Start(WorkerCall<StartOrder>),
+    /// Stops a run.
+    Stop(WorkerCall<StopOrder>),
+    /// Changes the speed of a run.
+    Pace(WorkerCall<PaceOrder>),
+    /// Renews a lease and reads the worker's runs.
+    Hold(WorkerCall<HoldRequest>, HoldMark),
+    /// Tells of a decision that the log should explain.
+    Note(PlannerNote),
+}
+
+/// A decision that changes what the planner believes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum PlannerNote {
+    /// A run ended in another way than with success.
+    RunLost(TaskKey, u32, &'static str),
+    /// A job came to its end.
+    JobEnded(JobId, JobPhase),
+    /// A worker gets no new tasks for a while.
+    WorkerPaused(crate::job::WorkerId),
+    /// A worker's lease ran out without an answer.
+    WorkerLapsed(crate::job::WorkerId),
+    /// A worker started another life.
+    WorkerReborn(crate::job::WorkerId),
+}
+
+/// A change of what the store keeps.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum StoreChange {
+    /// How far a job is.
+    Progress(JobId, JobImage),
+    /// The job is forgotten.
+    Forget(JobId),
+}
+
+/// Changes that are stored together.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StoreBatch {
+    /// The number of the batch; batches are stored in order.
+    pub number: u64,
+    /// The changes.
+    pub changes: Vec<StoreChange>,
+}
+
+/// What became of a cancellation.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CancelOutcome {
+    /// There is no such job.
+    Unknown,
+    /// The job has ended before.
+    AlreadyEnded,
+    /// The cancellation holds once the batch with this number is stored.
+    StoredBy(u64),
+}
+
+/// What a client may be told of a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum JobStatus {
+    /// There is no such job.
+    Unknown,
+    /// The job is known.
+    Known(JobPhase),
+}
--- /dev/null
+++ b/crates/geraniumshed-core/src/assignment/placement.rs
@@ -0,0 +1,141 @@
+//! The choice of a worker for a task.
+
+use geraniumshed_model::prelude::TimePoint;
+use smol_str::SmolStr;
+
+use crate::job::{ServiceName, StepRequest, TaskKey, WorkerId};
+use crate::worker::WorkerEntry;
+
+/// The part of its processors that a run with a latency target is taken to use, in percent.
+const TARGET_LOAD_PERCENT: u64 = 55;
+/// The part of a worker's processors that best-effort runs may ask for beside a run with a latency
+/// target, in percent, until the tails there have shown another limit.
+const FIRST_BEST_EFFORT_PERCENT: u64 = 40;
+/// The processors, in thousandths, that a worker in the wanted rack is worth.
+const RACK_BONUS: i64 = 64_000;
+/// The processors, in thousandths, that one more run of the same step counts against a worker.
+const SPREAD_PENALTY: i64 = 4_000;
+/// The processors, in thousandths, that each run with a latency target counts against a worker for
+/// a best-effort run.
+const TARGET_PENALTY: i64 = 3_000;
+
+/// What a task asks of its worker.
+#[derive(Debug, Clone)]
+pub(super) struct PlacementQuery<'a> {
+    /// The service that the worker must belong to.
+    pub(super) service: &'a ServiceName,
+    /// The step.
+    pub(super) step: &'a StepRequest,
+    /// The task.
+    pub(super) task: TaskKey,
+    /// The workers on which the task failed.
+    pub(super) avoided: &'a [WorkerId],
+    /// The rack in which the step's other tasks run.
+    pub(super) rack: Option<&'a SmolStr>,
+    /// The time.
+    pub(super) now: TimePoint,
+}
+
+impl PlacementQuery<'_> {
+    /// Returns the best worker that can take the task.
+    pub(super) fn choose<'w>(
+        &self,
+        workers: impl Iterator<Item = &'w WorkerEntry>,
+    ) -> Option<WorkerId> {
+        let best = workers
+            .filter(|worker| self.is_allowed(worker))
+            .map(|worker| (self.score(worker), worker))
+            .max_by_key(|(score, _)| *score);
+        best.map(|(_, worker)| worker.id().clone())
+    }
+
+    /// Tells whether the worker may run the task and has room for it.
+    fn is_allowed(&self, worker: &WorkerEntry) -> bool {
+        worker.listing.service == *self.service
+            && worker.takes_tasks(self.now)
+            && self.step.reserved_size().fits(&worker.free_size())
+            && self.has_label(worker)
+            && self.is_below_limit(worker)
+            && !self.avoided.contains(worker.id())
+            && (!self.step.is_best_effort || self.has_idle_processors(worker))
+    }
+
+    fn has_label(&self, worker: &WorkerEntry) -> bool {
+        let required = self.step.required_label.as_ref();
+        required.is_none_or(|label| worker.listing.labels.contains(label))
+    }
+
+    fn is_below_limit(&self, worker: &WorkerEntry) -> bool {
+        let limit = self.step.worker_limit;
+        limit.is_none_or(|limit| self.sibling_count(worker) < limit as usize)
+    }
+
+    /// Returns the number of the step's runs on a worker.
+    fn sibling_count(&self, worker: &WorkerEntry) -> usize {
+        let first = TaskKey {
+            index: 0,
+            ..self.task
+        };
+        let last = TaskKey {
+            index: u32::MAX,
+            ..self.task
+        };
+        worker.runs.range(first..=last).count()
+    }
+
+    fn has_idle_processors(&self, worker: &WorkerEntry) -> bool {
+        let asked = i64::from(self.step.size.processors.0);
+        if worker.best_effort_pause > self.now {
+            return false;
+        }
+        if idle_processors(worker) < asked {
+            return false;
+        }
+        if !worker.has_latency_target() {
+            return true;
+        }
+        let load = i64::from(worker.best_effort_load().0);
+        load + asked <= best_effort_limit(worker)
+    }
+
+    /// Returns how well a worker suits the task; higher is better.
+    fn score(&self, worker: &WorkerEntry) -> i64 {
+        let siblings = i64::try_from(self.sibling_count(worker)).unwrap_or(i64::MAX);
+        let mut score = idle_processors(worker) - siblings * SPREAD_PENALTY;
+        let wanted = self.step.data_rack.as_ref().or(self.rack);
+        if wanted.is_some() && wanted == worker.listing.rack.as_ref() {
+            score += RACK_BONUS;
+        }
+        if self.step.is_best_effort {
+            let targets = worker
+                .runs
+                .values()
+                .filter(|run| run.latency_target.is_some());
+            score -= i64::try_from(targets.count()).unwrap_or(i64::MAX) * TARGET_PENALTY;
+        }
+        score
+    }
+}
+
+/// Returns the processors that a worker's runs are expected to leave idle, in thousandths.
+pub(super) fn idle_processors(worker: &WorkerEntry) -> i64 {
+    let used: u64 = worker
+        .runs
+        .values()
+        .map(|run| match run.latency_target {
+            Some(_) => u64::from(run.processors.0) * TARGET_LOAD_PERCENT / 100,
+            None => u64::from(run.processors.0),
+        })
+        .sum();
+    let capacity = i64::from(worker.listing.capacity.processors.0);
+    capacity - i64::try_from(used).unwrap_or(i64::MAX)
+}
+
+/// Returns the processors that best-effort runs may ask for on a worker, in thousandths.
+pub(super) fn best_effort_limit(worker: &WorkerEntry) -> i64 {
+    if let Some(limit) = worker.best_effort_limit {
+        return i64::from(limit.0);
+    }
+    let capacity = u64::from(worker.listing.capacity.processors.0);
+    i64::try_from(capacity * FIRST_BEST_EFFORT_PERCENT / 100).unwrap_or(i64::MAX)
+}
--- /dev/null
+++ b/crates/geraniumshed-core/src/assignment/placing.rs
@@ -0,0 +1,354 @@
+//! The order in which tasks get workers.
+
+use smol_str::SmolStr;
+
+use super::action::{PlannerAction, PlannerMoment};
+use super::ledger::GatedStart;
+use super::placement::PlacementQuery;
+use super::planner::JobPlanner;
+use crate::job::{
+    JobEntry, JobId, JobPhase, Occurrence, QueuePolicy, ServiceName, StepRequest, TaskEntry,
+    TaskKey, TaskPhase, WorkerId,
+};
+use crate::worker::{RunEntry, RunPhase, StartOrder, WorkerCall};
+use geraniumshed_model::prelude::TimePoint;
+use std::time::Duration;
+
+/// The place of a step among all steps whose turn has come; the smallest goes first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct StepRank {
+    priority: u32,
+    /// Whether the job can't meet its objective any more.
+    is_late: bool,
+    /// When the job has to be done, in milliseconds of Unix time.
+    due_unix_ms: u64,
+}
+
+/// A step with tasks that may start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct ReadyStep {
+    rank: StepRank,
+    job: JobId,
+    occurrence: u32,
+    step: u32,
+}
+
+impl JobPlanner {
+    /// Gives workers to all tasks that can start now.
+    pub(super) fn place_tasks(&mut self, now: PlannerMoment) {
+        let mut steps = self.ready_steps(now);
+        steps.sort_unstable();
+        for step in steps {
+            self.place_step(now, step);
+        }
+    }
+
+    fn ready_steps(&self, now: PlannerMoment) -> Vec<ReadyStep> {
+        let mut steps = Vec::new();
+        for id in &self.open_jobs {
+            let Some(job) = self.jobs.get(id) else {
+                continue;
+            };
+            let Some(policy) = self.queues.policy(&job.request.queue) else {
+                continue;
+            };
+            for occurrence in &job.occurrences {
+                let rank = step_rank(job, policy, occurrence.number, now.unix_ms);
+                let ready = ready_indices(job, occurrence, now.point);
+                steps.extend(ready.map(|step| ReadyStep {
+                    rank,
+                    job: *id,
+                    occurrence: occurrence.number,
+                    step,
+                }));
+            }
+        }
+        steps
+    }
+
+    fn place_step(&mut self, now: PlannerMoment, ready: ReadyStep) {
+        let Some(job) = self.jobs.get(&ready.job) else {
+            return;
+        };
+        let Some(policy) = self.queues.policy(&job.request.queue) else {
+            return;
+        };
+        let service = policy.service.clone();
+        let request = std::sync::Arc::clone(&job.request);
+        let Some(step) = request.steps.get(ready.step as usize) else {
+            return;
+        };
+        let keys = startable_keys(job, ready, now.point);
+        if step.is_gang {
+            self.place_gang(now.point, &service, step, &keys);
+            return;
+        }
+        let mut rack = self.step_rack(step, ready);
+        for key in keys {
+            let Some(worker) = self.choose_worker(now.point, &service, step, key, rack.as_ref())
+            else {
+                // All tasks of a step ask for the same; those with a history may fit elsewhere.
+                if self.has_history(key) {
+                    continue;
+                }
+                break;
+            };
+            self.place_task(now.point, step, key, &worker, None);
+            rack = rack.or_else(|| self.step_rack(step, ready));
+        }
+    }
+
+    /// Places all members of a gang, or none.
+    fn place_gang(
+        &mut self,
+        now: TimePoint,
+        service: &ServiceName,
+        step: &StepRequest,
+        keys: &[TaskKey],
+    ) {
+        let Some(job) = keys.first().and_then(|key| self.jobs.get(&key.job)) else {
+            return;
+        };
+        let members = keys
+            .first()
+            .and_then(|key| job.occurrence(key.occurrence)?.steps.get(key.step as usize));
+        let Some(members) = members else {
+            return;
+        };
+        // The members of a run start together, after all of the run before have ended.
+        if keys.len() != members.len() {
+            return;
+        }
+        let run = members.iter().map(|task| task.run).max().unwrap_or(0) + 1;
+        let checkpoint = members.iter().find_map(|task| task.checkpoint.clone());
+        let mut placed: Vec<(TaskKey, WorkerId)> = Vec::new();
+        for key in keys {
+            let rack = placed
+                .first()
+                .and_then(|(_, worker)| self.workers.get(worker)?.listing.rack.clone());
+            let rack = rack.filter(|_| step.wants_one_rack);
+            let Some(worker) = self.choose_worker(now, service, step, *key, rack.as_ref()) else {
+                self.withdraw_gang(&placed, run);
+                return;
+            };
+            self.reserve(now, step, *key, &worker, run);
+            placed.push((*key, worker));
+        }
+        for (key, worker) in placed {
+            if let Some(task) = self
+                .jobs
+                .get_mut(&key.job)
+                .and_then(|job| job.task_mut(key))
+            {
+                task.checkpoint.clone_from(&checkpoint);
+            }
+            self.commit_placement(key, &worker, run);
+        }
+    }
+
+    fn withdraw_gang(&mut self, placed: &[(TaskKey, WorkerId)], run: u32) {
+        for (key, worker) in placed {
+            if let Some(entry) = self.workers.get_mut(worker) {
+                entry.remove_run(*key, run);
+            }
+        }
+    }
+
+    fn choose_worker(
+        &self,
+        now: TimePoint,
+        service: &ServiceName,
+        step: &StepRequest,
+        key: TaskKey,
+        rack: Option<&SmolStr>,
+    ) -> Option<WorkerId> {
+        let task = self.jobs.get(&key.job)?.task(key)?;
+        let query = PlacementQuery {
+            service,
+            step,
+            task: key,
+            avoided: &task.avoided,
+            rack,
+            now,
+        };
+        let chosen = query.choose(self.workers.values());
+        if chosen.is_some() || task.avoided.is_empty() {
+            return chosen;
+        }
+        let query = PlacementQuery {
+            avoided: &[],
+            ..query
+        };
+        query.choose(self.workers.values())
+    }
+
+    fn has_history(&self, key: TaskKey) -> bool {
+        let task = self.jobs.get(&key.job).and_then(|job| job.task(key));
+        task.is_some_and(|task| !task.avoided.is_empty())
+    }
+
+    /// Returns the rack in which a step that wants a single one has begun.
+    fn step_rack(&self, step: &StepRequest, ready: ReadyStep) -> Option<SmolStr> {
+        if !step.wants_one_rack {
+            return None;
+        }
+        let job = self.jobs.get(&ready.job)?;
+        let tasks = job
+            .occurrence(ready.occurrence)?
+            .steps
+            .get(ready.step as usize)?;
+        tasks.iter().find_map(|task| match &task.phase {
+            TaskPhase::Placed(worker) => self.workers.get(worker)?.listing.rack.clone(),
+            TaskPhase::Waiting | TaskPhase::Done => None,
+        })
+    }
+
+    fn place_task(
+        &mut self,
+        now: TimePoint,
+        step: &StepRequest,
+        key: TaskKey,
+        worker: &WorkerId,
+        run: Option<u32>,
+    ) {
+        let task = self.jobs.get(&key.job).and_then(|job| job.task(key));
+        let next = task.map_or(1, |task| task.run + 1);
+        let run = run.unwrap_or(next);
+        self.reserve(now, step, key, worker, run);
+        self.commit_placement(key, worker, run);
+    }
+
+    /// Reserves room for a run.
+    fn reserve(
+        &mut self,
+        now: TimePoint,
+        step: &StepRequest,
+        key: TaskKey,
+        worker: &WorkerId,
+        run: u32,
+    ) {
+        if let Some(entry) = self.workers.get_mut(worker) {
+            entry.add_run(key, run_entry(step, run, RunPhase::Storing, now));
+        }
+    }
+
+    /// Records a placement, whose order goes out once it is stored.
+    fn commit_placement(&mut self, key: TaskKey, worker: &WorkerId, run: u32) {
+        let Some(job) = self.jobs.get_mut(&key.job) else {
+            return;
+        };
+        if job.phase == JobPhase::Queued {
+            job.phase = JobPhase::Running;
+        }
+        if let Some(task) = job.task_mut(key) {
+            task.run = run;
+            task.phase = TaskPhase::Placed(worker.clone());
+        }
+        self.ledger.change(key.job);
+        self.ledger.gate_start(GatedStart {
+            worker: worker.clone(),
+            task: key,
+            run,
+        });
+    }
+
+    /// Sends the order for a placement that is stored.
+    pub(super) fn send_start(&mut self, now: PlannerMoment, start: GatedStart) {
+        let Some(job) = self.jobs.get(&start.task.job) else {
+            return;
+        };
+        let is_final = job.phase.is_final();
+        let Some(worker) = self.workers.get_mut(&start.worker) else {
+            return;
+        };
+        let deadline = worker.extend_lease(now.point, self.settings.lease);
+        let Some(run) = worker.runs.get_mut(&start.task) else {
+            return;
+        };
+        if run.run != start.run || run.phase != RunPhase::Storing {
+            return;
+        }
+        // Nothing was sent yet, so that nothing has to be stopped.
+        let (false, false, Some(deadline)) = (run.is_stopping(), is_final, deadline) else {
+            self.drop_run(now, &start.worker, start.task, start.run, "not wanted");
+            return;
+        };
+        run.phase = RunPhase::Ordered(worker.token);
+        let order = StartOrder {
+            task: start.task,
+            run: start.run,
+            payload: job.request.payload.clone(),
+            deadline,
+            checkpoint: job
+                .task(start.task)
+                .and_then(|task| task.checkpoint.clone()),
+        };
+        self.actions.push(PlannerAction::Start(WorkerCall {
+            worker: start.worker,
+            address: worker.listing.address,
+            token: worker.token,
+            body: order,
+        }));
+    }
+}
+
+/// Describes a run of a step's task.
+pub(super) fn run_entry(step: &StepRequest, run: u32, phase: RunPhase, now: TimePoint) -> RunEntry {
+    RunEntry {
+        run,
+        phase,
+        reserved: step.reserved_size(),
+        processors: step.size.processors,
+        is_best_effort: step.is_best_effort,
+        latency_target: step.latency_target,
+        tail_latency: Duration::ZERO,
+        estimate: step.estimate,
+        is_long_running: step.is_long_running,
+        pace_percent: 100,
+        percent: 0,
+        progressed_at: now,
+        stop_sent_at: None,
+    }
+}
+
+fn step_rank(job: &JobEntry, policy: &QueuePolicy, occurrence: u32, now_unix_ms: u64) -> StepRank {
+    let allowed = job.chain.mul_f64(policy.stretch.max(1.0)) + policy.latency_objective;
+    let allowed = u64::try_from(allowed.as_millis()).unwrap_or(u64::MAX);
+    let due_unix_ms = job.due_unix_ms(occurrence).saturating_add(allowed);
+    StepRank {
+        priority: policy.priority,
+        is_late: due_unix_ms < now_unix_ms,
+        due_unix_ms,
+    }
+}
+
+/// Returns the steps of an occurrence that have tasks to start.
+fn ready_indices<'a>(
+    job: &'a JobEntry,
+    occurrence: &'a Occurrence,
+    now: TimePoint,
+) -> impl Iterator<Item = u32> + 'a {
+    (0u32..)
+        .zip(job.request.steps.iter().zip(&occurrence.steps))
+        .filter(move |(_, (step, tasks))| {
+            tasks.iter().any(|task| task.is_startable(now)) && occurrence.is_step_due(step)
+        })
+        .map(|(index, _)| index)
+}
+
+fn startable_keys(job: &JobEntry, ready: ReadyStep, now: TimePoint) -> Vec<TaskKey> {
+    let tasks = job
+        .occurrence(ready.occurrence)
+        .and_then(|one| one.steps.get(ready.step as usize));
+    let is_ready = |(_, task): &(u32, &TaskEntry)| task.is_startable(now);
+    (0u32..)
+        .zip(tasks.into_iter().flatten())
+        .filter(is_ready)
+        .map(|(index, _)| TaskKey {
+            job: ready.job,
+            occurrence: ready.occurrence,
+            step: ready.step,
+            index,
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/geraniumshed-core/src/assignment/planner.rs
@@ -0,0 +1,239 @@
+//! The planner: jobs, workers and what connects them.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use geraniumshed_model::prelude::TimePoint;
+
+use super::action::{
+    CancelOutcome, JobStatus, PlannerAction, PlannerMoment, PlannerNote, StoreBatch, StoreChange,
+};
+use super::ledger::StoreLedger;
+use super::settings::PlannerSettings;
+use crate::job::{
+    JobEntry, JobId, JobImage, JobPhase, JobRequest, QueueName, QueuePolicy, QueueTable, TaskPhase,
+    WorkerId,
+};
+use crate::worker::{FenceToken, HoldMark, WorkerEntry};
+
+/// Starts, stops and paces all tasks.
+///
+/// At any time at most one planner may be in force. Its token lies above those of all planners
+/// before it, so that workers refuse what those may still send.
+#[derive(Debug)]
+pub struct JobPlanner {
+    pub(super) settings: PlannerSettings,
+    pub(super) first_token: FenceToken,
+    pub(super) queues: QueueTable,
+    pub(super) jobs: BTreeMap<JobId, JobEntry>,
+    /// The jobs that haven't come to their end.
+    pub(super) open_jobs: BTreeSet<JobId>,
+    pub(super) workers: BTreeMap<WorkerId, WorkerEntry>,
+    pub(super) ledger: StoreLedger,
+    pub(super) actions: Vec<PlannerAction>,
+    /// Whether something has changed since tasks were last placed.
+    pub(super) is_placing_due: bool,
+    next_cleanup: TimePoint,
+}
+
+/// The pause between two searches for jobs that can be forgotten.
+const CLEANUP_PAUSE: Duration = Duration::from_secs(5);
+
+impl JobPlanner {
+    /// Creates a planner whose orders carry the given token or higher ones.
+    pub fn new(settings: PlannerSettings, first_token: FenceToken) -> Self {
+        Self {
+            settings,
+            first_token,
+            queues: QueueTable::default(),
+            jobs: BTreeMap::new(),
+            open_jobs: BTreeSet::new(),
+            workers: BTreeMap::new(),
+            ledger: StoreLedger::default(),
+            actions: Vec::new(),
+            is_placing_due: false,
+            next_cleanup: TimePoint::default(),
+        }
+    }
+
+    /// Replaces the queues in force.
+    pub fn replace_queues(&mut self, queues: BTreeMap<QueueName, QueuePolicy>) {
+        self.queues.replace(queues);
+        self.is_placing_due = true;
+    }
+
+    /// Restores a job that an earlier planner left in the store.
+    pub fn restore(&mut self, now: PlannerMoment, id: JobId, request: JobRequest, image: JobImage) {
+        let job = JobEntry::restore(id, request, image);
+        for key in job.placed_tasks() {
+            self.restore_run(now.point, &job, key);
+        }
+        if !job.phase.is_final() {
+            self.open_jobs.insert(id);
+        }
+        self.jobs.insert(id, job);
+        self.is_placing_due = true;
+    }
+
+    /// Takes in a job whose request is stored; a known job stays as it is.
+    pub fn submit(&mut self, id: JobId, request: JobRequest) {
+        if self.jobs.contains_key(&id) {
+            return;
+        }
+        self.jobs.insert(id, JobEntry::new(id, request));
+        self.open_jobs.insert(id);
+        self.is_placing_due = true;
+    }
+
+    /// Cancels a job.
+    pub fn cancel(&mut self, now: PlannerMoment, id: JobId) -> CancelOutcome {
+        let Some(job) = self.jobs.get(&id) else {
+            return CancelOutcome::Unknown;
+        };
+        if job.phase.is_final() {
+            return CancelOutcome::AlreadyEnded;
+        }
+        self.end_job(now, id, JobPhase::Cancelled);
+        CancelOutcome::StoredBy(self.ledger.change(id))
+    }
+
+    /// Returns what a client may be told of a job.
+    pub fn status(&self, id: JobId) -> JobStatus {
+        let Some(job) = self.jobs.get(&id) else {
+            return JobStatus::Unknown;
+        };
+        // An end counts once it is stored, so that no later planner can take it back.
+        if job.phase.is_final() && self.ledger.is_end_unstored(id) {
+            return JobStatus::Known(JobPhase::Running);
+        }
+        JobStatus::Known(job.phase)
+    }
+
+    /// Returns the number of a queue's jobs of which no task has started.
+    pub fn pending_count(&self, queue: &QueueName) -> usize {
+        self.open_jobs
+            .iter()
+            .filter_map(|id| self.jobs.get(id))
+            .filter(|job| job.phase == JobPhase::Queued && job.request.queue == *queue)
+            .count()
+    }
+
+    /// Tells whether changes wait to be stored.
+    pub fn has_changes(&self) -> bool {
+        self.ledger.has_changes()
+    }
+
+    /// Tells whether a renewal carried the newest token that this planner gave out for a worker.
+    pub fn is_newest_token(&self, worker: &WorkerId, mark: HoldMark) -> bool {
+        let entry = self.workers.get(worker);
+        entry.is_some_and(|entry| entry.token == mark.token)
+    }
+
+    /// Returns the changes that wait to be stored, if there are any.
+    pub fn take_batch(&mut self) -> Option<StoreBatch> {
+        if !self.ledger.has_changes() {
+            return None;
+        }
+        let (number, changed, forgotten) = self.ledger.take();
+        let progress = changed.into_iter().filter_map(|id| {
+            let job = self.jobs.get(&id)?;
+            Some(StoreChange::Progress(id, job.image()))
+        });
+        let forgotten = forgotten.into_iter().map(StoreChange::Forget);
+        Some(StoreBatch {
+            number,
+            changes: progress.chain(forgotten).collect(),
+        })
+    }
+
+    /// Takes note that all batches up to a number are stored.
+    pub fn batch_stored(&mut self, now: PlannerMoment, number: u64) {
+        for start in self.ledger.stored(number) {
+            self.send_start(now, start);
+        }
+        for worker in self.workers.values_mut() {
+            worker.ends_stored(number, now.point);
+        }
+    }
+
+    /// Does what is due by time, and places tasks if anything has changed.
+    pub fn advance(&mut self, now: PlannerMoment) {
+        self.begin_occurrences(now);
+        self.release_lapsed(now);
+        self.watch_runs(now);
+        if self.is_placing_due {
+            self.is_placing_due = false;
+            self.place_tasks(now);
+        }
+        self.send_holds(now.point);
+        if self.next_cleanup <= now.point {
+            self.next_cleanup = now.point + CLEANUP_PAUSE;
+            self.forget_old_jobs(now);
+        }
+    }
+
+    /// Asks for tasks to be placed at the next advance, since time alone may have made room.
+    pub fn revisit(&mut self) {
+        self.is_placing_due = true;
+    }
+
+    /// Hands out the calls that are due.
+    pub fn take_actions(&mut self) -> Vec<PlannerAction> {
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Brings a job to its end and stops what runs of it.
+    pub(super) fn end_job(&mut self, now: PlannerMoment, id: JobId, phase: JobPhase) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        let placed = job.placed_tasks();
+        job.phase = phase;
+        job.ended_unix_ms = now.unix_ms;
+        self.open_jobs.remove(&id);
+        self.ledger.change_final(id);
+        let note = PlannerNote::JobEnded(id, phase);
+        self.actions.push(PlannerAction::Note(note));
+        for key in placed {
+            self.stop_task(now.point, key);
+        }
+    }
+
+    /// Stops the run of a task, wherever it was placed.
+    fn stop_task(&mut self, now: TimePoint, key: crate::job::TaskKey) {
+        let task = self.jobs.get(&key.job).and_then(|job| job.task(key));
+        let Some(TaskPhase::Placed(worker)) = task.map(|task| &task.phase) else {
+            return;
+        };
+        let worker = worker.clone();
+        self.stop_run(now, &worker, key);
+    }
+
+    fn begin_occurrences(&mut self, now: PlannerMoment) {
+        for id in &self.open_jobs {
+            let Some(job) = self.jobs.get_mut(id) else {
+                continue;
+            };
+            if job.begin_due(now.unix_ms) {
+                self.is_placing_due = true;
+            }
+        }
+    }
+
+    fn forget_old_jobs(&mut self, now: PlannerMoment) {
+        let memory = u64::try_from(self.settings.memory.as_millis()).unwrap_or(u64::MAX);
+        let is_old = |job: &JobEntry| {
+            job.phase.is_final() && job.ended_unix_ms.saturating_add(memory) < now.unix_ms
+        };
+        let old: Vec<JobId> = self
+            .jobs
+            .values()
+            .filter(|job| is_old(job))
+            .map(|job| job.id)
+            .collect();
+        for id in old {
+            self.jobs.remove(&id);
+            self.ledger.forget(id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/geraniumshed-core/src/assignment/worker_events.rs
@@ -0,0 +1,602 @@
+//! What workers answer, and what follows from their silence.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use geraniumshed_model::prelude::{ResourceSize, TimePoint};
+
+use super::action::{PlannerAction, PlannerMoment, PlannerNote};
+use super::ends::RunFate;
+use super::pacing::pace_worker;
+use super::placing::run_entry;
+use super::planner::JobPlanner;
+use crate::job::{JobEntry, ServiceName, TaskKey, TaskPhase, WorkerId};
+use crate::worker::{
+    FenceToken, HoldMark, HoldReply, HoldRequest, RunPhase, RunReport, StartReply, StopOrder,
+    WorkerCall, WorkerEntry, WorkerFailure, WorkerLife, WorkerListing,
+};
+
+/// What the lease of an earlier planner may exceed its length by on a slow clock.
+const LAPSE_MARGIN: Duration = Duration::from_millis(300);
+/// The time after its start in which a long-running task has to be at work.
+const STARTUP_LIMIT: Duration = Duration::from_secs(3);
+/// The processors' part of a whole task that is done.
+const WHOLE_PERCENT: u32 = 100;
+
+impl JobPlanner {
+    /// Replaces the list of registered workers.
+    pub fn list_workers(&mut self, now: PlannerMoment, listings: Vec<WorkerListing>) {
+        let listed: BTreeSet<WorkerId> = listings.iter().map(|one| one.id.clone()).collect();
+        for (id, entry) in &mut self.workers {
+            entry.is_listed = listed.contains(id);
+        }
+        let lapses_at = self.inherited_lapse(now.point);
+        for listing in listings {
+            let Some(entry) = self.workers.get_mut(&listing.id) else {
+                let entry = WorkerEntry::new(listing, self.first_token, lapses_at);
+                self.workers.insert(entry.id().clone(), entry);
+                continue;
+            };
+            entry.listing = listing;
+        }
+        self.is_placing_due = true;
+    }
+
+    /// Keeps a run that an earlier planner placed, until its worker tells of it or must be gone.
+    pub(super) fn restore_run(&mut self, now: TimePoint, job: &JobEntry, key: TaskKey) {
+        let Some(task) = job.task(key) else {
+            return;
+        };
+        let TaskPhase::Placed(id) = &task.phase else {
+            return;
+        };
+        let Some(step) = job.request.steps.get(key.step as usize) else {
+            return;
+        };
+        let lapses_at = self.inherited_lapse(now);
+        let token = self.first_token;
+        let entry = self
+            .workers
+            .entry(id.clone())
+            .or_insert_with(|| unlisted_worker(id.clone(), token, lapses_at));
+        let phase = RunPhase::Unsettled(FenceToken(token.0.saturating_sub(1)));
+        entry.add_run(key, run_entry(step, task.run, phase, now));
+    }
+
+    /// Returns when every lease of an earlier planner has certainly run out.
+    fn inherited_lapse(&self, now: TimePoint) -> TimePoint {
+        let longest = self.settings.longest_lease;
+        now + longest + longest / 50 + LAPSE_MARGIN
+    }
+
+    /// Takes the answer to the order to start a task.
+    pub fn start_answered(
+        &mut self,
+        now: PlannerMoment,
+        worker: &WorkerId,
+        task: TaskKey,
+        run: u32,
+        reply: Result<StartReply, WorkerFailure>,
+    ) {
+        let Some(entry) = self.workers.get_mut(worker) else {
+            return;
+        };
+        let Some(current) = entry.runs.get_mut(&task) else {
+            return;
+        };
+        let token = match current.phase {
+            RunPhase::Ordered(token) if current.run == run => token,
+            _ => return,
+        };
+        match reply {
+            Ok(StartReply::Started) => {
+                current.phase = RunPhase::Running(now.point);
+                current.progressed_at = now.point;
+                let stops = current.is_stopping();
+                if stops {
+                    self.send_stop(now.point, worker, task);
+                }
+            }
+            Ok(StartReply::NoRoom | StartReply::Late | StartReply::Rejected) => {
+                self.drop_run(now, worker, task, run, "refused");
+            }
+            Ok(StartReply::Unhealthy) => {
+                entry.trust.pause(now.point);
+                self.drop_run(now, worker, task, run, "unhealthy");
+            }
+            Ok(StartReply::Fenced | StartReply::Outdated | StartReply::OtherLife) => {
+                // The worker's own list tells what runs there.
+                current.phase = RunPhase::Unsettled(token);
+                self.ask_anew(worker);
+            }
+            Err(WorkerFailure::NotSent) => {
+                entry.silent_calls += 1;
+                self.drop_run(now, worker, task, run, "not sent");
+                self.ask_anew(worker);
+            }
+            Err(WorkerFailure::Unanswered) => {
+                entry.silent_calls += 1;
+                current.phase = RunPhase::Unsettled(token);
+                self.ask_anew(worker);
+            }
+        }
+    }
+
+    /// Asks a worker at once for its runs, with a token above that of all orders on their way.
+    fn ask_anew(&mut self, worker: &WorkerId) {
+        if let Some(entry) = self.workers.get_mut(worker) {
+            entry.raise_token();
+            entry.hold = None;
+            entry.next_hold_at = TimePoint::default();
+        }
+    }
+
+    /// Takes the answer to the order to stop a run.
+    pub fn stop_answered(&mut self, worker: &WorkerId, reply: Result<(), WorkerFailure>) {
+        if let (Some(entry), Err(_)) = (self.workers.get_mut(worker), reply) {
+            entry.silent_calls += 1;
+        }
+    }
+
+    /// Takes the answer to a renewal.
+    pub fn hold_answered(
+        &mut self,
+        now: PlannerMoment,
+        worker: &WorkerId,
+        mark: HoldMark,
+        reply: HoldReply,
+    ) {
+        let Some(entry) = self.workers.get_mut(worker) else {
+            return;
+        };
+        let is_newest = entry.hold == Some(mark);
+        if let (Some(known), Some(life)) = (entry.life, reply.life)
+            && life < known
+        {
+            return;
+        }
+        if is_newest {
+            entry.hold = None;
+            entry.next_hold_at = now.point;
+        }
+        if entry.life.is_some() && reply.life.is_some() && entry.life != reply.life {
+            self.begin_life(now, worker, reply.life.unwrap_or_default());
+        }
+        let Some(entry) = self.workers.get_mut(worker) else {
+            return;
+        };
+        entry.life = reply.life.or(entry.life);
+        entry.silent_calls = 0;
+        if is_newest {
+            entry.read_clock(reply.clock, now.point);
+        }
+        if !entry.is_adopted {
+            entry.is_adopted = true;
+            self.is_placing_due = true;
+        }
+        self.take_ends(now, worker, &reply);
+        self.take_running(now, worker, &reply.running);
+        if is_newest {
+            self.settle_missing(now, worker, mark, &reply.running);
+        }
+        self.pace(now.point, worker);
+    }
+
+    /// Takes note that a renewal got no usable answer.
+    pub fn hold_failed(
+        &mut self,
+        now: PlannerMoment,
+        worker: &WorkerId,
+        mark: HoldMark,
+        is_other_life: bool,
+    ) {
+        let Some(entry) = self.workers.get_mut(worker) else {
+            return;
+        };
+        if entry.hold != Some(mark) {
+            return;
+        }
+        entry.hold = None;
+        entry.silent_calls += 1;
+        entry.next_hold_at = now.point + self.settings.hold_retry;
+        if is_other_life {
+            // Another worker answers at this address, so that this one has ended for good.
+            entry.is_listed = false;
+            self.release_worker(now, worker, "worker replaced");
+        }
+    }
+
+    fn begin_life(&mut self, now: PlannerMoment, worker: &WorkerId, life: WorkerLife) {
+        let Some(entry) = self.workers.get_mut(worker) else {
+            return;
+        };
+        let runs = entry.begin_life(life);
+        let note = PlannerNote::WorkerReborn(worker.clone());
+        self.actions.push(PlannerAction::Note(note));
+        for (key, run) in runs {
+            self.finish_run(
+                now,
+                worker,
+                key,
+                run.run,
+                RunFate::Lost("worker restarted"),
+                None,
+            );
+        }
+    }
+
+    /// Processes the ends that the worker lists and that weren't processed before.
+    fn take_ends(&mut self, now: PlannerMoment, worker: &WorkerId, reply: &HoldReply) {
+        for end in &reply.ended {
+            let Some(entry) = self.workers.get_mut(worker) else {
+                return;
+            };
+            if end.number <= entry.seen_end {
+                continue;
+            }
+            entry.seen_end = end.number;
+            entry.remove_run(end.task, end.run);
+            let fate = RunFate::Ended(end.kind);
+            let checkpoint = end.checkpoint.clone();
+            let batch = self.finish_run(now, worker, end.task, end.run, fate, checkpoint);
+            let Some(entry) = self.workers.get_mut(worker) else {
+                return;
+            };
+            entry.end_processed(end.number, batch);
+        }
+    }
+
+    /// Takes note of the runs that the worker lists.
+    fn take_running(&mut self, now: PlannerMoment, worker: &WorkerId, running: &[RunReport]) {
+        for report in running {
+            if self.is_expected(worker, report) {
+                self.update_run(now.point, worker, report);
+            } else {
+                self.stop_orphan(now.point, worker, report);
+            }
+        }
+    }
+
+    fn is_expected(&self, worker: &WorkerId, report: &RunReport) -> bool {
+        let entry = self.workers.get(worker);
+        let run = entry.and_then(|entry| entry.runs.get(&report.task));
+        run.is_some_and(|run| run.run == report.run)
+    }
+
+    fn update_run(&mut self, now: TimePoint, worker: &WorkerId, report: &RunReport) {
+        let Some(entry) = self.workers.get_mut(worker) else {
+            return;
+        };
+        let Some(run) = entry.runs.get_mut(&report.task) else {
+            return;
+        };
+        if !matches!(run.phase, RunPhase::Running(_)) {
+            run.phase = RunPhase::Running(now);
+            run.progressed_at = now;
+        }
+        if run.percent != report.percent {
+            run.percent = report.percent;
+            run.progressed_at = now;
+        }
+        run.tail_latency = report.tail_latency;
+        let job = self.jobs.get_mut(&report.task.job);
+        let Some(job) = job else {
+            return;
+        };
+        let is_final = job.phase.is_final();
+        if let Some(task) = job.task_mut(report.task)
+            && report.checkpoint.is_some()
+        {
+            task.checkpoint.clone_from(&report.checkpoint);
+        }
+        if is_final {
+            self.stop_run(now, worker, report.task);
+        }
+    }
+
+    /// Stops a run that no task expects.
+    fn stop_orphan(&mut self, now: TimePoint, worker: &WorkerId, report: &RunReport) {
+        let step = self
+            .jobs
+            .get(&report.task.job)
+            .and_then(|job| job.request.steps.get(report.task.step as usize))
+            .cloned()
+            .unwrap_or_default();
+        let Some(entry) = self.workers.get_mut(worker) else {
+            return;
+        };
+        if entry.runs.contains_key(&report.task) {
+            // A newer run of the task was ordered there, which ends the older one's claim.
+            return;
+        }
+        entry.add_run(
+            report.task,
+            run_entry(&step, report.run, RunPhase::Running(now), now),
+        );
+        self.stop_run(now, worker, report.task);
+    }
+
+    /// Gives up runs that the worker would list if they were there.
+    fn settle_missing(
+        &mut self,
+        now: PlannerMoment,
+        worker: &WorkerId,
+        mark: HoldMark,
+        running: &[RunReport],
+    ) {
+        let Some(entry) = self.workers.get(worker) else {
+            return;
+        };
+        let listed: BTreeMap<TaskKey, u32> =
+            running.iter().map(|one| (one.task, one.run)).collect();
+        let is_missing = |phase: RunPhase| match phase {
+            RunPhase::Storing | RunPhase::Ordered(_) => false,
+            RunPhase::Unsettled(token) => token < mark.token,
+            RunPhase::Running(since) => since < mark.sent_at,
+        };
+        let missing: Vec<(TaskKey, u32)> = entry
+            .runs
+            .iter()
+            .filter(|(key, run)| listed.get(key) != Some(&run.run) && is_missing(run.phase))
+            .map(|(key, run)| (*key, run.run))
+            .collect();
+        for (key, run) in missing {
+            self.drop_run(now, worker, key, run, "not there");
+        }
+    }
+
+    /// Takes a run off its worker, where it certainly isn't at work.
+    pub(super) fn drop_run(
+        &mut self,
+        now: PlannerMoment,
+        worker: &WorkerId,
+        key: TaskKey,
+        run: u32,
+        reason: &'static str,
+    ) {
+        if let Some(entry) = self.workers.get_mut(worker) {
+            entry.remove_run(key, run);
+        }
+        self.finish_run(now, worker, key, run, RunFate::Lost(reason), None);
+    }
+
+    /// Gives up the runs of workers whose leases have run out.
+    pub(super) fn release_lapsed(&mut self, now: PlannerMoment) {
+        let is_lapsed = |entry: &WorkerEntry| {
+            entry.lapses_at < now.point && (entry.silent_calls > 0 || !entry.is_listed)
+        };
+        let lapsed: Vec<WorkerId> = self
+            .workers
+            .values()
+            .filter(|entry| is_lapsed(entry) && (!entry.runs.is_empty() || !entry.is_listed))
+            .map(|entry| entry.id().clone())
+            .collect();
+        for worker in lapsed {
+            self.release_worker(now, &worker, "lease ran out");
+        }
+    }
+
+    fn release_worker(&mut self, now: PlannerMoment, worker: &WorkerId, reason: &'static str) {
+        let Some(entry) = self.workers.get(worker) else {
+            return;
+        };
+        let is_listed = entry.is_listed;
+        let runs: Vec<(TaskKey, u32)> = entry
+            .runs
+            .iter()
+            .map(|(key, run)| (*key, run.run))
+            .collect();
+        let note = PlannerNote::WorkerLapsed(worker.clone());
+        self.actions.push(PlannerAction::Note(note));
+        for (key, run) in runs {
+            self.drop_run(now, worker, key, run, reason);
+        }
+        if is_listed {
+            self.ask_anew(worker);
+        } else {
+            self.workers.remove(worker);
+        }
+    }
+
+    /// Stops a run.
+    pub(super) fn stop_run(&mut self, now: TimePoint, worker: &WorkerId, key: TaskKey) {
+        let Some(run) = self
+            .workers
+            .get_mut(worker)
+            .and_then(|entry| entry.runs.get_mut(&key))
+        else {
+            return;
+        };
+        if run.is_stopping() {
+            return;
+        }
+        run.stop_sent_at = Some(now);
+        match run.phase {
+            RunPhase::Running(_) => self.send_stop(now, worker, key),
+            // The order was not sent yet, or its answer decides whether there is something to stop.
+            RunPhase::Storing | RunPhase::Ordered(_) | RunPhase::Unsettled(_) => {}
+        }
+    }
+
+    fn send_stop(&mut self, now: TimePoint, worker: &WorkerId, key: TaskKey) {
+        let Some(entry) = self.workers.get_mut(worker) else {
+            return;
+        };
+        let Some(run) = entry.runs.get_mut(&key) else {
+            return;
+        };
+        run.stop_sent_at = Some(now);
+        let body = StopOrder {
+            task: key,
+            run: run.run,
+        };
+        self.actions.push(PlannerAction::Stop(WorkerCall {
+            worker: worker.clone(),
+            address: entry.listing.address,
+            token: entry.token,
+            body,
+        }));
+    }
+
+    /// Repeats stops without effect, and stops runs that make no progress.
+    pub(super) fn watch_runs(&mut self, now: PlannerMoment) {
+        let mut repeated = Vec::new();
+        let mut stalled = Vec::new();
+        for (id, entry) in &self.workers {
+            for (key, run) in &entry.runs {
+                let RunPhase::Running(since) = run.phase else {
+                    continue;
+                };
+                if let Some(sent_at) = run.stop_sent_at {
+                    if now.point.since(sent_at) > self.settings.stop_retry {
+                        repeated.push((id.clone(), *key));
+                    }
+                    continue;
+                }
+                let limit = if run.is_long_running {
+                    STARTUP_LIMIT
+                } else {
+                    self.settings.stall_limit + run.estimate / 20
+                };
+                let is_working = run.is_long_running && run.percent >= WHOLE_PERCENT;
+                let is_paced = run.pace_percent < WHOLE_PERCENT;
+                let last = run.progressed_at.max(since);
+                if !is_working
+                    && !is_paced
+                    && entry.silent_calls == 0
+                    && now.point.since(last) > limit
+                {
+                    stalled.push((id.clone(), *key));
+                }
+            }
+        }
+        for (worker, key) in repeated {
+            self.send_stop(now.point, &worker, key);
+        }
+        for (worker, key) in stalled {
+            self.give_up_stalled(now, &worker, key);
+        }
+    }
+
+    fn give_up_stalled(&mut self, now: PlannerMoment, worker: &WorkerId, key: TaskKey) {
+        if let Some(task) = self
+            .jobs
+            .get_mut(&key.job)
+            .and_then(|job| job.task_mut(key))
+        {
+            task.avoided.push(worker.clone());
+        }
+        if let Some(entry) = self.workers.get_mut(worker)
+            && entry.trust.failed(key.job, now.point)
+        {
+            let note = PlannerNote::WorkerPaused(worker.clone());
+            self.actions.push(PlannerAction::Note(note));
+        }
+        self.stop_run(now.point, worker, key);
+    }
+
+    /// Protects tail latencies on a worker.
+    fn pace(&mut self, now: TimePoint, worker: &WorkerId) {
+        let Some(entry) = self.workers.get_mut(worker) else {
+            return;
+        };
+        let orders = pace_worker(entry, now);
+        for body in orders {
+            self.actions.push(PlannerAction::Pace(WorkerCall {
+                worker: worker.clone(),
+                address: entry.listing.address,
+                token: entry.token,
+                body,
+            }));
+        }
+    }
+
+    /// Sends the renewals that are due.
+    pub(super) fn send_holds(&mut self, now: TimePoint) {
+        for (id, entry) in &mut self.workers {
+            let is_due = entry.hold.is_none() && entry.next_hold_at <= now;
+            // Ends that aren't stored yet would make the worker answer at once.
+            if !is_due || !entry.storing_ends.is_empty() || !entry.has_address() {
+                continue;
+            }
+            let is_quick = entry.silent_calls > 0 || !entry.is_adopted || entry.has_unsettled();
+            let wait = if is_quick {
+                Duration::ZERO
+            } else if entry.has_latency_target() {
+                self.settings.watched_hold_wait
+            } else {
+                self.settings.hold_wait
+            };
+            let deadline = entry.extend_lease(now, self.settings.lease);
+            let mark = HoldMark {
+                sent_at: now,
+                token: entry.token,
+            };
+            entry.hold = Some(mark);
+            let call = WorkerCall {
+                worker: id.clone(),
+                address: entry.listing.address,
+                token: entry.token,
+                body: HoldRequest {
+                    last_stored_end: entry.stored_end,
+                    deadline,
+                    wait,
+                },
+            };
+            self.actions.push(PlannerAction::Hold(call, mark));
+        }
+    }
+}
+
+/// Describes a worker that is only known from a stored placement.
+fn unlisted_worker(id: WorkerId, token: FenceToken, lapses_at: TimePoint) -> WorkerEntry {
+    let listing = WorkerListing {
+        id,
+        service: ServiceName::from(""),
+        address: SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0)),
+        zone: "".into(),
+        life: None,
+        capacity: ResourceSize::default(),
+        labels: Vec::new(),
+        rack: None,
+        is_draining: false,
+    };
+    let mut entry = WorkerEntry::new(listing, token, lapses_at);
+    entry.is_listed = false;
+    entry
+}
+
+impl WorkerEntry {
+    /// Takes note that an end was processed, whose effect the given batch stores.
+    fn end_processed(&mut self, number: u64, batch: Option<u64>) {
+        match (batch, self.storing_ends.back()) {
+            (Some(batch), _) => self.storing_ends.push_back((batch, number)),
+            // It changes nothing, but may not overtake the ends before it.
+            (None, Some((batch, _))) => self.storing_ends.push_back((*batch, number)),
+            (None, None) => self.stored_end = number,
+        }
+    }
+
+    /// Takes note that all batches up to a number are stored.
+    pub(super) fn ends_stored(&mut self, number: u64, now: TimePoint) {
+        while let Some((batch, end)) = self.storing_ends.front().copied() {
+            if batch > number {
+                return;
+            }
+            self.stored_end = end;
+            self.storing_ends.pop_front();
+            self.next_hold_at = self.next_hold_at.min(now);
+        }
+    }
+
+    fn has_unsettled(&self) -> bool {
+        self.runs
+            .values()
+            .any(|run| matches!(run.phase, RunPhase::Unsettled(_)))
+    }
+
+    fn has_address(&self) -> bool {
+        self.listing.address.port() != 0
+    }
+}
--- /dev/null
+++ b/crates/geraniumshed-core/src/job/entry.rs
@@ -0,0 +1,290 @@
+//! A job with the state of all its tasks.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::chain::longest_chain;
+use super::id::{JobId, TaskKey};
+use super::image::{JobImage, OccurrenceImage, PlacementImage, TaskImage, TaskStage};
+use super::request::{JobRequest, StepRequest};
+use super::task::{TaskEntry, TaskPhase};
+
+/// What clients are told of a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum JobPhase {
+    /// No task has started yet.
+    Queued,
+    /// A task has started.
+    Running,
+    /// All tasks have ended with success.
+    Completed,
+    /// A task failed too often.
+    Failed,
+    /// The client cancelled it.
+    Cancelled,
+}
+
+impl JobPhase {
+    /// Tells whether the phase is final.
+    pub fn is_final(self) -> bool {
+        matches!(self, Self::Completed | Self::Failed | Self::Cancelled)
+    }
+}
+
+/// One pass through a job's steps.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Occurrence {
+    /// The number of the occurrence, counted from 0.
+    pub number: u32,
+    /// The tasks by step.
+    pub steps: Vec<Vec<TaskEntry>>,
+}
+
+impl Occurrence {
+    fn new(number: u32, request: &JobRequest) -> Self {
+        let tasks = |step: &StepRequest| vec![TaskEntry::default(); step.task_count as usize];
+        Self {
+            number,
+            steps: request.steps.iter().map(tasks).collect(),
+        }
+    }
+
+    /// Tells whether all tasks of a step have ended with success.
+    pub fn is_step_done(&self, step: usize) -> bool {
+        self.steps
+            .get(step)
+            .is_some_and(|tasks| tasks.iter().all(TaskEntry::is_done))
+    }
+
+    /// Tells whether all tasks have ended with success.
+    pub fn is_done(&self) -> bool {
+        (0..self.steps.len()).all(|step| self.is_step_done(step))
+    }
+
+    /// Tells whether the steps that a step depends on are done.
+    pub fn is_step_due(&self, request: &StepRequest) -> bool {
+        request
+            .after
+            .iter()
+            .all(|step| self.is_step_done(*step as usize))
+    }
+}
+
+/// A job with the state of all its tasks.
+#[derive(Debug, Clone)]
+pub struct JobEntry {
+    /// The id.
+    pub id: JobId,
+    /// What the client handed in.
+    pub request: Arc<JobRequest>,
+    /// What clients are told once it is stored.
+    pub phase: JobPhase,
+    /// The occurrences that have begun and not ended.
+    pub occurrences: Vec<Occurrence>,
+    /// The number of occurrences that have ended.
+    pub ended_occurrences: u32,
+    /// When the job ended, in milliseconds of Unix time, or 0 before.
+    pub ended_unix_ms: u64,
+    /// The time that the longest chain of steps takes by the client's estimates.
+    pub chain: Duration,
+}
+
+impl JobEntry {
+    /// Creates a job of which nothing has run.
+    pub fn new(id: JobId, request: JobRequest) -> Self {
+        Self {
+            id,
+            chain: longest_chain(&request.steps),
+            request: Arc::new(request),
+            phase: JobPhase::Queued,
+            occurrences: Vec::new(),
+            ended_occurrences: 0,
+            ended_unix_ms: 0,
+        }
+    }
+
+    /// Restores a job from what the store keeps.
+    pub fn restore(id: JobId, request: JobRequest, image: JobImage) -> Self {
+        let mut job = Self::new(id, request);
+        job.phase = image.phase();
+        job.ended_unix_ms = image.ended_unix_ms;
+        job.ended_occurrences = image.ended_occurrences;
+        job.occurrences = image
+            .occurrences
+            .into_iter()
+            .map(|occurrence| restore_occurrence(occurrence, &job.request))
+            .collect();
+        job
+    }
+
+    /// Returns what the store keeps of the job.
+    pub fn image(&self) -> JobImage {
+        let occurrences = if self.phase.is_final() {
+            Vec::new()
+        } else {
+            self.occurrences.iter().map(occurrence_image).collect()
+        };
+        JobImage {
+            is_cancelled: self.phase == JobPhase::Cancelled,
+            has_failed: self.phase == JobPhase::Failed,
+            is_completed: self.phase == JobPhase::Completed,
+            ended_unix_ms: self.ended_unix_ms,
+            has_started: self.phase != JobPhase::Queued,
+            occurrences,
+            ended_occurrences: self.ended_occurrences,
+        }
+    }
+
+    /// Returns the number of occurrences, which is one for a job without a plan.
+    pub fn occurrence_count(&self) -> u32 {
+        self.request.repeat.map_or(1, |repeat| repeat.count)
+    }
+
+    /// Returns when an occurrence is due, in milliseconds of Unix time.
+    pub fn due_unix_ms(&self, number: u32) -> u64 {
+        let Some(repeat) = self.request.repeat else {
+            return self.request.submitted_unix_ms;
+        };
+        let interval = u64::try_from(repeat.interval.as_millis()).unwrap_or(u64::MAX);
+        let delay = interval.saturating_mul(u64::from(number));
+        repeat.first_unix_ms.saturating_add(delay)
+    }
+
+    /// Begins the occurrences that are due and returns whether there were any.
+    pub fn begin_due(&mut self, now_unix_ms: u64) -> bool {
+        if self.phase.is_final() {
+            return false;
+        }
+        let mut next = self.next_occurrence();
+        let first = next;
+        while next < self.occurrence_count() && self.due_unix_ms(next) <= now_unix_ms {
+            self.occurrences.push(Occurrence::new(next, &self.request));
+            next += 1;
+        }
+        next > first
+    }
+
+    /// Returns when the next occurrence begins, in milliseconds of Unix time.
+    pub fn next_due_unix_ms(&self) -> Option<u64> {
+        let next = self.next_occurrence();
+        let is_open = !self.phase.is_final() && next < self.occurrence_count();
+        is_open.then(|| self.due_unix_ms(next))
+    }
+
+    fn next_occurrence(&self) -> u32 {
+        let begun = self.occurrences.iter().map(|one| one.number + 1).max();
+        begun.unwrap_or(0).max(self.ended_occurrences)
+    }
+
+    /// Drops the occurrences that are done, oldest first, and returns whether the job is complete.
+    pub fn end_done(&mut self) -> bool {
+        while self.occurrences.first().is_some_and(Occurrence::is_done) {
+            let ended = self.occurrences.remove(0);
+            self.ended_occurrences = ended.number + 1;
+        }
+        self.ended_occurrences >= self.occurrence_count()
+    }
+
+    /// Returns a task.
+    pub fn task(&self, key: TaskKey) -> Option<&TaskEntry> {
+        self.occurrence(key.occurrence)?
+            .steps
+            .get(key.step as usize)?
+            .get(key.index as usize)
+    }
+
+    /// Returns a task to change it.
+    pub fn task_mut(&mut self, key: TaskKey) -> Option<&mut TaskEntry> {
+        self.occurrences
+            .iter_mut()
+            .find(|one| one.number == key.occurrence)?
+            .steps
+            .get_mut(key.step as usize)?
+            .get_mut(key.index as usize)
+    }
+
+    /// Returns an occurrence that has begun and not ended.
+    pub fn occurrence(&self, number: u32) -> Option<&Occurrence> {
+        self.occurrences.iter().find(|one| one.number == number)
+    }
+
+    /// Returns the keys of all tasks that may be running.
+    pub fn placed_tasks(&self) -> Vec<TaskKey> {
+        self.keys_where(|task| matches!(task.phase, TaskPhase::Placed(_)))
+    }
+
+    fn keys_where(&self, matches: impl Fn(&TaskEntry) -> bool) -> Vec<TaskKey> {
+        let mut keys = Vec::new();
+        for occurrence in &self.occurrences {
+            for (step, tasks) in (0..).zip(&occurrence.steps) {
+                let found = (0..).zip(tasks).filter(|(_, task)| matches(task));
+                keys.extend(found.map(|(index, _)| TaskKey {
+                    job: self.id,
+                    occurrence: occurrence.number,
+                    step,
+                    index,
+                }));
+            }
+        }
+        keys
+    }
+}
+
+impl JobImage {
+    fn phase(&self) -> JobPhase {
+        match self {
+            Self {
+                is_cancelled: true, ..
+            } => JobPhase::Cancelled,
+            Self {
+                has_failed: true, ..
+            } => JobPhase::Failed,
+            Self {
+                is_completed: true, ..
+            } => JobPhase::Completed,
+            Self {
+                has_started: true, ..
+            } => JobPhase::Running,
+            _ => JobPhase::Queued,
+        }
+    }
+}
+
+fn occurrence_image(occurrence: &Occurrence) -> OccurrenceImage {
+    OccurrenceImage {
+        number: occurrence.number,
+        tasks: occurrence.steps.iter().flatten().map(task_image).collect(),
+    }
+}
+
+fn task_image(task: &TaskEntry) -> TaskImage {
+    let stage = match &task.phase {
+        TaskPhase::Waiting => TaskStage::Waiting,
+        TaskPhase::Placed(worker) => TaskStage::Placed(PlacementImage {
+            worker: worker.clone(),
+        }),
+        TaskPhase::Done => TaskStage::Done,
+    };
+    TaskImage {
+        stage,
+        run: task.run,
+        failures: task.failures,
+        checkpoint: task.checkpoint.clone(),
+    }
+}
+
+fn restore_occurrence(image: OccurrenceImage, request: &JobRequest) -> Occurrence {
+    let mut occurrence = Occurrence::new(image.number, request);
+    let tasks = occurrence.steps.iter_mut().flatten();
+    for (task, image) in tasks.zip(image.tasks) {
+        task.phase = match image.stage {
+            TaskStage::Waiting => TaskPhase::Waiting,
+            TaskStage::Placed(placement) => TaskPhase::Placed(placement.worker),
+            TaskStage::Done => TaskPhase::Done,
+        };
+        task.run = image.run;
+        task.failures = image.failures;
+        task.checkpoint = image.checkpoint;
+    }
+    occurrence
+}
--- /dev/null
+++ b/crates/geraniumshed-core/src/job/image.rs
@@ -0,0 +1,64 @@
+//! What the store keeps of a job's progress.
+
+use smol_str::SmolStr;
+
+use super::id::WorkerId;
+
+/// How far a job is, as it is stored.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct JobImage {
+    /// Whether the job's cancellation was acknowledged.
+    pub is_cancelled: bool,
+    /// Whether a task failed too often.
+    pub has_failed: bool,
+    /// Whether all tasks have ended with success.
+    pub is_completed: bool,
+    /// When the job ended, in milliseconds of Unix time, or 0 before.
+    pub ended_unix_ms: u64,
+    /// Whether any task was ever started.
+    pub has_started: bool,
+    /// The occurrences that have begun, with the number of each.
+    pub occurrences: Vec<OccurrenceImage>,
+    /// The number of occurrences that have ended.
+    pub ended_occurrences: u32,
+}
+
+/// How far one occurrence is.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct OccurrenceImage {
+    /// The number of the occurrence.
+    pub number: u32,
+    /// The tasks of all steps, in order.
+    pub tasks: Vec<TaskImage>,
+}
+
+/// How far one task is.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TaskImage {
+    /// Where the task stands.
+    pub stage: TaskStage,
+    /// The number of the newest run.
+    pub run: u32,
+    /// The number of runs that failed.
+    pub failures: u32,
+    /// The newest saved progress.
+    pub checkpoint: Option<SmolStr>,
+}
+
+/// Where a stored task stands.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum TaskStage {
+    /// It runs nowhere.
+    Waiting,
+    /// Its newest run was given to a worker.
+    Placed(PlacementImage),
+    /// It has ended with success.
+    Done,
+}
+
+/// The worker that a run was given to.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PlacementImage {
+    /// The worker.
+    pub worker: WorkerId,
+}
--- /dev/null
+++ b/crates/geraniumshed-core/src/job/mod.rs
@@ -0,0 +1,17 @@
+//! Batch jobs: what clients hand in, how far each job is, and what of it is stored.
+
+mod chain;
+mod entry;
+mod id;
+mod image;
+mod queue;
+mod request;
+mod task;
+
+pub use chain::longest_chain;
+pub use entry::{JobEntry, JobPhase, Occurrence};
+pub use id::{JobId, QueueName, ServiceName, TaskKey, WorkerId};
+pub use image::{JobImage, OccurrenceImage, PlacementImage, TaskImage, TaskStage};
+pub use queue::{QueuePolicy, QueueTable};
+pub use request::{JobRequest, RepeatPlan, StepRequest};
+pub use task::{TaskEntry, TaskPhase};
--- /dev/null
+++ b/crates/geraniumshed-core/src/worker/entry.rs
@@ -0,0 +1,181 @@
+//! A worker with its lease and its runs.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use geraniumshed_model::prelude::{ProcessorShare, ResourceSize, TimePoint};
+
+use super::clock::{WorkerClock, WorkerTime};
+use super::listing::{WorkerLife, WorkerListing};
+use super::message::FenceToken;
+use super::run::{RunEntry, RunPhase};
+use super::trust::WorkerTrust;
+use crate::job::{TaskKey, WorkerId};
+
+/// A renewal that is on its way.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct HoldMark {
+    /// When it was sent.
+    pub sent_at: TimePoint,
+    /// The token that it carries.
+    pub token: FenceToken,
+}
+
+/// A worker with its lease and its runs.
+#[derive(Debug, Clone)]
+pub struct WorkerEntry {
+    /// The newest registration.
+    pub listing: WorkerListing,
+    /// Whether the worker is registered; one that isn't gets no new tasks.
+    pub is_listed: bool,
+    /// The life to which the runs belong, once known.
+    pub life: Option<WorkerLife>,
+    /// The token of new orders.
+    pub token: FenceToken,
+    /// Whether a renewal with a token of this scheduler was answered.
+    pub is_adopted: bool,
+    /// The number of calls in a row that got no answer.
+    pub silent_calls: u32,
+    /// The newest reading of the worker's clock.
+    pub clock: Option<WorkerClock>,
+    /// The latest deadline that any order named.
+    pub deadline: WorkerTime,
+    /// When the lease of every run has certainly run out.
+    pub lapses_at: TimePoint,
+    /// The runs that may be at work.
+    pub runs: BTreeMap<TaskKey, RunEntry>,
+    /// The sum of what the runs reserve.
+    pub reserved: ResourceSize,
+    /// The newest end whose effect is stored.
+    pub stored_end: u64,
+    /// The newest end that was processed.
+    pub seen_end: u64,
+    /// Ends that wait for a batch to be stored, by the batch's number.
+    pub storing_ends: VecDeque<(u64, u64)>,
+    /// The renewal on its way.
+    pub hold: Option<HoldMark>,
+    /// When the next renewal goes out at the latest.
+    pub next_hold_at: TimePoint,
+    /// How far the worker is trusted with new tasks.
+    pub trust: WorkerTrust,
+    /// The processors that best-effort runs may ask for, learned from the tails beside them.
+    pub best_effort_limit: Option<ProcessorShare>,
+    /// The time until which no best-effort run is started.
+    pub best_effort_pause: TimePoint,
+}
+
+impl WorkerEntry {
+    /// Creates a worker that wasn't called yet.
+    pub fn new(listing: WorkerListing, token: FenceToken, lapses_at: TimePoint) -> Self {
+        Self {
+            listing,
+            is_listed: true,
+            life: None,
+            token,
+            is_adopted: false,
+            silent_calls: 0,
+            clock: None,
+            deadline: WorkerTime::default(),
+            lapses_at,
+            runs: BTreeMap::new(),
+            reserved: ResourceSize::default(),
+            stored_end: 0,
+            seen_end: 0,
+            storing_ends: VecDeque::new(),
+            hold: None,
+            next_hold_at: TimePoint::default(),
+            trust: WorkerTrust::default(),
+            best_effort_limit: None,
+            best_effort_pause: TimePoint::default(),
+        }
+    }
+
+    /// Returns the id.
+    pub fn id(&self) -> &WorkerId {
+        &self.listing.id
+    }
+
+    /// Tells whether new tasks may be given to the worker.
+    pub fn takes_tasks(&self, now: TimePoint) -> bool {
+        self.is_listed
+            && self.is_adopted
+            && self.silent_calls == 0
+            && !self.listing.is_draining
+            && !self.trust.is_paused(now)
+            && (!self.trust.is_on_probe() || self.runs.is_empty())
+    }
+
+    /// Returns what is free for new tasks.
+    pub fn free_size(&self) -> ResourceSize {
+        self.listing.capacity.minus(&self.reserved)
+    }
+
+    /// Adds a run.
+    pub fn add_run(&mut self, task: TaskKey, run: RunEntry) {
+        self.reserved = self.reserved.plus(&run.reserved);
+        self.runs.insert(task, run);
+    }
+
+    /// Removes a run if it has the given number.
+    pub fn remove_run(&mut self, task: TaskKey, number: u32) -> Option<RunEntry> {
+        let is_same = self.runs.get(&task).is_some_and(|run| run.run == number);
+        let run = if is_same {
+            self.runs.remove(&task)
+        } else {
+            None
+        }?;
+        self.reserved = self.reserved.minus(&run.reserved);
+        Some(run)
+    }
+
+    /// Returns the deadline that an order carries now, and keeps it as the latest one.
+    pub fn extend_lease(&mut self, now: TimePoint, length: Duration) -> Option<WorkerTime> {
+        let clock = self.clock?;
+        let deadline = clock.earliest(now).plus(length).max(self.deadline);
+        self.deadline = deadline;
+        self.lapses_at = self.lapses_at.max(clock.passed_at(deadline));
+        Some(deadline)
+    }
+
+    /// Takes note of a reading of the worker's clock.
+    pub fn read_clock(&mut self, reading: WorkerTime, now: TimePoint) {
+        let clock = WorkerClock::new(reading, now);
+        self.clock = Some(clock);
+        self.lapses_at = clock.passed_at(self.deadline);
+    }
+
+    /// Raises the token, so that orders that are still on their way are refused.
+    pub fn raise_token(&mut self) {
+        self.token = FenceToken(self.token.0 + 1);
+        for run in self.runs.values_mut() {
+            if let RunPhase::Ordered(token) = run.phase {
+                run.phase = RunPhase::Unsettled(token);
+            }
+        }
+    }
+
+    /// Forgets what belongs to an earlier life, and returns its runs.
+    pub fn begin_life(&mut self, life: WorkerLife) -> Vec<(TaskKey, RunEntry)> {
+        self.life = Some(life);
+        self.clock = None;
+        self.deadline = WorkerTime::default();
+        self.stored_end = 0;
+        self.seen_end = 0;
+        self.storing_ends.clear();
+        self.trust = WorkerTrust::default();
+        self.best_effort_limit = None;
+        self.reserved = ResourceSize::default();
+        std::mem::take(&mut self.runs).into_iter().collect()
+    }
+
+    /// Returns the processors that best-effort runs ask for.
+    pub fn best_effort_load(&self) -> ProcessorShare {
+        let asked = self.runs.values().filter(|run| run.is_best_effort);
+        ProcessorShare(asked.map(|run| run.processors.0).sum())
+    }
+
+    /// Tells whether a run with a latency target is at work.
+    pub fn has_latency_target(&self) -> bool {
+        self.runs.values().any(|run| run.latency_target.is_some())
+    }
+}
--- /dev/null
+++ b/crates/geraniumshed-core/src/worker/mod.rs
@@ -0,0 +1,18 @@
+//! Workers: their clocks and leases, what they run, and how far they are trusted.
+
+mod clock;
+mod entry;
+mod listing;
+mod message;
+mod run;
+mod trust;
+
+pub use clock::{WorkerClock, WorkerTime};
+pub use entry::{HoldMark, WorkerEntry};
+pub use listing::{WorkerLife, WorkerListing};
+pub use message::{
+    EndKind, FenceToken, HoldReply, HoldRequest, PaceOrder, RunEnd, RunReport, StartOrder,
+    StartReply, StopOrder, WorkerCall, WorkerFailure,
+};
+pub use run::{RunEntry, RunPhase};
+pub use trust::WorkerTrust;
--- a/crates/geraniumshed/src/command/mod.rs
+++ b/crates/geraniumshed/src/command/mod.rs
@@ -15,6 +15,7 @@
 pub mod publish;
 pub mod resolve;
 pub mod run;
+pub mod serve;
 pub mod session;
 pub mod standin;
 pub mod status;
--- a/crates/geraniumshed/src/command/parse.rs
+++ b/crates/geraniumshed/src/command/parse.rs
@@ -16,12 +16,13 @@
 use super::publish::PublishArguments;
 use super::resolve::ResolveArguments;
 use super::run::RunArguments;
+use super::serve::ServeArguments;
 use super::standin::StandinArguments;
 use super::status::StatusArguments;
 use super::stop::StopArguments;
 use super::withdraw::WithdrawArguments;
 use super::{
-    cancel, check, dev, drain, get, history, list, loglevel, publish, resolve, run, standin,
+    cancel, check, dev, drain, get, history, list, loglevel, publish, resolve, run, serve, standin,
     status, stop, withdraw,
 };
 use crate::output::ExitStatus;
@@ -51,13 +52,19 @@
 }
 
 /// All commands.
-const COMMANDS: [CommandEntry; 16] = [
+const COMMANDS: [CommandEntry; 17] = [
     entry(
         "run",
         "--settings FILE",
         "run the daemon",
         |entry, words| parse_and_run::<RunArguments>(entry, words, run::execute),
     ),
+    entry(
+        "serve",
+        "",
+        "run a daemon on the users' platform",
+        |entry, words| parse_and_run::<ServeArguments>(entry, words, serve::execute),
+    ),
     entry(
         "standin",
         "--settings FILE",
