Learn which best-effort images disturb which images with a latency target

Ruled out: total best-effort load (tails don't rise with it), starved processors (used is near asked up to a predicted use of 1.0).

Change: a table of evidence for each pair; only culprits are slowed, moved and kept away, images with a target are grouped.

Not yet covered by a test.

--- a/crates/geraniumshed-core/src/assignment/mod.rs
+++ b/crates/geraniumshed-core/src/assignment/mod.rs
@@ -6,6 +6,7 @@
 
 mod action;
 mod ends;
+mod interference;
 mod ledger;
 mod pacing;
 mod placement;
@@ -17,5 +18,6 @@
 pub use action::{
     CancelOutcome, JobStatus, PlannerAction, PlannerMoment, PlannerNote, StoreBatch, StoreChange,
 };
+pub use interference::InterferenceTable;
 pub use planner::JobPlanner;
 pub use settings::PlannerSettings;
--- a/crates/geraniumshed-core/src/assignment/pacing.rs
+++ b/crates/geraniumshed-core/src/assignment/pacing.rs
@@ -2,109 +2,160 @@
 
 use std::time::Duration;
 
-use geraniumshed_model::prelude::{ProcessorShare, TimePoint};
+use geraniumshed_model::prelude::TimePoint;
+use smol_str::SmolStr;
 
+use super::interference::InterferenceTable;
 use crate::job::TaskKey;
-use crate::worker::{PaceOrder, RunPhase, WorkerEntry};
+use crate::worker::{PaceOrder, RunEntry, RunPhase, WorkerEntry};
 
-/// The part of its target, in percent, above which a tail counts as endangered.
-const DANGER_PERCENT: u128 = 92;
-/// The part of its target, in percent, below which best-effort runs may speed up.
-const CALM_PERCENT: u128 = 70;
-/// The speed of best-effort runs beside a tail above its target, in percent.
+/// The part of its target below which a tail is calm.
+const CALM_TAIL: f64 = 0.75;
+/// The multiple of its target above which the culprits stand still.
+const SEVERE_TAIL: f64 = 1.6;
+/// The speed of culprits beside a tail above its target, in percent.
 const SLOW_PERCENT: u32 = 15;
-/// The speed of best-effort runs beside an endangered tail, in percent.
-const CAREFUL_PERCENT: u32 = 50;
-/// The part by which the limit of best-effort processors shrinks when a tail suffers, in percent.
-const LIMIT_CUT_PERCENT: u32 = 70;
-/// The processors, in thousandths, by which the limit grows while tails are calm.
-const LIMIT_GROWTH: u32 = 1_500;
-/// The time without new best-effort runs after a tail was above its target.
-const START_PAUSE: Duration = Duration::from_millis(1500);
+/// The speed of known culprits beside a calm tail, in percent.
+const CAREFUL_PERCENT: u32 = 40;
+/// The full speed, in percent.
+const FULL_PERCENT: u32 = 100;
+/// The time for which a tail is measured, so that what changed within it may not show yet.
+const TAIL_WINDOW: Duration = Duration::from_millis(600);
+/// The time after its start in which a run's tail is its own.
+const WARM_UP: Duration = Duration::from_millis(1500);
+/// The progress up to which a culprit is moved elsewhere rather than slowed down, in percent.
+const MOVE_PERCENT: u32 = 75;
 
-/// How the tails of a worker stand against their targets.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum TailState {
-    Calm,
-    Near,
-    Endangered,
-    Above,
+/// What has to change on a worker so that its tails stay below their targets.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub(super) struct PacePlan {
+    /// The changes of speed.
+    pub(super) orders: Vec<PaceOrder>,
+    /// The runs that had better go on elsewhere.
+    pub(super) moves: Vec<TaskKey>,
 }
 
-/// Adapts the limit of best-effort processors to the newest tails, and returns the changes of speed.
-pub(super) fn pace_worker(worker: &mut WorkerEntry, now: TimePoint) -> Vec<PaceOrder> {
-    let Some(state) = tail_state(worker) else {
-        return Vec::new();
-    };
-    let load = worker.best_effort_load().0;
-    let limit = worker
-        .best_effort_limit
-        .map_or(worker.listing.capacity.processors.0, |limit| limit.0);
-    match state {
-        TailState::Above | TailState::Endangered => {
-            if state == TailState::Above {
-                worker.best_effort_pause = now + START_PAUSE;
-            }
-            // Without best-effort runs the tail has another cause.
-            if load > 0 {
-                let cut = limit.min(load) / 100 * LIMIT_CUT_PERCENT;
-                worker.best_effort_limit = Some(ProcessorShare(cut));
-            }
+/// A run with a latency target and its newest tail.
+#[derive(Debug, Clone, PartialEq)]
+struct TailReading {
+    image: SmolStr,
+    /// The tail as a multiple of its target.
+    ratio: f64,
+}
+
+/// Learns from the newest tails of a worker, and plans what has to change there.
+pub(super) fn pace_worker(
+    worker: &mut WorkerEntry,
+    table: &mut InterferenceTable,
+    now: TimePoint,
+) -> PacePlan {
+    let readings = tail_readings(worker, now);
+    if readings.is_empty() {
+        return PacePlan::default();
+    }
+    learn(worker, &readings, table, now);
+    let mut plan = PacePlan::default();
+    for (key, run) in &mut worker.runs {
+        let Some(image) = best_effort_image(run) else {
+            continue;
+        };
+        let percent = wanted_percent(&image, run.pace_percent, &readings, table);
+        let is_culprit = readings
+            .iter()
+            .any(|one| one.ratio > 1.0 && table.is_harmful(&one.image, &image));
+        if is_culprit && run.percent < MOVE_PERCENT {
+            plan.moves.push(*key);
         }
-        TailState::Near => {}
-        TailState::Calm => {
-            if let Some(limit) = worker.best_effort_limit {
-                let grown = limit.0 + LIMIT_GROWTH;
-                let most = worker.listing.capacity.processors.0;
-                worker.best_effort_limit = Some(ProcessorShare(grown.min(most)));
-            }
+        if percent != run.pace_percent {
+            run.pace_percent = percent;
+            run.paced_at = now;
+            plan.orders.push(PaceOrder {
+                task: *key,
+                run: run.run,
+                percent,
+            });
         }
     }
-    let pace = match state {
-        TailState::Above => Some(SLOW_PERCENT),
-        TailState::Endangered => Some(CAREFUL_PERCENT),
-        TailState::Near => None,
-        TailState::Calm => Some(100),
-    };
-    pace.map(|percent| pace_runs(worker, percent, state))
-        .unwrap_or_default()
+    plan
 }
 
-fn tail_state(worker: &WorkerEntry) -> Option<TailState> {
-    let states = worker.runs.values().filter_map(|run| {
-        let target = run.latency_target?.as_millis().max(1);
-        let percent = run.tail_latency.as_millis() * 100 / target;
-        Some(match percent {
-            p if p > 100 => TailState::Above,
-            p if p > DANGER_PERCENT => TailState::Endangered,
-            p if p > CALM_PERCENT => TailState::Near,
-            _ => TailState::Calm,
+fn tail_readings(worker: &WorkerEntry, now: TimePoint) -> Vec<TailReading> {
+    let reading = |run: &RunEntry| {
+        let target = run.latency_target?.as_secs_f64();
+        let RunPhase::Running(since) = run.phase else {
+            return None;
+        };
+        if now.since(since) < WARM_UP || target <= 0.0 {
+            return None;
+        }
+        Some(TailReading {
+            image: run.image.clone().unwrap_or_default(),
+            ratio: run.tail_latency.as_secs_f64() / target,
         })
-    });
-    states.max()
+    };
+    worker.runs.values().filter_map(reading).collect()
 }
 
-fn pace_runs(worker: &mut WorkerEntry, percent: u32, state: TailState) -> Vec<PaceOrder> {
-    let mut orders = Vec::new();
-    for (key, run) in &mut worker.runs {
-        let is_running = matches!(run.phase, RunPhase::Running(_));
-        if !run.is_best_effort || !is_running || run.is_stopping() {
-            continue;
-        }
-        let wanted = match state {
-            TailState::Calm => percent,
-            TailState::Near | TailState::Endangered | TailState::Above => {
-                percent.min(run.pace_percent)
-            }
+fn learn(
+    worker: &WorkerEntry,
+    readings: &[TailReading],
+    table: &mut InterferenceTable,
+    now: TimePoint,
+) {
+    let steady = |run: &&RunEntry| {
+        let since = match run.phase {
+            RunPhase::Running(since) => since.max(run.paced_at),
+            RunPhase::Storing | RunPhase::Ordered(_) | RunPhase::Unsettled(_) => return false,
         };
-        if wanted != run.pace_percent {
-            run.pace_percent = wanted;
-            orders.push(pace_order(*key, run.run, wanted));
+        now.since(since) >= TAIL_WINDOW
+    };
+    let images = |runs: &mut dyn Iterator<Item = &RunEntry>| {
+        let mut images: Vec<SmolStr> = runs.filter_map(best_effort_image).collect();
+        images.sort_unstable();
+        images.dedup();
+        images
+    };
+    let at_full_speed = |run: &&RunEntry| run.pace_percent == FULL_PERCENT;
+    let fast = images(&mut worker.runs.values().filter(steady).filter(at_full_speed));
+    let active = images(
+        &mut worker
+            .runs
+            .values()
+            .filter(|run| run.pace_percent > SLOW_PERCENT),
+    );
+    for reading in readings {
+        if reading.ratio < CALM_TAIL {
+            table.saw_calm(&reading.image, &fast);
+        } else if reading.ratio > 1.0 {
+            table.saw_harm(&reading.image, &active, reading.ratio);
         }
     }
-    orders
 }
 
-fn pace_order(task: TaskKey, run: u32, percent: u32) -> PaceOrder {
-    PaceOrder { task, run, percent }
+/// Returns the image of a best-effort run that is at work and stays.
+fn best_effort_image(run: &RunEntry) -> Option<SmolStr> {
+    let is_running = matches!(run.phase, RunPhase::Running(_));
+    let counts = run.is_best_effort && is_running && !run.is_stopping();
+    counts.then(|| run.image.clone().unwrap_or_default())
+}
+
+/// Returns the speed that a best-effort run should have beside the given tails.
+fn wanted_percent(
+    image: &SmolStr,
+    current: u32,
+    readings: &[TailReading],
+    table: &InterferenceTable,
+) -> u32 {
+    let wanted = readings.iter().map(|reading| {
+        let is_harmful = table.is_harmful(&reading.image, image);
+        let is_suspect = is_harmful || !table.is_harmless(&reading.image, image);
+        match reading.ratio {
+            ratio if ratio > SEVERE_TAIL && is_suspect => 0,
+            ratio if ratio > 1.0 && is_suspect => SLOW_PERCENT,
+            ratio if ratio > CALM_TAIL && is_suspect => current,
+            _ if is_harmful => CAREFUL_PERCENT,
+            _ => FULL_PERCENT,
+        }
+    });
+    wanted.min().unwrap_or(FULL_PERCENT)
 }
--- a/crates/geraniumshed-core/src/assignment/placement.rs
+++ b/crates/geraniumshed-core/src/assignment/placement.rs
@@ -3,21 +3,25 @@
 use geraniumshed_model::prelude::TimePoint;
 use smol_str::SmolStr;
 
+use super::interference::InterferenceTable;
 use crate::job::{ServiceName, StepRequest, TaskKey, WorkerId};
 use crate::worker::WorkerEntry;
 
 /// The part of its processors that a run with a latency target is taken to use, in percent.
 const TARGET_LOAD_PERCENT: u64 = 55;
-/// The part of a worker's processors that best-effort runs may ask for beside a run with a latency
-/// target, in percent, until the tails there have shown another limit.
-const FIRST_BEST_EFFORT_PERCENT: u64 = 40;
 /// The processors, in thousandths, that a worker in the wanted rack is worth.
 const RACK_BONUS: i64 = 64_000;
 /// The processors, in thousandths, that one more run of the same step counts against a worker.
 const SPREAD_PENALTY: i64 = 4_000;
 /// The processors, in thousandths, that each run with a latency target counts against a worker for
-/// a best-effort run.
-const TARGET_PENALTY: i64 = 3_000;
+/// a best-effort run that may disturb it.
+const UNCLEAR_PENALTY: i64 = 3_000;
+/// The processors, in thousandths, that a run of the same image is worth to one with a latency
+/// target; images kept apart leave more workers to best-effort runs that disturb one of them.
+const SAME_IMAGE_BONUS: i64 = 10_000;
+/// The processors, in thousandths, that a run of another image counts against a worker for one with
+/// a latency target.
+const OTHER_IMAGE_PENALTY: i64 = 10_000;
 
 /// What a task asks of its worker.
 #[derive(Debug, Clone)]
@@ -32,6 +36,10 @@
     pub(super) avoided: &'a [WorkerId],
     /// The rack in which the step's other tasks run.
     pub(super) rack: Option<&'a SmolStr>,
+    /// Which images disturb each other.
+    pub(super) interference: &'a InterferenceTable,
+    /// Whether the task waits rather than disturb others.
+    pub(super) is_patient: bool,
     /// The time.
     pub(super) now: TimePoint,
 }
@@ -57,7 +65,7 @@
             && self.has_label(worker)
             && self.is_below_limit(worker)
             && !self.avoided.contains(worker.id())
-            && (!self.step.is_best_effort || self.has_idle_processors(worker))
+            && (!self.step.is_best_effort || self.suits_best_effort(worker))
     }
 
     fn has_label(&self, worker: &WorkerEntry) -> bool {
@@ -83,19 +91,15 @@
         worker.runs.range(first..=last).count()
     }
 
-    fn has_idle_processors(&self, worker: &WorkerEntry) -> bool {
+    /// Tells whether a best-effort run would find processors and disturb nobody.
+    fn suits_best_effort(&self, worker: &WorkerEntry) -> bool {
         let asked = i64::from(self.step.size.processors.0);
-        if worker.best_effort_pause > self.now {
-            return false;
-        }
         if idle_processors(worker) < asked {
             return false;
         }
-        if !worker.has_latency_target() {
-            return true;
-        }
-        let load = i64::from(worker.best_effort_load().0);
-        load + asked <= best_effort_limit(worker)
+        let image = self.step.image.clone().unwrap_or_default();
+        let is_disturbed = |served: &SmolStr| self.interference.is_harmful(served, &image);
+        !self.is_patient || !served_images(worker).any(is_disturbed)
     }
 
     /// Returns how well a worker suits the task; higher is better.
@@ -106,12 +110,16 @@
         if wanted.is_some() && wanted == worker.listing.rack.as_ref() {
             score += RACK_BONUS;
         }
+        let image = self.step.image.clone().unwrap_or_default();
         if self.step.is_best_effort {
-            let targets = worker
-                .runs
-                .values()
-                .filter(|run| run.latency_target.is_some());
-            score -= i64::try_from(targets.count()).unwrap_or(i64::MAX) * TARGET_PENALTY;
+            let is_unclear = |served: &&SmolStr| !self.interference.is_harmless(served, &image);
+            let unclear = served_images(worker).filter(is_unclear).count();
+            score -= i64::try_from(unclear).unwrap_or(i64::MAX) * UNCLEAR_PENALTY;
+        } else if self.step.latency_target.is_some() {
+            let (same, other): (Vec<_>, Vec<_>) =
+                served_images(worker).partition(|served| **served == image);
+            score += i64::from(!same.is_empty()) * SAME_IMAGE_BONUS;
+            score -= i64::from(!other.is_empty()) * OTHER_IMAGE_PENALTY;
         }
         score
     }
@@ -131,11 +139,11 @@
     capacity - i64::try_from(used).unwrap_or(i64::MAX)
 }
 
-/// Returns the processors that best-effort runs may ask for on a worker, in thousandths.
-pub(super) fn best_effort_limit(worker: &WorkerEntry) -> i64 {
-    if let Some(limit) = worker.best_effort_limit {
-        return i64::from(limit.0);
-    }
-    let capacity = u64::from(worker.listing.capacity.processors.0);
-    i64::try_from(capacity * FIRST_BEST_EFFORT_PERCENT / 100).unwrap_or(i64::MAX)
+/// Returns the images of a worker's runs with a latency target.
+fn served_images(worker: &WorkerEntry) -> impl Iterator<Item = &SmolStr> {
+    let served = worker
+        .runs
+        .values()
+        .filter(|run| run.latency_target.is_some());
+    served.filter_map(|run| run.image.as_ref())
 }
--- a/crates/geraniumshed-core/src/assignment/placing.rs
+++ b/crates/geraniumshed-core/src/assignment/placing.rs
@@ -11,9 +11,12 @@
     TaskKey, TaskPhase, WorkerId,
 };
 use crate::worker::{RunEntry, RunPhase, StartOrder, WorkerCall};
-use geraniumshed_model::prelude::TimePoint;
+use geraniumshed_model::prelude::{ProcessorShare, TimePoint};
 use std::time::Duration;
 
+/// The age up to which a job waits for workers that its image doesn't disturb, in milliseconds.
+const PATIENCE_MS: u64 = 4_000;
+
 /// The place of a step among all steps whose turn has come; the smallest goes first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct StepRank {
@@ -80,13 +83,12 @@
         };
         let keys = startable_keys(job, ready, now.point);
         if step.is_gang {
-            self.place_gang(now.point, &service, step, &keys);
+            self.place_gang(now, &service, step, &keys);
             return;
         }
         let mut rack = self.step_rack(step, ready);
         for key in keys {
-            let Some(worker) = self.choose_worker(now.point, &service, step, key, rack.as_ref())
-            else {
+            let Some(worker) = self.choose_worker(now, &service, step, key, rack.as_ref()) else {
                 // All tasks of a step ask for the same; those with a history may fit elsewhere.
                 if self.has_history(key) {
                     continue;
@@ -101,7 +103,7 @@
     /// Places all members of a gang, or none.
     fn place_gang(
         &mut self,
-        now: TimePoint,
+        now: PlannerMoment,
         service: &ServiceName,
         step: &StepRequest,
         keys: &[TaskKey],
@@ -131,7 +133,7 @@
                 self.withdraw_gang(&placed, run);
                 return;
             };
-            self.reserve(now, step, *key, &worker, run);
+            self.reserve(now.point, step, *key, &worker, run);
             placed.push((*key, worker));
         }
         for (key, worker) in placed {
@@ -156,19 +158,24 @@
 
     fn choose_worker(
         &self,
-        now: TimePoint,
+        now: PlannerMoment,
         service: &ServiceName,
         step: &StepRequest,
         key: TaskKey,
         rack: Option<&SmolStr>,
     ) -> Option<WorkerId> {
-        let task = self.jobs.get(&key.job)?.task(key)?;
+        let job = self.jobs.get(&key.job)?;
+        let task = job.task(key)?;
+        let is_patient = now.unix_ms < job.request.submitted_unix_ms + PATIENCE_MS;
+        let now = now.point;
         let query = PlacementQuery {
             service,
             step,
             task: key,
             avoided: &task.avoided,
             rack,
+            interference: &self.interference,
+            is_patient,
             now,
         };
         let chosen = query.choose(self.workers.values());
@@ -299,12 +306,15 @@
         phase,
         reserved: step.reserved_size(),
         processors: step.size.processors,
+        image: step.image.clone(),
         is_best_effort: step.is_best_effort,
         latency_target: step.latency_target,
         tail_latency: Duration::ZERO,
+        processors_used: ProcessorShare(0),
         estimate: step.estimate,
         is_long_running: step.is_long_running,
         pace_percent: 100,
+        paced_at: now,
         percent: 0,
         progressed_at: now,
         stop_sent_at: None,
--- a/crates/geraniumshed-core/src/assignment/planner.rs
+++ b/crates/geraniumshed-core/src/assignment/planner.rs
@@ -8,6 +8,7 @@
 use super::action::{
     CancelOutcome, JobStatus, PlannerAction, PlannerMoment, PlannerNote, StoreBatch, StoreChange,
 };
+use super::interference::InterferenceTable;
 use super::ledger::StoreLedger;
 use super::settings::PlannerSettings;
 use crate::job::{
@@ -30,6 +31,7 @@
     pub(super) open_jobs: BTreeSet<JobId>,
     pub(super) workers: BTreeMap<WorkerId, WorkerEntry>,
     pub(super) ledger: StoreLedger,
+    pub(super) interference: InterferenceTable,
     pub(super) actions: Vec<PlannerAction>,
     /// Whether something has changed since tasks were last placed.
     pub(super) is_placing_due: bool,
@@ -50,6 +52,7 @@
             open_jobs: BTreeSet::new(),
             workers: BTreeMap::new(),
             ledger: StoreLedger::default(),
+            interference: InterferenceTable::default(),
             actions: Vec::new(),
             is_placing_due: false,
             next_cleanup: TimePoint::default(),
@@ -90,10 +93,13 @@
         let Some(job) = self.jobs.get(&id) else {
             return CancelOutcome::Unknown;
         };
-        if job.phase.is_final() {
+        // An end that isn't stored yet could be lost with this planner.
+        if job.phase.is_final() && !self.ledger.is_end_unstored(id) {
             return CancelOutcome::AlreadyEnded;
         }
-        self.end_job(now, id, JobPhase::Cancelled);
+        if !job.phase.is_final() {
+            self.end_job(now, id, JobPhase::Cancelled);
+        }
         CancelOutcome::StoredBy(self.ledger.change(id))
     }
 
--- a/crates/geraniumshed-core/src/assignment/worker_events.rs
+++ b/crates/geraniumshed-core/src/assignment/worker_events.rs
@@ -280,6 +280,7 @@
             run.progressed_at = now;
         }
         run.tail_latency = report.tail_latency;
+        run.processors_used = report.processors_used;
         let job = self.jobs.get_mut(&report.task.job);
         let Some(job) = job else {
             return;
@@ -501,8 +502,8 @@
         let Some(entry) = self.workers.get_mut(worker) else {
             return;
         };
-        let orders = pace_worker(entry, now);
-        for body in orders {
+        let plan = pace_worker(entry, &mut self.interference, now);
+        for body in plan.orders {
             self.actions.push(PlannerAction::Pace(WorkerCall {
                 worker: worker.clone(),
                 address: entry.listing.address,
@@ -510,6 +511,9 @@
                 body,
             }));
         }
+        for key in plan.moves {
+            self.stop_run(now, worker, key);
+        }
     }
 
     /// Sends the renewals that are due.
--- a/crates/geraniumshed-core/src/worker/entry.rs
+++ b/crates/geraniumshed-core/src/worker/entry.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
-use geraniumshed_model::prelude::{ProcessorShare, ResourceSize, TimePoint};
+use geraniumshed_model::prelude::{ResourceSize, TimePoint};
 
 use super::clock::{WorkerClock, WorkerTime};
 use super::listing::{WorkerLife, WorkerListing};
@@ -58,10 +58,6 @@
     pub next_hold_at: TimePoint,
     /// How far the worker is trusted with new tasks.
     pub trust: WorkerTrust,
-    /// The processors that best-effort runs may ask for, learned from the tails beside them.
-    pub best_effort_limit: Option<ProcessorShare>,
-    /// The time until which no best-effort run is started.
-    pub best_effort_pause: TimePoint,
 }
 
 impl WorkerEntry {
@@ -85,8 +81,6 @@
             hold: None,
             next_hold_at: TimePoint::default(),
             trust: WorkerTrust::default(),
-            best_effort_limit: None,
-            best_effort_pause: TimePoint::default(),
         }
     }
 
@@ -163,17 +157,10 @@
         self.seen_end = 0;
         self.storing_ends.clear();
         self.trust = WorkerTrust::default();
-        self.best_effort_limit = None;
         self.reserved = ResourceSize::default();
         std::mem::take(&mut self.runs).into_iter().collect()
     }
 
-    /// Returns the processors that best-effort runs ask for.
-    pub fn best_effort_load(&self) -> ProcessorShare {
-        let asked = self.runs.values().filter(|run| run.is_best_effort);
-        ProcessorShare(asked.map(|run| run.processors.0).sum())
-    }
-
     /// Tells whether a run with a latency target is at work.
     pub fn has_latency_target(&self) -> bool {
         self.runs.values().any(|run| run.latency_target.is_some())
--- a/crates/geraniumshed-core/src/worker/run.rs
+++ b/crates/geraniumshed-core/src/worker/run.rs
@@ -4,6 +4,8 @@
 
 use geraniumshed_model::prelude::{ProcessorShare, ResourceSize, TimePoint};
 
+use smol_str::SmolStr;
+
 use super::message::FenceToken;
 
 /// How far the order to start a run is.
@@ -30,18 +32,24 @@
     pub reserved: ResourceSize,
     /// The processors that the run asks for, reserved or not.
     pub processors: ProcessorShare,
+    /// What the run executes, if it is known; runs of one image behave alike.
+    pub image: Option<SmolStr>,
     /// Whether the run uses only processor time that others leave idle.
     pub is_best_effort: bool,
     /// The tail latency that the run has to stay below.
     pub latency_target: Option<Duration>,
     /// The tail latency at the newest reading.
     pub tail_latency: Duration,
+    /// The processors in use at the newest reading, for runs without a latency target.
+    pub processors_used: ProcessorShare,
     /// The client's estimate of the run time.
     pub estimate: Duration,
     /// Whether the run goes on until its job is cancelled.
     pub is_long_running: bool,
     /// The share of its speed at which the run was last told to work.
     pub pace_percent: u32,
+    /// When the speed was last changed.
+    pub paced_at: TimePoint,
     /// The progress at the newest reading, 0 to 100.
     pub percent: u32,
     /// When the progress last changed.
