--- a/crates/geraniumshed-core/src/assignment/pacing.rs
+++ b/crates/geraniumshed-core/src/assignment/pacing.rs
@@ -16,7 +16,7 @@
 /// The speed of culprits beside a tail above its target, in percent.
 const SLOW_PERCENT: u32 = 15;
 /// The speed of known culprits beside a calm tail, in percent.
-const CAREFUL_PERCENT: u32 = 40;
+const CAREFUL_PERCENT: u32 = 10;
 /// The full speed, in percent.
 const FULL_PERCENT: u32 = 100;
 /// The time for which a tail is measured, so that what changed within it may not show yet.
@@ -24,7 +24,9 @@
 /// The time after its start in which a run's tail is its own.
 const WARM_UP: Duration = Duration::from_millis(1500);
 /// The progress up to which a culprit is moved elsewhere rather than slowed down, in percent.
-const MOVE_PERCENT: u32 = 75;
+const MOVE_PERCENT: u32 = 85;
+/// The number of the last run of a task that is moved.
+const MOVED_RUN_LIMIT: u32 = 3;
 
 /// What has to change on a worker so that its tails stay below their targets.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -63,7 +65,7 @@
         let is_culprit = readings
             .iter()
             .any(|one| one.ratio > 1.0 && table.is_harmful(&one.image, &image));
-        if is_culprit && run.percent < MOVE_PERCENT {
+        if is_culprit && run.percent < MOVE_PERCENT && run.run <= MOVED_RUN_LIMIT {
             plan.moves.push(*key);
         }
         if percent != run.pace_percent {
--- a/crates/geraniumshed-core/src/assignment/placement.rs
+++ b/crates/geraniumshed-core/src/assignment/placement.rs
@@ -16,6 +16,9 @@
 /// The processors, in thousandths, that each run with a latency target counts against a worker for
 /// a best-effort run that may disturb it.
 const UNCLEAR_PENALTY: i64 = 3_000;
+/// The processors, in thousandths, that each image which must keep away from a worker is worth to a
+/// best-effort run that needn't; it leaves other workers to those that have no choice.
+const CLOSED_BONUS: i64 = 5_000;
 /// The processors, in thousandths, that a run of the same image is worth to one with a latency
 /// target; images kept apart leave more workers to best-effort runs that disturb one of them.
 const SAME_IMAGE_BONUS: i64 = 10_000;
@@ -115,6 +118,8 @@
             let is_unclear = |served: &&SmolStr| !self.interference.is_harmless(served, &image);
             let unclear = served_images(worker).filter(is_unclear).count();
             score -= i64::try_from(unclear).unwrap_or(i64::MAX) * UNCLEAR_PENALTY;
+            let closed = self.interference.harmful_count(served_images(worker));
+            score += i64::try_from(closed).unwrap_or(i64::MAX) * CLOSED_BONUS;
         } else if self.step.latency_target.is_some() {
             let (same, other): (Vec<_>, Vec<_>) =
                 served_images(worker).partition(|served| **served == image);
