Blame raised tails only on runs that they can show, and keep the lead while taking over

Change: harm counts only once a change of speed can show, and against runs that ended within the window too; images with a target are kept apart by worker. A member leads from its claim on. The first reading of a worker's clock counts the longest lease that an earlier leader may have granted.

--- a/crates/geraniumshed-batch/src/member.rs
+++ b/crates/geraniumshed-batch/src/member.rs
@@ -89,8 +89,9 @@
                     Ok(record) => {
                         log::info!("elected to lead in term {}", record.term);
                         election.claim_won(clock.now(), record.clone());
-                        shared.view().leader = Some(record.clone());
+                        begin_leading(&shared, &record);
                         lead(&shared, record.term).await;
+                        shared.view().is_leading = false;
                         election.leader_resigned(clock.now(), u32::from(shared.is_stopping()) + 3);
                     }
                     Err(error) => {
@@ -210,6 +211,17 @@
     })
 }
 
+fn begin_leading<S, F, W>(shared: &Arc<NodeShared<S, F, W>>, record: &LeaderRecord)
+where
+    S: StoreClient,
+    F: SiteFeed,
+    W: WorkerCaller,
+{
+    let mut view = shared.view();
+    view.leader = Some(record.clone());
+    view.is_leading = true;
+}
+
 /// Leads until a later leader takes over or the process is to stop.
 async fn lead<S, F, W>(shared: &Arc<NodeShared<S, F, W>>, term: LeaderTerm)
 where
@@ -232,7 +244,11 @@
     let reason = end.await.unwrap_or(LeaderEnd::Resigned);
     joining.abort();
     watching.abort();
-    shared.view().handle = None;
+    {
+        let mut view = shared.view();
+        view.handle = None;
+        view.is_leading = false;
+    }
     log::warn!("not leading any more in term {term}: {reason:?}");
     if reason == LeaderEnd::Resigned {
         name_successor(shared, term).await;
--- a/crates/geraniumshed-batch/src/node.rs
+++ b/crates/geraniumshed-batch/src/node.rs
@@ -52,6 +52,8 @@
 pub(crate) struct MemberView {
     /// The newest leader.
     pub(crate) leader: Option<LeaderRecord>,
+    /// Whether this process leads, also while it still takes over.
+    pub(crate) is_leading: bool,
     /// The planner, while this process leads.
     pub(crate) handle: Option<LeaderHandle>,
     /// The members that send heartbeats to this process.
--- a/crates/geraniumshed-batch/src/service.rs
+++ b/crates/geraniumshed-batch/src/service.rs
@@ -331,7 +331,7 @@
             .collect();
         BeatReplyWire {
             incarnation: shared.settings.identity.incarnation,
-            is_leading: view.handle.is_some(),
+            is_leading: view.is_leading,
             rank: rank.and_then(|rank| u32::try_from(rank).ok()),
             peers,
             config_version,
--- a/crates/geraniumshed-core/src/assignment/interference.rs
+++ b/crates/geraniumshed-core/src/assignment/interference.rs
@@ -9,13 +9,13 @@
 /// The evidence that a pair needs before it counts as harmful.
 const HARMFUL_WEIGHT: f64 = 1.5;
 /// The part of a pair's evidence that has to speak against it before it counts as harmful.
-const HARMFUL_SHARE: f64 = 0.10;
+const HARMFUL_SHARE: f64 = 0.2;
 /// The evidence after which a pair without any fault counts as harmless.
 const HARMLESS_WEIGHT: f64 = 6.0;
 /// The suspicion against a pair without evidence.
 const FIRST_SUSPICION: f64 = 0.1;
 /// The most that a single tail counts, in multiples of its target.
-const TAIL_LIMIT: f64 = 4.0;
+const TAIL_LIMIT: f64 = 2.0;
 
 /// What was seen of two images side by side.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
--- a/crates/geraniumshed-core/src/assignment/pacing.rs
+++ b/crates/geraniumshed-core/src/assignment/pacing.rs
@@ -21,6 +21,8 @@
 const FULL_PERCENT: u32 = 100;
 /// The time for which a tail is measured, so that what changed within it may not show yet.
 const TAIL_WINDOW: Duration = Duration::from_millis(600);
+/// The time after a change of speed until the tails show its effect.
+const SETTLE_TIME: Duration = Duration::from_millis(900);
 /// The time after its start in which a run's tail is its own.
 const WARM_UP: Duration = Duration::from_millis(1500);
 /// The progress up to which a culprit is moved elsewhere rather than slowed down, in percent.
@@ -78,6 +80,9 @@
             });
         }
     }
+    if !plan.orders.is_empty() || !plan.moves.is_empty() {
+        worker.tails_settle_at = now + SETTLE_TIME;
+    }
     plan
 }
 
@@ -99,7 +104,7 @@
 }
 
 fn learn(
-    worker: &WorkerEntry,
+    worker: &mut WorkerEntry,
     readings: &[TailReading],
     table: &mut InterferenceTable,
     now: TimePoint,
@@ -119,16 +124,23 @@
     };
     let at_full_speed = |run: &&RunEntry| run.pace_percent == FULL_PERCENT;
     let fast = images(&mut worker.runs.values().filter(steady).filter(at_full_speed));
-    let active = images(
+    let mut active = images(
         &mut worker
             .runs
             .values()
             .filter(|run| run.pace_percent > SLOW_PERCENT),
     );
+    worker
+        .ended_images
+        .retain(|(_, ended_at)| now.since(*ended_at) < TAIL_WINDOW);
+    active.extend(worker.ended_images.iter().map(|(image, _)| image.clone()));
+    active.sort_unstable();
+    active.dedup();
+    let is_settled = worker.tails_settle_at <= now;
     for reading in readings {
         if reading.ratio < CALM_TAIL {
             table.saw_calm(&reading.image, &fast);
-        } else if reading.ratio > 1.0 {
+        } else if reading.ratio > 1.0 && is_settled {
             table.saw_harm(&reading.image, &active, reading.ratio);
         }
     }
--- a/crates/geraniumshed-core/src/assignment/placement.rs
+++ b/crates/geraniumshed-core/src/assignment/placement.rs
@@ -21,10 +21,10 @@
 const CLOSED_BONUS: i64 = 5_000;
 /// The processors, in thousandths, that a run of the same image is worth to one with a latency
 /// target; images kept apart leave more workers to best-effort runs that disturb one of them.
-const SAME_IMAGE_BONUS: i64 = 10_000;
+const SAME_IMAGE_BONUS: i64 = 30_000;
 /// The processors, in thousandths, that a run of another image counts against a worker for one with
 /// a latency target.
-const OTHER_IMAGE_PENALTY: i64 = 10_000;
+const OTHER_IMAGE_PENALTY: i64 = 60_000;
 
 /// What a task asks of its worker.
 #[derive(Debug, Clone)]
--- a/crates/geraniumshed-core/src/assignment/worker_events.rs
+++ b/crates/geraniumshed-core/src/assignment/worker_events.rs
@@ -169,7 +169,7 @@
         entry.life = reply.life.or(entry.life);
         entry.silent_calls = 0;
         if is_newest {
-            entry.read_clock(reply.clock, now.point);
+            entry.read_clock(reply.clock, now.point, self.settings.longest_lease);
         }
         if !entry.is_adopted {
             entry.is_adopted = true;
@@ -236,7 +236,13 @@
                 continue;
             }
             entry.seen_end = end.number;
-            entry.remove_run(end.task, end.run);
+            let removed = entry.remove_run(end.task, end.run);
+            if let Some(image) = removed
+                .filter(|run| run.is_best_effort)
+                .and_then(|run| run.image)
+            {
+                entry.ended_images.push((image, now.point));
+            }
             let fate = RunFate::Ended(end.kind);
             let checkpoint = end.checkpoint.clone();
             let batch = self.finish_run(now, worker, end.task, end.run, fate, checkpoint);
--- a/crates/geraniumshed-core/src/worker/entry.rs
+++ b/crates/geraniumshed-core/src/worker/entry.rs
@@ -5,6 +5,8 @@
 
 use geraniumshed_model::prelude::{ResourceSize, TimePoint};
 
+use smol_str::SmolStr;
+
 use super::clock::{WorkerClock, WorkerTime};
 use super::listing::{WorkerLife, WorkerListing};
 use super::message::FenceToken;
@@ -56,6 +58,12 @@
     pub hold: Option<HoldMark>,
     /// When the next renewal goes out at the latest.
     pub next_hold_at: TimePoint,
+    /// When the tails show what the best-effort runs there are doing now.
+    ///
+    /// Before, they may still show a run that was slowed down, has moved or has ended.
+    pub tails_settle_at: TimePoint,
+    /// The images of best-effort runs that have ended, with the time of each end.
+    pub ended_images: Vec<(SmolStr, TimePoint)>,
     /// How far the worker is trusted with new tasks.
     pub trust: WorkerTrust,
 }
@@ -80,6 +88,8 @@
             storing_ends: VecDeque::new(),
             hold: None,
             next_hold_at: TimePoint::default(),
+            tails_settle_at: TimePoint::default(),
+            ended_images: Vec::new(),
             trust: WorkerTrust::default(),
         }
     }
@@ -132,7 +142,12 @@
     }
 
     /// Takes note of a reading of the worker's clock.
-    pub fn read_clock(&mut self, reading: WorkerTime, now: TimePoint) {
+    ///
+    /// Before the first reading, an earlier scheduler may have granted the longest lease.
+    pub fn read_clock(&mut self, reading: WorkerTime, now: TimePoint, longest: Duration) {
+        if self.clock.is_none() {
+            self.deadline = reading.plus(longest);
+        }
         let clock = WorkerClock::new(reading, now);
         self.clock = Some(clock);
         self.lapses_at = clock.passed_at(self.deadline);
