Let the leases of silent workers run out, and store waiting jobs in one append

Change: renewals to a silent worker name no deadline. A node stores all waiting jobs in one append and tries other nodes as well after 450 ms; limits follow the store's usual time; nothing outlasts the client's deadline.

--- /dev/null
+++ b/crates/geraniumshed-batch/src/intake.rs
@@ -0,0 +1,84 @@
+//! Stores clients' jobs, all that wait together in one append.
+
+use std::time::Duration;
+
+use geraniumshed_core::job::JobId;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::Instant;
+
+use crate::store::{AnswerTime, AppendCondition, KeyedRecord, StoreClient, StoreError};
+use crate::topic::{REQUESTS, job_key};
+use crate::wire::{JobRequestWire, encode};
+
+/// The jobs that one append stores at most.
+const APPEND_JOBS: usize = 200;
+
+/// A job that waits to be stored.
+#[derive(Debug)]
+struct WaitingJob {
+    record: KeyedRecord,
+    done: oneshot::Sender<Result<(), StoreError>>,
+}
+
+/// Stores clients' jobs; its clones share one queue.
+///
+/// One append is on its way at a time, so that a slow store gets few large appends instead of many
+/// small ones.
+#[derive(Debug, Clone)]
+pub(crate) struct RequestWriter {
+    sender: mpsc::UnboundedSender<WaitingJob>,
+}
+
+impl RequestWriter {
+    /// Spawns a writer.
+    pub(crate) fn spawn<S: StoreClient>(store: S) -> Self {
+        let (sender, jobs) = mpsc::unbounded_channel();
+        tokio::spawn(write(store, jobs));
+        Self { sender }
+    }
+
+    /// Stores a job.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the job isn't stored, or that this isn't known.
+    pub(crate) async fn store(&self, id: JobId, body: &JobRequestWire) -> Result<(), StoreError> {
+        let (done, result) = oneshot::channel();
+        let record = KeyedRecord {
+            key: job_key(id),
+            value: encode(body),
+        };
+        if self.sender.send(WaitingJob { record, done }).is_err() {
+            return Err(StoreError::Refused);
+        }
+        result.await.unwrap_or(Err(StoreError::Unanswered))
+    }
+}
+
+async fn write<S: StoreClient>(store: S, mut jobs: mpsc::UnboundedReceiver<WaitingJob>) {
+    let mut answer_time = AnswerTime::default();
+    let mut waiting = Vec::new();
+    while jobs.recv_many(&mut waiting, APPEND_JOBS).await > 0 {
+        // A client that has gone may have been answered by way of another node.
+        waiting.retain(|job: &WaitingJob| !job.done.is_closed());
+        if waiting.is_empty() {
+            continue;
+        }
+        let records = waiting.iter().map(|job| job.record.clone()).collect();
+        let started = Instant::now();
+        let limit = answer_time.limit();
+        let appended = store
+            .append(REQUESTS, records, AppendCondition::None, limit)
+            .await;
+        answer_time.learn(&appended, started.elapsed());
+        let result = appended.map(|_| ());
+        for job in waiting.drain(..) {
+            if job.done.send(result.clone()).is_err() {
+                log::debug!("a client went before its job was stored");
+            }
+        }
+    }
+}
+
+/// The time for which a stored job waits for its append before another way is tried as well.
+pub(crate) const HEDGE_DELAY: Duration = Duration::from_millis(450);
--- a/crates/geraniumshed-batch/src/leader/writer.rs
+++ b/crates/geraniumshed-batch/src/leader/writer.rs
@@ -9,12 +9,12 @@
 
 use super::event::{LeaderEvent, LeaderHandle};
 use super::load::PRODUCER;
-use crate::store::{AppendCondition, KeyedRecord, StoreClient, StoreError, WriterMark};
+use crate::store::{AnswerTime, AppendCondition, KeyedRecord, StoreClient, StoreError, WriterMark};
 use crate::topic::{PROGRESS, REQUESTS, job_key};
 use crate::wire::{JobImageWire, encode};
 
-/// The time within which the store answers an append, before it is repeated.
-const APPEND_LIMIT: Duration = Duration::from_millis(500);
+/// The time within which the store answers that requests are dropped.
+const DROP_LIMIT: Duration = Duration::from_millis(500);
 /// The pause before a refused append is repeated.
 const RETRY_PAUSE: Duration = Duration::from_millis(60);
 
@@ -24,6 +24,7 @@
     store: S,
     handle: LeaderHandle,
     mark: WriterMark,
+    answer_time: AnswerTime,
     /// When the store last answered an append, for the leader to judge its silence.
     answered: tokio::sync::watch::Sender<Option<Instant>>,
 }
@@ -49,6 +50,7 @@
             store,
             handle,
             mark,
+            answer_time: AnswerTime::default(),
             answered,
         };
         tokio::spawn(writer.run(batches));
@@ -75,10 +77,13 @@
         self.answered.send_replace(Some(Instant::now()));
         loop {
             let condition = AppendCondition::Writer(self.mark);
+            let started = Instant::now();
+            let limit = self.answer_time.limit();
             let appended = self
                 .store
-                .append(PROGRESS, records.clone(), condition, APPEND_LIMIT)
+                .append(PROGRESS, records.clone(), condition, limit)
                 .await;
+            self.answer_time.learn(&appended, started.elapsed());
             match appended {
                 Ok(_) => break,
                 Err(StoreError::Refused | StoreError::Unanswered) => {
@@ -104,7 +109,7 @@
         }
         let appended = self
             .store
-            .append(REQUESTS, records, AppendCondition::None, APPEND_LIMIT)
+            .append(REQUESTS, records, AppendCondition::None, DROP_LIMIT)
             .await;
         if let Err(error) = appended {
             log::warn!("requests of old jobs were not dropped: {error}");
--- a/crates/geraniumshed-batch/src/lib.rs
+++ b/crates/geraniumshed-batch/src/lib.rs
@@ -6,6 +6,7 @@
 //! stand-ins.
 
 pub mod clock;
+mod intake;
 pub mod leader;
 pub mod member;
 pub mod node;
--- a/crates/geraniumshed-batch/src/node.rs
+++ b/crates/geraniumshed-batch/src/node.rs
@@ -13,6 +13,7 @@
 use tokio::sync::Notify;
 
 use crate::clock::NodeClock;
+use crate::intake::RequestWriter;
 use crate::leader::{LeaderContext, LeaderHandle};
 use crate::member;
 use crate::peer::{PeerPool, PeerServer};
@@ -82,6 +83,7 @@
     pub(crate) settings: NodeSettings,
     pub(crate) context: LeaderContext<S, F, W>,
     pub(crate) pool: PeerPool,
+    pub(crate) intake: RequestWriter,
     view: Mutex<MemberView>,
     config: Mutex<Option<Arc<SiteConfig<F::Routes>>>>,
     pub(crate) is_stopping: AtomicBool,
@@ -153,10 +155,12 @@
             settings: settings.planner.clone(),
         };
         let address = settings.identity.address;
+        let intake = RequestWriter::spawn(context.store.clone());
         let shared = Arc::new(NodeShared {
             settings,
             context,
             pool: PeerPool::default(),
+            intake,
             view: Mutex::default(),
             config: Mutex::default(),
             is_stopping: AtomicBool::new(false),
--- a/crates/geraniumshed-batch/src/service.rs
+++ b/crates/geraniumshed-batch/src/service.rs
@@ -9,26 +9,27 @@
 use geraniumshed_core::membership::MemberIdentity;
 use tarpc::context::Context;
 use tokio::sync::oneshot;
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
+use crate::intake::HEDGE_DELAY;
 use crate::leader::{LeaderHandle, LeaderQuery};
 use crate::node::{HeardMember, NodeShared};
+use crate::peer::PeerFailure;
 use crate::site::{SiteConfig, SiteFeed, WorkerCaller};
-use crate::store::{AppendCondition, KeyedRecord, StoreClient, StoreError};
-use crate::topic::{LEADERS, REQUESTS, job_key};
+use crate::store::{StoreClient, StoreError};
+use crate::topic::LEADERS;
 use crate::wire::{
     BeatReplyWire, BeatWire, JobAnswerWire, JobCallWire, JobRequestWire, MemberWire, NodePeer,
-    encode,
 };
 
-/// The time within which the store answers the append of a job, before another way is tried.
-const APPEND_LIMIT: Duration = Duration::from_millis(500);
 /// The time within which a peer answers a call that was passed on.
 const PEER_LIMIT: Duration = Duration::from_millis(800);
+/// The time within which a peer has to store a job.
+const RELAY_LIMIT: Duration = Duration::from_millis(1500);
 /// The pause between two attempts.
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
 /// The time for which a job that certainly isn't stored is tried again.
-const REFUSAL_LIMIT: Duration = Duration::from_millis(900);
+const REFUSAL_LIMIT: Duration = Duration::from_millis(150);
 /// The time that remains for the answer to reach the client.
 const ANSWER_MARGIN: Duration = Duration::from_millis(120);
 /// The time for which a call that was passed on is tried.
@@ -57,6 +58,31 @@
     Undecided,
 }
 
+/// Whether a job is stored.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum StoreOutcome {
+    NotStored,
+    Undecided,
+    Stored,
+}
+
+impl StoreOutcome {
+    /// Returns what two attempts show together.
+    fn or(self, other: Self) -> Self {
+        self.max(other)
+    }
+}
+
+impl From<Result<(), StoreError>> for StoreOutcome {
+    fn from(result: Result<(), StoreError>) -> Self {
+        match result {
+            Ok(()) => Self::Stored,
+            Err(StoreError::Refused) => Self::NotStored,
+            Err(_) => Self::Undecided,
+        }
+    }
+}
+
 /// Takes clients' calls; its clones share the node.
 #[derive(Debug)]
 pub struct JobService<S, F: SiteFeed, W> {
@@ -92,23 +118,14 @@
         let started = Instant::now();
         let deadline = deadline - ANSWER_MARGIN;
         let mut may_be_stored = false;
-        loop {
-            match self.store_request(id, &body).await {
-                Ok(()) => return CallOutcome::Accepted,
-                Err(StoreError::Refused) => {}
-                Err(error) => {
-                    log::info!("job {id}: storing it has no answer: {error}");
-                    may_be_stored = true;
-                }
-            }
-            match self.relay(&JobCallWire::Submit(id.0, body.clone())).await {
-                Some(JobAnswerWire::Accepted) => return CallOutcome::Accepted,
-                Some(JobAnswerWire::Unavailable) | None => {}
-                Some(_) => may_be_stored = true,
+        while Instant::now() < deadline {
+            match timeout_at(deadline, self.store_hedged(id, &body)).await {
+                Ok(StoreOutcome::Stored) => return CallOutcome::Accepted,
+                Ok(StoreOutcome::NotStored) => {}
+                Ok(StoreOutcome::Undecided) | Err(_) => may_be_stored = true,
             }
             // A repeat may turn an undecided call into an accepted one, so it is worth the time.
-            let has_given_up = !may_be_stored && started.elapsed() > REFUSAL_LIMIT;
-            if has_given_up || Instant::now() + RETRY_PAUSE >= deadline {
+            if !may_be_stored && started.elapsed() > REFUSAL_LIMIT {
                 break;
             }
             sleep(RETRY_PAUSE).await;
@@ -121,6 +138,53 @@
         CallOutcome::Unavailable
     }
 
+    /// Stores a job itself, and by way of other nodes if the store refuses or takes long.
+    async fn store_hedged(&self, id: JobId, body: &JobRequestWire) -> StoreOutcome {
+        let own = self.shared.intake.store(id, body);
+        tokio::pin!(own);
+        if let Ok(result) = timeout(HEDGE_DELAY, &mut own).await {
+            return match StoreOutcome::from(result) {
+                StoreOutcome::Stored => StoreOutcome::Stored,
+                other => other.or(self.store_by_peers(id, body).await),
+            };
+        }
+        let peers = self.store_by_peers(id, body);
+        tokio::pin!(peers);
+        tokio::select! {
+            result = &mut own => match StoreOutcome::from(result) {
+                StoreOutcome::Stored => StoreOutcome::Stored,
+                other => other.or(peers.await),
+            },
+            outcome = &mut peers => match outcome {
+                StoreOutcome::Stored => StoreOutcome::Stored,
+                other => other.or(own.await.into()),
+            },
+        }
+    }
+
+    /// Stores a job by way of nodes that may reach the store, one after the other.
+    async fn store_by_peers(&self, id: JobId, body: &JobRequestWire) -> StoreOutcome {
+        let call = JobCallWire::Submit(id.0, body.clone());
+        let mut outcome = StoreOutcome::NotStored;
+        for member in self.relays() {
+            let passed = self
+                .shared
+                .pool
+                .call(member.address, call.clone(), RELAY_LIMIT)
+                .await;
+            outcome = outcome.or(match passed {
+                Ok(JobAnswerWire::Accepted) => StoreOutcome::Stored,
+                Ok(JobAnswerWire::Unavailable)
+                | Err(PeerFailure::NotSent | PeerFailure::Refused) => StoreOutcome::NotStored,
+                Ok(_) | Err(PeerFailure::Unanswered) => StoreOutcome::Undecided,
+            });
+            if outcome == StoreOutcome::Stored {
+                break;
+            }
+        }
+        outcome
+    }
+
     /// Returns how far a job is.
     pub async fn status(&self, id: JobId, deadline: Instant) -> CallOutcome {
         self.ask_leader(JobCallWire::Status(id.0), deadline).await
@@ -145,41 +209,6 @@
         self.ask_leader(call, deadline).await
     }
 
-    async fn store_request(&self, id: JobId, body: &JobRequestWire) -> Result<(), StoreError> {
-        let record = KeyedRecord {
-            key: job_key(id),
-            value: encode(body),
-        };
-        let store = &self.shared.context.store;
-        store
-            .append(REQUESTS, vec![record], AppendCondition::None, APPEND_LIMIT)
-            .await
-            .map(|_| ())
-    }
-
-    /// Passes a call to nodes that may reach the store, one after the other.
-    async fn relay(&self, call: &JobCallWire) -> Option<JobAnswerWire> {
-        let mut answer = None;
-        for member in self.relays() {
-            let passed = self
-                .shared
-                .pool
-                .call(member.address, call.clone(), PEER_LIMIT)
-                .await;
-            match passed {
-                Ok(JobAnswerWire::Unavailable) => {
-                    answer = answer.or(Some(JobAnswerWire::Unavailable));
-                }
-                Ok(JobAnswerWire::Undecided) | Err(crate::peer::PeerFailure::Unanswered) => {
-                    answer = Some(JobAnswerWire::Undecided);
-                }
-                Ok(decided) => return Some(decided),
-                Err(_) => {}
-            }
-        }
-        answer
-    }
-
     /// Returns other nodes, the leader first.
     fn relays(&self) -> Vec<MemberIdentity> {
         let own = &self.shared.settings.identity;
@@ -341,7 +370,7 @@
     async fn call(self, _: Context, call: JobCallWire) -> JobAnswerWire {
         let deadline = Instant::now() + PASSED_LIMIT;
         if let JobCallWire::Submit(id, body) = &call {
-            return match self.service.store_request(JobId(*id), body).await {
+            return match self.shared().intake.store(JobId(*id), body).await {
                 Ok(()) => JobAnswerWire::Accepted,
                 Err(StoreError::Refused) => JobAnswerWire::Unavailable,
                 Err(_) => JobAnswerWire::Undecided,
--- a/crates/geraniumshed-batch/src/store.rs
+++ b/crates/geraniumshed-batch/src/store.rs
@@ -177,6 +177,43 @@
     ) -> impl Future<Output = Result<Vec<SmolStr>, StoreError>> + Send;
 }
 
+/// How long the store takes for an answer, as far as recent calls have shown.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct AnswerTime {
+    usual: Duration,
+}
+
+impl AnswerTime {
+    /// The usual time before any call has shown another.
+    const FIRST: Duration = Duration::from_millis(100);
+    /// The multiple of the usual time after which an answer counts as lost.
+    const PATIENCE: u32 = 4;
+    /// The shortest time after which an answer counts as lost.
+    const SHORTEST: Duration = Duration::from_millis(350);
+    /// The longest time after which an answer counts as lost.
+    const LONGEST: Duration = Duration::from_secs(2);
+
+    /// Returns the time after which an answer counts as lost.
+    pub fn limit(&self) -> Duration {
+        (self.usual * Self::PATIENCE).clamp(Self::SHORTEST, Self::LONGEST)
+    }
+
+    /// Takes note of a call.
+    pub fn learn<T>(&mut self, answer: &Result<T, StoreError>, taken: Duration) {
+        self.usual = match answer {
+            Err(StoreError::Unanswered) => (self.usual * 3 / 2).min(Self::LONGEST),
+            Err(StoreError::Refused) => self.usual,
+            _ => (self.usual * 3 + taken) / 4,
+        };
+    }
+}
+
+impl Default for AnswerTime {
+    fn default() -> Self {
+        Self { usual: Self::FIRST }
+    }
+}
+
 /// Reads the newest records of all keys, page by page.
 ///
 /// # Errors
--- a/crates/geraniumshed-core/src/assignment/worker_events.rs
+++ b/crates/geraniumshed-core/src/assignment/worker_events.rs
@@ -538,7 +538,12 @@
             } else {
                 self.settings.hold_wait
             };
-            let deadline = entry.extend_lease(now, self.settings.lease);
+            // Calls that may arrive without an answer would put off the end of a silent worker's lease.
+            let deadline = if entry.silent_calls > 0 {
+                None
+            } else {
+                entry.extend_lease(now, self.settings.lease)
+            };
             let mark = HoldMark {
                 sent_at: now,
                 token: entry.token,
