Fill one worker after the other with tasks that have a latency target

Change: tasks with a target take the fullest worker of their image; all other tasks prefer workers that are closed to some image.

--- a/crates/geraniumshed-core/src/assignment/pacing.rs
+++ b/crates/geraniumshed-core/src/assignment/pacing.rs
@@ -21,6 +21,8 @@
 const FULL_PERCENT: u32 = 100;
 /// The time for which a tail is measured, so that what changed within it may not show yet.
 const TAIL_WINDOW: Duration = Duration::from_millis(600);
+/// The time above a target after which all best-effort runs beside it stand still.
+const STANDSTILL_LIMIT: Duration = Duration::from_millis(1300);
 /// The time after a change of speed until the tails show its effect.
 const SETTLE_TIME: Duration = Duration::from_millis(900);
 /// The time after its start in which a run's tail is its own.
@@ -58,12 +60,20 @@
         return PacePlan::default();
     }
     learn(worker, &readings, table, now);
+    let is_above = readings.iter().any(|one| one.ratio > 1.0);
+    worker.tails_above_since = worker.tails_above_since.or(Some(now)).filter(|_| is_above);
+    let above_since = worker.tails_above_since.unwrap_or(now);
+    let must_stand_still = is_above && now.since(above_since) >= STANDSTILL_LIMIT;
     let mut plan = PacePlan::default();
     for (key, run) in &mut worker.runs {
         let Some(image) = best_effort_image(run) else {
             continue;
         };
-        let percent = wanted_percent(&image, run.pace_percent, &readings, table);
+        let percent = if must_stand_still {
+            0
+        } else {
+            wanted_percent(&image, run.pace_percent, &readings, table)
+        };
         let is_culprit = readings
             .iter()
             .any(|one| one.ratio > 1.0 && table.is_harmful(&one.image, &image));
--- a/crates/geraniumshed-core/src/assignment/placement.rs
+++ b/crates/geraniumshed-core/src/assignment/placement.rs
@@ -17,8 +17,8 @@
 /// a best-effort run that may disturb it.
 const UNCLEAR_PENALTY: i64 = 3_000;
 /// The processors, in thousandths, that each image which must keep away from a worker is worth to a
-/// best-effort run that needn't; it leaves other workers to those that have no choice.
-const CLOSED_BONUS: i64 = 5_000;
+/// task that needn't; it leaves other workers to those that have no choice.
+const CLOSED_BONUS: i64 = 9_000;
 /// The processors, in thousandths, that a run of the same image is worth to one with a latency
 /// target; images kept apart leave more workers to best-effort runs that disturb one of them.
 const SAME_IMAGE_BONUS: i64 = 30_000;
@@ -107,29 +107,51 @@
 
     /// Returns how well a worker suits the task; higher is better.
     fn score(&self, worker: &WorkerEntry) -> i64 {
-        let siblings = i64::try_from(self.sibling_count(worker)).unwrap_or(i64::MAX);
-        let mut score = idle_processors(worker) - siblings * SPREAD_PENALTY;
+        let mut score = match self.step.latency_target {
+            Some(_) => self.target_score(worker),
+            None => self.batch_score(worker),
+        };
+        score -= as_score(self.sibling_count(worker)) * SPREAD_PENALTY;
         let wanted = self.step.data_rack.as_ref().or(self.rack);
         if wanted.is_some() && wanted == worker.listing.rack.as_ref() {
             score += RACK_BONUS;
         }
+        score
+    }
+
+    /// Returns how well a worker suits a task with a latency target.
+    ///
+    /// Such tasks fill one worker after the other, each with one image, so that as many workers as
+    /// possible stay open to best-effort runs that would disturb them.
+    fn target_score(&self, worker: &WorkerEntry) -> i64 {
         let image = self.step.image.clone().unwrap_or_default();
+        let (same, other): (Vec<_>, Vec<_>) =
+            served_images(worker).partition(|served| **served == image);
+        let mut score = -i64::from(worker.free_size().processors.0);
+        score += i64::from(!same.is_empty()) * SAME_IMAGE_BONUS;
+        score -= i64::from(!other.is_empty()) * OTHER_IMAGE_PENALTY;
+        score
+    }
+
+    /// Returns how well a worker suits a task without a latency target.
+    fn batch_score(&self, worker: &WorkerEntry) -> i64 {
+        let mut score = idle_processors(worker);
+        let closed = self.interference.harmful_count(served_images(worker));
+        score += as_score(closed) * CLOSED_BONUS;
         if self.step.is_best_effort {
+            let image = self.step.image.clone().unwrap_or_default();
             let is_unclear = |served: &&SmolStr| !self.interference.is_harmless(served, &image);
             let unclear = served_images(worker).filter(is_unclear).count();
-            score -= i64::try_from(unclear).unwrap_or(i64::MAX) * UNCLEAR_PENALTY;
-            let closed = self.interference.harmful_count(served_images(worker));
-            score += i64::try_from(closed).unwrap_or(i64::MAX) * CLOSED_BONUS;
-        } else if self.step.latency_target.is_some() {
-            let (same, other): (Vec<_>, Vec<_>) =
-                served_images(worker).partition(|served| **served == image);
-            score += i64::from(!same.is_empty()) * SAME_IMAGE_BONUS;
-            score -= i64::from(!other.is_empty()) * OTHER_IMAGE_PENALTY;
+            score -= as_score(unclear) * UNCLEAR_PENALTY;
         }
         score
     }
 }
 
+fn as_score(count: usize) -> i64 {
+    i64::try_from(count).unwrap_or(i64::MAX)
+}
+
 /// Returns the processors that a worker's runs are expected to leave idle, in thousandths.
 pub(super) fn idle_processors(worker: &WorkerEntry) -> i64 {
     let used: u64 = worker
--- a/crates/geraniumshed-core/src/worker/entry.rs
+++ b/crates/geraniumshed-core/src/worker/entry.rs
@@ -62,6 +62,8 @@
     ///
     /// Before, they may still show a run that was slowed down, has moved or has ended.
     pub tails_settle_at: TimePoint,
+    /// Since when some tail has been above its target at each reading.
+    pub tails_above_since: Option<TimePoint>,
     /// The images of best-effort runs that have ended, with the time of each end.
     pub ended_images: Vec<(SmolStr, TimePoint)>,
     /// How far the worker is trusted with new tasks.
@@ -89,6 +91,7 @@
             hold: None,
             next_hold_at: TimePoint::default(),
             tails_settle_at: TimePoint::default(),
+            tails_above_since: None,
             ended_images: Vec::new(),
             trust: WorkerTrust::default(),
         }
