Fill the workers of one image evenly before taking another

Cause: filling the fullest worker first left gaps that later tasks with a limit by worker couldn't use, so that 26 of 66 workers had several images.

--- a/crates/geraniumshed-core/src/assignment/placement.rs
+++ b/crates/geraniumshed-core/src/assignment/placement.rs
@@ -13,6 +13,8 @@
 const RACK_BONUS: i64 = 64_000;
 /// The processors, in thousandths, that one more run of the same step counts against a worker.
 const SPREAD_PENALTY: i64 = 4_000;
+/// The same for tasks with a latency target, which had better not be lost together.
+const TARGET_SPREAD_PENALTY: i64 = 16_000;
 /// The processors, in thousandths, that each run with a latency target counts against a worker for
 /// a best-effort run that may disturb it.
 const UNCLEAR_PENALTY: i64 = 3_000;
@@ -21,10 +23,10 @@
 const CLOSED_BONUS: i64 = 9_000;
 /// The processors, in thousandths, that a run of the same image is worth to one with a latency
 /// target; images kept apart leave more workers to best-effort runs that disturb one of them.
-const SAME_IMAGE_BONUS: i64 = 30_000;
+const SAME_IMAGE_BONUS: i64 = 60_000;
 /// The processors, in thousandths, that a run of another image counts against a worker for one with
 /// a latency target.
-const OTHER_IMAGE_PENALTY: i64 = 60_000;
+const OTHER_IMAGE_PENALTY: i64 = 120_000;
 
 /// What a task asks of its worker.
 #[derive(Debug, Clone)]
@@ -121,13 +123,14 @@
 
     /// Returns how well a worker suits a task with a latency target.
     ///
-    /// Such tasks fill one worker after the other, each with one image, so that as many workers as
-    /// possible stay open to best-effort runs that would disturb them.
+    /// Workers get tasks of one image each, and a worker without any is taken last, so that as many as
+    /// possible stay open to best-effort runs that would disturb the others.
     fn target_score(&self, worker: &WorkerEntry) -> i64 {
         let image = self.step.image.clone().unwrap_or_default();
         let (same, other): (Vec<_>, Vec<_>) =
             served_images(worker).partition(|served| **served == image);
-        let mut score = -i64::from(worker.free_size().processors.0);
+        let mut score = i64::from(worker.free_size().processors.0);
+        score -= as_score(self.sibling_count(worker)) * TARGET_SPREAD_PENALTY;
         score += i64::from(!same.is_empty()) * SAME_IMAGE_BONUS;
         score -= i64::from(!other.is_empty()) * OTHER_IMAGE_PENALTY;
         score
