Let tasks of harmful images wait for up to 45 s, and count less of tasks with a target as used

Best-effort runs got what they asked for also where 1.2 of a worker's processors were predicted to be in use.

--- a/crates/geraniumshed-core/src/assignment/placement.rs
+++ b/crates/geraniumshed-core/src/assignment/placement.rs
@@ -8,7 +8,7 @@
 use crate::worker::WorkerEntry;
 
 /// The part of its processors that a run with a latency target is taken to use, in percent.
-const TARGET_LOAD_PERCENT: u64 = 55;
+const TARGET_LOAD_PERCENT: u64 = 42;
 /// The processors, in thousandths, that a worker in the wanted rack is worth.
 const RACK_BONUS: i64 = 64_000;
 /// The processors, in thousandths, that one more run of the same step counts against a worker.
--- a/crates/geraniumshed-core/src/assignment/placing.rs
+++ b/crates/geraniumshed-core/src/assignment/placing.rs
@@ -15,7 +15,7 @@
 use std::time::Duration;
 
 /// The age up to which a job waits for workers that its image doesn't disturb, in milliseconds.
-const PATIENCE_MS: u64 = 14_000;
+const PATIENCE_MS: u64 = 45_000;
 
 /// The place of a step among all steps whose turn has come; the smallest goes first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
