--- a/crates/geraniumshed-batch/src/node.rs
+++ b/crates/geraniumshed-batch/src/node.rs
@@ -177,6 +177,11 @@
         JobService::new(Arc::clone(&self.shared))
     }
 
+    /// Tells whether this process leads.
+    pub fn is_leading(&self) -> bool {
+        self.shared.view().is_leading
+    }
+
     /// Begins a planned stop: hands the lead on, and takes no part in elections any more.
     pub fn begin_stop(&self) {
         self.shared.is_stopping.store(true, Ordering::Relaxed);
--- /dev/null
+++ b/crates/geraniumshed-batch/tests/nodes.rs
@@ -0,0 +1,108 @@
+//! Nodes over a store, workers and a configuration that are modelled in memory.
+
+mod support;
+
+use std::time::Duration;
+
+use geraniumshed_batch::CallOutcome;
+use geraniumshed_core::job::{JobId, JobPhase};
+use support::{Site, deadline, job};
+
+#[tokio::test]
+async fn any_node_takes_a_job_and_tells_of_its_end() {
+    let site = Site::open();
+    let nodes = site.spawn_nodes(3, 21_100).await;
+    let id = JobId(7);
+    let outcome = nodes[0].service().submit(id, &job(3), deadline()).await;
+    assert_eq!(outcome, CallOutcome::Accepted);
+    for node in &nodes {
+        support::wait_for(async || {
+            node.service().status(id, deadline()).await == CallOutcome::Status(JobPhase::Completed)
+        })
+        .await;
+    }
+    assert_eq!(site.start_count(), 3);
+}
+
+#[tokio::test]
+async fn a_repeated_job_runs_once_and_an_unknown_one_is_gone() {
+    let site = Site::open();
+    let nodes = site.spawn_nodes(2, 21_120).await;
+    let id = JobId(8);
+    for node in &nodes {
+        let outcome = node.service().submit(id, &job(2), deadline()).await;
+        assert_eq!(outcome, CallOutcome::Accepted);
+    }
+    let service = nodes[1].service();
+    support::wait_for(async || {
+        service.status(id, deadline()).await == CallOutcome::Status(JobPhase::Completed)
+    })
+    .await;
+    assert_eq!(
+        service.submit(id, &job(2), deadline()).await,
+        CallOutcome::Accepted
+    );
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    assert_eq!(site.start_count(), 2);
+    assert_eq!(
+        service.status(JobId(9), deadline()).await,
+        CallOutcome::Unknown
+    );
+    assert_eq!(
+        service.cancel(JobId(9), deadline()).await,
+        CallOutcome::Unknown
+    );
+}
+
+#[tokio::test]
+async fn a_node_that_the_store_refuses_stores_jobs_by_way_of_another() {
+    let site = Site::open();
+    let nodes = site.spawn_nodes(2, 21_140).await;
+    let warm_up = nodes[1]
+        .service()
+        .submit(JobId(1), &job(1), deadline())
+        .await;
+    assert_eq!(warm_up, CallOutcome::Accepted);
+    for (index, node) in nodes.iter().enumerate() {
+        site.refuse(Some(index));
+        let id = JobId(20 + index as u64);
+        let outcome = node.service().submit(id, &job(1), deadline()).await;
+        assert_eq!(outcome, CallOutcome::Accepted, "node {index}");
+    }
+}
+
+#[tokio::test]
+async fn a_job_that_no_node_can_store_is_refused_at_once() {
+    let site = Site::open();
+    let nodes = site.spawn_nodes(1, 21_160).await;
+    site.refuse(Some(0));
+    let started = tokio::time::Instant::now();
+    let outcome = nodes[0]
+        .service()
+        .submit(JobId(30), &job(1), deadline())
+        .await;
+    assert_eq!(outcome, CallOutcome::Unavailable);
+    assert!(started.elapsed() < Duration::from_secs(1));
+    site.refuse(None);
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    assert_eq!(site.start_count(), 0);
+}
+
+#[tokio::test]
+async fn a_stopping_leader_hands_its_jobs_on() {
+    let site = Site::open();
+    let nodes = site.spawn_nodes(2, 21_180).await;
+    let id = JobId(40);
+    nodes[0].service().submit(id, &job(1), deadline()).await;
+    support::wait_for(async || site.start_count() == 1).await;
+    for node in &nodes {
+        if node.is_leading() {
+            node.begin_stop();
+            break;
+        }
+    }
+    let other = JobId(41);
+    let outcome = nodes[1].service().submit(other, &job(2), deadline()).await;
+    assert_eq!(outcome, CallOutcome::Accepted);
+    support::wait_for(async || site.start_count() == 3).await;
+}
--- /dev/null
+++ b/crates/geraniumshed-batch/tests/support/mod.rs
@@ -0,0 +1,331 @@
+//! A store, workers and a configuration in memory.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use bytes::Bytes;
+use geraniumshed_batch::site::{
+    ConfigVersion, HoldOutcome, PublishedConfig, SiteConfig, SiteFeed, WorkerCaller,
+};
+use geraniumshed_batch::store::{
+    AppendCondition, KeyedRecord, NewestPage, ReadBatch, StoreClient, StoreError, TopicName,
+};
+use geraniumshed_batch::{BatchNode, NodeSettings};
+use geraniumshed_core::assignment::PlannerSettings;
+use geraniumshed_core::job::{JobRequest, QueueName, QueuePolicy, StepRequest, WorkerId};
+use geraniumshed_core::membership::MemberIdentity;
+use geraniumshed_core::worker::{
+    EndKind, HoldReply, HoldRequest, PaceOrder, RunEnd, StartOrder, StartReply, StopOrder,
+    WorkerCall, WorkerFailure, WorkerLife, WorkerListing, WorkerTime,
+};
+use geraniumshed_model::prelude::{
+    AcceleratorCount, LogOffset, MemorySize, ProcessorShare, ResourceSize,
+};
+use smol_str::SmolStr;
+use tokio::time::Instant;
+
+/// The time within which what a test waits for has to come.
+const WAIT_LIMIT: Duration = Duration::from_secs(20);
+
+#[derive(Debug, Default)]
+struct TopicState {
+    records: Vec<KeyedRecord>,
+    epochs: BTreeMap<&'static str, u64>,
+}
+
+#[derive(Debug, Default)]
+struct SiteState {
+    topics: BTreeMap<TopicName, TopicState>,
+    members: Vec<SmolStr>,
+    refused: Option<usize>,
+    starts: usize,
+    ended: Vec<RunEnd>,
+    next_end: u64,
+}
+
+/// What the platform offers, in memory.
+#[derive(Debug, Clone)]
+pub struct Site {
+    state: Arc<Mutex<SiteState>>,
+    started: Instant,
+}
+
+impl Site {
+    pub fn open() -> Self {
+        Self {
+            state: Arc::default(),
+            started: Instant::now(),
+        }
+    }
+
+    /// Spawns nodes that listen on ports from the given one on, and waits until they are ready.
+    pub async fn spawn_nodes(
+        &self,
+        count: u16,
+        first_port: u16,
+    ) -> Vec<BatchNode<NodeStore, Self, Self>> {
+        let mut nodes = Vec::new();
+        for index in 0..count {
+            let settings = NodeSettings {
+                identity: MemberIdentity {
+                    name: format!("d-{index}").into(),
+                    incarnation: u64::from(index) + 1,
+                    address: SocketAddr::from(([127, 0, 0, 1], first_port + index)),
+                },
+                first_rank: u32::from(index),
+                planner: PlannerSettings::default(),
+            };
+            let store = NodeStore {
+                site: self.clone(),
+                node: usize::from(index),
+            };
+            let node = BatchNode::spawn(settings, store, self.clone(), self.clone());
+            nodes.push(node.await.unwrap());
+        }
+        wait_for(async || nodes.iter().all(|node| node.service().is_ready())).await;
+        nodes
+    }
+
+    /// Lets the store refuse the calls of one node.
+    pub fn refuse(&self, node: Option<usize>) {
+        self.lock().refused = node;
+    }
+
+    pub fn start_count(&self) -> usize {
+        self.lock().starts
+    }
+
+    fn lock(&self) -> MutexGuard<'_, SiteState> {
+        self.state.lock().unwrap()
+    }
+
+    fn clock(&self) -> WorkerTime {
+        WorkerTime(u64::try_from(self.started.elapsed().as_millis()).unwrap())
+    }
+}
+
+/// The store as one node reaches it.
+#[derive(Debug, Clone)]
+pub struct NodeStore {
+    site: Site,
+    node: usize,
+}
+
+impl NodeStore {
+    fn topic<T>(
+        &self,
+        topic: TopicName,
+        change: impl FnOnce(&mut TopicState) -> Result<T, StoreError>,
+    ) -> Result<T, StoreError> {
+        let mut state = self.site.lock();
+        if state.refused == Some(self.node) {
+            return Err(StoreError::Refused);
+        }
+        change(state.topics.entry(topic).or_default())
+    }
+}
+
+impl StoreClient for NodeStore {
+    async fn append(
+        &self,
+        topic: TopicName,
+        records: Vec<KeyedRecord>,
+        condition: AppendCondition,
+        _: Duration,
+    ) -> Result<LogOffset, StoreError> {
+        self.topic(topic, |state| {
+            let end = state.records.len() as u64;
+            match condition {
+                AppendCondition::None => {}
+                AppendCondition::EndsAt(wanted) if wanted.0 == end => {}
+                AppendCondition::EndsAt(_) => return Err(StoreError::EndMoved(LogOffset(end))),
+                AppendCondition::Writer(mark) => {
+                    let epoch = state.epochs.entry(mark.producer).or_default();
+                    if mark.epoch < *epoch {
+                        return Err(StoreError::Fenced);
+                    }
+                    *epoch = mark.epoch;
+                }
+            }
+            state.records.extend(records);
+            Ok(LogOffset(state.records.len() as u64))
+        })
+    }
+
+    async fn newest(&self, topic: TopicName, _: Option<SmolStr>) -> Result<NewestPage, StoreError> {
+        self.topic(topic, |state| {
+            let mut newest = BTreeMap::new();
+            for (offset, record) in (0..).zip(&state.records) {
+                newest.insert(record.key.clone(), (LogOffset(offset), record.clone()));
+            }
+            newest.retain(|_, (_, record)| !record.value.is_empty());
+            Ok(NewestPage {
+                records: newest.into_values().collect(),
+                end: LogOffset(state.records.len() as u64),
+                has_more: false,
+            })
+        })
+    }
+
+    async fn read(
+        &self,
+        topic: TopicName,
+        from: LogOffset,
+        wait: Duration,
+    ) -> Result<ReadBatch, StoreError> {
+        let deadline = Instant::now() + wait;
+        loop {
+            let records = self.topic(topic, |state| {
+                let first = usize::try_from(from.0).unwrap();
+                Ok(state.records[first..].to_vec())
+            })?;
+            if !records.is_empty() || Instant::now() >= deadline {
+                let next = LogOffset(from.0 + records.len() as u64);
+                return Ok(ReadBatch { records, next });
+            }
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+
+    async fn join(&self, _: TopicName, member: SmolStr, _: Duration) -> Result<(), StoreError> {
+        let mut state = self.site.lock();
+        state.members.retain(|one| *one != member);
+        state.members.push(member);
+        Ok(())
+    }
+
+    async fn leave(&self, _: TopicName, member: SmolStr) -> Result<(), StoreError> {
+        self.site.lock().members.retain(|one| *one != member);
+        Ok(())
+    }
+
+    async fn members(&self, _: TopicName) -> Result<Vec<SmolStr>, StoreError> {
+        Ok(self.site.lock().members.clone())
+    }
+}
+
+impl SiteFeed for Site {
+    type Routes = ();
+
+    async fn config(&self) -> Result<PublishedConfig<()>, StoreError> {
+        Ok((self.decode(&Bytes::new()), LogOffset(0)))
+    }
+
+    async fn config_changed(&self, _: LogOffset, wait: Duration) -> Result<bool, StoreError> {
+        tokio::time::sleep(wait).await;
+        Ok(false)
+    }
+
+    fn decode(&self, source: &Bytes) -> Option<SiteConfig<()>> {
+        let policy = QueuePolicy {
+            service: "s".into(),
+            priority: 0,
+            attempt_limit: 3,
+            stretch: 2.0,
+            latency_objective: Duration::from_secs(1),
+        };
+        Some(SiteConfig {
+            version: ConfigVersion(1),
+            queues: [(QueueName::from("q"), policy)].into(),
+            routes: (),
+            source: source.clone(),
+        })
+    }
+
+    async fn workers(&self) -> Result<Vec<WorkerListing>, StoreError> {
+        Ok(vec![WorkerListing {
+            id: WorkerId("w".into()),
+            service: "s".into(),
+            address: SocketAddr::from(([127, 0, 0, 1], 1)),
+            zone: "z".into(),
+            life: Some(WorkerLife(1)),
+            capacity: size(32_000),
+            labels: Vec::new(),
+            rack: None,
+            is_draining: false,
+        }])
+    }
+}
+
+/// One worker whose tasks end as soon as they start.
+impl WorkerCaller for Site {
+    async fn start(&self, call: WorkerCall<StartOrder>) -> Result<StartReply, WorkerFailure> {
+        let mut state = self.lock();
+        state.starts += 1;
+        state.next_end += 1;
+        let end = RunEnd {
+            number: state.next_end,
+            task: call.body.task,
+            run: call.body.run,
+            kind: EndKind::Done,
+            checkpoint: None,
+        };
+        state.ended.push(end);
+        Ok(StartReply::Started)
+    }
+
+    async fn stop(&self, _: WorkerCall<StopOrder>) -> Result<(), WorkerFailure> {
+        Ok(())
+    }
+
+    async fn pace(&self, _: WorkerCall<PaceOrder>) -> Result<(), WorkerFailure> {
+        Ok(())
+    }
+
+    async fn hold(&self, call: WorkerCall<HoldRequest>) -> HoldOutcome {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+        let mut state = self.lock();
+        let seen = call.body.last_stored_end;
+        state.ended.retain(|end| end.number > seen);
+        let ended = state.ended.clone();
+        drop(state);
+        HoldOutcome::Answered(HoldReply {
+            clock: self.clock(),
+            life: Some(WorkerLife(1)),
+            running: Vec::new(),
+            ended,
+        })
+    }
+}
+
+fn size(processors: u32) -> ResourceSize {
+    ResourceSize {
+        processors: ProcessorShare(processors),
+        memory: MemorySize(1_000_000_000),
+        accelerators: AcceleratorCount(0),
+    }
+}
+
+/// Describes a job of one step.
+pub fn job(task_count: u32) -> JobRequest {
+    JobRequest {
+        queue: "q".into(),
+        payload: "p".into(),
+        steps: vec![StepRequest {
+            task_count,
+            size: ResourceSize {
+                memory: MemorySize(1_000_000),
+                ..size(100)
+            },
+            estimate: Duration::from_millis(10),
+            ..StepRequest::default()
+        }],
+        repeat: None,
+        submitted_unix_ms: geraniumshed_batch::clock::unix_millis(),
+    }
+}
+
+pub fn deadline() -> Instant {
+    Instant::now() + Duration::from_secs(5)
+}
+
+/// Waits until a condition holds.
+pub async fn wait_for(condition: impl AsyncFn() -> bool) {
+    let limit = Instant::now() + WAIT_LIMIT;
+    while !condition().await {
+        assert!(Instant::now() < limit, "it didn't happen in time");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
--- /dev/null
+++ b/crates/geraniumshed-core/tests/planner/fixture.rs
@@ -0,0 +1,502 @@
+//! A planner with modelled workers and a modelled store, driven in steps of time.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use geraniumshed_core::assignment::{
+    JobPlanner, JobStatus, PlannerAction, PlannerMoment, PlannerSettings, StoreChange,
+};
+use geraniumshed_core::job::{
+    JobId, JobImage, JobPhase, JobRequest, QueueName, QueuePolicy, StepRequest, TaskKey, WorkerId,
+};
+use geraniumshed_core::worker::{
+    EndKind, FenceToken, HoldMark, HoldReply, HoldRequest, RunEnd, RunReport, StartOrder,
+    StartReply, WorkerFailure, WorkerLife, WorkerListing, WorkerTime,
+};
+use geraniumshed_model::prelude::{
+    AcceleratorCount, MemorySize, ProcessorShare, ResourceSize, TimePoint,
+};
+use smol_str::SmolStr;
+
+/// The length of a step of time.
+pub const STEP: Duration = Duration::from_millis(10);
+/// The time of day at the start of a test, in milliseconds of Unix time.
+const START_UNIX_MS: u64 = 1_700_000_000_000;
+/// The token of the first planner.
+pub const FIRST_TOKEN: FenceToken = FenceToken(1 << 24);
+
+/// What a test makes go wrong at a worker.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct WorkerFault {
+    /// It answers nothing and carries nothing out.
+    pub is_silent: bool,
+    /// It leaves starts unanswered and carries them out this much later.
+    pub late_starts: Option<Duration>,
+    /// Its tasks all fail.
+    pub fails: bool,
+    /// Its tasks make no progress.
+    pub stalls: bool,
+}
+
+#[derive(Debug, Clone)]
+struct ModelRun {
+    run: u32,
+    started_at: TimePoint,
+    length: Duration,
+}
+
+/// A modelled worker that keeps the platform's promises: fences, leases, numbered ends.
+#[derive(Debug)]
+pub struct ModelWorker {
+    pub listing: WorkerListing,
+    pub fault: WorkerFault,
+    pub life: WorkerLife,
+    token: FenceToken,
+    deadline: TimePoint,
+    runs: BTreeMap<TaskKey, ModelRun>,
+    ended: Vec<RunEnd>,
+    next_end: u64,
+    late: Vec<(TimePoint, FenceToken, StartOrder)>,
+}
+
+impl ModelWorker {
+    fn new(listing: WorkerListing) -> Self {
+        Self {
+            listing,
+            fault: WorkerFault::default(),
+            life: WorkerLife(1),
+            token: FenceToken(0),
+            deadline: TimePoint::default(),
+            runs: BTreeMap::new(),
+            ended: Vec::new(),
+            next_end: 1,
+            late: Vec::new(),
+        }
+    }
+
+    /// Loses all that it runs and knows, and starts anew.
+    pub fn restart(&mut self) {
+        let life = WorkerLife(self.life.0 + 1);
+        *self = Self::new(self.listing.clone());
+        self.life = life;
+    }
+
+    fn end(&mut self, task: TaskKey, kind: EndKind) {
+        let Some(run) = self.runs.remove(&task) else {
+            return;
+        };
+        self.ended.push(RunEnd {
+            number: self.next_end,
+            task,
+            run: run.run,
+            kind,
+            checkpoint: None,
+        });
+        self.next_end += 1;
+    }
+}
+
+/// A task's run as a worker saw it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SeenStart {
+    pub task: TaskKey,
+    pub run: u32,
+    pub worker: WorkerId,
+    pub at: TimePoint,
+}
+
+/// A planner with modelled workers and a modelled store.
+pub struct Cluster {
+    pub planner: JobPlanner,
+    pub workers: BTreeMap<WorkerId, ModelWorker>,
+    pub now: TimePoint,
+    pub starts: Vec<SeenStart>,
+    /// The ends that were taken note of: acknowledged to the worker.
+    pub noted: BTreeSet<(TaskKey, u32)>,
+    /// Whether the store takes batches.
+    pub store_is_up: bool,
+    pub stored: BTreeMap<JobId, JobImage>,
+    pub requests: BTreeMap<JobId, JobRequest>,
+    /// The tail of each image with a latency target beside each best-effort image.
+    pub tails: BTreeMap<(SmolStr, SmolStr), Duration>,
+    /// The runs of one task that were at work at the same time on workers that are up.
+    pub doubled: Vec<TaskKey>,
+    waiting: Vec<(u64, Vec<StoreChange>)>,
+    length_of: fn(&StepRequest) -> Duration,
+}
+
+impl Cluster {
+    /// Creates a cluster of equal workers, four to a rack.
+    pub fn with_workers(count: usize) -> Self {
+        let mut cluster = Self {
+            planner: new_planner(FIRST_TOKEN),
+            workers: BTreeMap::new(),
+            now: TimePoint(1_000_000),
+            starts: Vec::new(),
+            noted: BTreeSet::new(),
+            store_is_up: true,
+            stored: BTreeMap::new(),
+            requests: BTreeMap::new(),
+            tails: BTreeMap::new(),
+            doubled: Vec::new(),
+            waiting: Vec::new(),
+            length_of: |step| step.estimate,
+        };
+        for number in 0..count {
+            let listing = listing(number);
+            cluster
+                .workers
+                .insert(listing.id.clone(), ModelWorker::new(listing));
+        }
+        cluster.list_workers();
+        cluster.advance(Duration::from_millis(100));
+        cluster
+    }
+
+    pub fn moment(&self) -> PlannerMoment {
+        PlannerMoment {
+            point: self.now,
+            unix_ms: START_UNIX_MS + self.now.0 / 1000,
+        }
+    }
+
+    /// Lets the planner read the registrations.
+    pub fn list_workers(&mut self) {
+        let listings = self.workers.values().map(|one| one.listing.clone());
+        let listings = listings.collect();
+        self.planner.list_workers(self.moment(), listings);
+    }
+
+    /// Hands a job in.
+    pub fn submit(&mut self, number: u64, steps: Vec<StepRequest>) -> JobId {
+        let id = JobId(number);
+        let request = JobRequest {
+            queue: QueueName::from("q"),
+            payload: "p".into(),
+            steps,
+            repeat: None,
+            submitted_unix_ms: self.moment().unix_ms,
+        };
+        self.requests.insert(id, request.clone());
+        self.planner.submit(id, request);
+        id
+    }
+
+    /// Replaces the planner by a successor that knows only what is stored.
+    pub fn replace_planner(&mut self) {
+        let token = FenceToken((self.starts.len() as u64 + 2) << 24);
+        self.planner = new_planner(token);
+        self.waiting.clear();
+        let now = self.moment();
+        for (id, request) in &self.requests {
+            match self.stored.get(id) {
+                Some(image) => {
+                    let (request, image) = (request.clone(), image.clone());
+                    self.planner.restore(now, *id, request, image);
+                }
+                None => self.planner.submit(*id, request.clone()),
+            }
+        }
+        self.list_workers();
+    }
+
+    /// Lets time pass.
+    pub fn advance(&mut self, span: Duration) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now = self.now + STEP;
+            self.run_workers();
+            self.planner.revisit();
+            self.planner.advance(self.moment());
+            self.store();
+            for action in self.planner.take_actions() {
+                self.carry_out(action);
+            }
+        }
+    }
+
+    pub fn phase(&self, id: JobId) -> Option<JobPhase> {
+        match self.planner.status(id) {
+            JobStatus::Unknown => None,
+            JobStatus::Known(phase) => Some(phase),
+        }
+    }
+
+    /// Returns the starts of a task.
+    pub fn starts_of(&self, task: TaskKey) -> Vec<&SeenStart> {
+        let starts = self.starts.iter();
+        starts.filter(|start| start.task == task).collect()
+    }
+
+    pub fn running_on(&self, worker: &WorkerId) -> usize {
+        self.workers[worker].runs.len()
+    }
+
+    fn store(&mut self) {
+        if let Some(batch) = self.planner.take_batch() {
+            self.waiting.push((batch.number, batch.changes));
+        }
+        if !self.store_is_up {
+            return;
+        }
+        for (number, changes) in std::mem::take(&mut self.waiting) {
+            for change in changes {
+                match change {
+                    StoreChange::Progress(id, image) => {
+                        self.stored.insert(id, image);
+                    }
+                    StoreChange::Forget(id) => {
+                        self.stored.remove(&id);
+                        self.requests.remove(&id);
+                    }
+                }
+            }
+            self.planner.batch_stored(self.moment(), number);
+        }
+    }
+
+    fn carry_out(&mut self, action: PlannerAction) {
+        match action {
+            PlannerAction::Start(call) => {
+                let reply = self.start(&call.worker, call.token, &call.body);
+                let (task, run) = (call.body.task, call.body.run);
+                let now = self.moment();
+                self.planner
+                    .start_answered(now, &call.worker, task, run, reply);
+            }
+            PlannerAction::Stop(call) => {
+                let Some(worker) = self.workers.get_mut(&call.worker) else {
+                    return;
+                };
+                if !worker.fault.is_silent && call.token >= worker.token {
+                    worker.end(call.body.task, EndKind::Stopped);
+                }
+            }
+            PlannerAction::Hold(call, mark) => self.hold(&call.worker, mark, &call.body),
+            PlannerAction::Pace(_) | PlannerAction::Note(_) => {}
+        }
+    }
+
+    fn start(
+        &mut self,
+        id: &WorkerId,
+        token: FenceToken,
+        order: &StartOrder,
+    ) -> Result<StartReply, WorkerFailure> {
+        let now = self.now;
+        let Some(worker) = self.workers.get_mut(id) else {
+            return Err(WorkerFailure::NotSent);
+        };
+        if worker.fault.is_silent {
+            return Err(WorkerFailure::Unanswered);
+        }
+        if let Some(delay) = worker.fault.late_starts {
+            worker.late.push((now + delay, token, order.clone()));
+            return Err(WorkerFailure::Unanswered);
+        }
+        Ok(self.begin(id, token, order))
+    }
+
+    fn begin(&mut self, id: &WorkerId, token: FenceToken, order: &StartOrder) -> StartReply {
+        let now = self.now;
+        let step = &self.requests[&order.task.job].steps[order.task.step as usize];
+        let length = (self.length_of)(step);
+        let is_doubled = self.workers.iter().any(|(other, worker)| {
+            other != id && !worker.fault.is_silent && worker.runs.contains_key(&order.task)
+        });
+        let Some(worker) = self.workers.get_mut(id) else {
+            return StartReply::Rejected;
+        };
+        if token < worker.token {
+            return StartReply::Fenced;
+        }
+        if order.deadline.0 < now.0 / 1000 {
+            return StartReply::Late;
+        }
+        worker.token = token;
+        worker.deadline = worker.deadline.max(TimePoint(order.deadline.0 * 1000));
+        let run = ModelRun {
+            run: order.run,
+            started_at: now,
+            length,
+        };
+        worker.runs.insert(order.task, run);
+        if is_doubled {
+            self.doubled.push(order.task);
+        }
+        self.starts.push(SeenStart {
+            task: order.task,
+            run: order.run,
+            worker: id.clone(),
+            at: now,
+        });
+        StartReply::Started
+    }
+
+    fn hold(&mut self, id: &WorkerId, mark: HoldMark, request: &HoldRequest) {
+        let now = self.moment();
+        let Some(worker) = self.workers.get_mut(id) else {
+            self.planner.hold_failed(now, id, mark, false);
+            return;
+        };
+        if worker.fault.is_silent || mark.token < worker.token {
+            self.planner.hold_failed(now, id, mark, false);
+            return;
+        }
+        worker.token = mark.token;
+        if let Some(deadline) = request.deadline {
+            worker.deadline = worker.deadline.max(TimePoint(deadline.0 * 1000));
+        }
+        let seen = request.last_stored_end;
+        let noted = worker.ended.iter().filter(|end| end.number <= seen);
+        self.noted.extend(noted.map(|end| (end.task, end.run)));
+        worker.ended.retain(|end| end.number > seen);
+        let reply = HoldReply {
+            clock: WorkerTime(self.now.0 / 1000),
+            life: Some(worker.life),
+            running: reports(worker, &self.requests, &self.tails, self.now),
+            ended: worker.ended.clone(),
+        };
+        self.planner.hold_answered(now, id, mark, reply);
+    }
+
+    /// Lets runs end, leases lapse and late orders be carried out.
+    fn run_workers(&mut self) {
+        let now = self.now;
+        let mut late = Vec::new();
+        for (id, worker) in &mut self.workers {
+            let due: Vec<TaskKey> = worker
+                .runs
+                .iter()
+                .filter(|(_, run)| !worker.fault.stalls && run.started_at + run.length <= now)
+                .map(|(task, _)| *task)
+                .collect();
+            for task in due {
+                let is_lasting = self.requests[&task.job].steps[task.step as usize].is_long_running;
+                match (worker.fault.fails, is_lasting) {
+                    (true, _) => worker.end(task, EndKind::Failed),
+                    (false, true) => {}
+                    (false, false) => worker.end(task, EndKind::Done),
+                }
+            }
+            if worker.deadline < now {
+                for task in worker.runs.keys().copied().collect::<Vec<_>>() {
+                    worker.end(task, EndKind::Lapsed);
+                }
+            }
+            let (due, waiting): (Vec<_>, Vec<_>) = std::mem::take(&mut worker.late)
+                .into_iter()
+                .partition(|(at, ..)| *at <= now);
+            worker.late = waiting;
+            late.extend(
+                due.into_iter()
+                    .map(|(_, token, order)| (id.clone(), token, order)),
+            );
+        }
+        for (id, token, order) in late {
+            self.begin(&id, token, &order);
+        }
+    }
+}
+
+/// Describes what a worker runs.
+fn reports(
+    worker: &ModelWorker,
+    requests: &BTreeMap<JobId, JobRequest>,
+    tails: &BTreeMap<(SmolStr, SmolStr), Duration>,
+    now: TimePoint,
+) -> Vec<RunReport> {
+    let step_of = |task: &TaskKey| &requests[&task.job].steps[task.step as usize];
+    let image_of = |task: &TaskKey| step_of(task).image.clone().unwrap_or_default();
+    let beside: Vec<SmolStr> = worker
+        .runs
+        .keys()
+        .filter(|task| step_of(task).is_best_effort)
+        .map(image_of)
+        .collect();
+    let report = |(task, run): (&TaskKey, &ModelRun)| {
+        let image = image_of(task);
+        let tail = beside
+            .iter()
+            .filter_map(|other| tails.get(&(image.clone(), other.clone())))
+            .max()
+            .copied()
+            .unwrap_or(Duration::from_millis(5));
+        let done = now.since(run.started_at).as_millis() * 100 / run.length.as_millis().max(1);
+        let is_whole = step_of(task).is_long_running;
+        let percent = if worker.fault.stalls {
+            7
+        } else if is_whole {
+            100
+        } else {
+            u32::try_from(done.min(99)).unwrap_or(99)
+        };
+        RunReport {
+            task: *task,
+            run: run.run,
+            checkpoint: None,
+            percent,
+            tail_latency: tail,
+            processors_used: ProcessorShare(0),
+        }
+    };
+    worker.runs.iter().map(report).collect()
+}
+
+fn new_planner(token: FenceToken) -> JobPlanner {
+    let mut planner = JobPlanner::new(PlannerSettings::default(), token);
+    let policy = QueuePolicy {
+        service: "s".into(),
+        priority: 0,
+        attempt_limit: 3,
+        stretch: 2.0,
+        latency_objective: Duration::from_millis(500),
+    };
+    planner.replace_queues([(QueueName::from("q"), policy)].into());
+    planner
+}
+
+fn listing(number: usize) -> WorkerListing {
+    WorkerListing {
+        id: WorkerId(format!("w{number:02}").into()),
+        service: "s".into(),
+        address: format!("10.0.0.{}:80", number + 1).parse().unwrap(),
+        zone: "z".into(),
+        life: Some(WorkerLife(1)),
+        capacity: size(32_000, 128),
+        labels: vec!["a".into(), format!("r{}", number / 4).into()],
+        rack: Some(format!("r{}", number / 4).into()),
+        is_draining: false,
+    }
+}
+
+pub fn size(processors: u32, memory_gb: u64) -> ResourceSize {
+    ResourceSize {
+        processors: ProcessorShare(processors),
+        memory: MemorySize(memory_gb * 1_000_000_000),
+        accelerators: AcceleratorCount(0),
+    }
+}
+
+/// Describes a step of tasks that each take a second on two processors.
+pub fn step(task_count: u32) -> StepRequest {
+    StepRequest {
+        task_count,
+        size: size(2_000, 2),
+        estimate: Duration::from_secs(1),
+        ..StepRequest::default()
+    }
+}
+
+pub fn task(job: JobId, step: u32, index: u32) -> TaskKey {
+    TaskKey {
+        job,
+        occurrence: 0,
+        step,
+        index,
+    }
+}
+
+pub fn worker(number: usize) -> WorkerId {
+    WorkerId(format!("w{number:02}").into())
+}
--- /dev/null
+++ b/crates/geraniumshed-core/tests/planner/leases.rs
@@ -0,0 +1,72 @@
+//! What happens to the tasks of workers that are silent, leave or start anew.
+
+use std::time::Duration;
+
+use geraniumshed_core::job::{JobPhase, StepRequest};
+
+use crate::fixture::{Cluster, step, task};
+
+/// Hands in a job of one long task and returns the worker that runs it.
+fn with_long_task(cluster: &mut Cluster) -> geraniumshed_core::job::WorkerId {
+    let long = StepRequest {
+        estimate: Duration::from_secs(60),
+        ..step(1)
+    };
+    cluster.submit(1, vec![long]);
+    cluster.advance(Duration::from_millis(300));
+    cluster.starts[0].worker.clone()
+}
+
+#[test]
+fn a_silent_worker_keeps_its_task_until_the_lease_has_run_out() {
+    let mut cluster = Cluster::with_workers(2);
+    let silent = with_long_task(&mut cluster);
+    cluster.workers.get_mut(&silent).unwrap().fault.is_silent = true;
+    cluster.advance(Duration::from_secs(4));
+    assert_eq!(cluster.starts.len(), 1);
+    cluster.advance(Duration::from_secs(4));
+    assert_eq!(cluster.starts.len(), 2);
+    assert_eq!(cluster.doubled, []);
+    assert_eq!(cluster.running_on(&silent), 0, "the lease ran out first");
+}
+
+#[test]
+fn repeated_renewals_without_an_answer_put_the_end_of_a_lease_off_only_once() {
+    // A lasting task of a worker that has left was never started again.
+    let mut cluster = Cluster::with_workers(2);
+    let lasting = StepRequest {
+        is_long_running: true,
+        ..step(1)
+    };
+    let id = cluster.submit(1, vec![lasting]);
+    cluster.advance(Duration::from_millis(300));
+    let gone = cluster.starts[0].worker.clone();
+    cluster.workers.remove(&gone);
+    cluster.list_workers();
+    cluster.advance(Duration::from_secs(8));
+    let starts = cluster.starts_of(task(id, 0, 0));
+    assert_eq!(starts.len(), 2);
+    assert_ne!(starts[1].worker, gone);
+}
+
+#[test]
+fn a_worker_that_starts_anew_loses_its_tasks_at_once() {
+    let mut cluster = Cluster::with_workers(2);
+    let reborn = with_long_task(&mut cluster);
+    cluster.workers.get_mut(&reborn).unwrap().restart();
+    cluster.advance(Duration::from_millis(500));
+    assert_eq!(cluster.starts.len(), 2);
+}
+
+#[test]
+fn a_store_outage_keeps_running_tasks_alive() {
+    let mut cluster = Cluster::with_workers(2);
+    with_long_task(&mut cluster);
+    cluster.store_is_up = false;
+    cluster.advance(Duration::from_secs(20));
+    cluster.store_is_up = true;
+    cluster.advance(Duration::from_secs(45));
+    assert_eq!(cluster.starts.len(), 1);
+    let id = cluster.starts[0].task.job;
+    assert_eq!(cluster.phase(id), Some(JobPhase::Completed));
+}
--- /dev/null
+++ b/crates/geraniumshed-core/tests/planner/loads.rs
@@ -0,0 +1,124 @@
+//! Heavy loads: who waits, and where work goes.
+
+use std::time::Duration;
+
+use geraniumshed_core::job::{JobPhase, StepRequest};
+use smol_str::SmolStr;
+
+use crate::fixture::{Cluster, size, step, worker};
+
+fn lasting(image: &str, task_count: u32) -> StepRequest {
+    StepRequest {
+        is_long_running: true,
+        image: Some(image.into()),
+        latency_target: Some(Duration::from_millis(20)),
+        size: size(6_000, 8),
+        ..step(task_count)
+    }
+}
+
+fn best_effort(image: &str, task_count: u32) -> StepRequest {
+    StepRequest {
+        is_best_effort: true,
+        image: Some(image.into()),
+        size: size(3_000, 4),
+        ..step(task_count)
+    }
+}
+
+/// Pattern: noisy neighbours. One best-effort image disturbs one of two served images.
+#[test]
+fn disturbing_runs_learn_to_keep_away_from_those_that_they_disturb() {
+    let mut cluster = Cluster::with_workers(8);
+    let pair = (SmolStr::new("calls"), SmolStr::new("noisy"));
+    cluster.tails.insert(pair, Duration::from_millis(120));
+    let calls = cluster.submit(1, vec![lasting("calls", 12)]);
+    cluster.submit(2, vec![lasting("queue", 12)]);
+    cluster.advance(Duration::from_secs(3));
+    for number in 0..10 {
+        cluster.submit(10 + number, vec![best_effort("noisy", 4)]);
+        cluster.advance(Duration::from_secs(1));
+    }
+    cluster.advance(Duration::from_secs(10));
+    let serves_calls = |start: &&crate::fixture::SeenStart| {
+        let on_worker = cluster
+            .starts
+            .iter()
+            .filter(|one| one.worker == start.worker);
+        on_worker.clone().any(|one| one.task.job == calls)
+    };
+    let late = cluster.starts.iter().filter(|start| start.task.job.0 >= 15);
+    assert_eq!(late.filter(serves_calls).count(), 0);
+    for number in 0..10 {
+        let id = geraniumshed_core::job::JobId(10 + number);
+        assert_eq!(cluster.phase(id), Some(JobPhase::Completed));
+    }
+}
+
+/// Pattern: images kept apart. Tasks with a latency target don't mix images while workers are free.
+#[test]
+fn served_images_share_no_worker_while_there_is_room() {
+    let mut cluster = Cluster::with_workers(8);
+    let first = cluster.submit(1, vec![lasting("calls", 12)]);
+    let second = cluster.submit(2, vec![lasting("queue", 12)]);
+    cluster.advance(Duration::from_secs(1));
+    for number in 0..8 {
+        let here = cluster
+            .starts
+            .iter()
+            .filter(|one| one.worker == worker(number));
+        let jobs: std::collections::BTreeSet<_> = here.map(|one| one.task.job).collect();
+        assert!(
+            !(jobs.contains(&first) && jobs.contains(&second)),
+            "worker {number}"
+        );
+    }
+}
+
+/// Pattern: burst. Jobs of four times the room finish in the order of their deadlines.
+#[test]
+fn a_burst_finishes_as_fast_as_the_room_allows() {
+    let mut cluster = Cluster::with_workers(4);
+    // 64 tasks of 2 processors fill 4 workers of 32; 256 take four rounds of a second each.
+    let ids: Vec<_> = (0..16).map(|n| cluster.submit(n, vec![step(16)])).collect();
+    cluster.advance(Duration::from_millis(4_600));
+    for id in ids {
+        assert_eq!(cluster.phase(id), Some(JobPhase::Completed), "{id}");
+    }
+}
+
+/// Pattern: black hole. A worker that fails all that it starts gets little after two jobs.
+#[test]
+fn a_worker_that_fails_everything_gets_few_tasks() {
+    let mut cluster = Cluster::with_workers(6);
+    cluster.workers.get_mut(&worker(3)).unwrap().fault.fails = true;
+    let mut ids = Vec::new();
+    for number in 0..30 {
+        ids.push(cluster.submit(number, vec![step(6)]));
+        cluster.advance(Duration::from_millis(200));
+    }
+    cluster.advance(Duration::from_secs(6));
+    let wasted = cluster
+        .starts
+        .iter()
+        .filter(|one| one.worker == worker(3))
+        .count();
+    assert!(wasted <= 18, "{wasted} of {} starts", cluster.starts.len());
+    for id in ids {
+        assert_eq!(cluster.phase(id), Some(JobPhase::Completed), "{id}");
+    }
+}
+
+/// Pattern: lost worker. Work of a silent worker comes back after one lease, not after many.
+#[test]
+fn a_lost_worker_costs_its_jobs_one_lease() {
+    let mut cluster = Cluster::with_workers(6);
+    let ids: Vec<_> = (0..6).map(|n| cluster.submit(n, vec![step(8)])).collect();
+    cluster.advance(Duration::from_millis(400));
+    cluster.workers.get_mut(&worker(1)).unwrap().fault.is_silent = true;
+    cluster.advance(Duration::from_millis(7_500));
+    for id in ids {
+        assert_eq!(cluster.phase(id), Some(JobPhase::Completed), "{id}");
+    }
+    assert_eq!(cluster.doubled, []);
+}
--- /dev/null
+++ b/crates/geraniumshed-core/tests/planner/main.rs
@@ -0,0 +1,7 @@
+//! The planner over modelled workers and a modelled store, without network and clock.
+
+mod fixture;
+mod leases;
+mod loads;
+mod rules;
+mod takeover;
--- /dev/null
+++ b/crates/geraniumshed-core/tests/planner/rules.rs
@@ -0,0 +1,196 @@
+//! What may start, when, and where.
+
+use std::time::Duration;
+
+use geraniumshed_core::assignment::CancelOutcome;
+use geraniumshed_core::job::{JobPhase, StepRequest};
+use rstest::rstest;
+
+use crate::fixture::{Cluster, WorkerFault, size, step, task, worker};
+
+#[test]
+fn a_step_starts_after_all_tasks_of_those_before_it() {
+    let mut cluster = Cluster::with_workers(4);
+    let second = StepRequest {
+        after: vec![0],
+        ..step(3)
+    };
+    let id = cluster.submit(1, vec![step(5), second]);
+    cluster.advance(Duration::from_millis(900));
+    assert!(cluster.starts.iter().all(|start| start.task.step == 0));
+    cluster.advance(Duration::from_millis(1_600));
+    let started = cluster.starts.iter().filter(|start| start.task.step == 1);
+    assert_eq!(started.count(), 3);
+    assert_eq!(cluster.phase(id), Some(JobPhase::Completed));
+}
+
+#[test]
+fn nothing_is_ordered_before_its_placement_is_stored() {
+    let mut cluster = Cluster::with_workers(2);
+    cluster.store_is_up = false;
+    cluster.submit(1, vec![step(2)]);
+    cluster.advance(Duration::from_secs(3));
+    assert_eq!(cluster.starts, []);
+    cluster.store_is_up = true;
+    cluster.advance(Duration::from_millis(100));
+    assert_eq!(cluster.starts.len(), 2);
+}
+
+#[test]
+fn an_end_is_acknowledged_and_shown_only_once_it_is_stored() {
+    let mut cluster = Cluster::with_workers(2);
+    let id = cluster.submit(1, vec![step(1)]);
+    cluster.advance(Duration::from_millis(500));
+    cluster.store_is_up = false;
+    cluster.advance(Duration::from_secs(2));
+    assert!(cluster.noted.is_empty());
+    assert_eq!(cluster.phase(id), Some(JobPhase::Running));
+    cluster.store_is_up = true;
+    cluster.advance(Duration::from_secs(1));
+    assert!(cluster.noted.contains(&(task(id, 0, 0), 1)));
+    assert_eq!(cluster.phase(id), Some(JobPhase::Completed));
+}
+
+#[test]
+fn a_repeated_cancellation_is_acknowledged_only_once_it_is_stored() {
+    let mut cluster = Cluster::with_workers(2);
+    let id = cluster.submit(1, vec![step(1)]);
+    cluster.advance(Duration::from_millis(300));
+    cluster.store_is_up = false;
+    for _ in 0..2 {
+        let outcome = cluster.planner.cancel(cluster.moment(), id);
+        assert!(matches!(outcome, CancelOutcome::StoredBy(_)), "{outcome:?}");
+        cluster.advance(Duration::from_millis(50));
+    }
+    cluster.store_is_up = true;
+    cluster.advance(Duration::from_millis(50));
+    let outcome = cluster.planner.cancel(cluster.moment(), id);
+    assert_eq!(outcome, CancelOutcome::AlreadyEnded);
+}
+
+#[test]
+fn a_cancelled_job_is_stopped_and_never_starts_again() {
+    let mut cluster = Cluster::with_workers(2);
+    let lasting = StepRequest {
+        is_long_running: true,
+        ..step(4)
+    };
+    let id = cluster.submit(1, vec![lasting]);
+    cluster.advance(Duration::from_millis(500));
+    cluster.planner.cancel(cluster.moment(), id);
+    cluster.advance(Duration::from_secs(3));
+    assert_eq!(cluster.starts.len(), 4);
+    assert_eq!(
+        cluster.running_on(&worker(0)) + cluster.running_on(&worker(1)),
+        0
+    );
+    assert_eq!(cluster.phase(id), Some(JobPhase::Cancelled));
+}
+
+#[rstest]
+#[case::processors(size(10_000, 1), 3)]
+#[case::memory(size(1_000, 50), 2)]
+fn a_worker_never_holds_more_than_its_size(
+    #[case] size: geraniumshed_model::prelude::ResourceSize,
+    #[case] fitting: usize,
+) {
+    let mut cluster = Cluster::with_workers(1);
+    let large = StepRequest { size, ..step(10) };
+    cluster.submit(1, vec![large]);
+    cluster.advance(Duration::from_millis(500));
+    assert_eq!(cluster.running_on(&worker(0)), fitting);
+}
+
+#[test]
+fn a_limit_by_worker_and_a_required_label_hold() {
+    let mut cluster = Cluster::with_workers(3);
+    cluster.workers.get_mut(&worker(2)).unwrap().listing.labels = vec!["b".into()];
+    cluster.list_workers();
+    let limited = StepRequest {
+        worker_limit: Some(1),
+        required_label: Some("a".into()),
+        ..step(6)
+    };
+    cluster.submit(1, vec![limited]);
+    cluster.advance(Duration::from_millis(500));
+    let counts: Vec<usize> = (0..3).map(|n| cluster.running_on(&worker(n))).collect();
+    assert_eq!(counts, [1, 1, 0]);
+}
+
+#[test]
+fn a_task_that_fails_too_often_fails_its_job() {
+    let mut cluster = Cluster::with_workers(8);
+    for one in cluster.workers.values_mut() {
+        one.fault.fails = true;
+    }
+    let id = cluster.submit(1, vec![step(1)]);
+    cluster.advance(Duration::from_secs(20));
+    assert_eq!(cluster.starts_of(task(id, 0, 0)).len(), 3);
+    assert_eq!(cluster.phase(id), Some(JobPhase::Failed));
+}
+
+#[test]
+fn a_gang_starts_whole_or_not_at_all() {
+    let mut cluster = Cluster::with_workers(2);
+    let gang = |count| StepRequest {
+        is_gang: true,
+        size: size(16_000, 1),
+        ..step(count)
+    };
+    cluster.submit(1, vec![gang(5)]);
+    cluster.advance(Duration::from_millis(500));
+    assert_eq!(cluster.starts, []);
+    cluster.submit(2, vec![gang(4)]);
+    cluster.advance(Duration::from_millis(500));
+    assert_eq!(cluster.starts.len(), 4);
+}
+
+#[test]
+fn a_draining_worker_gets_nothing_new() {
+    let mut cluster = Cluster::with_workers(2);
+    cluster
+        .workers
+        .get_mut(&worker(0))
+        .unwrap()
+        .listing
+        .is_draining = true;
+    cluster.list_workers();
+    cluster.submit(1, vec![step(4)]);
+    cluster.advance(Duration::from_millis(500));
+    assert_eq!(cluster.running_on(&worker(0)), 0);
+    assert_eq!(cluster.running_on(&worker(1)), 4);
+}
+
+#[test]
+fn a_stalled_task_goes_on_elsewhere() {
+    let mut cluster = Cluster::with_workers(2);
+    for one in cluster.workers.values_mut() {
+        one.fault.stalls = true;
+    }
+    let id = cluster.submit(1, vec![step(1)]);
+    cluster.advance(Duration::from_millis(300));
+    let first = cluster.starts[0].worker.clone();
+    for (id, one) in &mut cluster.workers {
+        one.fault.stalls = *id == first;
+    }
+    cluster.advance(Duration::from_secs(5));
+    let starts = cluster.starts_of(task(id, 0, 0));
+    assert_eq!(starts.len(), 2);
+    assert_ne!(starts[1].worker, first);
+    assert_eq!(cluster.phase(id), Some(JobPhase::Completed));
+}
+
+#[test]
+fn a_start_that_is_carried_out_late_never_doubles_a_task() {
+    let mut cluster = Cluster::with_workers(3);
+    let late = WorkerFault {
+        late_starts: Some(Duration::from_secs(3)),
+        ..WorkerFault::default()
+    };
+    cluster.workers.get_mut(&worker(0)).unwrap().fault = late;
+    let id = cluster.submit(1, vec![step(12)]);
+    cluster.advance(Duration::from_secs(9));
+    assert_eq!(cluster.doubled, []);
+    assert_eq!(cluster.phase(id), Some(JobPhase::Completed));
+    assert!(cluster.starts.iter().all(|start| start.worker != worker(0)));
+}
--- /dev/null
+++ b/crates/geraniumshed-core/tests/planner/takeover.rs
@@ -0,0 +1,91 @@
+//! What a successor makes of the jobs that an earlier planner left.
+
+use std::time::Duration;
+
+use geraniumshed_core::job::{JobPhase, StepRequest};
+use rstest::rstest;
+
+use crate::fixture::{Cluster, step, task};
+
+#[test]
+fn running_tasks_are_adopted_and_not_started_again() {
+    let mut cluster = Cluster::with_workers(4);
+    let id = cluster.submit(1, vec![step(8)]);
+    cluster.advance(Duration::from_millis(500));
+    cluster.replace_planner();
+    cluster.advance(Duration::from_secs(2));
+    assert_eq!(cluster.starts.len(), 8);
+    assert_eq!(cluster.phase(id), Some(JobPhase::Completed));
+}
+
+/// Replaces the planner at many moments of a job of two steps; no moment may double a task.
+#[rstest]
+fn no_moment_of_a_takeover_doubles_or_loses_a_task(#[values(false, true)] store_fails: bool) {
+    for moment in 0..40 {
+        let mut cluster = Cluster::with_workers(4);
+        let second = StepRequest {
+            after: vec![0],
+            ..step(3)
+        };
+        let id = cluster.submit(1, vec![step(6), second]);
+        let before = Duration::from_millis(60 * moment);
+        cluster.advance(before / 2);
+        cluster.store_is_up = !store_fails;
+        cluster.advance(before / 2);
+        cluster.store_is_up = true;
+        cluster.replace_planner();
+        cluster.advance(Duration::from_secs(6));
+        assert_eq!(cluster.doubled, [], "after {before:?}");
+        assert_eq!(
+            cluster.phase(id),
+            Some(JobPhase::Completed),
+            "after {before:?}"
+        );
+        for start in &cluster.starts {
+            let runs = cluster.starts_of(start.task);
+            let noted = runs
+                .iter()
+                .filter(|one| cluster.noted.contains(&(one.task, one.run)));
+            assert!(noted.count() <= 1, "{:?} after {before:?}", start.task);
+        }
+    }
+}
+
+#[test]
+fn a_silent_workers_tasks_wait_for_the_longest_lease_of_an_earlier_planner() {
+    let mut cluster = Cluster::with_workers(2);
+    let long = StepRequest {
+        estimate: Duration::from_secs(60),
+        ..step(1)
+    };
+    let id = cluster.submit(1, vec![long]);
+    cluster.advance(Duration::from_millis(500));
+    let silent = cluster.starts[0].worker.clone();
+    cluster.workers.get_mut(&silent).unwrap().fault.is_silent = true;
+    cluster.replace_planner();
+    cluster.advance(Duration::from_millis(5_900));
+    assert_eq!(cluster.starts.len(), 1);
+    cluster.advance(Duration::from_secs(2));
+    assert_eq!(cluster.starts_of(task(id, 0, 0)).len(), 2);
+    assert_eq!(cluster.doubled, []);
+}
+
+#[test]
+fn a_worker_that_answers_once_and_falls_silent_keeps_the_longest_lease() {
+    // An earlier planner may have granted the longest lease, whatever the first answer shows.
+    let mut cluster = Cluster::with_workers(2);
+    let long = StepRequest {
+        estimate: Duration::from_secs(60),
+        ..step(1)
+    };
+    cluster.submit(1, vec![long]);
+    cluster.advance(Duration::from_millis(500));
+    let silent = cluster.starts[0].worker.clone();
+    cluster.replace_planner();
+    cluster.advance(Duration::from_millis(20));
+    cluster.workers.get_mut(&silent).unwrap().fault.is_silent = true;
+    cluster.advance(Duration::from_millis(4_000));
+    assert_eq!(cluster.starts.len(), 1);
+    cluster.advance(Duration::from_secs(4));
+    assert_eq!(cluster.doubled, []);
+}
