Probe distrusted workers beside their lasting tasks, and spare a slow store repeats of appends

Change: one task at a time shows whether a distrusted worker works; a node's append of jobs has 1.5 s; tasks of harmful images wait 8 s while under half of the processors are in use.

Two tests fail without the change.

--- a/crates/geraniumshed-batch/src/intake.rs
+++ b/crates/geraniumshed-batch/src/intake.rs
@@ -13,6 +13,10 @@
 /// The jobs that one append stores at most.
 const APPEND_JOBS: usize = 200;
 
+/// The shortest time after which an append counts as lost. Meanwhile, jobs are stored by way of
+/// other nodes, so that a repeat would only add to the load of a slow store.
+const SHORTEST_LIMIT: Duration = Duration::from_millis(1500);
+
 /// A job that waits to be stored.
 #[derive(Debug)]
 struct WaitingJob {
@@ -66,7 +70,7 @@
         }
         let records = waiting.iter().map(|job| job.record.clone()).collect();
         let started = Instant::now();
-        let limit = answer_time.limit();
+        let limit = answer_time.limit().max(SHORTEST_LIMIT);
         let appended = store
             .append(REQUESTS, records, AppendCondition::None, limit)
             .await;
--- a/crates/geraniumshed-batch/src/member.rs
+++ b/crates/geraniumshed-batch/src/member.rs
@@ -247,7 +247,7 @@
     {
         let mut view = shared.view();
         view.handle = None;
-        view.is_leading = false
+        view.is_leading = false;
     };
     log::warn!("not leading any more in term {term}: {reason:?}");
     if reason == LeaderEnd::Resigned {
--- a/crates/geraniumshed-batch/src/store.rs
+++ b/crates/geraniumshed-batch/src/store.rs
@@ -189,7 +189,7 @@
     /// The multiple of the usual time after which an answer counts as lost.
     const PATIENCE: u32 = 4;
     /// The shortest time after which an answer counts as lost.
-    const SHORTEST: Duration = Duration::from_millis(350);
+    const SHORTEST: Duration = Duration::from_millis(500);
     /// The longest time after which an answer counts as lost.
     const LONGEST: Duration = Duration::from_secs(2);
 
--- a/crates/geraniumshed-core/src/assignment/placing.rs
+++ b/crates/geraniumshed-core/src/assignment/placing.rs
@@ -4,7 +4,7 @@
 
 use super::action::{PlannerAction, PlannerMoment};
 use super::ledger::GatedStart;
-use super::placement::PlacementQuery;
+use super::placement::{PlacementQuery, idle_processors};
 use super::planner::JobPlanner;
 use crate::job::{
     JobEntry, JobId, JobPhase, Occurrence, QueuePolicy, ServiceName, StepRequest, TaskEntry,
@@ -16,6 +16,8 @@
 
 /// The age up to which a job waits for workers that its image doesn't disturb, in milliseconds.
 const PATIENCE_MS: u64 = 45_000;
+/// The same while most of the workers' room is free.
+const IDLE_PATIENCE_MS: u64 = 8_000;
 
 /// The place of a step among all steps whose turn has come; the smallest goes first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -166,7 +168,12 @@
     ) -> Option<WorkerId> {
         let job = self.jobs.get(&key.job)?;
         let task = job.task(key)?;
-        let is_patient = now.unix_ms < job.request.submitted_unix_ms + PATIENCE_MS;
+        let patience_ms = if self.is_mostly_idle(service) {
+            IDLE_PATIENCE_MS
+        } else {
+            PATIENCE_MS
+        };
+        let is_patient = now.unix_ms < job.request.submitted_unix_ms + patience_ms;
         let now = now.point;
         let query = PlacementQuery {
             service,
@@ -189,6 +196,17 @@
         query.choose(self.workers.values())
     }
 
+    /// Tells whether under half of the processors of a service's workers are in use.
+    fn is_mostly_idle(&self, service: &ServiceName) -> bool {
+        let workers = self.workers.values();
+        let own = workers.filter(|one| one.is_listed && one.listing.service == *service);
+        let (idle, capacity) = own.fold((0, 0), |(idle, capacity), one| {
+            let room = i64::from(one.listing.capacity.processors.0);
+            (idle + idle_processors(one), capacity + room)
+        });
+        idle * 2 > capacity
+    }
+
     fn has_history(&self, key: TaskKey) -> bool {
         let task = self.jobs.get(&key.job).and_then(|job| job.task(key));
         task.is_some_and(|task| !task.avoided.is_empty())
--- a/crates/geraniumshed-core/src/assignment/worker_events.rs
+++ b/crates/geraniumshed-core/src/assignment/worker_events.rs
@@ -285,6 +285,10 @@
             run.percent = report.percent;
             run.progressed_at = now;
         }
+        if run.is_long_running && run.percent >= WHOLE_PERCENT && entry.trust.is_probe(report.task)
+        {
+            entry.trust.succeeded();
+        }
         run.tail_latency = report.tail_latency;
         run.processors_used = report.processors_used;
         let job = self.jobs.get_mut(&report.task.job);
--- a/crates/geraniumshed-core/src/worker/entry.rs
+++ b/crates/geraniumshed-core/src/worker/entry.rs
@@ -108,8 +108,7 @@
             && self.is_adopted
             && self.silent_calls == 0
             && !self.listing.is_draining
-            && !self.trust.is_paused(now)
-            && (!self.trust.is_on_probe() || self.runs.is_empty())
+            && self.trust.takes_task(now)
     }
 
     /// Returns what is free for new tasks.
@@ -120,6 +119,7 @@
     /// Adds a run.
     pub fn add_run(&mut self, task: TaskKey, run: RunEntry) {
         self.reserved = self.reserved.plus(&run.reserved);
+        self.trust.got_task(task);
         self.runs.insert(task, run);
     }
 
@@ -132,6 +132,7 @@
             None
         }?;
         self.reserved = self.reserved.minus(&run.reserved);
+        self.trust.lost_task(task);
         Some(run)
     }
 
--- a/crates/geraniumshed-core/src/worker/trust.rs
+++ b/crates/geraniumshed-core/src/worker/trust.rs
@@ -4,7 +4,7 @@
 
 use geraniumshed_model::prelude::TimePoint;
 
-use crate::job::JobId;
+use crate::job::{JobId, TaskKey};
 
 /// The number of jobs that have to fail in a row before a worker gets no more tasks.
 const FAILED_JOBS_LIMIT: usize = 2;
@@ -20,6 +20,8 @@
     failed_jobs: Vec<JobId>,
     paused_until: Option<TimePoint>,
     next_pause: Option<Duration>,
+    /// The single task that shows whether the worker works again.
+    probe: Option<TaskKey>,
 }
 
 impl WorkerTrust {
@@ -33,8 +35,8 @@
         if !self.failed_jobs.contains(&job) {
             self.failed_jobs.push(job);
         }
-        let is_probe = self.next_pause.is_some();
-        if self.failed_jobs.len() < FAILED_JOBS_LIMIT && !is_probe {
+        let is_on_probe = self.next_pause.is_some();
+        if self.failed_jobs.len() < FAILED_JOBS_LIMIT && !is_on_probe {
             return false;
         }
         self.pause(now);
@@ -56,8 +58,27 @@
         self.paused_until.is_some_and(|until| now < until)
     }
 
-    /// Tells whether the worker may get a single task only, which shows whether it works again.
-    pub fn is_on_probe(&self) -> bool {
-        self.next_pause.is_some()
+    /// Tells whether the worker may get a task now.
+    ///
+    /// After a pause it gets a single task, which shows whether it works again.
+    pub fn takes_task(&self, now: TimePoint) -> bool {
+        !self.is_paused(now) && (self.next_pause.is_none() || self.probe.is_none())
+    }
+
+    /// Takes note that the worker got a task.
+    pub fn got_task(&mut self, task: TaskKey) {
+        if self.next_pause.is_some() {
+            self.probe = Some(task);
+        }
+    }
+
+    /// Tells whether a task is the one that shows whether the worker works again.
+    pub fn is_probe(&self, task: TaskKey) -> bool {
+        self.probe == Some(task)
+    }
+
+    /// Takes note that a task has left the worker without showing anything.
+    pub fn lost_task(&mut self, task: TaskKey) {
+        self.probe = self.probe.filter(|probe| *probe != task);
     }
 }
--- a/crates/geraniumshed-core/tests/planner/leases.rs
+++ b/crates/geraniumshed-core/tests/planner/leases.rs
@@ -9,7 +9,7 @@
 /// Hands in a job of one long task and returns the worker that runs it.
 fn with_long_task(cluster: &mut Cluster) -> geraniumshed_core::job::WorkerId {
     let long = StepRequest {
-        estimate: Duration::from_secs(60),
+        estimate: Duration::from_mins(1),
         ..step(1)
     };
     cluster.submit(1, vec![long]);
--- a/crates/geraniumshed-core/tests/planner/loads.rs
+++ b/crates/geraniumshed-core/tests/planner/loads.rs
@@ -55,6 +55,27 @@
     }
 }
 
+/// Pattern: noisy neighbours everywhere. Where each worker serves an image that a run disturbs, the
+/// run still starts while most of the room is free.
+#[test]
+fn a_disturbing_run_starts_all_the_same_while_most_room_is_free() {
+    let mut cluster = Cluster::with_workers(4);
+    let pair = (SmolStr::new("calls"), SmolStr::new("noisy"));
+    cluster.tails.insert(pair, Duration::from_millis(120));
+    let spread = StepRequest {
+        worker_limit: Some(1),
+        ..lasting("calls", 4)
+    };
+    cluster.submit(1, vec![spread]);
+    cluster.advance(Duration::from_secs(3));
+    cluster.submit(2, vec![best_effort("noisy", 4)]);
+    cluster.advance(Duration::from_secs(3));
+    let before = cluster.starts.len();
+    cluster.submit(3, vec![best_effort("noisy", 4)]);
+    cluster.advance(Duration::from_secs(9));
+    assert!(cluster.starts.len() > before);
+}
+
 /// Pattern: images kept apart. Tasks with a latency target don't mix images while workers are free.
 #[test]
 fn served_images_share_no_worker_while_there_is_room() {
@@ -109,6 +130,25 @@
     }
 }
 
+/// Pattern: recovered black hole. A worker that failed two jobs and runs a lasting task gets tasks
+/// again once it works.
+#[test]
+fn a_worker_that_works_again_is_found_out_beside_its_lasting_tasks() {
+    let mut cluster = Cluster::with_workers(1);
+    let serving = cluster.submit(1, vec![lasting("calls", 1)]);
+    cluster.advance(Duration::from_secs(1));
+    cluster.workers.get_mut(&worker(0)).unwrap().fault.fails = true;
+    cluster.submit(2, vec![step(1)]);
+    cluster.submit(3, vec![step(1)]);
+    cluster.advance(Duration::from_millis(1_500));
+    cluster.workers.get_mut(&worker(0)).unwrap().fault.fails = false;
+    let id = cluster.submit(4, vec![lasting("calls", 4)]);
+    cluster.advance(Duration::from_secs(8));
+    assert_eq!(cluster.phase(serving), Some(JobPhase::Running));
+    let started = cluster.starts.iter().filter(|one| one.task.job == id);
+    assert_eq!(started.count(), 4);
+}
+
 /// Pattern: lost worker. Work of a silent worker comes back after one lease, not after many.
 #[test]
 fn a_lost_worker_costs_its_jobs_one_lease() {
--- a/crates/geraniumshed-core/tests/planner/takeover.rs
+++ b/crates/geraniumshed-core/tests/planner/takeover.rs
@@ -5,7 +5,7 @@
 use geraniumshed_core::job::{JobPhase, StepRequest};
 use rstest::rstest;
 
-use crate::fixture::{Cluster, step, task};
+use crate::fixture::{Cluster, STEP, step, task};
 
 #[test]
 fn running_tasks_are_adopted_and_not_started_again() {
@@ -55,7 +55,7 @@
 fn a_silent_workers_tasks_wait_for_the_longest_lease_of_an_earlier_planner() {
     let mut cluster = Cluster::with_workers(2);
     let long = StepRequest {
-        estimate: Duration::from_secs(60),
+        estimate: Duration::from_mins(1),
         ..step(1)
     };
     let id = cluster.submit(1, vec![long]);
@@ -75,16 +75,16 @@
     // An earlier planner may have granted the longest lease, whatever the first answer shows.
     let mut cluster = Cluster::with_workers(2);
     let long = StepRequest {
-        estimate: Duration::from_secs(60),
+        estimate: Duration::from_mins(1),
         ..step(1)
     };
     cluster.submit(1, vec![long]);
     cluster.advance(Duration::from_millis(500));
     let silent = cluster.starts[0].worker.clone();
     cluster.replace_planner();
-    cluster.advance(Duration::from_millis(20));
+    cluster.advance(STEP);
     cluster.workers.get_mut(&silent).unwrap().fault.is_silent = true;
-    cluster.advance(Duration::from_millis(4_000));
+    cluster.advance(Duration::from_secs(4));
     assert_eq!(cluster.starts.len(), 1);
     cluster.advance(Duration::from_secs(4));
     assert_eq!(cluster.doubled, []);
