--- a/crates/geraniumshed-batch/src/member.rs
+++ b/crates/geraniumshed-batch/src/member.rs
@@ -123,6 +123,7 @@
     let beat = BeatWire {
         member: MemberWire::from(shared.settings.identity.clone()),
         config_version: shared.config_version().0,
+        processors: shared.settings.processors.0,
         is_stopping: shared.is_stopping(),
     };
     let answer = shared
--- a/crates/geraniumshed-batch/src/node.rs
+++ b/crates/geraniumshed-batch/src/node.rs
@@ -1,5 +1,6 @@
 //! A node: the part of a daemon that handles batch jobs.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
@@ -9,7 +10,7 @@
 
 use geraniumshed_core::assignment::PlannerSettings;
 use geraniumshed_core::membership::{LeaderRecord, MemberIdentity};
-use geraniumshed_model::prelude::TimePoint;
+use geraniumshed_model::prelude::{ProcessorShare, TimePoint};
 use tokio::sync::Notify;
 
 use crate::clock::NodeClock;
@@ -33,7 +34,9 @@
 pub struct NodeSettings {
     /// This process.
     pub identity: MemberIdentity,
-    /// The order in which nodes of a new cluster claim to lead; the lowest goes first.
+    /// The processors of the entry VM, by which nodes of a new cluster and successors are ranked.
+    pub processors: ProcessorShare,
+    /// The place among nodes of a new cluster; the lowest claims to lead first.
     pub first_rank: u32,
     /// The planner's settings.
     pub planner: PlannerSettings,
@@ -46,6 +49,7 @@
     pub(crate) heard_at: TimePoint,
     pub(crate) first_heard_at: TimePoint,
     pub(crate) is_stopping: bool,
+    pub(crate) processors: ProcessorShare,
 }
 
 /// What this process knows of the others.
@@ -66,13 +70,14 @@
 impl MemberView {
     /// Returns the live members that may lead next, the best first.
     ///
-    /// The member that was heard of last goes first: in a rolling restart it has its restart
-    /// behind it.
+    /// Members on large VMs go first, since planning takes more processor time than all else. Of
+    /// equal ones the member that was heard of last goes first: in a rolling restart it has its
+    /// restart behind it.
     pub(crate) fn successors(&self, now: TimePoint) -> Vec<&HeardMember> {
         let is_live =
             |one: &&HeardMember| !one.is_stopping && now.since(one.heard_at) < MEMBER_MEMORY;
         let mut members: Vec<&HeardMember> = self.heard.values().filter(is_live).collect();
-        members.sort_by_key(|one| std::cmp::Reverse(one.first_heard_at));
+        members.sort_by_key(|one| Reverse((one.processors, one.first_heard_at)));
         members
     }
 }
--- a/crates/geraniumshed-batch/src/service.rs
+++ b/crates/geraniumshed-batch/src/service.rs
@@ -7,6 +7,7 @@
 use geraniumshed_core::assignment::{CancelOutcome, JobStatus};
 use geraniumshed_core::job::{JobId, JobPhase, JobRequest, QueueName};
 use geraniumshed_core::membership::MemberIdentity;
+use geraniumshed_model::prelude::ProcessorShare;
 use tarpc::context::Context;
 use tokio::sync::oneshot;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
@@ -350,6 +351,7 @@
             heard_at: now,
             first_heard_at,
             is_stopping: beat.is_stopping,
+            processors: ProcessorShare(beat.processors),
         };
         view.heard.insert(member.address, heard);
         let successors = view.successors(now);
--- a/crates/geraniumshed-batch/src/wire/peer.rs
+++ b/crates/geraniumshed-batch/src/wire/peer.rs
@@ -13,6 +13,8 @@
     pub member: MemberWire,
     /// The version of the configuration that the sender has in force.
     pub config_version: u64,
+    /// The processors of the sender's VM, in thousandths of one.
+    pub processors: u32,
     /// Whether the sender is about to stop.
     pub is_stopping: bool,
 }
--- a/crates/geraniumshed-batch/tests/support/mod.rs
+++ b/crates/geraniumshed-batch/tests/support/mod.rs
@@ -74,6 +74,7 @@
                     incarnation: u64::from(index) + 1,
                     address: SocketAddr::from(([127, 0, 0, 1], first_port + index)),
                 },
+                processors: ProcessorShare(100),
                 first_rank: u32::from(index),
                 planner: PlannerSettings::default(),
             };
--- a/crates/geraniumshed-core/src/membership/election.rs
+++ b/crates/geraniumshed-core/src/membership/election.rs
@@ -72,6 +72,8 @@
 
 impl LeaderElection {
     /// Creates the election of a member that knows no leader.
+    ///
+    /// Members of lower rank let those of higher rank go first.
     pub fn new(own: MemberIdentity, now: TimePoint, rank: u32) -> Self {
         Self {
             own,
@@ -80,7 +82,7 @@
             suspicion: Suspicion::None,
             rank,
             next: ElectionMove::ReadRecord,
-            next_at: now,
+            next_at: now + RANK_PAUSE * rank,
         }
     }
 
