Give slowed runs their speed back when those that they disturbed have gone

Cause: found while reading: a worker without any tail left kept its best-effort runs at the speed that they had, at worst standing still for good.

Change: no tail counts as nothing to protect. The test fails without the change.

--- a/crates/geraniumshed-core/src/assignment/mod.rs
+++ b/crates/geraniumshed-core/src/assignment/mod.rs
@@ -13,6 +13,7 @@
 mod placing;
 mod planner;
 mod settings;
+mod upkeep;
 mod worker_events;
 
 pub use action::{
--- a/crates/geraniumshed-core/src/assignment/pacing.rs
+++ b/crates/geraniumshed-core/src/assignment/pacing.rs
@@ -56,9 +56,6 @@
     now: TimePoint,
 ) -> PacePlan {
     let readings = tail_readings(worker, now);
-    if readings.is_empty() {
-        return PacePlan::default();
-    }
     learn(worker, &readings, table, now);
     let is_above = readings.iter().any(|one| one.ratio > 1.0);
     worker.tails_above_since = worker.tails_above_since.or(Some(now)).filter(|_| is_above);
--- a/crates/geraniumshed-core/src/assignment/worker_events.rs
+++ b/crates/geraniumshed-core/src/assignment/worker_events.rs
@@ -11,18 +11,15 @@
 use super::pacing::pace_worker;
 use super::placing::run_entry;
 use super::planner::JobPlanner;
+use super::upkeep::WHOLE_PERCENT;
 use crate::job::{JobEntry, ServiceName, TaskKey, TaskPhase, WorkerId};
 use crate::worker::{
-    FenceToken, HoldMark, HoldReply, HoldRequest, RunPhase, RunReport, StartReply, StopOrder,
-    WorkerCall, WorkerEntry, WorkerFailure, WorkerLife, WorkerListing,
+    FenceToken, HoldMark, HoldReply, HoldRequest, RunPhase, RunReport, StartReply, WorkerCall,
+    WorkerEntry, WorkerFailure, WorkerLife, WorkerListing,
 };
 
 /// What the lease of an earlier planner may exceed its length by on a slow clock.
 const LAPSE_MARGIN: Duration = Duration::from_millis(300);
-/// The time after its start in which a long-running task has to be at work.
-const STARTUP_LIMIT: Duration = Duration::from_secs(3);
-/// The processors' part of a whole task that is done.
-const WHOLE_PERCENT: u32 = 100;
 
 impl JobPlanner {
     /// Replaces the list of registered workers.
@@ -124,7 +121,7 @@
     }
 
     /// Asks a worker at once for its runs, with a token above that of all orders on their way.
-    fn ask_anew(&mut self, worker: &WorkerId) {
+    pub(super) fn ask_anew(&mut self, worker: &WorkerId) {
         if let Some(entry) = self.workers.get_mut(worker) {
             entry.raise_token();
             entry.hold = None;
@@ -372,141 +369,6 @@
         self.finish_run(now, worker, key, run, RunFate::Lost(reason), None);
     }
 
-    /// Gives up the runs of workers whose leases have run out.
-    pub(super) fn release_lapsed(&mut self, now: PlannerMoment) {
-        let is_lapsed = |entry: &WorkerEntry| {
-            entry.lapses_at < now.point && (entry.silent_calls > 0 || !entry.is_listed)
-        };
-        let lapsed: Vec<WorkerId> = self
-            .workers
-            .values()
-            .filter(|entry| is_lapsed(entry) && (!entry.runs.is_empty() || !entry.is_listed))
-            .map(|entry| entry.id().clone())
-            .collect();
-        for worker in lapsed {
-            self.release_worker(now, &worker, "lease ran out");
-        }
-    }
-
-    fn release_worker(&mut self, now: PlannerMoment, worker: &WorkerId, reason: &'static str) {
-        let Some(entry) = self.workers.get(worker) else {
-            return;
-        };
-        let is_listed = entry.is_listed;
-        let runs: Vec<(TaskKey, u32)> = entry
-            .runs
-            .iter()
-            .map(|(key, run)| (*key, run.run))
-            .collect();
-        let note = PlannerNote::WorkerLapsed(worker.clone());
-        self.actions.push(PlannerAction::Note(note));
-        for (key, run) in runs {
-            self.drop_run(now, worker, key, run, reason);
-        }
-        if is_listed {
-            self.ask_anew(worker);
-        } else {
-            self.workers.remove(worker);
-        }
-    }
-
-    /// Stops a run.
-    pub(super) fn stop_run(&mut self, now: TimePoint, worker: &WorkerId, key: TaskKey) {
-        let Some(run) = self
-            .workers
-            .get_mut(worker)
-            .and_then(|entry| entry.runs.get_mut(&key))
-        else {
-            return;
-        };
-        if run.is_stopping() {
-            return;
-        }
-        run.stop_sent_at = Some(now);
-        match run.phase {
-            RunPhase::Running(_) => self.send_stop(now, worker, key),
-            // The order was not sent yet, or its answer decides whether there is something to stop.
-            RunPhase::Storing | RunPhase::Ordered(_) | RunPhase::Unsettled(_) => {}
-        }
-    }
-
-    fn send_stop(&mut self, now: TimePoint, worker: &WorkerId, key: TaskKey) {
-        let Some(entry) = self.workers.get_mut(worker) else {
-            return;
-        };
-        let Some(run) = entry.runs.get_mut(&key) else {
-            return;
-        };
-        run.stop_sent_at = Some(now);
-        let body = StopOrder {
-            task: key,
-            run: run.run,
-        };
-        self.actions.push(PlannerAction::Stop(WorkerCall {
-            worker: worker.clone(),
-            address: entry.listing.address,
-            token: entry.token,
-            body,
-        }));
-    }
-
-    /// Repeats stops without effect, and stops runs that make no progress.
-    pub(super) fn watch_runs(&mut self, now: PlannerMoment) {
-        let mut repeated = Vec::new();
-        let mut stalled = Vec::new();
-        for (id, entry) in &self.workers {
-            for (key, run) in &entry.runs {
-                let RunPhase::Running(since) = run.phase else {
-                    continue;
-                };
-                if let Some(sent_at) = run.stop_sent_at {
-                    if now.point.since(sent_at) > self.settings.stop_retry {
-                        repeated.push((id.clone(), *key));
-                    }
-                    continue;
-                }
-                let limit = if run.is_long_running {
-                    STARTUP_LIMIT
-                } else {
-                    self.settings.stall_limit + run.estimate / 20
-                };
-                let is_working = run.is_long_running && run.percent >= WHOLE_PERCENT;
-                let is_paced = run.pace_percent < WHOLE_PERCENT;
-                let last = run.progressed_at.max(since);
-                if !is_working
-                    && !is_paced
-                    && entry.silent_calls == 0
-                    && now.point.since(last) > limit
-                {
-                    stalled.push((id.clone(), *key));
-                }
-            }
-        }
-        for (worker, key) in repeated {
-            self.send_stop(now.point, &worker, key);
-        }
-        for (worker, key) in stalled {
-            self.give_up_stalled(now, &worker, key);
-        }
-    }
-
-    fn give_up_stalled(&mut self, now: PlannerMoment, worker: &WorkerId, key: TaskKey) {
-        if let Some(task) = self
-            .jobs
-            .get_mut(&key.job)
-            .and_then(|job| job.task_mut(key))
-        {
-            task.avoided.push(worker.clone());
-        }
-        if let Some(entry) = self.workers.get_mut(worker)
-            && entry.trust.failed(key.job, now.point)
-        {
-            let note = PlannerNote::WorkerPaused(worker.clone());
-            self.actions.push(PlannerAction::Note(note));
-        }
-        self.stop_run(now.point, worker, key);
-    }
-
     /// Protects tail latencies on a worker.
     fn pace(&mut self, now: TimePoint, worker: &WorkerId) {
         let Some(entry) = self.workers.get_mut(worker) else {
--- a/crates/geraniumshed-core/tests/planner/fixture.rs
+++ b/crates/geraniumshed-core/tests/planner/fixture.rs
@@ -121,6 +121,8 @@
     pub tails: BTreeMap<(SmolStr, SmolStr), Duration>,
     /// The runs of one task that were at work at the same time on workers that are up.
     pub doubled: Vec<TaskKey>,
+    /// The newest speed of each run that was ever changed, in percent.
+    pub paces: BTreeMap<TaskKey, u32>,
     waiting: Vec<(u64, Vec<StoreChange>)>,
     length_of: fn(&StepRequest) -> Duration,
 }
@@ -139,6 +141,7 @@
             requests: BTreeMap::new(),
             tails: BTreeMap::new(),
             doubled: Vec::new(),
+            paces: BTreeMap::new(),
             waiting: Vec::new(),
             length_of: |step| step.estimate,
         };
@@ -273,7 +276,10 @@
                 }
             }
             PlannerAction::Hold(call, mark) => self.hold(&call.worker, mark, &call.body),
-            PlannerAction::Pace(_) | PlannerAction::Note(_) => {}
+            PlannerAction::Pace(call) => {
+                self.paces.insert(call.body.task, call.body.percent);
+            }
+            PlannerAction::Note(_) => {}
         }
     }
 
--- a/crates/geraniumshed-core/tests/planner/loads.rs
+++ b/crates/geraniumshed-core/tests/planner/loads.rs
@@ -76,6 +76,27 @@
     assert!(cluster.starts.len() > before);
 }
 
+/// Pattern: noisy neighbours that leave. A slowed run gets its speed back once nobody is disturbed.
+#[test]
+fn a_slowed_run_speeds_up_when_those_that_it_disturbed_have_gone() {
+    let mut cluster = Cluster::with_workers(1);
+    let pair = (SmolStr::new("calls"), SmolStr::new("noisy"));
+    cluster.tails.insert(pair, Duration::from_millis(120));
+    let calls = cluster.submit(1, vec![lasting("calls", 1)]);
+    cluster.advance(Duration::from_secs(3));
+    let long = StepRequest {
+        estimate: Duration::from_mins(1),
+        ..best_effort("noisy", 1)
+    };
+    cluster.submit(2, vec![long]);
+    cluster.advance(Duration::from_secs(25));
+    assert!(cluster.paces.values().any(|percent| *percent < 100));
+    cluster.planner.cancel(cluster.moment(), calls);
+    cluster.advance(Duration::from_secs(3));
+    let slowed = cluster.paces.iter().filter(|(task, _)| task.job.0 == 2);
+    assert!(slowed.clone().all(|(_, percent)| *percent == 100));
+}
+
 /// Pattern: images kept apart. Tasks with a latency target don't mix images while workers are free.
 #[test]
 fn served_images_share_no_worker_while_there_is_room() {
