--- a/crates/geraniumshed-core/src/assignment/settings.rs
+++ b/crates/geraniumshed-core/src/assignment/settings.rs
@@ -13,6 +13,8 @@
     pub hold_wait: Duration,
     /// The same for a worker whose runs have a latency target.
     pub watched_hold_wait: Duration,
+    /// The longest pause before a renewal while ends wait to be stored.
+    pub storing_hold_pause: Duration,
     /// The pause before an unanswered renewal is repeated.
     pub hold_retry: Duration,
     /// The pause before an unanswered stop is repeated.
@@ -30,6 +32,7 @@
             lease: Duration::from_millis(4500),
             hold_wait: Duration::from_secs(1),
             watched_hold_wait: Duration::from_millis(700),
+            storing_hold_pause: Duration::from_millis(400),
             hold_retry: Duration::from_millis(150),
             stop_retry: Duration::from_millis(400),
             stall_limit: Duration::from_millis(1800),
--- a/crates/geraniumshed-core/src/assignment/upkeep.rs
+++ b/crates/geraniumshed-core/src/assignment/upkeep.rs
@@ -121,11 +121,9 @@
                 let is_working = run.is_long_running && run.percent >= WHOLE_PERCENT;
                 let is_paced = run.pace_percent < WHOLE_PERCENT;
                 let last = run.progressed_at.max(since);
-                if !is_working
-                    && !is_paced
-                    && entry.silent_calls == 0
-                    && now.point.since(last) > limit
-                {
+                // Only a reading shows whether a run has stalled, not the time since the last one.
+                let still_since = entry.read_at.since(last);
+                if !is_working && !is_paced && still_since > limit {
                     stalled.push((id.clone(), *key));
                 }
             }
--- a/crates/geraniumshed-core/src/assignment/worker_events.rs
+++ b/crates/geraniumshed-core/src/assignment/worker_events.rs
@@ -156,6 +156,7 @@
         if is_newest {
             entry.hold = None;
             entry.next_hold_at = now.point;
+            entry.read_at = now.point;
         }
         if entry.life.is_some() && reply.life.is_some() && entry.life != reply.life {
             self.begin_life(now, worker, reply.life.unwrap_or_default());
@@ -176,10 +177,21 @@
         self.take_running(now, worker, &reply.running);
         if is_newest {
             self.settle_missing(now, worker, mark, &reply.running);
+            self.put_off_hold(now.point, worker);
         }
         self.pace(now.point, worker);
     }
 
+    /// Lets the next renewal wait for ends to be stored, since the worker answers at once as long as
+    /// it lists any. A store that takes long must not keep the lease from being renewed.
+    fn put_off_hold(&mut self, now: TimePoint, worker: &WorkerId) {
+        let pause = self.settings.storing_hold_pause;
+        let entry = self.workers.get_mut(worker);
+        if let Some(entry) = entry.filter(|entry| !entry.storing_ends.is_empty()) {
+            entry.next_hold_at = now + pause;
+        }
+    }
+
     /// Takes note that a renewal got no usable answer.
     pub fn hold_failed(
         &mut self,
@@ -392,8 +404,7 @@
     pub(super) fn send_holds(&mut self, now: TimePoint) {
         for (id, entry) in &mut self.workers {
             let is_due = entry.hold.is_none() && entry.next_hold_at <= now;
-            // Ends that aren't stored yet would make the worker answer at once.
-            if !is_due || !entry.storing_ends.is_empty() || !entry.has_address() {
+            if !is_due || !entry.has_address() {
                 continue;
             }
             let is_quick = entry.silent_calls > 0 || !entry.is_adopted || entry.has_unsettled();
--- a/crates/geraniumshed-core/src/worker/entry.rs
+++ b/crates/geraniumshed-core/src/worker/entry.rs
@@ -54,6 +54,8 @@
     pub seen_end: u64,
     /// Ends that wait for a batch to be stored, by the batch's number.
     pub storing_ends: VecDeque<(u64, u64)>,
+    /// When the worker's runs were last read.
+    pub read_at: TimePoint,
     /// The renewal on its way.
     pub hold: Option<HoldMark>,
     /// When the next renewal goes out at the latest.
@@ -88,6 +90,7 @@
             stored_end: 0,
             seen_end: 0,
             storing_ends: VecDeque::new(),
+            read_at: TimePoint::default(),
             hold: None,
             next_hold_at: TimePoint::default(),
             tails_settle_at: TimePoint::default(),
--- a/crates/geraniumshed-core/tests/planner/leases.rs
+++ b/crates/geraniumshed-core/tests/planner/leases.rs
@@ -58,6 +58,27 @@
     assert_eq!(cluster.starts.len(), 2);
 }
 
+#[test]
+fn ends_that_wait_for_the_store_keep_no_lease_from_being_renewed() {
+    // With the store away, workers with unstored ends got no renewals: their other tasks lapsed, or
+    // were stopped as stalled.
+    let mut cluster = Cluster::with_workers(2);
+    let long = StepRequest {
+        estimate: Duration::from_secs(30),
+        ..step(4)
+    };
+    let id = cluster.submit(1, vec![long]);
+    cluster.submit(2, vec![step(8)]);
+    cluster.advance(Duration::from_millis(500));
+    cluster.store_is_up = false;
+    cluster.advance(Duration::from_secs(15));
+    cluster.store_is_up = true;
+    cluster.advance(Duration::from_secs(18));
+    let starts = cluster.starts.iter().filter(|start| start.task.job == id);
+    assert_eq!(starts.count(), 4);
+    assert_eq!(cluster.phase(id), Some(JobPhase::Completed));
+}
+
 #[test]
 fn a_store_outage_keeps_running_tasks_alive() {
     let mut cluster = Cluster::with_workers(2);
