--- a/crates/geraniumshed-batch/src/leader/mod.rs
+++ b/crates/geraniumshed-batch/src/leader/mod.rs
@@ -10,4 +10,4 @@
 pub use event::LeaderHandle;
 pub(crate) use event::LeaderQuery;
 pub(crate) use load::{TakeOver, claim, take_over};
-pub(crate) use run::{LeaderContext, LeaderEnd, LeaderHandleOutpaced, run};
+pub(crate) use run::{LeaderContext, LeaderEnd, StoreQuestion, run};
--- a/crates/geraniumshed-batch/src/leader/run.rs
+++ b/crates/geraniumshed-batch/src/leader/run.rs
@@ -59,7 +59,7 @@
     term: LeaderTerm,
     found: TakeOver,
     queues: BTreeMap<QueueName, QueuePolicy>,
-    silence: mpsc::UnboundedSender<LeaderHandleOutpaced>,
+    silence: mpsc::UnboundedSender<StoreQuestion>,
 ) -> (LeaderHandle, oneshot::Receiver<LeaderEnd>)
 where
     S: StoreClient,
@@ -102,9 +102,11 @@
     (handle, end)
 }
 
-/// Asks whether other nodes reach the store; the answer goes to [`LeaderHandle::outpace`].
+/// The leader's question whether other nodes reach the store, which doesn't answer here.
+///
+/// If one does, [`LeaderHandle::outpace`] is called on the handle.
 #[derive(Debug, Clone)]
-pub(crate) struct LeaderHandleOutpaced(pub(crate) LeaderHandle);
+pub(crate) struct StoreQuestion(pub(crate) LeaderHandle);
 
 impl LeaderHandle {
     /// Tells the leader that another node reaches the store while it doesn't.
@@ -121,7 +123,7 @@
     planner: JobPlanner,
     batches: mpsc::UnboundedSender<StoreBatch>,
     waiting: WaitingSince,
-    silence: mpsc::UnboundedSender<LeaderHandleOutpaced>,
+    silence: mpsc::UnboundedSender<StoreQuestion>,
     /// When other nodes were last asked whether they reach the store.
     asked_at: Option<Instant>,
     stored: u64,
@@ -223,7 +225,7 @@
         }
         self.asked_at = Some(now);
         log::warn!("the store has left an append unanswered; asking other nodes");
-        let question = LeaderHandleOutpaced(self.handle.clone());
+        let question = StoreQuestion(self.handle.clone());
         if self.silence.send(question).is_err() {
             log::debug!("the node is stopping");
         }
--- a/crates/geraniumshed-batch/src/member.rs
+++ b/crates/geraniumshed-batch/src/member.rs
@@ -10,7 +10,7 @@
 use smol_str::{SmolStr, ToSmolStr};
 use tokio::sync::{mpsc, oneshot};
 
-use crate::leader::{self, LeaderEnd, LeaderHandleOutpaced, claim, take_over};
+use crate::leader::{self, LeaderEnd, StoreQuestion, claim, take_over};
 use crate::node::NodeShared;
 use crate::peer::PeerFailure;
 use crate::site::{SiteFeed, WorkerCaller};
@@ -32,6 +32,8 @@
 const SUCCEED_LIMIT: Duration = Duration::from_millis(300);
 /// The pause after the store could not be used to take over.
 const TAKE_OVER_RETRY: Duration = Duration::from_millis(100);
+/// The rank of a member that led until now, so that others go first.
+const FORMER_LEADER_RANK: u32 = 3;
 /// The attempts to take over before another node may try.
 const TAKE_OVER_ATTEMPTS: u32 = 5;
 
@@ -92,7 +94,7 @@
                         begin_leading(&shared, &record);
                         lead(&shared, record.term).await;
                         shared.view().is_leading = false;
-                        election.leader_resigned(clock.now(), u32::from(shared.is_stopping()) + 3);
+                        election.leader_resigned(clock.now(), FORMER_LEADER_RANK);
                     }
                     Err(error) => {
                         log::info!("the claim to lead does not hold: {error}");
@@ -298,13 +300,13 @@
 /// Asks peers whether they reach the store, and lets the leader resign if one does.
 async fn answer_questions<S, F, W>(
     shared: Arc<NodeShared<S, F, W>>,
-    mut questions: mpsc::UnboundedReceiver<LeaderHandleOutpaced>,
+    mut questions: mpsc::UnboundedReceiver<StoreQuestion>,
 ) where
     S: StoreClient,
     F: SiteFeed,
     W: WorkerCaller,
 {
-    while let Some(LeaderHandleOutpaced(handle)) = questions.recv().await {
+    while let Some(StoreQuestion(handle)) = questions.recv().await {
         if first_with_store(&shared).await.is_some() {
             log::warn!("another node reaches the store, which doesn't answer here");
             handle.outpace();
