Let nodes that the store refuses learn of the leader and the configuration from others

The store refused two daemons for 9 s, one of them the leader, which resigned. Both then only tried to read the new leader's record, and got no configuration for 8.7 s.

Change: heartbeats tell the newest claim that the answering node knows; a node whose store doesn't answer asks all nodes that it knows of.

The test fails without the change.

--- a/crates/geraniumshed-batch/src/member.rs
+++ b/crates/geraniumshed-batch/src/member.rs
@@ -20,6 +20,8 @@
 
 /// The time within which a heartbeat has to be answered.
 const BEAT_LIMIT: Duration = Duration::from_millis(400);
+/// The time within which a peer has to answer who leads.
+const PEER_BEAT_LIMIT: Duration = Duration::from_millis(250);
 /// The time for which the store keeps a silent leader in the group.
 const MEMBER_LIFETIME: Duration = Duration::from_secs(1);
 /// The time between two renewals of the leader's membership.
@@ -77,7 +79,7 @@
                 }
                 Err(error) => {
                     log::debug!("the leader's record can't be read: {error}");
-                    election.store_failed(clock.now());
+                    follow_by_peers(&shared, &mut election).await;
                 }
             },
             ElectionMove::CheckMembership => check_membership(&shared, &mut election).await,
@@ -122,15 +124,9 @@
         election.beat_answered(clock.now(), BeatVerdict::NotLeading, None);
         return;
     }
-    let beat = BeatWire {
-        member: MemberWire::from(shared.settings.identity.clone()),
-        config_version: shared.config_version().0,
-        processors: shared.settings.processors.0,
-        is_stopping: shared.is_stopping(),
-    };
     let answer = shared
         .pool
-        .beat(record.member.address, beat, BEAT_LIMIT)
+        .beat(record.member.address, own_beat(shared), BEAT_LIMIT)
         .await;
     let verdict = judge_beat(&record, &answer);
     if verdict != BeatVerdict::Leading {
@@ -139,8 +135,55 @@
     let rank = answer.as_ref().ok().and_then(|reply| reply.rank);
     election.beat_answered(clock.now(), verdict, rank);
     if let (BeatVerdict::Leading, Ok(reply)) = (verdict, answer) {
-        take_news(shared, &record, reply).await;
+        let peers = reply.peers.into_iter().map(MemberIdentity::from).collect();
+        shared.view().peers = peers;
+        take_config(shared, &record.member, reply.config_version).await;
+    }
+}
+
+fn own_beat<S, F, W>(shared: &Arc<NodeShared<S, F, W>>) -> BeatWire
+where
+    S: StoreClient,
+    F: SiteFeed,
+    W: WorkerCaller,
+{
+    BeatWire {
+        member: MemberWire::from(shared.settings.identity.clone()),
+        config_version: shared.config_version().0,
+        processors: shared.settings.processors.0,
+        is_stopping: shared.is_stopping(),
+    }
+}
+
+/// Looks for a newer leader among other nodes, since the store doesn't answer here.
+async fn follow_by_peers<S, F, W>(shared: &Arc<NodeShared<S, F, W>>, election: &mut LeaderElection)
+where
+    S: StoreClient,
+    F: SiteFeed,
+    W: WorkerCaller,
+{
+    let clock = shared.clock();
+    let mut members = shared.view().peers.clone();
+    members.extend(successors(shared));
+    members.retain(|member| member.address != shared.settings.identity.address);
+    for member in members {
+        let answer = shared
+            .pool
+            .beat(member.address, own_beat(shared), PEER_BEAT_LIMIT)
+            .await;
+        let Ok(reply) = answer else {
+            continue;
+        };
+        take_config(shared, &member, reply.config_version).await;
+        let record = reply.leader.map(LeaderRecord::from);
+        let known = election.known().map(|record| record.term);
+        if record.as_ref().map(|record| record.term) > known {
+            election.record_read(clock.now(), record);
+            shared.view().leader = election.known().cloned();
+            return;
+        }
     }
+    election.store_failed(clock.now());
 }
 
 fn judge_beat(record: &LeaderRecord, answer: &Result<BeatReplyWire, PeerFailure>) -> BeatVerdict {
@@ -152,28 +195,26 @@
     }
 }
 
-/// Takes in what the leader told along with its answer.
-async fn take_news<S, F, W>(
+/// Reads a node's configuration if it is newer than the one in force.
+async fn take_config<S, F, W>(
     shared: &Arc<NodeShared<S, F, W>>,
-    record: &LeaderRecord,
-    reply: BeatReplyWire,
+    member: &MemberIdentity,
+    version: u64,
 ) where
     S: StoreClient,
     F: SiteFeed,
     W: WorkerCaller,
 {
-    let peers = reply.peers.into_iter().map(MemberIdentity::from).collect();
-    shared.view().peers = peers;
-    if reply.config_version <= shared.config_version().0 {
+    if version <= shared.config_version().0 {
         return;
     }
-    match shared.pool.config(record.member.address, BEAT_LIMIT).await {
+    match shared.pool.config(member.address, BEAT_LIMIT).await {
         Ok(source) => {
             if let Some(config) = shared.context.feed.decode(&source) {
                 shared.apply_config(config);
             }
         }
-        Err(error) => log::debug!("the leader's configuration can't be read: {error:?}"),
+        Err(error) => log::debug!("the configuration of {member} can't be read: {error:?}"),
     }
 }
 
--- a/crates/geraniumshed-batch/src/service.rs
+++ b/crates/geraniumshed-batch/src/service.rs
@@ -20,7 +20,8 @@
 use crate::store::{StoreClient, StoreError};
 use crate::topic::LEADERS;
 use crate::wire::{
-    BeatReplyWire, BeatWire, JobAnswerWire, JobCallWire, JobRequestWire, MemberWire, NodePeer,
+    BeatReplyWire, BeatWire, JobAnswerWire, JobCallWire, JobRequestWire, LeaderWire, MemberWire,
+    NodePeer,
 };
 
 /// The time within which a peer answers a call that was passed on.
@@ -363,6 +364,7 @@
         BeatReplyWire {
             incarnation: shared.settings.identity.incarnation,
             is_leading: view.is_leading,
+            leader: view.leader.clone().map(LeaderWire::from),
             rank: rank.and_then(|rank| u32::try_from(rank).ok()),
             peers,
             config_version,
--- a/crates/geraniumshed-batch/src/wire/leader.rs
+++ b/crates/geraniumshed-batch/src/wire/leader.rs
@@ -1,8 +1,8 @@
-//! The stored form of a member.
+//! The forms of a member and of a claim to lead.
 
 use std::net::SocketAddr;
 
-use geraniumshed_core::membership::MemberIdentity;
+use geraniumshed_core::membership::{LeaderRecord, LeaderTerm, MemberIdentity};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
@@ -14,6 +14,31 @@
     address: SocketAddr,
 }
 
+/// The newest claim to lead that a node knows, as it is sent.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaderWire {
+    term: u64,
+    member: MemberWire,
+}
+
+impl From<LeaderRecord> for LeaderWire {
+    fn from(record: LeaderRecord) -> Self {
+        Self {
+            term: record.term.0,
+            member: record.member.into(),
+        }
+    }
+}
+
+impl From<LeaderWire> for LeaderRecord {
+    fn from(wire: LeaderWire) -> Self {
+        Self {
+            term: LeaderTerm(wire.term),
+            member: wire.member.into(),
+        }
+    }
+}
+
 impl From<MemberIdentity> for MemberWire {
     fn from(member: MemberIdentity) -> Self {
         Self {
--- a/crates/geraniumshed-batch/src/wire/mod.rs
+++ b/crates/geraniumshed-batch/src/wire/mod.rs
@@ -10,6 +10,6 @@
 pub use call::{JobAnswerWire, JobCallWire, JobPhaseWire};
 pub use codec::{WireDecodeError, decode, encode};
 pub use image::JobImageWire;
-pub use leader::MemberWire;
+pub use leader::{LeaderWire, MemberWire};
 pub use peer::{BeatReplyWire, BeatWire, NodePeer, NodePeerClient};
 pub use request::JobRequestWire;
--- a/crates/geraniumshed-batch/src/wire/peer.rs
+++ b/crates/geraniumshed-batch/src/wire/peer.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::call::{JobAnswerWire, JobCallWire};
-use super::leader::MemberWire;
+use super::leader::{LeaderWire, MemberWire};
 
 /// A heartbeat to the leader.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -26,6 +26,8 @@
     pub incarnation: u64,
     /// Whether the process leads.
     pub is_leading: bool,
+    /// The newest claim to lead that the process knows.
+    pub leader: Option<LeaderWire>,
     /// The sender's rank among those who may follow the leader, if it is one of them.
     pub rank: Option<u32>,
     /// The members that the leader hears of.
--- a/crates/geraniumshed-batch/tests/nodes.rs
+++ b/crates/geraniumshed-batch/tests/nodes.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use geraniumshed_batch::CallOutcome;
+use geraniumshed_batch::{BatchNode, CallOutcome};
 use geraniumshed_core::job::{JobId, JobPhase};
 use support::{Site, deadline, job};
 
@@ -71,6 +71,26 @@
     }
 }
 
+#[tokio::test]
+async fn a_node_that_the_store_refuses_learns_of_a_new_leader_from_others() {
+    let site = Site::open();
+    let nodes = site.spawn_nodes(3, 21_200).await;
+    let id = JobId(50);
+    nodes[0].service().submit(id, &job(1), deadline()).await;
+    support::wait_for(async || site.start_count() == 1).await;
+    // Heartbeats tell each node of all others before the store refuses one of them.
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    let leader = nodes.iter().position(BatchNode::is_leading).unwrap();
+    let refused = (leader + 1) % nodes.len();
+    site.refuse(Some(refused));
+    nodes[leader].begin_stop();
+    let service = nodes[refused].service();
+    let completed = CallOutcome::Status(JobPhase::Completed);
+    support::wait_for(async || service.status(id, deadline()).await == completed).await;
+    let other = nodes.iter().position(BatchNode::is_leading);
+    assert_eq!(other, Some((leader + 2) % nodes.len()));
+}
+
 #[tokio::test]
 async fn a_job_that_no_node_can_store_is_refused_at_once() {
     let site = Site::open();
