--- a/crates/geraniumshed-batch/src/leader/calls.rs
+++ b/crates/geraniumshed-batch/src/leader/calls.rs
@@ -41,11 +41,11 @@
                 }
             });
         }
-        PlannerAction::Hold(call, mark) => {
+        PlannerAction::Renew(call, mark) => {
             tokio::spawn(async move {
                 let worker = call.worker.clone();
-                let outcome = caller.hold(call).await;
-                handle.send(LeaderEvent::HoldAnswered(worker, mark, outcome));
+                let outcome = caller.renew(call).await;
+                handle.send(LeaderEvent::RenewAnswered(worker, mark, outcome));
             });
         }
         PlannerAction::Note(note) => write_note(&note),
--- a/crates/geraniumshed-batch/src/leader/event.rs
+++ b/crates/geraniumshed-batch/src/leader/event.rs
@@ -4,10 +4,10 @@
 
 use geraniumshed_core::assignment::{CancelOutcome, JobStatus};
 use geraniumshed_core::job::{JobId, JobRequest, QueueName, QueuePolicy, TaskKey, WorkerId};
-use geraniumshed_core::worker::{HoldMark, StartReply, WorkerFailure, WorkerListing};
+use geraniumshed_core::worker::{RenewMark, StartReply, WorkerFailure, WorkerListing};
 use tokio::sync::{mpsc, oneshot};
 
-use crate::site::HoldOutcome;
+use crate::site::RenewOutcome;
 
 /// Something that happened.
 #[derive(Debug)]
@@ -21,7 +21,7 @@
     /// The order to stop a run was answered.
     StopAnswered(WorkerId, Result<(), WorkerFailure>),
     /// A renewal was answered.
-    HoldAnswered(WorkerId, HoldMark, HoldOutcome),
+    RenewAnswered(WorkerId, RenewMark, RenewOutcome),
     /// All batches up to a number are stored.
     Stored(u64),
     /// A later leader has taken over.
--- a/crates/geraniumshed-batch/src/leader/run.rs
+++ b/crates/geraniumshed-batch/src/leader/run.rs
@@ -15,7 +15,7 @@
 use super::load::TakeOver;
 use super::writer::{BatchWriter, WaitingSince};
 use crate::clock::NodeClock;
-use crate::site::{HoldOutcome, SiteFeed, WorkerCaller};
+use crate::site::{RenewOutcome, SiteFeed, WorkerCaller};
 use crate::store::StoreClient;
 
 /// The time between two appends, in which changes gather.
@@ -244,18 +244,18 @@
                 self.planner.start_answered(now, &worker, task, run, reply);
             }
             LeaderEvent::StopAnswered(worker, reply) => self.planner.stop_answered(&worker, reply),
-            LeaderEvent::HoldAnswered(worker, mark, outcome) => match outcome {
-                HoldOutcome::Answered(reply) => {
-                    self.planner.hold_answered(now, &worker, mark, reply);
+            LeaderEvent::RenewAnswered(worker, mark, outcome) => match outcome {
+                RenewOutcome::Answered(reply) => {
+                    self.planner.renewal_answered(now, &worker, mark, reply);
                 }
-                HoldOutcome::OtherWorker => self.planner.hold_failed(now, &worker, mark, true),
-                HoldOutcome::Failed(_) => self.planner.hold_failed(now, &worker, mark, false),
-                HoldOutcome::Fenced => {
+                RenewOutcome::OtherWorker => self.planner.renewal_failed(now, &worker, mark, true),
+                RenewOutcome::Failed(_) => self.planner.renewal_failed(now, &worker, mark, false),
+                RenewOutcome::Fenced => {
                     if self.planner.is_newest_token(&worker, mark) {
                         log::warn!("worker {worker} has seen the token of a later leader");
                         return Some(LeaderEnd::Deposed);
                     }
-                    self.planner.hold_failed(now, &worker, mark, false);
+                    self.planner.renewal_failed(now, &worker, mark, false);
                 }
             },
             LeaderEvent::Stored(number) => self.batch_stored(number),
--- a/crates/geraniumshed-batch/src/site.rs
+++ b/crates/geraniumshed-batch/src/site.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use geraniumshed_core::job::{QueueName, QueuePolicy};
 use geraniumshed_core::worker::{
-    HoldReply, HoldRequest, PaceOrder, StartOrder, StartReply, StopOrder, WorkerCall,
+    PaceOrder, RenewReply, RenewRequest, StartOrder, StartReply, StopOrder, WorkerCall,
     WorkerFailure, WorkerListing,
 };
 use geraniumshed_model::prelude::LogOffset;
@@ -16,9 +16,9 @@
 
 /// What became of a renewal.
 #[derive(Debug, Clone, PartialEq)]
-pub enum HoldOutcome {
+pub enum RenewOutcome {
     /// The worker answered.
-    Answered(HoldReply),
+    Answered(RenewReply),
     /// Another worker answers at the address.
     OtherWorker,
     /// The worker refused the token: a later leader has called it.
@@ -48,7 +48,7 @@
     ) -> impl Future<Output = Result<(), WorkerFailure>> + Send;
 
     /// Renews a lease and reads the worker's runs.
-    fn hold(&self, call: WorkerCall<HoldRequest>) -> impl Future<Output = HoldOutcome> + Send;
+    fn renew(&self, call: WorkerCall<RenewRequest>) -> impl Future<Output = RenewOutcome> + Send;
 }
 
 /// The version of a configuration.
--- a/crates/geraniumshed-batch/tests/support/mod.rs
+++ b/crates/geraniumshed-batch/tests/support/mod.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use geraniumshed_batch::site::{
-    ConfigVersion, HoldOutcome, PublishedConfig, SiteConfig, SiteFeed, WorkerCaller,
+    ConfigVersion, PublishedConfig, RenewOutcome, SiteConfig, SiteFeed, WorkerCaller,
 };
 use geraniumshed_batch::store::{
     AppendCondition, KeyedRecord, NewestPage, ReadBatch, StoreClient, StoreError, TopicName,
@@ -17,7 +17,7 @@
 use geraniumshed_core::job::{JobRequest, QueueName, QueuePolicy, StepRequest, WorkerId};
 use geraniumshed_core::membership::MemberIdentity;
 use geraniumshed_core::worker::{
-    EndKind, HoldReply, HoldRequest, PaceOrder, RunEnd, StartOrder, StartReply, StopOrder,
+    EndKind, PaceOrder, RenewReply, RenewRequest, RunEnd, StartOrder, StartReply, StopOrder,
     WorkerCall, WorkerFailure, WorkerLife, WorkerListing, WorkerTime,
 };
 use geraniumshed_model::prelude::{
@@ -275,14 +275,14 @@
         Ok(())
     }
 
-    async fn hold(&self, call: WorkerCall<HoldRequest>) -> HoldOutcome {
+    async fn renew(&self, call: WorkerCall<RenewRequest>) -> RenewOutcome {
         tokio::time::sleep(Duration::from_millis(10)).await;
         let mut state = self.lock();
         let seen = call.body.last_stored_end;
         state.ended.retain(|end| end.number > seen);
         let ended = state.ended.clone();
         drop(state);
-        HoldOutcome::Answered(HoldReply {
+        RenewOutcome::Answered(RenewReply {
             clock: self.clock(),
             life: Some(WorkerLife(1)),
             running: Vec::new(),
--- a/crates/geraniumshed-core/src/assignment/action.rs
+++ b/crates/geraniumshed-core/src/assignment/action.rs
@@ -3,7 +3,7 @@
 use geraniumshed_model::prelude::TimePoint;
 
 use crate::job::{JobId, JobImage, JobPhase, TaskKey};
-use crate::worker::{HoldMark, HoldRequest, PaceOrder, StartOrder, StopOrder, WorkerCall};
+use crate::worker::{PaceOrder, RenewMark, RenewRequest, StartOrder, StopOrder, WorkerCall};
 
 /// The time of an event by both clocks.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -24,7 +24,7 @@
     /// Changes the speed of a run.
     Pace(WorkerCall<PaceOrder>),
     /// Renews a lease and reads the worker's runs.
-    Hold(WorkerCall<HoldRequest>, HoldMark),
+    Renew(WorkerCall<RenewRequest>, RenewMark),
     /// Tells of a decision that the log should explain.
     Note(PlannerNote),
 }
--- a/crates/geraniumshed-core/src/assignment/planner.rs
+++ b/crates/geraniumshed-core/src/assignment/planner.rs
@@ -15,7 +15,7 @@
     JobEntry, JobId, JobImage, JobPhase, JobRequest, QueueName, QueuePolicy, QueueTable, TaskPhase,
     WorkerId,
 };
-use crate::worker::{FenceToken, HoldMark, WorkerEntry};
+use crate::worker::{FenceToken, RenewMark, WorkerEntry};
 
 /// Starts, stops and paces all tasks.
 ///
@@ -134,7 +134,7 @@
     }
 
     /// Tells whether a renewal carried the newest token that this planner gave out for a worker.
-    pub fn is_newest_token(&self, worker: &WorkerId, mark: HoldMark) -> bool {
+    pub fn is_newest_token(&self, worker: &WorkerId, mark: RenewMark) -> bool {
         let entry = self.workers.get(worker);
         entry.is_some_and(|entry| entry.token == mark.token)
     }
@@ -179,7 +179,7 @@
             self.is_placing_due = false;
             self.place_tasks(now);
         }
-        self.send_holds(now.point);
+        self.send_renewals(now.point);
         if self.next_cleanup <= now.point {
             self.next_cleanup = now.point + CLEANUP_PAUSE;
             self.forget_old_jobs(now);
--- a/crates/geraniumshed-core/src/assignment/settings.rs
+++ b/crates/geraniumshed-core/src/assignment/settings.rs
@@ -10,13 +10,13 @@
     /// The lease that orders ask for.
     pub lease: Duration,
     /// How long a renewal may wait at a worker for a run to end.
-    pub hold_wait: Duration,
+    pub renewal_wait: Duration,
     /// The same for a worker whose runs have a latency target.
-    pub watched_hold_wait: Duration,
+    pub watched_renewal_wait: Duration,
     /// The longest pause before a renewal while ends wait to be stored.
-    pub storing_hold_pause: Duration,
+    pub storing_renewal_pause: Duration,
     /// The pause before an unanswered renewal is repeated.
-    pub hold_retry: Duration,
+    pub renewal_retry: Duration,
     /// The pause before an unanswered stop is repeated.
     pub stop_retry: Duration,
     /// The time without progress after which a run counts as stalled.
@@ -30,10 +30,10 @@
         Self {
             longest_lease: Duration::from_secs(6),
             lease: Duration::from_millis(4500),
-            hold_wait: Duration::from_secs(1),
-            watched_hold_wait: Duration::from_millis(700),
-            storing_hold_pause: Duration::from_millis(400),
-            hold_retry: Duration::from_millis(150),
+            renewal_wait: Duration::from_secs(1),
+            watched_renewal_wait: Duration::from_millis(700),
+            storing_renewal_pause: Duration::from_millis(400),
+            renewal_retry: Duration::from_millis(150),
             stop_retry: Duration::from_millis(400),
             stall_limit: Duration::from_millis(1800),
             memory: Duration::from_mins(4),
--- a/crates/geraniumshed-core/src/assignment/worker_events.rs
+++ b/crates/geraniumshed-core/src/assignment/worker_events.rs
@@ -14,7 +14,7 @@
 use super::upkeep::WHOLE_PERCENT;
 use crate::job::{JobEntry, ServiceName, TaskKey, TaskPhase, WorkerId};
 use crate::worker::{
-    FenceToken, HoldMark, HoldReply, HoldRequest, RunPhase, RunReport, StartReply, WorkerCall,
+    FenceToken, RenewMark, RenewReply, RenewRequest, RunPhase, RunReport, StartReply, WorkerCall,
     WorkerEntry, WorkerFailure, WorkerLife, WorkerListing,
 };
 
@@ -124,8 +124,8 @@
     pub(super) fn ask_anew(&mut self, worker: &WorkerId) {
         if let Some(entry) = self.workers.get_mut(worker) {
             entry.raise_token();
-            entry.hold = None;
-            entry.next_hold_at = TimePoint::default();
+            entry.renewal = None;
+            entry.next_renewal_at = TimePoint::default();
         }
     }
 
@@ -137,25 +137,25 @@
     }
 
     /// Takes the answer to a renewal.
-    pub fn hold_answered(
+    pub fn renewal_answered(
         &mut self,
         now: PlannerMoment,
         worker: &WorkerId,
-        mark: HoldMark,
-        reply: HoldReply,
+        mark: RenewMark,
+        reply: RenewReply,
     ) {
         let Some(entry) = self.workers.get_mut(worker) else {
             return;
         };
-        let is_newest = entry.hold == Some(mark);
+        let is_newest = entry.renewal == Some(mark);
         if let (Some(known), Some(life)) = (entry.life, reply.life)
             && life < known
         {
             return;
         }
         if is_newest {
-            entry.hold = None;
-            entry.next_hold_at = now.point;
+            entry.renewal = None;
+            entry.next_renewal_at = now.point;
             entry.read_at = now.point;
         }
         if entry.life.is_some() && reply.life.is_some() && entry.life != reply.life {
@@ -177,38 +177,38 @@
         self.take_running(now, worker, &reply.running);
         if is_newest {
             self.settle_missing(now, worker, mark, &reply.running);
-            self.put_off_hold(now.point, worker);
+            self.put_off_renewal(now.point, worker);
         }
         self.pace(now.point, worker);
     }
 
     /// Lets the next renewal wait for ends to be stored, since the worker answers at once as long as
     /// it lists any. A store that takes long must not keep the lease from being renewed.
-    fn put_off_hold(&mut self, now: TimePoint, worker: &WorkerId) {
-        let pause = self.settings.storing_hold_pause;
+    fn put_off_renewal(&mut self, now: TimePoint, worker: &WorkerId) {
+        let pause = self.settings.storing_renewal_pause;
         let entry = self.workers.get_mut(worker);
         if let Some(entry) = entry.filter(|entry| !entry.storing_ends.is_empty()) {
-            entry.next_hold_at = now + pause;
+            entry.next_renewal_at = now + pause;
         }
     }
 
     /// Takes note that a renewal got no usable answer.
-    pub fn hold_failed(
+    pub fn renewal_failed(
         &mut self,
         now: PlannerMoment,
         worker: &WorkerId,
-        mark: HoldMark,
+        mark: RenewMark,
         is_other_life: bool,
     ) {
         let Some(entry) = self.workers.get_mut(worker) else {
             return;
         };
-        if entry.hold != Some(mark) {
+        if entry.renewal != Some(mark) {
             return;
         }
-        entry.hold = None;
+        entry.renewal = None;
         entry.silent_calls += 1;
-        entry.next_hold_at = now.point + self.settings.hold_retry;
+        entry.next_renewal_at = now.point + self.settings.renewal_retry;
         if is_other_life {
             // Another worker answers at this address, so that this one has ended for good.
             entry.is_listed = false;
@@ -236,7 +236,7 @@
     }
 
     /// Processes the ends that the worker lists and that weren't processed before.
-    fn take_ends(&mut self, now: PlannerMoment, worker: &WorkerId, reply: &HoldReply) {
+    fn take_ends(&mut self, now: PlannerMoment, worker: &WorkerId, reply: &RenewReply) {
         for end in &reply.ended {
             let Some(entry) = self.workers.get_mut(worker) else {
                 return;
@@ -342,7 +342,7 @@
         &mut self,
         now: PlannerMoment,
         worker: &WorkerId,
-        mark: HoldMark,
+        mark: RenewMark,
         running: &[RunReport],
     ) {
         let Some(entry) = self.workers.get(worker) else {
@@ -401,9 +401,9 @@
     }
 
     /// Sends the renewals that are due.
-    pub(super) fn send_holds(&mut self, now: TimePoint) {
+    pub(super) fn send_renewals(&mut self, now: TimePoint) {
         for (id, entry) in &mut self.workers {
-            let is_due = entry.hold.is_none() && entry.next_hold_at <= now;
+            let is_due = entry.renewal.is_none() && entry.next_renewal_at <= now;
             if !is_due || !entry.has_address() {
                 continue;
             }
@@ -411,9 +411,9 @@
             let wait = if is_quick {
                 Duration::ZERO
             } else if entry.has_latency_target() {
-                self.settings.watched_hold_wait
+                self.settings.watched_renewal_wait
             } else {
-                self.settings.hold_wait
+                self.settings.renewal_wait
             };
             // Calls that may arrive without an answer would put off the end of a silent worker's lease.
             let deadline = if entry.silent_calls > 0 {
@@ -421,22 +421,22 @@
             } else {
                 entry.extend_lease(now, self.settings.lease)
             };
-            let mark = HoldMark {
+            let mark = RenewMark {
                 sent_at: now,
                 token: entry.token,
             };
-            entry.hold = Some(mark);
+            entry.renewal = Some(mark);
             let call = WorkerCall {
                 worker: id.clone(),
                 address: entry.listing.address,
                 token: entry.token,
-                body: HoldRequest {
+                body: RenewRequest {
                     last_stored_end: entry.stored_end,
                     deadline,
                     wait,
                 },
             };
-            self.actions.push(PlannerAction::Hold(call, mark));
+            self.actions.push(PlannerAction::Renew(call, mark));
         }
     }
 }
@@ -478,7 +478,7 @@
             }
             self.stored_end = end;
             self.storing_ends.pop_front();
-            self.next_hold_at = self.next_hold_at.min(now);
+            self.next_renewal_at = self.next_renewal_at.min(now);
         }
     }
 
--- a/crates/geraniumshed-core/src/worker/entry.rs
+++ b/crates/geraniumshed-core/src/worker/entry.rs
@@ -16,7 +16,7 @@
 
 /// A renewal that is on its way.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct HoldMark {
+pub struct RenewMark {
     /// When it was sent.
     pub sent_at: TimePoint,
     /// The token that it carries.
@@ -57,9 +57,9 @@
     /// When the worker's runs were last read.
     pub read_at: TimePoint,
     /// The renewal on its way.
-    pub hold: Option<HoldMark>,
+    pub renewal: Option<RenewMark>,
     /// When the next renewal goes out at the latest.
-    pub next_hold_at: TimePoint,
+    pub next_renewal_at: TimePoint,
     /// When the tails show what the best-effort runs there are doing now.
     ///
     /// Before, they may still show a run that was slowed down, has moved or has ended.
@@ -91,8 +91,8 @@
             seen_end: 0,
             storing_ends: VecDeque::new(),
             read_at: TimePoint::default(),
-            hold: None,
-            next_hold_at: TimePoint::default(),
+            renewal: None,
+            next_renewal_at: TimePoint::default(),
             tails_settle_at: TimePoint::default(),
             tails_above_since: None,
             ended_images: Vec::new(),
--- a/crates/geraniumshed-core/src/worker/message.rs
+++ b/crates/geraniumshed-core/src/worker/message.rs
@@ -71,7 +71,7 @@
 
 /// The renewal of a worker's lease, which reads the worker's runs as well.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct HoldRequest {
+pub struct RenewRequest {
     /// The newest end that is stored; the worker forgets it and those before it.
     pub last_stored_end: u64,
     /// The point of the worker's clock until which its tasks may run, if it is known.
@@ -112,7 +112,7 @@
 
 /// The answer to a renewal.
 #[derive(Debug, Clone, PartialEq)]
-pub struct HoldReply {
+pub struct RenewReply {
     /// The worker's clock.
     pub clock: WorkerTime,
     /// The worker's life, where the answer names it.
--- a/crates/geraniumshed-core/src/worker/mod.rs
+++ b/crates/geraniumshed-core/src/worker/mod.rs
@@ -8,10 +8,10 @@
 mod trust;
 
 pub use clock::{WorkerClock, WorkerTime};
-pub use entry::{HoldMark, WorkerEntry};
+pub use entry::{RenewMark, WorkerEntry};
 pub use listing::{WorkerLife, WorkerListing};
 pub use message::{
-    EndKind, FenceToken, HoldReply, HoldRequest, PaceOrder, RunEnd, RunReport, StartOrder,
+    EndKind, FenceToken, PaceOrder, RenewReply, RenewRequest, RunEnd, RunReport, StartOrder,
     StartReply, StopOrder, WorkerCall, WorkerFailure,
 };
 pub use run::{RunEntry, RunPhase};
--- a/crates/geraniumshed-core/tests/planner/fixture.rs
+++ b/crates/geraniumshed-core/tests/planner/fixture.rs
@@ -10,7 +10,7 @@
     JobId, JobImage, JobPhase, JobRequest, QueueName, QueuePolicy, StepRequest, TaskKey, WorkerId,
 };
 use geraniumshed_core::worker::{
-    EndKind, FenceToken, HoldMark, HoldReply, HoldRequest, RunEnd, RunReport, StartOrder,
+    EndKind, FenceToken, RenewMark, RenewReply, RenewRequest, RunEnd, RunReport, StartOrder,
     StartReply, WorkerFailure, WorkerLife, WorkerListing, WorkerTime,
 };
 use geraniumshed_model::prelude::{
@@ -275,7 +275,7 @@
                     worker.end(call.body.task, EndKind::Stopped);
                 }
             }
-            PlannerAction::Hold(call, mark) => self.hold(&call.worker, mark, &call.body),
+            PlannerAction::Renew(call, mark) => self.renew(&call.worker, mark, &call.body),
             PlannerAction::Pace(call) => {
                 self.paces.insert(call.body.task, call.body.percent);
             }
@@ -339,14 +339,14 @@
         StartReply::Started
     }
 
-    fn hold(&mut self, id: &WorkerId, mark: HoldMark, request: &HoldRequest) {
+    fn renew(&mut self, id: &WorkerId, mark: RenewMark, request: &RenewRequest) {
         let now = self.moment();
         let Some(worker) = self.workers.get_mut(id) else {
-            self.planner.hold_failed(now, id, mark, false);
+            self.planner.renewal_failed(now, id, mark, false);
             return;
         };
         if worker.fault.is_silent || mark.token < worker.token {
-            self.planner.hold_failed(now, id, mark, false);
+            self.planner.renewal_failed(now, id, mark, false);
             return;
         }
         worker.token = mark.token;
@@ -357,13 +357,13 @@
         let noted = worker.ended.iter().filter(|end| end.number <= seen);
         self.noted.extend(noted.map(|end| (end.task, end.run)));
         worker.ended.retain(|end| end.number > seen);
-        let reply = HoldReply {
+        let reply = RenewReply {
             clock: WorkerTime(self.now.0 / 1000),
             life: Some(worker.life),
             running: reports(worker, &self.requests, &self.tails, self.now),
             ended: worker.ended.clone(),
         };
-        self.planner.hold_answered(now, id, mark, reply);
+        self.planner.renewal_answered(now, id, mark, reply);
     }
 
     /// Lets runs end, leases lapse and late orders be carried out.
