Pursue a cancellation after its client has gone

A cancellation came just before the store went down; its client gave up, the leader was lost before it could store it, and the job went on.

--- a/crates/geraniumshed-batch/src/service.rs
+++ b/crates/geraniumshed-batch/src/service.rs
@@ -38,6 +38,8 @@
 const PASSED_LIMIT: Duration = Duration::from_millis(700);
 /// The time that a stored job may take to reach the leader.
 const ARRIVAL_LIMIT: Duration = Duration::from_millis(400);
+/// The time for which a cancellation is pursued.
+const CANCEL_LIMIT: Duration = Duration::from_secs(20);
 /// The number of peers that are tried when the store refuses this node.
 const RELAY_PEERS: usize = 2;
 
@@ -193,7 +195,21 @@
     }
 
     /// Cancels a job.
+    ///
+    /// The cancellation is pursued also after the client has gone, since a client that got no
+    /// answer may rely on it all the same.
     pub async fn cancel(&self, id: JobId, deadline: Instant) -> CallOutcome {
+        let service = self.clone();
+        let pursued = deadline.max(Instant::now() + CANCEL_LIMIT);
+        let pursuit = tokio::spawn(async move { service.pursue_cancel(id, pursued).await });
+        if let Ok(Ok(outcome)) = timeout_at(deadline - ANSWER_MARGIN, pursuit).await {
+            return outcome;
+        }
+        log::info!("job {id}: its cancellation goes on without its client");
+        CallOutcome::Undecided
+    }
+
+    async fn pursue_cancel(&self, id: JobId, deadline: Instant) -> CallOutcome {
         let started = Instant::now();
         loop {
             let outcome = self.ask_leader(JobCallWire::Cancel(id.0), deadline).await;
--- a/crates/geraniumshed-batch/tests/nodes.rs
+++ b/crates/geraniumshed-batch/tests/nodes.rs
@@ -91,6 +91,31 @@
     assert_eq!(other, Some((leader + 2) % nodes.len()));
 }
 
+#[tokio::test]
+async fn a_cancellation_outlives_its_client_and_the_leader() {
+    let site = Site::open();
+    let nodes = site.spawn_nodes(2, 21_220).await;
+    let id = JobId(60);
+    // It needs more than any worker has, so that it waits.
+    let mut waiting = job(1);
+    waiting.steps[0].size.processors.0 = 1_000_000;
+    nodes[0].service().submit(id, &waiting, deadline()).await;
+    let queued = CallOutcome::Status(JobPhase::Queued);
+    let first = nodes[0].service();
+    support::wait_for(async || first.status(id, deadline()).await == queued).await;
+    let leader = nodes.iter().position(BatchNode::is_leading).unwrap();
+    let other = 1 - leader;
+    let service = nodes[other].service();
+    site.refuse(Some(other));
+    nodes[leader].begin_stop();
+    support::wait_for(async || !nodes[leader].is_leading()).await;
+    let soon = tokio::time::Instant::now() + Duration::from_millis(400);
+    assert_eq!(service.cancel(id, soon).await, CallOutcome::Undecided);
+    site.refuse(None);
+    let cancelled = CallOutcome::Status(JobPhase::Cancelled);
+    support::wait_for(async || service.status(id, deadline()).await == cancelled).await;
+}
+
 #[tokio::test]
 async fn a_job_that_no_node_can_store_is_refused_at_once() {
     let site = Site::open();
