--- a/crates/geraniumshed-batch/src/clock.rs
+++ b/crates/geraniumshed-batch/src/clock.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use geraniumshed_core::assignment::PlannerMoment;
-use geraniumshed_model::prelude::TimePoint;
+use geraniumshed_model::prelude::{TimePoint, whole_millis};
 
 /// Reads the clocks of a process; its clones agree with each other.
 #[derive(Debug, Clone, Copy)]
@@ -39,5 +39,5 @@
 pub fn unix_millis() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
     let since = since.unwrap_or(Duration::ZERO);
-    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+    whole_millis(since)
 }
--- a/crates/geraniumshed-batch/src/wire/image.rs
+++ b/crates/geraniumshed-batch/src/wire/image.rs
@@ -1,18 +1,15 @@
 //! The stored form of a job's progress.
 
-use geraniumshed_core::job::{
-    JobImage, OccurrenceImage, PlacementImage, TaskImage, TaskStage, WorkerId,
-};
+use geraniumshed_core::job::{JobImage, OccurrenceImage, TaskImage, TaskStage, WorkerId};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
+use super::call::JobPhaseWire;
+
 /// How far a job is, as it is stored.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JobImageWire {
-    is_cancelled: bool,
-    has_failed: bool,
-    is_completed: bool,
-    has_started: bool,
+    phase: JobPhaseWire,
     ended_unix_ms: u64,
     ended_occurrences: u32,
     occurrences: Vec<OccurrenceWire>,
@@ -42,10 +39,7 @@
 impl From<JobImage> for JobImageWire {
     fn from(image: JobImage) -> Self {
         Self {
-            is_cancelled: image.is_cancelled,
-            has_failed: image.has_failed,
-            is_completed: image.is_completed,
-            has_started: image.has_started,
+            phase: image.phase.into(),
             ended_unix_ms: image.ended_unix_ms,
             ended_occurrences: image.ended_occurrences,
             occurrences: image
@@ -63,10 +57,7 @@
 impl From<JobImageWire> for JobImage {
     fn from(wire: JobImageWire) -> Self {
         Self {
-            is_cancelled: wire.is_cancelled,
-            has_failed: wire.has_failed,
-            is_completed: wire.is_completed,
-            has_started: wire.has_started,
+            phase: wire.phase.into(),
             ended_unix_ms: wire.ended_unix_ms,
             ended_occurrences: wire.ended_occurrences,
             occurrences: wire
@@ -85,7 +76,7 @@
     fn from(task: TaskImage) -> Self {
         let stage = match task.stage {
             TaskStage::Waiting => StageWire::Waiting,
-            TaskStage::Placed(placement) => StageWire::Placed(placement.worker.0),
+            TaskStage::Placed(worker) => StageWire::Placed(worker.0),
             TaskStage::Done => StageWire::Done,
         };
         Self {
@@ -101,9 +92,7 @@
     fn from(wire: TaskWire) -> Self {
         let stage = match wire.stage {
             StageWire::Waiting => TaskStage::Waiting,
-            StageWire::Placed(worker) => TaskStage::Placed(PlacementImage {
-                worker: WorkerId(worker),
-            }),
+            StageWire::Placed(worker) => TaskStage::Placed(WorkerId(worker)),
             StageWire::Done => TaskStage::Done,
         };
         Self {
--- a/crates/geraniumshed-batch/src/wire/request.rs
+++ b/crates/geraniumshed-batch/src/wire/request.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use geraniumshed_core::job::{JobRequest, QueueName, RepeatPlan, StepRequest};
-use geraniumshed_model::prelude::{AcceleratorCount, MemorySize, ProcessorShare, ResourceSize};
+use geraniumshed_model::prelude::{
+    AcceleratorCount, MemorySize, ProcessorShare, ResourceSize, whole_millis,
+};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
@@ -61,7 +63,7 @@
             steps: request.steps.iter().map(StepWire::from).collect(),
             repeat: request.repeat.map(|repeat| RepeatWire {
                 first_unix_ms: repeat.first_unix_ms,
-                interval_ms: as_millis(repeat.interval),
+                interval_ms: whole_millis(repeat.interval),
                 count: repeat.count,
             }),
             submitted_unix_ms: request.submitted_unix_ms,
@@ -97,7 +99,7 @@
             processors: step.size.processors.0,
             memory: step.size.memory.0,
             accelerators: step.size.accelerators.0,
-            estimate_ms: as_millis(step.estimate),
+            estimate_ms: whole_millis(step.estimate),
             after: step.after.clone(),
             flags: StepFlags {
                 has_checkpoints: step.has_checkpoints,
@@ -111,7 +113,7 @@
             data_rack: step.data_rack.clone(),
             worker_limit: step.worker_limit,
             image: step.image.clone(),
-            latency_target_ms: step.latency_target.map(as_millis),
+            latency_target_ms: step.latency_target.map(whole_millis),
             unavailable_limit: step.unavailable_limit,
         }
     }
@@ -143,7 +145,3 @@
         }
     }
 }
-
-fn as_millis(span: Duration) -> u64 {
-    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/geraniumshed-core/src/assignment/ends.rs
+++ b/crates/geraniumshed-core/src/assignment/ends.rs
@@ -7,13 +7,11 @@
 
 use super::action::{PlannerAction, PlannerMoment, PlannerNote};
 use super::planner::JobPlanner;
-use crate::job::{JobPhase, TaskKey, TaskPhase, WorkerId};
+use crate::job::{JobId, JobPhase, TaskKey, TaskPhase, WorkerId};
 use crate::worker::EndKind;
 
 /// The pause before a task whose run failed starts again.
 const FAILURE_PAUSE: Duration = Duration::from_millis(20);
-/// The number of workers that a task keeps away from after failures.
-const AVOIDED_LIMIT: usize = 6;
 
 /// How a run came to its end, as far as its task is concerned.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -53,13 +51,10 @@
             RunFate::Ended(EndKind::Failed) => {
                 task.failures += u32::from(!step.is_long_running);
                 task.not_before = now.point + FAILURE_PAUSE;
-                task.avoided.push(worker.clone());
+                task.avoid(worker.clone());
             }
             RunFate::Ended(_) | RunFate::Lost(_) => {}
         }
-        if task.avoided.len() > AVOIDED_LIMIT {
-            task.avoided.remove(0);
-        }
         let failures = task.failures;
         if is_final {
             return None;
@@ -97,18 +92,23 @@
 
     /// Counts the end of a run for or against its worker.
     fn judge_worker(&mut self, now: TimePoint, worker: &WorkerId, key: TaskKey, fate: RunFate) {
-        let Some(entry) = self.workers.get_mut(worker) else {
-            return;
-        };
         match fate {
-            RunFate::Ended(EndKind::Done) => entry.trust.succeeded(),
-            RunFate::Ended(EndKind::Failed) => {
-                if entry.trust.failed(key.job, now) {
-                    let note = PlannerNote::WorkerPaused(worker.clone());
-                    self.actions.push(PlannerAction::Note(note));
+            RunFate::Ended(EndKind::Done) => {
+                if let Some(entry) = self.workers.get_mut(worker) {
+                    entry.trust.succeeded();
                 }
             }
+            RunFate::Ended(EndKind::Failed) => self.distrust(now, worker, key.job),
             RunFate::Ended(_) | RunFate::Lost(_) => {}
         }
     }
+
+    /// Counts a run that failed or stalled against its worker.
+    pub(super) fn distrust(&mut self, now: TimePoint, worker: &WorkerId, job: JobId) {
+        let entry = self.workers.get_mut(worker);
+        if entry.is_some_and(|entry| entry.trust.failed(job, now)) {
+            let note = PlannerNote::WorkerPaused(worker.clone());
+            self.actions.push(PlannerAction::Note(note));
+        }
+    }
 }
--- a/crates/geraniumshed-core/src/assignment/pacing.rs
+++ b/crates/geraniumshed-core/src/assignment/pacing.rs
@@ -1,5 +1,6 @@
 //! The protection of tail latencies from best-effort runs beside them.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use geraniumshed_model::prelude::TimePoint;
@@ -15,7 +16,7 @@
 const SEVERE_TAIL: f64 = 1.6;
 /// The speed of culprits beside a tail above its target, in percent.
 const SLOW_PERCENT: u32 = 15;
-/// The speed of known culprits beside a calm tail, in percent.
+/// The speed of known culprits beside a tail below its target, in percent.
 const CAREFUL_PERCENT: u32 = 10;
 /// The full speed, in percent.
 const FULL_PERCENT: u32 = 100;
@@ -123,26 +124,16 @@
         };
         now.since(since) >= TAIL_WINDOW
     };
-    let images = |runs: &mut dyn Iterator<Item = &RunEntry>| {
-        let mut images: Vec<SmolStr> = runs.filter_map(best_effort_image).collect();
-        images.sort_unstable();
-        images.dedup();
-        images
-    };
-    let at_full_speed = |run: &&RunEntry| run.pace_percent == FULL_PERCENT;
-    let fast = images(&mut worker.runs.values().filter(steady).filter(at_full_speed));
-    let mut active = images(
-        &mut worker
-            .runs
-            .values()
-            .filter(|run| run.pace_percent > SLOW_PERCENT),
-    );
     worker
         .ended_images
         .retain(|(_, ended_at)| now.since(*ended_at) < TAIL_WINDOW);
-    active.extend(worker.ended_images.iter().map(|(image, _)| image.clone()));
-    active.sort_unstable();
-    active.dedup();
+    let runs = worker.runs.values();
+    let at_full_speed = |run: &&RunEntry| run.pace_percent == FULL_PERCENT;
+    let fast = runs.clone().filter(steady).filter(at_full_speed);
+    let fast = distinct(fast.filter_map(best_effort_image));
+    let active = runs.filter(|run| run.pace_percent > SLOW_PERCENT);
+    let ended = worker.ended_images.iter().map(|(image, _)| image.clone());
+    let active = distinct(active.filter_map(best_effort_image).chain(ended));
     let is_settled = worker.tails_settle_at <= now;
     for reading in readings {
         if reading.ratio < CALM_TAIL {
@@ -153,6 +144,11 @@
     }
 }
 
+fn distinct(images: impl Iterator<Item = SmolStr>) -> Vec<SmolStr> {
+    let images: BTreeSet<SmolStr> = images.collect();
+    images.into_iter().collect()
+}
+
 /// Returns the image of a best-effort run that is at work and stays.
 fn best_effort_image(run: &RunEntry) -> Option<SmolStr> {
     let is_running = matches!(run.phase, RunPhase::Running(_));
--- a/crates/geraniumshed-core/src/assignment/placing.rs
+++ b/crates/geraniumshed-core/src/assignment/placing.rs
@@ -1,5 +1,9 @@
 //! The order in which tasks get workers.
 
+use std::sync::Arc;
+use std::time::Duration;
+
+use geraniumshed_model::prelude::{TimePoint, whole_millis};
 use smol_str::SmolStr;
 
 use super::action::{PlannerAction, PlannerMoment};
@@ -7,12 +11,10 @@
 use super::placement::{PlacementQuery, idle_processors};
 use super::planner::JobPlanner;
 use crate::job::{
-    JobEntry, JobId, JobPhase, Occurrence, QueuePolicy, ServiceName, StepRequest, TaskEntry,
-    TaskKey, TaskPhase, WorkerId,
+    JobEntry, JobId, JobPhase, JobRequest, Occurrence, QueuePolicy, ServiceName, StepRequest,
+    TaskEntry, TaskKey, TaskPhase, WorkerId,
 };
 use crate::worker::{RunEntry, RunPhase, StartOrder, WorkerCall};
-use geraniumshed_model::prelude::{ProcessorShare, TimePoint};
-use std::time::Duration;
 
 /// The age up to which a job waits for workers that its image doesn't disturb, in milliseconds.
 const PATIENCE_MS: u64 = 45_000;
@@ -79,25 +81,29 @@
             return;
         };
         let service = policy.service.clone();
-        let request = std::sync::Arc::clone(&job.request);
+        let request = Arc::clone(&job.request);
         let Some(step) = request.steps.get(ready.step as usize) else {
             return;
         };
         let keys = startable_keys(job, ready, now.point);
+        // Only best-effort tasks wait rather than disturb others.
+        let is_patient = step.is_best_effort && self.is_patient(now, &request, &service);
         if step.is_gang {
-            self.place_gang(now, &service, step, &keys);
+            self.place_gang(now, &service, step, &keys, is_patient);
             return;
         }
         let mut rack = self.step_rack(step, ready);
         for key in keys {
-            let Some(worker) = self.choose_worker(now, &service, step, key, rack.as_ref()) else {
+            let rack_name = rack.as_ref();
+            let chosen = self.choose_worker(now.point, &service, step, key, rack_name, is_patient);
+            let Some(worker) = chosen else {
                 // All tasks of a step ask for the same; those with a history may fit elsewhere.
                 if self.has_history(key) {
                     continue;
                 }
                 break;
             };
-            self.place_task(now.point, step, key, &worker, None);
+            self.place_task(now.point, step, key, &worker);
             rack = rack.or_else(|| self.step_rack(step, ready));
         }
     }
@@ -109,6 +115,7 @@
         service: &ServiceName,
         step: &StepRequest,
         keys: &[TaskKey],
+        is_patient: bool,
     ) {
         let Some(job) = keys.first().and_then(|key| self.jobs.get(&key.job)) else {
             return;
@@ -131,7 +138,9 @@
                 .first()
                 .and_then(|(_, worker)| self.workers.get(worker)?.listing.rack.clone());
             let rack = rack.filter(|_| step.wants_one_rack);
-            let Some(worker) = self.choose_worker(now, service, step, *key, rack.as_ref()) else {
+            let rack_name = rack.as_ref();
+            let chosen = self.choose_worker(now.point, service, step, *key, rack_name, is_patient);
+            let Some(worker) = chosen else {
                 self.withdraw_gang(&placed, run);
                 return;
             };
@@ -160,21 +169,14 @@
 
     fn choose_worker(
         &self,
-        now: PlannerMoment,
+        now: TimePoint,
         service: &ServiceName,
         step: &StepRequest,
         key: TaskKey,
         rack: Option<&SmolStr>,
+        is_patient: bool,
     ) -> Option<WorkerId> {
-        let job = self.jobs.get(&key.job)?;
-        let task = job.task(key)?;
-        let patience_ms = if self.is_mostly_idle(service) {
-            IDLE_PATIENCE_MS
-        } else {
-            PATIENCE_MS
-        };
-        let is_patient = now.unix_ms < job.request.submitted_unix_ms + patience_ms;
-        let now = now.point;
+        let task = self.jobs.get(&key.job)?.task(key)?;
         let query = PlacementQuery {
             service,
             step,
@@ -196,6 +198,16 @@
         query.choose(self.workers.values())
     }
 
+    /// Tells whether a job still waits for workers that its image doesn't disturb.
+    fn is_patient(&self, now: PlannerMoment, request: &JobRequest, service: &ServiceName) -> bool {
+        let patience_ms = if self.is_mostly_idle(service) {
+            IDLE_PATIENCE_MS
+        } else {
+            PATIENCE_MS
+        };
+        now.unix_ms < request.submitted_unix_ms + patience_ms
+    }
+
     /// Tells whether under half of the processors of a service's workers are in use.
     fn is_mostly_idle(&self, service: &ServiceName) -> bool {
         let workers = self.workers.values();
@@ -228,17 +240,9 @@
         })
     }
 
-    fn place_task(
-        &mut self,
-        now: TimePoint,
-        step: &StepRequest,
-        key: TaskKey,
-        worker: &WorkerId,
-        run: Option<u32>,
-    ) {
+    fn place_task(&mut self, now: TimePoint, step: &StepRequest, key: TaskKey, worker: &WorkerId) {
         let task = self.jobs.get(&key.job).and_then(|job| job.task(key));
-        let next = task.map_or(1, |task| task.run + 1);
-        let run = run.unwrap_or(next);
+        let run = task.map_or(1, |task| task.run + 1);
         self.reserve(now, step, key, worker, run);
         self.commit_placement(key, worker, run);
     }
@@ -328,7 +332,6 @@
         is_best_effort: step.is_best_effort,
         latency_target: step.latency_target,
         tail_latency: Duration::ZERO,
-        processors_used: ProcessorShare(0),
         estimate: step.estimate,
         is_long_running: step.is_long_running,
         pace_percent: 100,
@@ -341,8 +344,9 @@
 
 fn step_rank(job: &JobEntry, policy: &QueuePolicy, occurrence: u32, now_unix_ms: u64) -> StepRank {
     let allowed = job.chain.mul_f64(policy.stretch.max(1.0)) + policy.latency_objective;
-    let allowed = u64::try_from(allowed.as_millis()).unwrap_or(u64::MAX);
-    let due_unix_ms = job.due_unix_ms(occurrence).saturating_add(allowed);
+    let due_unix_ms = job
+        .due_unix_ms(occurrence)
+        .saturating_add(whole_millis(allowed));
     StepRank {
         priority: policy.priority,
         is_late: due_unix_ms < now_unix_ms,
--- a/crates/geraniumshed-core/src/assignment/planner.rs
+++ b/crates/geraniumshed-core/src/assignment/planner.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use geraniumshed_model::prelude::TimePoint;
+use geraniumshed_model::prelude::{TimePoint, whole_millis};
 
 use super::action::{
     CancelOutcome, JobStatus, PlannerAction, PlannerMoment, PlannerNote, StoreBatch, StoreChange,
@@ -235,7 +235,7 @@
     }
 
     fn forget_old_jobs(&mut self, now: PlannerMoment) {
-        let memory = u64::try_from(self.settings.memory.as_millis()).unwrap_or(u64::MAX);
+        let memory = whole_millis(self.settings.memory);
         let is_old = |job: &JobEntry| {
             job.phase.is_final() && job.ended_unix_ms.saturating_add(memory) < now.unix_ms
         };
--- a/crates/geraniumshed-core/src/assignment/upkeep.rs
+++ b/crates/geraniumshed-core/src/assignment/upkeep.rs
@@ -31,6 +31,7 @@
         }
     }
 
+    /// Gives up all runs of a worker, and the worker too if it isn't registered any more.
     pub(super) fn release_worker(
         &mut self,
         now: PlannerMoment,
@@ -78,6 +79,7 @@
         }
     }
 
+    /// Sends the order to stop a run, or sends it again.
     pub(super) fn send_stop(&mut self, now: TimePoint, worker: &WorkerId, key: TaskKey) {
         let Some(entry) = self.workers.get_mut(worker) else {
             return;
@@ -142,14 +144,9 @@
             .get_mut(&key.job)
             .and_then(|job| job.task_mut(key))
         {
-            task.avoided.push(worker.clone());
-        }
-        if let Some(entry) = self.workers.get_mut(worker)
-            && entry.trust.failed(key.job, now.point)
-        {
-            let note = PlannerNote::WorkerPaused(worker.clone());
-            self.actions.push(PlannerAction::Note(note));
+            task.avoid(worker.clone());
         }
+        self.distrust(now.point, worker, key.job);
         self.stop_run(now.point, worker, key);
     }
 }
--- a/crates/geraniumshed-core/src/assignment/worker_events.rs
+++ b/crates/geraniumshed-core/src/assignment/worker_events.rs
@@ -299,7 +299,6 @@
             entry.trust.succeeded();
         }
         run.tail_latency = report.tail_latency;
-        run.processors_used = report.processors_used;
         let job = self.jobs.get_mut(&report.task.job);
         let Some(job) = job else {
             return;
--- a/crates/geraniumshed-core/src/job/entry.rs
+++ b/crates/geraniumshed-core/src/job/entry.rs
@@ -3,9 +3,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use geraniumshed_model::prelude::whole_millis;
+
 use super::chain::longest_chain;
 use super::id::{JobId, TaskKey};
-use super::image::{JobImage, OccurrenceImage, PlacementImage, TaskImage, TaskStage};
+use super::image::{JobImage, OccurrenceImage, TaskImage, TaskStage};
 use super::request::{JobRequest, StepRequest};
 use super::task::{TaskEntry, TaskPhase};
 
@@ -106,7 +108,7 @@
     /// Restores a job from what the store keeps.
     pub fn restore(id: JobId, request: JobRequest, image: JobImage) -> Self {
         let mut job = Self::new(id, request);
-        job.phase = image.phase();
+        job.phase = image.phase;
         job.ended_unix_ms = image.ended_unix_ms;
         job.ended_occurrences = image.ended_occurrences;
         job.occurrences = image
@@ -125,11 +127,8 @@
             self.occurrences.iter().map(occurrence_image).collect()
         };
         JobImage {
-            is_cancelled: self.phase == JobPhase::Cancelled,
-            has_failed: self.phase == JobPhase::Failed,
-            is_completed: self.phase == JobPhase::Completed,
+            phase: self.phase,
             ended_unix_ms: self.ended_unix_ms,
-            has_started: self.phase != JobPhase::Queued,
             occurrences,
             ended_occurrences: self.ended_occurrences,
         }
@@ -145,7 +144,7 @@
         let Some(repeat) = self.request.repeat else {
             return self.request.submitted_unix_ms;
         };
-        let interval = u64::try_from(repeat.interval.as_millis()).unwrap_or(u64::MAX);
+        let interval = whole_millis(repeat.interval);
         let delay = interval.saturating_mul(u64::from(number));
         repeat.first_unix_ms.saturating_add(delay)
     }
@@ -230,26 +229,6 @@
     }
 }
 
-impl JobImage {
-    fn phase(&self) -> JobPhase {
-        match self {
-            Self {
-                is_cancelled: true, ..
-            } => JobPhase::Cancelled,
-            Self {
-                has_failed: true, ..
-            } => JobPhase::Failed,
-            Self {
-                is_completed: true, ..
-            } => JobPhase::Completed,
-            Self {
-                has_started: true, ..
-            } => JobPhase::Running,
-            _ => JobPhase::Queued,
-        }
-    }
-}
-
 fn occurrence_image(occurrence: &Occurrence) -> OccurrenceImage {
     OccurrenceImage {
         number: occurrence.number,
@@ -260,9 +239,7 @@
 fn task_image(task: &TaskEntry) -> TaskImage {
     let stage = match &task.phase {
         TaskPhase::Waiting => TaskStage::Waiting,
-        TaskPhase::Placed(worker) => TaskStage::Placed(PlacementImage {
-            worker: worker.clone(),
-        }),
+        TaskPhase::Placed(worker) => TaskStage::Placed(worker.clone()),
         TaskPhase::Done => TaskStage::Done,
     };
     TaskImage {
@@ -279,7 +256,7 @@
     for (task, image) in tasks.zip(image.tasks) {
         task.phase = match image.stage {
             TaskStage::Waiting => TaskPhase::Waiting,
-            TaskStage::Placed(placement) => TaskPhase::Placed(placement.worker),
+            TaskStage::Placed(worker) => TaskPhase::Placed(worker),
             TaskStage::Done => TaskPhase::Done,
         };
         task.run = image.run;
--- a/crates/geraniumshed-core/src/job/image.rs
+++ b/crates/geraniumshed-core/src/job/image.rs
@@ -2,21 +2,16 @@
 
 use smol_str::SmolStr;
 
+use super::entry::JobPhase;
 use super::id::WorkerId;
 
 /// How far a job is, as it is stored.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct JobImage {
-    /// Whether the job's cancellation was acknowledged.
-    pub is_cancelled: bool,
-    /// Whether a task failed too often.
-    pub has_failed: bool,
-    /// Whether all tasks have ended with success.
-    pub is_completed: bool,
+    /// What clients are told of the job.
+    pub phase: JobPhase,
     /// When the job ended, in milliseconds of Unix time, or 0 before.
     pub ended_unix_ms: u64,
-    /// Whether any task was ever started.
-    pub has_started: bool,
     /// The occurrences that have begun, with the number of each.
     pub occurrences: Vec<OccurrenceImage>,
     /// The number of occurrences that have ended.
@@ -51,14 +46,7 @@
     /// It runs nowhere.
     Waiting,
     /// Its newest run was given to a worker.
-    Placed(PlacementImage),
+    Placed(WorkerId),
     /// It has ended with success.
     Done,
 }
-
-/// The worker that a run was given to.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct PlacementImage {
-    /// The worker.
-    pub worker: WorkerId,
-}
--- a/crates/geraniumshed-core/src/job/mod.rs
+++ b/crates/geraniumshed-core/src/job/mod.rs
@@ -11,7 +11,7 @@
 pub use chain::longest_chain;
 pub use entry::{JobEntry, JobPhase, Occurrence};
 pub use id::{JobId, QueueName, ServiceName, TaskKey, WorkerId};
-pub use image::{JobImage, OccurrenceImage, PlacementImage, TaskImage, TaskStage};
+pub use image::{JobImage, OccurrenceImage, TaskImage, TaskStage};
 pub use queue::{QueuePolicy, QueueTable};
 pub use request::{JobRequest, RepeatPlan, StepRequest};
 pub use task::{TaskEntry, TaskPhase};
--- a/crates/geraniumshed-core/src/job/task.rs
+++ b/crates/geraniumshed-core/src/job/task.rs
@@ -5,6 +5,9 @@
 
 use super::id::WorkerId;
 
+/// The number of workers that a task keeps away from after failures.
+const AVOIDED_LIMIT: usize = 6;
+
 /// Where a task stands.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub enum TaskPhase {
@@ -35,6 +38,14 @@
 }
 
 impl TaskEntry {
+    /// Keeps the task away from a worker, and forgets the oldest of too many.
+    pub fn avoid(&mut self, worker: WorkerId) {
+        self.avoided.push(worker);
+        if self.avoided.len() > AVOIDED_LIMIT {
+            self.avoided.remove(0);
+        }
+    }
+
     /// Tells whether the task has ended with success.
     pub fn is_done(&self) -> bool {
         self.phase == TaskPhase::Done
--- a/crates/geraniumshed-core/src/worker/clock.rs
+++ b/crates/geraniumshed-core/src/worker/clock.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use geraniumshed_model::prelude::TimePoint;
+use geraniumshed_model::prelude::{TimePoint, whole_millis};
 
 /// The part by which a worker's clock may be slow, in thousandths.
 const DRIFT_PER_MILLE: u64 = 20;
@@ -15,7 +15,7 @@
     /// Returns the point that comes a span later.
     #[must_use]
     pub fn plus(self, span: Duration) -> Self {
-        Self(self.0 + as_millis(span))
+        Self(self.0 + whole_millis(span))
     }
 }
 
@@ -36,7 +36,7 @@
     ///
     /// The reading was taken before it arrived, and the clock may be slow.
     pub fn earliest(&self, now: TimePoint) -> WorkerTime {
-        let elapsed = as_millis(now.since(self.read_at));
+        let elapsed = whole_millis(now.since(self.read_at));
         let drift = elapsed * DRIFT_PER_MILLE / 1000;
         WorkerTime(self.reading.0 + elapsed - drift)
     }
@@ -48,7 +48,3 @@
         self.read_at + Duration::from_millis(slowest)
     }
 }
-
-fn as_millis(span: Duration) -> u64 {
-    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/geraniumshed-core/src/worker/entry.rs
+++ b/crates/geraniumshed-core/src/worker/entry.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use geraniumshed_model::prelude::{ResourceSize, TimePoint};
-
 use smol_str::SmolStr;
 
 use super::clock::{WorkerClock, WorkerTime};
--- a/crates/geraniumshed-core/src/worker/message.rs
+++ b/crates/geraniumshed-core/src/worker/message.rs
@@ -4,7 +4,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use geraniumshed_model::prelude::ProcessorShare;
 use smol_str::SmolStr;
 
 use super::clock::WorkerTime;
@@ -136,8 +135,6 @@
     pub percent: u32,
     /// The tail latency of a task with a latency target, over the last half second.
     pub tail_latency: Duration,
-    /// The processors that any other task uses, over the last half second.
-    pub processors_used: ProcessorShare,
 }
 
 /// A run that has ended.
--- a/crates/geraniumshed-core/src/worker/run.rs
+++ b/crates/geraniumshed-core/src/worker/run.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use geraniumshed_model::prelude::{ProcessorShare, ResourceSize, TimePoint};
-
 use smol_str::SmolStr;
 
 use super::message::FenceToken;
@@ -40,8 +39,6 @@
     pub latency_target: Option<Duration>,
     /// The tail latency at the newest reading.
     pub tail_latency: Duration,
-    /// The processors in use at the newest reading, for runs without a latency target.
-    pub processors_used: ProcessorShare,
     /// The client's estimate of the run time.
     pub estimate: Duration,
     /// Whether the run goes on until its job is cancelled.
--- a/crates/geraniumshed-core/tests/planner/fixture.rs
+++ b/crates/geraniumshed-core/tests/planner/fixture.rs
@@ -443,7 +443,6 @@
             checkpoint: None,
             percent,
             tail_latency: tail,
-            processors_used: ProcessorShare(0),
         }
     };
     worker.runs.iter().map(report).collect()
--- a/crates/geraniumshed-daemon/src/node/backend.rs
+++ b/crates/geraniumshed-daemon/src/node/backend.rs
@@ -6,7 +6,7 @@
 use geraniumshed_core::schedule::ShardMap;
 use geraniumshed_core::state::ConfigState;
 use geraniumshed_model::prelude::{
-    ErrorKind, ProblemError, RecordGeneration, RecordKey, RecordKind, TaskId,
+    ErrorKind, ProblemError, RecordGeneration, RecordKey, RecordKind, TaskId, whole_millis,
 };
 use geraniumshed_platform::HttpLog;
 use geraniumshed_wire::operator::{
@@ -122,7 +122,7 @@
         let silent = self.parts.context.silence();
         LogState {
             reachable: silent < LOG_SILENCE_LIMIT,
-            silent_ms: u64::try_from(silent.as_millis()).unwrap_or(u64::MAX),
+            silent_ms: whole_millis(silent),
             appends: usage.appends,
             append_bytes: usage.append_bytes,
         }
--- a/crates/geraniumshed-daemon/src/node/status.rs
+++ b/crates/geraniumshed-daemon/src/node/status.rs
@@ -3,7 +3,7 @@
 use geraniumshed_core::member::{OwnerMap, PeerSighting};
 use geraniumshed_core::schedule::{ShardStatus, WaitReason};
 use geraniumshed_core::state::{ConfigState, JobProgress};
-use geraniumshed_model::prelude::{RecordName, ShardId};
+use geraniumshed_model::prelude::{RecordName, ShardId, whole_millis};
 use geraniumshed_wire::operator::{ConfigProgress, PeerState, ShardState, TaskState};
 use smol_str::{SmolStr, ToSmolStr, format_smolstr};
 
@@ -40,7 +40,7 @@
         zone: peer.report.identity.zone.to_smolstr(),
         phase: SmolStr::new_static(phase),
         applied: peer.report.applied.0,
-        silent_ms: u64::try_from(peer.silent.as_millis()).unwrap_or(u64::MAX),
+        silent_ms: whole_millis(peer.silent),
     }
 }
 
--- a/crates/geraniumshed-model/src/prelude.rs
+++ b/crates/geraniumshed-model/src/prelude.rs
@@ -20,7 +20,7 @@
     AcceleratorCount, MemorySize, ProcessorShare, RequestRate, ResourceSize, SlotCount,
 };
 pub use crate::task::{EndedAttempt, TaskClass, TaskOutcome, TaskSpec, UrgencyClass};
-pub use crate::time::{TimePoint, TimeSpan};
+pub use crate::time::{TimePoint, TimeSpan, whole_millis};
 pub use crate::vm::{VmEntry, VmPhase, VmRole};
 pub use crate::worker::{
     AttemptPhase, CommandResult, EndedReport, ExchangeReply, ExchangeRequest, RunningAttempt,
--- a/crates/geraniumshed-model/src/time.rs
+++ b/crates/geraniumshed-model/src/time.rs
@@ -36,6 +36,11 @@
     }
 }
 
+/// Returns the whole milliseconds of a span, or the largest number if there are more.
+pub fn whole_millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// A span of time as operators write it, such as `250ms`.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct TimeSpan(pub Duration);
--- a/crates/geraniumshed-wire/src/record/style.rs
+++ b/crates/geraniumshed-wire/src/record/style.rs
@@ -4,6 +4,7 @@
 
 use geraniumshed_model::prelude::{
     AcceleratorCount, MemorySize, ProcessorShare, ResourceSize, SchemaVersion, TimeSpan,
+    whole_millis,
 };
 use serde_json::{Map, Value};
 use smol_str::{SmolStr, format_smolstr};
@@ -137,7 +138,7 @@
 /// Writes a time.
 pub(super) fn write_span(fields: &mut FieldMap, name: &str, span: TimeSpan, style: UnitStyle) {
     let value = match style {
-        UnitStyle::Plain => Value::from(u64::try_from(span.0.as_millis()).unwrap_or(u64::MAX)),
+        UnitStyle::Plain => Value::from(whole_millis(span.0)),
         UnitStyle::Units => Value::from(span.to_string()),
     };
     fields.insert(style.span_name(name).into(), value);
