Share listeners' and connections' set-up, and give the member's task a type

Cause, found on reading the whole change again: three accept loops and two copies of a stream's options; five calls to peers with the same frame; ten functions of one task that each repeated their bounds; a probe of peers by a sender in a lock; a claim nested six deep; a fixture of 508 lines; a constant away from its only use.

Change: geraniumshed-batch::net holds the set-up, and the adapter calls it; PeerPool::ask; MemberTask with read_record and claim_lead; the probe is a set of tasks; modelled workers in a file of their own.

--- a/crates/geraniumshed-batch/src/intake.rs
+++ b/crates/geraniumshed-batch/src/intake.rs
@@ -83,6 +83,3 @@
         }
     }
 }
-
-/// The time for which a stored job waits for its append before another way is tried as well.
-pub(crate) const HEDGE_DELAY: Duration = Duration::from_millis(450);
--- a/crates/geraniumshed-batch/src/lib.rs
+++ b/crates/geraniumshed-batch/src/lib.rs
@@ -9,6 +9,7 @@
 mod intake;
 pub mod leader;
 pub mod member;
+pub mod net;
 pub mod node;
 pub mod peer;
 pub mod service;
--- a/crates/geraniumshed-batch/src/node.rs
+++ b/crates/geraniumshed-batch/src/node.rs
@@ -16,7 +16,7 @@
 use crate::clock::NodeClock;
 use crate::intake::RequestWriter;
 use crate::leader::{LeaderContext, LeaderHandle};
-use crate::member;
+use crate::member::MemberTask;
 use crate::peer::{PeerPool, PeerServer};
 use crate::service::{JobService, PeerHandler};
 use crate::site::{ConfigVersion, SiteConfig, SiteFeed, WorkerCaller};
@@ -68,6 +68,18 @@
 }
 
 impl MemberView {
+    /// Takes note that this process leads from its claim on.
+    pub(crate) fn begin_leading(&mut self, record: LeaderRecord) {
+        self.leader = Some(record);
+        self.is_leading = true;
+    }
+
+    /// Takes note that this process doesn't lead any more.
+    pub(crate) fn end_leading(&mut self) {
+        self.handle = None;
+        self.is_leading = false;
+    }
+
     /// Returns the live members that may lead next, the best first.
     ///
     /// Members on large VMs go first, since planning takes more processor time than all else. Of
@@ -173,7 +185,7 @@
         });
         PeerServer::bind(address, PeerHandler::new(Arc::clone(&shared))).await?;
         tokio::spawn(follow_config(Arc::clone(&shared)));
-        tokio::spawn(member::run(Arc::clone(&shared)));
+        tokio::spawn(MemberTask::new(Arc::clone(&shared)).run());
         Ok(Self { shared })
     }
 
--- a/crates/geraniumshed-batch/src/peer/client.rs
+++ b/crates/geraniumshed-batch/src/peer/client.rs
@@ -3,18 +3,20 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use tarpc::client::{Config, NewClient, RpcError};
+use tarpc::context::{self, Context};
+use tarpc::serde_transport;
 use tarpc::tokio_serde::formats::Bincode;
 use tarpc::tokio_util::codec::Framed;
-use tarpc::{context, serde_transport};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-use super::stream::{frame_codec, prepare_stream};
+use super::stream::frame_codec;
+use crate::net::prepare_stream;
 use crate::wire::{BeatReplyWire, BeatWire, JobAnswerWire, JobCallWire, NodePeerClient};
 
 /// The time to make a connection.
@@ -49,9 +51,10 @@
         beat: BeatWire,
         limit: Duration,
     ) -> Result<BeatReplyWire, PeerFailure> {
-        let client = self.client(address).await?;
-        let answer = timeout(limit, client.beat(call_context(limit), beat)).await;
-        self.finish(address, answer.ok())
+        self.ask(address, limit, async |client, context| {
+            client.beat(context, beat).await
+        })
+        .await
     }
 
     /// Passes a client's call on.
@@ -65,9 +68,10 @@
         call: JobCallWire,
         limit: Duration,
     ) -> Result<JobAnswerWire, PeerFailure> {
-        let client = self.client(address).await?;
-        let answer = timeout(limit, client.call(call_context(limit), call)).await;
-        self.finish(address, answer.ok())
+        self.ask(address, limit, async |client, context| {
+            client.call(context, call).await
+        })
+        .await
     }
 
     /// Reads the configuration that a node has in force.
@@ -76,9 +80,10 @@
     ///
     /// Returns why there is no answer.
     pub async fn config(&self, address: SocketAddr, limit: Duration) -> Result<Bytes, PeerFailure> {
-        let client = self.client(address).await?;
-        let answer = timeout(limit, client.config(call_context(limit))).await;
-        self.finish(address, answer.ok())
+        self.ask(address, limit, async |client, context| {
+            client.config(context).await
+        })
+        .await
     }
 
     /// Asks a node whether the store answers its calls.
@@ -91,9 +96,10 @@
         address: SocketAddr,
         limit: Duration,
     ) -> Result<bool, PeerFailure> {
-        let client = self.client(address).await?;
-        let answer = timeout(limit, client.probe_store(call_context(limit))).await;
-        self.finish(address, answer.ok())
+        self.ask(address, limit, async |client, context| {
+            client.probe_store(context).await
+        })
+        .await
     }
 
     /// Asks a node to lead.
@@ -107,18 +113,24 @@
         term: u64,
         limit: Duration,
     ) -> Result<(), PeerFailure> {
-        let client = self.client(address).await?;
-        let answer = timeout(limit, client.succeed(call_context(limit), term)).await;
-        self.finish(address, answer.ok())
+        self.ask(address, limit, async |client, context| {
+            client.succeed(context, term).await
+        })
+        .await
     }
 
-    /// Drops the connection of a call without an answer, so that the next call makes a fresh one.
-    fn finish<T>(
+    /// Makes a call, and drops its connection if no answer comes, so that the next call makes a
+    /// fresh one.
+    async fn ask<T>(
         &self,
         address: SocketAddr,
-        answer: Option<Result<T, RpcError>>,
+        limit: Duration,
+        call: impl AsyncFnOnce(NodePeerClient, Context) -> Result<T, RpcError>,
     ) -> Result<T, PeerFailure> {
-        if let Some(Ok(answer)) = answer {
+        let client = self.client(address).await?;
+        let mut context = context::current();
+        context.deadline = Instant::now() + limit;
+        if let Ok(Ok(answer)) = timeout(limit, call(client, context)).await {
             return Ok(answer);
         }
         self.lock().remove(&address);
@@ -151,13 +163,7 @@
         Ok(client)
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, BTreeMap<SocketAddr, NodePeerClient>> {
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<SocketAddr, NodePeerClient>> {
         self.clients.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-fn call_context(limit: Duration) -> context::Context {
-    let mut context = context::current();
-    context.deadline = Instant::now() + limit;
-    context
-}
--- a/crates/geraniumshed-batch/src/peer/server.rs
+++ b/crates/geraniumshed-batch/src/peer/server.rs
@@ -2,7 +2,6 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use futures::StreamExt;
 use tarpc::serde_transport;
@@ -11,14 +10,13 @@
 use tarpc::tokio_util::codec::Framed;
 use tokio::net::{TcpListener, TcpStream};
 
-use super::stream::{frame_codec, prepare_stream};
+use super::stream::frame_codec;
+use crate::net::{accept_stream, prepare_stream};
 use crate::service::PeerHandler;
 use crate::site::{SiteFeed, WorkerCaller};
 use crate::store::StoreClient;
 use crate::wire::NodePeer;
 
-/// The pause after a connection could not be accepted.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// The calls that one connection may have in flight.
 const CALL_LIMIT: usize = 256;
 
@@ -62,14 +60,7 @@
     W: WorkerCaller,
 {
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                log::warn!("a node's connection could not be accepted: {error}");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-                continue;
-            }
-        };
+        let stream = accept_stream(&listener, "node").await;
         if let Err(error) = prepare_stream(&stream) {
             log::debug!("a node's connection ended at once: {error}");
             continue;
--- a/crates/geraniumshed-batch/src/service.rs
+++ b/crates/geraniumshed-batch/src/service.rs
@@ -12,7 +12,6 @@
 use tokio::sync::oneshot;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
-use crate::intake::HEDGE_DELAY;
 use crate::leader::{LeaderHandle, LeaderQuery};
 use crate::node::{HeardMember, NodeShared};
 use crate::peer::PeerFailure;
@@ -26,6 +25,8 @@
 
 /// The time within which a peer answers a call that was passed on.
 const PEER_LIMIT: Duration = Duration::from_millis(800);
+/// The time for which a job waits for its own append before other nodes are tried as well.
+const HEDGE_DELAY: Duration = Duration::from_millis(450);
 /// The time within which a peer has to store a job.
 const RELAY_LIMIT: Duration = Duration::from_millis(1500);
 /// The pause between two attempts.
--- a/crates/geraniumshed-core/tests/planner/fixture.rs
+++ b/crates/geraniumshed-core/tests/planner/fixture.rs
@@ -10,14 +10,16 @@
     JobId, JobImage, JobPhase, JobRequest, QueueName, QueuePolicy, StepRequest, TaskKey, WorkerId,
 };
 use geraniumshed_core::worker::{
-    EndKind, FenceToken, RenewMark, RenewReply, RenewRequest, RunEnd, RunReport, StartOrder,
-    StartReply, WorkerFailure, WorkerLife, WorkerListing, WorkerTime,
+    EndKind, FenceToken, RenewMark, RenewReply, RenewRequest, StartOrder, StartReply,
+    WorkerFailure, WorkerLife, WorkerListing, WorkerTime,
 };
 use geraniumshed_model::prelude::{
     AcceleratorCount, MemorySize, ProcessorShare, ResourceSize, TimePoint,
 };
 use smol_str::SmolStr;
 
+use crate::model::{ModelRun, ModelWorker, reports};
+
 /// The length of a step of time.
 pub const STEP: Duration = Duration::from_millis(10);
 /// The time of day at the start of a test, in milliseconds of Unix time.
@@ -25,77 +27,6 @@
 /// The token of the first planner.
 pub const FIRST_TOKEN: FenceToken = FenceToken(1 << 24);
 
-/// What a test makes go wrong at a worker.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct WorkerFault {
-    /// It answers nothing and carries nothing out.
-    pub is_silent: bool,
-    /// It leaves starts unanswered and carries them out this much later.
-    pub late_starts: Option<Duration>,
-    /// Its tasks all fail.
-    pub fails: bool,
-    /// Its tasks make no progress.
-    pub stalls: bool,
-}
-
-#[derive(Debug, Clone)]
-struct ModelRun {
-    run: u32,
-    started_at: TimePoint,
-    length: Duration,
-}
-
-/// A modelled worker that keeps the platform's promises: fences, leases, numbered ends.
-#[derive(Debug)]
-pub struct ModelWorker {
-    pub listing: WorkerListing,
-    pub fault: WorkerFault,
-    pub life: WorkerLife,
-    token: FenceToken,
-    deadline: TimePoint,
-    runs: BTreeMap<TaskKey, ModelRun>,
-    ended: Vec<RunEnd>,
-    next_end: u64,
-    late: Vec<(TimePoint, FenceToken, StartOrder)>,
-}
-
-impl ModelWorker {
-    fn new(listing: WorkerListing) -> Self {
-        Self {
-            listing,
-            fault: WorkerFault::default(),
-            life: WorkerLife(1),
-            token: FenceToken(0),
-            deadline: TimePoint::default(),
-            runs: BTreeMap::new(),
-            ended: Vec::new(),
-            next_end: 1,
-            late: Vec::new(),
-        }
-    }
-
-    /// Loses all that it runs and knows, and starts anew.
-    pub fn restart(&mut self) {
-        let life = WorkerLife(self.life.0 + 1);
-        *self = Self::new(self.listing.clone());
-        self.life = life;
-    }
-
-    fn end(&mut self, task: TaskKey, kind: EndKind) {
-        let Some(run) = self.runs.remove(&task) else {
-            return;
-        };
-        self.ended.push(RunEnd {
-            number: self.next_end,
-            task,
-            run: run.run,
-            kind,
-            checkpoint: None,
-        });
-        self.next_end += 1;
-    }
-}
-
 /// A task's run as a worker saw it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct SeenStart {
@@ -405,49 +336,6 @@
     }
 }
 
-/// Describes what a worker runs.
-fn reports(
-    worker: &ModelWorker,
-    requests: &BTreeMap<JobId, JobRequest>,
-    tails: &BTreeMap<(SmolStr, SmolStr), Duration>,
-    now: TimePoint,
-) -> Vec<RunReport> {
-    let step_of = |task: &TaskKey| &requests[&task.job].steps[task.step as usize];
-    let image_of = |task: &TaskKey| step_of(task).image.clone().unwrap_or_default();
-    let beside: Vec<SmolStr> = worker
-        .runs
-        .keys()
-        .filter(|task| step_of(task).is_best_effort)
-        .map(image_of)
-        .collect();
-    let report = |(task, run): (&TaskKey, &ModelRun)| {
-        let image = image_of(task);
-        let tail = beside
-            .iter()
-            .filter_map(|other| tails.get(&(image.clone(), other.clone())))
-            .max()
-            .copied()
-            .unwrap_or(Duration::from_millis(5));
-        let done = now.since(run.started_at).as_millis() * 100 / run.length.as_millis().max(1);
-        let is_whole = step_of(task).is_long_running;
-        let percent = if worker.fault.stalls {
-            7
-        } else if is_whole {
-            100
-        } else {
-            u32::try_from(done.min(99)).unwrap_or(99)
-        };
-        RunReport {
-            task: *task,
-            run: run.run,
-            checkpoint: None,
-            percent,
-            tail_latency: tail,
-        }
-    };
-    worker.runs.iter().map(report).collect()
-}
-
 fn new_planner(token: FenceToken) -> JobPlanner {
     let mut planner = JobPlanner::new(PlannerSettings::default(), token);
     let policy = QueuePolicy {
--- a/crates/geraniumshed-core/tests/planner/main.rs
+++ b/crates/geraniumshed-core/tests/planner/main.rs
@@ -3,5 +3,6 @@
 mod fixture;
 mod leases;
 mod loads;
+mod model;
 mod rules;
 mod takeover;
--- a/crates/geraniumshed-core/tests/planner/rules.rs
+++ b/crates/geraniumshed-core/tests/planner/rules.rs
@@ -6,7 +6,8 @@
 use geraniumshed_core::job::{JobPhase, StepRequest};
 use rstest::rstest;
 
-use crate::fixture::{Cluster, WorkerFault, size, step, task, worker};
+use crate::fixture::{Cluster, size, step, task, worker};
+use crate::model::WorkerFault;
 
 #[test]
 fn a_step_starts_after_all_tasks_of_those_before_it() {
