Let a node take a newer configuration from a heartbeat

Ruled out: a slow read of the store by the others; they had it in time.

Change: heartbeats name the version that their sender has in force; a leader that has an older one reads it from the sender, and its other followers have it with their next heartbeat.

Test: nodes_that_the_store_refuses_hear_of_a_configuration_from_another; it fails without the change.

--- a/crates/geraniumshed-batch/src/handler.rs
+++ b/crates/geraniumshed-batch/src/handler.rs
@@ -52,6 +52,10 @@
     async fn beat(self, _: Context, beat: BeatWire) -> BeatReplyWire {
         let shared = self.shared();
         let member = MemberIdentity::from(beat.member);
+        if beat.config_version > shared.config_version().0 {
+            let (shared, member) = (Arc::clone(&self.service.shared), member.clone());
+            tokio::spawn(async move { shared.take_config(&member, beat.config_version).await });
+        }
         let config_version = shared.config_version().0;
         let now = shared.clock().now();
         let mut view = shared.view();
--- a/crates/geraniumshed-batch/tests/nodes.rs
+++ b/crates/geraniumshed-batch/tests/nodes.rs
@@ -152,6 +152,23 @@
     support::wait_for(async || site.start_count() == 3).await;
 }
 
+#[tokio::test]
+async fn nodes_that_the_store_refuses_hear_of_a_configuration_from_another() {
+    let site = Site::open();
+    let nodes = site.spawn_nodes(3, 21_240).await;
+    support::wait_for(async || nodes.iter().any(BatchNode::is_leading)).await;
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    let leader = nodes.iter().position(BatchNode::is_leading).unwrap();
+    let follower = (leader + 1) % nodes.len();
+    site.refuse([leader, follower]);
+    site.publish(2);
+    let published = tokio::time::Instant::now();
+    let in_force = |node: &support::Node| node.service().config().map(|one| one.version.0);
+    support::wait_for(async || nodes.iter().all(|node| in_force(node) == Some(2))).await;
+    let taken = published.elapsed();
+    assert!(taken < Duration::from_millis(1500), "taken {taken:?}");
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_cancellation_outlives_the_node_that_took_it_and_the_leader() {
     let site = Site::open();
