Learn interference as a pressure for each processor of an image

The table counted a calm tail for and a high tail against all images beside it. Ruled out: an effect that depends on the number of runs rather than their processors (no better fit), and slopes that change within a minute.

Change: 1 - lowest tail / tail is taken as the pressure on a run. A fit over changes of pressure and of the load beside it gives a slope for each pair; runs of one image on a worker count once, since they swing together. Speeds follow from the room that a run's own pressure leaves, the runs that press least first; a placement must fit into the room at a usual peak; a run moves only where it doesn't fit at the usual load.

Test: runs_beside_a_swinging_load_are_slowed_down_only_where_they_press. The modelled workers now measure tails over half a second and add pressures up, in place of a fixed tail that ignored speeds; the three older tests hold on it with the same assertions.

--- /dev/null
+++ b/crates/geraniumshed-core/src/assignment/interference/fit.rs
@@ -0,0 +1,130 @@
+//! A linear fit.
+
+use smol_str::SmolStr;
+
+use super::model::LoadShare;
+
+/// The causes that a fit can tell apart.
+const CAUSE_LIMIT: usize = 48;
+/// The slope that a cause is taken to have before there is evidence.
+const FIRST_SLOPE: f64 = 0.012;
+/// The weight of that assumption, in squared amounts times observations.
+const FIRST_WEIGHT: f64 = 15.0;
+/// The part of older evidence that remains at each solution.
+const REMAINDER: f64 = 0.9985;
+/// The weight of the observations between two solutions.
+const SOLVE_WEIGHT: f64 = 2.0;
+
+/// A linear fit of an effect on the amounts of several causes, in which old evidence fades.
+///
+/// Amounts and effects are differences from their usual values, so that there is no constant.
+///
+/// Slopes are drawn to a small positive value, as long as little speaks against it.
+#[derive(Debug, Clone, Default)]
+pub(super) struct LinearFit {
+    causes: Vec<SmolStr>,
+    /// The sums of products of amounts, by pairs of causes.
+    products: Vec<Vec<f64>>,
+    /// The sums of amounts times effects.
+    effects: Vec<f64>,
+    /// The newest slope of each cause.
+    solution: Vec<f64>,
+    /// The weight of the observations since the newest solution.
+    unsolved: f64,
+}
+
+impl LinearFit {
+    /// Takes in an observation.
+    pub(super) fn observe(&mut self, shares: &[LoadShare], effect: f64, weight: f64) {
+        let mut terms = Vec::with_capacity(shares.len());
+        for share in shares {
+            if let Some(cause) = self.cause(&share.image) {
+                terms.push((cause, share.processors));
+            }
+        }
+        self.grow();
+        for &(row, amount) in &terms {
+            self.effects[row] += weight * amount * effect;
+            for &(column, other) in &terms {
+                self.products[row][column] += weight * amount * other;
+            }
+        }
+        self.unsolved += weight;
+        if self.unsolved >= SOLVE_WEIGHT {
+            self.unsolved = 0.0;
+            self.solve();
+        }
+    }
+
+    /// Returns the slope of a cause; no cause has a negative one.
+    pub(super) fn slope(&self, cause: &SmolStr) -> f64 {
+        let index = self.causes.iter().position(|one| one == cause);
+        let slope = index.and_then(|index| self.solution.get(index));
+        slope.copied().unwrap_or(FIRST_SLOPE).max(0.0)
+    }
+
+    /// Returns the slopes of all causes.
+    pub(super) fn slopes(&self) -> impl Iterator<Item = f64> {
+        self.causes.iter().map(|cause| self.slope(cause))
+    }
+
+    /// Returns the place of a cause, or nothing if there are too many.
+    fn cause(&mut self, image: &SmolStr) -> Option<usize> {
+        let known = self.causes.iter().position(|one| one == image);
+        if known.is_some() || self.causes.len() >= CAUSE_LIMIT {
+            return known;
+        }
+        self.causes.push(image.clone());
+        Some(self.causes.len() - 1)
+    }
+
+    /// Makes room for the causes that are new.
+    fn grow(&mut self) {
+        let size = self.causes.len();
+        for row in &mut self.products {
+            row.resize(size, 0.0);
+        }
+        self.products.resize(size, vec![0.0; size]);
+        self.effects.resize(size, 0.0);
+    }
+
+    fn solve(&mut self) {
+        let size = self.effects.len();
+        let mut rows = self.products.clone();
+        let mut right = self.effects.clone();
+        for (index, row) in rows.iter_mut().enumerate() {
+            row[index] += FIRST_WEIGHT;
+            right[index] += FIRST_WEIGHT * FIRST_SLOPE;
+        }
+        self.solution = solve_symmetric(rows, right);
+        for row in 0..size {
+            self.effects[row] *= REMAINDER;
+            for sum in &mut self.products[row] {
+                *sum *= REMAINDER;
+            }
+        }
+    }
+}
+
+/// Solves a system of linear equations with a symmetric, positive definite matrix.
+fn solve_symmetric(mut rows: Vec<Vec<f64>>, mut right: Vec<f64>) -> Vec<f64> {
+    let size = right.len();
+    for pivot in 0..size {
+        let (head, tail) = rows.split_at_mut(pivot + 1);
+        let pivot_row = &head[pivot];
+        for (offset, row) in tail.iter_mut().enumerate() {
+            let factor = row[pivot] / pivot_row[pivot];
+            for (value, above) in row.iter_mut().zip(pivot_row).skip(pivot) {
+                *value -= factor * above;
+            }
+            right[pivot + 1 + offset] -= factor * right[pivot];
+        }
+    }
+    for index in (0..size).rev() {
+        let known: f64 = (index + 1..size)
+            .map(|column| rows[index][column] * right[column])
+            .sum();
+        right[index] = (right[index] - known) / rows[index][index];
+    }
+    right
+}
--- a/crates/geraniumshed-core/src/assignment/mod.rs
+++ b/crates/geraniumshed-core/src/assignment/mod.rs
@@ -19,6 +19,6 @@
 pub use action::{
     CancelOutcome, JobStatus, PlannerAction, PlannerMoment, PlannerNote, StoreBatch, StoreChange,
 };
-pub use interference::InterferenceTable;
+pub use interference::{InterferenceModel, LoadShare};
 pub use planner::JobPlanner;
 pub use settings::PlannerSettings;
--- a/crates/geraniumshed-core/src/assignment/placement.rs
+++ b/crates/geraniumshed-core/src/assignment/placement.rs
@@ -1,32 +1,37 @@
 //! The choice of a worker for a task.
 
+use std::collections::BTreeMap;
+use std::time::Duration;
+
 use geraniumshed_model::prelude::TimePoint;
 use smol_str::SmolStr;
 
-use super::interference::InterferenceTable;
+use super::interference::{InterferenceModel, LoadShare};
 use crate::job::{ServiceName, StepRequest, TaskKey, WorkerId};
 use crate::worker::WorkerEntry;
 
-/// The part of its processors that a run with a latency target is taken to use, in percent.
-const TARGET_LOAD_PERCENT: u64 = 42;
+/// The part of its processors that a run with a latency target is taken to use.
+const TARGET_LOAD: f64 = 0.42;
 /// The processors, in thousandths, that a worker in the wanted rack is worth.
-const RACK_BONUS: i64 = 64_000;
+const RACK_BONUS: f64 = 64_000.0;
 /// The processors, in thousandths, that one more run of the same step counts against a worker.
-const SPREAD_PENALTY: i64 = 4_000;
+const SPREAD_PENALTY: f64 = 4_000.0;
 /// The same for tasks with a latency target, which had better not be lost together.
-const TARGET_SPREAD_PENALTY: i64 = 16_000;
-/// The processors, in thousandths, that each run with a latency target counts against a worker for
-/// a best-effort run that may disturb it.
-const UNCLEAR_PENALTY: i64 = 3_000;
+const TARGET_SPREAD_PENALTY: f64 = 16_000.0;
+/// The processors, in thousandths, that a best-effort run forgoes to spare others all of the
+/// pressure that they can bear.
+const PRESSURE_PENALTY: f64 = 20_000.0;
+/// The pressure that counts as much as unlimited room.
+const LARGE_ROOM: f64 = 0.3;
 /// The processors, in thousandths, that each image which must keep away from a worker is worth to a
 /// task that needn't; it leaves other workers to those that have no choice.
-const CLOSED_BONUS: i64 = 9_000;
+const CLOSED_BONUS: f64 = 9_000.0;
 /// The processors, in thousandths, that a run of the same image is worth to one with a latency
 /// target; images kept apart leave more workers to best-effort runs that disturb one of them.
-const SAME_IMAGE_BONUS: i64 = 60_000;
+const SAME_IMAGE_BONUS: f64 = 60_000.0;
 /// The processors, in thousandths, that a run of another image counts against a worker for one with
 /// a latency target.
-const OTHER_IMAGE_PENALTY: i64 = 120_000;
+const OTHER_IMAGE_PENALTY: f64 = 120_000.0;
 
 /// What a task asks of its worker.
 #[derive(Debug, Clone)]
@@ -42,7 +47,7 @@
     /// The rack in which the step's other tasks run.
     pub(super) rack: Option<&'a SmolStr>,
     /// Which images disturb each other.
-    pub(super) interference: &'a InterferenceTable,
+    pub(super) interference: &'a InterferenceModel,
     /// Whether the task waits rather than disturb others.
     pub(super) is_patient: bool,
     /// The time.
@@ -58,7 +63,7 @@
         let best = workers
             .filter(|worker| self.is_allowed(worker))
             .map(|worker| (self.score(worker), worker))
-            .max_by_key(|(score, _)| *score);
+            .max_by(|(one, _), (other, _)| one.total_cmp(other));
         best.map(|(_, worker)| worker.id().clone())
     }
 
@@ -98,17 +103,33 @@
 
     /// Tells whether a best-effort run would find processors and disturb nobody.
     fn suits_best_effort(&self, worker: &WorkerEntry) -> bool {
-        let asked = i64::from(self.step.size.processors.0);
+        let asked = f64::from(self.step.size.processors.0);
         if idle_processors(worker) < asked {
             return false;
         }
-        let image = self.step.image.clone().unwrap_or_default();
-        let is_disturbed = |served: &SmolStr| self.interference.is_harmful(served, &image);
-        !self.is_patient || !served_images(worker).any(is_disturbed)
+        !self.is_patient || self.overload(worker) <= 0.0
+    }
+
+    /// Returns the pressure by which the best-effort runs of a worker, with this one, would exceed
+    /// what the images that it serves can bear.
+    fn overload(&self, worker: &WorkerEntry) -> f64 {
+        let load = best_effort_load(worker);
+        let own = LoadShare {
+            image: self.step.image.clone().unwrap_or_default(),
+            processors: f64::from(self.step.size.processors.0) / 1000.0,
+        };
+        let excess = |(served, target): (&SmolStr, Duration)| {
+            let model = self.interference;
+            let own = model.slope(served, &own.image) * own.processors;
+            model.added(served, &load) + own - model.room(served, target)
+        };
+        served_images(worker)
+            .map(excess)
+            .fold(f64::NEG_INFINITY, f64::max)
     }
 
     /// Returns how well a worker suits the task; higher is better.
-    fn score(&self, worker: &WorkerEntry) -> i64 {
+    fn score(&self, worker: &WorkerEntry) -> f64 {
         let mut score = match self.step.latency_target {
             Some(_) => self.target_score(worker),
             None => self.batch_score(worker),
@@ -125,55 +146,66 @@
     ///
     /// Workers get tasks of one image each, and a worker without any is taken last, so that as many as
     /// possible stay open to best-effort runs that would disturb the others.
-    fn target_score(&self, worker: &WorkerEntry) -> i64 {
+    fn target_score(&self, worker: &WorkerEntry) -> f64 {
         let image = self.step.image.clone().unwrap_or_default();
         let (same, other): (Vec<_>, Vec<_>) =
-            served_images(worker).partition(|served| **served == image);
-        let mut score = i64::from(worker.free_size().processors.0);
+            served_images(worker).partition(|(served, _)| **served == image);
+        let mut score = f64::from(worker.free_size().processors.0);
         score -= as_score(self.sibling_count(worker)) * TARGET_SPREAD_PENALTY;
-        score += i64::from(!same.is_empty()) * SAME_IMAGE_BONUS;
-        score -= i64::from(!other.is_empty()) * OTHER_IMAGE_PENALTY;
+        if !same.is_empty() {
+            score += SAME_IMAGE_BONUS;
+        }
+        if !other.is_empty() {
+            score -= OTHER_IMAGE_PENALTY;
+        }
         score
     }
 
     /// Returns how well a worker suits a task without a latency target.
-    fn batch_score(&self, worker: &WorkerEntry) -> i64 {
+    fn batch_score(&self, worker: &WorkerEntry) -> f64 {
         let mut score = idle_processors(worker);
-        let closed = self.interference.harmful_count(served_images(worker));
+        let closed = |(served, target)| self.interference.closed_count(served, target);
+        let closed = served_images(worker).map(closed).max().unwrap_or_default();
         score += as_score(closed) * CLOSED_BONUS;
         if self.step.is_best_effort {
-            let image = self.step.image.clone().unwrap_or_default();
-            let is_unclear = |served: &&SmolStr| !self.interference.is_harmless(served, &image);
-            let unclear = served_images(worker).filter(is_unclear).count();
-            score -= as_score(unclear) * UNCLEAR_PENALTY;
+            score -= self.overload(worker).max(-LARGE_ROOM) * PRESSURE_PENALTY;
         }
         score
     }
 }
 
-fn as_score(count: usize) -> i64 {
-    i64::try_from(count).unwrap_or(i64::MAX)
+fn as_score(count: usize) -> f64 {
+    f64::from(u32::try_from(count).unwrap_or(u32::MAX))
 }
 
 /// Returns the processors that a worker's runs are expected to leave idle, in thousandths.
-pub(super) fn idle_processors(worker: &WorkerEntry) -> i64 {
-    let used: u64 = worker
+pub(super) fn idle_processors(worker: &WorkerEntry) -> f64 {
+    let used: f64 = worker
         .runs
         .values()
         .map(|run| match run.latency_target {
-            Some(_) => u64::from(run.processors.0) * TARGET_LOAD_PERCENT / 100,
-            None => u64::from(run.processors.0),
+            Some(_) => f64::from(run.processors.0) * TARGET_LOAD,
+            None => f64::from(run.processors.0),
         })
         .sum();
-    let capacity = i64::from(worker.listing.capacity.processors.0);
-    capacity - i64::try_from(used).unwrap_or(i64::MAX)
+    f64::from(worker.listing.capacity.processors.0) - used
 }
 
-/// Returns the images of a worker's runs with a latency target.
-fn served_images(worker: &WorkerEntry) -> impl Iterator<Item = &SmolStr> {
-    let served = worker
-        .runs
-        .values()
-        .filter(|run| run.latency_target.is_some());
-    served.filter_map(|run| run.image.as_ref())
+/// Returns the images that a worker serves, with their targets, each once.
+fn served_images(worker: &WorkerEntry) -> impl Iterator<Item = (&SmolStr, Duration)> {
+    let served = worker.runs.values().filter_map(|run| {
+        let target = run.latency_target?;
+        Some((run.image.as_ref()?, target))
+    });
+    served.collect::<BTreeMap<_, _>>().into_iter()
+}
+
+/// Returns the load of a worker's best-effort runs at full speed.
+fn best_effort_load(worker: &WorkerEntry) -> Vec<LoadShare> {
+    let runs = worker.runs.values().filter(|run| run.is_best_effort);
+    let load = runs.map(|run| LoadShare {
+        image: run.image.clone().unwrap_or_default(),
+        processors: run.whole_processors(),
+    });
+    load.collect()
 }
--- a/crates/geraniumshed-core/src/assignment/placing.rs
+++ b/crates/geraniumshed-core/src/assignment/placing.rs
@@ -8,6 +8,7 @@
 
 use super::action::{PlannerAction, PlannerMoment};
 use super::ledger::GatedStart;
+use super::pacing::FULL_PERCENT;
 use super::placement::{PlacementQuery, idle_processors};
 use super::planner::JobPlanner;
 use crate::job::{
@@ -212,11 +213,11 @@
     fn is_mostly_idle(&self, service: &ServiceName) -> bool {
         let workers = self.workers.values();
         let own = workers.filter(|one| one.is_listed && one.listing.service == *service);
-        let (idle, capacity) = own.fold((0, 0), |(idle, capacity), one| {
-            let room = i64::from(one.listing.capacity.processors.0);
+        let (idle, capacity) = own.fold((0.0, 0.0), |(idle, capacity), one| {
+            let room = f64::from(one.listing.capacity.processors.0);
             (idle + idle_processors(one), capacity + room)
         });
-        idle * 2 > capacity
+        idle * 2.0 > capacity
     }
 
     fn has_history(&self, key: TaskKey) -> bool {
@@ -332,9 +333,11 @@
         is_best_effort: step.is_best_effort,
         latency_target: step.latency_target,
         tail_latency: Duration::ZERO,
+        usual_pressure: None,
         estimate: step.estimate,
         is_long_running: step.is_long_running,
-        pace_percent: 100,
+        pace_percent: FULL_PERCENT,
+        former_percent: FULL_PERCENT,
         paced_at: now,
         percent: 0,
         progressed_at: now,
--- a/crates/geraniumshed-core/src/assignment/planner.rs
+++ b/crates/geraniumshed-core/src/assignment/planner.rs
@@ -8,7 +8,7 @@
 use super::action::{
     CancelOutcome, JobStatus, PlannerAction, PlannerMoment, PlannerNote, StoreBatch, StoreChange,
 };
-use super::interference::InterferenceTable;
+use super::interference::InterferenceModel;
 use super::ledger::StoreLedger;
 use super::settings::PlannerSettings;
 use crate::job::{
@@ -31,7 +31,7 @@
     pub(super) open_jobs: BTreeSet<JobId>,
     pub(super) workers: BTreeMap<WorkerId, WorkerEntry>,
     pub(super) ledger: StoreLedger,
-    pub(super) interference: InterferenceTable,
+    pub(super) interference: InterferenceModel,
     pub(super) actions: Vec<PlannerAction>,
     /// Whether something has changed since tasks were last placed.
     pub(super) is_placing_due: bool,
@@ -55,7 +55,7 @@
             open_jobs: BTreeSet::new(),
             workers: BTreeMap::new(),
             ledger: StoreLedger::default(),
-            interference: InterferenceTable::default(),
+            interference: InterferenceModel::default(),
             actions: Vec::new(),
             is_placing_due: false,
             next_watch: TimePoint::default(),
--- a/crates/geraniumshed-core/src/assignment/worker_events.rs
+++ b/crates/geraniumshed-core/src/assignment/worker_events.rs
@@ -8,7 +8,7 @@
 
 use super::action::{PlannerAction, PlannerMoment, PlannerNote};
 use super::ends::RunFate;
-use super::pacing::pace_worker;
+use super::pacing::{pace_worker, recent_share};
 use super::placing::run_entry;
 use super::planner::JobPlanner;
 use super::upkeep::WHOLE_PERCENT;
@@ -246,11 +246,10 @@
             }
             entry.seen_end = end.number;
             let removed = entry.remove_run(end.task, end.run);
-            if let Some(image) = removed
-                .filter(|run| run.is_best_effort)
-                .and_then(|run| run.image)
-            {
-                entry.ended_images.push((image, now.point));
+            if let Some(run) = removed.filter(|run| run.is_best_effort) {
+                entry
+                    .ended_loads
+                    .push((recent_share(&run, now.point), now.point));
             }
             let fate = RunFate::Ended(end.kind);
             let checkpoint = end.checkpoint.clone();
--- a/crates/geraniumshed-core/src/worker/entry.rs
+++ b/crates/geraniumshed-core/src/worker/entry.rs
@@ -11,6 +11,7 @@
 use super::message::FenceToken;
 use super::run::{RunEntry, RunPhase};
 use super::trust::WorkerTrust;
+use crate::assignment::LoadShare;
 use crate::job::{TaskKey, WorkerId};
 
 /// A renewal that is on its way.
@@ -59,14 +60,14 @@
     pub renewal: Option<RenewMark>,
     /// When the next renewal goes out at the latest.
     pub next_renewal_at: TimePoint,
-    /// When the tails show what the best-effort runs there are doing now.
-    ///
-    /// Before, they may still show a run that was slowed down, has moved or has ended.
-    pub tails_settle_at: TimePoint,
+    /// When tails were last learned from.
+    pub tails_learned_at: TimePoint,
     /// Since when some tail has been above its target at each reading.
     pub tails_above_since: Option<TimePoint>,
-    /// The images of best-effort runs that have ended, with the time of each end.
-    pub ended_images: Vec<(SmolStr, TimePoint)>,
+    /// The processors that best-effort runs of each image have used in the last seconds.
+    pub usual_load: BTreeMap<SmolStr, f64>,
+    /// The load of best-effort runs that have ended, with the time of each end.
+    pub ended_loads: Vec<(LoadShare, TimePoint)>,
     /// How far the worker is trusted with new tasks.
     pub trust: WorkerTrust,
 }
@@ -92,9 +93,10 @@
             read_at: TimePoint::default(),
             renewal: None,
             next_renewal_at: TimePoint::default(),
-            tails_settle_at: TimePoint::default(),
+            tails_learned_at: TimePoint::default(),
             tails_above_since: None,
-            ended_images: Vec::new(),
+            usual_load: BTreeMap::new(),
+            ended_loads: Vec::new(),
             trust: WorkerTrust::default(),
         }
     }
--- a/crates/geraniumshed-core/src/worker/run.rs
+++ b/crates/geraniumshed-core/src/worker/run.rs
@@ -39,12 +39,16 @@
     pub latency_target: Option<Duration>,
     /// The tail latency at the newest reading.
     pub tail_latency: Duration,
+    /// The pressure on the run in the last seconds, for a run with a latency target.
+    pub usual_pressure: Option<f64>,
     /// The client's estimate of the run time.
     pub estimate: Duration,
     /// Whether the run goes on until its job is cancelled.
     pub is_long_running: bool,
     /// The share of its speed at which the run was last told to work.
     pub pace_percent: u32,
+    /// The speed before that.
+    pub former_percent: u32,
     /// When the speed was last changed.
     pub paced_at: TimePoint,
     /// The progress at the newest reading, 0 to 100.
@@ -60,4 +64,24 @@
     pub fn is_stopping(&self) -> bool {
         self.stop_sent_at.is_some()
     }
+
+    /// Returns the processors that the run asks for, in whole ones.
+    pub fn whole_processors(&self) -> f64 {
+        f64::from(self.processors.0) / 1000.0
+    }
+
+    /// Takes note of a new speed, in percent.
+    pub fn change_pace(&mut self, percent: u32, now: TimePoint) {
+        self.former_percent = self.pace_percent;
+        self.pace_percent = percent;
+        self.paced_at = now;
+    }
+
+    /// Returns the mean speed over the last window of time, in percent, if orders take effect after
+    /// a delay.
+    pub fn mean_pace(&self, now: TimePoint, delay: Duration, window: Duration) -> f64 {
+        let in_force = now.since(self.paced_at).saturating_sub(delay);
+        let part = (in_force.as_secs_f64() / window.as_secs_f64()).min(1.0);
+        f64::from(self.pace_percent) * part + f64::from(self.former_percent) * (1.0 - part)
+    }
 }
--- a/crates/geraniumshed-core/tests/planner/fixture.rs
+++ b/crates/geraniumshed-core/tests/planner/fixture.rs
@@ -1,6 +1,6 @@
 //! A planner with modelled workers and a modelled store, driven in steps of time.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 use geraniumshed_core::assignment::{
@@ -18,7 +18,7 @@
 };
 use smol_str::SmolStr;
 
-use crate::model::{ModelRun, ModelWorker, reports};
+use crate::model::{ModelRun, ModelWorker, Surroundings, TAIL_STEPS};
 
 /// The length of a step of time.
 pub const STEP: Duration = Duration::from_millis(10);
@@ -48,8 +48,10 @@
     pub store_is_up: bool,
     pub stored: BTreeMap<JobId, JobImage>,
     pub requests: BTreeMap<JobId, JobRequest>,
-    /// The tail of each image with a latency target beside each best-effort image.
-    pub tails: BTreeMap<(SmolStr, SmolStr), Duration>,
+    /// The pressure that each processor of a best-effort image adds to an image with a latency target.
+    pub pressures: BTreeMap<(SmolStr, SmolStr), f64>,
+    /// The readings of tails, and of tails above their targets.
+    pub tail_counts: (usize, usize),
     /// The runs of one task that were at work at the same time on workers that are up.
     pub doubled: Vec<TaskKey>,
     /// The newest speed of each run that was ever changed, in percent.
@@ -70,7 +72,8 @@
             store_is_up: true,
             stored: BTreeMap::new(),
             requests: BTreeMap::new(),
-            tails: BTreeMap::new(),
+            pressures: BTreeMap::new(),
+            tail_counts: (0, 0),
             doubled: Vec::new(),
             paces: BTreeMap::new(),
             waiting: Vec::new(),
@@ -140,6 +143,7 @@
         while self.now < end {
             self.now = self.now + STEP;
             self.run_workers();
+            self.press();
             self.planner.revisit();
             self.planner.advance(self.moment());
             self.store();
@@ -256,7 +260,9 @@
             run: order.run,
             started_at: now,
             length,
+            pressures: VecDeque::new(),
         };
+        self.paces.remove(&order.task);
         worker.runs.insert(order.task, run);
         if is_doubled {
             self.doubled.push(order.task);
@@ -288,15 +294,46 @@
         let noted = worker.ended.iter().filter(|end| end.number <= seen);
         self.noted.extend(noted.map(|end| (end.task, end.run)));
         worker.ended.retain(|end| end.number > seen);
+        let surroundings = Surroundings {
+            requests: &self.requests,
+            pressures: &self.pressures,
+            paces: &self.paces,
+        };
+        let running = surroundings.reports(worker, self.now);
+        let (all, high) = surroundings.tail_counts(&running);
+        self.tail_counts.0 += all;
+        self.tail_counts.1 += high;
         let reply = RenewReply {
             clock: WorkerTime(self.now.0 / 1000),
             life: Some(worker.life),
-            running: reports(worker, &self.requests, &self.tails, self.now),
+            running,
             ended: worker.ended.clone(),
         };
         self.planner.renewal_answered(now, id, mark, reply);
     }
 
+    /// Lets the runs beside each other press on each other for a step of time.
+    fn press(&mut self) {
+        if self.pressures.is_empty() {
+            return;
+        }
+        let surroundings = Surroundings {
+            requests: &self.requests,
+            pressures: &self.pressures,
+            paces: &self.paces,
+        };
+        for worker in self.workers.values_mut() {
+            for (task, pressure) in surroundings.pressures(worker, self.now) {
+                if let Some(run) = worker.runs.get_mut(&task) {
+                    run.pressures.push_back(pressure);
+                    if run.pressures.len() > TAIL_STEPS {
+                        run.pressures.pop_front();
+                    }
+                }
+            }
+        }
+    }
+
     /// Lets runs end, leases lapse and late orders be carried out.
     fn run_workers(&mut self) {
         let now = self.now;
--- a/crates/geraniumshed-core/tests/planner/loads.rs
+++ b/crates/geraniumshed-core/tests/planner/loads.rs
@@ -7,6 +7,9 @@
 
 use crate::fixture::{Cluster, size, step, worker};
 
+/// The pressure of each processor of an image of which a single run is too much.
+const HARD_PRESSURE: f64 = 0.3;
+
 fn lasting(image: &str, task_count: u32) -> StepRequest {
     StepRequest {
         is_long_running: true,
@@ -31,7 +34,7 @@
 fn disturbing_runs_learn_to_keep_away_from_those_that_they_disturb() {
     let mut cluster = Cluster::with_workers(8);
     let pair = (SmolStr::new("calls"), SmolStr::new("noisy"));
-    cluster.tails.insert(pair, Duration::from_millis(120));
+    cluster.pressures.insert(pair, HARD_PRESSURE);
     let calls = cluster.submit(1, vec![lasting("calls", 12)]);
     cluster.submit(2, vec![lasting("queue", 12)]);
     cluster.advance(Duration::from_secs(3));
@@ -55,13 +58,52 @@
     }
 }
 
+/// Pattern: noisy neighbours beside swinging loads. Two of six best-effort images press hard on one
+/// of three served images each, whose own load comes near its target by itself at times. The others
+/// must neither be kept away nor be slowed down for that.
+#[test]
+fn runs_beside_a_swinging_load_are_slowed_down_only_where_they_press() {
+    let mut cluster = Cluster::with_workers(12);
+    let served = ["calls", "queue", "search"];
+    let images = ["a", "b", "c", "d", "e", "noisy"];
+    for (row, name) in served.iter().enumerate() {
+        for (column, image) in images.iter().enumerate() {
+            let presses = (row == 0 && column == 5) || (row == 1 && column == 2);
+            let slope = if presses { 0.08 } else { 0.004 };
+            let pair = (SmolStr::new(name), SmolStr::new(image));
+            cluster.pressures.insert(pair, slope);
+        }
+        cluster.submit(1 + row as u64, vec![lasting(name, 12)]);
+    }
+    cluster.advance(Duration::from_secs(3));
+    let mut jobs = Vec::new();
+    for (number, image) in (0..120_u64).zip(images.iter().cycle()) {
+        jobs.push(cluster.submit(100 + number, vec![best_effort(image, 6)]));
+        cluster.advance(Duration::from_millis(250));
+        if number == 60 {
+            cluster.tail_counts = (0, 0);
+            cluster.paces.clear();
+        }
+    }
+    cluster.advance(Duration::from_secs(4));
+    for id in jobs {
+        assert_eq!(cluster.phase(id), Some(JobPhase::Completed), "{id}");
+    }
+    let (all, high) = cluster.tail_counts;
+    assert!(high * 50 <= all, "{high} of {all} tails");
+    let slowed = cluster.paces.values().filter(|percent| **percent < 100);
+    assert!(slowed.clone().count() <= 10, "{} slowed", slowed.count());
+    let moved = cluster.starts.iter().filter(|start| start.run > 1).count();
+    assert!(moved <= 20, "{moved} moved");
+}
+
 /// Pattern: noisy neighbours everywhere. Where each worker serves an image that a run disturbs, the
 /// run still starts while most of the room is free.
 #[test]
 fn a_disturbing_run_starts_all_the_same_while_most_room_is_free() {
     let mut cluster = Cluster::with_workers(4);
     let pair = (SmolStr::new("calls"), SmolStr::new("noisy"));
-    cluster.tails.insert(pair, Duration::from_millis(120));
+    cluster.pressures.insert(pair, HARD_PRESSURE);
     let spread = StepRequest {
         worker_limit: Some(1),
         ..lasting("calls", 4)
@@ -81,7 +123,7 @@
 fn a_slowed_run_speeds_up_when_those_that_it_disturbed_have_gone() {
     let mut cluster = Cluster::with_workers(1);
     let pair = (SmolStr::new("calls"), SmolStr::new("noisy"));
-    cluster.tails.insert(pair, Duration::from_millis(120));
+    cluster.pressures.insert(pair, HARD_PRESSURE);
     let calls = cluster.submit(1, vec![lasting("calls", 1)]);
     cluster.advance(Duration::from_secs(3));
     let long = StepRequest {
--- a/crates/geraniumshed-core/tests/planner/model.rs
+++ b/crates/geraniumshed-core/tests/planner/model.rs
@@ -1,9 +1,9 @@
 //! Modelled workers.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
-use geraniumshed_core::job::{JobId, JobRequest, TaskKey};
+use geraniumshed_core::job::{JobId, JobRequest, StepRequest, TaskKey};
 use geraniumshed_core::worker::{
     EndKind, FenceToken, RunEnd, RunReport, StartOrder, WorkerLife, WorkerListing,
 };
@@ -29,6 +29,17 @@
     pub run: u32,
     pub started_at: TimePoint,
     pub length: Duration,
+    /// The pressure on it in each step of the time that tails are measured over.
+    pub pressures: VecDeque<f64>,
+}
+
+impl ModelRun {
+    /// Returns the tail that the run reports.
+    fn tail(&self) -> Duration {
+        let count = self.pressures.len().max(1);
+        let pressure = self.pressures.iter().sum::<f64>() / count as f64;
+        CALM_TAIL.div_f64(1.0 - pressure.min(0.98))
+    }
 }
 
 /// A modelled worker that keeps the platform's promises: fences, leases, numbered ends.
@@ -83,45 +94,85 @@
     }
 }
 
-/// Describes what a worker runs.
-pub fn reports(
-    worker: &ModelWorker,
-    requests: &BTreeMap<JobId, JobRequest>,
-    tails: &BTreeMap<(SmolStr, SmolStr), Duration>,
-    now: TimePoint,
-) -> Vec<RunReport> {
-    let step_of = |task: &TaskKey| &requests[&task.job].steps[task.step as usize];
-    let image_of = |task: &TaskKey| step_of(task).image.clone().unwrap_or_default();
-    let beside: Vec<SmolStr> = worker
-        .runs
-        .keys()
-        .filter(|task| step_of(task).is_best_effort)
-        .map(image_of)
-        .collect();
-    let report = |(task, run): (&TaskKey, &ModelRun)| {
-        let image = image_of(task);
-        let tail = beside
-            .iter()
-            .filter_map(|other| tails.get(&(image.clone(), other.clone())))
-            .max()
-            .copied()
-            .unwrap_or(Duration::from_millis(5));
-        let done = now.since(run.started_at).as_millis() * 100 / run.length.as_millis().max(1);
-        let is_whole = step_of(task).is_long_running;
-        let percent = if worker.fault.stalls {
-            7
-        } else if is_whole {
-            100
-        } else {
-            u32::try_from(done.min(99)).unwrap_or(99)
+/// The tail of a run that nothing disturbs.
+const CALM_TAIL: Duration = Duration::from_millis(5);
+/// The number of steps of time that tails are measured over.
+pub const TAIL_STEPS: usize = 50;
+/// The period in which the load of runs with a latency target swings.
+const SWING_PERIOD: Duration = Duration::from_secs(10);
+
+/// What decides how runs get on beside each other.
+pub struct Surroundings<'a> {
+    pub requests: &'a BTreeMap<JobId, JobRequest>,
+    pub pressures: &'a BTreeMap<(SmolStr, SmolStr), f64>,
+    pub paces: &'a BTreeMap<TaskKey, u32>,
+}
+
+impl Surroundings<'_> {
+    /// Describes what a worker runs.
+    pub fn reports(&self, worker: &ModelWorker, now: TimePoint) -> Vec<RunReport> {
+        let report = |(task, run): (&TaskKey, &ModelRun)| {
+            let done = now.since(run.started_at).as_millis() * 100 / run.length.as_millis().max(1);
+            let percent = if worker.fault.stalls {
+                7
+            } else if self.step(task).is_long_running {
+                100
+            } else {
+                u32::try_from(done.min(99)).unwrap_or(99)
+            };
+            RunReport {
+                task: *task,
+                run: run.run,
+                checkpoint: None,
+                percent,
+                tail_latency: run.tail(),
+            }
         };
-        RunReport {
-            task: *task,
-            run: run.run,
-            checkpoint: None,
-            percent,
-            tail_latency: tail,
-        }
-    };
-    worker.runs.iter().map(report).collect()
+        worker.runs.iter().map(report).collect()
+    }
+
+    /// Counts the reported tails, and those that are above their targets.
+    pub fn tail_counts(&self, running: &[RunReport]) -> (usize, usize) {
+        let targets = running.iter().filter_map(|one| {
+            let target = self.step(&one.task).latency_target?;
+            Some(one.tail_latency > target)
+        });
+        let high = targets.clone().filter(|is_high| *is_high).count();
+        (targets.count(), high)
+    }
+
+    fn step(&self, task: &TaskKey) -> &StepRequest {
+        &self.requests[&task.job].steps[task.step as usize]
+    }
+
+    fn image(&self, task: &TaskKey) -> SmolStr {
+        self.step(task).image.clone().unwrap_or_default()
+    }
+
+    /// Returns the pressure on each run of a worker now.
+    pub fn pressures(&self, worker: &ModelWorker, now: TimePoint) -> Vec<(TaskKey, f64)> {
+        let tasks = worker.runs.keys();
+        let served = tasks.filter(|task| self.step(task).latency_target.is_some());
+        served
+            .map(|task| (*task, self.pressure(worker, task, now)))
+            .collect()
+    }
+
+    fn pressure(&self, worker: &ModelWorker, task: &TaskKey, now: TimePoint) -> f64 {
+        let image = self.image(task);
+        let beside = worker
+            .runs
+            .keys()
+            .filter(|key| self.step(key).is_best_effort);
+        let pressure = |key: &TaskKey| {
+            let pair = (image.clone(), self.image(key));
+            let slope = self.pressures.get(&pair).copied().unwrap_or_default();
+            let percent = f64::from(self.paces.get(key).copied().unwrap_or(100));
+            slope * f64::from(self.step(key).size.processors.0) / 1000.0 * percent / 100.0
+        };
+        // Jobs swing out of step with each other.
+        let phase = now.0 as f64 / SWING_PERIOD.as_micros() as f64 + task.job.0 as f64 * 0.37;
+        let own = 0.42 * (1.0 + 0.5 * (phase * std::f64::consts::TAU).sin());
+        own + beside.map(pressure).sum::<f64>()
+    }
 }
