Keep the cancellation of a job that hasn't arrived

Cause: a job whose append got no answer was cancelled by its client; the leader, which the store refused just then, didn't know it and answered that there is no such job. Ruled out: a pursuit that ended early; it had its final answer.

Change: the cancellation of an unknown job is stored like any other, answered once it is stored, and holds for a job that arrives later. The wait of 400 ms for a job that may be on its way is not needed any more.

Test: a_job_that_arrives_after_its_cancellation_never_starts, by the same and by a later planner.

--- a/crates/geraniumshed-batch/src/cancel.rs
+++ b/crates/geraniumshed-batch/src/cancel.rs
@@ -5,17 +5,15 @@
 use std::time::Duration;
 
 use geraniumshed_core::job::JobId;
-use tokio::time::{Instant, sleep, timeout, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 
-use crate::service::{ANSWER_MARGIN, CallOutcome, JobService, RETRY_PAUSE};
+use crate::service::{ANSWER_MARGIN, CallOutcome, JobService};
 use crate::site::{SiteFeed, WorkerCaller};
 use crate::store::StoreClient;
 use crate::wire::JobCallWire;
 
 /// The time for which a cancellation is pursued.
 const CANCEL_LIMIT: Duration = Duration::from_secs(20);
-/// The time that a stored job may take to reach the leader.
-const ARRIVAL_LIMIT: Duration = Duration::from_millis(400);
 /// The time after which other nodes are asked to pursue a cancellation as well.
 const HELP_DELAY: Duration = Duration::from_millis(300);
 /// The time within which another node has to take a cancellation on.
@@ -102,15 +100,7 @@
 
     async fn pursue_cancel(&self, id: JobId, deadline: Instant) -> CallOutcome {
         let _guard = self.shared.pursuits.begin(id);
-        let started = Instant::now();
-        loop {
-            let outcome = self.ask_leader(JobCallWire::Cancel(id.0), deadline).await;
-            // A job that was accepted a moment ago may be on its way to the leader.
-            if outcome != CallOutcome::Unknown || started.elapsed() > ARRIVAL_LIMIT {
-                return outcome;
-            }
-            sleep(RETRY_PAUSE).await;
-        }
+        self.ask_leader(JobCallWire::Cancel(id.0), deadline).await
     }
 
     /// Asks other nodes to pursue a cancellation as well, the leader last since it knows of it.
--- a/crates/geraniumshed-batch/src/leader/load.rs
+++ b/crates/geraniumshed-batch/src/leader/load.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use geraniumshed_core::job::{JobId, JobImage, JobRequest};
+use geraniumshed_core::job::{JobId, JobImage, JobPhase, JobRequest};
 use geraniumshed_core::membership::{LeaderRecord, LeaderTerm, MemberIdentity};
 use geraniumshed_model::prelude::LogOffset;
 
@@ -47,6 +47,9 @@
 pub(crate) struct TakeOver {
     /// All jobs, with their progress where any is stored.
     pub(crate) jobs: Vec<(JobId, JobRequest, Option<JobImage>)>,
+    /// The jobs that were cancelled before they arrived, with the time of the cancellation in
+    /// milliseconds of Unix time.
+    pub(crate) withdrawn: BTreeMap<JobId, u64>,
     /// The jobs whose cancellation other nodes pursue.
     pub(crate) cancelled: BTreeSet<JobId>,
     /// The offset from which to read further requests.
@@ -83,11 +86,17 @@
             (id, request, image)
         })
         .collect();
-    for id in images.keys() {
-        log::error!("job {id}: there is progress in the store and no request");
+    let mut withdrawn = BTreeMap::new();
+    for (id, image) in images {
+        if image.phase == JobPhase::Cancelled {
+            withdrawn.insert(id, image.ended_unix_ms);
+        } else {
+            log::error!("job {id}: there is progress in the store and no request");
+        }
     }
     Ok(TakeOver {
         jobs,
+        withdrawn,
         cancelled: BTreeSet::new(),
         next_request,
     })
--- a/crates/geraniumshed-batch/src/leader/run.rs
+++ b/crates/geraniumshed-batch/src/leader/run.rs
@@ -134,7 +134,7 @@
     /// Whether events have come since the last step.
     has_news: bool,
     /// Cancellations that are answered once a batch is stored.
-    cancels: Vec<(u64, oneshot::Sender<CancelOutcome>)>,
+    cancels: Vec<(u64, CancelOutcome, oneshot::Sender<CancelOutcome>)>,
 }
 
 impl<W: WorkerCaller> LeaderTask<W> {
@@ -147,6 +147,9 @@
                 None => self.planner.submit(id, request),
             }
         }
+        for (id, cancelled_unix_ms) in found.withdrawn {
+            self.planner.restore_withdrawn(id, cancelled_unix_ms);
+        }
         for id in found.cancelled {
             let outcome = self.planner.cancel(now, id);
             log::info!("job {id}: its cancellation was pursued elsewhere: {outcome:?}");
@@ -276,10 +279,10 @@
         self.planner.batch_stored(self.clock.moment(), number);
         let (done, waiting): (Vec<_>, Vec<_>) = std::mem::take(&mut self.cancels)
             .into_iter()
-            .partition(|(batch, _)| *batch <= number);
+            .partition(|(batch, ..)| *batch <= number);
         self.cancels = waiting;
-        for (batch, sender) in done {
-            reply(sender, CancelOutcome::StoredBy(batch));
+        for (_, outcome, sender) in done {
+            reply(sender, outcome);
         }
     }
 
@@ -294,9 +297,12 @@
     }
 
     fn cancel(&mut self, id: JobId, sender: oneshot::Sender<CancelOutcome>) {
-        match self.planner.cancel(self.clock.moment(), id) {
-            CancelOutcome::StoredBy(batch) => self.cancels.push((batch, sender)),
-            outcome => reply(sender, outcome),
+        let outcome = self.planner.cancel(self.clock.moment(), id);
+        match outcome {
+            CancelOutcome::StoredBy(batch) | CancelOutcome::WithdrawnBy(batch) => {
+                self.cancels.push((batch, outcome, sender));
+            }
+            CancelOutcome::Unknown | CancelOutcome::AlreadyEnded => reply(sender, outcome),
         }
     }
 }
--- a/crates/geraniumshed-batch/src/service.rs
+++ b/crates/geraniumshed-batch/src/service.rs
@@ -23,7 +23,7 @@
 /// The time within which a peer has to store a job.
 const RELAY_LIMIT: Duration = Duration::from_millis(1500);
 /// The pause between two attempts.
-pub(crate) const RETRY_PAUSE: Duration = Duration::from_millis(50);
+const RETRY_PAUSE: Duration = Duration::from_millis(50);
 /// The time for which a job that certainly isn't stored is tried again.
 const REFUSAL_LIMIT: Duration = Duration::from_millis(150);
 /// The time that remains for the answer to reach the client.
@@ -272,7 +272,7 @@
             handle.query(LeaderQuery::Cancel(JobId(*id), sender));
             let outcome = timeout_at(deadline, answer).await.ok()?.ok()?;
             Some(match outcome {
-                CancelOutcome::Unknown => CallOutcome::Unknown,
+                CancelOutcome::Unknown | CancelOutcome::WithdrawnBy(_) => CallOutcome::Unknown,
                 CancelOutcome::AlreadyEnded | CancelOutcome::StoredBy(_) => CallOutcome::Cancelled,
             })
         }
--- a/crates/geraniumshed-core/src/assignment/action.rs
+++ b/crates/geraniumshed-core/src/assignment/action.rs
@@ -67,6 +67,9 @@
 pub enum CancelOutcome {
     /// There is no such job.
     Unknown,
+    /// There is no such job; one that arrives later stays cancelled once the batch with this number
+    /// is stored.
+    WithdrawnBy(u64),
     /// The job has ended before.
     AlreadyEnded,
     /// The cancellation holds once the batch with this number is stored.
--- a/crates/geraniumshed-core/src/assignment/ledger.rs
+++ b/crates/geraniumshed-core/src/assignment/ledger.rs
@@ -66,6 +66,11 @@
         self.starts.push_back((self.open, start));
     }
 
+    /// Returns the batch that stores a job's end, if it is not stored yet.
+    pub(super) fn final_batch(&self, job: JobId) -> Option<u64> {
+        self.finals.get(&job).copied()
+    }
+
     /// Tells whether a job's end is not stored yet.
     pub(super) fn is_end_unstored(&self, job: JobId) -> bool {
         self.finals.contains_key(&job)
--- a/crates/geraniumshed-core/src/assignment/planner.rs
+++ b/crates/geraniumshed-core/src/assignment/planner.rs
@@ -1,5 +1,6 @@
 //! The planner: jobs, workers and what connects them.
 
+use std::collections::btree_map::Entry;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -27,6 +28,9 @@
     pub(super) first_token: FenceToken,
     pub(super) queues: QueueTable,
     pub(super) jobs: BTreeMap<JobId, JobEntry>,
+    /// The jobs that were cancelled before they were known, with the time of the cancellation in
+    /// milliseconds of Unix time.
+    withdrawn: BTreeMap<JobId, u64>,
     /// The jobs that haven't come to their end.
     pub(super) open_jobs: BTreeSet<JobId>,
     pub(super) workers: BTreeMap<WorkerId, WorkerEntry>,
@@ -52,6 +56,7 @@
             first_token,
             queues: QueueTable::default(),
             jobs: BTreeMap::new(),
+            withdrawn: BTreeMap::new(),
             open_jobs: BTreeSet::new(),
             workers: BTreeMap::new(),
             ledger: StoreLedger::default(),
@@ -87,15 +92,37 @@
         if self.jobs.contains_key(&id) {
             return;
         }
-        self.jobs.insert(id, JobEntry::new(id, request));
+        let mut job = JobEntry::new(id, request);
+        if let Some(cancelled_unix_ms) = self.withdrawn.remove(&id) {
+            job.phase = JobPhase::Cancelled;
+            job.ended_unix_ms = cancelled_unix_ms;
+            self.jobs.insert(id, job);
+            return;
+        }
+        self.jobs.insert(id, job);
         self.open_jobs.insert(id);
         self.is_placing_due = true;
     }
 
+    /// Restores the cancellation of a job that is not known.
+    pub fn restore_withdrawn(&mut self, id: JobId, cancelled_unix_ms: u64) {
+        self.withdrawn.insert(id, cancelled_unix_ms);
+    }
+
     /// Cancels a job.
+    ///
+    /// A job that is not known may have been handed in all the same and not have arrived yet, so
+    /// that its cancellation is kept as well.
     pub fn cancel(&mut self, now: PlannerMoment, id: JobId) -> CancelOutcome {
         let Some(job) = self.jobs.get(&id) else {
-            return CancelOutcome::Unknown;
+            if let Entry::Vacant(entry) = self.withdrawn.entry(id) {
+                entry.insert(now.unix_ms);
+                self.ledger.change_final(id);
+            }
+            return match self.ledger.final_batch(id) {
+                Some(batch) => CancelOutcome::WithdrawnBy(batch),
+                None => CancelOutcome::Unknown,
+            };
         };
         // An end that isn't stored yet could be lost with this planner.
         if job.phase.is_final() && !self.ledger.is_end_unstored(id) {
@@ -146,8 +173,11 @@
         }
         let (number, changed, forgotten) = self.ledger.take();
         let progress = changed.into_iter().filter_map(|id| {
-            let job = self.jobs.get(&id)?;
-            Some(StoreChange::Progress(id, job.image()))
+            let image = match self.jobs.get(&id) {
+                Some(job) => job.image(),
+                None => JobImage::cancelled(*self.withdrawn.get(&id)?),
+            };
+            Some(StoreChange::Progress(id, image))
         });
         let forgotten = forgotten.into_iter().map(StoreChange::Forget);
         Some(StoreBatch {
@@ -236,17 +266,17 @@
 
     fn forget_old_jobs(&mut self, now: PlannerMoment) {
         let memory = whole_millis(self.settings.memory);
-        let is_old = |job: &JobEntry| {
-            job.phase.is_final() && job.ended_unix_ms.saturating_add(memory) < now.unix_ms
-        };
-        let old: Vec<JobId> = self
-            .jobs
-            .values()
-            .filter(|job| is_old(job))
+        let is_old = |ended_unix_ms: u64| ended_unix_ms.saturating_add(memory) < now.unix_ms;
+        let jobs = self.jobs.values();
+        let ended = jobs.filter(|job| job.phase.is_final() && is_old(job.ended_unix_ms));
+        let withdrawn = self.withdrawn.iter().filter(|(_, at)| is_old(**at));
+        let old: Vec<JobId> = ended
             .map(|job| job.id)
+            .chain(withdrawn.map(|(id, _)| *id))
             .collect();
         for id in old {
             self.jobs.remove(&id);
+            self.withdrawn.remove(&id);
             self.ledger.forget(id);
         }
     }
--- a/crates/geraniumshed-core/src/job/image.rs
+++ b/crates/geraniumshed-core/src/job/image.rs
@@ -18,6 +18,18 @@
     pub ended_occurrences: u32,
 }
 
+impl JobImage {
+    /// Describes a job that was cancelled before anything of it was done.
+    pub fn cancelled(ended_unix_ms: u64) -> Self {
+        Self {
+            phase: JobPhase::Cancelled,
+            ended_unix_ms,
+            occurrences: Vec::new(),
+            ended_occurrences: 0,
+        }
+    }
+}
+
 /// How far one occurrence is.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct OccurrenceImage {
--- a/crates/geraniumshed-core/tests/planner/fixture.rs
+++ b/crates/geraniumshed-core/tests/planner/fixture.rs
@@ -134,6 +134,10 @@
                 None => self.planner.submit(*id, request.clone()),
             }
         }
+        let withdrawn = self.stored.iter();
+        for (id, image) in withdrawn.filter(|(id, _)| !self.requests.contains_key(id)) {
+            self.planner.restore_withdrawn(*id, image.ended_unix_ms);
+        }
         self.list_workers();
     }
 
--- a/crates/geraniumshed-core/tests/planner/rules.rs
+++ b/crates/geraniumshed-core/tests/planner/rules.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use geraniumshed_core::assignment::CancelOutcome;
-use geraniumshed_core::job::{JobPhase, StepRequest};
+use geraniumshed_core::job::{JobId, JobPhase, StepRequest};
 use rstest::rstest;
 
 use crate::fixture::{Cluster, size, step, task, worker};
@@ -195,3 +195,25 @@
     assert_eq!(cluster.phase(id), Some(JobPhase::Completed));
     assert!(cluster.starts.iter().all(|start| start.worker != worker(0)));
 }
+
+/// A client that got no answer to its job may cancel it before the job arrives.
+#[rstest]
+#[case::by_the_same_planner(false)]
+#[case::by_a_later_planner(true)]
+fn a_job_that_arrives_after_its_cancellation_never_starts(#[case] is_replaced: bool) {
+    let mut cluster = Cluster::with_workers(2);
+    let id = JobId(5);
+    let outcome = cluster.planner.cancel(cluster.moment(), id);
+    assert!(matches!(outcome, CancelOutcome::WithdrawnBy(_)));
+    assert_eq!(cluster.phase(id), None);
+    cluster.advance(Duration::from_millis(50));
+    let repeated = cluster.planner.cancel(cluster.moment(), id);
+    assert_eq!(repeated, CancelOutcome::Unknown);
+    if is_replaced {
+        cluster.replace_planner();
+    }
+    cluster.submit(5, vec![step(4)]);
+    cluster.advance(Duration::from_secs(2));
+    assert_eq!(cluster.phase(id), Some(JobPhase::Cancelled));
+    assert_eq!(cluster.starts, []);
+}
