Place by the room that the next second leaves, and by slack

Change: the room on a worker is the lesser of the usual one and of the one that the newest tails and their trend leave; a task asks for the full speed at first, and for less as its job's slack goes; a slowed run moves only if another worker offers four fifths of its speed. Steps go by the latest time at which they have to start. A query that failed is not repeated within a pass, and a worker's load is kept up to date instead of summed up each time. The load of served runs is taken as half of what they ask for.

Test: the_step_with_the_least_slack_starts_first; speeds take effect after 100 ms in the modelled workers.

--- a/crates/geraniumshed-core/src/assignment/mod.rs
+++ b/crates/geraniumshed-core/src/assignment/mod.rs
@@ -9,6 +9,7 @@
 mod interference;
 mod ledger;
 mod pacing;
+mod pass;
 mod placement;
 mod placing;
 mod planner;
--- a/crates/geraniumshed-core/src/assignment/pacing.rs
+++ b/crates/geraniumshed-core/src/assignment/pacing.rs
@@ -17,7 +17,7 @@
 /// The pressure that is kept free below a target, for what changes until the next reading.
 const PRESSURE_MARGIN: f64 = 0.05;
 /// The pressure of a run that is too small to matter.
-const SLIGHT_PRESSURE: f64 = 0.012;
+pub(super) const SLIGHT_PRESSURE: f64 = 0.012;
 /// The time over which a tail is measured.
 const TAIL_WINDOW: Duration = Duration::from_millis(500);
 /// The time by which usual loads and pressures lag behind.
@@ -30,8 +30,10 @@
 const STANDSTILL_LIMIT: Duration = Duration::from_millis(1300);
 /// The time after its start in which a run's tail is its own.
 const WARM_UP: Duration = Duration::from_millis(1500);
-/// The progress up to which a culprit is moved elsewhere rather than slowed down, in percent.
-const MOVE_PERCENT: u32 = 60;
+/// The speed up to which a run had better go on elsewhere, in percent.
+const MOVE_SPEED: u32 = 30;
+/// The least work before a run for which it moves.
+const MOVE_REST: Duration = Duration::from_secs(1);
 /// The number of the last run of a task that is moved.
 const MOVED_RUN_LIMIT: u32 = 2;
 
@@ -58,8 +60,8 @@
     image: SmolStr,
     /// What is left of it; below zero if the image's own load is too high already.
     left: f64,
-    /// What the image's own load usually leaves.
-    usual: f64,
+    /// The same for the next seconds.
+    coming: f64,
 }
 
 /// Learns from the newest tails of a worker, and plans what has to change there.
@@ -75,7 +77,11 @@
     worker.tails_above_since = worker.tails_above_since.or(Some(now)).filter(|_| is_above);
     let above_since = worker.tails_above_since.unwrap_or(now);
     let must_stand_still = is_above && now.since(above_since) >= STANDSTILL_LIMIT;
-    let mut rooms = pressure_rooms(&readings, &load, model);
+    let mut rooms = pressure_rooms(worker, &load, model, now);
+    worker.rooms = rooms
+        .iter()
+        .map(|room| (room.image.clone(), room.coming))
+        .collect();
     let mut plan = PacePlan::default();
     for key in by_pressure(worker, &rooms, model) {
         let Some(run) = worker.runs.get_mut(&key) else {
@@ -86,7 +92,7 @@
         } else {
             take_room(run, &mut rooms, model)
         };
-        if percent < FULL_PERCENT && is_misplaced(run, &rooms, model) {
+        if percent <= MOVE_SPEED && may_move(run) {
             plan.moves.push(key);
         }
         if is_worth_an_order(run.pace_percent, percent) {
@@ -187,6 +193,8 @@
             model.saw_change(&reading.image, pressure - usual, &change, weight);
         }
         run.usual_pressure = Some(pressure + (usual - pressure) * fading);
+        let usual_own = run.usual_own_pressure.unwrap_or(own);
+        run.usual_own_pressure = Some(own + (usual_own - own) * fading);
     }
     for share in change {
         let usual = worker.usual_load.entry(share.image).or_default();
@@ -210,27 +218,41 @@
 
 /// Returns what best-effort runs may add to each image that the worker serves.
 fn pressure_rooms(
-    readings: &[TailReading],
+    worker: &WorkerEntry,
     load: &[LoadShare],
     model: &InterferenceModel,
+    now: TimePoint,
 ) -> Vec<PressureRoom> {
     let mut rooms: Vec<PressureRoom> = Vec::new();
-    for reading in readings {
-        let own = model.pressure(&reading.image, reading.tail) - model.added(&reading.image, load);
-        let limit = model.pressure(&reading.image, reading.target);
-        let left = limit - PRESSURE_MARGIN - own.max(0.0);
-        match rooms.iter_mut().find(|room| room.image == reading.image) {
-            Some(room) => room.left = room.left.min(left),
-            None => rooms.push(PressureRoom {
-                image: reading.image.clone(),
-                left,
-                usual: model.room(&reading.image, reading.target),
-            }),
+    for run in worker.runs.values() {
+        let Some(reading) = tail_reading(run, now) else {
+            continue;
+        };
+        let added = model.added(&reading.image, load);
+        let own = (model.pressure(&reading.image, reading.tail) - added).max(0.0);
+        let limit = model.pressure(&reading.image, reading.target) - PRESSURE_MARGIN;
+        let room = PressureRoom {
+            left: limit - own,
+            coming: limit - coming_pressure(own, run.usual_own_pressure),
+            image: reading.image,
+        };
+        match rooms.iter_mut().find(|known| known.image == room.image) {
+            Some(known) => {
+                known.left = known.left.min(room.left);
+                known.coming = known.coming.min(room.coming);
+            }
+            None => rooms.push(room),
         }
     }
     rooms
 }
 
+/// Returns the pressure that a run's own load makes in a second, if it goes on as in the last one.
+fn coming_pressure(own: f64, usual: Option<f64>) -> f64 {
+    let usual = usual.unwrap_or(own);
+    own.max(usual) + (own - usual).max(0.0)
+}
+
 /// Returns the best-effort runs at work, those that press least first.
 fn by_pressure(
     worker: &WorkerEntry,
@@ -268,13 +290,10 @@
     tens.unwrap_or(0) * 10
 }
 
-/// Tells whether a run disturbs an image here also at its usual load, and had better move.
-fn is_misplaced(run: &RunEntry, rooms: &[PressureRoom], model: &InterferenceModel) -> bool {
-    let image = run.image.clone().unwrap_or_default();
-    let disturbs = |room: &PressureRoom| {
-        model.slope(&room.image, &image) * run.whole_processors() > room.usual
-    };
-    run.percent < MOVE_PERCENT && run.run <= MOVED_RUN_LIMIT && rooms.iter().any(disturbs)
+/// Tells whether a run has so much before it that a move may be worth it.
+fn may_move(run: &RunEntry) -> bool {
+    let rest = run.estimate * FULL_PERCENT.saturating_sub(run.percent) / FULL_PERCENT;
+    run.run <= MOVED_RUN_LIMIT && rest >= MOVE_REST
 }
 
 fn is_worth_an_order(current: u32, wanted: u32) -> bool {
--- a/crates/geraniumshed-core/src/assignment/placement.rs
+++ b/crates/geraniumshed-core/src/assignment/placement.rs
@@ -1,28 +1,28 @@
 //! The choice of a worker for a task.
 
-use std::collections::BTreeMap;
-use std::time::Duration;
-
 use geraniumshed_model::prelude::TimePoint;
 use smol_str::SmolStr;
 
-use super::interference::{InterferenceModel, LoadShare};
+use super::interference::InterferenceModel;
+use super::pacing::SLIGHT_PRESSURE;
 use crate::job::{ServiceName, StepRequest, TaskKey, WorkerId};
 use crate::worker::WorkerEntry;
 
 /// The part of its processors that a run with a latency target is taken to use.
-const TARGET_LOAD: f64 = 0.42;
+const TARGET_LOAD: f64 = 0.5;
 /// The processors, in thousandths, that a worker in the wanted rack is worth.
 const RACK_BONUS: f64 = 64_000.0;
 /// The processors, in thousandths, that one more run of the same step counts against a worker.
 const SPREAD_PENALTY: f64 = 4_000.0;
 /// The same for tasks with a latency target, which had better not be lost together.
 const TARGET_SPREAD_PENALTY: f64 = 16_000.0;
+/// The processors, in thousandths, that full speed is worth to a best-effort run over none.
+const SPEED_BONUS: f64 = 24_000.0;
 /// The processors, in thousandths, that a best-effort run forgoes to spare others all of the
 /// pressure that they can bear.
-const PRESSURE_PENALTY: f64 = 20_000.0;
-/// The pressure that counts as much as unlimited room.
-const LARGE_ROOM: f64 = 0.3;
+const PRESSURE_PENALTY: f64 = 6_000.0;
+/// The least room by which a run's part of it is judged, as a pressure.
+const LEAST_LEFT: f64 = 0.02;
 /// The processors, in thousandths, that each image which must keep away from a worker is worth to a
 /// task that needn't; it leaves other workers to those that have no choice.
 const CLOSED_BONUS: f64 = 9_000.0;
@@ -48,8 +48,8 @@
     pub(super) rack: Option<&'a SmolStr>,
     /// Which images disturb each other.
     pub(super) interference: &'a InterferenceModel,
-    /// Whether the task waits rather than disturb others.
-    pub(super) is_patient: bool,
+    /// The part of its speed that a best-effort task has to find.
+    pub(super) least_speed: f64,
     /// The time.
     pub(super) now: TimePoint,
 }
@@ -101,31 +101,32 @@
         worker.runs.range(first..=last).count()
     }
 
-    /// Tells whether a best-effort run would find processors and disturb nobody.
+    /// Tells whether a best-effort run would find processors, and speed enough beside the images
+    /// that the worker serves.
     fn suits_best_effort(&self, worker: &WorkerEntry) -> bool {
         let asked = f64::from(self.step.size.processors.0);
-        if idle_processors(worker) < asked {
-            return false;
-        }
-        !self.is_patient || self.overload(worker) <= 0.0
+        idle_processors(worker) >= asked && self.pressure_on(worker).speed >= self.least_speed
     }
 
-    /// Returns the pressure by which the best-effort runs of a worker, with this one, would exceed
-    /// what the images that it serves can bear.
-    fn overload(&self, worker: &WorkerEntry) -> f64 {
-        let load = best_effort_load(worker);
-        let own = LoadShare {
-            image: self.step.image.clone().unwrap_or_default(),
-            processors: f64::from(self.step.size.processors.0) / 1000.0,
-        };
-        let excess = |(served, target): (&SmolStr, Duration)| {
-            let model = self.interference;
-            let own = model.slope(served, &own.image) * own.processors;
-            model.added(served, &load) + own - model.room(served, target)
-        };
-        served_images(worker)
-            .map(excess)
-            .fold(f64::NEG_INFINITY, f64::max)
+    /// Returns what becomes of the pressure on the images that a worker serves.
+    fn pressure_on(&self, worker: &WorkerEntry) -> PressureForecast {
+        let image = self.step.image.clone().unwrap_or_default();
+        let processors = f64::from(self.step.size.processors.0) / 1000.0;
+        let mut forecast = PressureForecast::default();
+        for (served, load) in &worker.load.served {
+            let usual = self.interference.room(served, load.target);
+            let coming = worker.rooms.get(served).copied().unwrap_or(usual);
+            let room = usual.min(coming);
+            let beside = worker.load.best_effort.iter();
+            let added: f64 = beside
+                .map(|(other, processors)| {
+                    self.interference.slope(served, other) * whole_processors(*processors)
+                })
+                .sum();
+            let own = self.interference.slope(served, &image) * processors;
+            forecast.add(room - added, own);
+        }
+        forecast
     }
 
     /// Returns how well a worker suits the task; higher is better.
@@ -148,14 +149,15 @@
     /// possible stay open to best-effort runs that would disturb the others.
     fn target_score(&self, worker: &WorkerEntry) -> f64 {
         let image = self.step.image.clone().unwrap_or_default();
-        let (same, other): (Vec<_>, Vec<_>) =
-            served_images(worker).partition(|(served, _)| **served == image);
+        let served = &worker.load.served;
+        let has_same = served.contains_key(&image);
+        let has_other = served.len() > usize::from(has_same);
         let mut score = f64::from(worker.free_size().processors.0);
         score -= as_score(self.sibling_count(worker)) * TARGET_SPREAD_PENALTY;
-        if !same.is_empty() {
+        if has_same {
             score += SAME_IMAGE_BONUS;
         }
-        if !other.is_empty() {
+        if has_other {
             score -= OTHER_IMAGE_PENALTY;
         }
         score
@@ -164,48 +166,61 @@
     /// Returns how well a worker suits a task without a latency target.
     fn batch_score(&self, worker: &WorkerEntry) -> f64 {
         let mut score = idle_processors(worker);
-        let closed = |(served, target)| self.interference.closed_count(served, target);
-        let closed = served_images(worker).map(closed).max().unwrap_or_default();
-        score += as_score(closed) * CLOSED_BONUS;
+        let served = worker.load.served.iter();
+        let closed = served.map(|(image, load)| self.interference.closed_count(image, load.target));
+        score += as_score(closed.max().unwrap_or_default()) * CLOSED_BONUS;
         if self.step.is_best_effort {
-            score -= self.overload(worker).max(-LARGE_ROOM) * PRESSURE_PENALTY;
+            let forecast = self.pressure_on(worker);
+            score += forecast.speed * SPEED_BONUS;
+            score -= forecast.taken * PRESSURE_PENALTY;
         }
         score
     }
 }
 
+/// What becomes of the images that a worker serves if one more best-effort run works there.
+#[derive(Debug, Clone, Copy, PartialEq)]
+struct PressureForecast {
+    /// The part of its speed that is left to the run.
+    speed: f64,
+    /// The largest part of any image's room that the run would take.
+    taken: f64,
+}
+
+impl PressureForecast {
+    /// Takes an image into account that has some room left, and on which the run would press.
+    fn add(&mut self, left: f64, pressure: f64) {
+        if pressure > SLIGHT_PRESSURE {
+            self.speed = self.speed.min((left / pressure).clamp(0.0, 1.0));
+        }
+        let taken = (pressure / left.max(LEAST_LEFT)).min(1.0);
+        self.taken = self.taken.max(taken);
+    }
+}
+
+impl Default for PressureForecast {
+    fn default() -> Self {
+        Self {
+            speed: 1.0,
+            taken: 0.0,
+        }
+    }
+}
+
 fn as_score(count: usize) -> f64 {
     f64::from(u32::try_from(count).unwrap_or(u32::MAX))
 }
 
 /// Returns the processors that a worker's runs are expected to leave idle, in thousandths.
 pub(super) fn idle_processors(worker: &WorkerEntry) -> f64 {
-    let used: f64 = worker
-        .runs
-        .values()
-        .map(|run| match run.latency_target {
-            Some(_) => f64::from(run.processors.0) * TARGET_LOAD,
-            None => f64::from(run.processors.0),
-        })
-        .sum();
-    f64::from(worker.listing.capacity.processors.0) - used
-}
-
-/// Returns the images that a worker serves, with their targets, each once.
-fn served_images(worker: &WorkerEntry) -> impl Iterator<Item = (&SmolStr, Duration)> {
-    let served = worker.runs.values().filter_map(|run| {
-        let target = run.latency_target?;
-        Some((run.image.as_ref()?, target))
-    });
-    served.collect::<BTreeMap<_, _>>().into_iter()
+    let served = worker.load.served.values().map(|load| load.processors);
+    let best_effort = worker.load.best_effort.values();
+    let used = whole_processors(served.sum::<u64>()) * TARGET_LOAD
+        + whole_processors(best_effort.sum::<u64>() + worker.load.other);
+    f64::from(worker.listing.capacity.processors.0) - used * 1000.0
 }
 
-/// Returns the load of a worker's best-effort runs at full speed.
-fn best_effort_load(worker: &WorkerEntry) -> Vec<LoadShare> {
-    let runs = worker.runs.values().filter(|run| run.is_best_effort);
-    let load = runs.map(|run| LoadShare {
-        image: run.image.clone().unwrap_or_default(),
-        processors: run.whole_processors(),
-    });
-    load.collect()
+/// Turns thousandths of a processor into whole ones.
+fn whole_processors(thousandths: u64) -> f64 {
+    f64::from(u32::try_from(thousandths).unwrap_or(u32::MAX)) / 1000.0
 }
--- a/crates/geraniumshed-core/src/assignment/placing.rs
+++ b/crates/geraniumshed-core/src/assignment/placing.rs
@@ -9,11 +9,12 @@
 use super::action::{PlannerAction, PlannerMoment};
 use super::ledger::GatedStart;
 use super::pacing::FULL_PERCENT;
+use super::pass::PlacementPass;
 use super::placement::{PlacementQuery, idle_processors};
 use super::planner::JobPlanner;
 use crate::job::{
-    JobEntry, JobId, JobPhase, JobRequest, Occurrence, QueuePolicy, ServiceName, StepRequest,
-    TaskEntry, TaskKey, TaskPhase, WorkerId,
+    JobEntry, JobId, JobPhase, Occurrence, QueuePolicy, ServiceName, StepRequest, TaskEntry,
+    TaskKey, TaskPhase, WorkerId,
 };
 use crate::worker::{RunEntry, RunPhase, StartOrder, WorkerCall};
 
@@ -22,14 +23,20 @@
 /// The same while most of the workers' room is free.
 const IDLE_PATIENCE_MS: u64 = 8_000;
 
+/// The speed that a best-effort run has to find at the least while its job can still be in time.
+const LEAST_SPEED: f64 = 0.3;
+
+/// The speed that a run has to find elsewhere to be moved there.
+const MOVE_SPEED: f64 = 0.8;
+
 /// The place of a step among all steps whose turn has come; the smallest goes first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct StepRank {
     priority: u32,
     /// Whether the job can't meet its objective any more.
     is_late: bool,
-    /// When the job has to be done, in milliseconds of Unix time.
-    due_unix_ms: u64,
+    /// When the step has to start for the job to be in time, in milliseconds of Unix time.
+    latest_start_unix_ms: u64,
 }
 
 /// A step with tasks that may start.
@@ -46,8 +53,9 @@
     pub(super) fn place_tasks(&mut self, now: PlannerMoment) {
         let mut steps = self.ready_steps(now);
         steps.sort_unstable();
+        let mut pass = PlacementPass::default();
         for step in steps {
-            self.place_step(now, step);
+            self.place_step(now, step, &mut pass);
         }
     }
 
@@ -61,10 +69,9 @@
                 continue;
             };
             for occurrence in &job.occurrences {
-                let rank = step_rank(job, policy, occurrence.number, now.unix_ms);
                 let ready = ready_indices(job, occurrence, now.point);
                 steps.extend(ready.map(|step| ReadyStep {
-                    rank,
+                    rank: step_rank(job, policy, occurrence.number, step, now.unix_ms),
                     job: *id,
                     occurrence: occurrence.number,
                     step,
@@ -74,7 +81,7 @@
         steps
     }
 
-    fn place_step(&mut self, now: PlannerMoment, ready: ReadyStep) {
+    fn place_step(&mut self, now: PlannerMoment, ready: ReadyStep, pass: &mut PlacementPass) {
         let Some(job) = self.jobs.get(&ready.job) else {
             return;
         };
@@ -87,21 +94,25 @@
             return;
         };
         let keys = startable_keys(job, ready, now.point);
-        // Only best-effort tasks wait rather than disturb others.
-        let is_patient = step.is_best_effort && self.is_patient(now, &request, &service);
+        let least_speed = self.least_speed(now, job, policy, ready, pass);
         if step.is_gang {
-            self.place_gang(now, &service, step, &keys, is_patient);
+            self.place_gang(now, &service, step, &keys, least_speed);
             return;
         }
+        let has_failed = pass.has_failed(&service, step, least_speed);
         let mut rack = self.step_rack(step, ready);
         for key in keys {
+            if has_failed && !self.has_history(key) {
+                continue;
+            }
             let rack_name = rack.as_ref();
-            let chosen = self.choose_worker(now.point, &service, step, key, rack_name, is_patient);
+            let chosen = self.choose_worker(now.point, &service, step, key, rack_name, least_speed);
             let Some(worker) = chosen else {
                 // All tasks of a step ask for the same; those with a history may fit elsewhere.
                 if self.has_history(key) {
                     continue;
                 }
+                pass.query_failed(&service, step, least_speed);
                 break;
             };
             self.place_task(now.point, step, key, &worker);
@@ -116,7 +127,7 @@
         service: &ServiceName,
         step: &StepRequest,
         keys: &[TaskKey],
-        is_patient: bool,
+        least_speed: f64,
     ) {
         let Some(job) = keys.first().and_then(|key| self.jobs.get(&key.job)) else {
             return;
@@ -140,7 +151,7 @@
                 .and_then(|(_, worker)| self.workers.get(worker)?.listing.rack.clone());
             let rack = rack.filter(|_| step.wants_one_rack);
             let rack_name = rack.as_ref();
-            let chosen = self.choose_worker(now.point, service, step, *key, rack_name, is_patient);
+            let chosen = self.choose_worker(now.point, service, step, *key, rack_name, least_speed);
             let Some(worker) = chosen else {
                 self.withdraw_gang(&placed, run);
                 return;
@@ -168,6 +179,28 @@
         }
     }
 
+    /// Tells whether another worker would let a run work faster than the one that it is on.
+    pub(super) fn has_better_place(
+        &self,
+        now: TimePoint,
+        key: TaskKey,
+        current: &WorkerId,
+    ) -> bool {
+        let Some(job) = self.jobs.get(&key.job) else {
+            return false;
+        };
+        let policy = self.queues.policy(&job.request.queue);
+        let step = job.request.steps.get(key.step as usize);
+        let (Some(policy), Some(step)) = (policy, step) else {
+            return false;
+        };
+        if step.is_gang {
+            return false;
+        }
+        let chosen = self.choose_worker(now, &policy.service, step, key, None, MOVE_SPEED);
+        chosen.is_some_and(|worker| worker != *current)
+    }
+
     fn choose_worker(
         &self,
         now: TimePoint,
@@ -175,7 +208,7 @@
         step: &StepRequest,
         key: TaskKey,
         rack: Option<&SmolStr>,
-        is_patient: bool,
+        least_speed: f64,
     ) -> Option<WorkerId> {
         let task = self.jobs.get(&key.job)?.task(key)?;
         let query = PlacementQuery {
@@ -185,7 +218,7 @@
             avoided: &task.avoided,
             rack,
             interference: &self.interference,
-            is_patient,
+            least_speed,
             now,
         };
         let chosen = query.choose(self.workers.values());
@@ -199,14 +232,35 @@
         query.choose(self.workers.values())
     }
 
-    /// Tells whether a job still waits for workers that its image doesn't disturb.
-    fn is_patient(&self, now: PlannerMoment, request: &JobRequest, service: &ServiceName) -> bool {
-        let patience_ms = if self.is_mostly_idle(service) {
+    /// Returns the speed that a best-effort run has to find, so that it doesn't disturb others.
+    ///
+    /// The more of its slack a job has lost, the less it asks for; in the end it takes any worker.
+    fn least_speed(
+        &self,
+        now: PlannerMoment,
+        job: &JobEntry,
+        policy: &QueuePolicy,
+        ready: ReadyStep,
+        pass: &mut PlacementPass,
+    ) -> f64 {
+        if !is_best_effort(job, ready) {
+            return 0.0;
+        }
+        let service = &policy.service;
+        let is_idle = pass.is_mostly_idle(service, || self.is_mostly_idle(service));
+        let patience_ms = if is_idle {
             IDLE_PATIENCE_MS
         } else {
             PATIENCE_MS
         };
-        now.unix_ms < request.submitted_unix_ms + patience_ms
+        if now.unix_ms >= job.request.submitted_unix_ms + patience_ms {
+            return 0.0;
+        }
+        let slack = allowed_time(job, policy).saturating_sub(job.longest_chain());
+        let latest_start = ready.rank.latest_start_unix_ms;
+        let left = Duration::from_millis(latest_start.saturating_sub(now.unix_ms));
+        let part = (left.as_secs_f64() / slack.as_secs_f64().max(f64::EPSILON)).min(1.0);
+        LEAST_SPEED + (1.0 - LEAST_SPEED) * part
     }
 
     /// Tells whether under half of the processors of a service's workers are in use.
@@ -334,6 +388,7 @@
         latency_target: step.latency_target,
         tail_latency: Duration::ZERO,
         usual_pressure: None,
+        usual_own_pressure: None,
         estimate: step.estimate,
         is_long_running: step.is_long_running,
         pace_percent: FULL_PERCENT,
@@ -345,18 +400,34 @@
     }
 }
 
-fn step_rank(job: &JobEntry, policy: &QueuePolicy, occurrence: u32, now_unix_ms: u64) -> StepRank {
-    let allowed = job.chain.mul_f64(policy.stretch.max(1.0)) + policy.latency_objective;
-    let due_unix_ms = job
+fn is_best_effort(job: &JobEntry, ready: ReadyStep) -> bool {
+    let step = job.request.steps.get(ready.step as usize);
+    step.is_some_and(|step| step.is_best_effort)
+}
+
+fn step_rank(
+    job: &JobEntry,
+    policy: &QueuePolicy,
+    occurrence: u32,
+    step: u32,
+    now_unix_ms: u64,
+) -> StepRank {
+    let allowed = allowed_time(job, policy);
+    let latest_start_unix_ms = job
         .due_unix_ms(occurrence)
-        .saturating_add(whole_millis(allowed));
+        .saturating_add(whole_millis(allowed.saturating_sub(job.chain_from(step))));
     StepRank {
         priority: policy.priority,
-        is_late: due_unix_ms < now_unix_ms,
-        due_unix_ms,
+        is_late: latest_start_unix_ms < now_unix_ms,
+        latest_start_unix_ms,
     }
 }
 
+/// Returns the time that a job may take to be in time.
+fn allowed_time(job: &JobEntry, policy: &QueuePolicy) -> Duration {
+    job.longest_chain().mul_f64(policy.stretch.max(1.0)) + policy.latency_objective
+}
+
 /// Returns the steps of an occurrence that have tasks to start.
 fn ready_indices<'a>(
     job: &'a JobEntry,
--- a/crates/geraniumshed-core/src/assignment/worker_events.rs
+++ b/crates/geraniumshed-core/src/assignment/worker_events.rs
@@ -394,7 +394,9 @@
             }));
         }
         for key in plan.moves {
-            self.stop_run(now, worker, key);
+            if self.has_better_place(now, key, worker) {
+                self.stop_run(now, worker, key);
+            }
         }
     }
 
--- a/crates/geraniumshed-core/src/job/chain.rs
+++ b/crates/geraniumshed-core/src/job/chain.rs
@@ -1,20 +1,20 @@
-//! The longest chain of a job's steps.
+//! The chains of a job's steps.
 
 use std::time::Duration;
 
 use super::request::StepRequest;
 
-/// Returns the time that the longest chain of dependent steps takes by the client's estimates.
-pub fn longest_chain(steps: &[StepRequest]) -> Duration {
-    let mut ends: Vec<Duration> = Vec::with_capacity(steps.len());
-    for step in steps {
-        let start = predecessors(step, ends.len())
-            .map(|index| ends[index])
-            .max()
-            .unwrap_or_default();
-        ends.push(start + step.estimate);
+/// Returns, for each step, the time from its start to the end of the longest chain that it begins,
+/// by the client's estimates.
+pub fn chains_from(steps: &[StepRequest]) -> Vec<Duration> {
+    let mut chains: Vec<Duration> = steps.iter().map(|step| step.estimate).collect();
+    for (place, step) in steps.iter().enumerate().rev() {
+        let chain = chains[place];
+        for before in predecessors(step, place) {
+            chains[before] = chains[before].max(steps[before].estimate + chain);
+        }
     }
-    ends.into_iter().max().unwrap_or_default()
+    chains
 }
 
 /// Returns the steps that come before a step, without those that come at its place or later.
--- a/crates/geraniumshed-core/src/job/entry.rs
+++ b/crates/geraniumshed-core/src/job/entry.rs
@@ -5,7 +5,7 @@
 
 use geraniumshed_model::prelude::whole_millis;
 
-use super::chain::longest_chain;
+use super::chain::chains_from;
 use super::id::{JobId, TaskKey};
 use super::image::{JobImage, OccurrenceImage, TaskImage, TaskStage};
 use super::request::{JobRequest, StepRequest};
@@ -87,8 +87,8 @@
     pub ended_occurrences: u32,
     /// When the job ended, in milliseconds of Unix time, or 0 before.
     pub ended_unix_ms: u64,
-    /// The time that the longest chain of steps takes by the client's estimates.
-    pub chain: Duration,
+    /// The time from the start of each step to the end of the longest chain that it begins.
+    chains: Vec<Duration>,
 }
 
 impl JobEntry {
@@ -96,7 +96,7 @@
     pub fn new(id: JobId, request: JobRequest) -> Self {
         Self {
             id,
-            chain: longest_chain(&request.steps),
+            chains: chains_from(&request.steps),
             request: Arc::new(request),
             phase: JobPhase::Queued,
             occurrences: Vec::new(),
@@ -134,6 +134,17 @@
         }
     }
 
+    /// Returns the time that the longest chain of steps takes by the client's estimates.
+    pub fn longest_chain(&self) -> Duration {
+        self.chains.iter().max().copied().unwrap_or_default()
+    }
+
+    /// Returns the time from the start of a step to the end of the longest chain that it begins.
+    pub fn chain_from(&self, step: u32) -> Duration {
+        let chain = self.chains.get(step as usize);
+        chain.copied().unwrap_or_default()
+    }
+
     /// Returns the number of occurrences, which is one for a job without a plan.
     pub fn occurrence_count(&self) -> u32 {
         self.request.repeat.map_or(1, |repeat| repeat.count)
--- a/crates/geraniumshed-core/src/job/mod.rs
+++ b/crates/geraniumshed-core/src/job/mod.rs
@@ -8,7 +8,7 @@
 mod request;
 mod task;
 
-pub use chain::longest_chain;
+pub use chain::chains_from;
 pub use entry::{JobEntry, JobPhase, Occurrence};
 pub use id::{JobId, QueueName, ServiceName, TaskKey, WorkerId};
 pub use image::{JobImage, OccurrenceImage, TaskImage, TaskStage};
--- a/crates/geraniumshed-core/src/worker/entry.rs
+++ b/crates/geraniumshed-core/src/worker/entry.rs
@@ -8,6 +8,7 @@
 
 use super::clock::{WorkerClock, WorkerTime};
 use super::listing::{WorkerLife, WorkerListing};
+use super::load::WorkerLoad;
 use super::message::FenceToken;
 use super::run::{RunEntry, RunPhase};
 use super::trust::WorkerTrust;
@@ -48,6 +49,11 @@
     pub runs: BTreeMap<TaskKey, RunEntry>,
     /// The sum of what the runs reserve.
     pub reserved: ResourceSize,
+    /// What the runs ask for, by image.
+    pub load: WorkerLoad,
+    /// The pressure that best-effort runs may add to each image with a latency target, by the newest
+    /// readings; below zero if the image's own load is too high already.
+    pub rooms: BTreeMap<SmolStr, f64>,
     /// The newest end whose effect is stored.
     pub stored_end: u64,
     /// The newest end that was processed.
@@ -87,6 +93,8 @@
             lapses_at,
             runs: BTreeMap::new(),
             reserved: ResourceSize::default(),
+            load: WorkerLoad::default(),
+            rooms: BTreeMap::new(),
             stored_end: 0,
             seen_end: 0,
             storing_ends: VecDeque::new(),
@@ -123,8 +131,12 @@
     /// Adds a run.
     pub fn add_run(&mut self, task: TaskKey, run: RunEntry) {
         self.reserved = self.reserved.plus(&run.reserved);
+        self.load.add(&run);
         self.trust.got_task(task);
-        self.runs.insert(task, run);
+        if let Some(replaced) = self.runs.insert(task, run) {
+            self.reserved = self.reserved.minus(&replaced.reserved);
+            self.load.remove(&replaced);
+        }
     }
 
     /// Removes a run if it has the given number.
@@ -136,6 +148,7 @@
             None
         }?;
         self.reserved = self.reserved.minus(&run.reserved);
+        self.load.remove(&run);
         self.trust.lost_task(task);
         Some(run)
     }
@@ -181,6 +194,8 @@
         self.storing_ends.clear();
         self.trust = WorkerTrust::default();
         self.reserved = ResourceSize::default();
+        self.load = WorkerLoad::default();
+        self.rooms.clear();
         std::mem::take(&mut self.runs).into_iter().collect()
     }
 
--- a/crates/geraniumshed-core/src/worker/mod.rs
+++ b/crates/geraniumshed-core/src/worker/mod.rs
@@ -3,6 +3,7 @@
 mod clock;
 mod entry;
 mod listing;
+mod load;
 mod message;
 mod run;
 mod trust;
@@ -10,6 +11,7 @@
 pub use clock::{WorkerClock, WorkerTime};
 pub use entry::{RenewMark, WorkerEntry};
 pub use listing::{WorkerLife, WorkerListing};
+pub use load::{ServedLoad, WorkerLoad};
 pub use message::{
     EndKind, FenceToken, PaceOrder, RenewReply, RenewRequest, RunEnd, RunReport, StartOrder,
     StartReply, StopOrder, WorkerCall, WorkerFailure,
--- a/crates/geraniumshed-core/src/worker/run.rs
+++ b/crates/geraniumshed-core/src/worker/run.rs
@@ -41,6 +41,8 @@
     pub tail_latency: Duration,
     /// The pressure on the run in the last seconds, for a run with a latency target.
     pub usual_pressure: Option<f64>,
+    /// The part of it that the run's own load made.
+    pub usual_own_pressure: Option<f64>,
     /// The client's estimate of the run time.
     pub estimate: Duration,
     /// Whether the run goes on until its job is cancelled.
--- a/crates/geraniumshed-core/tests/planner/fixture.rs
+++ b/crates/geraniumshed-core/tests/planner/fixture.rs
@@ -22,6 +22,8 @@
 
 /// The length of a step of time.
 pub const STEP: Duration = Duration::from_millis(10);
+/// The time after which a change of speed takes effect.
+const PACE_DELAY: Duration = Duration::from_millis(100);
 /// The time of day at the start of a test, in milliseconds of Unix time.
 const START_UNIX_MS: u64 = 1_700_000_000_000;
 /// The token of the first planner.
@@ -56,6 +58,8 @@
     pub doubled: Vec<TaskKey>,
     /// The newest speed of each run that was ever changed, in percent.
     pub paces: BTreeMap<TaskKey, u32>,
+    /// The changes of speed that take effect later.
+    ordered_paces: VecDeque<(TimePoint, TaskKey, u32)>,
     waiting: Vec<(u64, Vec<StoreChange>)>,
     length_of: fn(&StepRequest) -> Duration,
 }
@@ -76,6 +80,7 @@
             tail_counts: (0, 0),
             doubled: Vec::new(),
             paces: BTreeMap::new(),
+            ordered_paces: VecDeque::new(),
             waiting: Vec::new(),
             length_of: |step| step.estimate,
         };
@@ -216,7 +221,9 @@
             }
             PlannerAction::Renew(call, mark) => self.renew(&call.worker, mark, &call.body),
             PlannerAction::Pace(call) => {
-                self.paces.insert(call.body.task, call.body.percent);
+                let due = self.now + PACE_DELAY;
+                let (task, percent) = (call.body.task, call.body.percent);
+                self.ordered_paces.push_back((due, task, percent));
             }
             PlannerAction::Note(_) => {}
         }
@@ -318,6 +325,12 @@
 
     /// Lets the runs beside each other press on each other for a step of time.
     fn press(&mut self) {
+        while let Some((_, task, percent)) = self
+            .ordered_paces
+            .pop_front_if(|(due, ..)| *due <= self.now)
+        {
+            self.paces.insert(task, percent);
+        }
         if self.pressures.is_empty() {
             return;
         }
--- a/crates/geraniumshed-core/tests/planner/loads.rs
+++ b/crates/geraniumshed-core/tests/planner/loads.rs
@@ -225,3 +225,26 @@
     }
     assert_eq!(cluster.doubled, []);
 }
+
+/// Pattern: backlog. A job that is due later, but has two steps before it, goes before one that
+/// needs a single step.
+#[test]
+fn the_step_with_the_least_slack_starts_first() {
+    let mut cluster = Cluster::with_workers(1);
+    // A task takes the whole worker.
+    let whole = |millis: u64, after: Vec<u32>| StepRequest {
+        size: size(32_000, 2),
+        estimate: Duration::from_millis(millis),
+        after,
+        ..step(1)
+    };
+    cluster.submit(1, vec![whole(1_500, vec![])]);
+    cluster.advance(Duration::from_millis(100));
+    let long = cluster.submit(2, vec![whole(1_000, vec![]), whole(1_000, vec![0])]);
+    cluster.advance(Duration::from_millis(1_100));
+    let short = cluster.submit(3, vec![whole(1_000, vec![])]);
+    cluster.advance(Duration::from_millis(600));
+    let has_started = |job| cluster.starts.iter().any(|start| start.task.job == job);
+    assert!(has_started(long));
+    assert!(!has_started(short));
+}
