Hand what was learned of interference to the next leader

Cause: each new leader knew of no pair that presses and needed some ten seconds to learn them; meanwhile it placed best-effort runs anywhere.

Test: a_later_planner_knows_which_runs_disturb.

--- a/crates/geraniumshed-batch/src/leader/load.rs
+++ b/crates/geraniumshed-batch/src/leader/load.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use geraniumshed_core::assignment::InterferenceImage;
 use geraniumshed_core::job::{JobId, JobImage, JobPhase, JobRequest};
 use geraniumshed_core::membership::{LeaderRecord, LeaderTerm, MemberIdentity};
 use geraniumshed_model::prelude::LogOffset;
@@ -10,8 +11,8 @@
 use crate::store::{
     AppendCondition, KeyedRecord, StoreClient, StoreError, WriterMark, read_newest,
 };
-use crate::topic::{LEADER_KEY, LEADERS, PROGRESS, REQUESTS, parse_job_key};
-use crate::wire::{JobImageWire, JobRequestWire, MemberWire, decode, encode};
+use crate::topic::{INTERFERENCE_KEY, LEADER_KEY, LEADERS, PROGRESS, REQUESTS, parse_job_key};
+use crate::wire::{InterferenceWire, JobImageWire, JobRequestWire, MemberWire, decode, encode};
 
 /// The time within which the store answers an append of the takeover.
 const APPEND_LIMIT: Duration = Duration::from_millis(800);
@@ -52,6 +53,8 @@
     pub(crate) withdrawn: BTreeMap<JobId, u64>,
     /// The jobs whose cancellation other nodes pursue.
     pub(crate) cancelled: BTreeSet<JobId>,
+    /// What the last leader had learned of interference.
+    pub(crate) interference: InterferenceImage,
     /// The offset from which to read further requests.
     pub(crate) next_request: LogOffset,
 }
@@ -77,6 +80,8 @@
     // What was acknowledged before an image was stored is there when the images are read first.
     let (images, _) = read_newest(store, PROGRESS).await?;
     let (requests, next_request) = read_newest(store, REQUESTS).await?;
+    let learned = images.iter().find(|record| record.key == INTERFERENCE_KEY);
+    let interference = learned.map(decode_interference).unwrap_or_default();
     let mut images: BTreeMap<JobId, JobImage> = images.iter().filter_map(decode_image).collect();
     let jobs = requests
         .iter()
@@ -98,6 +103,7 @@
         jobs,
         withdrawn,
         cancelled: BTreeSet::new(),
+        interference,
         next_request,
     })
 }
@@ -115,6 +121,18 @@
     }
 }
 
+/// Decodes what was learned of interference; it is learned anew if it can't be read.
+fn decode_interference(record: &KeyedRecord) -> InterferenceImage {
+    let decoded = decode::<InterferenceWire>(&record.value);
+    decoded.map_or_else(
+        |error| {
+            log::error!("what was learned of interference can't be read: {error}");
+            InterferenceImage::default()
+        },
+        InterferenceImage::from,
+    )
+}
+
 fn decode_image(record: &KeyedRecord) -> Option<(JobId, JobImage)> {
     let id = parse_job_key(&record.key)?;
     match decode::<JobImageWire>(&record.value) {
--- a/crates/geraniumshed-batch/src/leader/run.rs
+++ b/crates/geraniumshed-batch/src/leader/run.rs
@@ -147,6 +147,7 @@
                 None => self.planner.submit(id, request),
             }
         }
+        self.planner.restore_interference(found.interference);
         for (id, cancelled_unix_ms) in found.withdrawn {
             self.planner.restore_withdrawn(id, cancelled_unix_ms);
         }
@@ -194,7 +195,7 @@
         self.planner.advance(self.clock.moment());
         if self.stored == self.sent
             && self.next_append <= now
-            && let Some(batch) = self.planner.take_batch()
+            && let Some(batch) = self.planner.take_batch(self.clock.moment())
         {
             self.sent = batch.number;
             self.next_append = now + APPEND_GAP;
--- a/crates/geraniumshed-batch/src/leader/writer.rs
+++ b/crates/geraniumshed-batch/src/leader/writer.rs
@@ -10,8 +10,8 @@
 use super::event::{LeaderEvent, LeaderHandle};
 use super::load::PRODUCER;
 use crate::store::{AnswerTime, AppendCondition, KeyedRecord, StoreClient, StoreError, WriterMark};
-use crate::topic::{PROGRESS, REQUESTS, job_key};
-use crate::wire::{JobImageWire, encode};
+use crate::topic::{INTERFERENCE_KEY, PROGRESS, REQUESTS, job_key};
+use crate::wire::{InterferenceWire, JobImageWire, encode};
 
 /// The time within which the store answers that requests are dropped.
 const DROP_LIMIT: Duration = Duration::from_millis(500);
@@ -127,6 +127,10 @@
             key: job_key(id),
             value: bytes::Bytes::new(),
         },
+        StoreChange::Interference(image) => KeyedRecord {
+            key: INTERFERENCE_KEY,
+            value: encode(&InterferenceWire::from(image)),
+        },
     }
 }
 
@@ -139,7 +143,7 @@
                 key: job_key(*id),
                 value: bytes::Bytes::new(),
             }),
-            StoreChange::Progress(..) => None,
+            StoreChange::Progress(..) | StoreChange::Interference(_) => None,
         })
         .collect()
 }
--- a/crates/geraniumshed-batch/src/topic.rs
+++ b/crates/geraniumshed-batch/src/topic.rs
@@ -15,6 +15,9 @@
 /// The key of the record that names the leader.
 pub const LEADER_KEY: SmolStr = SmolStr::new_static("leader");
 
+/// The key of the record, beside those of jobs, that tells what was learned of interference.
+pub const INTERFERENCE_KEY: SmolStr = SmolStr::new_static("interference");
+
 /// Returns the key of a job's records.
 pub fn job_key(id: JobId) -> SmolStr {
     id.to_smolstr()
--- /dev/null
+++ b/crates/geraniumshed-batch/src/wire/interference.rs
@@ -0,0 +1,69 @@
+//! The stored form of what was learned of interference.
+
+use geraniumshed_core::assignment::{InterferenceImage, ServedImageRecord, SlopeImage};
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+/// What was learned of interference, as it is stored.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct InterferenceWire {
+    served: Vec<ServedWire>,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+struct ServedWire {
+    image: SmolStr,
+    lowest_tail: f64,
+    peak: f64,
+    /// The image, slope and weight of each best-effort image.
+    slopes: Vec<(SmolStr, f32, f32)>,
+}
+
+impl From<InterferenceImage> for InterferenceWire {
+    fn from(image: InterferenceImage) -> Self {
+        Self {
+            served: image.served.into_iter().map(ServedWire::from).collect(),
+        }
+    }
+}
+
+impl From<InterferenceWire> for InterferenceImage {
+    fn from(wire: InterferenceWire) -> Self {
+        let served = wire.served.into_iter().map(ServedImageRecord::from);
+        Self {
+            served: served.collect(),
+        }
+    }
+}
+
+impl From<ServedImageRecord> for ServedWire {
+    #[expect(
+        clippy::cast_possible_truncation,
+        reason = "estimates don't need the precision, and records should stay small"
+    )]
+    fn from(record: ServedImageRecord) -> Self {
+        let slope = |one: SlopeImage| (one.image, one.slope as f32, one.weight as f32);
+        Self {
+            image: record.image,
+            lowest_tail: record.lowest_tail,
+            peak: record.peak,
+            slopes: record.slopes.into_iter().map(slope).collect(),
+        }
+    }
+}
+
+impl From<ServedWire> for ServedImageRecord {
+    fn from(wire: ServedWire) -> Self {
+        let slope = |(image, slope, weight)| SlopeImage {
+            image,
+            slope: f64::from(slope),
+            weight: f64::from(weight),
+        };
+        Self {
+            image: wire.image,
+            lowest_tail: wire.lowest_tail,
+            peak: wire.peak,
+            slopes: wire.slopes.into_iter().map(slope).collect(),
+        }
+    }
+}
--- a/crates/geraniumshed-batch/src/wire/mod.rs
+++ b/crates/geraniumshed-batch/src/wire/mod.rs
@@ -3,6 +3,7 @@
 mod call;
 mod codec;
 mod image;
+mod interference;
 mod leader;
 mod peer;
 mod request;
@@ -10,6 +11,7 @@
 pub use call::{JobAnswerWire, JobCallWire, JobPhaseWire};
 pub use codec::{WireDecodeError, decode, encode};
 pub use image::JobImageWire;
+pub use interference::InterferenceWire;
 pub use leader::{LeaderWire, MemberWire};
 pub use peer::{BeatReplyWire, BeatWire, NodePeer, NodePeerClient};
 pub use request::JobRequestWire;
--- a/crates/geraniumshed-core/src/assignment/action.rs
+++ b/crates/geraniumshed-core/src/assignment/action.rs
@@ -2,6 +2,7 @@
 
 use geraniumshed_model::prelude::TimePoint;
 
+use super::interference::InterferenceImage;
 use crate::job::{JobId, JobImage, JobPhase, TaskKey};
 use crate::worker::{PaceOrder, RenewMark, RenewRequest, StartOrder, StopOrder, WorkerCall};
 
@@ -45,16 +46,18 @@
 }
 
 /// A change of what the store keeps.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub enum StoreChange {
     /// How far a job is.
     Progress(JobId, JobImage),
     /// The job is forgotten.
     Forget(JobId),
+    /// What was learned of interference.
+    Interference(InterferenceImage),
 }
 
 /// Changes that are stored together.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct StoreBatch {
     /// The number of the batch; batches are stored in order.
     pub number: u64,
--- a/crates/geraniumshed-core/src/assignment/interference/fit.rs
+++ b/crates/geraniumshed-core/src/assignment/interference/fit.rs
@@ -2,6 +2,7 @@
 
 use smol_str::SmolStr;
 
+use super::image::SlopeImage;
 use super::model::LoadShare;
 
 /// The causes that a fit can tell apart.
@@ -10,6 +11,8 @@
 const FIRST_SLOPE: f64 = 0.012;
 /// The weight of that assumption, in squared amounts times observations.
 const FIRST_WEIGHT: f64 = 15.0;
+/// The effect that stands for both.
+const FIRST_EFFECT: f64 = FIRST_WEIGHT * FIRST_SLOPE;
 /// The part of older evidence that remains at each solution.
 const REMAINDER: f64 = 0.9985;
 /// The weight of the observations between two solutions.
@@ -63,6 +66,32 @@
         slope.copied().unwrap_or(FIRST_SLOPE).max(0.0)
     }
 
+    /// Restores a fit from the slopes of its causes and the weight of the evidence for each.
+    pub(super) fn restore(slopes: impl IntoIterator<Item = SlopeImage>) -> Self {
+        let mut fit = Self::default();
+        for slope in slopes {
+            let Some(cause) = fit.cause(&slope.image) else {
+                continue;
+            };
+            fit.grow();
+            fit.products[cause][cause] = slope.weight;
+            // What solves to the same slope again.
+            fit.effects[cause] = slope.slope * (slope.weight + FIRST_WEIGHT) - FIRST_EFFECT;
+        }
+        fit.solve();
+        fit
+    }
+
+    /// Returns the slope of each cause with the weight of the evidence for it.
+    pub(super) fn slope_images(&self) -> Vec<SlopeImage> {
+        let image = |(index, cause): (usize, &SmolStr)| SlopeImage {
+            image: cause.clone(),
+            slope: self.slope(cause),
+            weight: self.products[index][index],
+        };
+        self.causes.iter().enumerate().map(image).collect()
+    }
+
     /// Returns the slopes of all causes.
     pub(super) fn slopes(&self) -> impl Iterator<Item = f64> {
         self.causes.iter().map(|cause| self.slope(cause))
@@ -94,7 +123,7 @@
         let mut right = self.effects.clone();
         for (index, row) in rows.iter_mut().enumerate() {
             row[index] += FIRST_WEIGHT;
-            right[index] += FIRST_WEIGHT * FIRST_SLOPE;
+            right[index] += FIRST_EFFECT;
         }
         self.solution = solve_symmetric(rows, right);
         for row in 0..size {
--- a/crates/geraniumshed-core/src/assignment/interference/model.rs
+++ b/crates/geraniumshed-core/src/assignment/interference/model.rs
@@ -6,6 +6,7 @@
 use smol_str::SmolStr;
 
 use super::fit::LinearFit;
+use super::image::{InterferenceImage, ServedImageRecord};
 
 /// The first guess of the pressure that tails stay below nearly always.
 const FIRST_PEAK: f64 = 0.6;
@@ -59,6 +60,34 @@
 }
 
 impl InterferenceModel {
+    /// Restores what an earlier planner had learned.
+    pub fn restore(image: InterferenceImage) -> Self {
+        let images = image.served.into_iter().map(|record| {
+            let served = ServedImage {
+                lowest_tail: record.lowest_tail,
+                fit: LinearFit::restore(record.slopes),
+                peak: record.peak,
+            };
+            (record.image, served)
+        });
+        Self {
+            images: images.collect(),
+        }
+    }
+
+    /// Returns what the store keeps.
+    pub fn image(&self) -> InterferenceImage {
+        let record = |(image, served): (&SmolStr, &ServedImage)| ServedImageRecord {
+            image: image.clone(),
+            lowest_tail: served.lowest_tail,
+            peak: served.peak,
+            slopes: served.fit.slope_images(),
+        };
+        InterferenceImage {
+            served: self.images.iter().map(record).collect(),
+        }
+    }
+
     /// Takes note of a tail, and returns the pressure that it shows.
     pub fn saw_tail(&mut self, served: &SmolStr, tail: Duration) -> f64 {
         let tail = tail.as_secs_f64();
--- a/crates/geraniumshed-core/src/assignment/mod.rs
+++ b/crates/geraniumshed-core/src/assignment/mod.rs
@@ -20,6 +20,8 @@
 pub use action::{
     CancelOutcome, JobStatus, PlannerAction, PlannerMoment, PlannerNote, StoreBatch, StoreChange,
 };
-pub use interference::{InterferenceModel, LoadShare};
+pub use interference::{
+    InterferenceImage, InterferenceModel, LoadShare, ServedImageRecord, SlopeImage,
+};
 pub use planner::JobPlanner;
 pub use settings::PlannerSettings;
--- a/crates/geraniumshed-core/src/assignment/planner.rs
+++ b/crates/geraniumshed-core/src/assignment/planner.rs
@@ -9,7 +9,7 @@
 use super::action::{
     CancelOutcome, JobStatus, PlannerAction, PlannerMoment, PlannerNote, StoreBatch, StoreChange,
 };
-use super::interference::InterferenceModel;
+use super::interference::{InterferenceImage, InterferenceModel};
 use super::ledger::StoreLedger;
 use super::settings::PlannerSettings;
 use crate::job::{
@@ -41,12 +41,16 @@
     pub(super) is_placing_due: bool,
     next_watch: TimePoint,
     next_cleanup: TimePoint,
+    /// When what was learned of interference is stored again.
+    next_learned: TimePoint,
 }
 
 /// The pause between two searches for leases that have run out and for runs without progress.
 const WATCH_PAUSE: Duration = Duration::from_millis(40);
 /// The pause between two searches for jobs that can be forgotten.
 const CLEANUP_PAUSE: Duration = Duration::from_secs(5);
+/// The pause before what was learned of interference is stored again.
+const LEARNED_PAUSE: Duration = Duration::from_secs(3);
 
 impl JobPlanner {
     /// Creates a planner whose orders carry the given token or higher ones.
@@ -65,6 +69,7 @@
             is_placing_due: false,
             next_watch: TimePoint::default(),
             next_cleanup: TimePoint::default(),
+            next_learned: TimePoint::default(),
         }
     }
 
@@ -104,6 +109,11 @@
         self.is_placing_due = true;
     }
 
+    /// Restores what an earlier planner had learned of interference.
+    pub fn restore_interference(&mut self, image: InterferenceImage) {
+        self.interference = InterferenceModel::restore(image);
+    }
+
     /// Restores the cancellation of a job that is not known.
     pub fn restore_withdrawn(&mut self, id: JobId, cancelled_unix_ms: u64) {
         self.withdrawn.insert(id, cancelled_unix_ms);
@@ -167,12 +177,12 @@
     }
 
     /// Returns the changes that wait to be stored, if there are any.
-    pub fn take_batch(&mut self) -> Option<StoreBatch> {
+    pub fn take_batch(&mut self, now: PlannerMoment) -> Option<StoreBatch> {
         if !self.ledger.has_changes() {
             return None;
         }
-        let (number, changed, forgotten) = self.ledger.take();
-        let progress = changed.into_iter().filter_map(|id| {
+        let (number, jobs, forgotten) = self.ledger.take();
+        let progress = jobs.into_iter().filter_map(|id| {
             let image = match self.jobs.get(&id) {
                 Some(job) => job.image(),
                 None => JobImage::cancelled(*self.withdrawn.get(&id)?),
@@ -180,10 +190,12 @@
             Some(StoreChange::Progress(id, image))
         });
         let forgotten = forgotten.into_iter().map(StoreChange::Forget);
-        Some(StoreBatch {
-            number,
-            changes: progress.chain(forgotten).collect(),
-        })
+        let mut changes: Vec<StoreChange> = progress.chain(forgotten).collect();
+        if self.next_learned <= now.point {
+            self.next_learned = now.point + LEARNED_PAUSE;
+            changes.push(StoreChange::Interference(self.interference.image()));
+        }
+        Some(StoreBatch { number, changes })
     }
 
     /// Takes note that all batches up to a number are stored.
--- a/crates/geraniumshed-core/tests/planner/fixture.rs
+++ b/crates/geraniumshed-core/tests/planner/fixture.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use geraniumshed_core::assignment::{
-    JobPlanner, JobStatus, PlannerAction, PlannerMoment, PlannerSettings, StoreChange,
+    InterferenceImage, JobPlanner, JobStatus, PlannerAction, PlannerMoment, PlannerSettings,
+    StoreChange,
 };
 use geraniumshed_core::job::{
     JobId, JobImage, JobPhase, JobRequest, QueueName, QueuePolicy, StepRequest, TaskKey, WorkerId,
@@ -50,6 +51,7 @@
     pub store_is_up: bool,
     pub stored: BTreeMap<JobId, JobImage>,
     pub requests: BTreeMap<JobId, JobRequest>,
+    pub learned: InterferenceImage,
     /// The pressure that each processor of a best-effort image adds to an image with a latency target.
     pub pressures: BTreeMap<(SmolStr, SmolStr), f64>,
     /// The readings of tails, and of tails above their targets.
@@ -76,6 +78,7 @@
             store_is_up: true,
             stored: BTreeMap::new(),
             requests: BTreeMap::new(),
+            learned: InterferenceImage::default(),
             pressures: BTreeMap::new(),
             tail_counts: (0, 0),
             doubled: Vec::new(),
@@ -128,6 +131,7 @@
     pub fn replace_planner(&mut self) {
         let token = FenceToken((self.starts.len() as u64 + 2) << 24);
         self.planner = new_planner(token);
+        self.planner.restore_interference(self.learned.clone());
         self.waiting.clear();
         let now = self.moment();
         for (id, request) in &self.requests {
@@ -180,7 +184,7 @@
     }
 
     fn store(&mut self) {
-        if let Some(batch) = self.planner.take_batch() {
+        if let Some(batch) = self.planner.take_batch(self.moment()) {
             self.waiting.push((batch.number, batch.changes));
         }
         if !self.store_is_up {
@@ -192,6 +196,7 @@
                     StoreChange::Progress(id, image) => {
                         self.stored.insert(id, image);
                     }
+                    StoreChange::Interference(image) => self.learned = image,
                     StoreChange::Forget(id) => {
                         self.stored.remove(&id);
                         self.requests.remove(&id);
--- a/crates/geraniumshed-core/tests/planner/loads.rs
+++ b/crates/geraniumshed-core/tests/planner/loads.rs
@@ -58,6 +58,35 @@
     }
 }
 
+/// Pattern: noisy neighbours, and a new planner. What was learned outlives the planner.
+#[test]
+fn a_later_planner_knows_which_runs_disturb() {
+    let mut cluster = Cluster::with_workers(8);
+    let pair = (SmolStr::new("calls"), SmolStr::new("noisy"));
+    cluster.pressures.insert(pair, HARD_PRESSURE);
+    let calls = cluster.submit(1, vec![lasting("calls", 12)]);
+    cluster.submit(2, vec![lasting("queue", 12)]);
+    cluster.advance(Duration::from_secs(3));
+    for number in 0..8 {
+        cluster.submit(10 + number, vec![best_effort("noisy", 4)]);
+        cluster.advance(Duration::from_secs(1));
+    }
+    cluster.advance(Duration::from_secs(4));
+    cluster.replace_planner();
+    cluster.starts.retain(|start| start.task.job == calls);
+    let serving: Vec<_> = cluster.starts.drain(..).map(|one| one.worker).collect();
+    cluster.advance(Duration::from_secs(2));
+    for number in 0..4 {
+        cluster.submit(30 + number, vec![best_effort("noisy", 4)]);
+        cluster.advance(Duration::from_secs(1));
+    }
+    let beside = cluster
+        .starts
+        .iter()
+        .filter(|one| serving.contains(&one.worker));
+    assert_eq!(beside.count(), 0);
+}
+
 /// Pattern: noisy neighbours beside swinging loads. Two of six best-effort images press hard on one
 /// of three served images each, whose own load comes near its target by itself at times. The others
 /// must neither be kept away nor be slowed down for that.
