Ask for advice before starts where a queue needs it

Cause: a queue may let its steps run on some workers only, which a service of the platform knows; starts without its ticket were refused, so that no job of such a queue could ever run.

--- a/crates/geraniumshed-batch/src/leader/calls.rs
+++ b/crates/geraniumshed-batch/src/leader/calls.rs
@@ -48,6 +48,15 @@
                 handle.send(LeaderEvent::RenewAnswered(worker, mark, outcome));
             });
         }
+        PlannerAction::Advise(request) => {
+            tokio::spawn(async move {
+                let answer = caller.advise(&request).await;
+                if let Err(error) = &answer {
+                    log::info!("step {}: no advice: {error:?}", request.step);
+                }
+                handle.send(LeaderEvent::Advised(request, answer.ok()));
+            });
+        }
         PlannerAction::Note(note) => write_note(&note),
     }
 }
--- a/crates/geraniumshed-batch/src/leader/event.rs
+++ b/crates/geraniumshed-batch/src/leader/event.rs
@@ -4,7 +4,9 @@
 
 use geraniumshed_core::assignment::{CancelOutcome, JobStatus};
 use geraniumshed_core::job::{JobId, JobRequest, QueueName, QueuePolicy, TaskKey, WorkerId};
-use geraniumshed_core::worker::{RenewMark, StartReply, WorkerFailure, WorkerListing};
+use geraniumshed_core::worker::{
+    AdviceReply, AdviceRequest, RenewMark, StartReply, WorkerFailure, WorkerListing,
+};
 use tokio::sync::{mpsc, oneshot};
 
 use crate::site::RenewOutcome;
@@ -22,6 +24,8 @@
     StopAnswered(WorkerId, Result<(), WorkerFailure>),
     /// A renewal was answered.
     RenewAnswered(WorkerId, RenewMark, RenewOutcome),
+    /// A call for advice was answered, or got no answer.
+    Advised(AdviceRequest, Option<AdviceReply>),
     /// All batches up to a number are stored.
     Stored(u64),
     /// A later leader has taken over.
--- a/crates/geraniumshed-batch/src/leader/run.rs
+++ b/crates/geraniumshed-batch/src/leader/run.rs
@@ -266,6 +266,9 @@
                     self.planner.renewal_failed(now, &worker, mark, false);
                 }
             },
+            LeaderEvent::Advised(request, reply) => {
+                self.planner.advice_answered(now, &request, reply);
+            }
             LeaderEvent::Stored(number) => self.batch_stored(number),
             LeaderEvent::Queues(queues) => self.planner.replace_queues(queues),
             LeaderEvent::Query(query) => self.answer(query),
--- a/crates/geraniumshed-batch/src/site.rs
+++ b/crates/geraniumshed-batch/src/site.rs
@@ -7,8 +7,8 @@
 use bytes::Bytes;
 use geraniumshed_core::job::{QueueName, QueuePolicy};
 use geraniumshed_core::worker::{
-    PaceOrder, RenewReply, RenewRequest, StartOrder, StartReply, StopOrder, WorkerCall,
-    WorkerFailure, WorkerListing,
+    AdviceReply, AdviceRequest, PaceOrder, RenewReply, RenewRequest, StartOrder, StartReply,
+    StopOrder, WorkerCall, WorkerFailure, WorkerListing,
 };
 use geraniumshed_model::prelude::LogOffset;
 
@@ -47,6 +47,12 @@
         call: WorkerCall<PaceOrder>,
     ) -> impl Future<Output = Result<(), WorkerFailure>> + Send;
 
+    /// Asks which workers may run a step.
+    fn advise(
+        &self,
+        request: &AdviceRequest,
+    ) -> impl Future<Output = Result<AdviceReply, WorkerFailure>> + Send;
+
     /// Renews a lease and reads the worker's runs.
     fn renew(&self, call: WorkerCall<RenewRequest>) -> impl Future<Output = RenewOutcome> + Send;
 }
--- a/crates/geraniumshed-batch/tests/support/mod.rs
+++ b/crates/geraniumshed-batch/tests/support/mod.rs
@@ -17,8 +17,8 @@
 use geraniumshed_core::job::{JobRequest, QueueName, QueuePolicy, StepRequest, WorkerId};
 use geraniumshed_core::membership::MemberIdentity;
 use geraniumshed_core::worker::{
-    EndKind, PaceOrder, RenewReply, RenewRequest, RunEnd, StartOrder, StartReply, StopOrder,
-    WorkerCall, WorkerFailure, WorkerLife, WorkerListing, WorkerTime,
+    AdviceReply, AdviceRequest, EndKind, PaceOrder, RenewReply, RenewRequest, RunEnd, StartOrder,
+    StartReply, StopOrder, WorkerCall, WorkerFailure, WorkerLife, WorkerListing, WorkerTime,
 };
 use geraniumshed_model::prelude::{
     AcceleratorCount, LogOffset, MemorySize, ProcessorShare, ResourceSize,
@@ -278,6 +278,7 @@
             attempt_limit: 3,
             stretch: 2.0,
             latency_objective: Duration::from_secs(1),
+            advice: None,
         };
         Some(SiteConfig {
             version: ConfigVersion(version),
@@ -334,6 +335,14 @@
         Ok(())
     }
 
+    async fn advise(&self, request: &AdviceRequest) -> Result<AdviceReply, WorkerFailure> {
+        let ticket = |worker: &WorkerId| (worker.clone(), SmolStr::new("ticket"));
+        Ok(AdviceReply {
+            tickets: request.workers.iter().map(ticket).collect(),
+            validity: Duration::from_secs(3),
+        })
+    }
+
     async fn renew(&self, call: WorkerCall<RenewRequest>) -> RenewOutcome {
         tokio::time::sleep(Duration::from_millis(10)).await;
         let mut state = self.lock();
--- a/crates/geraniumshed-core/src/assignment/action.rs
+++ b/crates/geraniumshed-core/src/assignment/action.rs
@@ -4,7 +4,9 @@
 
 use super::interference::InterferenceImage;
 use crate::job::{JobId, JobImage, JobPhase, TaskKey};
-use crate::worker::{PaceOrder, RenewMark, RenewRequest, StartOrder, StopOrder, WorkerCall};
+use crate::worker::{
+    AdviceRequest, PaceOrder, RenewMark, RenewRequest, StartOrder, StopOrder, WorkerCall,
+};
 
 /// The time of an event by both clocks.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -26,6 +28,8 @@
     Pace(WorkerCall<PaceOrder>),
     /// Renews a lease and reads the worker's runs.
     Renew(WorkerCall<RenewRequest>, RenewMark),
+    /// Asks which workers may run a step.
+    Advise(AdviceRequest),
     /// Tells of a decision that the log should explain.
     Note(PlannerNote),
 }
--- a/crates/geraniumshed-core/src/assignment/mod.rs
+++ b/crates/geraniumshed-core/src/assignment/mod.rs
@@ -5,6 +5,7 @@
 //! sent to a worker before the change that it rests on is stored.
 
 mod action;
+mod advice;
 mod ends;
 mod interference;
 mod ledger;
--- a/crates/geraniumshed-core/src/assignment/placement.rs
+++ b/crates/geraniumshed-core/src/assignment/placement.rs
@@ -3,6 +3,7 @@
 use geraniumshed_model::prelude::TimePoint;
 use smol_str::SmolStr;
 
+use super::advice::StepAdvice;
 use super::interference::InterferenceModel;
 use super::pacing::SLIGHT_PRESSURE;
 use crate::job::{ServiceName, StepRequest, TaskKey, WorkerId};
@@ -33,6 +34,17 @@
 /// a latency target.
 const OTHER_IMAGE_PENALTY: f64 = 120_000.0;
 
+/// On which workers a queue's policy lets a step run.
+#[derive(Debug, Clone, Copy)]
+pub(super) enum StepPermission<'a> {
+    /// On all.
+    Anywhere,
+    /// It wasn't asked yet.
+    Unknown,
+    /// On those that the advice names.
+    Advised(&'a StepAdvice),
+}
+
 /// What a task asks of its worker.
 #[derive(Debug, Clone)]
 pub(super) struct PlacementQuery<'a> {
@@ -48,6 +60,8 @@
     pub(super) rack: Option<&'a SmolStr>,
     /// Which images disturb each other.
     pub(super) interference: &'a InterferenceModel,
+    /// Which workers the queue's policy lets the step run on, where it asks for that.
+    pub(super) advice: StepPermission<'a>,
     /// The part of its speed that a best-effort task has to find.
     pub(super) least_speed: f64,
     /// The time.
@@ -61,12 +75,35 @@
         workers: impl Iterator<Item = &'w WorkerEntry>,
     ) -> Option<WorkerId> {
         let best = workers
-            .filter(|worker| self.is_allowed(worker))
+            .filter(|worker| self.is_allowed(worker) && self.has_permission(worker))
             .map(|worker| (self.score(worker), worker))
             .max_by(|(one, _), (other, _)| one.total_cmp(other));
         best.map(|(_, worker)| worker.id().clone())
     }
 
+    /// Returns the workers that could take the task if the queue's policy lets them, best first.
+    pub(super) fn ranked<'w>(
+        &self,
+        workers: impl Iterator<Item = &'w WorkerEntry>,
+    ) -> Vec<WorkerId> {
+        let mut ranked: Vec<(f64, &WorkerEntry)> = workers
+            .filter(|worker| self.is_allowed(worker))
+            .map(|worker| (self.score(worker), worker))
+            .collect();
+        ranked.sort_by(|(one, _), (other, _)| other.total_cmp(one));
+        let ids = ranked.into_iter().map(|(_, worker)| worker.id().clone());
+        ids.collect()
+    }
+
+    /// Tells whether the queue's policy lets the worker run the task, as far as that is known.
+    fn has_permission(&self, worker: &WorkerEntry) -> bool {
+        match self.advice {
+            StepPermission::Anywhere => true,
+            StepPermission::Unknown => false,
+            StepPermission::Advised(advice) => advice.allows(worker.id(), worker.life, self.now),
+        }
+    }
+
     /// Tells whether the worker may run the task and has room for it.
     fn is_allowed(&self, worker: &WorkerEntry) -> bool {
         worker.listing.service == *self.service
--- a/crates/geraniumshed-core/src/assignment/placing.rs
+++ b/crates/geraniumshed-core/src/assignment/placing.rs
@@ -10,7 +10,7 @@
 use super::ledger::GatedStart;
 use super::pacing::FULL_PERCENT;
 use super::pass::PlacementPass;
-use super::placement::{PlacementQuery, idle_processors};
+use super::placement::{PlacementQuery, StepPermission, idle_processors};
 use super::planner::JobPlanner;
 use crate::job::{
     JobEntry, JobId, JobPhase, Occurrence, QueuePolicy, ServiceName, StepRequest, TaskEntry,
@@ -88,20 +88,24 @@
         let Some(policy) = self.queues.policy(&job.request.queue) else {
             return;
         };
+        let policy = policy.clone();
         let service = policy.service.clone();
         let request = Arc::clone(&job.request);
         let Some(step) = request.steps.get(ready.step as usize) else {
             return;
         };
         let keys = startable_keys(job, ready, now.point);
-        let least_speed = self.least_speed(now, job, policy, ready, pass);
+        let least_speed = self.least_speed(now, job, &policy, ready, pass);
         if step.is_gang {
-            self.place_gang(now, &service, step, &keys, least_speed);
+            if !self.place_gang(now, &service, step, &keys, least_speed) {
+                self.seek_permission(now.point, &policy, step, &keys);
+            }
             return;
         }
-        let has_failed = pass.has_failed(&service, step, least_speed);
+        // What other steps are advised says nothing of this one.
+        let has_failed = policy.advice.is_none() && pass.has_failed(&service, step, least_speed);
         let mut rack = self.step_rack(step, ready);
-        for key in keys {
+        for (place, key) in keys.iter().copied().enumerate() {
             if has_failed && !self.has_history(key) {
                 continue;
             }
@@ -112,7 +116,10 @@
                 if self.has_history(key) {
                     continue;
                 }
-                pass.query_failed(&service, step, least_speed);
+                if policy.advice.is_none() {
+                    pass.query_failed(&service, step, least_speed);
+                }
+                self.seek_permission(now.point, &policy, step, &keys[place..]);
                 break;
             };
             self.place_task(now.point, step, key, &worker);
@@ -120,7 +127,7 @@
         }
     }
 
-    /// Places all members of a gang, or none.
+    /// Places all members of a gang, or none, and returns whether it did.
     fn place_gang(
         &mut self,
         now: PlannerMoment,
@@ -128,19 +135,19 @@
         step: &StepRequest,
         keys: &[TaskKey],
         least_speed: f64,
-    ) {
+    ) -> bool {
         let Some(job) = keys.first().and_then(|key| self.jobs.get(&key.job)) else {
-            return;
+            return true;
         };
         let members = keys
             .first()
             .and_then(|key| job.occurrence(key.occurrence)?.steps.get(key.step as usize));
         let Some(members) = members else {
-            return;
+            return true;
         };
         // The members of a run start together, after all of the run before have ended.
         if keys.len() != members.len() {
-            return;
+            return true;
         }
         let run = members.iter().map(|task| task.run).max().unwrap_or(0) + 1;
         let checkpoint = members.iter().find_map(|task| task.checkpoint.clone());
@@ -154,7 +161,7 @@
             let chosen = self.choose_worker(now.point, service, step, *key, rack_name, least_speed);
             let Some(worker) = chosen else {
                 self.withdraw_gang(&placed, run);
-                return;
+                return false;
             };
             self.reserve(now.point, step, *key, &worker, run);
             placed.push((*key, worker));
@@ -169,6 +176,7 @@
             }
             self.commit_placement(key, &worker, run);
         }
+        true
     }
 
     fn withdraw_gang(&mut self, placed: &[(TaskKey, WorkerId)], run: u32) {
@@ -210,7 +218,8 @@
         rack: Option<&SmolStr>,
         least_speed: f64,
     ) -> Option<WorkerId> {
-        let task = self.jobs.get(&key.job)?.task(key)?;
+        let job = self.jobs.get(&key.job)?;
+        let task = job.task(key)?;
         let query = PlacementQuery {
             service,
             step,
@@ -218,6 +227,7 @@
             avoided: &task.avoided,
             rack,
             interference: &self.interference,
+            advice: self.permission(job, key.into()),
             least_speed,
             now,
         };
@@ -232,6 +242,32 @@
         query.choose(self.workers.values())
     }
 
+    /// Asks where tasks may run that found no worker, if their queue's policy has a say.
+    fn seek_permission(
+        &mut self,
+        now: TimePoint,
+        policy: &QueuePolicy,
+        step: &StepRequest,
+        keys: &[TaskKey],
+    ) {
+        let (Some(advice), Some(key)) = (policy.advice, keys.first()) else {
+            return;
+        };
+        let query = PlacementQuery {
+            service: &policy.service,
+            step,
+            task: *key,
+            avoided: &[],
+            rack: None,
+            interference: &self.interference,
+            advice: StepPermission::Anywhere,
+            least_speed: 0.0,
+            now,
+        };
+        let workers = query.ranked(self.workers.values());
+        self.ask_for_advice(now, advice, (*key).into(), workers, keys.len());
+    }
+
     /// Returns the speed that a best-effort run has to find, so that it doesn't disturb others.
     ///
     /// The more of its slack a job has lost, the less it asks for; in the end it takes any worker.
@@ -342,9 +378,16 @@
             return;
         };
         let is_final = job.phase.is_final();
+        let needs_ticket = !matches!(
+            self.permission(job, start.task.into()),
+            StepPermission::Anywhere
+        );
         let Some(worker) = self.workers.get_mut(&start.worker) else {
             return;
         };
+        let advice = self.advice.step(start.task.into());
+        let ticket = advice.and_then(|advice| advice.ticket(&start.worker, worker.life, now.point));
+        let ticket = ticket.cloned();
         let deadline = worker.extend_lease(now.point, self.settings.lease);
         let Some(run) = worker.runs.get_mut(&start.task) else {
             return;
@@ -357,6 +400,10 @@
             self.drop_run(now, &start.worker, start.task, start.run, "not wanted");
             return;
         };
+        if needs_ticket && ticket.is_none() {
+            self.drop_run(now, &start.worker, start.task, start.run, "ticket ran out");
+            return;
+        }
         run.phase = RunPhase::Ordered(worker.token);
         let order = StartOrder {
             task: start.task,
@@ -366,6 +413,7 @@
             checkpoint: job
                 .task(start.task)
                 .and_then(|task| task.checkpoint.clone()),
+            ticket,
         };
         self.actions.push(PlannerAction::Start(WorkerCall {
             worker: start.worker,
--- a/crates/geraniumshed-core/src/assignment/planner.rs
+++ b/crates/geraniumshed-core/src/assignment/planner.rs
@@ -9,6 +9,7 @@
 use super::action::{
     CancelOutcome, JobStatus, PlannerAction, PlannerMoment, PlannerNote, StoreBatch, StoreChange,
 };
+use super::advice::AdviceBook;
 use super::interference::{InterferenceImage, InterferenceModel};
 use super::ledger::StoreLedger;
 use super::settings::PlannerSettings;
@@ -36,6 +37,7 @@
     pub(super) workers: BTreeMap<WorkerId, WorkerEntry>,
     pub(super) ledger: StoreLedger,
     pub(super) interference: InterferenceModel,
+    pub(super) advice: AdviceBook,
     pub(super) actions: Vec<PlannerAction>,
     /// Whether something has changed since tasks were last placed.
     pub(super) is_placing_due: bool,
@@ -65,6 +67,7 @@
             workers: BTreeMap::new(),
             ledger: StoreLedger::default(),
             interference: InterferenceModel::default(),
+            advice: AdviceBook::default(),
             actions: Vec::new(),
             is_placing_due: false,
             next_watch: TimePoint::default(),
@@ -247,6 +250,7 @@
         job.phase = phase;
         job.ended_unix_ms = now.unix_ms;
         self.open_jobs.remove(&id);
+        self.advice.forget(id);
         self.ledger.change_final(id);
         let note = PlannerNote::JobEnded(id, phase);
         self.actions.push(PlannerAction::Note(note));
--- a/crates/geraniumshed-core/src/assignment/worker_events.rs
+++ b/crates/geraniumshed-core/src/assignment/worker_events.rs
@@ -98,6 +98,10 @@
             Ok(StartReply::NoRoom | StartReply::Late | StartReply::Rejected) => {
                 self.drop_run(now, worker, task, run, "refused");
             }
+            Ok(StartReply::NoTicket) => {
+                self.advice.drop_ticket(task.into(), worker);
+                self.drop_run(now, worker, task, run, "ticket refused");
+            }
             Ok(StartReply::Unhealthy) => {
                 entry.trust.pause(now.point);
                 self.drop_run(now, worker, task, run, "unhealthy");
--- a/crates/geraniumshed-core/src/job/id.rs
+++ b/crates/geraniumshed-core/src/job/id.rs
@@ -85,6 +85,33 @@
     }
 }
 
+/// Names a step of one occurrence of a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct StepKey {
+    /// The job.
+    pub job: JobId,
+    /// The number of the occurrence.
+    pub occurrence: u32,
+    /// The place of the step.
+    pub step: u32,
+}
+
+impl From<TaskKey> for StepKey {
+    fn from(task: TaskKey) -> Self {
+        Self {
+            job: task.job,
+            occurrence: task.occurrence,
+            step: task.step,
+        }
+    }
+}
+
+impl Display for StepKey {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}.{}", self.job, self.occurrence, self.step)
+    }
+}
+
 /// Defines newtypes over names that the platform hands out.
 macro_rules! given_names {
     ($($(#[$doc:meta])* $name:ident;)*) => {$(
--- a/crates/geraniumshed-core/src/job/mod.rs
+++ b/crates/geraniumshed-core/src/job/mod.rs
@@ -10,8 +10,8 @@
 
 pub use chain::chains_from;
 pub use entry::{JobEntry, JobPhase, Occurrence};
-pub use id::{JobId, QueueName, ServiceName, TaskKey, WorkerId};
+pub use id::{JobId, QueueName, ServiceName, StepKey, TaskKey, WorkerId};
 pub use image::{JobImage, OccurrenceImage, TaskImage, TaskStage};
-pub use queue::{QueuePolicy, QueueTable};
+pub use queue::{AdvicePolicy, QueuePolicy, QueueTable};
 pub use request::{JobRequest, RepeatPlan, StepRequest};
 pub use task::{TaskEntry, TaskPhase};
--- a/crates/geraniumshed-core/src/job/queue.rs
+++ b/crates/geraniumshed-core/src/job/queue.rs
@@ -18,6 +18,17 @@
     pub stretch: f64,
     /// The time that a job may take beyond that.
     pub latency_objective: Duration,
+    /// How it is found out which workers may run a step, where only some may.
+    pub advice: Option<AdvicePolicy>,
+}
+
+/// How long it takes to find out which workers may run a step.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AdvicePolicy {
+    /// The time for each call.
+    pub decision_time: Duration,
+    /// The time for each worker that a call names.
+    pub worker_time: Duration,
 }
 
 /// The queues of the newest configuration, and those of earlier ones that jobs still name.
--- a/crates/geraniumshed-core/src/worker/message.rs
+++ b/crates/geraniumshed-core/src/worker/message.rs
@@ -8,7 +8,7 @@
 
 use super::clock::WorkerTime;
 use super::listing::WorkerLife;
-use crate::job::{TaskKey, WorkerId};
+use crate::job::{StepKey, TaskKey, WorkerId};
 
 /// The token by which a worker refuses the orders of an earlier scheduler.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -46,6 +46,26 @@
     pub deadline: WorkerTime,
     /// The progress to resume from.
     pub checkpoint: Option<SmolStr>,
+    /// The leave to start there, where the queue asks for one.
+    pub ticket: Option<SmolStr>,
+}
+
+/// The question which workers may run a step.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AdviceRequest {
+    /// The step.
+    pub step: StepKey,
+    /// The workers that are asked about.
+    pub workers: Vec<WorkerId>,
+}
+
+/// The workers that may run a step.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AdviceReply {
+    /// The workers, with the ticket that each asks for.
+    pub tickets: Vec<(WorkerId, SmolStr)>,
+    /// The time for which the tickets hold.
+    pub validity: Duration,
 }
 
 /// The order to stop a run.
@@ -92,6 +112,8 @@
     Late,
     /// The worker has no room.
     NoRoom,
+    /// The ticket is missing or doesn't hold any more.
+    NoTicket,
     /// The worker is unhealthy and has done nothing.
     Unhealthy,
     /// The order is for another life of the worker.
--- a/crates/geraniumshed-core/src/worker/mod.rs
+++ b/crates/geraniumshed-core/src/worker/mod.rs
@@ -13,8 +13,8 @@
 pub use listing::{WorkerLife, WorkerListing};
 pub use load::{ServedLoad, WorkerLoad};
 pub use message::{
-    EndKind, FenceToken, PaceOrder, RenewReply, RenewRequest, RunEnd, RunReport, StartOrder,
-    StartReply, StopOrder, WorkerCall, WorkerFailure,
+    AdviceReply, AdviceRequest, EndKind, FenceToken, PaceOrder, RenewReply, RenewRequest, RunEnd,
+    RunReport, StartOrder, StartReply, StopOrder, WorkerCall, WorkerFailure,
 };
 pub use run::{RunEntry, RunPhase};
 pub use trust::WorkerTrust;
--- a/crates/geraniumshed-core/tests/planner/fixture.rs
+++ b/crates/geraniumshed-core/tests/planner/fixture.rs
@@ -8,7 +8,8 @@
     StoreChange,
 };
 use geraniumshed_core::job::{
-    JobId, JobImage, JobPhase, JobRequest, QueueName, QueuePolicy, StepRequest, TaskKey, WorkerId,
+    AdvicePolicy, JobId, JobImage, JobPhase, JobRequest, QueueName, QueuePolicy, StepRequest,
+    TaskKey, WorkerId,
 };
 use geraniumshed_core::worker::{
     EndKind, FenceToken, RenewMark, RenewReply, RenewRequest, StartOrder, StartReply,
@@ -19,6 +20,7 @@
 };
 use smol_str::SmolStr;
 
+use crate::adviser::{ADVISED_QUEUE, DECISION_TIME, ModelAdviser, WORKER_TIME, is_valid};
 use crate::model::{ModelRun, ModelWorker, Surroundings, TAIL_STEPS};
 
 /// The length of a step of time.
@@ -60,6 +62,7 @@
     pub doubled: Vec<TaskKey>,
     /// The newest speed of each run that was ever changed, in percent.
     pub paces: BTreeMap<TaskKey, u32>,
+    pub adviser: ModelAdviser,
     /// The changes of speed that take effect later.
     ordered_paces: VecDeque<(TimePoint, TaskKey, u32)>,
     waiting: Vec<(u64, Vec<StoreChange>)>,
@@ -83,6 +86,7 @@
             tail_counts: (0, 0),
             doubled: Vec::new(),
             paces: BTreeMap::new(),
+            adviser: ModelAdviser::default(),
             ordered_paces: VecDeque::new(),
             waiting: Vec::new(),
             length_of: |step| step.estimate,
@@ -114,9 +118,14 @@
 
     /// Hands a job in.
     pub fn submit(&mut self, number: u64, steps: Vec<StepRequest>) -> JobId {
+        self.submit_to("q", number, steps)
+    }
+
+    /// Hands a job in to a queue.
+    pub fn submit_to(&mut self, queue: &str, number: u64, steps: Vec<StepRequest>) -> JobId {
         let id = JobId(number);
         let request = JobRequest {
-            queue: QueueName::from("q"),
+            queue: QueueName::from(queue),
             payload: "p".into(),
             steps,
             repeat: None,
@@ -157,6 +166,7 @@
             self.now = self.now + STEP;
             self.run_workers();
             self.press();
+            self.advise();
             self.planner.revisit();
             self.planner.advance(self.moment());
             self.store();
@@ -230,6 +240,7 @@
                 let (task, percent) = (call.body.task, call.body.percent);
                 self.ordered_paces.push_back((due, task, percent));
             }
+            PlannerAction::Advise(request) => self.adviser.call(request, self.now),
             PlannerAction::Note(_) => {}
         }
     }
@@ -270,6 +281,11 @@
         if order.deadline.0 < now.0 / 1000 {
             return StartReply::Late;
         }
+        let is_advised = self.requests[&order.task.job].queue == QueueName::from(ADVISED_QUEUE);
+        if is_advised && !is_valid(order.ticket.as_ref(), id, now) {
+            self.adviser.refused_starts += 1;
+            return StartReply::NoTicket;
+        }
         worker.token = token;
         worker.deadline = worker.deadline.max(TimePoint(order.deadline.0 * 1000));
         let run = ModelRun {
@@ -328,6 +344,19 @@
         self.planner.renewal_answered(now, id, mark, reply);
     }
 
+    /// Answers the calls for advice that are due.
+    fn advise(&mut self) {
+        let now = self.moment();
+        while let Some((_, request)) = self
+            .adviser
+            .calls
+            .pop_front_if(|(due, _)| *due <= now.point)
+        {
+            let reply = self.adviser.reply(&request, now.point);
+            self.planner.advice_answered(now, &request, Some(reply));
+        }
+    }
+
     /// Lets the runs beside each other press on each other for a step of time.
     fn press(&mut self) {
         while let Some((_, task, percent)) = self
@@ -403,8 +432,20 @@
         attempt_limit: 3,
         stretch: 2.0,
         latency_objective: Duration::from_millis(500),
+        advice: None,
+    };
+    let advised = QueuePolicy {
+        advice: Some(AdvicePolicy {
+            decision_time: DECISION_TIME,
+            worker_time: WORKER_TIME,
+        }),
+        ..policy.clone()
     };
-    planner.replace_queues([(QueueName::from("q"), policy)].into());
+    let queues = [
+        (QueueName::from("q"), policy),
+        (QueueName::from(ADVISED_QUEUE), advised),
+    ];
+    planner.replace_queues(queues.into());
     planner
 }
 
--- a/crates/geraniumshed-core/tests/planner/main.rs
+++ b/crates/geraniumshed-core/tests/planner/main.rs
@@ -1,5 +1,6 @@
 //! The planner over modelled workers and a modelled store, without network and clock.
 
+mod adviser;
 mod fixture;
 mod leases;
 mod loads;
--- a/crates/geraniumshed-core/tests/planner/rules.rs
+++ b/crates/geraniumshed-core/tests/planner/rules.rs
@@ -6,7 +6,8 @@
 use geraniumshed_core::job::{JobId, JobPhase, StepRequest};
 use rstest::rstest;
 
-use crate::fixture::{Cluster, size, step, task, worker};
+use crate::adviser::ADVISED_QUEUE;
+use crate::fixture::{Cluster, SeenStart, size, step, task, worker};
 use crate::model::WorkerFault;
 
 #[test]
@@ -217,3 +218,35 @@
     assert_eq!(cluster.phase(id), Some(JobPhase::Cancelled));
     assert_eq!(cluster.starts, []);
 }
+
+/// The queue's policy lets the step run on two of eight workers, which hold four tasks at a time.
+#[test]
+fn a_step_that_needs_advice_runs_only_where_it_may() {
+    let mut cluster = Cluster::with_workers(8);
+    cluster.adviser.allowed = [worker(2), worker(6)].into();
+    let wide = StepRequest {
+        size: size(16_000, 2),
+        ..step(12)
+    };
+    let id = cluster.submit_to(
+        ADVISED_QUEUE,
+        1,
+        vec![
+            wide,
+            StepRequest {
+                after: vec![0],
+                ..step(2)
+            },
+        ],
+    );
+    cluster.advance(Duration::from_secs(7));
+    assert_eq!(cluster.phase(id), Some(JobPhase::Completed));
+    let is_allowed = |start: &SeenStart| cluster.adviser.allowed.contains(&start.worker);
+    assert!(cluster.starts.iter().all(is_allowed));
+    assert_eq!(cluster.adviser.refused_starts, 0);
+    assert!(
+        cluster.adviser.call_count <= 14,
+        "{} calls",
+        cluster.adviser.call_count
+    );
+}
