Follow registrations by their changes, and weigh 64 workers for a task

Change: the leader reads all registrations at first and every 10 s, and in between their changes from the log, 200 ms apart. What best-effort runs leave of the pressure that an image bears is kept per worker until something changes there; a task weighs at most 64 workers that could take it, beginning at a place of its own, but for tasks with a latency target or a rack.

Found by that: a worker that answered renewals but no starts was given the same task again and again; a task now avoids a worker where its start got lost (a_start_that_is_carried_out_late_never_doubles_a_task failed as soon as the search began elsewhere).

Test: a_change_of_registration_keeps_new_tasks_away.

--- a/crates/geraniumshed-batch/src/leader/event.rs
+++ b/crates/geraniumshed-batch/src/leader/event.rs
@@ -5,7 +5,7 @@
 use geraniumshed_core::assignment::{CancelOutcome, JobStatus};
 use geraniumshed_core::job::{JobId, JobRequest, QueueName, QueuePolicy, TaskKey, WorkerId};
 use geraniumshed_core::worker::{
-    AdviceReply, AdviceRequest, RenewMark, StartReply, WorkerFailure, WorkerListing,
+    AdviceReply, AdviceRequest, RenewMark, StartReply, WorkerChange, WorkerFailure, WorkerListing,
 };
 use tokio::sync::{mpsc, oneshot};
 
@@ -18,6 +18,8 @@
     Submitted(Vec<(JobId, JobRequest)>),
     /// The registered workers were read.
     Listed(Vec<WorkerListing>),
+    /// Registrations have changed.
+    WorkersChanged(Vec<WorkerChange>),
     /// The order to start a task was answered.
     StartAnswered(WorkerId, TaskKey, u32, Result<StartReply, WorkerFailure>),
     /// The order to stop a run was answered.
--- a/crates/geraniumshed-batch/src/leader/feeds.rs
+++ b/crates/geraniumshed-batch/src/leader/feeds.rs
@@ -4,6 +4,7 @@
 
 use geraniumshed_core::job::{JobId, JobRequest};
 use geraniumshed_model::prelude::LogOffset;
+use tokio::time::Instant;
 
 use super::event::{LeaderEvent, LeaderHandle};
 use super::load::decode_request;
@@ -15,8 +16,12 @@
 const REQUEST_WAIT: Duration = Duration::from_secs(2);
 /// The time between two reads of requests, in which several may gather.
 const REQUEST_GAP: Duration = Duration::from_millis(15);
-/// The time between two reads of the registered workers.
-const LISTING_PAUSE: Duration = Duration::from_millis(500);
+/// The time after which all registered workers are read again.
+const LISTING_LIFETIME: Duration = Duration::from_secs(10);
+/// How long a read waits for a registration to change.
+const CHANGE_WAIT: Duration = Duration::from_secs(1);
+/// The time between two reads of changes, in which several may gather.
+const CHANGE_GAP: Duration = Duration::from_millis(200);
 /// The pause after a failed read.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
@@ -63,17 +68,30 @@
 }
 
 /// Reads the registered workers until the leader ends.
+///
+/// All are read at first, and from time to time in case that a change was missed; in between only
+/// what has changed.
 pub(super) async fn feed_workers<F: SiteFeed>(feed: F, handle: LeaderHandle) {
     while !handle.is_closed() {
-        match feed.workers().await {
-            Ok(listings) => {
-                handle.send(LeaderEvent::Listed(listings));
-                tokio::time::sleep(LISTING_PAUSE).await;
-            }
-            Err(error) => {
-                log::debug!("the registered workers can't be read: {error}");
-                tokio::time::sleep(RETRY_PAUSE).await;
-            }
+        if let Err(error) = follow_workers(&feed, &handle).await {
+            log::debug!("the registered workers can't be read: {error}");
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+    }
+}
+
+/// Reads all registered workers, and follows their changes for a while.
+async fn follow_workers<F: SiteFeed>(feed: &F, handle: &LeaderHandle) -> Result<(), StoreError> {
+    let (listings, mut next) = feed.workers().await?;
+    handle.send(LeaderEvent::Listed(listings));
+    let renewed_at = Instant::now() + LISTING_LIFETIME;
+    while !handle.is_closed() && Instant::now() < renewed_at {
+        let (changes, offset) = feed.worker_changes(next, CHANGE_WAIT).await?;
+        next = offset;
+        if !changes.is_empty() {
+            handle.send(LeaderEvent::WorkersChanged(changes));
         }
+        tokio::time::sleep(CHANGE_GAP).await;
     }
+    Ok(())
 }
--- a/crates/geraniumshed-batch/src/leader/run.rs
+++ b/crates/geraniumshed-batch/src/leader/run.rs
@@ -248,6 +248,7 @@
                 }
             }
             LeaderEvent::Listed(listings) => self.planner.list_workers(now, listings),
+            LeaderEvent::WorkersChanged(changes) => self.planner.update_workers(now, changes),
             LeaderEvent::StartAnswered(worker, task, run, reply) => {
                 self.planner.start_answered(now, &worker, task, run, reply);
             }
--- a/crates/geraniumshed-batch/src/site.rs
+++ b/crates/geraniumshed-batch/src/site.rs
@@ -8,7 +8,7 @@
 use geraniumshed_core::job::{QueueName, QueuePolicy};
 use geraniumshed_core::worker::{
     AdviceReply, AdviceRequest, PaceOrder, RenewReply, RenewRequest, StartOrder, StartReply,
-    StopOrder, WorkerCall, WorkerFailure, WorkerListing,
+    StopOrder, WorkerCall, WorkerChange, WorkerFailure, WorkerListing,
 };
 use geraniumshed_model::prelude::LogOffset;
 
@@ -105,10 +105,24 @@
     /// Reads a configuration in the platform's own form.
     fn decode(&self, source: &Bytes) -> Option<SiteConfig<Self::Routes>>;
 
-    /// Reads the workers that are registered.
+    /// Reads the workers that are registered, and the offset from which to read changes.
     ///
     /// # Errors
     ///
     /// Returns why there is no usable answer.
-    fn workers(&self) -> impl Future<Output = Result<Vec<WorkerListing>, StoreError>> + Send;
+    fn workers(
+        &self,
+    ) -> impl Future<Output = Result<(Vec<WorkerListing>, LogOffset), StoreError>> + Send;
+
+    /// Reads what has changed of the registered workers from an offset on, waiting for a change,
+    /// and the offset from which to read on.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is no usable answer.
+    fn worker_changes(
+        &self,
+        from: LogOffset,
+        wait: Duration,
+    ) -> impl Future<Output = Result<(Vec<WorkerChange>, LogOffset), StoreError>> + Send;
 }
--- a/crates/geraniumshed-batch/tests/support/mod.rs
+++ b/crates/geraniumshed-batch/tests/support/mod.rs
@@ -18,7 +18,8 @@
 use geraniumshed_core::membership::MemberIdentity;
 use geraniumshed_core::worker::{
     AdviceReply, AdviceRequest, EndKind, PaceOrder, RenewReply, RenewRequest, RunEnd, StartOrder,
-    StartReply, StopOrder, WorkerCall, WorkerFailure, WorkerLife, WorkerListing, WorkerTime,
+    StartReply, StopOrder, WorkerCall, WorkerChange, WorkerFailure, WorkerLife, WorkerListing,
+    WorkerTime,
 };
 use geraniumshed_model::prelude::{
     AcceleratorCount, LogOffset, MemorySize, ProcessorShare, ResourceSize,
@@ -288,25 +289,46 @@
         })
     }
 
-    async fn workers(&self) -> Result<Vec<WorkerListing>, StoreError> {
+    async fn workers(&self) -> Result<(Vec<WorkerListing>, LogOffset), StoreError> {
         let state = self.site.lock();
         if state.refused.contains(&self.node) {
             return Err(StoreError::Refused);
         }
-        if state.hides_workers {
-            return Ok(Vec::new());
+        let is_shown = !state.hides_workers;
+        let listings = is_shown.then(listing).into_iter().collect();
+        Ok((listings, LogOffset(0)))
+    }
+
+    async fn worker_changes(
+        &self,
+        from: LogOffset,
+        wait: Duration,
+    ) -> Result<(Vec<WorkerChange>, LogOffset), StoreError> {
+        tokio::time::sleep(wait).await;
+        let state = self.site.lock();
+        if state.refused.contains(&self.node) {
+            return Err(StoreError::Refused);
         }
-        Ok(vec![WorkerListing {
-            id: WorkerId("w".into()),
-            service: "s".into(),
-            address: SocketAddr::from(([127, 0, 0, 1], 1)),
-            zone: "z".into(),
-            life: Some(WorkerLife(1)),
-            capacity: size(32_000),
-            labels: Vec::new(),
-            rack: None,
-            is_draining: false,
-        }])
+        let change = if state.hides_workers {
+            WorkerChange::Gone(listing().id)
+        } else {
+            WorkerChange::Listed(listing())
+        };
+        Ok((vec![change], from))
+    }
+}
+
+fn listing() -> WorkerListing {
+    WorkerListing {
+        id: WorkerId("w".into()),
+        service: "s".into(),
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        zone: "z".into(),
+        life: Some(WorkerLife(1)),
+        capacity: size(32_000),
+        labels: Vec::new(),
+        rack: None,
+        is_draining: false,
     }
 }
 
--- a/crates/geraniumshed-core/src/assignment/interference/model.rs
+++ b/crates/geraniumshed-core/src/assignment/interference/model.rs
@@ -126,6 +126,14 @@
         }
     }
 
+    /// Returns the pressure that a run of a best-effort image adds to each image that is known.
+    pub fn pressures(&self, image: &SmolStr, processors: f64) -> BTreeMap<SmolStr, f64> {
+        let pressure = |(served, known): (&SmolStr, &ServedImage)| {
+            (served.clone(), known.fit.slope(image) * processors)
+        };
+        self.images.iter().map(pressure).collect()
+    }
+
     /// Returns the pressure that best-effort runs add.
     pub fn added(&self, served: &SmolStr, beside: &[LoadShare]) -> f64 {
         let slope = |share: &LoadShare| self.slope(served, &share.image) * share.processors;
--- a/crates/geraniumshed-core/src/assignment/pacing.rs
+++ b/crates/geraniumshed-core/src/assignment/pacing.rs
@@ -78,10 +78,8 @@
     let above_since = worker.tails_above_since.unwrap_or(now);
     let must_stand_still = is_above && now.since(above_since) >= STANDSTILL_LIMIT;
     let mut rooms = pressure_rooms(worker, &load, model, now);
-    worker.rooms = rooms
-        .iter()
-        .map(|room| (room.image.clone(), room.coming))
-        .collect();
+    let coming = rooms.iter().map(|room| (room.image.clone(), room.coming));
+    worker.set_rooms(coming.collect());
     let mut plan = PacePlan::default();
     for key in by_pressure(worker, &rooms, model) {
         let Some(run) = worker.runs.get_mut(&key) else {
--- a/crates/geraniumshed-core/src/assignment/placement.rs
+++ b/crates/geraniumshed-core/src/assignment/placement.rs
@@ -1,5 +1,7 @@
 //! The choice of a worker for a task.
 
+use std::collections::BTreeMap;
+
 use geraniumshed_model::prelude::TimePoint;
 use smol_str::SmolStr;
 
@@ -22,6 +24,8 @@
 /// The processors, in thousandths, that a best-effort run forgoes to spare others all of the
 /// pressure that they can bear.
 const PRESSURE_PENALTY: f64 = 6_000.0;
+/// The workers that are weighed against each other for most tasks.
+const CANDIDATE_LIMIT: usize = 64;
 /// The least room by which a run's part of it is judged, as a pressure.
 const LEAST_LEFT: f64 = 0.02;
 /// The processors, in thousandths, that each image which must keep away from a worker is worth to a
@@ -60,6 +64,8 @@
     pub(super) rack: Option<&'a SmolStr>,
     /// Which images disturb each other.
     pub(super) interference: &'a InterferenceModel,
+    /// The pressure that the task, if it is a best-effort one, adds to each served image.
+    pub(super) pressures: BTreeMap<SmolStr, f64>,
     /// Which workers the queue's policy lets the step run on, where it asks for that.
     pub(super) advice: StepPermission<'a>,
     /// The part of its speed that a best-effort task has to find.
@@ -76,11 +82,24 @@
     ) -> Option<WorkerId> {
         let best = workers
             .filter(|worker| self.is_allowed(worker) && self.has_permission(worker))
+            .take(self.candidate_limit())
             .map(|worker| (self.score(worker), worker))
             .max_by(|(one, _), (other, _)| one.total_cmp(other));
         best.map(|(_, worker)| worker.id().clone())
     }
 
+    /// Returns the number of workers that are weighed against each other.
+    ///
+    /// Which worker is the best of all matters where images or racks are kept together.
+    fn candidate_limit(&self) -> usize {
+        let wants_place = self.step.data_rack.is_some() || self.step.wants_one_rack;
+        if wants_place || self.step.latency_target.is_some() {
+            usize::MAX
+        } else {
+            CANDIDATE_LIMIT
+        }
+    }
+
     /// Returns the workers that could take the task if the queue's policy lets them, best first.
     pub(super) fn ranked<'w>(
         &self,
@@ -147,21 +166,10 @@
 
     /// Returns what becomes of the pressure on the images that a worker serves.
     fn pressure_on(&self, worker: &WorkerEntry) -> PressureForecast {
-        let image = self.step.image.clone().unwrap_or_default();
-        let processors = f64::from(self.step.size.processors.0) / 1000.0;
         let mut forecast = PressureForecast::default();
-        for (served, load) in &worker.load.served {
-            let usual = self.interference.room(served, load.target);
-            let coming = worker.rooms.get(served).copied().unwrap_or(usual);
-            let room = usual.min(coming);
-            let beside = worker.load.best_effort.iter();
-            let added: f64 = beside
-                .map(|(other, processors)| {
-                    self.interference.slope(served, other) * whole_processors(*processors)
-                })
-                .sum();
-            let own = self.interference.slope(served, &image) * processors;
-            forecast.add(room - added, own);
+        for (served, left) in worker.pressure_left(|| pressure_left(worker, self.interference)) {
+            let pressure = self.pressures.get(served).copied();
+            forecast.add(*left, pressure.unwrap_or_default());
         }
         forecast
     }
@@ -244,6 +252,20 @@
     }
 }
 
+/// Returns what best-effort runs at full speed leave of the pressure that each served image bears.
+fn pressure_left(worker: &WorkerEntry, model: &InterferenceModel) -> BTreeMap<SmolStr, f64> {
+    let left = worker.load.served.iter().map(|(served, load)| {
+        let usual = model.room(served, load.target);
+        let coming = worker.rooms.get(served).copied().unwrap_or(usual);
+        let beside = worker.load.best_effort.iter();
+        let added: f64 = beside
+            .map(|(image, processors)| model.slope(served, image) * whole_processors(*processors))
+            .sum();
+        (served.clone(), usual.min(coming) - added)
+    });
+    left.collect()
+}
+
 fn as_score(count: usize) -> f64 {
     f64::from(u32::try_from(count).unwrap_or(u32::MAX))
 }
--- a/crates/geraniumshed-core/src/assignment/placing.rs
+++ b/crates/geraniumshed-core/src/assignment/placing.rs
@@ -1,5 +1,6 @@
 //! The order in which tasks get workers.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -16,7 +17,7 @@
     JobEntry, JobId, JobPhase, Occurrence, QueuePolicy, ServiceName, StepRequest, TaskEntry,
     TaskKey, TaskPhase, WorkerId,
 };
-use crate::worker::{RunEntry, RunPhase, StartOrder, WorkerCall};
+use crate::worker::{RunEntry, RunPhase, StartOrder, WorkerCall, WorkerEntry};
 
 /// The age up to which a job waits for workers that its image doesn't disturb, in milliseconds.
 const PATIENCE_MS: u64 = 45_000;
@@ -26,6 +27,8 @@
 /// The speed that a best-effort run has to find at the least while its job can still be in time.
 const LEAST_SPEED: f64 = 0.3;
 
+/// The distance between the workers at which the search for two tasks of a step begins.
+const FIRST_STRIDE: u64 = 37;
 /// The speed that a run has to find elsewhere to be moved there.
 const MOVE_SPEED: f64 = 0.8;
 
@@ -227,11 +230,12 @@
             avoided: &task.avoided,
             rack,
             interference: &self.interference,
+            pressures: self.pressures_of(step),
             advice: self.permission(job, key.into()),
             least_speed,
             now,
         };
-        let chosen = query.choose(self.workers.values());
+        let chosen = query.choose(self.workers_from(key));
         if chosen.is_some() || task.avoided.is_empty() {
             return chosen;
         }
@@ -239,7 +243,26 @@
             avoided: &[],
             ..query
         };
-        query.choose(self.workers.values())
+        query.choose(self.workers_from(key))
+    }
+
+    /// Returns all workers, beginning at a place that differs between tasks.
+    fn workers_from(&self, key: TaskKey) -> impl Iterator<Item = &WorkerEntry> {
+        let count = self.workers.len().max(1);
+        let first = (u64::from(key.index) * FIRST_STRIDE).wrapping_add(key.job.0);
+        let first = usize::try_from(first % count as u64).unwrap_or_default();
+        let workers = self.workers.values();
+        workers.clone().skip(first).chain(workers.take(first))
+    }
+
+    /// Returns the pressure that a task of a step adds to each served image.
+    fn pressures_of(&self, step: &StepRequest) -> BTreeMap<SmolStr, f64> {
+        if !step.is_best_effort {
+            return BTreeMap::new();
+        }
+        let image = step.image.clone().unwrap_or_default();
+        let processors = f64::from(step.size.processors.0) / 1000.0;
+        self.interference.pressures(&image, processors)
     }
 
     /// Asks where tasks may run that found no worker, if their queue's policy has a say.
@@ -260,6 +283,7 @@
             avoided: &[],
             rack: None,
             interference: &self.interference,
+            pressures: self.pressures_of(step),
             advice: StepPermission::Anywhere,
             least_speed: 0.0,
             now,
--- a/crates/geraniumshed-core/src/assignment/worker_events.rs
+++ b/crates/geraniumshed-core/src/assignment/worker_events.rs
@@ -15,7 +15,7 @@
 use crate::job::{JobEntry, ServiceName, TaskKey, TaskPhase, WorkerId};
 use crate::worker::{
     FenceToken, RenewMark, RenewReply, RenewRequest, RunPhase, RunReport, StartReply, WorkerCall,
-    WorkerEntry, WorkerFailure, WorkerLife, WorkerListing,
+    WorkerChange, WorkerEntry, WorkerFailure, WorkerLife, WorkerListing,
 };
 
 /// What the lease of an earlier planner may exceed its length by on a slow clock.
@@ -28,15 +28,35 @@
         for (id, entry) in &mut self.workers {
             entry.is_listed = listed.contains(id);
         }
-        let lapses_at = self.inherited_lapse(now.point);
         for listing in listings {
-            let Some(entry) = self.workers.get_mut(&listing.id) else {
-                let entry = WorkerEntry::new(listing, self.first_token, lapses_at);
-                self.workers.insert(entry.id().clone(), entry);
-                continue;
-            };
+            self.list_worker(now, listing);
+        }
+        self.is_placing_due = true;
+    }
+
+    /// Takes in what has changed of the registered workers.
+    pub fn update_workers(&mut self, now: PlannerMoment, changes: Vec<WorkerChange>) {
+        for change in changes {
+            match change {
+                WorkerChange::Listed(listing) => self.list_worker(now, listing),
+                WorkerChange::Gone(id) => {
+                    if let Some(entry) = self.workers.get_mut(&id) {
+                        entry.is_listed = false;
+                    }
+                }
+            }
+        }
+    }
+
+    fn list_worker(&mut self, now: PlannerMoment, listing: WorkerListing) {
+        let lapses_at = self.inherited_lapse(now.point);
+        if let Some(entry) = self.workers.get_mut(&listing.id) {
+            entry.is_listed = true;
             entry.listing = listing;
+            return;
         }
+        let entry = WorkerEntry::new(listing, self.first_token, lapses_at);
+        self.workers.insert(entry.id().clone(), entry);
         self.is_placing_due = true;
     }
 
@@ -364,6 +384,11 @@
             .map(|(key, run)| (*key, run.run))
             .collect();
         for (key, run) in missing {
+            // The next start would likely be lost as well.
+            let job = self.jobs.get_mut(&key.job);
+            if let Some(task) = job.and_then(|job| job.task_mut(key)) {
+                task.avoid(worker.clone());
+            }
             self.drop_run(now, worker, key, run, "not there");
         }
     }
--- a/crates/geraniumshed-core/src/worker/entry.rs
+++ b/crates/geraniumshed-core/src/worker/entry.rs
@@ -1,5 +1,6 @@
 //! A worker with its lease and its runs.
 
+use std::cell::OnceCell;
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
@@ -54,6 +55,8 @@
     /// The pressure that best-effort runs may add to each image with a latency target, by the newest
     /// readings; below zero if the image's own load is too high already.
     pub rooms: BTreeMap<SmolStr, f64>,
+    /// What the best-effort runs there, at full speed, leave of it; found out when it is needed.
+    left: OnceCell<BTreeMap<SmolStr, f64>>,
     /// The newest end whose effect is stored.
     pub stored_end: u64,
     /// The newest end that was processed.
@@ -95,6 +98,7 @@
             reserved: ResourceSize::default(),
             load: WorkerLoad::default(),
             rooms: BTreeMap::new(),
+            left: OnceCell::new(),
             stored_end: 0,
             seen_end: 0,
             storing_ends: VecDeque::new(),
@@ -128,10 +132,25 @@
         self.listing.capacity.minus(&self.reserved)
     }
 
+    /// Takes note of the pressure that best-effort runs may add to each image that is served here.
+    pub fn set_rooms(&mut self, rooms: BTreeMap<SmolStr, f64>) {
+        self.rooms = rooms;
+        self.left.take();
+    }
+
+    /// Returns what the best-effort runs leave of the pressure that each served image can bear.
+    pub fn pressure_left(
+        &self,
+        find_out: impl FnOnce() -> BTreeMap<SmolStr, f64>,
+    ) -> &BTreeMap<SmolStr, f64> {
+        self.left.get_or_init(find_out)
+    }
+
     /// Adds a run.
     pub fn add_run(&mut self, task: TaskKey, run: RunEntry) {
         self.reserved = self.reserved.plus(&run.reserved);
         self.load.add(&run);
+        self.left.take();
         self.trust.got_task(task);
         if let Some(replaced) = self.runs.insert(task, run) {
             self.reserved = self.reserved.minus(&replaced.reserved);
@@ -149,6 +168,7 @@
         }?;
         self.reserved = self.reserved.minus(&run.reserved);
         self.load.remove(&run);
+        self.left.take();
         self.trust.lost_task(task);
         Some(run)
     }
@@ -196,6 +216,7 @@
         self.reserved = ResourceSize::default();
         self.load = WorkerLoad::default();
         self.rooms.clear();
+        self.left.take();
         std::mem::take(&mut self.runs).into_iter().collect()
     }
 
--- a/crates/geraniumshed-core/src/worker/listing.rs
+++ b/crates/geraniumshed-core/src/worker/listing.rs
@@ -13,6 +13,15 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct WorkerLife(pub u64);
 
+/// What has changed of the registered workers.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum WorkerChange {
+    /// A worker is registered, with this newest entry.
+    Listed(WorkerListing),
+    /// A worker isn't registered any more.
+    Gone(WorkerId),
+}
+
 /// A worker as it registered itself.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct WorkerListing {
--- a/crates/geraniumshed-core/src/worker/mod.rs
+++ b/crates/geraniumshed-core/src/worker/mod.rs
@@ -10,7 +10,7 @@
 
 pub use clock::{WorkerClock, WorkerTime};
 pub use entry::{RenewMark, WorkerEntry};
-pub use listing::{WorkerLife, WorkerListing};
+pub use listing::{WorkerChange, WorkerLife, WorkerListing};
 pub use load::{ServedLoad, WorkerLoad};
 pub use message::{
     AdviceReply, AdviceRequest, EndKind, FenceToken, PaceOrder, RenewReply, RenewRequest, RunEnd,
--- a/crates/geraniumshed-core/tests/planner/rules.rs
+++ b/crates/geraniumshed-core/tests/planner/rules.rs
@@ -4,6 +4,7 @@
 
 use geraniumshed_core::assignment::CancelOutcome;
 use geraniumshed_core::job::{JobId, JobPhase, StepRequest};
+use geraniumshed_core::worker::{WorkerChange, WorkerListing};
 use rstest::rstest;
 
 use crate::adviser::ADVISED_QUEUE;
@@ -250,3 +251,30 @@
         cluster.adviser.call_count
     );
 }
+
+#[rstest]
+#[case::drains(true)]
+#[case::is_gone(false)]
+fn a_change_of_registration_keeps_new_tasks_away(#[case] drains: bool) {
+    let mut cluster = Cluster::with_workers(2);
+    let listing = cluster.workers[&worker(0)].listing.clone();
+    let change = if drains {
+        WorkerChange::Listed(WorkerListing {
+            is_draining: true,
+            ..listing.clone()
+        })
+    } else {
+        WorkerChange::Gone(listing.id.clone())
+    };
+    let now = cluster.moment();
+    cluster.planner.update_workers(now, vec![change]);
+    cluster.submit(1, vec![step(6)]);
+    cluster.advance(Duration::from_millis(200));
+    assert!(cluster.starts.iter().all(|start| start.worker == worker(1)));
+    let now = cluster.moment();
+    let change = WorkerChange::Listed(listing);
+    cluster.planner.update_workers(now, vec![change]);
+    cluster.submit(2, vec![step(20)]);
+    cluster.advance(Duration::from_millis(200));
+    assert!(cluster.starts.iter().any(|start| start.worker == worker(0)));
+}
