Let a leader on a small VM yield to a node on a much larger one

Change: every 1.5 s a leader looks whether a node on a VM of at least twice the size has been alive for as long and reaches the store, and resigns then.

Test: a_leader_on_a_small_vm_yields_to_a_node_on_a_much_larger_one, which also keeps the lead beside a node of 1.5 times the size.

--- a/crates/geraniumshed-batch/src/member.rs
+++ b/crates/geraniumshed-batch/src/member.rs
@@ -13,7 +13,7 @@
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
 
-use crate::leader::{self, LeaderEnd, StoreQuestion, claim, take_over};
+use crate::leader::{self, LeaderEnd, LeaderHandle, StoreQuestion, claim, take_over};
 use crate::node::NodeShared;
 use crate::peer::PeerFailure;
 use crate::site::{SiteFeed, WorkerCaller};
@@ -41,6 +41,10 @@
 const CANCELS_LIMIT: Duration = Duration::from_millis(250);
 /// The rank of a member that led until now, so that others go first.
 const FORMER_LEADER_RANK: u32 = 3;
+/// The pause between two looks for a node on a larger VM, which has to be alive for as long.
+const YIELD_PAUSE: Duration = Duration::from_millis(1500);
+/// The factor by which a VM has to be larger for its node to be given the lead.
+const LARGER_FACTOR: u32 = 2;
 /// The attempts to take over before another node may try.
 const TAKE_OVER_ATTEMPTS: u32 = 5;
 
@@ -235,12 +239,14 @@
             .unwrap_or_default();
         let (silence, questions) = mpsc::unbounded_channel();
         let (handle, end) = leader::run(self.shared.context.clone(), term, found, queues, silence);
-        self.shared.view().handle = Some(handle);
+        self.shared.view().handle = Some(handle.clone());
         let joining = tokio::spawn(self.clone().keep_joined());
         let watching = tokio::spawn(self.clone().answer_questions(questions));
+        let yielding = tokio::spawn(self.clone().yield_to_larger(handle.clone()));
         let reason = end.await.unwrap_or(LeaderEnd::Resigned);
         joining.abort();
         watching.abort();
+        yielding.abort();
         self.shared.view().end_leading();
         log::warn!("not leading any more in term {term}: {reason:?}");
         if reason == LeaderEnd::Resigned {
@@ -314,6 +320,39 @@
         }
     }
 
+    /// Lets the leader resign once a node on a much larger VM could lead, since a small one can't
+    /// keep up with many workers.
+    async fn yield_to_larger(self, handle: LeaderHandle) {
+        loop {
+            tokio::time::sleep(YIELD_PAUSE).await;
+            let Some(larger) = self.larger_member() else {
+                continue;
+            };
+            let pool = &self.shared.pool;
+            if pool.probe_store(larger.address, PROBE_LIMIT).await == Ok(true) {
+                log::info!("{larger} is on a much larger VM and shall lead");
+                handle.outpace();
+                return;
+            }
+        }
+    }
+
+    /// Returns a node on a much larger VM that has been alive for a while.
+    fn larger_member(&self) -> Option<MemberIdentity> {
+        let now = self.shared.clock().now();
+        let least = self
+            .shared
+            .settings
+            .processors
+            .0
+            .saturating_mul(LARGER_FACTOR);
+        let view = self.shared.view();
+        let best = view.successors(now).first().copied()?;
+        let is_larger = best.processors.0 >= least;
+        let is_steady = now.since(best.first_heard_at) >= YIELD_PAUSE;
+        (is_larger && is_steady).then(|| best.member.clone())
+    }
+
     /// Returns the first of the likely successors that reaches the store.
     async fn first_with_store(&self) -> Option<MemberIdentity> {
         let mut probes = JoinSet::new();
--- a/crates/geraniumshed-batch/tests/nodes.rs
+++ b/crates/geraniumshed-batch/tests/nodes.rs
@@ -201,3 +201,20 @@
         runtime.shutdown_background();
     }
 }
+
+#[tokio::test]
+async fn a_leader_on_a_small_vm_yields_to_a_node_on_a_much_larger_one() {
+    let site = Site::open();
+    let small = site.spawn_sized(0, 21_280, 100).await;
+    support::wait_for(async || small.is_leading()).await;
+    let equal = site.spawn_sized(1, 21_280, 150).await;
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    assert!(small.is_leading());
+    let large = site.spawn_sized(2, 21_280, 400).await;
+    support::wait_for(async || large.is_leading()).await;
+    assert!(!small.is_leading() && !equal.is_leading());
+    let id = JobId(80);
+    let outcome = equal.service().submit(id, &job(2), deadline()).await;
+    assert_eq!(outcome, CallOutcome::Accepted);
+    support::wait_for(async || site.start_count() == 2).await;
+}
--- a/crates/geraniumshed-batch/tests/support/mod.rs
+++ b/crates/geraniumshed-batch/tests/support/mod.rs
@@ -77,6 +77,14 @@
         nodes
     }
 
+    /// Spawns a node on a VM of the given size; the node's rank is its place.
+    pub async fn spawn_sized(&self, index: u16, first_port: u16, processors: u32) -> Node {
+        let node = self.spawn_node_on(index, first_port, ProcessorShare(processors));
+        let node = node.await;
+        wait_for(async || node.service().is_ready()).await;
+        node
+    }
+
     /// Spawns nodes like [`Self::spawn_nodes`], each in a runtime whose shutdown kills it.
     pub async fn spawn_processes(&self, count: u16, first_port: u16) -> Vec<(Runtime, Node)> {
         let mut processes = Vec::new();
@@ -95,13 +103,18 @@
     }
 
     async fn spawn_node(&self, index: u16, first_port: u16) -> Node {
+        self.spawn_node_on(index, first_port, ProcessorShare(100))
+            .await
+    }
+
+    async fn spawn_node_on(&self, index: u16, first_port: u16, processors: ProcessorShare) -> Node {
         let settings = NodeSettings {
             identity: MemberIdentity {
                 name: format!("d-{index}").into(),
                 incarnation: u64::from(index) + 1,
                 address: SocketAddr::from(([127, 0, 0, 1], first_port + index)),
             },
-            processors: ProcessorShare(100),
+            processors,
             first_rank: u32::from(index),
             planner: PlannerSettings::default(),
         };
