Join the group before a takeover, and give its pages time

A page of a thousand jobs took longer than 1 s, so that takeovers failed and began anew; and a node that was taking over was not in the group yet, so that another one claimed the lead over it. Ruled out: election by the store's slow answers alone; the claims were there 0.8 s after the resignation.

Change: a leader joins the group as soon as its claim holds; pages of many records may take 4 s, while the question who leads keeps its 1 s.

Test: a_leader_is_in_the_group_while_it_takes_over and a_slow_store_delays_a_takeover_and_no_more; each fails without its half.

--- a/crates/geraniumshed-batch/src/handler.rs
+++ b/crates/geraniumshed-batch/src/handler.rs
@@ -21,6 +21,8 @@
 
 /// The time for which a call that was passed on is tried.
 const PASSED_LIMIT: Duration = Duration::from_millis(700);
+/// The time within which the store has to answer to count as reached.
+const PROBE_LIMIT: Duration = Duration::from_secs(1);
 
 /// Answers the calls of other nodes.
 #[derive(Debug)]
@@ -127,7 +129,7 @@
 
     async fn probe_store(self, _: Context) -> bool {
         let store = &self.shared().context.store;
-        store.newest(LEADERS, None).await.is_ok()
+        store.newest(LEADERS, None, PROBE_LIMIT).await.is_ok()
     }
 
     async fn succeed(self, _: Context, term: u64) {
--- a/crates/geraniumshed-batch/src/member.rs
+++ b/crates/geraniumshed-batch/src/member.rs
@@ -35,6 +35,8 @@
 const PROBED_PEERS: usize = 3;
 /// The time within which a peer has to take note that it should lead.
 const SUCCEED_LIMIT: Duration = Duration::from_millis(300);
+/// The time within which the store has to tell who leads.
+const RECORD_LIMIT: Duration = Duration::from_secs(1);
 /// The pause after the store could not be used to take over.
 const TAKE_OVER_RETRY: Duration = Duration::from_millis(100);
 /// The time within which a node has to tell which cancellations it pursues.
@@ -225,9 +227,12 @@
 
     /// Leads until a later leader takes over or the process is to stop.
     async fn lead(&self, term: LeaderTerm) {
+        // Others look for the leader in the group also while it takes over.
+        let joining = tokio::spawn(self.clone().keep_joined());
         let (found, cancelled) =
             tokio::join!(self.take_over_patiently(term), self.pursued_cancels());
         let Some(mut found) = found else {
+            joining.abort();
             self.shared.view().end_leading();
             return;
         };
@@ -240,7 +245,6 @@
         let (silence, questions) = mpsc::unbounded_channel();
         let (handle, end) = leader::run(self.shared.context.clone(), term, found, queues, silence);
         self.shared.view().handle = Some(handle.clone());
-        let joining = tokio::spawn(self.clone().keep_joined());
         let watching = tokio::spawn(self.clone().answer_questions(questions));
         let yielding = tokio::spawn(self.clone().yield_to_larger(handle.clone()));
         let reason = end.await.unwrap_or(LeaderEnd::Resigned);
@@ -408,7 +412,7 @@
 }
 
 async fn read_leader<S: StoreClient>(store: &S) -> Result<StoredLeader, StoreError> {
-    let page = store.newest(LEADERS, None).await?;
+    let page = store.newest(LEADERS, None, RECORD_LIMIT).await?;
     let record = page.records.iter().rev().find_map(|(offset, record)| {
         let member: MemberWire = decode(&record.value)
             .inspect_err(|error| log::error!("the leader's record can't be read: {error}"))
--- a/crates/geraniumshed-batch/src/store.rs
+++ b/crates/geraniumshed-batch/src/store.rs
@@ -129,6 +129,7 @@
         &self,
         topic: TopicName,
         after: Option<SmolStr>,
+        timeout: Duration,
     ) -> impl Future<Output = Result<NewestPage, StoreError>> + Send;
 
     /// Reads records from an offset on, waiting for one to be appended.
@@ -214,6 +215,9 @@
     }
 }
 
+/// The time within which a page of many records has to be there, also from a slow store.
+const PAGE_LIMIT: Duration = Duration::from_secs(4);
+
 /// Reads the newest records of all keys, page by page.
 ///
 /// # Errors
@@ -227,7 +231,7 @@
     let mut after = None;
     let mut end = None;
     loop {
-        let page = store.newest(topic, after.take()).await?;
+        let page = store.newest(topic, after.take(), PAGE_LIMIT).await?;
         // Pages are no snapshot: what is appended meanwhile comes after the first page's end.
         let first_end = *end.get_or_insert(page.end);
         after = page.records.last().map(|(_, record)| record.key.clone());
--- a/crates/geraniumshed-batch/tests/nodes.rs
+++ b/crates/geraniumshed-batch/tests/nodes.rs
@@ -218,3 +218,41 @@
     assert_eq!(outcome, CallOutcome::Accepted);
     support::wait_for(async || site.start_count() == 2).await;
 }
+
+#[tokio::test]
+async fn a_leader_is_in_the_group_while_it_takes_over() {
+    let site = Site::open();
+    let nodes = site.spawn_nodes(2, 21_300).await;
+    support::wait_for(async || nodes.iter().any(BatchNode::is_leading)).await;
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    let former = nodes.iter().position(BatchNode::is_leading).unwrap();
+    let next = 1 - former;
+    site.delay_takeover(Duration::from_secs(10));
+    nodes[former].begin_stop();
+    support::wait_for(async || nodes[next].is_leading()).await;
+    let name = format!("d-{next}");
+    let soon = tokio::time::Instant::now() + Duration::from_secs(2);
+    while !site.members().iter().any(|member| member.contains(&name)) {
+        assert!(tokio::time::Instant::now() < soon, "it isn't in the group");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+#[tokio::test]
+async fn a_slow_store_delays_a_takeover_and_no_more() {
+    let site = Site::open();
+    let nodes = site.spawn_nodes(3, 21_320).await;
+    let id = JobId(90);
+    nodes[0].service().submit(id, &job(1), deadline()).await;
+    support::wait_for(async || site.start_count() == 1).await;
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    let former = nodes.iter().position(BatchNode::is_leading).unwrap();
+    site.delay_takeover(Duration::from_secs(2));
+    nodes[former].begin_stop();
+    let started = tokio::time::Instant::now();
+    let service = nodes[(former + 1) % 3].service();
+    let completed = CallOutcome::Status(JobPhase::Completed);
+    support::wait_for(async || service.status(id, deadline()).await == completed).await;
+    let taken = started.elapsed();
+    assert!(taken < Duration::from_millis(4500), "taken {taken:?}");
+}
--- a/crates/geraniumshed-batch/tests/support/mod.rs
+++ b/crates/geraniumshed-batch/tests/support/mod.rs
@@ -12,6 +12,7 @@
 use geraniumshed_batch::store::{
     AppendCondition, KeyedRecord, NewestPage, ReadBatch, StoreClient, StoreError, TopicName,
 };
+use geraniumshed_batch::topic::PROGRESS;
 use geraniumshed_batch::{BatchNode, NodeSettings};
 use geraniumshed_core::assignment::PlannerSettings;
 use geraniumshed_core::job::{JobRequest, QueueName, QueuePolicy, StepRequest, WorkerId};
@@ -47,6 +48,7 @@
     refused: BTreeSet<usize>,
     config_version: u64,
     hides_workers: bool,
+    takeover_delay: Duration,
     starts: usize,
     ended: Vec<RunEnd>,
     next_end: u64,
@@ -137,6 +139,16 @@
         self.lock().config_version = version;
     }
 
+    /// Lets the store take a while to tell what an earlier leader left.
+    pub fn delay_takeover(&self, delay: Duration) {
+        self.lock().takeover_delay = delay;
+    }
+
+    /// Returns the members of the leaders' group.
+    pub fn members(&self) -> Vec<SmolStr> {
+        self.lock().members.clone()
+    }
+
     /// Hides the worker from the list of registered ones, or shows it.
     pub fn hide_workers(&self, hides: bool) {
         self.lock().hides_workers = hides;
@@ -212,7 +224,19 @@
         })
     }
 
-    async fn newest(&self, topic: TopicName, _: Option<SmolStr>) -> Result<NewestPage, StoreError> {
+    async fn newest(
+        &self,
+        topic: TopicName,
+        _: Option<SmolStr>,
+        timeout: Duration,
+    ) -> Result<NewestPage, StoreError> {
+        if topic == PROGRESS {
+            let delay = self.site.lock().takeover_delay;
+            tokio::time::sleep(delay.min(timeout)).await;
+            if delay > timeout {
+                return Err(StoreError::Unanswered);
+            }
+        }
         self.topic(topic, |state| {
             let mut newest = BTreeMap::new();
             for (offset, record) in (0..).zip(&state.records) {
