Move gangs and registrations out of two large files

Change: place_gang and withdraw_gang stand in gang.rs, what registrations and stored placements tell of workers in registry.rs; nothing else changes.

--- a/crates/geraniumshed-core/src/assignment/mod.rs
+++ b/crates/geraniumshed-core/src/assignment/mod.rs
@@ -7,6 +7,7 @@
 mod action;
 mod advice;
 mod ends;
+mod gang;
 mod interference;
 mod ledger;
 mod pacing;
@@ -14,6 +15,7 @@
 mod placement;
 mod placing;
 mod planner;
+mod registry;
 mod settings;
 mod upkeep;
 mod worker_events;
--- a/crates/geraniumshed-core/src/assignment/placing.rs
+++ b/crates/geraniumshed-core/src/assignment/placing.rs
@@ -130,66 +130,6 @@
         }
     }
 
-    /// Places all members of a gang, or none, and returns whether it did.
-    fn place_gang(
-        &mut self,
-        now: PlannerMoment,
-        service: &ServiceName,
-        step: &StepRequest,
-        keys: &[TaskKey],
-        least_speed: f64,
-    ) -> bool {
-        let Some(job) = keys.first().and_then(|key| self.jobs.get(&key.job)) else {
-            return true;
-        };
-        let members = keys
-            .first()
-            .and_then(|key| job.occurrence(key.occurrence)?.steps.get(key.step as usize));
-        let Some(members) = members else {
-            return true;
-        };
-        // The members of a run start together, after all of the run before have ended.
-        if keys.len() != members.len() {
-            return true;
-        }
-        let run = members.iter().map(|task| task.run).max().unwrap_or(0) + 1;
-        let checkpoint = members.iter().find_map(|task| task.checkpoint.clone());
-        let mut placed: Vec<(TaskKey, WorkerId)> = Vec::new();
-        for key in keys {
-            let rack = placed
-                .first()
-                .and_then(|(_, worker)| self.workers.get(worker)?.listing.rack.clone());
-            let rack = rack.filter(|_| step.wants_one_rack);
-            let rack_name = rack.as_ref();
-            let chosen = self.choose_worker(now.point, service, step, *key, rack_name, least_speed);
-            let Some(worker) = chosen else {
-                self.withdraw_gang(&placed, run);
-                return false;
-            };
-            self.reserve(now.point, step, *key, &worker, run);
-            placed.push((*key, worker));
-        }
-        for (key, worker) in placed {
-            if let Some(task) = self
-                .jobs
-                .get_mut(&key.job)
-                .and_then(|job| job.task_mut(key))
-            {
-                task.checkpoint.clone_from(&checkpoint);
-            }
-            self.commit_placement(key, &worker, run);
-        }
-        true
-    }
-
-    fn withdraw_gang(&mut self, placed: &[(TaskKey, WorkerId)], run: u32) {
-        for (key, worker) in placed {
-            if let Some(entry) = self.workers.get_mut(worker) {
-                entry.remove_run(*key, run);
-            }
-        }
-    }
-
     /// Tells whether another worker would let a run work faster than the one that it is on.
     pub(super) fn has_better_place(
         &self,
@@ -212,7 +152,7 @@
         chosen.is_some_and(|worker| worker != *current)
     }
 
-    fn choose_worker(
+    pub(super) fn choose_worker(
         &self,
         now: TimePoint,
         service: &ServiceName,
@@ -363,7 +303,7 @@
     }
 
     /// Reserves room for a run.
-    fn reserve(
+    pub(super) fn reserve(
         &mut self,
         now: TimePoint,
         step: &StepRequest,
@@ -377,7 +317,7 @@
     }
 
     /// Records a placement, whose order goes out once it is stored.
-    fn commit_placement(&mut self, key: TaskKey, worker: &WorkerId, run: u32) {
+    pub(super) fn commit_placement(&mut self, key: TaskKey, worker: &WorkerId, run: u32) {
         let Some(job) = self.jobs.get_mut(&key.job) else {
             return;
         };
--- /dev/null
+++ b/crates/geraniumshed-core/src/assignment/registry.rs
@@ -0,0 +1,101 @@
+//! Which workers there are, by their registrations and by stored placements.
+
+use std::collections::BTreeSet;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use geraniumshed_model::prelude::{ResourceSize, TimePoint};
+
+use super::action::PlannerMoment;
+use super::placing::run_entry;
+use super::planner::JobPlanner;
+use crate::job::{JobEntry, ServiceName, TaskKey, TaskPhase, WorkerId};
+use crate::worker::{FenceToken, RunPhase, WorkerChange, WorkerEntry, WorkerListing};
+
+/// What the lease of an earlier planner may exceed its length by on a slow clock.
+const LAPSE_MARGIN: Duration = Duration::from_millis(300);
+
+impl JobPlanner {
+    /// Replaces the list of registered workers.
+    pub fn list_workers(&mut self, now: PlannerMoment, listings: Vec<WorkerListing>) {
+        let listed: BTreeSet<WorkerId> = listings.iter().map(|one| one.id.clone()).collect();
+        for (id, entry) in &mut self.workers {
+            entry.is_listed = listed.contains(id);
+        }
+        for listing in listings {
+            self.list_worker(now, listing);
+        }
+        self.is_placing_due = true;
+    }
+
+    /// Takes in what has changed of the registered workers.
+    pub fn update_workers(&mut self, now: PlannerMoment, changes: Vec<WorkerChange>) {
+        for change in changes {
+            match change {
+                WorkerChange::Listed(listing) => self.list_worker(now, listing),
+                WorkerChange::Gone(id) => {
+                    if let Some(entry) = self.workers.get_mut(&id) {
+                        entry.is_listed = false;
+                    }
+                }
+            }
+        }
+    }
+
+    fn list_worker(&mut self, now: PlannerMoment, listing: WorkerListing) {
+        let lapses_at = self.inherited_lapse(now.point);
+        if let Some(entry) = self.workers.get_mut(&listing.id) {
+            entry.is_listed = true;
+            entry.listing = listing;
+            return;
+        }
+        let entry = WorkerEntry::new(listing, self.first_token, lapses_at);
+        self.workers.insert(entry.id().clone(), entry);
+        self.is_placing_due = true;
+    }
+
+    /// Keeps a run that an earlier planner placed, until its worker tells of it or must be gone.
+    pub(super) fn restore_run(&mut self, now: TimePoint, job: &JobEntry, key: TaskKey) {
+        let Some(task) = job.task(key) else {
+            return;
+        };
+        let TaskPhase::Placed(id) = &task.phase else {
+            return;
+        };
+        let Some(step) = job.request.steps.get(key.step as usize) else {
+            return;
+        };
+        let lapses_at = self.inherited_lapse(now);
+        let token = self.first_token;
+        let entry = self
+            .workers
+            .entry(id.clone())
+            .or_insert_with(|| unlisted_worker(id.clone(), token, lapses_at));
+        let phase = RunPhase::Unsettled(FenceToken(token.0.saturating_sub(1)));
+        entry.add_run(key, run_entry(step, task.run, phase, now));
+    }
+
+    /// Returns when every lease of an earlier planner has certainly run out.
+    fn inherited_lapse(&self, now: TimePoint) -> TimePoint {
+        let longest = self.settings.longest_lease;
+        now + longest + longest / 50 + LAPSE_MARGIN
+    }
+}
+
+/// Describes a worker that is only known from a stored placement.
+fn unlisted_worker(id: WorkerId, token: FenceToken, lapses_at: TimePoint) -> WorkerEntry {
+    let listing = WorkerListing {
+        id,
+        service: ServiceName::from(""),
+        address: SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0)),
+        zone: "".into(),
+        life: None,
+        capacity: ResourceSize::default(),
+        labels: Vec::new(),
+        rack: None,
+        is_draining: false,
+    };
+    let mut entry = WorkerEntry::new(listing, token, lapses_at);
+    entry.is_listed = false;
+    entry
+}
