Share what tests of nodes and of noisy neighbours set up

Cause: four tests of nodes waited for a settled leader in the same three lines, four calls of the modelled store checked a refusal by hand, and two tests of noisy neighbours built the same cluster.

Change: settled_leader, NodeStore::reach and cluster_with_noisy_neighbours. Tests only; their assertions, bounds and waits stay as they were.

--- a/crates/geraniumshed-batch/tests/nodes.rs
+++ b/crates/geraniumshed-batch/tests/nodes.rs
@@ -78,9 +78,7 @@
     let id = JobId(50);
     nodes[0].service().submit(id, &job(1), deadline()).await;
     support::wait_for(async || site.start_count() == 1).await;
-    // Heartbeats tell each node of all others before the store refuses one of them.
-    tokio::time::sleep(Duration::from_millis(700)).await;
-    let leader = nodes.iter().position(BatchNode::is_leading).unwrap();
+    let leader = support::settled_leader(&nodes).await;
     let refused = (leader + 1) % nodes.len();
     site.refuse([refused]);
     nodes[leader].begin_stop();
@@ -156,9 +154,7 @@
 async fn nodes_that_the_store_refuses_hear_of_a_configuration_from_another() {
     let site = Site::open();
     let nodes = site.spawn_nodes(3, 21_240).await;
-    support::wait_for(async || nodes.iter().any(BatchNode::is_leading)).await;
-    tokio::time::sleep(Duration::from_millis(700)).await;
-    let leader = nodes.iter().position(BatchNode::is_leading).unwrap();
+    let leader = support::settled_leader(&nodes).await;
     let follower = (leader + 1) % nodes.len();
     site.refuse([leader, follower]);
     site.publish(2);
@@ -223,9 +219,7 @@
 async fn a_leader_is_in_the_group_while_it_takes_over() {
     let site = Site::open();
     let nodes = site.spawn_nodes(2, 21_300).await;
-    support::wait_for(async || nodes.iter().any(BatchNode::is_leading)).await;
-    tokio::time::sleep(Duration::from_millis(700)).await;
-    let former = nodes.iter().position(BatchNode::is_leading).unwrap();
+    let former = support::settled_leader(&nodes).await;
     let next = 1 - former;
     site.delay_takeover(Duration::from_secs(10));
     nodes[former].begin_stop();
@@ -245,8 +239,7 @@
     let id = JobId(90);
     nodes[0].service().submit(id, &job(1), deadline()).await;
     support::wait_for(async || site.start_count() == 1).await;
-    tokio::time::sleep(Duration::from_millis(700)).await;
-    let former = nodes.iter().position(BatchNode::is_leading).unwrap();
+    let former = support::settled_leader(&nodes).await;
     site.delay_takeover(Duration::from_secs(2));
     nodes[former].begin_stop();
     let started = tokio::time::Instant::now();
--- a/crates/geraniumshed-batch/tests/support/mod.rs
+++ b/crates/geraniumshed-batch/tests/support/mod.rs
@@ -35,6 +35,9 @@
 /// A node over the modelled site.
 pub type Node = BatchNode<NodeStore, NodeStore, Site>;
 
+/// The time in which heartbeats tell each node of all others.
+const SETTLE_TIME: Duration = Duration::from_millis(700);
+
 #[derive(Debug, Default)]
 struct TopicState {
     records: Vec<KeyedRecord>,
@@ -175,23 +178,26 @@
 }
 
 impl NodeStore {
+    /// Returns what the site holds, unless the store refuses this node.
+    fn reach(&self) -> Result<MutexGuard<'_, SiteState>, StoreError> {
+        let state = self.site.lock();
+        if state.refused.contains(&self.node) {
+            return Err(StoreError::Refused);
+        }
+        Ok(state)
+    }
+
     fn topic<T>(
         &self,
         topic: TopicName,
         change: impl FnOnce(&mut TopicState) -> Result<T, StoreError>,
     ) -> Result<T, StoreError> {
-        let mut state = self.site.lock();
-        if state.refused.contains(&self.node) {
-            return Err(StoreError::Refused);
-        }
+        let mut state = self.reach()?;
         change(state.topics.entry(topic).or_default())
     }
 
     fn config_version(&self) -> Result<u64, StoreError> {
-        let state = self.site.lock();
-        if state.refused.contains(&self.node) {
-            return Err(StoreError::Refused);
-        }
+        let state = self.reach()?;
         // Nodes wait for a first configuration.
         Ok(state.config_version.max(1))
     }
@@ -327,10 +333,7 @@
     }
 
     async fn workers(&self) -> Result<(Vec<WorkerListing>, LogOffset), StoreError> {
-        let state = self.site.lock();
-        if state.refused.contains(&self.node) {
-            return Err(StoreError::Refused);
-        }
+        let state = self.reach()?;
         let is_shown = !state.hides_workers;
         let listings = is_shown.then(listing).into_iter().collect();
         Ok((listings, LogOffset(0)))
@@ -342,10 +345,7 @@
         wait: Duration,
     ) -> Result<(Vec<WorkerChange>, LogOffset), StoreError> {
         tokio::time::sleep(wait).await;
-        let state = self.site.lock();
-        if state.refused.contains(&self.node) {
-            return Err(StoreError::Refused);
-        }
+        let state = self.reach()?;
         let change = if state.hides_workers {
             WorkerChange::Gone(listing().id)
         } else {
@@ -457,3 +457,11 @@
         tokio::time::sleep(Duration::from_millis(10)).await;
     }
 }
+
+/// Waits until one of the nodes leads and heartbeats have told each of all others, and returns its
+/// place.
+pub async fn settled_leader(nodes: &[Node]) -> usize {
+    wait_for(async || nodes.iter().any(BatchNode::is_leading)).await;
+    tokio::time::sleep(SETTLE_TIME).await;
+    nodes.iter().position(BatchNode::is_leading).unwrap()
+}
--- a/crates/geraniumshed-core/tests/planner/loads.rs
+++ b/crates/geraniumshed-core/tests/planner/loads.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use geraniumshed_core::job::{JobPhase, StepRequest};
+use geraniumshed_core::job::{JobId, JobPhase, StepRequest};
 use smol_str::SmolStr;
 
 use crate::fixture::{Cluster, size, step, worker};
@@ -29,15 +29,21 @@
     }
 }
 
-/// Pattern: noisy neighbours. One best-effort image disturbs one of two served images.
-#[test]
-fn disturbing_runs_learn_to_keep_away_from_those_that_they_disturb() {
+/// Returns eight workers that serve two images, and the job of the one that an image disturbs.
+fn cluster_with_noisy_neighbours() -> (Cluster, JobId) {
     let mut cluster = Cluster::with_workers(8);
     let pair = (SmolStr::new("calls"), SmolStr::new("noisy"));
     cluster.pressures.insert(pair, HARD_PRESSURE);
     let calls = cluster.submit(1, vec![lasting("calls", 12)]);
     cluster.submit(2, vec![lasting("queue", 12)]);
     cluster.advance(Duration::from_secs(3));
+    (cluster, calls)
+}
+
+/// Pattern: noisy neighbours. One best-effort image disturbs one of two served images.
+#[test]
+fn disturbing_runs_learn_to_keep_away_from_those_that_they_disturb() {
+    let (mut cluster, calls) = cluster_with_noisy_neighbours();
     for number in 0..10 {
         cluster.submit(10 + number, vec![best_effort("noisy", 4)]);
         cluster.advance(Duration::from_secs(1));
@@ -53,7 +59,7 @@
     let late = cluster.starts.iter().filter(|start| start.task.job.0 >= 15);
     assert_eq!(late.filter(serves_calls).count(), 0);
     for number in 0..10 {
-        let id = geraniumshed_core::job::JobId(10 + number);
+        let id = JobId(10 + number);
         assert_eq!(cluster.phase(id), Some(JobPhase::Completed));
     }
 }
@@ -61,12 +67,7 @@
 /// Pattern: noisy neighbours, and a new planner. What was learned outlives the planner.
 #[test]
 fn a_later_planner_knows_which_runs_disturb() {
-    let mut cluster = Cluster::with_workers(8);
-    let pair = (SmolStr::new("calls"), SmolStr::new("noisy"));
-    cluster.pressures.insert(pair, HARD_PRESSURE);
-    let calls = cluster.submit(1, vec![lasting("calls", 12)]);
-    cluster.submit(2, vec![lasting("queue", 12)]);
-    cluster.advance(Duration::from_secs(3));
+    let (mut cluster, calls) = cluster_with_noisy_neighbours();
     for number in 0..8 {
         cluster.submit(10 + number, vec![best_effort("noisy", 4)]);
         cluster.advance(Duration::from_secs(1));
