Deny no service before all records are read

Cause: a restarted daemon answered its health check and callers before it had read the records, and told of every service that it doesn't exist (404, not-run). Ruled out: the ticket itself; the answer was made before any key was looked at.

Change: health is 503 until the records were read once; a name without a record is 503 'not-serving' until they all are, also while they are read again after a pause of the process. Known services are served at once.

Before: the new test fails (health 200, unknown name 404).

--- a/crates/geraniumshed-daemon/src/node/daemon.rs
+++ b/crates/geraniumshed-daemon/src/node/daemon.rs
@@ -117,7 +117,8 @@
 }
 
 impl Daemon {
-    /// Starts a daemon. It schedules once it has caught up with the log; callers are served at once.
+    /// Starts a daemon. It schedules once it has caught up with the log; callers are served once it has
+    /// read the records.
     ///
     /// # Errors
     ///
@@ -171,6 +172,7 @@
             zone: settings.identity.zone.clone(),
             incarnation,
             config: feeds.config.view(),
+            config_read: feeds.config.caught_up(),
             endpoints: feeds.endpoints.view(),
             vms: feeds.vms.view(),
             forwarder: PeerLink::open(hub.clone(), pool.clone(), ownership.view()),
--- a/crates/geraniumshed-daemon/src/request/context.rs
+++ b/crates/geraniumshed-daemon/src/request/context.rs
@@ -3,7 +3,7 @@
 use geraniumshed_model::prelude::{DaemonIncarnation, VmId, ZoneName};
 
 use crate::clock::ProcessClock;
-use crate::view::{ConfigView, EndpointView, VmView};
+use crate::view::{CatchUpView, ConfigView, EndpointView, VmView};
 
 /// What the request path is given by the daemon.
 #[derive(Debug, Clone)]
@@ -20,6 +20,8 @@
     pub incarnation: DaemonIncarnation,
     /// The records in force.
     pub config: ConfigView,
+    /// Whether these are all records that the log holds.
+    pub config_read: CatchUpView,
     /// The endpoints of all services.
     pub endpoints: EndpointView,
     /// The VMs that the platform lists.
--- a/crates/geraniumshed-daemon/src/request/intake.rs
+++ b/crates/geraniumshed-daemon/src/request/intake.rs
@@ -103,7 +103,7 @@
         let config = Arc::clone(&shared.config.borrow());
         find_target(&config, &name)
     };
-    let service = service.ok_or_else(|| unknown_service(&name))?;
+    let service = service.ok_or_else(|| unknown_service(shared, &name))?;
     let asked = asked_deadline(&incoming.headers)?;
     let key = idempotency_key(&incoming.headers)?;
     shared.take_rate(&service).map_err(rate_limited)?;
@@ -181,6 +181,9 @@
         let hint = "use another daemon";
         return EntryError::new(ErrorKind::NotServing, "the daemon is stopping", hint).into();
     }
+    if !shared.is_ready() {
+        return records_unread().into();
+    }
     EntryAnswer {
         status: StatusCode::OK,
         headers: HeaderMap::new(),
@@ -251,7 +254,12 @@
     (!chunked).then_some(0)
 }
 
-fn unknown_service(name: &RecordName) -> EntryError {
+/// Returns the answer to a name without a record; only a daemon that knows all records tells that
+/// there is none.
+fn unknown_service(shared: &EntryShared, name: &RecordName) -> EntryError {
+    if !shared.knows_all_records() {
+        return records_unread();
+    }
     let detail = format!("there is no binding and no service named `{name}`");
     EntryError::new(
         ErrorKind::NotFound,
@@ -260,6 +268,11 @@
     )
 }
 
+fn records_unread() -> EntryError {
+    let detail = "the daemon has not read all records yet";
+    EntryError::new(ErrorKind::NotServing, detail, "use another daemon")
+}
+
 fn rate_limited(wait: Duration) -> EntryError {
     EntryError::new(
         ErrorKind::RateLimited,
--- a/crates/geraniumshed-daemon/src/request/shared.rs
+++ b/crates/geraniumshed-daemon/src/request/shared.rs
@@ -18,7 +18,7 @@
 use super::status::EntryCounters;
 use super::target::services;
 use crate::clock::ProcessClock;
-use crate::view::{ConfigView, EndpointView, VmView};
+use crate::view::{CatchUpView, ConfigView, EndpointView, VmView};
 
 /// What all requests of one daemon share.
 #[derive(Debug)]
@@ -33,6 +33,8 @@
     pub config: ConfigView,
     /// Whether a planned stop has begun.
     pub draining: AtomicBool,
+    config_read: CatchUpView,
+    was_ready: AtomicBool,
     clock: ProcessClock,
     seed: u64,
     own: VmId,
@@ -55,6 +57,8 @@
             counters: EntryCounters::default(),
             config: context.config.clone(),
             draining: AtomicBool::new(false),
+            config_read: context.config_read.clone(),
+            was_ready: AtomicBool::new(false),
             clock: context.clock,
             seed: context.seed,
             own: context.own.clone(),
@@ -79,6 +83,20 @@
         self.incarnation
     }
 
+    /// Returns whether all records that the log holds are in force here, so that a name which isn't
+    /// among them certainly doesn't exist.
+    pub fn knows_all_records(&self) -> bool {
+        *self.config_read.borrow()
+    }
+
+    /// Returns whether requests may be sent here: the records were read once since the start. A
+    /// daemon that reads them again after a pause goes on serving those that it knows.
+    pub fn is_ready(&self) -> bool {
+        let is_ready = self.knows_all_records() || self.was_ready.load(Ordering::Relaxed);
+        self.was_ready.store(is_ready, Ordering::Relaxed);
+        is_ready
+    }
+
     /// Returns a new request id, unique over all daemons.
     pub fn next_id(&self) -> RequestId {
         let number = self.next_request.fetch_add(1, Ordering::Relaxed);
--- a/crates/geraniumshed-daemon/src/view.rs
+++ b/crates/geraniumshed-daemon/src/view.rs
@@ -9,6 +9,9 @@
 /// The records in force.
 pub type ConfigView = watch::Receiver<Arc<ConfigState>>;
 
+/// Whether a feed has applied everything that the log held at its start or after its last pause.
+pub type CatchUpView = watch::Receiver<bool>;
+
 /// The endpoints of all services.
 pub type EndpointView = watch::Receiver<Arc<EndpointDirectory>>;
 
--- a/crates/geraniumshed-daemon/tests/request/path.rs
+++ b/crates/geraniumshed-daemon/tests/request/path.rs
@@ -25,6 +25,30 @@
     assert_eq!(endpoint.runs(), ["/book call me"]);
 }
 
+#[tokio::test]
+async fn a_daemon_that_has_not_read_all_records_denies_no_service() {
+    let endpoint = TestEndpoint::spawn(EndpointFault::None).await;
+    let entry = TestEntry::bind(booking(DEADLINE, false), &[endpoint.address]).await;
+    entry.config_read.send_replace(false);
+    let health = async || {
+        let response = entry.client.get(entry.url("/health")).send().await;
+        response.expect("an answer").status().as_u16()
+    };
+    let unknown = async || {
+        let response = entry.post("/services/quotes/new", "x").await;
+        assert_eq!(outcome(&response), "not-run");
+        response.status().as_u16()
+    };
+    assert_eq!((health().await, unknown().await), (503, 503));
+    let known = entry.post("/services/booking/book", "call me").await;
+    assert_eq!(outcome(&known), "ran", "a known service is served at once");
+    entry.config_read.send_replace(true);
+    assert_eq!((health().await, unknown().await), (200, 404));
+    // Records are read again after a pause of the process.
+    entry.config_read.send_replace(false);
+    assert_eq!((health().await, unknown().await), (200, 503));
+}
+
 #[rstest]
 #[case::leaving(EndpointFault::Leaving, 503, "not-run", 0)]
 #[case::busy(EndpointFault::Busy, 503, "not-run", 0)]
