--- a/crates/geraniumshed-core/src/assignment/settings.rs
+++ b/crates/geraniumshed-core/src/assignment/settings.rs
@@ -31,7 +31,7 @@
             longest_lease: Duration::from_secs(6),
             lease: Duration::from_millis(4500),
             renewal_wait: Duration::from_secs(1),
-            watched_renewal_wait: Duration::from_millis(700),
+            watched_renewal_wait: Duration::from_millis(350),
             storing_renewal_pause: Duration::from_millis(400),
             renewal_retry: Duration::from_millis(150),
             stop_retry: Duration::from_millis(400),
