--- a/crates/geraniumshed-batch/src/cancel.rs
+++ b/crates/geraniumshed-batch/src/cancel.rs
@@ -5,11 +5,13 @@
 use std::time::Duration;
 
 use geraniumshed_core::job::JobId;
+use geraniumshed_model::prelude::whole_millis;
 use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::service::{ANSWER_MARGIN, CallOutcome, JobService};
 use crate::site::{SiteFeed, WorkerCaller};
 use crate::store::StoreClient;
+use crate::telemetry::{CallKind, outcome_name};
 use crate::wire::JobCallWire;
 
 /// The time for which a cancellation is pursued.
@@ -72,20 +74,34 @@
     /// The cancellation is pursued also after the client has gone, since a client that got no
     /// answer may rely on it all the same. If it isn't stored soon, other nodes pursue it too.
     pub async fn cancel(&self, id: JobId, deadline: Instant) -> CallOutcome {
+        let started = Instant::now();
+        let outcome = self.cancel_soon(id, deadline).await;
+        let taken = started.elapsed();
+        self.metrics().answered(CallKind::Cancel, outcome, taken);
+        log::info!(
+            job:% = id,
+            taken_ms = whole_millis(taken),
+            outcome = outcome_name(outcome);
+            "cancellation was asked for"
+        );
+        outcome
+    }
+
+    async fn cancel_soon(&self, id: JobId, deadline: Instant) -> CallOutcome {
         let service = self.clone();
         let pursued = deadline.max(Instant::now() + CANCEL_LIMIT);
         let pursuit = tokio::spawn(async move { service.pursue_with_help(id, pursued).await });
         if let Ok(Ok(outcome)) = timeout_at(deadline - ANSWER_MARGIN, pursuit).await {
             return outcome;
         }
-        log::info!("job {id}: its cancellation goes on without its client");
+        log::info!(job:% = id; "cancellation goes on without its client");
         CallOutcome::Undecided
     }
 
     /// Pursues a cancellation that another node took.
     pub(crate) async fn take_on_cancel(self, id: JobId) {
         let outcome = self.pursue_cancel(id, Instant::now() + CANCEL_LIMIT).await;
-        log::info!("job {id}: its cancellation, taken by another node, ends as {outcome:?}");
+        log::info!(job:% = id, outcome = outcome_name(outcome); "cancellation that another node took has ended");
     }
 
     async fn pursue_with_help(&self, id: JobId, deadline: Instant) -> CallOutcome {
--- a/crates/geraniumshed-batch/src/config.rs
+++ b/crates/geraniumshed-batch/src/config.rs
@@ -53,11 +53,10 @@
         {
             return;
         }
-        log::info!(
-            "configuration {} with {} queues is in force",
-            config.version.0,
-            config.queues.len()
-        );
+        log::info!(version = config.version.0, queues = config.queues.len(); "configuration is in force");
+        self.metrics()
+            .config_version
+            .set(config.version.0.cast_signed());
         if let Some(handle) = self.view().handle.clone() {
             handle.replace_queues(config.queues.clone());
         }
--- a/crates/geraniumshed-batch/src/intake.rs
+++ b/crates/geraniumshed-batch/src/intake.rs
@@ -7,6 +7,7 @@
 use tokio::time::Instant;
 
 use crate::store::{AnswerTime, AppendCondition, KeyedRecord, StoreClient, StoreError};
+use crate::telemetry::{DependencyWatch, NodeMetrics};
 use crate::topic::{REQUESTS, job_key};
 use crate::wire::{JobRequestWire, encode};
 
@@ -35,9 +36,9 @@
 
 impl RequestWriter {
     /// Spawns a writer.
-    pub(crate) fn spawn<S: StoreClient>(store: S) -> Self {
+    pub(crate) fn spawn<S: StoreClient>(store: S, metrics: NodeMetrics) -> Self {
         let (sender, jobs) = mpsc::unbounded_channel();
-        tokio::spawn(write(store, jobs));
+        tokio::spawn(write(store, metrics, jobs));
         Self { sender }
     }
 
@@ -59,7 +60,12 @@
     }
 }
 
-async fn write<S: StoreClient>(store: S, mut jobs: mpsc::UnboundedReceiver<WaitingJob>) {
+async fn write<S: StoreClient>(
+    store: S,
+    metrics: NodeMetrics,
+    mut jobs: mpsc::UnboundedReceiver<WaitingJob>,
+) {
+    let mut watch = DependencyWatch::new("store, for requests");
     let mut answer_time = AnswerTime::default();
     let mut waiting = Vec::new();
     while jobs.recv_many(&mut waiting, APPEND_JOBS).await > 0 {
@@ -75,6 +81,8 @@
             .append(REQUESTS, records, AppendCondition::None, limit)
             .await;
         answer_time.learn(&appended, started.elapsed());
+        metrics.appended(&appended, started.elapsed());
+        watch.saw(&appended);
         let result = appended.map(|_| ());
         for job in waiting.drain(..) {
             if job.done.send(result.clone()).is_err() {
--- a/crates/geraniumshed-batch/src/leader/calls.rs
+++ b/crates/geraniumshed-batch/src/leader/calls.rs
@@ -1,12 +1,18 @@
 //! Carries the planner's calls to workers out.
 
-use geraniumshed_core::assignment::{PlannerAction, PlannerNote};
+use geraniumshed_core::assignment::PlannerAction;
 
 use super::event::{LeaderEvent, LeaderHandle};
 use crate::site::WorkerCaller;
+use crate::telemetry::{NodeMetrics, write_note};
 
 /// Carries an action out; the answer comes back as an event.
-pub(super) fn carry_out<W: WorkerCaller>(caller: &W, handle: &LeaderHandle, action: PlannerAction) {
+pub(super) fn carry_out<W: WorkerCaller>(
+    caller: &W,
+    handle: &LeaderHandle,
+    metrics: &NodeMetrics,
+    action: PlannerAction,
+) {
     let caller = caller.clone();
     let handle = handle.clone();
     match action {
@@ -16,7 +22,8 @@
                 let reply = caller.start(call).await;
                 if !matches!(reply, Ok(geraniumshed_core::worker::StartReply::Started)) {
                     log::info!(
-                        "task {task} run {run} on worker {worker}: start answered {reply:?}"
+                        job:% = task.job, task:% = task, run = run, worker:% = worker, reply:? = reply;
+                        "start was not carried out"
                     );
                 }
                 handle.send(LeaderEvent::StartAnswered(worker, task, run, reply));
@@ -34,9 +41,9 @@
                 let (worker, body) = (call.worker.clone(), call.body);
                 if let Err(error) = caller.pace(call).await {
                     log::info!(
-                        "task {} on worker {worker}: pace {} failed: {error:?}",
-                        body.task,
-                        body.percent
+                        job:% = body.task.job, task:% = body.task, worker:% = worker,
+                        percent = body.percent, error:? = error;
+                        "speed was not changed"
                     );
                 }
             });
@@ -52,29 +59,14 @@
             tokio::spawn(async move {
                 let answer = caller.advise(&request).await;
                 if let Err(error) = &answer {
-                    log::info!("step {}: no advice: {error:?}", request.step);
+                    log::info!(job:% = request.step.job, step = request.step.step, error:? = error; "no advice");
                 }
                 handle.send(LeaderEvent::Advised(request, answer.ok()));
             });
         }
-        PlannerAction::Note(note) => write_note(&note),
-    }
-}
-
-fn write_note(note: &PlannerNote) {
-    match note {
-        PlannerNote::RunLost(task, run, reason) => {
-            log::info!("task {task} run {run} ended without success: {reason}");
-        }
-        PlannerNote::JobEnded(job, phase) => log::info!("job {job} ended as {phase:?}"),
-        PlannerNote::WorkerPaused(worker) => {
-            log::info!("worker {worker} gets no tasks for a while, since those it had failed");
-        }
-        PlannerNote::WorkerLapsed(worker) => {
-            log::info!("worker {worker} is given up: its leases have run out or it was replaced");
-        }
-        PlannerNote::WorkerReborn(worker) => {
-            log::info!("worker {worker} has started anew and lost its runs");
+        PlannerAction::Note(note) => {
+            metrics.noted(&note);
+            write_note(&note);
         }
     }
 }
--- a/crates/geraniumshed-batch/src/leader/feeds.rs
+++ b/crates/geraniumshed-batch/src/leader/feeds.rs
@@ -60,7 +60,7 @@
     match store.read(REQUESTS, next, REQUEST_WAIT).await {
         Ok(batch) => Ok((batch.records, batch.next)),
         Err(StoreError::Expired(_)) => {
-            log::info!("requests from offset {next} on have expired; reading the newest of all");
+            log::info!(offset:% = next; "requests have expired; reading the newest of all");
             read_newest(store, REQUESTS).await
         }
         Err(error) => Err(error),
--- a/crates/geraniumshed-batch/src/leader/load.rs
+++ b/crates/geraniumshed-batch/src/leader/load.rs
@@ -96,7 +96,7 @@
         if image.phase == JobPhase::Cancelled {
             withdrawn.insert(id, image.ended_unix_ms);
         } else {
-            log::error!("job {id}: there is progress in the store and no request");
+            log::error!(job:% = id; "there is progress in the store and no request");
         }
     }
     Ok(TakeOver {
@@ -115,7 +115,7 @@
     match decoded {
         Ok(request) => Some((id, request)),
         Err(error) => {
-            log::error!("job {id}: the stored request can't be read: {error}");
+            log::error!(job:% = id, error:% = error; "stored request can't be read");
             None
         }
     }
@@ -126,7 +126,7 @@
     let decoded = decode::<InterferenceWire>(&record.value);
     decoded.map_or_else(
         |error| {
-            log::error!("what was learned of interference can't be read: {error}");
+            log::error!(error:% = error; "what was learned of interference can't be read");
             InterferenceImage::default()
         },
         InterferenceImage::from,
@@ -138,7 +138,7 @@
     match decode::<JobImageWire>(&record.value) {
         Ok(image) => Some((id, image.into())),
         Err(error) => {
-            log::error!("job {id}: the stored progress can't be read: {error}");
+            log::error!(job:% = id, error:% = error; "stored progress can't be read");
             None
         }
     }
--- a/crates/geraniumshed-batch/src/leader/run.rs
+++ b/crates/geraniumshed-batch/src/leader/run.rs
@@ -6,6 +6,7 @@
 use geraniumshed_core::assignment::{CancelOutcome, JobPlanner, PlannerSettings, StoreBatch};
 use geraniumshed_core::job::{JobId, QueueName, QueuePolicy};
 use geraniumshed_core::membership::LeaderTerm;
+use geraniumshed_model::prelude::whole_millis;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, sleep_until};
 
@@ -17,6 +18,7 @@
 use crate::clock::NodeClock;
 use crate::site::{RenewOutcome, SiteFeed, WorkerCaller};
 use crate::store::StoreClient;
+use crate::telemetry::NodeMetrics;
 
 /// The time between two appends, in which changes gather.
 const APPEND_GAP: Duration = Duration::from_millis(15);
@@ -40,6 +42,8 @@
     pub(crate) caller: W,
     /// The clocks.
     pub(crate) clock: NodeClock,
+    /// The counters and histograms.
+    pub(crate) metrics: NodeMetrics,
     /// The planner's settings.
     pub(crate) settings: PlannerSettings,
 }
@@ -67,7 +71,12 @@
     W: WorkerCaller,
 {
     let (handle, events) = LeaderHandle::open();
-    let (batches, waiting) = BatchWriter::spawn(context.store.clone(), handle.clone(), term);
+    let (batches, waiting) = BatchWriter::spawn(
+        context.store.clone(),
+        handle.clone(),
+        term,
+        context.metrics.clone(),
+    );
     let next_request = found.next_request;
     let store = context.store.clone();
     tokio::spawn(feed_requests(store, handle.clone(), next_request));
@@ -77,6 +86,7 @@
     let mut task = LeaderTask {
         caller: context.caller,
         clock: context.clock,
+        metrics: context.metrics,
         handle: handle.clone(),
         planner,
         batches,
@@ -119,6 +129,7 @@
 struct LeaderTask<W> {
     caller: W,
     clock: NodeClock,
+    metrics: NodeMetrics,
     handle: LeaderHandle,
     planner: JobPlanner,
     batches: mpsc::UnboundedSender<StoreBatch>,
@@ -140,7 +151,7 @@
 impl<W: WorkerCaller> LeaderTask<W> {
     fn restore(&mut self, found: TakeOver) {
         let now = self.clock.moment();
-        log::info!("leading with {} jobs from the store", found.jobs.len());
+        log::info!(jobs = found.jobs.len(), withdrawn = found.withdrawn.len(); "leading with the jobs from the store");
         for (id, request, image) in found.jobs {
             match image {
                 Some(image) => self.planner.restore(now, id, request, image),
@@ -153,7 +164,7 @@
         }
         for id in found.cancelled {
             let outcome = self.planner.cancel(now, id);
-            log::info!("job {id}: its cancellation was pursued elsewhere: {outcome:?}");
+            log::info!(job:% = id, outcome:? = outcome; "cancellation was pursued by another node");
         }
     }
 
@@ -204,7 +215,7 @@
             }
         }
         for action in self.planner.take_actions() {
-            carry_out(&self.caller, &self.handle, action);
+            carry_out(&self.caller, &self.handle, &self.metrics, action);
         }
         self.watch_store(now);
     }
@@ -232,7 +243,8 @@
             return;
         }
         self.asked_at = Some(now);
-        log::warn!("the store has left an append unanswered; asking other nodes");
+        let waited_ms = whole_millis(now.duration_since(since));
+        log::warn!(waited_ms; "store leaves an append unanswered; asking other nodes");
         let question = StoreQuestion(self.handle.clone());
         if self.silence.send(question).is_err() {
             log::debug!("the node is stopping");
@@ -261,7 +273,7 @@
                 RenewOutcome::Failed(_) => self.planner.renewal_failed(now, &worker, mark, false),
                 RenewOutcome::Fenced => {
                     if self.planner.is_newest_token(&worker, mark) {
-                        log::warn!("worker {worker} has seen the token of a later leader");
+                        log::warn!(worker:% = worker, token:? = mark.token; "worker has seen the token of a later leader");
                         return Some(LeaderEnd::Deposed);
                     }
                     self.planner.renewal_failed(now, &worker, mark, false);
--- a/crates/geraniumshed-batch/src/leader/writer.rs
+++ b/crates/geraniumshed-batch/src/leader/writer.rs
@@ -10,6 +10,7 @@
 use super::event::{LeaderEvent, LeaderHandle};
 use super::load::PRODUCER;
 use crate::store::{AnswerTime, AppendCondition, KeyedRecord, StoreClient, StoreError, WriterMark};
+use crate::telemetry::{DependencyWatch, NodeMetrics};
 use crate::topic::{INTERFERENCE_KEY, PROGRESS, REQUESTS, job_key};
 use crate::wire::{InterferenceWire, JobImageWire, encode};
 
@@ -27,6 +28,8 @@
     answer_time: AnswerTime,
     /// When the store last answered an append, for the leader to judge its silence.
     answered: tokio::sync::watch::Sender<Option<Instant>>,
+    metrics: NodeMetrics,
+    watch: DependencyWatch,
 }
 
 /// Since when an append has waited for the store, if one does.
@@ -38,6 +41,7 @@
         store: S,
         handle: LeaderHandle,
         term: LeaderTerm,
+        metrics: NodeMetrics,
     ) -> (mpsc::UnboundedSender<StoreBatch>, WaitingSince) {
         let (sender, batches) = mpsc::unbounded_channel();
         let (answered, waiting) = tokio::sync::watch::channel(None);
@@ -52,6 +56,8 @@
             mark,
             answer_time: AnswerTime::default(),
             answered,
+            metrics,
+            watch: DependencyWatch::new("store, for progress"),
         };
         tokio::spawn(writer.run(batches));
         (sender, waiting)
@@ -84,6 +90,8 @@
                 .append(PROGRESS, records.clone(), condition, limit)
                 .await;
             self.answer_time.learn(&appended, started.elapsed());
+            self.metrics.appended(&appended, started.elapsed());
+            self.watch.saw(&appended);
             match appended {
                 Ok(_) => break,
                 Err(StoreError::Refused | StoreError::Unanswered) => {
@@ -93,7 +101,7 @@
                     tokio::time::sleep(RETRY_PAUSE).await;
                 }
                 Err(error) => {
-                    log::warn!("batch {} was not stored: {error}", batch.number);
+                    log::warn!(batch = batch.number, epoch = self.mark.epoch, error:% = error; "progress was not stored");
                     return false;
                 }
             }
@@ -112,7 +120,7 @@
             .append(REQUESTS, records, AppendCondition::None, DROP_LIMIT)
             .await;
         if let Err(error) = appended {
-            log::warn!("requests of old jobs were not dropped: {error}");
+            log::warn!(error:% = error; "requests of old jobs were not dropped");
         }
     }
 }
--- a/crates/geraniumshed-batch/src/lib.rs
+++ b/crates/geraniumshed-batch/src/lib.rs
@@ -18,8 +18,10 @@
 pub mod service;
 pub mod site;
 pub mod store;
+pub mod telemetry;
 pub mod topic;
 pub mod wire;
 
 pub use node::{BatchNode, NodeSettings};
 pub use service::{CallOutcome, JobService};
+pub use telemetry::NodeMetrics;
--- a/crates/geraniumshed-batch/src/member.rs
+++ b/crates/geraniumshed-batch/src/member.rs
@@ -133,14 +133,15 @@
         let context = &self.shared.context;
         match claim(&context.store, &self.shared.settings.identity, end).await {
             Ok(record) => {
-                log::info!("elected to lead in term {}", record.term);
+                log::info!(term:% = record.term; "elected to lead");
                 election.claim_won(clock.now(), record.clone());
                 self.shared.view().begin_leading(record.clone());
+                self.shared.metrics().leading.set(1);
                 self.lead(record.term).await;
                 election.leader_resigned(clock.now(), FORMER_LEADER_RANK);
             }
             Err(error) => {
-                log::info!("the claim to lead does not hold: {error}");
+                log::info!(error:% = error; "claim to lead does not hold");
                 election.claim_lost(clock.now());
             }
         }
@@ -164,7 +165,10 @@
             .await;
         let verdict = judge_beat(&record, &answer);
         if verdict != BeatVerdict::Leading {
-            log::debug!("leader {}: {verdict:?}", record.member);
+            log::info!(
+                leader:% = record.member, term:% = record.term, verdict:? = verdict;
+                "leader doesn't confirm that it leads"
+            );
         }
         let rank = answer.as_ref().ok().and_then(|reply| reply.rank);
         election.beat_answered(clock.now(), verdict, rank);
@@ -233,7 +237,7 @@
             tokio::join!(self.take_over_patiently(term), self.pursued_cancels());
         let Some(mut found) = found else {
             joining.abort();
-            self.shared.view().end_leading();
+            self.shared.end_leading();
             return;
         };
         found.cancelled = cancelled;
@@ -251,8 +255,8 @@
         joining.abort();
         watching.abort();
         yielding.abort();
-        self.shared.view().end_leading();
-        log::warn!("not leading any more in term {term}: {reason:?}");
+        self.shared.end_leading();
+        log::warn!(term:% = term, reason:? = reason; "not leading any more");
         if reason == LeaderEnd::Resigned {
             self.name_successor(term).await;
         }
@@ -264,7 +268,7 @@
                 Ok(found) => return Some(found),
                 Err(StoreError::Fenced) => return None,
                 Err(error) => {
-                    log::warn!("taking over in term {term} failed: {error}");
+                    log::warn!(term:% = term, error:% = error; "taking over failed");
                     tokio::time::sleep(TAKE_OVER_RETRY).await;
                 }
             }
@@ -334,7 +338,7 @@
             };
             let pool = &self.shared.pool;
             if pool.probe_store(larger.address, PROBE_LIMIT).await == Ok(true) {
-                log::info!("{larger} is on a much larger VM and shall lead");
+                log::info!(member:% = larger; "node on a much larger VM shall lead");
                 handle.outpace();
                 return;
             }
@@ -385,14 +389,14 @@
     /// Asks the best successor to lead, and leaves the group so that others needn't wait.
     async fn name_successor(&self, term: LeaderTerm) {
         if let Some(successor) = self.first_with_store().await {
-            log::info!("asking {successor} to lead");
+            log::info!(member:% = successor, term:% = term; "asking a successor to lead");
             let asked = self
                 .shared
                 .pool
                 .succeed(successor.address, term.0, SUCCEED_LIMIT)
                 .await;
             if let Err(error) = asked {
-                log::warn!("{successor} didn't take note that it should lead: {error:?}");
+                log::warn!(member:% = successor, error:? = error; "successor didn't take note that it should lead");
             }
         }
         let member = member_name(&self.shared.settings.identity);
--- a/crates/geraniumshed-batch/src/net.rs
+++ b/crates/geraniumshed-batch/src/net.rs
@@ -17,7 +17,7 @@
         match listener.accept().await {
             Ok((stream, _)) => return stream,
             Err(error) => {
-                log::warn!("a {peer}'s connection could not be accepted: {error}");
+                log::warn!(peer, error:% = error; "connection could not be accepted");
                 tokio::time::sleep(ACCEPT_PAUSE).await;
             }
         }
--- a/crates/geraniumshed-batch/src/node.rs
+++ b/crates/geraniumshed-batch/src/node.rs
@@ -24,6 +24,7 @@
 use crate::service::JobService;
 use crate::site::{ConfigVersion, SiteConfig, SiteFeed, WorkerCaller};
 use crate::store::StoreClient;
+use crate::telemetry::NodeMetrics;
 
 /// The time after its last heartbeat for which a member counts as alive.
 const MEMBER_MEMORY: Duration = Duration::from_millis(1200);
@@ -109,6 +110,10 @@
 }
 
 impl<S: StoreClient, F: SiteFeed, W: WorkerCaller> NodeShared<S, F, W> {
+    pub(crate) fn metrics(&self) -> &NodeMetrics {
+        &self.context.metrics
+    }
+
     pub(crate) fn clock(&self) -> NodeClock {
         self.context.clock
     }
@@ -117,6 +122,12 @@
         self.view.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Takes note that this process doesn't lead any more.
+    pub(crate) fn end_leading(&self) {
+        self.view().end_leading();
+        self.metrics().leading.set(0);
+    }
+
     pub(crate) fn config(&self) -> Option<Arc<SiteConfig<F::Routes>>> {
         let config = self.config.lock().unwrap_or_else(PoisonError::into_inner);
         config.clone()
@@ -149,10 +160,11 @@
             feed,
             caller,
             clock: NodeClock::start(),
+            metrics: NodeMetrics::open(),
             settings: settings.planner.clone(),
         };
         let address = settings.identity.address;
-        let intake = RequestWriter::spawn(context.store.clone());
+        let intake = RequestWriter::spawn(context.store.clone(), context.metrics.clone());
         let shared = Arc::new(NodeShared {
             settings,
             context,
@@ -170,11 +182,21 @@
         Ok(Self { shared })
     }
 
+    /// Returns the node's counters and histograms.
+    pub fn metrics(&self) -> NodeMetrics {
+        self.shared.metrics().clone()
+    }
+
     /// Returns the service that takes clients' calls.
     pub fn service(&self) -> JobService<S, F, W> {
         JobService::new(Arc::clone(&self.shared))
     }
 
+    /// Returns the address at which the node serves its peers.
+    pub fn address(&self) -> SocketAddr {
+        self.shared.settings.identity.address
+    }
+
     /// Tells whether this process leads.
     pub fn is_leading(&self) -> bool {
         self.shared.view().is_leading
--- a/crates/geraniumshed-batch/src/service.rs
+++ b/crates/geraniumshed-batch/src/service.rs
@@ -6,6 +6,8 @@
 use geraniumshed_core::assignment::{CancelOutcome, JobStatus};
 use geraniumshed_core::job::{JobId, JobPhase, JobRequest, QueueName};
 use geraniumshed_core::membership::MemberIdentity;
+use geraniumshed_model::prelude::whole_millis;
+use smol_str::SmolStr;
 use tokio::sync::oneshot;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
@@ -14,6 +16,7 @@
 use crate::peer::PeerFailure;
 use crate::site::{SiteConfig, SiteFeed, WorkerCaller};
 use crate::store::{StoreClient, StoreError};
+use crate::telemetry::{CallKind, NodeMetrics, outcome_name};
 use crate::wire::{JobAnswerWire, JobCallWire, JobRequestWire};
 
 /// The time within which a peer answers a call that was passed on.
@@ -106,6 +109,23 @@
 
     /// Stores a job.
     pub async fn submit(&self, id: JobId, request: &JobRequest, deadline: Instant) -> CallOutcome {
+        let started = Instant::now();
+        let outcome = self.store(id, request, deadline).await;
+        let taken = started.elapsed();
+        self.metrics().answered(CallKind::Submit, outcome, taken);
+        log::info!(
+            job:% = id,
+            queue:% = request.queue,
+            steps = request.steps.len(),
+            config_version = self.shared.config_version().0,
+            taken_ms = whole_millis(taken),
+            outcome = outcome_name(outcome);
+            "job was handed in"
+        );
+        outcome
+    }
+
+    async fn store(&self, id: JobId, request: &JobRequest, deadline: Instant) -> CallOutcome {
         let body = JobRequestWire::from(request);
         let started = Instant::now();
         let deadline = deadline - ANSWER_MARGIN;
@@ -123,10 +143,8 @@
             sleep(RETRY_PAUSE).await;
         }
         if may_be_stored {
-            log::warn!("job {id}: whether it is stored isn't known");
             return CallOutcome::Undecided;
         }
-        log::warn!("job {id}: refused, since the store can't be reached");
         CallOutcome::Unavailable
     }
 
@@ -179,13 +197,42 @@
 
     /// Returns how far a job is.
     pub async fn status(&self, id: JobId, deadline: Instant) -> CallOutcome {
-        self.ask_leader(JobCallWire::Status(id.0), deadline).await
+        let started = Instant::now();
+        let outcome = self.ask_leader(JobCallWire::Status(id.0), deadline).await;
+        let taken = started.elapsed();
+        self.metrics().answered(CallKind::Status, outcome, taken);
+        if matches!(outcome, CallOutcome::Unavailable | CallOutcome::Unknown) {
+            log::info!(
+                job:% = id,
+                leader:? = self.leader_name(),
+                taken_ms = whole_millis(taken),
+                outcome = outcome_name(outcome);
+                "job's phase was asked for"
+            );
+        }
+        outcome
     }
 
     /// Counts the jobs of a queue of which no task has started.
     pub async fn pending(&self, queue: &QueueName, deadline: Instant) -> CallOutcome {
+        let started = Instant::now();
         let call = JobCallWire::Pending(queue.0.clone());
-        self.ask_leader(call, deadline).await
+        let outcome = self.ask_leader(call, deadline).await;
+        let taken = started.elapsed();
+        self.metrics().answered(CallKind::Pending, outcome, taken);
+        outcome
+    }
+
+    pub(crate) fn metrics(&self) -> &NodeMetrics {
+        self.shared.metrics()
+    }
+
+    /// Returns the leader that this node knows.
+    fn leader_name(&self) -> Option<SmolStr> {
+        let view = self.shared.view();
+        view.leader
+            .as_ref()
+            .map(|record| record.member.name.clone())
     }
 
     /// Returns other nodes, the leader first.
@@ -217,7 +264,7 @@
                 return outcome;
             }
             if Instant::now() + RETRY_PAUSE >= deadline {
-                log::info!("no leader answered {call:?} in time");
+                log::info!(call:? = call, leader:? = self.leader_name(); "no leader answered in time");
                 return CallOutcome::Unavailable;
             }
             sleep(RETRY_PAUSE).await;
--- /dev/null
+++ b/crates/geraniumshed-batch/src/telemetry/metrics.rs
@@ -0,0 +1,297 @@
+//! Counters and latency histograms of a node.
+
+use std::fmt::{self, Debug, Formatter};
+use std::sync::Arc;
+use std::time::Duration;
+
+use geraniumshed_core::assignment::{JobSummary, PlannerNote};
+use geraniumshed_core::job::JobPhase;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue};
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+
+use crate::service::CallOutcome;
+use crate::store::StoreError;
+
+/// The upper bounds of the buckets of latency histograms, in seconds.
+const LATENCY_BOUNDS: [f64; 12] = [
+    0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 4.0, 8.0,
+];
+/// The upper bounds of the buckets of the time that jobs take, in seconds.
+const JOB_BOUNDS: [f64; 10] = [1.0, 2.0, 3.0, 5.0, 8.0, 12.0, 20.0, 35.0, 60.0, 120.0];
+
+/// What a client asks for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub(crate) enum CallKind {
+    /// To take a job.
+    Submit,
+    /// How far a job is.
+    Status,
+    /// To cancel a job.
+    Cancel,
+    /// How many jobs of a queue wait.
+    Pending,
+}
+
+/// A client's call and its outcome.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct CallLabels {
+    /// What was asked for.
+    pub call: CallKind,
+    /// What was answered.
+    pub outcome: &'static str,
+}
+
+/// The outcome of a call to the store.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct OutcomeLabels {
+    /// The outcome.
+    pub outcome: &'static str,
+}
+
+/// The reason for which a run ended without success.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct ReasonLabels {
+    /// The reason.
+    pub reason: &'static str,
+}
+
+/// How a job ended.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct EndLabels {
+    /// The last phase.
+    pub phase: &'static str,
+    /// Whether it ended within its objective.
+    pub in_time: &'static str,
+}
+
+/// Counters and latency histograms of a node; its clones share them.
+#[derive(Clone)]
+pub struct NodeMetrics {
+    registry: Arc<Registry>,
+    calls: Family<CallLabels, Counter>,
+    call_seconds: Family<CallLabels, Histogram, fn() -> Histogram>,
+    /// The answers to appends by which jobs and progress are stored.
+    pub(crate) appends: Family<OutcomeLabels, Counter>,
+    /// The time that those appends take.
+    pub(crate) append_seconds: Histogram,
+    /// The tasks that got workers.
+    pub(crate) placements: Counter,
+    /// The steps that began to wait for a worker.
+    pub(crate) waiting_steps: Counter,
+    /// The runs that ended without success.
+    pub(crate) lost_runs: Family<ReasonLabels, Counter>,
+    /// The jobs that came to their end.
+    pub(crate) ended_jobs: Family<EndLabels, Counter>,
+    /// The time from handing a job in to its end, if it was completed.
+    pub(crate) job_seconds: Histogram,
+    /// The time from handing a job in to its first placement.
+    pub(crate) wait_seconds: Histogram,
+    /// 1 while this process leads.
+    pub(crate) leading: Gauge,
+    /// The version of the configuration in force.
+    pub(crate) config_version: Gauge,
+}
+
+impl Debug for NodeMetrics {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.debug_struct("NodeMetrics").finish_non_exhaustive()
+    }
+}
+
+impl Default for NodeMetrics {
+    fn default() -> Self {
+        Self::open()
+    }
+}
+
+impl NodeMetrics {
+    /// Opens metrics that begin at zero.
+    pub fn open() -> Self {
+        let latency: fn() -> Histogram = || Histogram::new(LATENCY_BOUNDS);
+        let metrics = Self {
+            registry: Arc::new(Registry::default()),
+            calls: Family::default(),
+            call_seconds: Family::new_with_constructor(latency),
+            appends: Family::default(),
+            append_seconds: latency(),
+            placements: Counter::default(),
+            waiting_steps: Counter::default(),
+            lost_runs: Family::default(),
+            ended_jobs: Family::default(),
+            job_seconds: Histogram::new(JOB_BOUNDS),
+            wait_seconds: latency(),
+            leading: Gauge::default(),
+            config_version: Gauge::default(),
+        };
+        Self {
+            registry: Arc::new(metrics.register()),
+            ..metrics
+        }
+    }
+
+    fn register(&self) -> Registry {
+        let mut registry = Registry::with_prefix("geraniumshed");
+        registry.register("calls", "Clients' calls", self.calls.clone());
+        registry.register(
+            "call_seconds",
+            "The time to the answer of a client's call",
+            self.call_seconds.clone(),
+        );
+        registry.register("appends", "Appends to the store", self.appends.clone());
+        registry.register(
+            "append_seconds",
+            "The time that an append to the store takes",
+            self.append_seconds.clone(),
+        );
+        registry.register(
+            "placements",
+            "Tasks that got workers",
+            self.placements.clone(),
+        );
+        registry.register(
+            "waiting_steps",
+            "Steps that began to wait for a worker",
+            self.waiting_steps.clone(),
+        );
+        registry.register(
+            "lost_runs",
+            "Runs that ended without success",
+            self.lost_runs.clone(),
+        );
+        registry.register(
+            "ended_jobs",
+            "Jobs that came to their end",
+            self.ended_jobs.clone(),
+        );
+        registry.register(
+            "job_seconds",
+            "The time from handing a job in to its completion",
+            self.job_seconds.clone(),
+        );
+        registry.register(
+            "wait_seconds",
+            "The time from handing a job in to its first placement",
+            self.wait_seconds.clone(),
+        );
+        registry.register("leading", "1 while the process leads", self.leading.clone());
+        registry.register(
+            "config_version",
+            "The version of the configuration in force",
+            self.config_version.clone(),
+        );
+        registry
+    }
+
+    /// Counts the answer to a client's call.
+    pub(crate) fn answered(&self, call: CallKind, outcome: CallOutcome, taken: Duration) {
+        let labels = CallLabels {
+            call,
+            outcome: outcome_name(outcome),
+        };
+        self.calls.get_or_create(&labels).inc();
+        let seconds = self.call_seconds.get_or_create(&labels);
+        seconds.observe(taken.as_secs_f64());
+    }
+
+    /// Counts an append.
+    pub(crate) fn appended<T>(&self, result: &Result<T, StoreError>, taken: Duration) {
+        let labels = OutcomeLabels {
+            outcome: append_outcome(result),
+        };
+        self.appends.get_or_create(&labels).inc();
+        self.append_seconds.observe(taken.as_secs_f64());
+    }
+
+    /// Counts a decision of the planner.
+    pub(crate) fn noted(&self, note: &PlannerNote) {
+        match note {
+            PlannerNote::StepPlaced(placement) => {
+                self.placements.inc_by(placement.placed as u64);
+            }
+            PlannerNote::StepWaits(..) => {
+                self.waiting_steps.inc();
+            }
+            PlannerNote::RunLost(lost) => {
+                let labels = ReasonLabels {
+                    reason: lost.reason,
+                };
+                self.lost_runs.get_or_create(&labels).inc();
+            }
+            PlannerNote::JobEnded(summary) => self.job_ended(summary),
+            PlannerNote::WorkerPaused(_)
+            | PlannerNote::WorkerLapsed(_)
+            | PlannerNote::WorkerReborn(_) => {}
+        }
+    }
+
+    fn job_ended(&self, summary: &JobSummary) {
+        let labels = EndLabels {
+            phase: phase_name(summary.phase),
+            in_time: in_time(summary),
+        };
+        self.ended_jobs.get_or_create(&labels).inc();
+        if summary.phase == JobPhase::Completed {
+            self.job_seconds.observe(summary.age.as_secs_f64());
+        }
+        if let Some(wait) = summary.first_placed {
+            self.wait_seconds.observe(wait.as_secs_f64());
+        }
+    }
+
+    /// Returns all metrics as text.
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        if let Err(error) = encode(&mut text, &self.registry) {
+            log::error!(error:% = error; "the metrics can't be written");
+        }
+        text
+    }
+}
+
+/// Returns the name of an outcome in logs and metrics.
+pub(crate) fn outcome_name(outcome: CallOutcome) -> &'static str {
+    match outcome {
+        CallOutcome::Accepted => "accepted",
+        CallOutcome::Status(phase) => phase_name(phase),
+        CallOutcome::Cancelled => "cancelled",
+        CallOutcome::Unknown => "unknown",
+        CallOutcome::Pending(_) => "counted",
+        CallOutcome::Unavailable => "unavailable",
+        CallOutcome::Undecided => "undecided",
+    }
+}
+
+/// Returns the name of a phase in logs and metrics.
+pub(crate) fn phase_name(phase: JobPhase) -> &'static str {
+    match phase {
+        JobPhase::Queued => "queued",
+        JobPhase::Running => "running",
+        JobPhase::Completed => "completed",
+        JobPhase::Failed => "failed",
+        JobPhase::Cancelled => "cancelled",
+    }
+}
+
+/// Tells whether a job ended within its objective, as far as that is known.
+pub(crate) fn in_time(summary: &JobSummary) -> &'static str {
+    match summary.allowed {
+        Some(allowed) if summary.age <= allowed => "yes",
+        Some(_) => "no",
+        None => "unknown",
+    }
+}
+
+fn append_outcome<T>(result: &Result<T, StoreError>) -> &'static str {
+    match result {
+        Ok(_) => "stored",
+        Err(StoreError::Refused) => "refused",
+        Err(StoreError::Unanswered) => "unanswered",
+        Err(StoreError::Fenced) => "fenced",
+        Err(_) => "invalid",
+    }
+}
--- /dev/null
+++ b/crates/geraniumshed-batch/src/telemetry/mod.rs
@@ -0,0 +1,10 @@
+//! What a node tells of itself: counters, latency histograms, and a log line for each decision.
+
+mod dependency;
+mod metrics;
+mod notes;
+
+pub(crate) use dependency::DependencyWatch;
+pub use metrics::NodeMetrics;
+pub(crate) use metrics::{CallKind, outcome_name};
+pub(crate) use notes::write_note;
--- a/crates/geraniumshed-batch/tests/nodes.rs
+++ b/crates/geraniumshed-batch/tests/nodes.rs
@@ -24,6 +24,28 @@
     assert_eq!(site.start_count(), 3);
 }
 
+#[tokio::test]
+async fn a_node_counts_its_calls_and_what_it_decided() {
+    let site = Site::open();
+    let nodes = site.spawn_nodes(1, 21_110).await;
+    let id = JobId(7);
+    nodes[0].service().submit(id, &job(3), deadline()).await;
+    let service = nodes[0].service();
+    support::wait_for(async || {
+        service.status(id, deadline()).await == CallOutcome::Status(JobPhase::Completed)
+    })
+    .await;
+    let text = nodes[0].metrics().text();
+    for line in [
+        "geraniumshed_calls_total{call=\"Submit\",outcome=\"accepted\"} 1",
+        "geraniumshed_placements_total 3",
+        "geraniumshed_ended_jobs_total{phase=\"completed\",in_time=\"yes\"} 1",
+        "geraniumshed_leading 1",
+    ] {
+        assert!(text.lines().any(|one| one == line), "{line} in {text}");
+    }
+}
+
 #[tokio::test]
 async fn a_repeated_job_runs_once_and_an_unknown_one_is_gone() {
     let site = Site::open();
--- a/crates/geraniumshed-core/src/assignment/action.rs
+++ b/crates/geraniumshed-core/src/assignment/action.rs
@@ -3,7 +3,8 @@
 use geraniumshed_model::prelude::TimePoint;
 
 use super::interference::InterferenceImage;
-use crate::job::{JobId, JobImage, JobPhase, TaskKey};
+use super::note::PlannerNote;
+use crate::job::{JobId, JobImage, JobPhase};
 use crate::worker::{
     AdviceRequest, PaceOrder, RenewMark, RenewRequest, StartOrder, StopOrder, WorkerCall,
 };
@@ -34,21 +35,6 @@
     Note(PlannerNote),
 }
 
-/// A decision that changes what the planner believes.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum PlannerNote {
-    /// A run ended in another way than with success.
-    RunLost(TaskKey, u32, &'static str),
-    /// A job came to its end.
-    JobEnded(JobId, JobPhase),
-    /// A worker gets no new tasks for a while.
-    WorkerPaused(crate::job::WorkerId),
-    /// A worker's lease ran out without an answer.
-    WorkerLapsed(crate::job::WorkerId),
-    /// A worker started another life.
-    WorkerReborn(crate::job::WorkerId),
-}
-
 /// A change of what the store keeps.
 #[derive(Debug, Clone, PartialEq)]
 pub enum StoreChange {
--- a/crates/geraniumshed-core/src/assignment/ends.rs
+++ b/crates/geraniumshed-core/src/assignment/ends.rs
@@ -5,7 +5,8 @@
 use geraniumshed_model::prelude::TimePoint;
 use smol_str::SmolStr;
 
-use super::action::{PlannerAction, PlannerMoment, PlannerNote};
+use super::action::PlannerMoment;
+use super::note::{LostRun, PlannerNote};
 use super::planner::JobPlanner;
 use crate::job::{JobId, JobPhase, TaskKey, TaskPhase, WorkerId};
 use crate::worker::EndKind;
@@ -73,8 +74,13 @@
             RunFate::Lost(reason) => Some(reason),
         };
         if let Some(reason) = note {
-            let note = PlannerNote::RunLost(key, run, reason);
-            self.actions.push(PlannerAction::Note(note));
+            job.story.lost_run(reason);
+            self.note(PlannerNote::RunLost(LostRun {
+                task: key,
+                run,
+                worker: worker.clone(),
+                reason,
+            }));
         }
         self.settle_job(now, key, failures);
         Some(self.ledger.change(key.job))
@@ -111,8 +117,7 @@
     pub(super) fn distrust(&mut self, now: TimePoint, worker: &WorkerId, job: JobId) {
         let entry = self.workers.get_mut(worker);
         if entry.is_some_and(|entry| entry.trust.failed(job, now)) {
-            let note = PlannerNote::WorkerPaused(worker.clone());
-            self.actions.push(PlannerAction::Note(note));
+            self.note(PlannerNote::WorkerPaused(worker.clone()));
         }
     }
 }
--- a/crates/geraniumshed-core/src/assignment/gang.rs
+++ b/crates/geraniumshed-core/src/assignment/gang.rs
@@ -1,31 +1,40 @@
 //! Gangs: steps whose tasks work only together.
 
 use super::action::PlannerMoment;
+use super::placing::StartableStep;
 use super::planner::JobPlanner;
-use crate::job::{ServiceName, StepRequest, TaskKey, WorkerId};
+use crate::job::{TaskKey, WorkerId};
+
+/// What became of a gang.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum GangOutcome {
+    /// All members got workers.
+    Placed,
+    /// Not all members can start yet.
+    Incomplete,
+    /// There is no room for all members.
+    NoRoom,
+}
 
 impl JobPlanner {
-    /// Places all members of a gang, or none, and returns whether it did.
+    /// Places all members of a gang, or none.
     pub(super) fn place_gang(
         &mut self,
         now: PlannerMoment,
-        service: &ServiceName,
-        step: &StepRequest,
-        keys: &[TaskKey],
-        least_speed: f64,
-    ) -> bool {
-        let Some(job) = keys.first().and_then(|key| self.jobs.get(&key.job)) else {
-            return true;
+        startable: &StartableStep<'_>,
+    ) -> GangOutcome {
+        let (step, keys) = (startable.step, &startable.keys);
+        let Some(first) = keys.first() else {
+            return GangOutcome::Incomplete;
         };
-        let members = keys
-            .first()
-            .and_then(|key| job.occurrence(key.occurrence)?.steps.get(key.step as usize));
-        let Some(members) = members else {
-            return true;
+        let job = self.jobs.get(&first.job);
+        let occurrence = job.and_then(|job| job.occurrence(first.occurrence));
+        let Some(members) = occurrence.and_then(|one| one.steps.get(first.step as usize)) else {
+            return GangOutcome::Incomplete;
         };
         // The members of a run start together, after all of the run before have ended.
         if keys.len() != members.len() {
-            return true;
+            return GangOutcome::Incomplete;
         }
         let run = members.iter().map(|task| task.run).max().unwrap_or(0) + 1;
         let checkpoint = members.iter().find_map(|task| task.checkpoint.clone());
@@ -35,11 +44,10 @@
                 .first()
                 .and_then(|(_, worker)| self.workers.get(worker)?.listing.rack.clone());
             let rack = rack.filter(|_| step.wants_one_rack);
-            let rack_name = rack.as_ref();
-            let chosen = self.choose_worker(now.point, service, step, *key, rack_name, least_speed);
+            let chosen = self.choose_worker(now.point, startable, *key, rack.as_ref());
             let Some(worker) = chosen else {
                 self.withdraw_gang(&placed, run);
-                return false;
+                return GangOutcome::NoRoom;
             };
             self.reserve(now.point, step, *key, &worker, run);
             placed.push((*key, worker));
@@ -54,7 +62,7 @@
             }
             self.commit_placement(key, &worker, run);
         }
-        true
+        GangOutcome::Placed
     }
 
     fn withdraw_gang(&mut self, placed: &[(TaskKey, WorkerId)], run: u32) {
--- a/crates/geraniumshed-core/src/assignment/mod.rs
+++ b/crates/geraniumshed-core/src/assignment/mod.rs
@@ -10,21 +10,24 @@
 mod gang;
 mod interference;
 mod ledger;
+mod note;
 mod pacing;
 mod pass;
 mod placement;
 mod placing;
 mod planner;
+mod rank;
 mod registry;
 mod settings;
+mod starting;
 mod upkeep;
 mod worker_events;
 
-pub use action::{
-    CancelOutcome, JobStatus, PlannerAction, PlannerMoment, PlannerNote, StoreBatch, StoreChange,
-};
+pub use action::{CancelOutcome, JobStatus, PlannerAction, PlannerMoment, StoreBatch, StoreChange};
 pub use interference::{
     InterferenceImage, InterferenceModel, LoadShare, ServedImageRecord, SlopeImage,
 };
+pub use note::{JobSummary, LostRun, PlacementNote, PlannerNote};
+pub use placement::PlacementRefusal;
 pub use planner::JobPlanner;
 pub use settings::PlannerSettings;
--- a/crates/geraniumshed-core/src/assignment/placement.rs
+++ b/crates/geraniumshed-core/src/assignment/placement.rs
@@ -1,6 +1,7 @@
 //! The choice of a worker for a task.
 
 use std::collections::BTreeMap;
+use std::fmt::{self, Display, Formatter};
 
 use geraniumshed_model::prelude::TimePoint;
 use smol_str::SmolStr;
@@ -38,6 +39,39 @@
 /// a latency target.
 const OTHER_IMAGE_PENALTY: f64 = 120_000.0;
 
+/// Why a worker can't take a task.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum PlacementRefusal {
+    /// It is silent, about to leave, or not trusted for now.
+    Unavailable,
+    /// The task doesn't fit beside what runs there.
+    NoRoom,
+    /// It lacks the label that the step requires.
+    NoLabel,
+    /// As many tasks of the step run there as may.
+    WorkerLimit,
+    /// The task failed there.
+    Avoided,
+    /// A best-effort task would be slow there, or disturb others.
+    Pressed,
+    /// The queue's policy doesn't name it.
+    NoAdvice,
+}
+
+impl Display for PlacementRefusal {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Unavailable => "unavailable",
+            Self::NoRoom => "no-room",
+            Self::NoLabel => "no-label",
+            Self::WorkerLimit => "worker-limit",
+            Self::Avoided => "avoided",
+            Self::Pressed => "pressed",
+            Self::NoAdvice => "no-advice",
+        })
+    }
+}
+
 /// On which workers a queue's policy lets a step run.
 #[derive(Debug, Clone, Copy)]
 pub(super) enum StepPermission<'a> {
@@ -123,15 +157,44 @@
         }
     }
 
+    /// Counts the service's workers by why they can't take the task.
+    pub(super) fn refusals<'w>(
+        &self,
+        workers: impl Iterator<Item = &'w WorkerEntry>,
+    ) -> BTreeMap<PlacementRefusal, u32> {
+        let own = workers.filter(|worker| worker.listing.service == *self.service);
+        let mut counts = BTreeMap::new();
+        for worker in own {
+            let no_advice = (!self.has_permission(worker)).then_some(PlacementRefusal::NoAdvice);
+            if let Some(refusal) = self.refusal(worker).or(no_advice) {
+                *counts.entry(refusal).or_default() += 1;
+            }
+        }
+        counts
+    }
+
     /// Tells whether the worker may run the task and has room for it.
     fn is_allowed(&self, worker: &WorkerEntry) -> bool {
-        worker.listing.service == *self.service
-            && worker.takes_tasks(self.now)
-            && self.step.reserved_size().fits(&worker.free_size())
-            && self.has_label(worker)
-            && self.is_below_limit(worker)
-            && !self.avoided.contains(worker.id())
-            && (!self.step.is_best_effort || self.suits_best_effort(worker))
+        worker.listing.service == *self.service && self.refusal(worker).is_none()
+    }
+
+    /// Returns why a worker of the service can't take the task.
+    fn refusal(&self, worker: &WorkerEntry) -> Option<PlacementRefusal> {
+        if !worker.takes_tasks(self.now) {
+            Some(PlacementRefusal::Unavailable)
+        } else if !self.step.reserved_size().fits(&worker.free_size()) {
+            Some(PlacementRefusal::NoRoom)
+        } else if !self.has_label(worker) {
+            Some(PlacementRefusal::NoLabel)
+        } else if !self.is_below_limit(worker) {
+            Some(PlacementRefusal::WorkerLimit)
+        } else if self.avoided.contains(worker.id()) {
+            Some(PlacementRefusal::Avoided)
+        } else if self.step.is_best_effort && !self.suits_best_effort(worker) {
+            Some(PlacementRefusal::Pressed)
+        } else {
+            None
+        }
     }
 
     fn has_label(&self, worker: &WorkerEntry) -> bool {
--- a/crates/geraniumshed-core/src/assignment/placing.rs
+++ b/crates/geraniumshed-core/src/assignment/placing.rs
@@ -4,20 +4,18 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use geraniumshed_model::prelude::{TimePoint, whole_millis};
+use geraniumshed_model::prelude::TimePoint;
 use smol_str::SmolStr;
 
-use super::action::{PlannerAction, PlannerMoment};
-use super::ledger::GatedStart;
-use super::pacing::FULL_PERCENT;
+use super::action::PlannerMoment;
+use super::gang::GangOutcome;
+use super::note::{PlacementNote, PlannerNote};
 use super::pass::PlacementPass;
 use super::placement::{PlacementQuery, StepPermission, idle_processors};
 use super::planner::JobPlanner;
-use crate::job::{
-    JobEntry, JobId, JobPhase, Occurrence, QueuePolicy, ServiceName, StepRequest, TaskEntry,
-    TaskKey, TaskPhase, WorkerId,
-};
-use crate::worker::{RunEntry, RunPhase, StartOrder, WorkerCall, WorkerEntry};
+use super::rank::{ReadyStep, allowed_time, ready_indices, startable_keys, step_rank};
+use crate::job::{JobEntry, QueuePolicy, ServiceName, StepRequest, TaskKey, TaskPhase, WorkerId};
+use crate::worker::WorkerEntry;
 
 /// The age up to which a job waits for workers that its image doesn't disturb, in milliseconds.
 const PATIENCE_MS: u64 = 45_000;
@@ -32,23 +30,15 @@
 /// The speed that a run has to find elsewhere to be moved there.
 const MOVE_SPEED: f64 = 0.8;
 
-/// The place of a step among all steps whose turn has come; the smallest goes first.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-struct StepRank {
-    priority: u32,
-    /// Whether the job can't meet its objective any more.
-    is_late: bool,
-    /// When the step has to start for the job to be in time, in milliseconds of Unix time.
-    latest_start_unix_ms: u64,
-}
-
-/// A step with tasks that may start.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-struct ReadyStep {
-    rank: StepRank,
-    job: JobId,
-    occurrence: u32,
-    step: u32,
+/// A step whose turn has come, with the tasks that can start.
+#[derive(Debug)]
+pub(super) struct StartableStep<'a> {
+    pub(super) ready: ReadyStep,
+    pub(super) policy: &'a QueuePolicy,
+    pub(super) step: &'a StepRequest,
+    pub(super) keys: Vec<TaskKey>,
+    /// The part of its speed that a best-effort task has to find.
+    pub(super) least_speed: f64,
 }
 
 impl JobPlanner {
@@ -92,41 +82,113 @@
             return;
         };
         let policy = policy.clone();
-        let service = policy.service.clone();
         let request = Arc::clone(&job.request);
         let Some(step) = request.steps.get(ready.step as usize) else {
             return;
         };
-        let keys = startable_keys(job, ready, now.point);
-        let least_speed = self.least_speed(now, job, &policy, ready, pass);
-        if step.is_gang {
-            if !self.place_gang(now, &service, step, &keys, least_speed) {
-                self.seek_permission(now.point, &policy, step, &keys);
+        let startable = StartableStep {
+            ready,
+            policy: &policy,
+            step,
+            keys: startable_keys(job, ready, now.point),
+            least_speed: self.least_speed(now, job, &policy, ready, pass),
+        };
+        let placed = if step.is_gang {
+            self.place_gang_step(now, &startable)
+        } else {
+            Some(self.place_single_tasks(now, &startable, pass))
+        };
+        if let Some(placed) = placed {
+            self.note_placement(now, &startable, placed);
+        }
+    }
+
+    /// Places all tasks of a gang or none, and returns how many, if all can start.
+    fn place_gang_step(
+        &mut self,
+        now: PlannerMoment,
+        startable: &StartableStep<'_>,
+    ) -> Option<usize> {
+        match self.place_gang(now, startable) {
+            GangOutcome::Placed => Some(startable.keys.len()),
+            GangOutcome::Incomplete => None,
+            GangOutcome::NoRoom => {
+                self.seek_permission(now.point, startable, 0);
+                Some(0)
             }
-            return;
         }
+    }
+
+    /// Places the tasks of a step one by one, and returns how many.
+    fn place_single_tasks(
+        &mut self,
+        now: PlannerMoment,
+        startable: &StartableStep<'_>,
+        pass: &mut PlacementPass,
+    ) -> usize {
+        let StartableStep { policy, step, .. } = *startable;
+        let least_speed = startable.least_speed;
+        let service = &policy.service;
         // What other steps are advised says nothing of this one.
-        let has_failed = policy.advice.is_none() && pass.has_failed(&service, step, least_speed);
-        let mut rack = self.step_rack(step, ready);
-        for (place, key) in keys.iter().copied().enumerate() {
+        let has_failed = policy.advice.is_none() && pass.has_failed(service, step, least_speed);
+        let mut rack = self.step_rack(step, startable.ready);
+        let mut placed = 0;
+        for (place, key) in startable.keys.iter().copied().enumerate() {
             if has_failed && !self.has_history(key) {
                 continue;
             }
-            let rack_name = rack.as_ref();
-            let chosen = self.choose_worker(now.point, &service, step, key, rack_name, least_speed);
+            let chosen = self.choose_worker(now.point, startable, key, rack.as_ref());
             let Some(worker) = chosen else {
                 // All tasks of a step ask for the same; those with a history may fit elsewhere.
                 if self.has_history(key) {
                     continue;
                 }
                 if policy.advice.is_none() {
-                    pass.query_failed(&service, step, least_speed);
+                    pass.query_failed(service, step, least_speed);
                 }
-                self.seek_permission(now.point, &policy, step, &keys[place..]);
+                self.seek_permission(now.point, startable, place);
                 break;
             };
             self.place_task(now.point, step, key, &worker);
-            rack = rack.or_else(|| self.step_rack(step, ready));
+            placed += 1;
+            rack = rack.or_else(|| self.step_rack(step, startable.ready));
+        }
+        placed
+    }
+
+    /// Tells what became of the tasks of a step that could start.
+    fn note_placement(&mut self, now: PlannerMoment, startable: &StartableStep<'_>, placed: usize) {
+        let ReadyStep {
+            job: id,
+            occurrence,
+            step,
+            rank,
+        } = startable.ready;
+        let waiting = startable.keys.len() - placed;
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        if placed > 0 {
+            job.story.placed(now.unix_ms);
+        }
+        let begins_to_wait = job.story.waits(occurrence, step, waiting > 0);
+        let age_ms = now.unix_ms.saturating_sub(job.request.submitted_unix_ms);
+        let note = PlacementNote {
+            job: id,
+            occurrence,
+            step,
+            placed,
+            waiting,
+            age: Duration::from_millis(age_ms),
+            slack_ms: rank.latest_start_unix_ms.cast_signed() - now.unix_ms.cast_signed(),
+        };
+        if placed > 0 {
+            self.note(PlannerNote::StepPlaced(note));
+        }
+        if begins_to_wait && let Some(key) = startable.keys.last() {
+            let query = self.query(now.point, startable, *key, None);
+            let refusals = query.map(|query| query.refusals(self.workers.values()));
+            self.note(PlannerNote::StepWaits(note, refusals.unwrap_or_default()));
         }
     }
 
@@ -148,35 +210,27 @@
         if step.is_gang {
             return false;
         }
-        let chosen = self.choose_worker(now, &policy.service, step, key, None, MOVE_SPEED);
+        let startable = StartableStep {
+            ready: ReadyStep::unranked(key),
+            policy,
+            step,
+            keys: vec![key],
+            least_speed: MOVE_SPEED,
+        };
+        let chosen = self.choose_worker(now, &startable, key, None);
         chosen.is_some_and(|worker| worker != *current)
     }
 
     pub(super) fn choose_worker(
         &self,
         now: TimePoint,
-        service: &ServiceName,
-        step: &StepRequest,
+        startable: &StartableStep<'_>,
         key: TaskKey,
         rack: Option<&SmolStr>,
-        least_speed: f64,
     ) -> Option<WorkerId> {
-        let job = self.jobs.get(&key.job)?;
-        let task = job.task(key)?;
-        let query = PlacementQuery {
-            service,
-            step,
-            task: key,
-            avoided: &task.avoided,
-            rack,
-            interference: &self.interference,
-            pressures: self.pressures_of(step),
-            advice: self.permission(job, key.into()),
-            least_speed,
-            now,
-        };
+        let query = self.query(now, startable, key, rack)?;
         let chosen = query.choose(self.workers_from(key));
-        if chosen.is_some() || task.avoided.is_empty() {
+        if chosen.is_some() || query.avoided.is_empty() {
             return chosen;
         }
         let query = PlacementQuery {
@@ -186,6 +240,30 @@
         query.choose(self.workers_from(key))
     }
 
+    /// Describes what a task asks of its worker.
+    fn query<'a>(
+        &'a self,
+        now: TimePoint,
+        startable: &StartableStep<'a>,
+        key: TaskKey,
+        rack: Option<&'a SmolStr>,
+    ) -> Option<PlacementQuery<'a>> {
+        let job = self.jobs.get(&key.job)?;
+        let task = job.task(key)?;
+        Some(PlacementQuery {
+            service: &startable.policy.service,
+            step: startable.step,
+            task: key,
+            avoided: &task.avoided,
+            rack,
+            interference: &self.interference,
+            pressures: self.pressures_of(startable.step),
+            advice: self.permission(job, key.into()),
+            least_speed: startable.least_speed,
+            now,
+        })
+    }
+
     /// Returns all workers, beginning at a place that differs between tasks.
     fn workers_from(&self, key: TaskKey) -> impl Iterator<Item = &WorkerEntry> {
         let count = self.workers.len().max(1);
@@ -205,25 +283,21 @@
         self.interference.pressures(&image, processors)
     }
 
-    /// Asks where tasks may run that found no worker, if their queue's policy has a say.
-    fn seek_permission(
-        &mut self,
-        now: TimePoint,
-        policy: &QueuePolicy,
-        step: &StepRequest,
-        keys: &[TaskKey],
-    ) {
-        let (Some(advice), Some(key)) = (policy.advice, keys.first()) else {
+    /// Asks where the tasks of a step from one on may run, which found no worker, if their queue's
+    /// policy has a say.
+    fn seek_permission(&mut self, now: TimePoint, startable: &StartableStep<'_>, first: usize) {
+        let keys = &startable.keys[first..];
+        let (Some(advice), Some(key)) = (startable.policy.advice, keys.first()) else {
             return;
         };
         let query = PlacementQuery {
-            service: &policy.service,
-            step,
+            service: &startable.policy.service,
+            step: startable.step,
             task: *key,
             avoided: &[],
             rack: None,
             interference: &self.interference,
-            pressures: self.pressures_of(step),
+            pressures: self.pressures_of(startable.step),
             advice: StepPermission::Anywhere,
             least_speed: 0.0,
             now,
@@ -243,7 +317,8 @@
         ready: ReadyStep,
         pass: &mut PlacementPass,
     ) -> f64 {
-        if !is_best_effort(job, ready) {
+        let step = job.request.steps.get(ready.step as usize);
+        if !step.is_some_and(|step| step.is_best_effort) {
             return 0.0;
         }
         let service = &policy.service;
@@ -294,179 +369,4 @@
             TaskPhase::Waiting | TaskPhase::Done => None,
         })
     }
-
-    fn place_task(&mut self, now: TimePoint, step: &StepRequest, key: TaskKey, worker: &WorkerId) {
-        let task = self.jobs.get(&key.job).and_then(|job| job.task(key));
-        let run = task.map_or(1, |task| task.run + 1);
-        self.reserve(now, step, key, worker, run);
-        self.commit_placement(key, worker, run);
-    }
-
-    /// Reserves room for a run.
-    pub(super) fn reserve(
-        &mut self,
-        now: TimePoint,
-        step: &StepRequest,
-        key: TaskKey,
-        worker: &WorkerId,
-        run: u32,
-    ) {
-        if let Some(entry) = self.workers.get_mut(worker) {
-            entry.add_run(key, run_entry(step, run, RunPhase::Storing, now));
-        }
-    }
-
-    /// Records a placement, whose order goes out once it is stored.
-    pub(super) fn commit_placement(&mut self, key: TaskKey, worker: &WorkerId, run: u32) {
-        let Some(job) = self.jobs.get_mut(&key.job) else {
-            return;
-        };
-        if job.phase == JobPhase::Queued {
-            job.phase = JobPhase::Running;
-        }
-        if let Some(task) = job.task_mut(key) {
-            task.run = run;
-            task.phase = TaskPhase::Placed(worker.clone());
-        }
-        self.ledger.change(key.job);
-        self.ledger.gate_start(GatedStart {
-            worker: worker.clone(),
-            task: key,
-            run,
-        });
-    }
-
-    /// Sends the order for a placement that is stored.
-    pub(super) fn send_start(&mut self, now: PlannerMoment, start: GatedStart) {
-        let Some(job) = self.jobs.get(&start.task.job) else {
-            return;
-        };
-        let is_final = job.phase.is_final();
-        let needs_ticket = !matches!(
-            self.permission(job, start.task.into()),
-            StepPermission::Anywhere
-        );
-        let Some(worker) = self.workers.get_mut(&start.worker) else {
-            return;
-        };
-        let advice = self.advice.step(start.task.into());
-        let ticket = advice.and_then(|advice| advice.ticket(&start.worker, worker.life, now.point));
-        let ticket = ticket.cloned();
-        let deadline = worker.extend_lease(now.point, self.settings.lease);
-        let Some(run) = worker.runs.get_mut(&start.task) else {
-            return;
-        };
-        if run.run != start.run || run.phase != RunPhase::Storing {
-            return;
-        }
-        // Nothing was sent yet, so that nothing has to be stopped.
-        let (false, false, Some(deadline)) = (run.is_stopping(), is_final, deadline) else {
-            self.drop_run(now, &start.worker, start.task, start.run, "not wanted");
-            return;
-        };
-        if needs_ticket && ticket.is_none() {
-            self.drop_run(now, &start.worker, start.task, start.run, "ticket ran out");
-            return;
-        }
-        run.phase = RunPhase::Ordered(worker.token);
-        let order = StartOrder {
-            task: start.task,
-            run: start.run,
-            payload: job.request.payload.clone(),
-            deadline,
-            checkpoint: job
-                .task(start.task)
-                .and_then(|task| task.checkpoint.clone()),
-            ticket,
-        };
-        self.actions.push(PlannerAction::Start(WorkerCall {
-            worker: start.worker,
-            address: worker.listing.address,
-            token: worker.token,
-            body: order,
-        }));
-    }
-}
-
-/// Describes a run of a step's task.
-pub(super) fn run_entry(step: &StepRequest, run: u32, phase: RunPhase, now: TimePoint) -> RunEntry {
-    RunEntry {
-        run,
-        phase,
-        reserved: step.reserved_size(),
-        processors: step.size.processors,
-        image: step.image.clone(),
-        is_best_effort: step.is_best_effort,
-        latency_target: step.latency_target,
-        tail_latency: Duration::ZERO,
-        usual_pressure: None,
-        usual_own_pressure: None,
-        estimate: step.estimate,
-        is_long_running: step.is_long_running,
-        pace_percent: FULL_PERCENT,
-        former_percent: FULL_PERCENT,
-        paced_at: now,
-        percent: 0,
-        progressed_at: now,
-        stop_sent_at: None,
-    }
-}
-
-fn is_best_effort(job: &JobEntry, ready: ReadyStep) -> bool {
-    let step = job.request.steps.get(ready.step as usize);
-    step.is_some_and(|step| step.is_best_effort)
-}
-
-fn step_rank(
-    job: &JobEntry,
-    policy: &QueuePolicy,
-    occurrence: u32,
-    step: u32,
-    now_unix_ms: u64,
-) -> StepRank {
-    let allowed = allowed_time(job, policy);
-    let latest_start_unix_ms = job
-        .due_unix_ms(occurrence)
-        .saturating_add(whole_millis(allowed.saturating_sub(job.chain_from(step))));
-    StepRank {
-        priority: policy.priority,
-        is_late: latest_start_unix_ms < now_unix_ms,
-        latest_start_unix_ms,
-    }
-}
-
-/// Returns the time that a job may take to be in time.
-fn allowed_time(job: &JobEntry, policy: &QueuePolicy) -> Duration {
-    job.longest_chain().mul_f64(policy.stretch.max(1.0)) + policy.latency_objective
-}
-
-/// Returns the steps of an occurrence that have tasks to start.
-fn ready_indices<'a>(
-    job: &'a JobEntry,
-    occurrence: &'a Occurrence,
-    now: TimePoint,
-) -> impl Iterator<Item = u32> + 'a {
-    (0u32..)
-        .zip(job.request.steps.iter().zip(&occurrence.steps))
-        .filter(move |(_, (step, tasks))| {
-            tasks.iter().any(|task| task.is_startable(now)) && occurrence.is_step_due(step)
-        })
-        .map(|(index, _)| index)
-}
-
-fn startable_keys(job: &JobEntry, ready: ReadyStep, now: TimePoint) -> Vec<TaskKey> {
-    let tasks = job
-        .occurrence(ready.occurrence)
-        .and_then(|one| one.steps.get(ready.step as usize));
-    let is_ready = |(_, task): &(u32, &TaskEntry)| task.is_startable(now);
-    (0u32..)
-        .zip(tasks.into_iter().flatten())
-        .filter(is_ready)
-        .map(|(index, _)| TaskKey {
-            job: ready.job,
-            occurrence: ready.occurrence,
-            step: ready.step,
-            index,
-        })
-        .collect()
 }
--- a/crates/geraniumshed-core/src/assignment/planner.rs
+++ b/crates/geraniumshed-core/src/assignment/planner.rs
@@ -7,11 +7,13 @@
 use geraniumshed_model::prelude::{TimePoint, whole_millis};
 
 use super::action::{
-    CancelOutcome, JobStatus, PlannerAction, PlannerMoment, PlannerNote, StoreBatch, StoreChange,
+    CancelOutcome, JobStatus, PlannerAction, PlannerMoment, StoreBatch, StoreChange,
 };
 use super::advice::AdviceBook;
 use super::interference::{InterferenceImage, InterferenceModel};
 use super::ledger::StoreLedger;
+use super::note::{JobSummary, PlannerNote};
+use super::rank::allowed_time;
 use super::settings::PlannerSettings;
 use crate::job::{
     JobEntry, JobId, JobImage, JobPhase, JobRequest, QueueName, QueuePolicy, QueueTable, TaskPhase,
@@ -252,13 +254,30 @@
         self.open_jobs.remove(&id);
         self.advice.forget(id);
         self.ledger.change(id);
-        let note = PlannerNote::JobEnded(id, phase);
-        self.actions.push(PlannerAction::Note(note));
+        let policy = self.queues.policy(&job.request.queue);
+        let since_submission = |unix_ms: u64| {
+            Duration::from_millis(unix_ms.saturating_sub(job.request.submitted_unix_ms))
+        };
+        let summary = JobSummary {
+            job: id,
+            queue: job.request.queue.clone(),
+            phase,
+            age: since_submission(now.unix_ms),
+            allowed: policy.map(|policy| allowed_time(job, policy)),
+            first_placed: job.story.first_placed_unix_ms.map(since_submission),
+            lost_runs: job.story.lost_runs.clone(),
+        };
+        self.note(PlannerNote::JobEnded(summary));
         for key in placed {
             self.stop_task(now.point, key);
         }
     }
 
+    /// Tells of a decision.
+    pub(super) fn note(&mut self, note: PlannerNote) {
+        self.actions.push(PlannerAction::Note(note));
+    }
+
     /// Stops the run of a task, wherever it was placed.
     fn stop_task(&mut self, now: TimePoint, key: crate::job::TaskKey) {
         let task = self.jobs.get(&key.job).and_then(|job| job.task(key));
--- a/crates/geraniumshed-core/src/assignment/registry.rs
+++ b/crates/geraniumshed-core/src/assignment/registry.rs
@@ -7,8 +7,8 @@
 use geraniumshed_model::prelude::{ResourceSize, TimePoint};
 
 use super::action::PlannerMoment;
-use super::placing::run_entry;
 use super::planner::JobPlanner;
+use super::starting::run_entry;
 use crate::job::{JobEntry, ServiceName, TaskKey, TaskPhase, WorkerId};
 use crate::worker::{FenceToken, RunPhase, WorkerChange, WorkerEntry, WorkerListing};
 
--- /dev/null
+++ b/crates/geraniumshed-core/src/assignment/starting.rs
@@ -0,0 +1,138 @@
+//! The start of a task, from the placement to the order.
+
+use std::time::Duration;
+
+use geraniumshed_model::prelude::TimePoint;
+
+use super::action::{PlannerAction, PlannerMoment};
+use super::ledger::GatedStart;
+use super::pacing::FULL_PERCENT;
+use super::placement::StepPermission;
+use super::planner::JobPlanner;
+use crate::job::{JobPhase, StepRequest, TaskKey, TaskPhase, WorkerId};
+use crate::worker::{RunEntry, RunPhase, StartOrder, WorkerCall};
+
+impl JobPlanner {
+    /// Places a task on a worker.
+    pub(super) fn place_task(
+        &mut self,
+        now: TimePoint,
+        step: &StepRequest,
+        key: TaskKey,
+        worker: &WorkerId,
+    ) {
+        let task = self.jobs.get(&key.job).and_then(|job| job.task(key));
+        let run = task.map_or(1, |task| task.run + 1);
+        self.reserve(now, step, key, worker, run);
+        self.commit_placement(key, worker, run);
+    }
+
+    /// Reserves room for a run.
+    pub(super) fn reserve(
+        &mut self,
+        now: TimePoint,
+        step: &StepRequest,
+        key: TaskKey,
+        worker: &WorkerId,
+        run: u32,
+    ) {
+        if let Some(entry) = self.workers.get_mut(worker) {
+            entry.add_run(key, run_entry(step, run, RunPhase::Storing, now));
+        }
+    }
+
+    /// Records a placement, whose order goes out once it is stored.
+    pub(super) fn commit_placement(&mut self, key: TaskKey, worker: &WorkerId, run: u32) {
+        let Some(job) = self.jobs.get_mut(&key.job) else {
+            return;
+        };
+        if job.phase == JobPhase::Queued {
+            job.phase = JobPhase::Running;
+        }
+        if let Some(task) = job.task_mut(key) {
+            task.run = run;
+            task.phase = TaskPhase::Placed(worker.clone());
+        }
+        self.ledger.change(key.job);
+        self.ledger.gate_start(GatedStart {
+            worker: worker.clone(),
+            task: key,
+            run,
+        });
+    }
+
+    /// Sends the order for a placement that is stored.
+    pub(super) fn send_start(&mut self, now: PlannerMoment, start: GatedStart) {
+        let Some(job) = self.jobs.get(&start.task.job) else {
+            return;
+        };
+        let is_final = job.phase.is_final();
+        let needs_ticket = !matches!(
+            self.permission(job, start.task.into()),
+            StepPermission::Anywhere
+        );
+        let Some(worker) = self.workers.get_mut(&start.worker) else {
+            return;
+        };
+        let advice = self.advice.step(start.task.into());
+        let ticket = advice.and_then(|advice| advice.ticket(&start.worker, worker.life, now.point));
+        let ticket = ticket.cloned();
+        let deadline = worker.extend_lease(now.point, self.settings.lease);
+        let Some(run) = worker.runs.get_mut(&start.task) else {
+            return;
+        };
+        if run.run != start.run || run.phase != RunPhase::Storing {
+            return;
+        }
+        // Nothing was sent yet, so that nothing has to be stopped.
+        let (false, false, Some(deadline)) = (run.is_stopping(), is_final, deadline) else {
+            self.drop_run(now, &start.worker, start.task, start.run, "not wanted");
+            return;
+        };
+        if needs_ticket && ticket.is_none() {
+            self.drop_run(now, &start.worker, start.task, start.run, "ticket ran out");
+            return;
+        }
+        run.phase = RunPhase::Ordered(worker.token);
+        let order = StartOrder {
+            task: start.task,
+            run: start.run,
+            payload: job.request.payload.clone(),
+            deadline,
+            checkpoint: job
+                .task(start.task)
+                .and_then(|task| task.checkpoint.clone()),
+            ticket,
+        };
+        self.actions.push(PlannerAction::Start(WorkerCall {
+            worker: start.worker,
+            address: worker.listing.address,
+            token: worker.token,
+            body: order,
+        }));
+    }
+}
+
+/// Describes a run of a step's task.
+pub(super) fn run_entry(step: &StepRequest, run: u32, phase: RunPhase, now: TimePoint) -> RunEntry {
+    RunEntry {
+        run,
+        phase,
+        reserved: step.reserved_size(),
+        processors: step.size.processors,
+        image: step.image.clone(),
+        is_best_effort: step.is_best_effort,
+        latency_target: step.latency_target,
+        tail_latency: Duration::ZERO,
+        usual_pressure: None,
+        usual_own_pressure: None,
+        estimate: step.estimate,
+        is_long_running: step.is_long_running,
+        pace_percent: FULL_PERCENT,
+        former_percent: FULL_PERCENT,
+        paced_at: now,
+        percent: 0,
+        progressed_at: now,
+        stop_sent_at: None,
+    }
+}
--- a/crates/geraniumshed-core/src/assignment/upkeep.rs
+++ b/crates/geraniumshed-core/src/assignment/upkeep.rs
@@ -4,7 +4,8 @@
 
 use geraniumshed_model::prelude::TimePoint;
 
-use super::action::{PlannerAction, PlannerMoment, PlannerNote};
+use super::action::{PlannerAction, PlannerMoment};
+use super::note::PlannerNote;
 use super::planner::JobPlanner;
 use crate::job::{TaskKey, WorkerId};
 use crate::worker::{RunPhase, StopOrder, WorkerCall, WorkerEntry};
@@ -47,8 +48,7 @@
             .iter()
             .map(|(key, run)| (*key, run.run))
             .collect();
-        let note = PlannerNote::WorkerLapsed(worker.clone());
-        self.actions.push(PlannerAction::Note(note));
+        self.note(PlannerNote::WorkerLapsed(worker.clone()));
         for (key, run) in runs {
             self.drop_run(now, worker, key, run, reason);
         }
--- a/crates/geraniumshed-core/src/assignment/worker_events.rs
+++ b/crates/geraniumshed-core/src/assignment/worker_events.rs
@@ -5,11 +5,12 @@
 
 use geraniumshed_model::prelude::TimePoint;
 
-use super::action::{PlannerAction, PlannerMoment, PlannerNote};
+use super::action::{PlannerAction, PlannerMoment};
 use super::ends::RunFate;
+use super::note::PlannerNote;
 use super::pacing::{pace_worker, recent_share};
-use super::placing::run_entry;
 use super::planner::JobPlanner;
+use super::starting::run_entry;
 use super::upkeep::WHOLE_PERCENT;
 use crate::job::{TaskKey, WorkerId};
 use crate::worker::{
@@ -176,8 +177,7 @@
             return;
         };
         let runs = entry.begin_life(life);
-        let note = PlannerNote::WorkerReborn(worker.clone());
-        self.actions.push(PlannerAction::Note(note));
+        self.note(PlannerNote::WorkerReborn(worker.clone()));
         for (key, run) in runs {
             self.finish_run(
                 now,
--- a/crates/geraniumshed-core/src/job/entry.rs
+++ b/crates/geraniumshed-core/src/job/entry.rs
@@ -9,6 +9,7 @@
 use super::id::{JobId, TaskKey};
 use super::image::{JobImage, OccurrenceImage, TaskImage, TaskStage};
 use super::request::{JobRequest, StepRequest};
+use super::story::JobStory;
 use super::task::{TaskEntry, TaskPhase};
 
 /// What clients are told of a job.
@@ -87,6 +88,8 @@
     pub ended_occurrences: u32,
     /// When the job ended, in milliseconds of Unix time, or 0 before.
     pub ended_unix_ms: u64,
+    /// What the job met with, to explain its end.
+    pub story: JobStory,
     /// The time from the start of each step to the end of the longest chain that it begins.
     chains: Vec<Duration>,
 }
@@ -102,6 +105,7 @@
             occurrences: Vec::new(),
             ended_occurrences: 0,
             ended_unix_ms: 0,
+            story: JobStory::default(),
         }
     }
 
--- a/crates/geraniumshed-core/src/job/mod.rs
+++ b/crates/geraniumshed-core/src/job/mod.rs
@@ -6,6 +6,7 @@
 mod image;
 mod queue;
 mod request;
+mod story;
 mod task;
 
 pub use chain::chains_from;
@@ -14,4 +15,5 @@
 pub use image::{JobImage, OccurrenceImage, TaskImage, TaskStage};
 pub use queue::{AdvicePolicy, QueuePolicy, QueueTable};
 pub use request::{JobRequest, RepeatPlan, StepRequest};
+pub use story::JobStory;
 pub use task::{TaskEntry, TaskPhase};
--- a/crates/geraniumshed-core/tests/planner/fixture.rs
+++ b/crates/geraniumshed-core/tests/planner/fixture.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use geraniumshed_core::assignment::{
-    InterferenceImage, JobPlanner, JobStatus, PlannerAction, PlannerMoment, PlannerSettings,
-    StoreChange,
+    InterferenceImage, JobPlanner, JobStatus, PlannerAction, PlannerMoment, PlannerNote,
+    PlannerSettings, StoreChange,
 };
 use geraniumshed_core::job::{
     AdvicePolicy, JobId, JobImage, JobPhase, JobRequest, QueueName, QueuePolicy, StepRequest,
@@ -65,6 +65,8 @@
     /// The newest speed of each run that was ever changed, in percent.
     pub paces: BTreeMap<TaskKey, u32>,
     pub adviser: ModelAdviser,
+    /// What the planner told of its decisions.
+    pub notes: Vec<PlannerNote>,
     /// The changes of speed that take effect later.
     ordered_paces: VecDeque<(TimePoint, TaskKey, u32)>,
     waiting: Vec<(u64, Vec<StoreChange>)>,
@@ -90,6 +92,7 @@
             doubled: Vec::new(),
             paces: BTreeMap::new(),
             adviser: ModelAdviser::default(),
+            notes: Vec::new(),
             ordered_paces: VecDeque::new(),
             waiting: Vec::new(),
             length_of: |step| step.estimate,
@@ -254,7 +257,7 @@
                 self.ordered_paces.push_back((due, task, percent));
             }
             PlannerAction::Advise(request) => self.adviser.call(request, self.now),
-            PlannerAction::Note(_) => {}
+            PlannerAction::Note(note) => self.notes.push(note),
         }
     }
 
--- a/crates/geraniumshed-core/tests/planner/main.rs
+++ b/crates/geraniumshed-core/tests/planner/main.rs
@@ -5,5 +5,6 @@
 mod leases;
 mod loads;
 mod model;
+mod notes;
 mod rules;
 mod takeover;
--- /dev/null
+++ b/crates/geraniumshed-core/tests/planner/notes.rs
@@ -0,0 +1,60 @@
+//! What the planner tells of its decisions, from which failures are explained.
+
+use std::time::Duration;
+
+use geraniumshed_core::assignment::{JobSummary, PlacementRefusal, PlannerNote};
+use geraniumshed_core::job::{JobId, JobPhase, StepRequest};
+
+use crate::fixture::{Cluster, size, step, task};
+
+fn summary(cluster: &Cluster, id: JobId) -> &JobSummary {
+    let found = cluster.notes.iter().find_map(|note| match note {
+        PlannerNote::JobEnded(summary) if summary.job == id => Some(summary),
+        _ => None,
+    });
+    found.expect("the job has ended")
+}
+
+#[test]
+fn a_step_that_waits_tells_once_why_no_worker_takes_it() {
+    let mut cluster = Cluster::with_workers(3);
+    let wide = StepRequest {
+        size: size(32_000, 16),
+        ..step(5)
+    };
+    let id = cluster.submit(1, vec![wide]);
+    cluster.advance(Duration::from_millis(800));
+    let waits = cluster.notes.iter().filter_map(|note| match note {
+        PlannerNote::StepWaits(placement, refusals) => Some((placement, refusals)),
+        _ => None,
+    });
+    let waits: Vec<_> = waits.collect();
+    let [(placement, refusals)] = waits[..] else {
+        panic!("{waits:?}");
+    };
+    assert_eq!(
+        (placement.job, placement.placed, placement.waiting),
+        (id, 3, 2)
+    );
+    assert_eq!(refusals.get(&PlacementRefusal::NoRoom), Some(&3));
+}
+
+#[test]
+fn the_end_of_a_job_tells_of_its_time_and_of_its_lost_runs() {
+    let mut cluster = Cluster::with_workers(2);
+    let id = cluster.submit(1, vec![step(1)]);
+    cluster.advance(Duration::from_millis(300));
+    let worker = cluster.starts[0].worker.clone();
+    cluster.workers.get_mut(&worker).unwrap().restart();
+    cluster.advance(Duration::from_secs(4));
+    let lost = cluster.notes.iter().any(|note| match note {
+        PlannerNote::RunLost(lost) => lost.task == task(id, 0, 0) && lost.worker == worker,
+        _ => false,
+    });
+    assert!(lost);
+    let summary = summary(&cluster, id);
+    assert_eq!(summary.phase, JobPhase::Completed);
+    assert_eq!(summary.lost_runs.get("worker restarted"), Some(&1));
+    assert!(summary.first_placed < Some(Duration::from_millis(100)));
+    assert!(summary.age > Duration::from_secs(1));
+}
--- a/crates/geraniumshed/src/command/mod.rs
+++ b/crates/geraniumshed/src/command/mod.rs
@@ -7,6 +7,7 @@
 pub mod check;
 pub mod dev;
 pub mod drain;
+pub mod explain;
 pub mod get;
 pub mod history;
 pub mod list;
--- a/crates/geraniumshed/src/command/parse.rs
+++ b/crates/geraniumshed/src/command/parse.rs
@@ -9,6 +9,7 @@
 use super::check::CheckArguments;
 use super::dev::DevArguments;
 use super::drain::DrainArguments;
+use super::explain::ExplainArguments;
 use super::get::GetArguments;
 use super::history::HistoryArguments;
 use super::list::ListArguments;
@@ -22,8 +23,8 @@
 use super::stop::StopArguments;
 use super::withdraw::WithdrawArguments;
 use super::{
-    cancel, check, dev, drain, get, history, list, loglevel, publish, resolve, run, serve, standin,
-    status, stop, withdraw,
+    cancel, check, dev, drain, explain, get, history, list, loglevel, publish, resolve, run, serve,
+    standin, status, stop, withdraw,
 };
 use crate::output::ExitStatus;
 use crate::output::exit::EXIT_CODE_HELP;
@@ -52,7 +53,7 @@
 }
 
 /// All commands.
-const COMMANDS: [CommandEntry; 17] = [
+const COMMANDS: [CommandEntry; 18] = [
     entry(
         "run",
         "--settings FILE",
@@ -61,7 +62,7 @@
     ),
     entry(
         "serve",
-        "",
+        "[--metrics-port PORT]",
         "run a daemon on the users' platform",
         |entry, words| parse_and_run::<ServeArguments>(entry, words, serve::execute),
     ),
@@ -140,6 +141,12 @@
         "show the state of the cluster",
         |entry, words| parse_and_run::<StatusArguments>(entry, words, status::execute),
     ),
+    entry(
+        "explain",
+        "JOB FILE…",
+        "tell from nodes' logs what befell a job",
+        |entry, words| parse_and_run::<ExplainArguments>(entry, words, explain::execute),
+    ),
     entry(
         "loglevel",
         "LEVEL",
--- a/crates/geraniumshed/src/command/serve.rs
+++ b/crates/geraniumshed/src/command/serve.rs
@@ -1,9 +1,11 @@
 //! `geraniumshed serve`.
 
-use flexi_logger::{LogSpecification, Logger, json_format};
+use std::net::SocketAddr;
+
 use geraniumshed_site::{ProcessSettings, serve};
 use gumdrop::Options;
 
+use crate::logging::LogHandle;
 use crate::output::ExitStatus;
 
 /// The level of the log.
@@ -14,10 +16,17 @@
 pub struct ServeArguments {
     #[options(help = "print this help")]
     help: bool,
+
+    #[options(
+        help = "the port at which metrics are served at `/metrics`; without it they are not",
+        meta = "PORT",
+        no_short
+    )]
+    metrics_port: Option<u16>,
 }
 
 /// Runs the command.
-pub fn execute(_: ServeArguments) -> ExitStatus {
+pub fn execute(arguments: ServeArguments) -> ExitStatus {
     let settings = match ProcessSettings::open() {
         Ok(settings) => settings,
         Err(error) => {
@@ -25,19 +34,20 @@
             return ExitStatus::Invalid;
         }
     };
-    let level = LogSpecification::parse(LOG_LEVEL).unwrap_or_else(|_| LogSpecification::info());
-    let logger = Logger::with(level).log_to_stdout().format(json_format);
-    let _log = match logger.start() {
+    let _log = match LogHandle::open_bounded(LOG_LEVEL) {
         Ok(log) => log,
         Err(error) => {
             eprintln!("error: the log can't be opened: {error}");
             return ExitStatus::Failure;
         }
     };
-    match run(settings) {
+    let metrics = arguments
+        .metrics_port
+        .map(|port| SocketAddr::new(settings.ip, port));
+    match run(settings, metrics) {
         Ok(()) => ExitStatus::Done,
         Err(error) => {
-            log::error!("{error}");
+            log::error!(error:% = error; "the process has failed");
             ExitStatus::Failure
         }
     }
@@ -45,6 +55,9 @@
 
 /// Serves on one thread, since an entry VM has a part of one core.
 #[tokio::main(flavor = "current_thread")]
-async fn run(settings: ProcessSettings) -> Result<(), geraniumshed_site::ServeError> {
-    serve(settings).await
+async fn run(
+    settings: ProcessSettings,
+    metrics: Option<SocketAddr>,
+) -> Result<(), geraniumshed_site::ServeError> {
+    serve(settings, metrics).await
 }
--- a/crates/geraniumshed/src/lib.rs
+++ b/crates/geraniumshed/src/lib.rs
@@ -6,5 +6,6 @@
 pub mod client;
 pub mod command;
 pub mod dev;
+pub mod explain;
 pub mod logging;
 pub mod output;
--- a/crates/geraniumshed/src/logging.rs
+++ b/crates/geraniumshed/src/logging/mod.rs
@@ -1,5 +1,8 @@
 //! The process's log.
 
+mod limiter;
+mod writer;
+
 use flexi_logger::{
     AdaptiveFormat, FlexiLoggerError, LogSpecification, Logger, LoggerHandle, json_format,
 };
@@ -9,6 +12,9 @@
 use log::LevelFilter;
 use smol_str::{ToSmolStr, format_smolstr};
 
+pub use self::limiter::{LineLimiter, LineVerdict, LogSite};
+pub use self::writer::LineWriter;
+
 /// What a level may look like.
 const LEVEL_HINT: &str =
     "use off, error, warn, info, debug or trace, also by module: `info, geraniumshed_core=debug`";
@@ -42,6 +48,21 @@
         Ok(Self { logger })
     }
 
+    /// Opens a log of JSON lines on standard output, whose volume is bounded and which nothing that
+    /// reads it can hold up.
+    ///
+    /// # Errors
+    ///
+    /// Returns `Internal` if the log can't be opened, or `Malformed` if the level can't be understood.
+    pub fn open_bounded(level: &str) -> Result<Self, ProblemError> {
+        let writer = LineWriter::spawn().map_err(|error| {
+            ProblemError::new(ErrorKind::Internal, error.to_smolstr(), "report this")
+        })?;
+        let logger = Logger::with(parse_level(level)?).log_to_writer(Box::new(writer));
+        let logger = logger.start().map_err(unusable)?;
+        Ok(Self { logger })
+    }
+
     /// Changes the level, which may differ by module.
     ///
     /// # Errors
