--- a/crates/geraniumshed-batch/src/telemetry/metrics.rs
+++ b/crates/geraniumshed-batch/src/telemetry/metrics.rs
@@ -128,12 +128,32 @@
             leading: Gauge::default(),
             config_version: Gauge::default(),
         };
+        metrics.create_usual();
         Self {
             registry: Arc::new(metrics.register()),
             ..metrics
         }
     }
 
+    /// Creates what is usually counted, so that it is served as 0 from the start.
+    fn create_usual(&self) {
+        let call = CallLabels {
+            call: CallKind::Submit,
+            outcome: outcome_name(CallOutcome::Accepted),
+        };
+        drop(self.calls.get_or_create(&call));
+        drop(self.call_seconds.get_or_create(&call));
+        let outcome = append_outcome(&Ok(()));
+        drop(self.appends.get_or_create(&OutcomeLabels { outcome }));
+        let lost = ReasonLabels { reason: "failed" };
+        drop(self.lost_runs.get_or_create(&lost));
+        let ended = EndLabels {
+            phase: phase_name(JobPhase::Completed),
+            in_time: "yes",
+        };
+        drop(self.ended_jobs.get_or_create(&ended));
+    }
+
     fn register(&self) -> Registry {
         let mut registry = Registry::with_prefix("geraniumshed");
         registry.register("calls", "Clients' calls", self.calls.clone());
--- a/crates/geraniumshed/src/logging/writer.rs
+++ b/crates/geraniumshed/src/logging/writer.rs
@@ -1,9 +1,9 @@
 //! A writer that never keeps its caller waiting.
 
-use std::io::{self, Write};
+use std::io::{self, ErrorKind, Write};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -17,33 +17,58 @@
 const WAITING_LINES: usize = 2000;
 /// The time that the last lines have at the end of the process.
 const FLUSH_LIMIT: Duration = Duration::from_millis(200);
+/// The pause before a full output is tried again.
+const FULL_PAUSE: Duration = Duration::from_millis(5);
 /// The pause between two looks whether the last lines are written.
 const FLUSH_PAUSE: Duration = Duration::from_millis(2);
 
-/// Writes lines of JSON to standard output from a thread of its own.
+/// Writes lines of JSON from a thread of its own.
 #[derive(Debug)]
 pub struct LineWriter {
     lines: SyncSender<Vec<u8>>,
     limiter: Mutex<LineLimiter>,
     /// The lines that were left out since the reader was too slow.
     overflow: AtomicU64,
-    written: std::sync::Arc<AtomicU64>,
+    written: Arc<AtomicU64>,
     sent: AtomicU64,
 }
 
+/// Standard output without a buffer, so that it is known how much of a text was taken.
+#[derive(Debug)]
+struct StandardOutput;
+
+impl Write for StandardOutput {
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
+        Ok(nix::unistd::write(io::stdout(), buf)?)
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
 impl LineWriter {
-    /// Spawns the writer.
+    /// Spawns a writer to standard output.
     ///
     /// # Errors
     ///
-    /// Returns the system's error if there can be no thread.
+    /// Returns the system's error if there is no output or can be no thread.
     pub fn spawn() -> io::Result<Self> {
+        Self::spawn_to(StandardOutput)
+    }
+
+    /// Spawns a writer to an output.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error if there can be no thread.
+    pub fn spawn_to(output: impl Write + Send + 'static) -> io::Result<Self> {
         let (lines, waiting) = sync_channel(WAITING_LINES);
-        let written = std::sync::Arc::new(AtomicU64::new(0));
-        let counter = std::sync::Arc::clone(&written);
+        let written = Arc::new(AtomicU64::new(0));
+        let counter = Arc::clone(&written);
         thread::Builder::new()
             .name("log".to_owned())
-            .spawn(move || write_lines(&waiting, &counter))?;
+            .spawn(move || write_lines(&waiting, output, &counter))?;
         Ok(Self {
             lines,
             limiter: Mutex::default(),
@@ -133,8 +158,7 @@
 }
 
 /// Writes lines until there are no more senders; a reader that has gone ends the output only.
-fn write_lines(waiting: &Receiver<Vec<u8>>, written: &AtomicU64) {
-    let mut output = io::stdout().lock();
+fn write_lines(waiting: &Receiver<Vec<u8>>, mut output: impl Write, written: &AtomicU64) {
     let mut text = Vec::new();
     while let Ok(line) = waiting.recv() {
         let mut count = 1;
@@ -145,8 +169,21 @@
             text.extend_from_slice(&line);
             count += 1;
         }
-        // There is nobody left to tell of a failure.
-        let _result = output.write_all(&text).and_then(|()| output.flush());
+        write_whole(&mut output, &text);
         written.fetch_add(count, Ordering::Release);
     }
 }
+
+/// Writes a text as a whole, also to an output that takes only a part of it at a time.
+fn write_whole(output: &mut impl Write, mut text: &[u8]) {
+    while !text.is_empty() {
+        match output.write(text) {
+            Ok(count) => text = &text[count..],
+            Err(error) => match error.kind() {
+                ErrorKind::WouldBlock | ErrorKind::Interrupted => thread::sleep(FULL_PAUSE),
+                // There is nobody left to tell.
+                _ => return,
+            },
+        }
+    }
+}
--- a/crates/geraniumshed/tests/log_limits.rs
+++ b/crates/geraniumshed/tests/log_limits.rs
@@ -1,8 +1,14 @@
-//! The bound on the volume of a log.
+//! The bound on the volume of a log, and the writer that keeps nobody waiting.
 
+use std::io::{self, ErrorKind, Write};
+use std::sync::{Arc, Mutex};
+use std::thread;
 use std::time::{Duration, Instant};
 
-use geraniumshed::logging::{LineLimiter, LineVerdict, LogSite};
+use flexi_logger::DeferredNow;
+use flexi_logger::writers::LogWriter;
+use geraniumshed::logging::{LineLimiter, LineVerdict, LineWriter, LogSite};
+use log::{Level, Record};
 
 const PLACED: LogSite = ("planner", 10);
 const LOST: LogSite = ("planner", 20);
@@ -53,3 +59,79 @@
         LineVerdict::Write { left_out: 0 }
     );
 }
+
+/// The time for which an output that is stuck takes nothing.
+const STUCK_TIME: Duration = Duration::from_mins(1);
+
+/// An output that takes a few bytes at a time, and every other time none, until it is stuck.
+#[derive(Debug, Clone)]
+struct SlowOutput {
+    text: Arc<Mutex<Vec<u8>>>,
+    calls: usize,
+    is_stuck: bool,
+}
+
+impl SlowOutput {
+    fn new(is_stuck: bool) -> Self {
+        Self {
+            text: Arc::default(),
+            calls: 0,
+            is_stuck,
+        }
+    }
+}
+
+impl Write for SlowOutput {
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
+        if self.is_stuck {
+            thread::sleep(STUCK_TIME);
+        }
+        self.calls += 1;
+        if self.calls.is_multiple_of(2) {
+            return Err(ErrorKind::WouldBlock.into());
+        }
+        let count = buf.len().min(100);
+        self.text.lock().unwrap().extend_from_slice(&buf[..count]);
+        Ok(count)
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+fn write_line(writer: &LineWriter, line: u32) {
+    let record = Record::builder()
+        .level(Level::Info)
+        .module_path_static(Some("test"))
+        .line(Some(line))
+        .args(format_args!("told"))
+        .build();
+    writer.write(&mut DeferredNow::new(), &record).unwrap();
+}
+
+#[test]
+fn an_output_that_takes_parts_gets_whole_lines() {
+    let output = SlowOutput::new(false);
+    let writer = LineWriter::spawn_to(output.clone()).unwrap();
+    for line in 0..5 {
+        write_line(&writer, line);
+    }
+    writer.flush().unwrap();
+    let text = String::from_utf8(output.text.lock().unwrap().clone()).unwrap();
+    let read: Vec<serde_json::Value> = text
+        .lines()
+        .map(|line| serde_json::from_str(line).expect("a whole line"))
+        .collect();
+    assert_eq!(read.len(), 5);
+}
+
+#[test]
+fn an_output_that_is_stuck_keeps_nobody_waiting() {
+    let writer = LineWriter::spawn_to(SlowOutput::new(true)).unwrap();
+    let begin = Instant::now();
+    for line in 0..10_000 {
+        write_line(&writer, line);
+    }
+    assert!(begin.elapsed() < Duration::from_secs(5));
+}
