Let one node append, and keep leases, while the store is slow

The store takes the appends of a topic one at a time. 40 nodes that append each job, try again and ask others to, make a queue that only grows: from the second second on, no job was accepted for 5 s (504 after 2.9 s, or 503), 160 answers in all. 2. The leader asked others whether they reach the store, heard yes, and resigned, though the store was slow for all; a takeover took 4.5 s, in which leases ran out. 3.

Nodes learn from their own appends and from heartbeats that the store is slow, and then leave their jobs to the leader, whose appends hold all that wait. They append themselves only if it can't be reached. 2. A leader that reaches the store itself stays. Leases are as long as workers grant while the store is slow, and are renewed for that long before a planned stop. A takeover reads both topics at once. 3. A worker is kept free for a long-running task that has waited: for 1 s where a twentieth of all processors is free, 6 s otherwise and then for one task at a time.

--- a/crates/geraniumshed-batch/src/handler.rs
+++ b/crates/geraniumshed-batch/src/handler.rs
@@ -87,6 +87,7 @@
             rank: rank.and_then(|rank| u32::try_from(rank).ok()),
             peers,
             config_version,
+            is_store_slow: view.is_leading && shared.sees_slow_store(),
         }
     }
 
--- a/crates/geraniumshed-batch/src/intake.rs
+++ b/crates/geraniumshed-batch/src/intake.rs
@@ -6,6 +6,8 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
 
+use crate::clock::NodeClock;
+use crate::pace::StorePace;
 use crate::store::{AnswerTime, AppendCondition, KeyedRecord, StoreClient, StoreError};
 use crate::telemetry::{DependencyWatch, NodeMetrics};
 use crate::topic::{REQUESTS, job_key};
@@ -16,7 +18,7 @@
 
 /// The shortest time after which an append counts as lost. Meanwhile, jobs are stored by way of
 /// other nodes, so that a repeat would only add to the load of a slow store.
-const SHORTEST_LIMIT: Duration = Duration::from_millis(1500);
+const SHORTEST_LIMIT: Duration = Duration::from_millis(2500);
 
 /// A job that waits to be stored.
 #[derive(Debug)]
@@ -32,14 +34,21 @@
 #[derive(Debug, Clone)]
 pub(crate) struct RequestWriter {
     sender: mpsc::UnboundedSender<WaitingJob>,
+    pace: StorePace,
 }
 
 impl RequestWriter {
     /// Spawns a writer.
-    pub(crate) fn spawn<S: StoreClient>(store: S, metrics: NodeMetrics) -> Self {
+    pub(crate) fn spawn<S: StoreClient>(store: S, clock: NodeClock, metrics: NodeMetrics) -> Self {
         let (sender, jobs) = mpsc::unbounded_channel();
-        tokio::spawn(write(store, metrics, jobs));
-        Self { sender }
+        let pace = StorePace::open(clock);
+        tokio::spawn(write(store, metrics, pace.clone(), jobs));
+        Self { sender, pace }
+    }
+
+    /// Returns how long the store takes for this node's jobs.
+    pub(crate) fn pace(&self) -> &StorePace {
+        &self.pace
     }
 
     /// Stores a job.
@@ -63,6 +72,7 @@
 async fn write<S: StoreClient>(
     store: S,
     metrics: NodeMetrics,
+    pace: StorePace,
     mut jobs: mpsc::UnboundedReceiver<WaitingJob>,
 ) {
     let mut watch = DependencyWatch::new("store, for requests");
@@ -76,12 +86,14 @@
         }
         let records = waiting.iter().map(|job| job.record.clone()).collect();
         let started = Instant::now();
+        pace.sent();
         let limit = answer_time.limit().max(SHORTEST_LIMIT);
         let appended = store
             .append(REQUESTS, records, AppendCondition::None, limit)
             .await;
         answer_time.learn(&appended, started.elapsed());
         metrics.appended(&appended, started.elapsed());
+        pace.answered(appended.is_ok());
         watch.saw(&appended);
         let result = appended.map(|_| ());
         for job in waiting.drain(..) {
--- a/crates/geraniumshed-batch/src/leader/load.rs
+++ b/crates/geraniumshed-batch/src/leader/load.rs
@@ -6,7 +6,8 @@
 use geraniumshed_core::assignment::InterferenceImage;
 use geraniumshed_core::job::{JobId, JobImage, JobPhase, JobRequest};
 use geraniumshed_core::membership::{LeaderRecord, LeaderTerm, MemberIdentity};
-use geraniumshed_model::prelude::LogOffset;
+use geraniumshed_model::prelude::{LogOffset, whole_millis};
+use tokio::time::Instant;
 
 use crate::store::{
     AppendCondition, KeyedRecord, StoreClient, StoreError, WriterMark, read_newest,
@@ -74,12 +75,24 @@
         sequence: 0,
     };
     let condition = AppendCondition::Writer(mark);
+    let started = Instant::now();
     store
         .append(PROGRESS, Vec::new(), condition, APPEND_LIMIT)
         .await?;
-    // What was acknowledged before an image was stored is there when the images are read first.
-    let (images, _) = read_newest(store, PROGRESS).await?;
-    let (requests, next_request) = read_newest(store, REQUESTS).await?;
+    let fenced_ms = whole_millis(started.elapsed());
+    // No progress is stored any more, so that the request of each job with progress is there.
+    let (images, requests) =
+        tokio::try_join!(read_newest(store, PROGRESS), read_newest(store, REQUESTS))?;
+    let ((images, _), (requests, next_request)) = (images, requests);
+    let read_ms = whole_millis(started.elapsed());
+    log::info!(
+        term:% = term,
+        fenced_ms,
+        read_ms,
+        images = images.len(),
+        requests = requests.len();
+        "what earlier leaders left was read"
+    );
     let learned = images.iter().find(|record| record.key == INTERFERENCE_KEY);
     let interference = learned.map(decode_interference).unwrap_or_default();
     let mut images: BTreeMap<JobId, JobImage> = images.iter().filter_map(decode_image).collect();
--- a/crates/geraniumshed-batch/src/leader/run.rs
+++ b/crates/geraniumshed-batch/src/leader/run.rs
@@ -16,6 +16,7 @@
 use super::load::TakeOver;
 use super::writer::{BatchWriter, WaitingSince};
 use crate::clock::NodeClock;
+use crate::pace::StorePace;
 use crate::site::{RenewOutcome, SiteFeed, WorkerCaller};
 use crate::store::StoreClient;
 use crate::telemetry::NodeMetrics;
@@ -42,6 +43,8 @@
     pub(crate) caller: W,
     /// The clocks.
     pub(crate) clock: NodeClock,
+    /// How long the store takes for progress.
+    pub(crate) progress_pace: StorePace,
     /// The counters and histograms.
     pub(crate) metrics: NodeMetrics,
     /// The planner's settings.
@@ -71,12 +74,7 @@
     W: WorkerCaller,
 {
     let (handle, events) = LeaderHandle::open();
-    let (batches, waiting) = BatchWriter::spawn(
-        context.store.clone(),
-        handle.clone(),
-        term,
-        context.metrics.clone(),
-    );
+    let (batches, waiting) = BatchWriter::spawn(&context, handle.clone(), term);
     let next_request = found.next_request;
     let store = context.store.clone();
     tokio::spawn(feed_requests(store, handle.clone(), next_request));
@@ -87,6 +85,7 @@
         caller: context.caller,
         clock: context.clock,
         metrics: context.metrics,
+        progress_pace: context.progress_pace,
         handle: handle.clone(),
         planner,
         batches,
@@ -130,6 +129,7 @@
     caller: W,
     clock: NodeClock,
     metrics: NodeMetrics,
+    progress_pace: StorePace,
     handle: LeaderHandle,
     planner: JobPlanner,
     batches: mpsc::UnboundedSender<StoreBatch>,
@@ -203,6 +203,8 @@
             self.next_revisit = now + REVISIT_PAUSE;
             self.planner.revisit();
         }
+        // A takeover takes longer while the store is slow.
+        self.planner.prolong_leases(self.progress_pace.is_slow());
         self.planner.advance(self.clock.moment());
         if self.stored == self.sent
             && self.next_append <= now
@@ -214,10 +216,14 @@
                 log::debug!("the writer has ended; its event tells why");
             }
         }
+        self.carry_out_actions();
+        self.watch_store(now);
+    }
+
+    fn carry_out_actions(&mut self) {
         for action in self.planner.take_actions() {
             carry_out(&self.caller, &self.handle, &self.metrics, action);
         }
-        self.watch_store(now);
     }
 
     /// Returns when the next step is due without any event.
@@ -286,7 +292,11 @@
             LeaderEvent::Queues(queues) => self.planner.replace_queues(queues),
             LeaderEvent::Query(query) => self.answer(query),
             LeaderEvent::Deposed => return Some(LeaderEnd::Deposed),
-            LeaderEvent::Outpaced | LeaderEvent::Resign => return Some(LeaderEnd::Resigned),
+            LeaderEvent::Outpaced | LeaderEvent::Resign => {
+                self.planner.hand_over(now);
+                self.carry_out_actions();
+                return Some(LeaderEnd::Resigned);
+            }
         }
         None
     }
--- a/crates/geraniumshed-batch/src/leader/writer.rs
+++ b/crates/geraniumshed-batch/src/leader/writer.rs
@@ -9,6 +9,8 @@
 
 use super::event::{LeaderEvent, LeaderHandle};
 use super::load::PRODUCER;
+use super::run::LeaderContext;
+use crate::pace::StorePace;
 use crate::store::{AnswerTime, AppendCondition, KeyedRecord, StoreClient, StoreError, WriterMark};
 use crate::telemetry::{DependencyWatch, NodeMetrics};
 use crate::topic::{INTERFERENCE_KEY, PROGRESS, REQUESTS, job_key};
@@ -28,6 +30,7 @@
     answer_time: AnswerTime,
     /// When the store last answered an append, for the leader to judge its silence.
     answered: tokio::sync::watch::Sender<Option<Instant>>,
+    pace: StorePace,
     metrics: NodeMetrics,
     watch: DependencyWatch,
 }
@@ -37,11 +40,10 @@
 
 impl<S: StoreClient> BatchWriter<S> {
     /// Spawns a writer and returns where it takes batches, and since when it has waited.
-    pub(super) fn spawn(
-        store: S,
+    pub(super) fn spawn<F, W>(
+        context: &LeaderContext<S, F, W>,
         handle: LeaderHandle,
         term: LeaderTerm,
-        metrics: NodeMetrics,
     ) -> (mpsc::UnboundedSender<StoreBatch>, WaitingSince) {
         let (sender, batches) = mpsc::unbounded_channel();
         let (answered, waiting) = tokio::sync::watch::channel(None);
@@ -51,12 +53,13 @@
             sequence: 0,
         };
         let writer = Self {
-            store,
+            store: context.store.clone(),
             handle,
             mark,
             answer_time: AnswerTime::default(),
             answered,
-            metrics,
+            pace: context.progress_pace.clone(),
+            metrics: context.metrics.clone(),
             watch: DependencyWatch::new("store, for progress"),
         };
         tokio::spawn(writer.run(batches));
@@ -84,6 +87,7 @@
         loop {
             let condition = AppendCondition::Writer(self.mark);
             let started = Instant::now();
+            self.pace.sent();
             let limit = self.answer_time.limit();
             let appended = self
                 .store
@@ -91,6 +95,7 @@
                 .await;
             self.answer_time.learn(&appended, started.elapsed());
             self.metrics.appended(&appended, started.elapsed());
+            self.pace.answered(appended.is_ok());
             self.watch.saw(&appended);
             match appended {
                 Ok(_) => break,
--- a/crates/geraniumshed-batch/src/lib.rs
+++ b/crates/geraniumshed-batch/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod member;
 pub mod net;
 pub mod node;
+mod pace;
 pub mod peer;
 pub mod service;
 pub mod site;
--- a/crates/geraniumshed-batch/src/member.rs
+++ b/crates/geraniumshed-batch/src/member.rs
@@ -173,6 +173,9 @@
         let rank = answer.as_ref().ok().and_then(|reply| reply.rank);
         election.beat_answered(clock.now(), verdict, rank);
         if let (BeatVerdict::Leading, Ok(reply)) = (verdict, answer) {
+            if reply.is_store_slow {
+                self.shared.intake.pace().leader_told();
+            }
             let peers = reply.peers.into_iter().map(MemberIdentity::from).collect();
             self.shared.view().peers = peers;
             self.shared
@@ -318,10 +321,14 @@
         }
     }
 
-    /// Asks peers whether they reach the store, and lets the leader resign if one does.
+    /// Asks peers whether they reach the store, and lets the leader resign if one does while this
+    /// node doesn't. A store that is slow for all nodes is no reason to change the leader.
     async fn answer_questions(self, mut questions: mpsc::UnboundedReceiver<StoreQuestion>) {
         while let Some(StoreQuestion(handle)) = questions.recv().await {
-            if self.first_with_store().await.is_some() {
+            let store = &self.shared.context.store;
+            let own = store.newest(LEADERS, None, PROBE_LIMIT);
+            let (own, other) = tokio::join!(own, self.first_with_store());
+            if own.is_err() && other.is_some() {
                 log::warn!("another node reaches the store, which doesn't answer here");
                 handle.outpace();
             }
--- a/crates/geraniumshed-batch/src/node.rs
+++ b/crates/geraniumshed-batch/src/node.rs
@@ -20,6 +20,7 @@
 use crate::intake::RequestWriter;
 use crate::leader::{LeaderContext, LeaderHandle};
 use crate::member::MemberTask;
+use crate::pace::StorePace;
 use crate::peer::{PeerPool, PeerServer};
 use crate::service::JobService;
 use crate::site::{ConfigVersion, SiteConfig, SiteFeed, WorkerCaller};
@@ -137,6 +138,11 @@
         self.config().map_or(ConfigVersion(0), |one| one.version)
     }
 
+    /// Tells whether the store is slow for this process.
+    pub(crate) fn sees_slow_store(&self) -> bool {
+        self.context.progress_pace.is_slow() || self.intake.pace().is_slow()
+    }
+
     pub(crate) fn is_stopping(&self) -> bool {
         self.is_stopping.load(Ordering::Relaxed)
     }
@@ -155,16 +161,22 @@
     ///
     /// Returns the system's error if peers can't be served.
     pub async fn spawn(settings: NodeSettings, store: S, feed: F, caller: W) -> io::Result<Self> {
+        let clock = NodeClock::start();
         let context = LeaderContext {
             store,
             feed,
             caller,
-            clock: NodeClock::start(),
+            clock,
+            progress_pace: StorePace::open(clock),
             metrics: NodeMetrics::open(),
             settings: settings.planner.clone(),
         };
         let address = settings.identity.address;
-        let intake = RequestWriter::spawn(context.store.clone(), context.metrics.clone());
+        let intake = RequestWriter::spawn(
+            context.store.clone(),
+            context.clock,
+            context.metrics.clone(),
+        );
         let shared = Arc::new(NodeShared {
             settings,
             context,
--- a/crates/geraniumshed-batch/src/service.rs
+++ b/crates/geraniumshed-batch/src/service.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use geraniumshed_core::assignment::{CancelOutcome, JobStatus};
+use geraniumshed_core::intake::AppendRoute;
 use geraniumshed_core::job::{JobId, JobPhase, JobRequest, QueueName};
 use geraniumshed_core::membership::MemberIdentity;
 use geraniumshed_model::prelude::whole_millis;
@@ -23,6 +24,8 @@
 const PEER_LIMIT: Duration = Duration::from_millis(800);
 /// The time for which a job waits for its own append before other nodes are tried as well.
 const HEDGE_DELAY: Duration = Duration::from_millis(450);
+/// The time within which the leader has to store a job while the store is slow.
+const COLLECTOR_LIMIT: Duration = Duration::from_millis(2600);
 /// The time within which a peer has to store a job.
 const RELAY_LIMIT: Duration = Duration::from_millis(1500);
 /// The pause between two attempts.
@@ -78,6 +81,18 @@
     }
 }
 
+impl From<Result<JobAnswerWire, PeerFailure>> for StoreOutcome {
+    fn from(passed: Result<JobAnswerWire, PeerFailure>) -> Self {
+        match passed {
+            Ok(JobAnswerWire::Accepted) => Self::Stored,
+            Ok(JobAnswerWire::Unavailable) | Err(PeerFailure::NotSent | PeerFailure::Refused) => {
+                Self::NotStored
+            }
+            Ok(_) | Err(PeerFailure::Unanswered) => Self::Undecided,
+        }
+    }
+}
+
 /// Takes clients' calls; its clones share the node.
 #[derive(Debug)]
 pub struct JobService<S, F: SiteFeed, W> {
@@ -148,27 +163,38 @@
         CallOutcome::Unavailable
     }
 
-    /// Stores a job itself, and by way of other nodes if the store refuses or takes long.
+    /// Stores a job by the node that should, and by way of others if that fails or takes long.
     async fn store_hedged(&self, id: JobId, body: &JobRequestWire) -> StoreOutcome {
-        let own = self.shared.intake.store(id, body);
-        tokio::pin!(own);
-        if let Ok(result) = timeout(HEDGE_DELAY, &mut own).await {
-            return match StoreOutcome::from(result) {
-                StoreOutcome::Stored => StoreOutcome::Stored,
-                other => other.or(self.store_by_peers(id, body).await),
-            };
+        if self.shared.intake.pace().route() == AppendRoute::Collector
+            && let Some(outcome) = self.store_by_collector(id, body).await
+        {
+            return outcome;
         }
+        let own = async { StoreOutcome::from(self.shared.intake.store(id, body).await) };
         let peers = self.store_by_peers(id, body);
-        tokio::pin!(peers);
-        tokio::select! {
-            result = &mut own => match StoreOutcome::from(result) {
-                StoreOutcome::Stored => StoreOutcome::Stored,
-                other => other.or(peers.await),
-            },
-            outcome = &mut peers => match outcome {
-                StoreOutcome::Stored => StoreOutcome::Stored,
-                other => other.or(own.await.into()),
-            },
+        hedge(own, peers, HEDGE_DELAY).await
+    }
+
+    /// Stores a job by the leader; nothing is returned if there is no other node that leads, or none
+    /// that can be reached.
+    ///
+    /// An append beside the leader's would only add to the load of a slow store.
+    async fn store_by_collector(&self, id: JobId, body: &JobRequestWire) -> Option<StoreOutcome> {
+        let leader = self.shared.view().leader.clone()?.member;
+        if leader == self.shared.settings.identity {
+            return None;
+        }
+        let call = JobCallWire::Submit(id.0, body.clone());
+        let started = Instant::now();
+        let pool = &self.shared.pool;
+        let passed = pool.call(leader.address, call, COLLECTOR_LIMIT).await;
+        if passed == Ok(JobAnswerWire::Accepted) {
+            let taken = started.elapsed();
+            self.shared.intake.pace().collector_answered(taken);
+        }
+        match passed {
+            Err(PeerFailure::NotSent | PeerFailure::Refused) => None,
+            passed => Some(passed.into()),
         }
     }
 
@@ -182,12 +208,7 @@
                 .pool
                 .call(member.address, call.clone(), RELAY_LIMIT)
                 .await;
-            outcome = outcome.or(match passed {
-                Ok(JobAnswerWire::Accepted) => StoreOutcome::Stored,
-                Ok(JobAnswerWire::Unavailable)
-                | Err(PeerFailure::NotSent | PeerFailure::Refused) => StoreOutcome::NotStored,
-                Ok(_) | Err(PeerFailure::Unanswered) => StoreOutcome::Undecided,
-            });
+            outcome = outcome.or(passed.into());
             if outcome == StoreOutcome::Stored {
                 break;
             }
@@ -297,6 +318,30 @@
     }
 }
 
+/// Tries a way to store a job, and another one beside it if the first fails or takes long.
+async fn hedge(
+    first: impl Future<Output = StoreOutcome>,
+    second: impl Future<Output = StoreOutcome>,
+    delay: Duration,
+) -> StoreOutcome {
+    tokio::pin!(first, second);
+    if let Ok(outcome) = timeout(delay, &mut first).await {
+        return match outcome {
+            StoreOutcome::Stored => StoreOutcome::Stored,
+            other => other.or(second.await),
+        };
+    }
+    let (outcome, other) = tokio::select! {
+        outcome = &mut first => (outcome, None),
+        outcome = &mut second => (outcome, Some(())),
+    };
+    match (outcome, other) {
+        (StoreOutcome::Stored, _) => StoreOutcome::Stored,
+        (outcome, None) => outcome.or(second.await),
+        (outcome, Some(())) => outcome.or(first.await),
+    }
+}
+
 /// Asks the planner of this process; returns nothing if it ends or takes too long.
 pub(crate) async fn ask_own(
     handle: &LeaderHandle,
--- a/crates/geraniumshed-batch/src/wire/peer.rs
+++ b/crates/geraniumshed-batch/src/wire/peer.rs
@@ -34,6 +34,8 @@
     pub peers: Vec<MemberWire>,
     /// The version of the configuration in force.
     pub config_version: u64,
+    /// Whether the process leads and finds the store slow.
+    pub is_store_slow: bool,
 }
 
 /// The calls between nodes.
--- a/crates/geraniumshed-core/src/assignment/placement.rs
+++ b/crates/geraniumshed-core/src/assignment/placement.rs
@@ -44,6 +44,8 @@
 pub enum PlacementRefusal {
     /// It is silent, about to leave, or not trusted for now.
     Unavailable,
+    /// It is kept free for a long-running task.
+    Held,
     /// The task doesn't fit beside what runs there.
     NoRoom,
     /// It lacks the label that the step requires.
@@ -62,6 +64,7 @@
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             Self::Unavailable => "unavailable",
+            Self::Held => "held",
             Self::NoRoom => "no-room",
             Self::NoLabel => "no-label",
             Self::WorkerLimit => "worker-limit",
@@ -173,6 +176,19 @@
         counts
     }
 
+    /// Tells whether the worker could run the task once its short tasks have ended.
+    pub(super) fn would_fit(&self, worker: &WorkerEntry) -> bool {
+        let is_full = matches!(self.refusal(worker), Some(PlacementRefusal::NoRoom));
+        worker.listing.service == *self.service
+            && is_full
+            && self.has_label(worker)
+            && self.is_below_limit(worker)
+            && self
+                .step
+                .reserved_size()
+                .fits(&worker.size_beside_lasting())
+    }
+
     /// Tells whether the worker may run the task and has room for it.
     fn is_allowed(&self, worker: &WorkerEntry) -> bool {
         worker.listing.service == *self.service && self.refusal(worker).is_none()
@@ -182,6 +198,8 @@
     fn refusal(&self, worker: &WorkerEntry) -> Option<PlacementRefusal> {
         if !worker.takes_tasks(self.now) {
             Some(PlacementRefusal::Unavailable)
+        } else if worker.held_for.is_some_and(|task| task != self.task) {
+            Some(PlacementRefusal::Held)
         } else if !self.step.reserved_size().fits(&worker.free_size()) {
             Some(PlacementRefusal::NoRoom)
         } else if !self.has_label(worker) {
--- a/crates/geraniumshed-core/src/assignment/placing.rs
+++ b/crates/geraniumshed-core/src/assignment/placing.rs
@@ -44,6 +44,7 @@
 impl JobPlanner {
     /// Gives workers to all tasks that can start now.
     pub(super) fn place_tasks(&mut self, now: PlannerMoment) {
+        self.release_held(now);
         let mut steps = self.ready_steps(now);
         steps.sort_unstable();
         let mut pass = PlacementPass::default();
@@ -130,28 +131,31 @@
         let least_speed = startable.least_speed;
         let service = &policy.service;
         // What other steps are advised says nothing of this one.
-        let has_failed = policy.advice.is_none() && pass.has_failed(service, step, least_speed);
+        let mut has_failed = policy.advice.is_none() && pass.has_failed(service, step, least_speed);
         let mut rack = self.step_rack(step, startable.ready);
         let mut placed = 0;
         for (place, key) in startable.keys.iter().copied().enumerate() {
-            if has_failed && !self.has_history(key) {
+            // All tasks of a step ask for the same; those with a history may fit elsewhere.
+            let differs = self.has_history(key) || self.is_held(key);
+            if has_failed && !differs {
+                self.hold_worker(now, startable, key);
                 continue;
             }
             let chosen = self.choose_worker(now.point, startable, key, rack.as_ref());
-            let Some(worker) = chosen else {
-                // All tasks of a step ask for the same; those with a history may fit elsewhere.
-                if self.has_history(key) {
-                    continue;
-                }
+            if let Some(worker) = chosen {
+                self.place_task(now.point, step, key, &worker);
+                placed += 1;
+                rack = rack.or_else(|| self.step_rack(step, startable.ready));
+                continue;
+            }
+            self.hold_worker(now, startable, key);
+            if !differs {
                 if policy.advice.is_none() {
                     pass.query_failed(service, step, least_speed);
                 }
                 self.seek_permission(now.point, startable, place);
-                break;
-            };
-            self.place_task(now.point, step, key, &worker);
-            placed += 1;
-            rack = rack.or_else(|| self.step_rack(step, startable.ready));
+                has_failed = true;
+            }
         }
         placed
     }
@@ -171,7 +175,12 @@
         if placed > 0 {
             job.story.placed(now.unix_ms);
         }
-        let begins_to_wait = job.story.waits(occurrence, step, waiting > 0);
+        let begins_to_wait = if waiting > 0 {
+            job.story.waits(occurrence, step, now.unix_ms)
+        } else {
+            job.story.waits_no_more(occurrence, step);
+            false
+        };
         let age_ms = now.unix_ms.saturating_sub(job.request.submitted_unix_ms);
         let note = PlacementNote {
             job: id,
@@ -241,7 +250,7 @@
     }
 
     /// Describes what a task asks of its worker.
-    fn query<'a>(
+    pub(super) fn query<'a>(
         &'a self,
         now: TimePoint,
         startable: &StartableStep<'a>,
--- a/crates/geraniumshed-core/src/assignment/planner.rs
+++ b/crates/geraniumshed-core/src/assignment/planner.rs
@@ -16,8 +16,8 @@
 use super::rank::allowed_time;
 use super::settings::PlannerSettings;
 use crate::job::{
-    JobEntry, JobId, JobImage, JobPhase, JobRequest, QueueName, QueuePolicy, QueueTable, TaskPhase,
-    WorkerId,
+    JobEntry, JobId, JobImage, JobPhase, JobRequest, QueueName, QueuePolicy, QueueTable, TaskKey,
+    TaskPhase, WorkerId,
 };
 use crate::worker::{FenceToken, RenewMark, WorkerEntry};
 
@@ -41,8 +41,16 @@
     pub(super) interference: InterferenceModel,
     pub(super) advice: AdviceBook,
     pub(super) actions: Vec<PlannerAction>,
+    /// Whether orders ask for the longest lease.
+    pub(super) prolongs_leases: bool,
+    /// Whether a successor takes over.
+    pub(super) is_handing_over: bool,
+    /// The workers that are kept free for a long-running task that found no room.
+    pub(super) held_workers: BTreeMap<TaskKey, WorkerId>,
     /// Whether something has changed since tasks were last placed.
     pub(super) is_placing_due: bool,
+    /// When a worker may be searched for that is kept free.
+    pub(super) next_hold: TimePoint,
     next_watch: TimePoint,
     next_cleanup: TimePoint,
     /// When what was learned of interference is stored again.
@@ -71,7 +79,11 @@
             interference: InterferenceModel::default(),
             advice: AdviceBook::default(),
             actions: Vec::new(),
+            prolongs_leases: false,
+            is_handing_over: false,
+            held_workers: BTreeMap::new(),
             is_placing_due: false,
+            next_hold: TimePoint::default(),
             next_watch: TimePoint::default(),
             next_cleanup: TimePoint::default(),
             next_learned: TimePoint::default(),
@@ -279,7 +291,7 @@
     }
 
     /// Stops the run of a task, wherever it was placed.
-    fn stop_task(&mut self, now: TimePoint, key: crate::job::TaskKey) {
+    fn stop_task(&mut self, now: TimePoint, key: TaskKey) {
         let task = self.jobs.get(&key.job).and_then(|job| job.task(key));
         let Some(TaskPhase::Placed(worker)) = task.map(|task| &task.phase) else {
             return;
--- /dev/null
+++ b/crates/geraniumshed-core/src/assignment/renewals.rs
@@ -0,0 +1,114 @@
+//! The renewal of leases, by which the planner also reads what workers run.
+
+use std::time::Duration;
+
+use geraniumshed_model::prelude::TimePoint;
+
+use super::action::{PlannerAction, PlannerMoment};
+use super::planner::JobPlanner;
+use crate::job::WorkerId;
+use crate::worker::{RenewMark, RenewRequest, RunPhase, WorkerCall, WorkerEntry};
+
+impl JobPlanner {
+    /// Sets whether leases are as long as workers grant, since a successor would need long to renew
+    /// them.
+    pub fn prolong_leases(&mut self, prolongs: bool) {
+        self.prolongs_leases = prolongs;
+    }
+
+    /// Renews all leases for as long as workers grant, so that they last until a successor has
+    /// taken over.
+    pub fn hand_over(&mut self, now: PlannerMoment) {
+        self.prolongs_leases = true;
+        self.is_handing_over = true;
+        for entry in self.workers.values_mut() {
+            entry.renewal = None;
+            entry.next_renewal_at = TimePoint::default();
+        }
+        self.send_renewals(now.point);
+    }
+
+    /// Returns the lease that orders ask for.
+    pub(super) fn lease_length(&self) -> Duration {
+        if self.prolongs_leases {
+            self.settings.longest_lease
+        } else {
+            self.settings.lease
+        }
+    }
+
+    /// Asks a worker at once for its runs, with a token above that of all orders on their way.
+    pub(super) fn ask_anew(&mut self, worker: &WorkerId) {
+        if let Some(entry) = self.workers.get_mut(worker) {
+            entry.raise_token();
+            entry.renewal = None;
+            entry.next_renewal_at = TimePoint::default();
+        }
+    }
+
+    /// Lets the next renewal wait for ends to be stored, since the worker answers at once as long as
+    /// it lists any. A store that takes long must not keep the lease from being renewed.
+    pub(super) fn put_off_renewal(&mut self, now: TimePoint, worker: &WorkerId) {
+        let pause = self.settings.storing_renewal_pause;
+        let entry = self.workers.get_mut(worker);
+        if let Some(entry) = entry.filter(|entry| !entry.storing_ends.is_empty()) {
+            entry.next_renewal_at = now + pause;
+        }
+    }
+
+    /// Sends the renewals that are due.
+    pub(super) fn send_renewals(&mut self, now: TimePoint) {
+        let lease = self.lease_length();
+        for (id, entry) in &mut self.workers {
+            let is_due = entry.renewal.is_none() && entry.next_renewal_at <= now;
+            if !is_due || !entry.has_address() {
+                continue;
+            }
+            let is_quick = entry.silent_calls > 0
+                || !entry.is_adopted
+                || entry.has_unsettled()
+                || self.is_handing_over;
+            let wait = if is_quick {
+                Duration::ZERO
+            } else if entry.has_latency_target() {
+                self.settings.watched_renewal_wait
+            } else {
+                self.settings.renewal_wait
+            };
+            // Calls that may arrive without an answer would put off the end of a silent worker's lease.
+            let deadline = if entry.silent_calls > 0 {
+                None
+            } else {
+                entry.extend_lease(now, lease)
+            };
+            let mark = RenewMark {
+                sent_at: now,
+                token: entry.token,
+            };
+            entry.renewal = Some(mark);
+            let call = WorkerCall {
+                worker: id.clone(),
+                address: entry.listing.address,
+                token: entry.token,
+                body: RenewRequest {
+                    last_stored_end: entry.stored_end,
+                    deadline,
+                    wait,
+                },
+            };
+            self.actions.push(PlannerAction::Renew(call, mark));
+        }
+    }
+}
+
+impl WorkerEntry {
+    fn has_unsettled(&self) -> bool {
+        self.runs
+            .values()
+            .any(|run| matches!(run.phase, RunPhase::Unsettled(_)))
+    }
+
+    fn has_address(&self) -> bool {
+        self.listing.address.port() != 0
+    }
+}
--- a/crates/geraniumshed-core/src/assignment/starting.rs
+++ b/crates/geraniumshed-core/src/assignment/starting.rs
@@ -71,13 +71,14 @@
             self.permission(job, start.task.into()),
             StepPermission::Anywhere
         );
+        let lease = self.lease_length();
         let Some(worker) = self.workers.get_mut(&start.worker) else {
             return;
         };
         let advice = self.advice.step(start.task.into());
         let ticket = advice.and_then(|advice| advice.ticket(&start.worker, worker.life, now.point));
         let ticket = ticket.cloned();
-        let deadline = worker.extend_lease(now.point, self.settings.lease);
+        let deadline = worker.extend_lease(now.point, lease);
         let Some(run) = worker.runs.get_mut(&start.task) else {
             return;
         };
--- a/crates/geraniumshed-core/src/assignment/worker_events.rs
+++ b/crates/geraniumshed-core/src/assignment/worker_events.rs
@@ -1,7 +1,6 @@
 //! What workers answer, and what follows from their silence.
 
 use std::collections::BTreeMap;
-use std::time::Duration;
 
 use geraniumshed_model::prelude::TimePoint;
 
@@ -14,8 +13,8 @@
 use super::upkeep::WHOLE_PERCENT;
 use crate::job::{TaskKey, WorkerId};
 use crate::worker::{
-    RenewMark, RenewReply, RenewRequest, RunPhase, RunReport, StartReply, WorkerCall, WorkerEntry,
-    WorkerFailure, WorkerLife,
+    RenewMark, RenewReply, RunPhase, RunReport, StartReply, WorkerCall, WorkerEntry, WorkerFailure,
+    WorkerLife,
 };
 
 impl JobPlanner {
@@ -76,15 +75,6 @@
         }
     }
 
-    /// Asks a worker at once for its runs, with a token above that of all orders on their way.
-    pub(super) fn ask_anew(&mut self, worker: &WorkerId) {
-        if let Some(entry) = self.workers.get_mut(worker) {
-            entry.raise_token();
-            entry.renewal = None;
-            entry.next_renewal_at = TimePoint::default();
-        }
-    }
-
     /// Takes the answer to the order to stop a run.
     pub fn stop_answered(&mut self, worker: &WorkerId, reply: Result<(), WorkerFailure>) {
         if let (Some(entry), Err(_)) = (self.workers.get_mut(worker), reply) {
@@ -138,16 +128,6 @@
         self.pace(now.point, worker);
     }
 
-    /// Lets the next renewal wait for ends to be stored, since the worker answers at once as long as
-    /// it lists any. A store that takes long must not keep the lease from being renewed.
-    fn put_off_renewal(&mut self, now: TimePoint, worker: &WorkerId) {
-        let pause = self.settings.storing_renewal_pause;
-        let entry = self.workers.get_mut(worker);
-        if let Some(entry) = entry.filter(|entry| !entry.storing_ends.is_empty()) {
-            entry.next_renewal_at = now + pause;
-        }
-    }
-
     /// Takes note that a renewal got no usable answer.
     pub fn renewal_failed(
         &mut self,
@@ -359,46 +339,6 @@
             }
         }
     }
-
-    /// Sends the renewals that are due.
-    pub(super) fn send_renewals(&mut self, now: TimePoint) {
-        for (id, entry) in &mut self.workers {
-            let is_due = entry.renewal.is_none() && entry.next_renewal_at <= now;
-            if !is_due || !entry.has_address() {
-                continue;
-            }
-            let is_quick = entry.silent_calls > 0 || !entry.is_adopted || entry.has_unsettled();
-            let wait = if is_quick {
-                Duration::ZERO
-            } else if entry.has_latency_target() {
-                self.settings.watched_renewal_wait
-            } else {
-                self.settings.renewal_wait
-            };
-            // Calls that may arrive without an answer would put off the end of a silent worker's lease.
-            let deadline = if entry.silent_calls > 0 {
-                None
-            } else {
-                entry.extend_lease(now, self.settings.lease)
-            };
-            let mark = RenewMark {
-                sent_at: now,
-                token: entry.token,
-            };
-            entry.renewal = Some(mark);
-            let call = WorkerCall {
-                worker: id.clone(),
-                address: entry.listing.address,
-                token: entry.token,
-                body: RenewRequest {
-                    last_stored_end: entry.stored_end,
-                    deadline,
-                    wait,
-                },
-            };
-            self.actions.push(PlannerAction::Renew(call, mark));
-        }
-    }
 }
 
 impl WorkerEntry {
@@ -423,14 +363,4 @@
             self.next_renewal_at = self.next_renewal_at.min(now);
         }
     }
-
-    fn has_unsettled(&self) -> bool {
-        self.runs
-            .values()
-            .any(|run| matches!(run.phase, RunPhase::Unsettled(_)))
-    }
-
-    fn has_address(&self) -> bool {
-        self.listing.address.port() != 0
-    }
 }
--- /dev/null
+++ b/crates/geraniumshed-core/src/intake/mod.rs
@@ -0,0 +1,5 @@
+//! How the jobs that many nodes take reach the store.
+
+mod pace;
+
+pub use pace::{AppendPace, AppendRoute};
--- a/crates/geraniumshed-core/src/lib.rs
+++ b/crates/geraniumshed-core/src/lib.rs
@@ -4,6 +4,7 @@
 //! as arguments, actions go out as values, and one seed gives one run.
 
 pub mod assignment;
+pub mod intake;
 pub mod job;
 pub mod member;
 pub mod membership;
--- a/crates/geraniumshed-core/src/worker/entry.rs
+++ b/crates/geraniumshed-core/src/worker/entry.rs
@@ -79,6 +79,8 @@
     pub ended_loads: Vec<(LoadShare, TimePoint)>,
     /// How far the worker is trusted with new tasks.
     pub trust: WorkerTrust,
+    /// The long-running task for which the worker is kept free.
+    pub held_for: Option<TaskKey>,
 }
 
 impl WorkerEntry {
@@ -110,6 +112,7 @@
             usual_load: BTreeMap::new(),
             ended_loads: Vec::new(),
             trust: WorkerTrust::default(),
+            held_for: None,
         }
     }
 
@@ -132,6 +135,13 @@
         self.listing.capacity.minus(&self.reserved)
     }
 
+    /// Returns what long-running tasks leave once all others have ended.
+    pub fn size_beside_lasting(&self) -> ResourceSize {
+        let lasting = self.runs.values().filter(|run| run.is_long_running);
+        let reserved = lasting.fold(ResourceSize::default(), |sum, run| sum.plus(&run.reserved));
+        self.listing.capacity.minus(&reserved)
+    }
+
     /// Takes note of the pressure that best-effort runs may add to each image that is served here.
     pub fn set_rooms(&mut self, rooms: BTreeMap<SmolStr, f64>) {
         self.rooms = rooms;
--- a/crates/geraniumshed-core/tests/planner/fixture.rs
+++ b/crates/geraniumshed-core/tests/planner/fixture.rs
@@ -176,9 +176,22 @@
             self.planner.revisit();
             self.planner.advance(self.moment());
             self.store();
-            for action in self.planner.take_actions() {
-                self.carry_out(action);
-            }
+            self.carry_out_actions();
+        }
+    }
+
+    /// Lets time pass in which nobody leads.
+    pub fn pass_without_planner(&mut self, span: Duration) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now = self.now + STEP;
+            self.run_workers();
+        }
+    }
+
+    pub fn carry_out_actions(&mut self) {
+        for action in self.planner.take_actions() {
+            self.carry_out(action);
         }
     }
 
--- a/crates/geraniumshed-core/tests/planner/leases.rs
+++ b/crates/geraniumshed-core/tests/planner/leases.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use geraniumshed_core::job::{JobPhase, StepRequest};
+use rstest::rstest;
 
 use crate::fixture::{Cluster, step, task};
 
@@ -91,3 +92,29 @@
     let id = cluster.starts[0].task.job;
     assert_eq!(cluster.phase(id), Some(JobPhase::Completed));
 }
+
+/// A takeover beside a slow store takes longer than a usual lease lasts.
+#[rstest]
+#[case::planned_stop(true, false)]
+#[case::loss_beside_a_slow_store(false, true)]
+fn leases_last_until_a_slow_takeover_has_ended(
+    #[case] is_planned: bool,
+    #[case] is_store_slow: bool,
+) {
+    let mut cluster = Cluster::with_workers(4);
+    let lasting = StepRequest {
+        is_long_running: true,
+        ..step(8)
+    };
+    cluster.submit(1, vec![lasting]);
+    cluster.planner.prolong_leases(is_store_slow);
+    cluster.advance(Duration::from_secs(3));
+    if is_planned {
+        cluster.planner.hand_over(cluster.moment());
+        cluster.carry_out_actions();
+    }
+    cluster.pass_without_planner(Duration::from_millis(4_800));
+    cluster.replace_planner();
+    cluster.advance(Duration::from_secs(1));
+    assert_eq!(cluster.starts.len(), 8, "no task had to start again");
+}
--- a/crates/geraniumshed-core/tests/planner/loads.rs
+++ b/crates/geraniumshed-core/tests/planner/loads.rs
@@ -3,9 +3,11 @@
 use std::time::Duration;
 
 use geraniumshed_core::job::{JobId, JobPhase, StepRequest};
+use geraniumshed_core::worker::EndKind;
+use rstest::rstest;
 use smol_str::SmolStr;
 
-use crate::fixture::{Cluster, size, step, worker};
+use crate::fixture::{Cluster, size, step, task, worker};
 
 /// The pressure of each processor of an image of which a single run is too much.
 const HARD_PRESSURE: f64 = 0.3;
@@ -278,3 +280,44 @@
     assert!(has_started(long));
     assert!(!has_started(short));
 }
+
+/// Pattern: fragmentation. Short tasks fill every gap before a larger long-running task fits, whose
+/// run has failed; where tasks are of five processors, the room that is left would do in one place.
+#[rstest]
+#[case::scattered(5_000, 3)]
+#[case::crowded(2_000, 9)]
+fn a_long_running_task_finds_room_among_a_stream_of_short_ones(
+    #[case] short_processors: u32,
+    #[case] longest_gap_s: u64,
+) {
+    let mut cluster = Cluster::with_workers(4);
+    let large = StepRequest {
+        is_long_running: true,
+        size: size(14_000, 16),
+        ..step(4)
+    };
+    let id = cluster.submit(1, vec![large]);
+    cluster.advance(Duration::from_secs(2));
+    let victim = cluster.starts[0].worker.clone();
+    for number in 0..800 {
+        // More than the workers can take, each task small enough for any gap.
+        let short = StepRequest {
+            estimate: Duration::from_millis(700 + number * 83 % 600),
+            size: size(short_processors, 2),
+            ..step(1)
+        };
+        cluster.submit(100 + number, vec![short]);
+        cluster.advance(Duration::from_millis(20));
+        if number == 200 {
+            let worker = cluster.workers.get_mut(&victim).unwrap();
+            worker.end(task(id, 0, 0), EndKind::Failed);
+        }
+    }
+    let runs = cluster.starts_of(task(id, 0, 0));
+    assert_eq!(runs.len(), 2);
+    let failed_at = runs[0].at + Duration::from_secs(6);
+    let gap = runs[1].at.since(failed_at);
+    assert!(gap < Duration::from_secs(longest_gap_s), "away for {gap:?}");
+    let short = cluster.starts.iter().filter(|start| start.task.job != id);
+    assert!(short.count() > 150, "short tasks go on meanwhile");
+}
