Take a store that refuses or loses calls for no slow one

A refused append counted as slow, so that jobs went to a leader that was refused as well, whose append could then hang for 2.5 s.

Change: only appends that are stored, or wait, tell of a slow store; a job that the leader certainly didn't store is tried by the node itself and by others; the limit of an append is 1.5 s again. Leases beside a slow store are of seven seconds at most, since a lost worker's tasks wait for them. Beside: shorter functions, the builders of the planner's tests in a file of their own.

A new case of the model fails without it.

--- a/crates/geraniumshed-batch/src/intake.rs
+++ b/crates/geraniumshed-batch/src/intake.rs
@@ -18,7 +18,7 @@
 
 /// The shortest time after which an append counts as lost. Meanwhile, jobs are stored by way of
 /// other nodes, so that a repeat would only add to the load of a slow store.
-const SHORTEST_LIMIT: Duration = Duration::from_millis(2500);
+const SHORTEST_LIMIT: Duration = Duration::from_millis(1500);
 
 /// A job that waits to be stored.
 #[derive(Debug)]
--- a/crates/geraniumshed-batch/src/leader/load.rs
+++ b/crates/geraniumshed-batch/src/leader/load.rs
@@ -81,9 +81,8 @@
         .await?;
     let fenced_ms = whole_millis(started.elapsed());
     // No progress is stored any more, so that the request of each job with progress is there.
-    let (images, requests) =
+    let ((images, _), (requests, next_request)) =
         tokio::try_join!(read_newest(store, PROGRESS), read_newest(store, REQUESTS))?;
-    let ((images, _), (requests, next_request)) = (images, requests);
     let read_ms = whole_millis(started.elapsed());
     log::info!(
         term:% = term,
--- a/crates/geraniumshed-batch/src/pace.rs
+++ b/crates/geraniumshed-batch/src/pace.rs
@@ -43,7 +43,7 @@
         self.lock().leader_told(self.clock.now());
     }
 
-    /// Tells whether the store is slow or refuses.
+    /// Tells whether the store is slow.
     pub(crate) fn is_slow(&self) -> bool {
         self.lock().is_slow(self.clock.now())
     }
--- a/crates/geraniumshed-batch/src/service.rs
+++ b/crates/geraniumshed-batch/src/service.rs
@@ -175,8 +175,8 @@
         hedge(own, peers, HEDGE_DELAY).await
     }
 
-    /// Stores a job by the leader; nothing is returned if there is no other node that leads, or none
-    /// that can be reached.
+    /// Stores a job by the leader; nothing is returned if no other node leads, or if the leader
+    /// certainly hasn't stored it.
     ///
     /// An append beside the leader's would only add to the load of a slow store.
     async fn store_by_collector(&self, id: JobId, body: &JobRequestWire) -> Option<StoreOutcome> {
@@ -192,10 +192,7 @@
             let taken = started.elapsed();
             self.shared.intake.pace().collector_answered(taken);
         }
-        match passed {
-            Err(PeerFailure::NotSent | PeerFailure::Refused) => None,
-            passed => Some(passed.into()),
-        }
+        Some(StoreOutcome::from(passed)).filter(|outcome| *outcome != StoreOutcome::NotStored)
     }
 
     /// Stores a job by way of nodes that may reach the store, one after the other.
@@ -331,14 +328,15 @@
             other => other.or(second.await),
         };
     }
-    let (outcome, other) = tokio::select! {
-        outcome = &mut first => (outcome, None),
-        outcome = &mut second => (outcome, Some(())),
-    };
-    match (outcome, other) {
-        (StoreOutcome::Stored, _) => StoreOutcome::Stored,
-        (outcome, None) => outcome.or(second.await),
-        (outcome, Some(())) => outcome.or(first.await),
+    tokio::select! {
+        outcome = &mut first => match outcome {
+            StoreOutcome::Stored => StoreOutcome::Stored,
+            other => other.or(second.await),
+        },
+        outcome = &mut second => match outcome {
+            StoreOutcome::Stored => StoreOutcome::Stored,
+            other => other.or(first.await),
+        },
     }
 }
 
--- a/crates/geraniumshed-core/src/assignment/holding.rs
+++ b/crates/geraniumshed-core/src/assignment/holding.rs
@@ -5,7 +5,7 @@
 use super::action::PlannerMoment;
 use super::placing::StartableStep;
 use super::planner::JobPlanner;
-use crate::job::{JobEntry, TaskKey, WorkerId};
+use crate::job::{JobEntry, ServiceName, TaskKey, WorkerId};
 use crate::worker::WorkerEntry;
 
 /// The time for which a task waits for a gap where room is scattered, before one is made for it.
@@ -32,33 +32,21 @@
         key: TaskKey,
     ) {
         let is_due = startable.step.is_long_running && self.next_hold <= now.point;
-        if !is_due || self.is_held(key) {
+        let waited = self.waited(now, key);
+        if !is_due || self.is_held(key) || waited < SCATTERED_WAIT {
             return;
         }
-        let story = self.jobs.get(&key.job).map(|job| &job.story);
-        let since = story.and_then(|story| story.waits_since(key.occurrence, key.step));
-        let waited = now.unix_ms.saturating_sub(since.unwrap_or(now.unix_ms));
-        let waited = Duration::from_millis(waited);
-        if waited < SCATTERED_WAIT {
+        self.next_hold = now.point + HOLD_PAUSE;
+        let (wait, limit) = self.hold_terms(&startable.policy.service);
+        if waited < wait || self.held_workers.len() >= limit {
             return;
         }
-        self.next_hold = now.point + HOLD_PAUSE;
         let Some(query) = self.query(now.point, startable, key, None) else {
             return;
         };
-        let own = || {
-            let workers = self.workers.values();
-            workers.filter(|worker| worker.listing.service == startable.policy.service)
-        };
-        let (wait, limit) = if has_scattered_room(own()) {
-            (SCATTERED_WAIT, self.workers.len() / HOLD_SHARE + 1)
-        } else {
-            (CROWDED_WAIT, 1)
-        };
-        if waited < wait || self.held_workers.len() >= limit {
-            return;
-        }
-        let emptiest = own()
+        let emptiest = self
+            .workers
+            .values()
             .filter(|worker| worker.held_for.is_none() && query.would_fit(worker))
             .max_by_key(|worker| worker.free_size().processors)
             .map(|worker| worker.id().clone());
@@ -67,6 +55,26 @@
         }
     }
 
+    /// Returns the time for which a task's step has waited for workers.
+    fn waited(&self, now: PlannerMoment, key: TaskKey) -> Duration {
+        let story = self.jobs.get(&key.job).map(|job| &job.story);
+        let since = story.and_then(|story| story.waits_since(key.occurrence, key.step));
+        let waited = now.unix_ms.saturating_sub(since.unwrap_or(now.unix_ms));
+        Duration::from_millis(waited)
+    }
+
+    /// Returns for how long a task has to wait before a worker is kept free for it, and how many
+    /// workers may be.
+    fn hold_terms(&self, service: &ServiceName) -> (Duration, usize) {
+        let workers = self.workers.values();
+        let own = workers.filter(|worker| worker.listing.service == *service);
+        if has_scattered_room(own) {
+            (SCATTERED_WAIT, self.workers.len() / HOLD_SHARE + 1)
+        } else {
+            (CROWDED_WAIT, 1)
+        }
+    }
+
     /// Tells whether a worker is kept free for a task.
     pub(super) fn is_held(&self, key: TaskKey) -> bool {
         self.held_workers.contains_key(&key)
--- a/crates/geraniumshed-core/src/assignment/renewals.rs
+++ b/crates/geraniumshed-core/src/assignment/renewals.rs
@@ -10,14 +10,12 @@
 use crate::worker::{RenewMark, RenewRequest, RunPhase, WorkerCall, WorkerEntry};
 
 impl JobPlanner {
-    /// Sets whether leases are as long as workers grant, since a successor would need long to renew
-    /// them.
+    /// Sets whether leases are prolonged, since a successor would need long to renew them.
     pub fn prolong_leases(&mut self, prolongs: bool) {
         self.prolongs_leases = prolongs;
     }
 
-    /// Renews all leases for as long as workers grant, so that they last until a successor has
-    /// taken over.
+    /// Renews all leases for longer than usual, so that they last until a successor has taken over.
     pub fn hand_over(&mut self, now: PlannerMoment) {
         self.prolongs_leases = true;
         self.is_handing_over = true;
@@ -31,7 +29,9 @@
     /// Returns the lease that orders ask for.
     pub(super) fn lease_length(&self) -> Duration {
         if self.prolongs_leases {
-            self.settings.longest_lease
+            self.settings
+                .prolonged_lease
+                .min(self.settings.longest_lease)
         } else {
             self.settings.lease
         }
--- a/crates/geraniumshed-core/src/assignment/settings.rs
+++ b/crates/geraniumshed-core/src/assignment/settings.rs
@@ -9,6 +9,8 @@
     pub longest_lease: Duration,
     /// The lease that orders ask for.
     pub lease: Duration,
+    /// The lease that orders ask for while a takeover would take long, within the longest one.
+    pub prolonged_lease: Duration,
     /// How long a renewal may wait at a worker for a run to end.
     pub renewal_wait: Duration,
     /// The same for a worker whose runs have a latency target.
@@ -30,6 +32,7 @@
         Self {
             longest_lease: Duration::from_secs(6),
             lease: Duration::from_millis(4500),
+            prolonged_lease: Duration::from_secs(7),
             renewal_wait: Duration::from_secs(1),
             watched_renewal_wait: Duration::from_millis(350),
             storing_renewal_pause: Duration::from_millis(400),
--- a/crates/geraniumshed-core/src/intake/pace.rs
+++ b/crates/geraniumshed-core/src/intake/pace.rs
@@ -26,7 +26,7 @@
 pub struct AppendPace {
     /// When the append on its way was sent.
     sent_at: Option<TimePoint>,
-    /// When the store was last seen to be slow or to refuse.
+    /// When the store was last seen to be slow.
     slow_at: Option<TimePoint>,
 }
 
@@ -37,10 +37,13 @@
     }
 
     /// Takes note of what became of the append on its way.
+    ///
+    /// A store that refuses or loses it may serve other nodes, and isn't slow by that.
     pub fn append_answered(&mut self, now: TimePoint, is_stored: bool) {
         let taken = self.sent_at.take().map(|sent_at| now.since(sent_at));
-        let is_quick = is_stored && taken.is_some_and(|taken| taken < SLOW_APPEND);
-        self.slow_at = (!is_quick).then_some(now);
+        if let Some(taken) = taken.filter(|_| is_stored) {
+            self.slow_at = (taken >= SLOW_APPEND).then_some(now);
+        }
     }
 
     /// Takes note that the leader has stored a job, and how long that took.
@@ -57,7 +60,7 @@
         self.slow_at = Some(now);
     }
 
-    /// Tells whether the store is slow or refuses.
+    /// Tells whether the store is slow.
     pub fn is_slow(&self, now: TimePoint) -> bool {
         let waits = |sent_at: TimePoint| now.since(sent_at) >= SLOW_APPEND;
         let is_recent = |slow_at: TimePoint| now.since(slow_at) < SLOW_MEMORY;
--- a/crates/geraniumshed-core/tests/intake.rs
+++ b/crates/geraniumshed-core/tests/intake.rs
@@ -206,3 +206,16 @@
     pace.collector_answered(Duration::from_millis(30));
     assert_eq!(pace.route(at(2_800)), AppendRoute::Own);
 }
+
+/// Pattern: one node is turned away. The leader is no better placed than a node by that.
+#[test]
+fn a_store_that_refuses_one_node_is_not_slow() {
+    let mut pace = AppendPace::default();
+    let at = |ms: u64| TimePoint(0) + Duration::from_millis(ms);
+    pace.append_sent(at(0));
+    pace.append_answered(at(10), false);
+    assert_eq!(pace.route(at(20)), AppendRoute::Own);
+    pace.append_sent(at(30));
+    pace.append_answered(at(500), false);
+    assert_eq!(pace.route(at(510)), AppendRoute::Own);
+}
--- a/crates/geraniumshed-core/tests/planner/fixture.rs
+++ b/crates/geraniumshed-core/tests/planner/fixture.rs
@@ -15,12 +15,11 @@
     EndKind, FenceToken, RenewMark, RenewReply, RenewRequest, StartOrder, StartReply,
     WorkerFailure, WorkerLife, WorkerListing, WorkerTime,
 };
-use geraniumshed_model::prelude::{
-    AcceleratorCount, MemorySize, ProcessorShare, ResourceSize, TimePoint,
-};
+use geraniumshed_model::prelude::TimePoint;
 use smol_str::SmolStr;
 
 use crate::adviser::{ADVISED_QUEUE, DECISION_TIME, ModelAdviser, WORKER_TIME, is_valid};
+use crate::builders::size;
 use crate::model::{ModelRun, ModelWorker, Surroundings, TAIL_STEPS};
 
 /// The length of a step of time.
@@ -495,34 +494,3 @@
         is_draining: false,
     }
 }
-
-pub fn size(processors: u32, memory_gb: u64) -> ResourceSize {
-    ResourceSize {
-        processors: ProcessorShare(processors),
-        memory: MemorySize(memory_gb * 1_000_000_000),
-        accelerators: AcceleratorCount(0),
-    }
-}
-
-/// Describes a step of tasks that each take a second on two processors.
-pub fn step(task_count: u32) -> StepRequest {
-    StepRequest {
-        task_count,
-        size: size(2_000, 2),
-        estimate: Duration::from_secs(1),
-        ..StepRequest::default()
-    }
-}
-
-pub fn task(job: JobId, step: u32, index: u32) -> TaskKey {
-    TaskKey {
-        job,
-        occurrence: 0,
-        step,
-        index,
-    }
-}
-
-pub fn worker(number: usize) -> WorkerId {
-    WorkerId(format!("w{number:02}").into())
-}
--- a/crates/geraniumshed-core/tests/planner/leases.rs
+++ b/crates/geraniumshed-core/tests/planner/leases.rs
@@ -5,7 +5,8 @@
 use geraniumshed_core::job::{JobPhase, StepRequest};
 use rstest::rstest;
 
-use crate::fixture::{Cluster, step, task};
+use crate::builders::{step, task};
+use crate::fixture::Cluster;
 
 /// Hands in a job of one long task and returns the worker that runs it.
 fn with_long_task(cluster: &mut Cluster) -> geraniumshed_core::job::WorkerId {
--- a/crates/geraniumshed-core/tests/planner/loads.rs
+++ b/crates/geraniumshed-core/tests/planner/loads.rs
@@ -7,7 +7,8 @@
 use rstest::rstest;
 use smol_str::SmolStr;
 
-use crate::fixture::{Cluster, size, step, task, worker};
+use crate::builders::{size, step, task, worker};
+use crate::fixture::Cluster;
 
 /// The pressure of each processor of an image of which a single run is too much.
 const HARD_PRESSURE: f64 = 0.3;
--- a/crates/geraniumshed-core/tests/planner/main.rs
+++ b/crates/geraniumshed-core/tests/planner/main.rs
@@ -1,6 +1,7 @@
 //! The planner over modelled workers and a modelled store, without network and clock.
 
 mod adviser;
+mod builders;
 mod fixture;
 mod leases;
 mod loads;
--- a/crates/geraniumshed-core/tests/planner/notes.rs
+++ b/crates/geraniumshed-core/tests/planner/notes.rs
@@ -5,7 +5,8 @@
 use geraniumshed_core::assignment::{JobSummary, PlacementRefusal, PlannerNote};
 use geraniumshed_core::job::{JobId, JobPhase, StepRequest};
 
-use crate::fixture::{Cluster, size, step, task};
+use crate::builders::{size, step, task};
+use crate::fixture::Cluster;
 
 fn summary(cluster: &Cluster, id: JobId) -> &JobSummary {
     let found = cluster.notes.iter().find_map(|note| match note {
--- a/crates/geraniumshed-core/tests/planner/rules.rs
+++ b/crates/geraniumshed-core/tests/planner/rules.rs
@@ -8,7 +8,8 @@
 use rstest::rstest;
 
 use crate::adviser::ADVISED_QUEUE;
-use crate::fixture::{Cluster, SeenStart, size, step, task, worker};
+use crate::builders::{size, step, task, worker};
+use crate::fixture::{Cluster, SeenStart};
 use crate::model::WorkerFault;
 
 #[test]
--- a/crates/geraniumshed-core/tests/planner/takeover.rs
+++ b/crates/geraniumshed-core/tests/planner/takeover.rs
@@ -5,7 +5,8 @@
 use geraniumshed_core::job::{JobPhase, StepRequest};
 use rstest::rstest;
 
-use crate::fixture::{Cluster, STEP, step, task};
+use crate::builders::{step, task};
+use crate::fixture::{Cluster, STEP};
 
 #[test]
 fn running_tasks_are_adopted_and_not_started_again() {
