Keep a cluster of 'dev' up when nobody reads its addresses

The cluster printed its addresses line by line; the test reads up to 'try:' and closes the pipe, and the last line then met a closed pipe and ended the process (panic: failed printing to stdout). Ruled out: the publication itself; the panic stands before it in the same output. It is in the code from before as well, and shows when the reader is quicker than the writer.

Change: the addresses are printed at once, and a reader that has gone is a warning.

Before: the new test fails each time (panicked).

--- a/crates/geraniumshed/src/command/dev.rs
+++ b/crates/geraniumshed/src/command/dev.rs
@@ -1,5 +1,7 @@
 //! `geraniumshed dev`.
 
+use std::io::{self, Write};
+
 use geraniumshed_daemon::settings::TelemetrySettings;
 use geraniumshed_standin::truth::PromiseReport;
 use gumdrop::Options;
@@ -96,17 +98,30 @@
     }
 }
 
+/// Prints where the cluster can be reached, all at once; it stays up without anybody to read that.
 fn print_addresses(cluster: &DevCluster) {
+    let mut lines = Vec::new();
     for daemon in &cluster.daemons {
         let handle = &daemon.handle;
         let id = &handle.identity().daemon;
-        println!("{id}  callers    http://{}", handle.entry_address());
-        println!("{id}  operators  http://{}", handle.operator_address());
+        lines.push(format!(
+            "{id}  callers    http://{}",
+            handle.entry_address()
+        ));
+        lines.push(format!(
+            "{id}  operators  http://{}",
+            handle.operator_address()
+        ));
+    }
+    let control = cluster.control_address();
+    lines.push(format!("stand-ins  control    http://{control}"));
+    let entry = cluster.entry_addresses()[0];
+    lines.push(format!(
+        "try: curl -X POST http://{entry}/services/bookings/try"
+    ));
+    lines.push("(publish examples/camara.yaml first; Ctrl-C stops)\n".to_owned());
+    let text = lines.join("\n");
+    if let Err(error) = io::stdout().write_all(text.as_bytes()) {
+        log::warn!(error:% = error; "nobody reads the cluster's addresses");
     }
-    println!("stand-ins  control    http://{}", cluster.control_address());
-    println!(
-        "try: curl -X POST http://{}/services/bookings/try",
-        cluster.entry_addresses()[0]
-    );
-    println!("(publish examples/camara.yaml first; Ctrl-C stops)");
 }
--- a/crates/geraniumshed/tests/operator_session.rs
+++ b/crates/geraniumshed/tests/operator_session.rs
@@ -75,6 +75,29 @@
     }
 }
 
+#[test]
+fn a_cluster_stays_up_although_nobody_reads_its_addresses() {
+    let mut process = Command::new(env!("CARGO_BIN_EXE_geraniumshed"))
+        .args(["dev", "--seed", "6"])
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    drop(process.stdout.take());
+    let errors = BufReader::new(process.stderr.take().unwrap());
+    let told = errors
+        .lines()
+        .map(Result::unwrap)
+        .find(|line| line.contains("addresses") || line.contains("panicked"));
+    process.kill().unwrap();
+    process.wait().unwrap();
+    let told = told.expect("the cluster tells of it");
+    assert!(
+        told.contains("nobody reads the cluster's addresses"),
+        "{told}"
+    );
+}
+
 #[test]
 fn an_operator_publishes_changes_and_withdraws() {
     let cluster = Cluster::spawn();
