--- a/crates/geraniumshed-batch/tests/metrics.rs
+++ b/crates/geraniumshed-batch/tests/metrics.rs
@@ -2,7 +2,7 @@
 
 use geraniumshed_batch::NodeMetrics;
 
-const PAGE: &str = include_str!("../../../docs/METRICS.md");
+const PAGE: &str = include_str!("../../../docs/METRICS-PLATFORM.md");
 
 #[test]
 fn the_page_lists_the_metrics_that_a_node_serves() {
