Look a task's wait up only when a worker may be kept free

Found in the reading of the whole change: the wait was looked up for each task of each step without room, also short ones, before the cheap check that a search is due at all.

--- a/crates/geraniumshed-core/src/assignment/holding.rs
+++ b/crates/geraniumshed-core/src/assignment/holding.rs
@@ -32,8 +32,11 @@
         key: TaskKey,
     ) {
         let is_due = startable.step.is_long_running && self.next_hold <= now.point;
+        if !is_due || self.is_held(key) {
+            return;
+        }
         let waited = self.waited(now, key);
-        if !is_due || self.is_held(key) || waited < SCATTERED_WAIT {
+        if waited < SCATTERED_WAIT {
             return;
         }
         self.next_hold = now.point + HOLD_PAUSE;
