Report silent, leaving and lost workers in events and logs

The logs of the incident of lost long-running tasks don't show when a leader stops hearing from a worker, when a registration changes to draining or disappears, and which lease end the leader waits for. So a wait that starts anew with each leader and a worker that keeps its tasks until it exits look the same.

The planner now emits an event, and the leader writes a line, when a worker with runs goes silent, when it answers again, and when it is draining or not registered; a new leader reports the latter once per worker after its first listing. The event and line of a lost worker tell the reason, the runs, the registration, the time since its last answer and since the leader learned of it, and whether the lease end was inherited. `stop_answered` takes the time, since an unanswered stop may be the first sign of silence. No decision depends on the new fields.

--- a/crates/geraniumshed-batch/src/leader/run.rs
+++ b/crates/geraniumshed-batch/src/leader/run.rs
@@ -278,7 +278,9 @@
             LeaderEvent::StartAnswered(worker, task, run, reply) => {
                 self.planner.start_answered(now, &worker, task, run, reply);
             }
-            LeaderEvent::StopAnswered(worker, reply) => self.planner.stop_answered(&worker, reply),
+            LeaderEvent::StopAnswered(worker, reply) => {
+                self.planner.stop_answered(now, &worker, reply);
+            }
             LeaderEvent::RenewAnswered(worker, sent, outcome) => match outcome {
                 RenewOutcome::Answered(reply) => {
                     self.planner.renewal_answered(now, &worker, sent, reply);
--- a/crates/geraniumshed-batch/src/telemetry/events.rs
+++ b/crates/geraniumshed-batch/src/telemetry/events.rs
@@ -3,7 +3,11 @@
 use std::collections::BTreeMap;
 use std::fmt::Display;
 
-use geraniumshed_core::assignment::{JobSummary, LostRun, PlacementSummary, PlannerEvent};
+use geraniumshed_core::assignment::{
+    AnsweringWorker, DepartingWorker, JobSummary, LostRun, LostWorker, PlacementSummary,
+    PlannerEvent, SilentWorker,
+};
+use geraniumshed_core::worker::WorkerStanding;
 use geraniumshed_model::prelude::whole_millis;
 
 use super::metrics::{in_time, phase_name};
@@ -30,9 +34,10 @@
         PlannerEvent::WorkerQuarantined(worker) => {
             log::info!(worker:% = worker; "worker gets no tasks for a while, since it failed some");
         }
-        PlannerEvent::WorkerLost(worker) => {
-            log::info!(worker:% = worker; "worker is given up: its leases ran out or it was replaced");
-        }
+        PlannerEvent::WorkerSilent(silent) => log_silent_worker(silent),
+        PlannerEvent::WorkerAnswering(answering) => log_answering_worker(answering),
+        PlannerEvent::WorkerDeparting(departing) => log_departing_worker(departing),
+        PlannerEvent::WorkerLost(lost) => log_lost_worker(lost),
         PlannerEvent::WorkerRestarted(worker) => {
             log::info!(worker:% = worker; "worker has restarted and lost its runs");
         }
@@ -63,6 +68,60 @@
     );
 }
 
+fn log_silent_worker(silent: &SilentWorker) {
+    log::info!(
+        worker:% = silent.worker,
+        runs = silent.runs,
+        last_heard_ms = silent.last_heard.map(whole_millis),
+        lease_remaining_ms = whole_millis(silent.lease_remaining),
+        lease_inherited = silent.is_lease_inherited;
+        "worker with runs is silent"
+    );
+}
+
+fn log_answering_worker(answering: &AnsweringWorker) {
+    log::info!(
+        worker:% = answering.worker,
+        runs = answering.runs,
+        silent_ms = whole_millis(answering.silent);
+        "silent worker answers again"
+    );
+}
+
+fn log_departing_worker(departing: &DepartingWorker) {
+    log::info!(
+        worker:% = departing.worker,
+        registration = standing_name(departing.standing),
+        runs = departing.runs,
+        lease_remaining_ms = whole_millis(departing.lease_remaining),
+        lease_inherited = departing.is_lease_inherited;
+        "worker with runs is leaving"
+    );
+}
+
+fn log_lost_worker(lost: &LostWorker) {
+    log::info!(
+        worker:% = lost.worker,
+        reason = lost.reason,
+        registration = standing_name(lost.standing),
+        runs = lost.runs,
+        last_heard_ms = lost.last_heard.map(whole_millis),
+        known_ms = whole_millis(lost.known),
+        lease_inherited = lost.is_lease_inherited;
+        "worker is given up"
+    );
+}
+
+/// Returns the name of a standing in logs.
+fn standing_name(standing: WorkerStanding) -> &'static str {
+    match standing {
+        WorkerStanding::Registered => "registered",
+        WorkerStanding::Draining => "draining",
+        WorkerStanding::Removed => "removed",
+        WorkerStanding::Unregistered => "none",
+    }
+}
+
 fn log_job_end(summary: &JobSummary) {
     log::info!(
         job:% = summary.job,
--- a/crates/geraniumshed-batch/src/telemetry/metrics.rs
+++ b/crates/geraniumshed-batch/src/telemetry/metrics.rs
@@ -244,6 +244,9 @@
             }
             PlannerEvent::JobEnded(summary) => self.job_ended(summary),
             PlannerEvent::WorkerQuarantined(_)
+            | PlannerEvent::WorkerSilent(_)
+            | PlannerEvent::WorkerAnswering(_)
+            | PlannerEvent::WorkerDeparting(_)
             | PlannerEvent::WorkerLost(_)
             | PlannerEvent::WorkerRestarted(_) => {}
         }
--- a/crates/geraniumshed-core/src/assignment/event.rs
+++ b/crates/geraniumshed-core/src/assignment/event.rs
@@ -5,6 +5,7 @@
 
 use super::placement_query::PlacementRefusal;
 use crate::job::{JobId, JobPhase, QueueName, TaskKey, WorkerId};
+use crate::worker::WorkerStanding;
 
 /// A decision of the planner, with the inputs that led to it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -20,8 +21,14 @@
     JobEnded(JobSummary),
     /// A worker is in quarantine and gets no new tasks for a while.
     WorkerQuarantined(WorkerId),
+    /// A worker with runs left a call unanswered for the first time since its last answer.
+    WorkerSilent(SilentWorker),
+    /// A worker that was silent answered a renewal.
+    WorkerAnswering(AnsweringWorker),
+    /// A worker with runs is draining, or isn't registered.
+    WorkerDeparting(DepartingWorker),
     /// A worker's runs were given up because its lease expired or another worker replaced it.
-    WorkerLost(WorkerId),
+    WorkerLost(LostWorker),
     /// A worker restarted and lost its runs.
     WorkerRestarted(WorkerId),
 }
@@ -59,6 +66,76 @@
     pub reason: &'static str,
 }
 
+/// A worker with runs that left a call unanswered.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SilentWorker {
+    /// The worker.
+    pub worker: WorkerId,
+    /// The number of its runs.
+    pub runs: usize,
+    /// The time since it last answered a renewal, or `None` if it never answered this planner.
+    pub last_heard: Option<Duration>,
+    /// The time until its lease has certainly expired.
+    pub lease_remaining: Duration,
+    /// Whether the end of the lease is the one assumed at the takeover, because the worker hasn't
+    /// answered this planner yet.
+    pub is_lease_inherited: bool,
+}
+
+/// A worker that answered a renewal after it was silent.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AnsweringWorker {
+    /// The worker.
+    pub worker: WorkerId,
+    /// The number of its runs.
+    pub runs: usize,
+    /// The time since it was reported as silent.
+    pub silent: Duration,
+}
+
+/// A worker with runs that is draining or isn't registered.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct DepartingWorker {
+    /// The worker.
+    pub worker: WorkerId,
+    /// How it is registered.
+    pub standing: WorkerStanding,
+    /// The number of its runs.
+    pub runs: usize,
+    /// The time until its lease has certainly expired, unless it is renewed.
+    pub lease_remaining: Duration,
+    /// Whether the end of the lease is the one assumed at the takeover, because the worker hasn't
+    /// answered this planner yet.
+    pub is_lease_inherited: bool,
+}
+
+/// A worker whose runs were given up.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LostWorker {
+    /// The worker.
+    pub worker: WorkerId,
+    /// The reason.
+    pub reason: &'static str,
+    /// How it was registered.
+    pub standing: WorkerStanding,
+    /// The number of its runs.
+    pub runs: usize,
+    /// The time since it last answered a renewal, or `None` if it never answered this planner.
+    pub last_heard: Option<Duration>,
+    /// The time since this planner learned of it.
+    pub known: Duration,
+    /// Whether the end of its lease was the one assumed at the takeover.
+    pub is_lease_inherited: bool,
+}
+
+impl LostWorker {
+    /// Returns how long its runs waited: the time since its last answer, or else since this planner
+    /// learned of it.
+    pub fn waited(&self) -> Duration {
+        self.last_heard.unwrap_or(self.known)
+    }
+}
+
 /// The result of a job that ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct JobSummary {
--- a/crates/geraniumshed-core/src/assignment/mod.rs
+++ b/crates/geraniumshed-core/src/assignment/mod.rs
@@ -22,11 +22,15 @@
 mod starting;
 mod step_placement;
 mod supervision;
+mod worker_events;
 mod worker_hold;
 mod worker_replies;
 
 pub use action::{CancelOutcome, JobStatus, PlannerAction, PlannerTime, StoreBatch, StoreChange};
-pub use event::{JobSummary, LostRun, PlacementSummary, PlannerEvent};
+pub use event::{
+    AnsweringWorker, DepartingWorker, JobSummary, LostRun, LostWorker, PlacementSummary,
+    PlannerEvent, SilentWorker,
+};
 pub use interference::{
     InterferenceModel, InterferenceSnapshot, LoadShare, ServedImageRecord, SlopeRecord,
 };
--- a/crates/geraniumshed-core/src/assignment/registry.rs
+++ b/crates/geraniumshed-core/src/assignment/registry.rs
@@ -25,6 +25,7 @@
         for listing in listings {
             self.upsert_worker(now, listing);
         }
+        self.report_departures(now.point);
         self.is_placement_due = true;
     }
 
@@ -32,11 +33,16 @@
     pub fn update_workers(&mut self, now: PlannerTime, changes: Vec<WorkerChange>) {
         for change in changes {
             match change {
-                WorkerChange::Listed(listing) => self.upsert_worker(now, listing),
+                WorkerChange::Listed(listing) => {
+                    let id = listing.id.clone();
+                    self.upsert_worker(now, listing);
+                    self.report_departure(now.point, &id);
+                }
                 WorkerChange::Gone(id) => {
                     if let Some(entry) = self.workers.get_mut(&id) {
                         entry.is_listed = false;
                     }
+                    self.report_departure(now.point, &id);
                 }
             }
         }
@@ -50,7 +56,8 @@
             entry.listing = listing;
             return;
         }
-        let entry = WorkerEntry::new(listing, self.first_token, lease_expires_at);
+        let mut entry = WorkerEntry::new(listing, self.first_token, lease_expires_at);
+        entry.contact.known_since = now.point;
         self.workers.insert(entry.id().clone(), entry);
         self.is_placement_due = true;
     }
@@ -72,7 +79,7 @@
         let entry = self
             .workers
             .entry(id.clone())
-            .or_insert_with(|| unregistered_worker(id.clone(), token, lease_expires_at));
+            .or_insert_with(|| unregistered_worker(id.clone(), now, token, lease_expires_at));
         let phase = RunPhase::Unsettled(FenceToken(token.0.saturating_sub(1)));
         entry.add_run(key, run_entry(step, task.run, phase, now));
     }
@@ -87,6 +94,7 @@
 /// Creates a worker that is only known from a stored placement.
 fn unregistered_worker(
     id: WorkerId,
+    now: TimePoint,
     token: FenceToken,
     lease_expires_at: TimePoint,
 ) -> WorkerEntry {
@@ -103,5 +111,6 @@
     };
     let mut entry = WorkerEntry::new(listing, token, lease_expires_at);
     entry.is_listed = false;
+    entry.contact.known_since = now;
     entry
 }
--- a/crates/geraniumshed-core/src/assignment/renewals.rs
+++ b/crates/geraniumshed-core/src/assignment/renewals.rs
@@ -112,7 +112,8 @@
             .any(|run| matches!(run.phase, RunPhase::Unsettled(_)))
     }
 
-    fn has_address(&self) -> bool {
+    /// Returns whether the worker's address is known.
+    pub(super) fn has_address(&self) -> bool {
         self.listing.address.port() != 0
     }
 }
--- a/crates/geraniumshed-core/src/assignment/supervision.rs
+++ b/crates/geraniumshed-core/src/assignment/supervision.rs
@@ -5,7 +5,6 @@
 use geraniumshed_model::prelude::TimePoint;
 
 use super::action::{PlannerAction, PlannerTime};
-use super::event::PlannerEvent;
 use super::planner::JobPlanner;
 use crate::job::{TaskKey, WorkerId};
 use crate::worker::{RunPhase, StopOrder, WorkerCall, WorkerEntry};
@@ -49,7 +48,7 @@
             .iter()
             .map(|(key, run)| (*key, run.run))
             .collect();
-        self.emit(PlannerEvent::WorkerLost(worker.clone()));
+        self.report_loss(now.point, worker, reason);
         for (key, run) in runs {
             self.drop_run(now, worker, key, run, reason);
         }
--- /dev/null
+++ b/crates/geraniumshed-core/src/assignment/worker_events.rs
@@ -0,0 +1,115 @@
+//! Events about the contact with workers.
+
+use std::time::Duration;
+
+use geraniumshed_model::prelude::TimePoint;
+
+use super::event::{AnsweringWorker, DepartingWorker, LostWorker, PlannerEvent, SilentWorker};
+use super::planner::JobPlanner;
+use crate::job::WorkerId;
+use crate::worker::{WorkerEntry, WorkerStanding};
+
+impl JobPlanner {
+    /// Reports that a worker with runs left a call unanswered, unless it was silent before.
+    pub(super) fn report_silence(&mut self, now: TimePoint, worker: &WorkerId) {
+        let Some(entry) = self.workers.get_mut(worker) else {
+            return;
+        };
+        if entry.runs.is_empty() || entry.contact.silent_since.is_some() {
+            return;
+        }
+        entry.contact.silent_since = Some(now);
+        let silent = SilentWorker {
+            worker: worker.clone(),
+            runs: entry.runs.len(),
+            last_heard: entry.last_heard(now),
+            lease_remaining: entry.lease_expires_at.since(now),
+            is_lease_inherited: !entry.is_adopted,
+        };
+        self.emit(PlannerEvent::WorkerSilent(silent));
+    }
+
+    /// Records an answer of a worker, and reports it if the worker was silent before.
+    pub(super) fn report_answer(&mut self, now: TimePoint, worker: &WorkerId) {
+        let Some(entry) = self.workers.get_mut(worker) else {
+            return;
+        };
+        entry.contact.heard_at = Some(now);
+        let Some(silent_since) = entry.contact.silent_since.take() else {
+            return;
+        };
+        let answering = AnsweringWorker {
+            worker: worker.clone(),
+            runs: entry.runs.len(),
+            silent: now.since(silent_since),
+        };
+        self.emit(PlannerEvent::WorkerAnswering(answering));
+    }
+
+    /// Reports that a worker with runs is draining or not registered, unless that was reported
+    /// before.
+    pub(super) fn report_departure(&mut self, now: TimePoint, worker: &WorkerId) {
+        let Some(entry) = self.workers.get_mut(worker) else {
+            return;
+        };
+        let standing = entry.standing();
+        if standing == WorkerStanding::Registered {
+            entry.contact.standing = standing;
+            return;
+        }
+        if entry.runs.is_empty() || entry.contact.standing == standing {
+            return;
+        }
+        entry.contact.standing = standing;
+        let departing = DepartingWorker {
+            worker: worker.clone(),
+            standing,
+            runs: entry.runs.len(),
+            lease_remaining: entry.lease_expires_at.since(now),
+            is_lease_inherited: !entry.is_adopted,
+        };
+        self.emit(PlannerEvent::WorkerDeparting(departing));
+    }
+
+    /// Reports the departures of all workers.
+    pub(super) fn report_departures(&mut self, now: TimePoint) {
+        let workers: Vec<WorkerId> = self.workers.keys().cloned().collect();
+        for worker in workers {
+            self.report_departure(now, &worker);
+        }
+    }
+
+    /// Reports that the runs of a worker are given up.
+    pub(super) fn report_loss(&mut self, now: TimePoint, worker: &WorkerId, reason: &'static str) {
+        let Some(entry) = self.workers.get(worker) else {
+            return;
+        };
+        let lost = LostWorker {
+            worker: worker.clone(),
+            reason,
+            standing: entry.standing(),
+            runs: entry.runs.len(),
+            last_heard: entry.last_heard(now),
+            known: now.since(entry.contact.known_since),
+            is_lease_inherited: !entry.is_adopted,
+        };
+        self.emit(PlannerEvent::WorkerLost(lost));
+    }
+}
+
+impl WorkerEntry {
+    /// Returns how the worker is registered.
+    fn standing(&self) -> WorkerStanding {
+        match (self.is_listed, self.listing.is_draining) {
+            (true, false) => WorkerStanding::Registered,
+            (true, true) => WorkerStanding::Draining,
+            (false, _) if self.has_address() => WorkerStanding::Removed,
+            (false, _) => WorkerStanding::Unregistered,
+        }
+    }
+
+    /// Returns the time since the worker's last answer, or `None` if it never answered.
+    fn last_heard(&self, now: TimePoint) -> Option<Duration> {
+        self.contact.heard_at.map(|at| now.since(at))
+    }
+}
--- a/crates/geraniumshed-core/src/assignment/worker_replies.rs
+++ b/crates/geraniumshed-core/src/assignment/worker_replies.rs
@@ -64,21 +64,29 @@
             }
             Err(WorkerFailure::NotSent) => {
                 entry.unanswered_calls += 1;
+                self.report_silence(now.point, worker);
                 self.drop_run(now, worker, task, run, "not sent");
                 self.force_renewal(worker);
             }
             Err(WorkerFailure::Unanswered) => {
                 entry.unanswered_calls += 1;
                 current.phase = RunPhase::Unsettled(token);
+                self.report_silence(now.point, worker);
                 self.force_renewal(worker);
             }
         }
     }
 
     /// Handles the reply to the stop of a run.
-    pub fn stop_answered(&mut self, worker: &WorkerId, reply: Result<(), WorkerFailure>) {
+    pub fn stop_answered(
+        &mut self,
+        now: PlannerTime,
+        worker: &WorkerId,
+        reply: Result<(), WorkerFailure>,
+    ) {
         if let (Some(entry), Err(_)) = (self.workers.get_mut(worker), reply) {
             entry.unanswered_calls += 1;
+            self.report_silence(now.point, worker);
         }
     }
 
@@ -110,6 +118,7 @@
         {
             self.handle_worker_restart(now, worker, reply.incarnation.unwrap_or_default());
         }
+        self.report_answer(now.point, worker);
         let Some(entry) = self.workers.get_mut(worker) else {
             return;
         };
@@ -152,6 +161,8 @@
             // Another worker replies at this address, so this one is gone for good.
             entry.is_listed = false;
             self.release_worker(now, worker, "worker replaced");
+        } else {
+            self.report_silence(now.point, worker);
         }
     }
 
--- a/crates/geraniumshed-core/src/worker/entry.rs
+++ b/crates/geraniumshed-core/src/worker/entry.rs
@@ -8,6 +8,7 @@
 use smol_str::SmolStr;
 
 use super::clock::{WorkerClock, WorkerTime};
+use super::contact::WorkerContact;
 use super::listing::{WorkerIncarnation, WorkerListing};
 use super::load::WorkerLoad;
 use super::message::FenceToken;
@@ -89,6 +90,8 @@
     pub quarantine: WorkerQuarantine,
     /// The long-running task that the worker is kept free for.
     pub held_for: Option<TaskKey>,
+    /// When the worker was heard, for logs and metrics.
+    pub contact: WorkerContact,
 }
 
 impl WorkerEntry {
@@ -121,6 +124,7 @@
             ended_loads: Vec::new(),
             quarantine: WorkerQuarantine::default(),
             held_for: None,
+            contact: WorkerContact::default(),
         }
     }
 
--- a/crates/geraniumshed-core/src/worker/mod.rs
+++ b/crates/geraniumshed-core/src/worker/mod.rs
@@ -1,6 +1,7 @@
 //! Workers: their clocks and leases, their runs, and their quarantine after failures.
 
 mod clock;
+mod contact;
 mod entry;
 mod listing;
 mod load;
@@ -9,6 +10,7 @@
 mod run;
 
 pub use clock::{WorkerClock, WorkerTime};
+pub use contact::{WorkerContact, WorkerStanding};
 pub use entry::{SentRenewal, WorkerEntry};
 pub use listing::{WorkerChange, WorkerIncarnation, WorkerListing};
 pub use load::{ServedLoad, WorkerLoad};
