Add a failing test of takeovers that restart the wait for a silent worker

What callers saw: a long-running task stays away for more than 9 s although there is capacity for it, after its worker left or was cut off during a rolling restart of the daemons.

--- a/crates/geraniumshed-core/tests/planner/takeover.rs
+++ b/crates/geraniumshed-core/tests/planner/takeover.rs
@@ -2,12 +2,68 @@
 
 use std::time::Duration;
 
-use geraniumshed_core::job::{JobPhase, StepRequest};
+use geraniumshed_core::job::{JobPhase, StepRequest, WorkerId};
 use rstest::rstest;
 
 use crate::builders::{step, task};
 use crate::fixture::{Cluster, STEP};
 
+/// The longest time for which a long-running task may be away while there is room for it.
+const AWAY_LIMIT: Duration = Duration::from_secs(9);
+
+/// How the worker of a task stops answering.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum WorkerLoss {
+    /// It exits and loses its runs, and its registration is removed.
+    Exit,
+    /// It is cut off from the planner, and its runs continue until its lease expires.
+    Cut,
+}
+
+/// How a planner ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum PlannerEnd {
+    /// It hands over, as in a rolling restart.
+    HandOver,
+    /// It is lost.
+    Crash,
+}
+
+impl PlannerEnd {
+    fn replace_planner(self, cluster: &mut Cluster) {
+        if self == Self::HandOver {
+            cluster.planner.hand_over(cluster.planner_time());
+            cluster.carry_out_actions();
+        }
+        cluster.replace_planner();
+    }
+}
+
+/// Runs a long-running task, and returns the worker on which it runs.
+fn start_long_running_task(cluster: &mut Cluster) -> WorkerId {
+    let long_running = StepRequest {
+        is_long_running: true,
+        ..step(1)
+    };
+    cluster.submit(1, vec![long_running]);
+    cluster.advance(Duration::from_millis(500));
+    cluster.starts[0].worker.clone()
+}
+
+/// Advances the time in steps until the task is started again or a time is over, and checks that no
+/// other run of it is active then.
+fn advance_until_restart(cluster: &mut Cluster, silent: &WorkerId, span: Duration) {
+    let end = cluster.now + span;
+    while cluster.now < end && cluster.starts.len() == 1 {
+        cluster.advance(STEP);
+    }
+    let is_active = cluster.workers.contains_key(silent) && cluster.running_on(silent) > 0;
+    assert!(
+        cluster.starts.len() == 1 || !is_active,
+        "the task was started again while its first run was active"
+    );
+}
+
 #[test]
 fn running_tasks_are_adopted_and_not_restarted() {
     let mut cluster = Cluster::with_workers(4);
@@ -77,6 +133,41 @@
     assert_eq!(cluster.duplicated, []);
 }
 
+/// Guards against a fault in which each successor waited for the lease of a silent worker anew, so
+/// that takeovers in quick succession kept a long-running task away.
+#[rstest]
+fn successive_takeovers_wait_only_once_for_silent_worker(
+    #[values(WorkerLoss::Exit, WorkerLoss::Cut)] loss: WorkerLoss,
+    #[values(PlannerEnd::HandOver, PlannerEnd::Crash)] end: PlannerEnd,
+    #[values(1_900, 2_500, 4_000, 6_000)] interval_ms: u64,
+) {
+    let mut cluster = Cluster::with_workers(2);
+    let silent = start_long_running_task(&mut cluster);
+    end.replace_planner(&mut cluster);
+    cluster.advance(Duration::from_millis(300));
+    match loss {
+        WorkerLoss::Exit => {
+            cluster.workers.remove(&silent);
+            cluster.replace_workers();
+        }
+        WorkerLoss::Cut => cluster.workers.get_mut(&silent).unwrap().fault.is_silent = true,
+    }
+    let lost_at = cluster.now;
+    while cluster.starts.len() == 1 && cluster.now.since(lost_at) < AWAY_LIMIT * 2 {
+        advance_until_restart(&mut cluster, &silent, Duration::from_millis(interval_ms));
+        end.replace_planner(&mut cluster);
+    }
+    let restart = cluster
+        .starts
+        .get(1)
+        .expect("the task was not started again");
+    assert!(
+        restart.at.since(lost_at) < AWAY_LIMIT,
+        "the task was away for {:?}",
+        restart.at.since(lost_at)
+    );
+}
+
 #[test]
 fn worker_silent_after_first_reply_keeps_longest_lease() {
     // An earlier planner may have granted the longest lease, and the worker's first reply to the
