Continue the wait for a silent worker across takeovers

What callers saw: long-running tasks stayed away for 9 to 30 s after their workers had left or crashed during a rolling restart of the daemons, although there was capacity for them (LOST).

Cause: a leader that doesn't hear from a worker keeps its runs until the lease has certainly expired. A new leader doesn't know when the worker was last called, so it counted the longest lease from its own takeover: 6.42 s with leases of 6 s. The wait stood only in the memory of a process, and leaders that followed each other sooner never gave the worker up. Class of fault: a bounded wait that starts anew with each successor is unbounded.

Change: while workers with runs are silent, the leader stores how long their leases may still last. A successor continues from there, counted from its own takeover, which is later than the record. The record counts only for the term right after its own. A lease in the store is not extended, and its worker gets no task, until a record without it is stored.

Why nothing runs twice by it: the remaining time is an upper bound when it is taken and is counted from a later moment, and nobody extends the lease meanwhile: not the writer (it withdraws first), not an earlier leader (it isn't answered), not a later one (its term no longer precedes).

--- a/crates/geraniumshed-batch/src/leader/run.rs
+++ b/crates/geraniumshed-batch/src/leader/run.rs
@@ -162,6 +162,7 @@
                 None => self.planner.submit(id, request),
             }
         }
+        self.planner.restore_leases(now, recovered.leases);
         self.planner.restore_interference(recovered.interference);
         for (id, cancelled_unix_ms) in recovered.withdrawn {
             self.planner.restore_withdrawn(id, cancelled_unix_ms);
--- a/crates/geraniumshed-batch/src/leader/takeover.rs
+++ b/crates/geraniumshed-batch/src/leader/takeover.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use geraniumshed_core::assignment::InterferenceSnapshot;
+use geraniumshed_core::assignment::{InterferenceSnapshot, LeaseSnapshot};
 use geraniumshed_core::job::{JobId, JobPhase, JobRequest, StoredJob};
 use geraniumshed_core::leadership::{LeaderRecord, LeaderTerm, MemberIdentity};
 use geraniumshed_model::prelude::{LogOffset, whole_millis};
@@ -12,8 +12,12 @@
 use crate::store::{
     AppendCondition, KeyedRecord, StoreClient, StoreError, WriterMark, read_newest,
 };
-use crate::topic::{INTERFERENCE_KEY, LEADER_KEY, LEADERS, PROGRESS, REQUESTS, parse_job_key};
-use crate::wire::{InterferenceWire, JobRequestWire, MemberWire, StoredJobWire, decode, encode};
+use crate::topic::{
+    INTERFERENCE_KEY, LEADER_KEY, LEADERS, LEASES_KEY, PROGRESS, REQUESTS, parse_job_key,
+};
+use crate::wire::{
+    InterferenceWire, JobRequestWire, LeaseSnapshotWire, MemberWire, StoredJobWire, decode, encode,
+};
 
 /// The timeout for an append during the takeover.
 const APPEND_TIMEOUT: Duration = Duration::from_millis(800);
@@ -56,6 +60,8 @@
     pub(crate) cancelled: BTreeSet<JobId>,
     /// The interference between images that earlier leaders learned.
     pub(crate) interference: InterferenceSnapshot,
+    /// The leases of the workers that didn't answer the leader before.
+    pub(crate) leases: LeaseSnapshot,
     /// The offset from which to read further requests.
     pub(crate) next_request: LogOffset,
 }
@@ -93,10 +99,9 @@
         requests = requests.len();
         "read the state of earlier leaders"
     );
-    let learned = progress
-        .iter()
-        .find(|record| record.key == INTERFERENCE_KEY);
-    let interference = learned.map(decode_interference).unwrap_or_default();
+    let find = |key: &str| progress.iter().find(|record| record.key == key);
+    let interference = find(&INTERFERENCE_KEY).map(decode_interference);
+    let leases = find(&LEASES_KEY).map(|record| decode_leases(record, term));
     let mut stored_jobs: BTreeMap<JobId, StoredJob> =
         progress.iter().filter_map(decode_stored_job).collect();
     let jobs = requests
@@ -119,7 +124,8 @@
         jobs,
         withdrawn,
         cancelled: BTreeSet::new(),
-        interference,
+        interference: interference.unwrap_or_default(),
+        leases: leases.unwrap_or_default(),
         next_request,
     })
 }
@@ -149,6 +155,24 @@
     )
 }
 
+/// Decodes the leases of silent workers, for the leader of a term.
+///
+/// They hold only if the leader right before wrote them, since a leader in between may have extended
+/// them. Without them, the planner assumes the longest lease.
+fn decode_leases(record: &KeyedRecord, term: LeaderTerm) -> LeaseSnapshot {
+    match decode::<LeaseSnapshotWire>(&record.value) {
+        Ok(wire) if wire.term().precedes(term) => wire.into(),
+        Ok(wire) => {
+            log::info!(written_in:% = wire.term(), term:% = term; "stored leases of silent workers are not of the leader before; not used");
+            LeaseSnapshot::default()
+        }
+        Err(error) => {
+            log::error!(error:% = error; "could not decode the leases of silent workers");
+            LeaseSnapshot::default()
+        }
+    }
+}
+
 /// Decodes the stored progress of a job. Progress that can't be decoded is logged and skipped.
 fn decode_stored_job(record: &KeyedRecord) -> Option<(JobId, StoredJob)> {
     let id = parse_job_key(&record.key)?;
--- a/crates/geraniumshed-batch/src/leader/writer.rs
+++ b/crates/geraniumshed-batch/src/leader/writer.rs
@@ -15,8 +15,8 @@
 };
 use crate::store_monitor::StoreMonitor;
 use crate::telemetry::{DependencyWatch, NodeMetrics};
-use crate::topic::{INTERFERENCE_KEY, PROGRESS, REQUESTS, job_key};
-use crate::wire::{InterferenceWire, StoredJobWire, encode};
+use crate::topic::{INTERFERENCE_KEY, LEASES_KEY, PROGRESS, REQUESTS, job_key};
+use crate::wire::{InterferenceWire, LeaseSnapshotWire, StoredJobWire, encode};
 
 /// The timeout for deleting requests.
 const DELETE_TIMEOUT: Duration = Duration::from_millis(500);
@@ -28,6 +28,7 @@
 pub(super) struct BatchWriter<S> {
     store: S,
     handle: LeaderHandle,
+    term: LeaderTerm,
     mark: WriterMark,
     response_time: ResponseTime,
     /// When the batch that the store has not confirmed yet was first sent, for the leader task to
@@ -58,6 +59,7 @@
         let writer = Self {
             store: context.store.clone(),
             handle,
+            term,
             mark,
             response_time: ResponseTime::default(),
             unanswered_sender,
@@ -86,7 +88,11 @@
     /// Stores a batch, retrying until the store answers, and returns whether this leader may still
     /// write.
     async fn store_progress(&mut self, batch: StoreBatch) -> bool {
-        let records: Vec<KeyedRecord> = batch.changes.into_iter().map(progress_record).collect();
+        let records: Vec<KeyedRecord> = batch
+            .changes
+            .into_iter()
+            .map(|change| progress_record(self.term, change))
+            .collect();
         self.mark.sequence += 1;
         self.unanswered_sender.send_replace(Some(Instant::now()));
         loop {
@@ -136,7 +142,7 @@
 }
 
 /// Returns the record that stores a change.
-fn progress_record(change: StoreChange) -> KeyedRecord {
+fn progress_record(term: LeaderTerm, change: StoreChange) -> KeyedRecord {
     match change {
         StoreChange::Progress(id, stored) => KeyedRecord {
             key: job_key(id),
@@ -150,6 +156,10 @@
             key: INTERFERENCE_KEY,
             value: encode(&InterferenceWire::from(snapshot)),
         },
+        StoreChange::Leases(snapshot) => KeyedRecord {
+            key: LEASES_KEY,
+            value: encode(&LeaseSnapshotWire::new(term, snapshot)),
+        },
     }
 }
 
@@ -163,7 +173,9 @@
                 key: job_key(*id),
                 value: bytes::Bytes::new(),
             }),
-            StoreChange::Progress(..) | StoreChange::Interference(_) => None,
+            StoreChange::Progress(..) | StoreChange::Interference(_) | StoreChange::Leases(_) => {
+                None
+            }
         })
         .collect()
 }
--- a/crates/geraniumshed-batch/src/topic.rs
+++ b/crates/geraniumshed-batch/src/topic.rs
@@ -7,7 +7,7 @@
 
 /// The submitted jobs, by job ID. Every node appends to it; the leader removes old jobs.
 pub const REQUESTS: TopicName = TopicName("keyed.geraniumshed.requests");
-/// The progress of jobs, by job ID, and learned interference. Only the leader appends to it.
+/// The progress of jobs, by job ID, learned interference, and the leases of silent workers. Only the leader appends to it.
 pub const PROGRESS: TopicName = TopicName("keyed.geraniumshed.progress");
 /// The claims to lead. The newest one names the leader, and the offset after it is the term.
 pub const LEADERS: TopicName = TopicName("keyed.geraniumshed.leaders");
@@ -18,6 +18,9 @@
 /// The key of the record in [`PROGRESS`] that holds the learned interference between images.
 pub const INTERFERENCE_KEY: SmolStr = SmolStr::new_static("interference");
 
+/// The key of the record in [`PROGRESS`] that holds the leases of silent workers.
+pub const LEASES_KEY: SmolStr = SmolStr::new_static("leases");
+
 /// Returns the key of a job's records.
 pub fn job_key(id: JobId) -> SmolStr {
     id.to_smolstr()
--- a/crates/geraniumshed-batch/tests/nodes.rs
+++ b/crates/geraniumshed-batch/tests/nodes.rs
@@ -4,8 +4,11 @@
 
 use std::time::Duration;
 
+use geraniumshed_batch::wire::LeaseSnapshotWire;
 use geraniumshed_batch::{BatchNode, CallOutcome};
+use geraniumshed_core::assignment::LeaseSnapshot;
 use geraniumshed_core::job::{JobId, JobPhase};
+use geraniumshed_core::leadership::LeaderTerm;
 use support::{Site, deadline, job};
 
 #[tokio::test]
@@ -276,3 +279,27 @@
     let taken = started.elapsed();
     assert!(taken < Duration::from_millis(4500), "taken {taken:?}");
 }
+
+// Guards against a takeover that loses the stored leases, after which each leader waits for the
+// longest lease of a silent worker anew.
+#[tokio::test]
+async fn a_new_leader_continues_the_wait_for_a_silent_worker() {
+    let site = Site::new();
+    let nodes = site.spawn_nodes(2, 21_340).await;
+    let stopped = support::settled_leader(&nodes).await;
+    site.silence_worker_after_start();
+    nodes[0]
+        .service()
+        .submit(JobId(95), &job(1), deadline())
+        .await;
+    support::wait_for(async || site.stored_leases().is_some()).await;
+    let first = site.stored_leases().unwrap();
+    assert_eq!(first.term(), LeaderTerm(1));
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    nodes[stopped].begin_stop();
+    let is_later = |wire: &LeaseSnapshotWire| wire.term() > first.term();
+    support::wait_for(async || site.stored_leases().as_ref().is_some_and(is_later)).await;
+    let second = site.stored_leases().unwrap();
+    let remaining = |wire: LeaseSnapshotWire| LeaseSnapshot::from(wire).leases[0].remaining;
+    assert!(remaining(second) < remaining(first));
+}
--- a/crates/geraniumshed-batch/tests/support/mod.rs
+++ b/crates/geraniumshed-batch/tests/support/mod.rs
@@ -12,7 +12,8 @@
 use geraniumshed_batch::store::{
     AppendCondition, KeyedRecord, NewestPage, ReadBatch, StoreClient, StoreError, TopicName,
 };
-use geraniumshed_batch::topic::PROGRESS;
+use geraniumshed_batch::topic::{LEASES_KEY, PROGRESS};
+use geraniumshed_batch::wire::{LeaseSnapshotWire, decode};
 use geraniumshed_batch::{BatchNode, NodeSettings};
 use geraniumshed_core::assignment::PlannerSettings;
 use geraniumshed_core::job::{JobRequest, QueueName, QueuePolicy, StepRequest, WorkerId};
@@ -51,6 +52,9 @@
     refused: BTreeSet<usize>,
     config_version: u64,
     is_worker_hidden: bool,
+    /// Whether the worker stops answering renewals once it has started a run.
+    is_silenced_by_start: bool,
+    is_worker_silent: bool,
     takeover_delay: Duration,
     starts: usize,
     ended: Vec<RunEnd>,
@@ -159,6 +163,19 @@
         self.lock().is_worker_hidden = is_hidden;
     }
 
+    /// Makes the worker start the next run and then leave all renewals unanswered.
+    pub fn silence_worker_after_start(&self) {
+        self.lock().is_silenced_by_start = true;
+    }
+
+    /// Returns the newest record of silent workers' leases.
+    pub fn stored_leases(&self) -> Option<LeaseSnapshotWire> {
+        let state = self.lock();
+        let mut records = state.topics.get(&PROGRESS)?.records.iter().rev();
+        let record = records.find(|record| record.key == LEASES_KEY)?;
+        Some(decode(&record.value).unwrap())
+    }
+
     pub fn start_count(&self) -> usize {
         self.lock().starts
     }
@@ -376,6 +393,10 @@
     async fn start(&self, call: WorkerCall<StartOrder>) -> Result<StartReply, WorkerFailure> {
         let mut state = self.lock();
         state.starts += 1;
+        if state.is_silenced_by_start {
+            state.is_worker_silent = true;
+            return Ok(StartReply::Started);
+        }
         state.next_end += 1;
         let end = RunEnd {
             number: state.next_end,
@@ -407,6 +428,9 @@
     async fn renew(&self, call: WorkerCall<RenewRequest>) -> RenewOutcome {
         tokio::time::sleep(Duration::from_millis(10)).await;
         let mut state = self.lock();
+        if state.is_worker_silent {
+            return RenewOutcome::Failed(WorkerFailure::Unanswered);
+        }
         let seen = call.body.last_stored_end;
         state.ended.retain(|end| end.number > seen);
         let ended = state.ended.clone();
--- a/crates/geraniumshed-core/src/assignment/action.rs
+++ b/crates/geraniumshed-core/src/assignment/action.rs
@@ -4,6 +4,7 @@
 
 use super::event::PlannerEvent;
 use super::interference::InterferenceSnapshot;
+use super::lease_ledger::LeaseSnapshot;
 use crate::job::{JobId, JobPhase, StoredJob};
 use crate::worker::{
     AdviceRequest, PaceOrder, RenewRequest, SentRenewal, StartOrder, StopOrder, WorkerCall,
@@ -44,6 +45,8 @@
     Forget(JobId),
     /// The new state of the interference model.
     Interference(InterferenceSnapshot),
+    /// The leases of silent workers.
+    Leases(LeaseSnapshot),
 }
 
 /// Changes that are stored together.
--- a/crates/geraniumshed-core/src/assignment/mod.rs
+++ b/crates/geraniumshed-core/src/assignment/mod.rs
@@ -10,6 +10,7 @@
 mod event;
 mod gang;
 mod interference;
+mod lease_ledger;
 mod pacing;
 mod placement_pass;
 mod placement_query;
@@ -34,6 +35,7 @@
 pub use interference::{
     InterferenceModel, InterferenceSnapshot, LoadShare, ServedImageRecord, SlopeRecord,
 };
+pub use lease_ledger::{LeaseSnapshot, SilentLease};
 pub use placement_query::PlacementRefusal;
 pub use planner::JobPlanner;
 pub use settings::PlannerSettings;
--- a/crates/geraniumshed-core/src/assignment/planner.rs
+++ b/crates/geraniumshed-core/src/assignment/planner.rs
@@ -13,6 +13,7 @@
 use super::change_tracker::ChangeTracker;
 use super::event::{JobSummary, PlannerEvent};
 use super::interference::{InterferenceModel, InterferenceSnapshot};
+use super::lease_ledger::LeaseLedger;
 use super::rank::allowed_time;
 use super::settings::PlannerSettings;
 use crate::job::{
@@ -38,6 +39,7 @@
     pub(super) open_jobs: BTreeSet<JobId>,
     pub(super) workers: BTreeMap<WorkerId, WorkerEntry>,
     pub(super) change_tracker: ChangeTracker,
+    pub(super) lease_ledger: LeaseLedger,
     pub(super) interference: InterferenceModel,
     pub(super) advice: AdviceTable,
     pub(super) actions: Vec<PlannerAction>,
@@ -76,6 +78,7 @@
             open_jobs: BTreeSet::new(),
             workers: BTreeMap::new(),
             change_tracker: ChangeTracker::default(),
+            lease_ledger: LeaseLedger::default(),
             interference: InterferenceModel::default(),
             advice: AdviceTable::default(),
             actions: Vec::new(),
@@ -184,7 +187,7 @@
 
     /// Returns whether there are changes to store.
     pub fn has_changes(&self) -> bool {
-        self.change_tracker.has_changes()
+        self.change_tracker.has_changes() || self.lease_ledger.is_due()
     }
 
     /// Returns whether a renewal carried the newest fencing token that this planner used for a
@@ -196,7 +199,7 @@
 
     /// Takes the changes that have to be stored, if there are any.
     pub fn take_batch(&mut self, now: PlannerTime) -> Option<StoreBatch> {
-        if !self.change_tracker.has_changes() {
+        if !self.has_changes() {
             return None;
         }
         let (number, jobs, forgotten) = self.change_tracker.take_batch();
@@ -213,6 +216,8 @@
             self.next_model_store = now.point + MODEL_STORE_INTERVAL;
             changes.push(StoreChange::Interference(self.interference.snapshot()));
         }
+        let leases = self.take_lease_snapshot(now.point, number);
+        changes.extend(leases.map(StoreChange::Leases));
         Some(StoreBatch { number, changes })
     }
 
@@ -224,6 +229,7 @@
         for worker in self.workers.values_mut() {
             worker.ends_stored(number, now.point);
         }
+        self.lease_snapshots_stored(number);
     }
 
     /// Does all work that is due at the given time, and places tasks if anything has changed.
@@ -232,6 +238,7 @@
             self.next_watch = now.point + WATCH_INTERVAL;
             self.release_expired_workers(now);
             self.watch_runs(now);
+            self.watch_silent_leases(now.point);
             self.begin_occurrences(now);
         }
         if self.is_placement_due {
--- a/crates/geraniumshed-core/src/assignment/registry.rs
+++ b/crates/geraniumshed-core/src/assignment/registry.rs
@@ -58,6 +58,7 @@
         }
         let mut entry = WorkerEntry::new(listing, self.first_token, lease_expires_at);
         entry.contact.known_since = now.point;
+        entry.has_stored_lease = self.lease_ledger.contains(entry.id());
         self.workers.insert(entry.id().clone(), entry);
         self.is_placement_due = true;
     }
--- a/crates/geraniumshed-core/src/assignment/renewals.rs
+++ b/crates/geraniumshed-core/src/assignment/renewals.rs
@@ -106,14 +106,15 @@
 }
 
 impl WorkerEntry {
+    /// Returns whether the worker can be called. One that is only known from a stored placement
+    /// has no address.
+    pub(super) fn has_address(&self) -> bool {
+        self.listing.address.port() != 0
+    }
+
     fn has_unsettled(&self) -> bool {
         self.runs
             .values()
             .any(|run| matches!(run.phase, RunPhase::Unsettled(_)))
     }
-
-    /// Returns whether the worker's address is known.
-    pub(super) fn has_address(&self) -> bool {
-        self.listing.address.port() != 0
-    }
 }
--- a/crates/geraniumshed-core/src/leadership/record.rs
+++ b/crates/geraniumshed-core/src/leadership/record.rs
@@ -22,6 +22,11 @@
     pub fn first_token(self) -> FenceToken {
         FenceToken(self.0 * TOKENS_PER_TERM)
     }
+
+    /// Returns whether no other leader was elected between this term and a later one.
+    pub fn precedes(self, later: Self) -> bool {
+        self.0 + 1 == later.0
+    }
 }
 
 impl Display for LeaderTerm {
--- a/crates/geraniumshed-core/src/worker/entry.rs
+++ b/crates/geraniumshed-core/src/worker/entry.rs
@@ -50,6 +50,8 @@
     pub deadline: WorkerTime,
     /// The time by which the worker's lease has certainly expired.
     pub lease_expires_at: TimePoint,
+    /// Whether the store may hold the lease for a successor, so that it must not be extended.
+    pub has_stored_lease: bool,
     /// The runs that may be executing on the worker.
     pub runs: BTreeMap<TaskKey, RunEntry>,
     /// The resources that all runs together reserve.
@@ -107,6 +109,7 @@
             clock: None,
             deadline: WorkerTime::default(),
             lease_expires_at,
+            has_stored_lease: false,
             runs: BTreeMap::new(),
             reserved: ResourceSize::default(),
             load: WorkerLoad::default(),
@@ -138,6 +141,7 @@
         self.is_listed
             && self.is_adopted
             && self.unanswered_calls == 0
+            && !self.has_stored_lease
             && !self.listing.is_draining
             && self.quarantine.allows_task(now)
     }
@@ -198,8 +202,11 @@
     }
 
     /// Extends the lease and returns the new deadline, or `None` while the worker's clock is
-    /// unknown.
+    /// unknown or a successor may rely on the stored lease.
     pub fn extend_lease(&mut self, now: TimePoint, length: Duration) -> Option<WorkerTime> {
+        if self.has_stored_lease {
+            return None;
+        }
         let clock = self.clock?;
         let deadline = clock.earliest(now).plus(length).max(self.deadline);
         self.deadline = deadline;
--- a/crates/geraniumshed-core/tests/planner/fixture.rs
+++ b/crates/geraniumshed-core/tests/planner/fixture.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use geraniumshed_core::assignment::{
-    InterferenceSnapshot, JobPlanner, JobStatus, PlannerAction, PlannerEvent, PlannerSettings,
-    PlannerTime, StoreChange,
+    InterferenceSnapshot, JobPlanner, JobStatus, LeaseSnapshot, PlannerAction, PlannerEvent,
+    PlannerSettings, PlannerTime, StoreChange,
 };
 use geraniumshed_core::job::{
     AdvicePolicy, JobId, JobPhase, JobRequest, QueueName, QueuePolicy, StepRequest, StoredJob,
@@ -55,6 +55,8 @@
     pub stored: BTreeMap<JobId, StoredJob>,
     pub requests: BTreeMap<JobId, JobRequest>,
     pub interference: InterferenceSnapshot,
+    /// The leases of silent workers, which only the next planner may use.
+    pub leases: LeaseSnapshot,
     /// The pressure per processor that a best-effort image (second) adds to an image with a latency
     /// target (first).
     pub pressures: BTreeMap<(SmolStr, SmolStr), f64>,
@@ -69,6 +71,8 @@
     pub events: Vec<PlannerEvent>,
     /// The changes of speed that haven't taken effect yet.
     pending_paces: VecDeque<(TimePoint, TaskKey, u32)>,
+    /// The renewals that workers hold back, with the times of their replies.
+    held_renewals: Vec<(TimePoint, WorkerId, SentRenewal)>,
     unstored_batches: Vec<(u64, Vec<StoreChange>)>,
     run_length: fn(&StepRequest) -> Duration,
 }
@@ -87,6 +91,7 @@
             stored: BTreeMap::new(),
             requests: BTreeMap::new(),
             interference: InterferenceSnapshot::default(),
+            leases: LeaseSnapshot::default(),
             pressures: BTreeMap::new(),
             tail_counts: (0, 0),
             duplicated: Vec::new(),
@@ -94,6 +99,7 @@
             adviser: SimulatedAdviser::default(),
             events: Vec::new(),
             pending_paces: VecDeque::new(),
+            held_renewals: Vec::new(),
             unstored_batches: Vec::new(),
             run_length: |step| step.estimate,
         };
@@ -148,6 +154,7 @@
         self.planner = new_planner(token);
         self.planner.restore_interference(self.interference.clone());
         self.unstored_batches.clear();
+        self.held_renewals.clear();
         let now = self.planner_time();
         for (id, request) in &self.requests {
             match self.stored.get(id) {
@@ -158,6 +165,8 @@
                 None => self.planner.submit(*id, request.clone()),
             }
         }
+        let leases = std::mem::take(&mut self.leases);
+        self.planner.restore_leases(now, leases);
         let withdrawn = self.stored.iter();
         for (id, image) in withdrawn.filter(|(id, _)| !self.requests.contains_key(id)) {
             self.planner.restore_withdrawn(*id, image.ended_unix_ms);
@@ -171,6 +180,7 @@
         while self.now < end {
             self.now = self.now + STEP;
             self.run_workers();
+            self.answer_held_renewals();
             self.apply_pressure();
             self.advise();
             self.planner.request_placement();
@@ -218,6 +228,16 @@
         restarted.map(|(task, _)| *task).collect()
     }
 
+    /// Returns the tasks that run on several workers, also on such that don't reply.
+    pub fn tasks_running_twice(&self) -> Vec<TaskKey> {
+        let mut seen = BTreeSet::new();
+        let running = self.workers.values().flat_map(|worker| worker.runs.keys());
+        running
+            .filter(|task| !seen.insert(**task))
+            .copied()
+            .collect()
+    }
+
     pub fn running_on(&self, worker: &WorkerId) -> usize {
         self.workers[worker].runs.len()
     }
@@ -236,6 +256,7 @@
                         self.stored.insert(id, stored);
                     }
                     StoreChange::Interference(snapshot) => self.interference = snapshot,
+                    StoreChange::Leases(snapshot) => self.leases = snapshot,
                     StoreChange::Forget(id) => {
                         self.stored.remove(&id);
                         self.requests.remove(&id);
@@ -291,7 +312,12 @@
             worker.delayed.push((now + delay, token, order.clone()));
             return Err(WorkerFailure::Unanswered);
         }
-        Ok(self.begin(id, token, order))
+        let loses_replies = worker.fault.loses_replies;
+        let reply = self.begin(id, token, order);
+        if loses_replies {
+            return Err(WorkerFailure::Unanswered);
+        }
+        Ok(reply)
     }
 
     fn begin(&mut self, id: &WorkerId, token: FenceToken, order: &StartOrder) -> StartReply {
@@ -307,7 +333,7 @@
         if token < worker.token {
             return StartReply::Fenced;
         }
-        if order.deadline.0 < now.0 / 1000 {
+        if order.deadline.0 < worker.clock(now).0 / 1000 {
             return StartReply::Late;
         }
         let is_advised = self.requests[&order.task.job].queue == QueueName::from(ADVISED_QUEUE);
@@ -359,6 +385,36 @@
             }
         }
         worker.ended.retain(|end| end.number > seen);
+        if worker.fault.holds_renewals && !request.wait.is_zero() {
+            let due = self.now + request.wait;
+            self.held_renewals.push((due, id.clone(), sent));
+            return;
+        }
+        self.answer_renewal(id, sent);
+    }
+
+    /// Replies to the renewals that were held back for long enough.
+    fn answer_held_renewals(&mut self) {
+        let now = self.now;
+        let (due, held): (Vec<_>, Vec<_>) = std::mem::take(&mut self.held_renewals)
+            .into_iter()
+            .partition(|(at, ..)| *at <= now);
+        self.held_renewals = held;
+        for (_, id, sent) in due {
+            self.answer_renewal(&id, sent);
+        }
+    }
+
+    fn answer_renewal(&mut self, id: &WorkerId, sent: SentRenewal) {
+        let now = self.planner_time();
+        let Some(worker) = self.workers.get(id) else {
+            self.planner.renewal_failed(now, id, sent, false);
+            return;
+        };
+        if worker.fault.is_silent || worker.fault.loses_replies {
+            self.planner.renewal_failed(now, id, sent, false);
+            return;
+        }
         let workload = Workload {
             requests: &self.requests,
             pressures: &self.pressures,
@@ -369,7 +425,7 @@
         self.tail_counts.0 += all;
         self.tail_counts.1 += high;
         let reply = RenewReply {
-            clock: WorkerTime(self.now.0 / 1000),
+            clock: WorkerTime(worker.clock(self.now).0 / 1000),
             incarnation: Some(worker.incarnation),
             running,
             ended: worker.ended.clone(),
@@ -438,7 +494,7 @@
                     (false, false) => worker.end(task, EndKind::Done),
                 }
             }
-            if worker.deadline < now {
+            if worker.deadline < worker.clock(now) {
                 for task in worker.runs.keys().copied().collect::<Vec<_>>() {
                     worker.end(task, EndKind::Lapsed);
                 }
--- a/crates/geraniumshed-core/tests/planner/main.rs
+++ b/crates/geraniumshed-core/tests/planner/main.rs
@@ -7,5 +7,6 @@
 mod leases;
 mod load_patterns;
 mod rules;
+mod silent_workers;
 mod simulation;
 mod takeover;
--- /dev/null
+++ b/crates/geraniumshed-core/tests/planner/silent_workers.rs
@@ -0,0 +1,138 @@
+//! Tests of the stored leases of silent workers, on which successors rely.
+
+use std::time::Duration;
+
+use geraniumshed_core::job::{StepRequest, WorkerId};
+use rand::{Rng, RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
+
+use crate::builders::{step, worker};
+use crate::fixture::{Cluster, STEP};
+
+/// The number of long-running tasks.
+const TASK_COUNT: u32 = 4;
+/// The number of workers.
+const WORKER_COUNT: usize = 3;
+/// The number of random events of a run.
+const EVENT_COUNT: usize = 30;
+/// The time after the last fault by which all tasks have to run.
+const RECOVERY_TIME: Duration = Duration::from_secs(8);
+
+/// Starts long-running tasks on workers whose clocks run at the given speed.
+fn start_tasks(clock_percent: u64) -> Cluster {
+    let mut cluster = Cluster::with_workers(WORKER_COUNT);
+    for worker in cluster.workers.values_mut() {
+        worker.clock_percent = clock_percent;
+    }
+    cluster.replace_planner();
+    let long_running = StepRequest {
+        is_long_running: true,
+        ..step(TASK_COUNT)
+    };
+    cluster.submit(1, vec![long_running]);
+    cluster.advance(Duration::from_millis(500));
+    cluster
+}
+
+/// Advances the time, and checks at each step that no task runs twice.
+fn advance_checked(cluster: &mut Cluster, span: Duration) {
+    let end = cluster.now + span;
+    while cluster.now < end {
+        cluster.advance(STEP);
+        assert_eq!(cluster.tasks_running_twice(), [], "at {:?}", cluster.now);
+    }
+}
+
+fn set_silent(cluster: &mut Cluster, worker: &WorkerId, is_silent: bool) {
+    cluster.workers.get_mut(worker).unwrap().fault.is_silent = is_silent;
+}
+
+fn heal(cluster: &mut Cluster) {
+    cluster.is_store_up = true;
+    for worker in cluster.workers.values_mut() {
+        worker.fault.is_silent = false;
+        worker.fault.loses_replies = false;
+    }
+}
+
+fn apply_random_event(cluster: &mut Cluster, rng: &mut impl Rng) {
+    let id = worker(rng.random_range(0..WORKER_COUNT));
+    let one = cluster.workers.get_mut(&id).unwrap();
+    match rng.random_range(0..10) {
+        0..=2 => one.fault.is_silent = !one.fault.is_silent,
+        3 => one.fault.loses_replies = !one.fault.loses_replies,
+        4 => one.restart(),
+        5 => cluster.is_store_up = !cluster.is_store_up,
+        6 => heal(cluster),
+        7 => {
+            cluster.planner.hand_over(cluster.planner_time());
+            cluster.carry_out_actions();
+            cluster.replace_planner();
+        }
+        _ => cluster.replace_planner(),
+    }
+}
+
+/// Guards against a successor that relies on the stored lease of a worker after its predecessor has
+/// heard from the worker and extended the lease.
+#[rstest]
+fn stored_lease_is_withdrawn_before_it_is_extended(
+    #[values(98, 100)] clock_percent: u64,
+    #[values(true, false)] is_store_up: bool,
+    #[values(1_500, 3_000, 4_200)] silent_ms: u64,
+    #[values(20, 60, 300, 1_500, 4_000)] answering_ms: u64,
+) {
+    let mut cluster = start_tasks(clock_percent);
+    let silent = worker(0);
+    set_silent(&mut cluster, &silent, true);
+    advance_checked(&mut cluster, Duration::from_millis(silent_ms));
+    cluster.is_store_up = is_store_up;
+    set_silent(&mut cluster, &silent, false);
+    advance_checked(&mut cluster, Duration::from_millis(answering_ms));
+    set_silent(&mut cluster, &silent, true);
+    cluster.replace_planner();
+    cluster.is_store_up = true;
+    advance_checked(&mut cluster, RECOVERY_TIME);
+    assert_eq!(cluster.running_on(&silent), 0);
+}
+
+/// Guards against a stored lease that keeps a worker which answers again from being renewed.
+#[rstest]
+fn worker_that_answers_again_keeps_its_tasks(
+    #[values(500, 1_500, 3_100)] silent_ms: u64,
+    #[values(false, true)] holds_renewals: bool,
+) {
+    let mut cluster = start_tasks(100);
+    for worker in cluster.workers.values_mut() {
+        worker.fault.holds_renewals = holds_renewals;
+    }
+    advance_checked(&mut cluster, Duration::from_millis(1_500));
+    set_silent(&mut cluster, &worker(0), true);
+    advance_checked(&mut cluster, Duration::from_millis(silent_ms));
+    set_silent(&mut cluster, &worker(0), false);
+    advance_checked(&mut cluster, Duration::from_secs(12));
+    assert_eq!(cluster.starts.len(), TASK_COUNT as usize);
+}
+
+/// Workers are cut off, lose replies, restart and return, while planners and the store fail.
+#[rstest]
+fn no_task_runs_twice_and_all_run_after_random_faults(#[values(98, 100)] clock_percent: u64) {
+    for seed in 0..150 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut cluster = start_tasks(clock_percent);
+        for _ in 0..EVENT_COUNT {
+            apply_random_event(&mut cluster, &mut rng);
+            let span = Duration::from_millis(rng.random_range(10..1_800));
+            advance_checked(&mut cluster, span);
+        }
+        heal(&mut cluster);
+        advance_checked(&mut cluster, RECOVERY_TIME);
+        let running: usize = cluster
+            .workers
+            .keys()
+            .map(|id| cluster.running_on(id))
+            .sum();
+        assert_eq!(running, TASK_COUNT as usize, "seed {seed}");
+    }
+}
--- a/crates/geraniumshed-core/tests/planner/simulation.rs
+++ b/crates/geraniumshed-core/tests/planner/simulation.rs
@@ -15,6 +15,10 @@
 pub struct WorkerFault {
     /// The worker doesn't reply and carries nothing out.
     pub is_silent: bool,
+    /// The worker holds renewals back for as long as it may.
+    pub holds_renewals: bool,
+    /// The worker carries calls out, but its replies are lost.
+    pub loses_replies: bool,
     /// The worker doesn't reply to starts and carries them out after this delay.
     pub start_delay: Option<Duration>,
     /// All tasks on the worker fail.
@@ -49,6 +53,8 @@
     pub listing: WorkerListing,
     pub fault: WorkerFault,
     pub incarnation: WorkerIncarnation,
+    /// The speed of the worker's clock, in percent.
+    pub clock_percent: u64,
     pub token: FenceToken,
     pub deadline: TimePoint,
     pub runs: BTreeMap<TaskKey, SimulatedRun>,
@@ -63,6 +69,7 @@
             listing,
             fault: WorkerFault::default(),
             incarnation: WorkerIncarnation(1),
+            clock_percent: 100,
             token: FenceToken(0),
             deadline: TimePoint::default(),
             runs: BTreeMap::new(),
@@ -75,8 +82,15 @@
     /// Restarts the worker, which loses all its runs and state.
     pub fn restart(&mut self) {
         let incarnation = WorkerIncarnation(self.incarnation.0 + 1);
+        let clock_percent = self.clock_percent;
         *self = Self::new(self.listing.clone());
         self.incarnation = incarnation;
+        self.clock_percent = clock_percent;
+    }
+
+    /// Returns the time on the worker's clock.
+    pub fn clock(&self, now: TimePoint) -> TimePoint {
+        TimePoint(now.0 * self.clock_percent / 100)
     }
 
     /// Ends a run, if the worker has it.
