Add failing tests of a silent worker's replica under takeovers of its shard

A worker stays in the platform's list and answers nothing, and the shard gets a new owner. An owner moves a replica away from a worker whose last reply is a lease old, but a worker that never replied to this owner has no last reply, so its replica stays for good, also after a single takeover.

Both cases with takeovers fail ("the replica is replaced", 60 s after the last takeover), the control with one owner passes.

--- a/crates/geraniumshed-core/tests/schedule_takeovers.rs
+++ b/crates/geraniumshed-core/tests/schedule_takeovers.rs
@@ -10,7 +10,7 @@
 use geraniumshed_model::prelude::*;
 use rstest::rstest;
 use schedule_support::fake_worker::FakeWorker;
-use schedule_support::fixture::{job, task, worker, workers};
+use schedule_support::fixture::{job, service, task, worker, workers};
 use schedule_support::{FakeCluster, find_violations};
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -108,6 +108,30 @@
     );
 }
 
+// Guards against a replica that never moves, because an owner that never reached its worker did
+// not count the worker as silent.
+#[rstest]
+#[case::one_owner(0)]
+#[case::one_takeover(1)]
+#[case::many_takeovers(MOST_TAKEOVERS)]
+fn replica_of_a_silent_worker_is_replaced_within_one_wait(#[case] takeovers: u32) {
+    let mut cluster = started(1, "bookings", RecordSpec::Service(service(1, 1)));
+    assert_eq!(cluster.runs("bookings").len(), 1);
+    add_spare_worker(&mut cluster);
+    first_worker(&mut cluster).reachable = false;
+    let lost_at = cluster.now;
+    for _ in 0..takeovers {
+        cluster.run(TENURE);
+        take_over(&mut cluster, NextOwner::Running);
+    }
+    cluster.run(60 * SECOND);
+
+    let runs = cluster.runs("bookings");
+    let again = runs.get(1).expect("the replica is replaced");
+    let away = again.begin.since(lost_at);
+    assert!(away <= cluster.settings.lease + TENURE + MARGIN, "{away:?}");
+}
+
 // Guards against a new wait of an owner that reads the log again: the end of a task is logged, so
 // a takeover does not run it a second time.
 #[rstest]
