Add a failing test of a withdrawn service under takeovers of its shard

An owner stops the replicas of a service without a record only once it has been ready for the longest lag of the config stream (13 s), since it may know less of that stream than the previous owner. With a new owner every 12 s, nobody waits for that long: both replicas still run after 192 s. With one takeover they stop.

--- a/crates/geraniumshed-core/tests/schedule_takeovers.rs
+++ b/crates/geraniumshed-core/tests/schedule_takeovers.rs
@@ -132,6 +132,22 @@
     assert!(away <= cluster.settings.lease + TENURE + MARGIN, "{away:?}");
 }
 
+// Guards against replicas of a withdrawn service that run on, because each owner waited for the
+// lag of the `config` stream from its own takeover.
+#[rstest]
+#[case::one_takeover(0)]
+#[case::many_takeovers(MOST_TAKEOVERS)]
+fn withdrawn_service_stops_within_one_wait(#[case] takeovers: u32) {
+    let mut cluster = started(2, "bookings", RecordSpec::Service(service(2, 1)));
+    assert_eq!(cluster.ready_endpoints("bookings").len(), 2);
+    take_over(&mut cluster, NextOwner::Running);
+    cluster.withdraw(RecordKind::Service, "bookings");
+    run_with_takeovers(&mut cluster, takeovers, NextOwner::Running);
+
+    let live: usize = cluster.workers.values().map(FakeWorker::live_count).sum();
+    assert_eq!(live, 0, "no replica of the withdrawn service runs");
+}
+
 // Guards against a new wait of an owner that reads the log again: the end of a task is logged, so
 // a takeover does not run it a second time.
 #[rstest]
