Add a failing test of a drained replica under takeovers of its shard

A replica on a leaving worker runs on for at most 30 s if there is no room for its replacement. Each owner counts that time from its own takeover, so with a new owner every 12 s the replica still runs after 192 s. With one owner it stops.

--- a/crates/geraniumshed-core/tests/schedule_takeovers.rs
+++ b/crates/geraniumshed-core/tests/schedule_takeovers.rs
@@ -148,6 +148,21 @@
     assert_eq!(live, 0, "no replica of the withdrawn service runs");
 }
 
+// Guards against a drain that never ends, because each owner waited for a replacement, for which
+// there is no room, from its own takeover.
+#[rstest]
+#[case::one_owner(0)]
+#[case::many_takeovers(MOST_TAKEOVERS)]
+fn drained_replica_without_replacement_stops_within_one_wait(#[case] takeovers: u32) {
+    let mut cluster = started(1, "bookings", RecordSpec::Service(service(1, 8)));
+    assert_eq!(cluster.ready_endpoints("bookings").len(), 1);
+    first_worker(&mut cluster).vm.phase = VmPhase::Leaving;
+    run_with_takeovers(&mut cluster, takeovers, NextOwner::Running);
+
+    let live = first_worker(&mut cluster).live_count();
+    assert_eq!(live, 0, "the drained replica has stopped");
+}
+
 // Guards against a new wait of an owner that reads the log again: the end of a task is logged, so
 // a takeover does not run it a second time.
 #[rstest]
