Count a worker as silent that never replied to the shard's new owner

An owner replaces a replica whose worker hasn't replied for a lease. A worker that never replied to this owner had no last reply and never counted as silent, so after a takeover the replica of a worker that is listed and answers nothing stayed there for good. Its silence now begins when the owner became ready. Only replicas are concerned, of which a surplus one may run beside the old one; batch tasks wait for the end of the lease as before.

`replica_of_a_silent_worker_is_replaced_within_one_wait::case_2_one_takeover` passes (limit 45 s after the last reply).

--- a/crates/geraniumshed-core/src/schedule/lifecycle.rs
+++ b/crates/geraniumshed-core/src/schedule/lifecycle.rs
@@ -326,7 +326,8 @@
                 if worker_attempt.stop.is_some() || !worker_attempt.is_live() {
                     continue;
                 }
-                let unreachable = worker.is_unreachable(now, self.settings.lease);
+                let limit = self.settings.lease;
+                let unreachable = worker.is_unreachable(now, self.ready_since, limit);
                 let leaving = worker.is_leaving() || (unreachable && is_replica(&key.0));
                 if let Some(reason) = self.stop_reason(now, leaving, key) {
                     stops.push((id.clone(), key.clone(), reason));
--- a/crates/geraniumshed-core/src/schedule/worker_entry.rs
+++ b/crates/geraniumshed-core/src/schedule/worker_entry.rs
@@ -261,10 +261,11 @@
     }
 
     /// Returns whether the worker is gone or has not replied for a time; it may still run tasks.
-    pub fn is_unreachable(&self, now: TimePoint, limit: Duration) -> bool {
-        let silent = self
-            .last_reply
-            .is_some_and(|last_reply| now.since(last_reply) >= limit);
+    ///
+    /// The silence of a worker that never replied to this owner begins when the owner became ready.
+    pub fn is_unreachable(&self, now: TimePoint, ready_since: TimePoint, limit: Duration) -> bool {
+        let last_reply = self.last_reply.unwrap_or(ready_since);
+        let silent = now.since(last_reply) >= limit;
         self.phase() == VmPhase::Gone || silent
     }
 
