Give each simulated planner a higher fencing token than the last

The token of a successor in the planner's tests was counted from the starts so far. Two takeovers without a start between them gave equal tokens, and a worker whose token was raised meanwhile refused all renewals of the later planner. It is now counted from the planners.

--- a/crates/geraniumshed-core/tests/planner/fixture.rs
+++ b/crates/geraniumshed-core/tests/planner/fixture.rs
@@ -43,6 +43,8 @@
 /// A planner with simulated workers and a simulated store.
 pub struct Cluster {
     pub planner: JobPlanner,
+    /// The number of planners so far.
+    planner_count: u64,
     pub workers: BTreeMap<WorkerId, SimulatedWorker>,
     pub now: TimePoint,
     pub starts: Vec<ObservedStart>,
@@ -78,6 +80,7 @@
     pub fn with_workers(count: usize) -> Self {
         let mut cluster = Self {
             planner: new_planner(FIRST_TOKEN),
+            planner_count: 1,
             workers: BTreeMap::new(),
             now: TimePoint(1_000_000),
             starts: Vec::new(),
@@ -144,8 +147,8 @@
 
     /// Replaces the planner by a successor that knows only the stored state.
     pub fn replace_planner(&mut self) {
-        let token = FenceToken((self.starts.len() as u64 + 2) << 24);
-        self.planner = new_planner(token);
+        self.planner_count += 1;
+        self.planner = new_planner(FenceToken(FIRST_TOKEN.0 * self.planner_count));
         self.planner.restore_interference(self.interference.clone());
         self.unstored_batches.clear();
         let now = self.planner_time();
