Add failing tests of stalled tasks under takeovers

The time without progress after which a task is stopped and started elsewhere begins with the first report to each planner: `RunEntry::progressed_at` isn't stored. With a planner every 2 s, neither a stalled task with an estimate of 10 s (limit 2.3 s) nor a long-running one that doesn't become ready (limit 3 s) is moved within 9 s. With one planner both are.

--- a/crates/geraniumshed-core/tests/planner/main.rs
+++ b/crates/geraniumshed-core/tests/planner/main.rs
@@ -8,4 +8,5 @@
 mod load_patterns;
 mod rules;
 mod simulation;
+mod succession;
 mod takeover;
