Add failing tests of holds for long-running tasks under takeovers

A worker is held for a large long-running task once its step has waited for 1 s (scattered free capacity) or 6 s (crowded). The wait is kept in the diagnostics of the job and the holds in the planner, both in memory only.

--- a/crates/geraniumshed-core/tests/planner/succession.rs
+++ b/crates/geraniumshed-core/tests/planner/succession.rs
@@ -4,9 +4,10 @@
 use std::time::Duration;
 
 use geraniumshed_core::job::StepRequest;
+use geraniumshed_core::worker::EndKind;
 use rstest::rstest;
 
-use crate::builders::{step, task};
+use crate::builders::{size, step, task};
 use crate::fixture::Cluster;
 
 /// A time between takeovers with which no takeover happens during a test.
@@ -53,3 +54,50 @@
     assert_ne!(starts[1].worker, first);
     assert_eq!(cluster.duplicated, []);
 }
+
+// Guards against a large long-running task that is kept away by short ones, because each planner
+// counts the time before it holds a worker from its own takeover and releases earlier holds.
+#[rstest]
+#[case::scattered_one_planner(5_000, 3, NEVER)]
+#[case::scattered_takeovers(5_000, 3, 2_000)]
+#[case::crowded_one_planner(2_000, 9, NEVER)]
+#[case::crowded_takeovers(2_000, 9, 4_000)]
+fn worker_is_held_for_long_running_task(
+    #[case] short_processors: u32,
+    #[case] longest_gap_s: u64,
+    #[case] interval_ms: u64,
+) {
+    let mut cluster = Cluster::with_workers(4);
+    let large = StepRequest {
+        is_long_running: true,
+        size: size(14_000, 16),
+        ..step(4)
+    };
+    let id = cluster.submit(1, vec![large]);
+    cluster.advance(Duration::from_secs(2));
+    let failed_worker = cluster.starts[0].worker.clone();
+    for number in 0..1_200 {
+        let short = StepRequest {
+            estimate: Duration::from_millis(700 + number * 83 % 600),
+            size: size(short_processors, 2),
+            ..step(1)
+        };
+        cluster.submit(100 + number, vec![short]);
+        cluster.advance(Duration::from_millis(20));
+        if number > 0 && number * 20 % interval_ms == 0 {
+            cluster.replace_planner();
+        }
+        if number == 200 {
+            let worker = cluster.workers.get_mut(&failed_worker).unwrap();
+            worker.end(task(id, 0, 0), EndKind::Failed);
+        }
+    }
+    let runs = cluster.starts_of(task(id, 0, 0));
+    assert_eq!(runs.len(), 2, "the long-running task was not placed again");
+    let failed_at = runs[0].at + Duration::from_secs(6);
+    let gap = runs[1].at.since(failed_at);
+    assert!(
+        gap < Duration::from_secs(longest_gap_s),
+        "not running for {gap:?}"
+    );
+}
