Add a failing test of tail latencies under takeovers

Tail latencies in the first 1.5 s of a run are ignored, since its start causes them. A successor counts the start of a run that it adopts from its own takeover, so it also ignores those of runs that have served for long.

--- a/crates/geraniumshed-core/tests/planner/succession.rs
+++ b/crates/geraniumshed-core/tests/planner/succession.rs
@@ -3,15 +3,19 @@
 
 use std::time::Duration;
 
-use geraniumshed_core::job::StepRequest;
+use geraniumshed_core::job::{JobId, StepRequest};
 use geraniumshed_core::worker::EndKind;
+use geraniumshed_model::prelude::TimePoint;
 use rstest::rstest;
+use smol_str::SmolStr;
 
 use crate::builders::{size, step, task};
-use crate::fixture::Cluster;
+use crate::fixture::{Cluster, STEP};
 
 /// A time between takeovers with which no takeover happens during a test.
 const NEVER: u64 = 600_000;
+/// The pressure per processor of an image of which a single run exceeds a target.
+const STRONG_PRESSURE: f64 = 0.3;
 
 /// Advances the time, and replaces the planner at a regular interval.
 fn advance_with_takeovers(cluster: &mut Cluster, span: Duration, interval_ms: u64) {
@@ -101,3 +105,69 @@
         "not running for {gap:?}"
     );
 }
+
+fn served_step(task_count: u32) -> StepRequest {
+    StepRequest {
+        is_long_running: true,
+        image: Some("calls".into()),
+        latency_target: Some(Duration::from_millis(20)),
+        size: size(6_000, 8),
+        ..step(task_count)
+    }
+}
+
+fn noisy_step() -> StepRequest {
+    StepRequest {
+        is_best_effort: true,
+        image: Some("noisy".into()),
+        size: size(3_000, 4),
+        estimate: Duration::from_mins(1),
+        ..step(1)
+    }
+}
+
+/// Returns a cluster with a served image and a best-effort run that disturbs it on one worker.
+fn disturbed_cluster() -> (Cluster, JobId) {
+    let mut cluster = Cluster::with_workers(1);
+    let pair = (SmolStr::new("calls"), SmolStr::new("noisy"));
+    cluster.pressures.insert(pair, STRONG_PRESSURE);
+    let calls = cluster.submit(1, vec![served_step(1)]);
+    cluster.advance(Duration::from_secs(3));
+    cluster.submit(2, vec![noisy_step()]);
+    (cluster, calls)
+}
+
+// Guards against a run with a latency target that stays above it, because each planner ignores the
+// tail latencies after its takeover as if the run had just started.
+#[rstest]
+#[case::one_planner(NEVER)]
+#[case::takeovers(2_000)]
+#[case::takeovers_during_warm_up(1_400)]
+fn tail_stays_above_target_for_a_bounded_time(#[case] interval_ms: u64) {
+    let (mut cluster, _) = disturbed_cluster();
+    if interval_ms != NEVER {
+        // No planner has measured the disturbed run before.
+        cluster.replace_planner();
+    }
+    let end = cluster.now + Duration::from_secs(25);
+    let mut next_takeover = cluster.now + Duration::from_millis(interval_ms);
+    let mut above_since: Option<TimePoint> = None;
+    let mut longest = Duration::ZERO;
+    while cluster.now < end {
+        cluster.tail_counts = (0, 0);
+        cluster.advance(STEP);
+        match cluster.tail_counts {
+            (0, _) => {}
+            (_, 0) => above_since = None,
+            (_, _) => {
+                let since = *above_since.get_or_insert(cluster.now);
+                longest = longest.max(cluster.now.since(since));
+            }
+        }
+        if next_takeover <= cluster.now {
+            cluster.replace_planner();
+            next_takeover = cluster.now + Duration::from_millis(interval_ms);
+        }
+    }
+    assert!(longest < Duration::from_secs(4), "above for {longest:?}");
+}
