Add a failing test of a slowed run after a takeover

A successor enters every run that it adopts with a speed of 100%, whatever the earlier planner ordered, and sends no order where the speed that it wants is 100% too. A slowed run stays slowed until its end or until a successor slows it further, and a run at a small share of its speed may count as stalled.

After one takeover the run is still slowed 5 s after the run that it disturbed was cancelled; without a takeover it is back at full speed.

--- a/crates/geraniumshed-core/tests/planner/succession.rs
+++ b/crates/geraniumshed-core/tests/planner/succession.rs
@@ -171,3 +171,22 @@
     }
     assert!(longest < Duration::from_secs(4), "above for {longest:?}");
 }
+
+// Guards against a run that stays slowed, because a successor assumes that all runs that it adopts
+// run at full speed and orders no other.
+#[rstest]
+#[case::one_planner(false)]
+#[case::takeover(true)]
+fn slowed_run_regains_full_speed(#[case] is_replaced: bool) {
+    let (mut cluster, calls) = disturbed_cluster();
+    cluster.advance(Duration::from_secs(25));
+    assert!(cluster.paces.values().any(|percent| *percent < 100));
+    cluster.planner.cancel(cluster.planner_time(), calls);
+    if is_replaced {
+        cluster.advance(STEP);
+        cluster.replace_planner();
+    }
+    cluster.advance(Duration::from_secs(5));
+    let slowed = cluster.paces.iter().filter(|(task, _)| task.job.0 == 2);
+    assert!(slowed.clone().all(|(_, percent)| *percent == 100));
+}
