Add a failing test of learned interference under takeovers

The model is stored with the first batch of each planner, which has learned nothing yet, and then every 3 s.

--- a/crates/geraniumshed-core/tests/planner/succession.rs
+++ b/crates/geraniumshed-core/tests/planner/succession.rs
@@ -190,3 +190,37 @@
     let slowed = cluster.paces.iter().filter(|(task, _)| task.job.0 == 2);
     assert!(slowed.clone().all(|(_, percent)| *percent == 100));
 }
+
+// Guards against an interference model that never grows, because each planner stores it once at its
+// takeover and then only after an interval that it doesn't reach.
+#[rstest]
+#[case::one_planner(NEVER)]
+#[case::takeovers(2_000)]
+fn learned_interference_is_stored(#[case] interval_ms: u64) {
+    let mut cluster = Cluster::with_workers(8);
+    let pair = (SmolStr::new("calls"), SmolStr::new("noisy"));
+    cluster.pressures.insert(pair, STRONG_PRESSURE);
+    let other = StepRequest {
+        image: Some("queue".into()),
+        ..served_step(12)
+    };
+    cluster.submit(1, vec![served_step(12)]);
+    cluster.submit(2, vec![other]);
+    advance_with_takeovers(&mut cluster, Duration::from_secs(3), interval_ms);
+    for number in 0..10 {
+        let noisy = StepRequest {
+            estimate: Duration::from_secs(1),
+            task_count: 4,
+            ..noisy_step()
+        };
+        cluster.submit(10 + number, vec![noisy]);
+        advance_with_takeovers(&mut cluster, Duration::from_secs(2), interval_ms);
+        if interval_ms != NEVER {
+            cluster.replace_planner();
+        }
+    }
+    let served = cluster.interference.served.iter();
+    let slopes = served.flat_map(|record| record.slopes.iter());
+    let noisy = slopes.filter(|record| record.image == "noisy" && record.slope > 0.0);
+    assert!(noisy.count() > 0, "nothing is stored of what was learned");
+}
