--- a/crates/geraniumshed-core/tests/planner/main.rs
+++ b/crates/geraniumshed-core/tests/planner/main.rs
@@ -9,4 +9,5 @@
 mod rules;
 mod silent_workers;
 mod simulation;
+mod succession;
 mod takeover;
--- /dev/null
+++ b/crates/geraniumshed-core/tests/planner/succession.rs
@@ -0,0 +1,226 @@
+//! Tests of planners that follow each other faster than a wait or a measurement takes: what one
+//! planner has begun must not start anew with each successor.
+
+use std::time::Duration;
+
+use geraniumshed_core::job::{JobId, StepRequest};
+use geraniumshed_core::worker::EndKind;
+use geraniumshed_model::prelude::TimePoint;
+use rstest::rstest;
+use smol_str::SmolStr;
+
+use crate::builders::{size, step, task};
+use crate::fixture::{Cluster, STEP};
+
+/// A time between takeovers with which no takeover happens during a test.
+const NEVER: u64 = 600_000;
+/// The pressure per processor of an image of which a single run exceeds a target.
+const STRONG_PRESSURE: f64 = 0.3;
+
+/// Advances the time, and replaces the planner at a regular interval.
+fn advance_with_takeovers(cluster: &mut Cluster, span: Duration, interval_ms: u64) {
+    let interval = Duration::from_millis(interval_ms);
+    let end = cluster.now + span;
+    while cluster.now < end {
+        cluster.advance(interval.min(end.since(cluster.now)));
+        if cluster.now < end {
+            cluster.replace_planner();
+        }
+    }
+}
+
+// Guards against a stalled task that is never moved, because each planner measures the time without
+// progress from its own takeover.
+#[rstest]
+#[case::short_one_planner(false, NEVER)]
+#[case::short_takeovers(false, 2_000)]
+#[case::long_running_one_planner(true, NEVER)]
+#[case::long_running_takeovers(true, 2_000)]
+fn stalled_task_is_moved_within_one_limit(#[case] is_long_running: bool, #[case] interval_ms: u64) {
+    let mut cluster = Cluster::with_workers(2);
+    for one in cluster.workers.values_mut() {
+        one.fault.stalls = true;
+    }
+    let slow = StepRequest {
+        is_long_running,
+        estimate: Duration::from_secs(10),
+        ..step(1)
+    };
+    let id = cluster.submit(1, vec![slow]);
+    cluster.advance(Duration::from_millis(300));
+    let first = cluster.starts[0].worker.clone();
+    for (id, one) in &mut cluster.workers {
+        one.fault.stalls = *id == first;
+    }
+    advance_with_takeovers(&mut cluster, Duration::from_secs(9), interval_ms);
+    let starts = cluster.starts_of(task(id, 0, 0));
+    assert_eq!(starts.len(), 2, "the stalled task was not moved");
+    assert_ne!(starts[1].worker, first);
+    assert_eq!(cluster.duplicated, []);
+}
+
+// Guards against a large long-running task that is kept away by short ones, because each planner
+// counts the time before it holds a worker from its own takeover and releases earlier holds.
+#[rstest]
+#[case::scattered_one_planner(5_000, 3, NEVER)]
+#[case::scattered_takeovers(5_000, 3, 2_000)]
+#[case::crowded_one_planner(2_000, 9, NEVER)]
+#[case::crowded_takeovers(2_000, 9, 4_000)]
+fn worker_is_held_for_long_running_task(
+    #[case] short_processors: u32,
+    #[case] longest_gap_s: u64,
+    #[case] interval_ms: u64,
+) {
+    let mut cluster = Cluster::with_workers(4);
+    let large = StepRequest {
+        is_long_running: true,
+        size: size(14_000, 16),
+        ..step(4)
+    };
+    let id = cluster.submit(1, vec![large]);
+    cluster.advance(Duration::from_secs(2));
+    let failed_worker = cluster.starts[0].worker.clone();
+    for number in 0..1_200 {
+        let short = StepRequest {
+            estimate: Duration::from_millis(700 + number * 83 % 600),
+            size: size(short_processors, 2),
+            ..step(1)
+        };
+        cluster.submit(100 + number, vec![short]);
+        cluster.advance(Duration::from_millis(20));
+        if number > 0 && number * 20 % interval_ms == 0 {
+            cluster.replace_planner();
+        }
+        if number == 200 {
+            let worker = cluster.workers.get_mut(&failed_worker).unwrap();
+            worker.end(task(id, 0, 0), EndKind::Failed);
+        }
+    }
+    let runs = cluster.starts_of(task(id, 0, 0));
+    assert_eq!(runs.len(), 2, "the long-running task was not placed again");
+    let failed_at = runs[0].at + Duration::from_secs(6);
+    let gap = runs[1].at.since(failed_at);
+    assert!(
+        gap < Duration::from_secs(longest_gap_s),
+        "not running for {gap:?}"
+    );
+}
+
+fn served_step(task_count: u32) -> StepRequest {
+    StepRequest {
+        is_long_running: true,
+        image: Some("calls".into()),
+        latency_target: Some(Duration::from_millis(20)),
+        size: size(6_000, 8),
+        ..step(task_count)
+    }
+}
+
+fn noisy_step() -> StepRequest {
+    StepRequest {
+        is_best_effort: true,
+        image: Some("noisy".into()),
+        size: size(3_000, 4),
+        estimate: Duration::from_mins(1),
+        ..step(1)
+    }
+}
+
+/// Returns a cluster with a served image and a best-effort run that disturbs it on one worker.
+fn disturbed_cluster() -> (Cluster, JobId) {
+    let mut cluster = Cluster::with_workers(1);
+    let pair = (SmolStr::new("calls"), SmolStr::new("noisy"));
+    cluster.pressures.insert(pair, STRONG_PRESSURE);
+    let calls = cluster.submit(1, vec![served_step(1)]);
+    cluster.advance(Duration::from_secs(3));
+    cluster.submit(2, vec![noisy_step()]);
+    (cluster, calls)
+}
+
+// Guards against a run with a latency target that stays above it, because each planner ignores the
+// tail latencies after its takeover as if the run had just started.
+#[rstest]
+#[case::one_planner(NEVER)]
+#[case::takeovers(2_000)]
+#[case::takeovers_during_warm_up(1_400)]
+fn tail_stays_above_target_for_a_bounded_time(#[case] interval_ms: u64) {
+    let (mut cluster, _) = disturbed_cluster();
+    if interval_ms != NEVER {
+        // No planner has measured the disturbed run before.
+        cluster.replace_planner();
+    }
+    let end = cluster.now + Duration::from_secs(25);
+    let mut next_takeover = cluster.now + Duration::from_millis(interval_ms);
+    let mut above_since: Option<TimePoint> = None;
+    let mut longest = Duration::ZERO;
+    while cluster.now < end {
+        cluster.tail_counts = (0, 0);
+        cluster.advance(STEP);
+        match cluster.tail_counts {
+            (0, _) => {}
+            (_, 0) => above_since = None,
+            (_, _) => {
+                let since = *above_since.get_or_insert(cluster.now);
+                longest = longest.max(cluster.now.since(since));
+            }
+        }
+        if next_takeover <= cluster.now {
+            cluster.replace_planner();
+            next_takeover = cluster.now + Duration::from_millis(interval_ms);
+        }
+    }
+    assert!(longest < Duration::from_secs(4), "above for {longest:?}");
+}
+
+// Guards against a run that stays slowed, because a successor assumes that all runs that it adopts
+// run at full speed and orders no other.
+#[rstest]
+#[case::one_planner(false)]
+#[case::takeover(true)]
+fn slowed_run_regains_full_speed(#[case] is_replaced: bool) {
+    let (mut cluster, calls) = disturbed_cluster();
+    cluster.advance(Duration::from_secs(25));
+    assert!(cluster.paces.values().any(|percent| *percent < 100));
+    cluster.planner.cancel(cluster.planner_time(), calls);
+    if is_replaced {
+        cluster.advance(STEP);
+        cluster.replace_planner();
+    }
+    cluster.advance(Duration::from_secs(5));
+    let slowed = cluster.paces.iter().filter(|(task, _)| task.job.0 == 2);
+    assert!(slowed.clone().all(|(_, percent)| *percent == 100));
+}
+
+// Guards against an interference model that never grows, because each planner stores it once at its
+// takeover and then only after an interval that it doesn't reach.
+#[rstest]
+#[case::one_planner(NEVER)]
+#[case::takeovers(2_000)]
+fn learned_interference_is_stored(#[case] interval_ms: u64) {
+    let mut cluster = Cluster::with_workers(8);
+    let pair = (SmolStr::new("calls"), SmolStr::new("noisy"));
+    cluster.pressures.insert(pair, STRONG_PRESSURE);
+    let other = StepRequest {
+        image: Some("queue".into()),
+        ..served_step(12)
+    };
+    cluster.submit(1, vec![served_step(12)]);
+    cluster.submit(2, vec![other]);
+    advance_with_takeovers(&mut cluster, Duration::from_secs(3), interval_ms);
+    for number in 0..10 {
+        let noisy = StepRequest {
+            estimate: Duration::from_secs(1),
+            task_count: 4,
+            ..noisy_step()
+        };
+        cluster.submit(10 + number, vec![noisy]);
+        advance_with_takeovers(&mut cluster, Duration::from_secs(2), interval_ms);
+        if interval_ms != NEVER {
+            cluster.replace_planner();
+        }
+    }
+    let served = cluster.interference.served.iter();
+    let slopes = served.flat_map(|record| record.slopes.iter());
+    let noisy = slopes.filter(|record| record.image == "noisy" && record.slope > 0.0);
+    assert!(noisy.count() > 0, "nothing is stored of what was learned");
+}
