Test that explain includes the new lines about workers

The lines about silent, answering and leaving workers hold the id under `worker` and no job, so the timeline of a job already selects them for the workers that ran it; the table now covers each of them, for workers of the job, other workers, and lines outside of the job's time.

--- a/crates/geraniumshed/tests/explain.rs
+++ b/crates/geraniumshed/tests/explain.rs
@@ -51,6 +51,39 @@
 #[rstest]
 #[case::own_worker(5, "worker is given up", r#""worker":"w1""#, true)]
 #[case::other_worker(5, "worker is given up", r#""worker":"w2""#, false)]
+#[case::own_silent(5, "worker with runs is silent", r#""worker":"w1","runs":2"#, true)]
+#[case::other_silent(5, "worker with runs is silent", r#""worker":"w2","runs":2"#, false)]
+#[case::silent_before(2, "worker with runs is silent", r#""worker":"w1","runs":2"#, false)]
+#[case::own_answering(
+    5,
+    "silent worker answers again",
+    r#""worker":"w1","silent_ms":9"#,
+    true
+)]
+#[case::other_answering(
+    5,
+    "silent worker answers again",
+    r#""worker":"w2","silent_ms":9"#,
+    false
+)]
+#[case::own_leaving(
+    5,
+    "worker with runs is leaving",
+    r#""worker":"w1","registration":"draining""#,
+    true
+)]
+#[case::other_leaving(
+    5,
+    "worker with runs is leaving",
+    r#""worker":"w2","registration":"draining""#,
+    false
+)]
+#[case::leaving_after(
+    9,
+    "worker with runs is leaving",
+    r#""worker":"w1","registration":"removed""#,
+    false
+)]
 #[case::leader(5, "elected to lead", r#""term":"4""#, true)]
 #[case::leader_before(1, "elected to lead", r#""term":"3""#, false)]
 #[case::store(6, "dependency is lost", r#""dependency":"store""#, true)]
