Add a histogram of how long the runs of lost workers wait

On call, `lost_runs` tells how many runs were lost with a worker, but not for how long they were away before. `geraniumshed_worker_loss_seconds` counts the time from the last answer of a worker with runs, or from the takeover if it never answered this leader, until it is given up. The in-memory worker of the tests can now stop answering.

--- a/crates/geraniumshed-batch/src/telemetry/metrics.rs
+++ b/crates/geraniumshed-batch/src/telemetry/metrics.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use geraniumshed_core::assignment::{JobSummary, PlannerEvent};
+use geraniumshed_core::assignment::{JobSummary, LostWorker, PlannerEvent};
 use geraniumshed_core::job::JobPhase;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue};
@@ -24,6 +24,10 @@
 /// The upper bounds of the buckets of job durations, in seconds.
 const JOB_BOUNDS: [f64; 10] = [1.0, 2.0, 3.0, 5.0, 8.0, 12.0, 20.0, 35.0, 60.0, 120.0];
 
+/// The upper bounds of the buckets of how long the runs of lost workers waited, in seconds. They are
+/// dense around the lengths of leases.
+const LOSS_BOUNDS: [f64; 10] = [0.5, 1.0, 2.0, 3.0, 4.0, 5.0, 6.0, 7.0, 10.0, 20.0];
+
 /// The kind of a client's call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
 pub(crate) enum CallKind {
@@ -85,6 +89,8 @@
     pub(crate) waiting_steps: Counter,
     /// The runs that ended without success.
     pub(crate) lost_runs: Family<ReasonLabels, Counter>,
+    /// The time for which the runs of lost workers waited to be given up.
+    pub(crate) worker_loss_seconds: Histogram,
     /// The jobs that ended.
     pub(crate) ended_jobs: Family<EndLabels, Counter>,
     /// The time from the submission of a job to its completion.
@@ -122,6 +128,7 @@
             placements: Counter::default(),
             waiting_steps: Counter::default(),
             lost_runs: Family::default(),
+            worker_loss_seconds: Histogram::new(LOSS_BOUNDS),
             ended_jobs: Family::default(),
             job_seconds: Histogram::new(JOB_BOUNDS),
             wait_seconds: latency(),
@@ -183,6 +190,11 @@
             "Runs that ended without success",
             self.lost_runs.clone(),
         );
+        registry.register(
+            "worker_loss_seconds",
+            "The time from the last answer of a worker with runs, or from the takeover, until it is given up",
+            self.worker_loss_seconds.clone(),
+        );
         registry.register(
             "ended_jobs",
             "Jobs that came to their end",
@@ -243,15 +255,22 @@
                 self.lost_runs.get_or_create(&labels).inc();
             }
             PlannerEvent::JobEnded(summary) => self.job_ended(summary),
+            PlannerEvent::WorkerLost(lost) => self.worker_lost(lost),
             PlannerEvent::WorkerQuarantined(_)
             | PlannerEvent::WorkerSilent(_)
             | PlannerEvent::WorkerAnswering(_)
             | PlannerEvent::WorkerDeparting(_)
-            | PlannerEvent::WorkerLost(_)
             | PlannerEvent::WorkerRestarted(_) => {}
         }
     }
 
+    fn worker_lost(&self, lost: &LostWorker) {
+        if lost.runs > 0 {
+            self.worker_loss_seconds
+                .observe(lost.waited().as_secs_f64());
+        }
+    }
+
     fn job_ended(&self, summary: &JobSummary) {
         let labels = EndLabels {
             phase: phase_name(summary.phase),
--- a/crates/geraniumshed-batch/tests/nodes.rs
+++ b/crates/geraniumshed-batch/tests/nodes.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use geraniumshed_batch::{BatchNode, CallOutcome};
+use geraniumshed_core::assignment::PlannerSettings;
 use geraniumshed_core::job::{JobId, JobPhase};
 use support::{Site, deadline, job};
 
@@ -46,6 +47,29 @@
     }
 }
 
+#[tokio::test]
+async fn metrics_count_lost_workers() {
+    let site = Site::new();
+    site.fail_worker();
+    let nodes = site.spawn_nodes(1, 21_340).await;
+    nodes[0]
+        .service()
+        .submit(JobId(7), &job(1), deadline())
+        .await;
+    let count = "geraniumshed_worker_loss_seconds_count 1";
+    let text = || nodes[0].metrics().text();
+    support::wait_for(async || text().lines().any(|one| one == count)).await;
+    let sum = text().lines().find_map(|line| {
+        line.strip_prefix("geraniumshed_worker_loss_seconds_sum ")?
+            .parse()
+            .ok()
+    });
+    let waited: f64 = sum.unwrap();
+    let lease = PlannerSettings::default().lease.as_secs_f64();
+    assert!(waited >= lease, "{waited} of {lease}");
+    assert!(text().contains("geraniumshed_lost_runs_total{reason=\"lease ran out\"} 1"));
+}
+
 #[tokio::test]
 async fn a_resubmitted_job_runs_once_and_an_unknown_job_is_unknown() {
     let site = Site::new();
--- a/crates/geraniumshed-batch/tests/support/mod.rs
+++ b/crates/geraniumshed-batch/tests/support/mod.rs
@@ -51,6 +51,7 @@
     refused: BTreeSet<usize>,
     config_version: u64,
     is_worker_hidden: bool,
+    is_worker_failing: bool,
     takeover_delay: Duration,
     starts: usize,
     ended: Vec<RunEnd>,
@@ -159,6 +160,11 @@
         self.lock().is_worker_hidden = is_hidden;
     }
 
+    /// Makes the worker stop answering any call from its next start on.
+    pub fn fail_worker(&self) {
+        self.lock().is_worker_failing = true;
+    }
+
     pub fn start_count(&self) -> usize {
         self.lock().starts
     }
@@ -376,6 +382,9 @@
     async fn start(&self, call: WorkerCall<StartOrder>) -> Result<StartReply, WorkerFailure> {
         let mut state = self.lock();
         state.starts += 1;
+        if state.is_worker_failing {
+            return Err(WorkerFailure::Unanswered);
+        }
         state.next_end += 1;
         let end = RunEnd {
             number: state.next_end,
@@ -407,6 +416,9 @@
     async fn renew(&self, call: WorkerCall<RenewRequest>) -> RenewOutcome {
         tokio::time::sleep(Duration::from_millis(10)).await;
         let mut state = self.lock();
+        if state.is_worker_failing && state.starts > 0 {
+            return RenewOutcome::Failed(WorkerFailure::Unanswered);
+        }
         let seen = call.body.last_stored_end;
         state.ended.retain(|end| end.number > seen);
         let ended = state.ended.clone();
