--- a/crates/geraniumshed-core/tests/planner/events.rs
+++ b/crates/geraniumshed-core/tests/planner/events.rs
@@ -176,6 +176,14 @@
     cluster.replace_planner();
 }
 
+fn is_silent_over_takeovers(cluster: &mut Cluster, worker: &WorkerId) {
+    set_silent(cluster, worker, true);
+    for _ in 0..2 {
+        cluster.advance(Duration::from_secs(1));
+        cluster.replace_planner();
+    }
+}
+
 fn is_draining_at_takeover(cluster: &mut Cluster, worker: &WorkerId) {
     let entry = cluster.workers.get_mut(worker).unwrap();
     entry.listing.is_draining = true;
@@ -219,6 +227,12 @@
     "silent, 1 runs, inherited: true",
     "lost, Registered, lease ran out, 1 runs, inherited: true",
 ])]
+#[case::is_silent_over_takeovers(is_silent_over_takeovers, &[
+    SILENT,
+    "silent, 1 runs, inherited: true",
+    "silent, 1 runs, inherited: true",
+    "lost, Registered, lease ran out, 1 runs, inherited: true",
+])]
 #[case::is_draining_at_takeover(is_draining_at_takeover, &["Draining, 1 runs, inherited: true"])]
 #[case::is_unregistered_at_takeover(is_unregistered_at_takeover, &[
     "Unregistered, 1 runs, inherited: true",
