Add failing tests of long-running tasks on workers that announce their exit

A worker that announces that it leaves keeps its long-running tasks until it exits.

The tests let a worker announce its exit, which follows 4 s later, and demand that its long-running tasks are at work elsewhere by then and that no task has two runs at once: with and without room elsewhere, with a limit of unavailable tasks, a silent worker, a takeover during the move, a queue that requires advice, other tasks that want the same room. The fixture gets runs that take time to stop and to be at work, workers that are added or removed, a queue of lower priority and a count of the orders to stop a run.

Those that pass already hold back a move: no room at all, a short task, a silent worker whose stopped run waits for the lease, no permission, an urgent task that waits.

--- a/crates/geraniumshed-core/tests/planner/fixture.rs
+++ b/crates/geraniumshed-core/tests/planner/fixture.rs
@@ -15,7 +15,7 @@
     EndKind, FenceToken, RenewReply, RenewRequest, SentRenewal, StartOrder, StartReply,
     WorkerFailure, WorkerIncarnation, WorkerListing, WorkerTime,
 };
-use geraniumshed_model::prelude::TimePoint;
+use geraniumshed_model::prelude::{ResourceSize, TimePoint};
 use smol_str::SmolStr;
 
 use crate::adviser::{ADVISED_QUEUE, DECISION_TIME, SimulatedAdviser, WORKER_TIME, is_valid};
@@ -28,6 +28,8 @@
 const PACE_DELAY: Duration = Duration::from_millis(100);
 /// The system time at the start of a test, in milliseconds of Unix time.
 const START_UNIX_MS: u64 = 1_700_000_000_000;
+/// A queue of lower priority than the default queue.
+pub const BACKGROUND_QUEUE: &str = "background";
 /// The fencing token of the first planner.
 pub const FIRST_TOKEN: FenceToken = FenceToken(1 << 24);
 
@@ -65,6 +67,10 @@
     /// The newest speed of each task whose speed was changed, in percent.
     pub paces: BTreeMap<TaskKey, u32>,
     pub adviser: SimulatedAdviser,
+    /// The number of orders to stop a run.
+    pub stop_order_count: usize,
+    /// The time after its start from which on a long-running task is at work.
+    pub startup: Duration,
     /// The events that the planner emitted.
     pub events: Vec<PlannerEvent>,
     /// The changes of speed that haven't taken effect yet.
@@ -92,6 +98,8 @@
             duplicated: Vec::new(),
             paces: BTreeMap::new(),
             adviser: SimulatedAdviser::default(),
+            stop_order_count: 0,
+            startup: Duration::ZERO,
             events: Vec::new(),
             pending_paces: VecDeque::new(),
             unstored_batches: Vec::new(),
@@ -122,6 +130,25 @@
         self.planner.replace_workers(self.planner_time(), listings);
     }
 
+    /// Adds a worker and registers it.
+    pub fn add_worker(&mut self, number: usize, capacity: ResourceSize) -> WorkerId {
+        let listing = WorkerListing {
+            capacity,
+            ..listing(number)
+        };
+        let id = listing.id.clone();
+        self.workers
+            .insert(id.clone(), SimulatedWorker::new(listing));
+        self.replace_workers();
+        id
+    }
+
+    /// Removes a worker with all its runs, as if its process had exited.
+    pub fn remove_worker(&mut self, worker: &WorkerId) {
+        self.workers.remove(worker);
+        self.replace_workers();
+    }
+
     /// Submits a job to the default queue.
     pub fn submit(&mut self, number: u64, steps: Vec<StepRequest>) -> JobId {
         self.submit_to("q", number, steps)
@@ -256,11 +283,12 @@
                     .start_answered(now, &call.worker, task, run, reply);
             }
             PlannerAction::Stop(call) => {
+                self.stop_order_count += 1;
                 let Some(worker) = self.workers.get_mut(&call.worker) else {
                     return;
                 };
                 if !worker.fault.is_silent && call.token >= worker.token {
-                    worker.end(call.body.task, EndKind::Stopped);
+                    worker.stop(call.body.task, call.body.run, self.now);
                 }
             }
             PlannerAction::Renew(call, sent) => self.renew(&call.worker, sent, &call.body),
@@ -363,6 +391,7 @@
             requests: &self.requests,
             pressures: &self.pressures,
             paces: &self.paces,
+            startup: self.startup,
         };
         let running = workload.reports(worker, self.now);
         let (all, high) = workload.tail_counts(&running);
@@ -405,6 +434,7 @@
             requests: &self.requests,
             pressures: &self.pressures,
             paces: &self.paces,
+            startup: self.startup,
         };
         for worker in self.workers.values_mut() {
             for (task, pressure) in workload.pressures(worker, self.now) {
@@ -423,6 +453,7 @@
         let now = self.now;
         let mut delayed = Vec::new();
         for (id, worker) in &mut self.workers {
+            worker.end_stopped(now);
             let due: Vec<TaskKey> = worker
                 .runs
                 .iter()
@@ -475,8 +506,13 @@
         }),
         ..policy.clone()
     };
+    let background = QueuePolicy {
+        priority: 1,
+        ..policy.clone()
+    };
     let queues = [
         (QueueName::from("q"), policy),
+        (QueueName::from(BACKGROUND_QUEUE), background),
         (QueueName::from(ADVISED_QUEUE), advised),
     ];
     planner.replace_queues(queues.into());
--- a/crates/geraniumshed-core/tests/planner/main.rs
+++ b/crates/geraniumshed-core/tests/planner/main.rs
@@ -2,6 +2,7 @@
 
 mod adviser;
 mod builders;
+mod draining;
 mod events;
 mod fixture;
 mod leases;
--- a/crates/geraniumshed-core/tests/planner/simulation.rs
+++ b/crates/geraniumshed-core/tests/planner/simulation.rs
@@ -21,6 +21,8 @@
     pub fails: bool,
     /// The tasks on the worker make no progress.
     pub stalls: bool,
+    /// Runs end this long after the order to stop them.
+    pub stop_delay: Duration,
 }
 
 /// A run on a simulated worker.
@@ -55,6 +57,8 @@
     pub ended: Vec<RunEnd>,
     pub next_end: u64,
     pub delayed: Vec<(TimePoint, FenceToken, StartOrder)>,
+    /// The runs that were ordered to stop, with the time at which they end.
+    pub stopping: BTreeMap<TaskKey, (TimePoint, u32)>,
 }
 
 impl SimulatedWorker {
@@ -69,6 +73,7 @@
             ended: Vec::new(),
             next_end: 1,
             delayed: Vec::new(),
+            stopping: BTreeMap::new(),
         }
     }
 
@@ -79,6 +84,26 @@
         self.incarnation = incarnation;
     }
 
+    /// Carries out the order to stop a run, which ends after the stop delay.
+    pub fn stop(&mut self, task: TaskKey, run: u32, now: TimePoint) {
+        let due = now + self.fault.stop_delay;
+        self.stopping.entry(task).or_insert((due, run));
+        self.end_stopped(now);
+    }
+
+    /// Ends the runs whose stop is due.
+    pub fn end_stopped(&mut self, now: TimePoint) {
+        let stopping = std::mem::take(&mut self.stopping);
+        let (due, waiting) = stopping.into_iter().partition(|(_, (at, _))| *at <= now);
+        self.stopping = waiting;
+        let due: BTreeMap<TaskKey, (TimePoint, u32)> = due;
+        for (task, (_, number)) in due {
+            if self.runs.get(&task).is_some_and(|run| run.run == number) {
+                self.end(task, EndKind::Stopped);
+            }
+        }
+    }
+
     /// Ends a run, if the worker has it.
     pub fn end(&mut self, task: TaskKey, kind: EndKind) {
         let Some(run) = self.runs.remove(&task) else {
@@ -107,6 +132,8 @@
     pub requests: &'a BTreeMap<JobId, JobRequest>,
     pub pressures: &'a BTreeMap<(SmolStr, SmolStr), f64>,
     pub paces: &'a BTreeMap<TaskKey, u32>,
+    /// The time after its start from which on a long-running task is at work.
+    pub startup: Duration,
 }
 
 impl Workload<'_> {
@@ -117,7 +144,11 @@
             let percent = if worker.fault.stalls {
                 7
             } else if self.step(task).is_long_running {
-                100
+                if now.since(run.started_at) >= self.startup {
+                    100
+                } else {
+                    0
+                }
             } else {
                 u32::try_from(done.min(99)).unwrap_or(99)
             };
