--- a/crates/geraniumshed-core/tests/planner/draining.rs
+++ b/crates/geraniumshed-core/tests/planner/draining.rs
@@ -1,9 +1,11 @@
 //! Tests of the tasks of workers that announce that they are about to leave.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use geraniumshed_core::job::{JobId, JobPhase, StepRequest, TaskKey, WorkerId};
 use geraniumshed_core::worker::WorkerChange;
+use geraniumshed_model::prelude::TimePoint;
 use rstest::rstest;
 
 use crate::adviser::ADVISED_QUEUE;
@@ -419,3 +421,84 @@
     assert_eq!(workers_of(&cluster, task(urgent, 0, 0)), [other]);
     assert_eq!(workers_of(&cluster, task(background, 0, 0)), [worker(0)]);
 }
+
+/// The replacement of all workers, one after another. Each one announces its exit as soon as a new
+/// worker is there.
+struct RollingReplacement {
+    begun_at: TimePoint,
+    announced: usize,
+    exited: usize,
+}
+
+impl RollingReplacement {
+    const WORKER_COUNT: usize = 8;
+    const INTERVAL: Duration = Duration::from_millis(700);
+
+    /// Returns when a worker announces its exit.
+    fn announcement(&self, number: usize) -> TimePoint {
+        self.begun_at + Self::INTERVAL * u32::try_from(number).unwrap()
+    }
+
+    /// Carries out the announcements and exits that are due.
+    fn advance(&mut self, cluster: &mut Cluster) {
+        let is_due =
+            |number: usize, at: TimePoint| number < Self::WORKER_COUNT && at <= cluster.now;
+        let announces = is_due(self.announced, self.announcement(self.announced));
+        let exits = is_due(self.exited, self.announcement(self.exited) + DRAIN_TIME);
+        if announces {
+            let added = cluster.add_worker(Self::WORKER_COUNT + self.announced, size(32_000, 128));
+            cluster.workers.get_mut(&added).unwrap().fault.stop_delay = STOP_DELAY;
+            announce_exit(cluster, &worker(self.announced));
+            self.announced += 1;
+        }
+        if exits {
+            cluster.remove_worker(&worker(self.exited));
+            self.exited += 1;
+        }
+    }
+
+    fn is_complete(&self) -> bool {
+        self.exited == Self::WORKER_COUNT
+    }
+}
+
+/// Guards against long-running tasks that stay away for seconds while all workers are replaced and
+/// planners follow each other in short intervals.
+#[rstest]
+#[case::one_planner(None)]
+#[case::a_takeover_every_two_seconds(Some(Duration::from_secs(2)))]
+fn tasks_keep_running_while_all_workers_are_replaced(#[case] takeover_interval: Option<Duration>) {
+    let mut cluster = cluster_with_slow_stops(RollingReplacement::WORKER_COUNT);
+    let limited = StepRequest {
+        unavailable_limit: Some(2),
+        ..long_running(8)
+    };
+    let id = cluster.submit(1, vec![long_running(8), limited]);
+    cluster.advance(Duration::from_secs(1));
+    let mut replacement = RollingReplacement {
+        begun_at: cluster.now,
+        announced: 0,
+        exited: 0,
+    };
+    let mut next_takeover = takeover_interval.map(|interval| cluster.now + interval);
+    let mut last_seen: BTreeMap<TaskKey, TimePoint> = BTreeMap::new();
+    let mut longest_absence = Duration::ZERO;
+    while !replacement.is_complete() {
+        replacement.advance(&mut cluster);
+        if next_takeover.is_some_and(|at| at <= cluster.now) {
+            next_takeover = takeover_interval.map(|interval| cluster.now + interval);
+            cluster.advance_without_planner(Duration::from_millis(50));
+            cluster.replace_planner();
+        }
+        cluster.advance(STEP);
+        for key in (0..2).flat_map(|step| (0..8).map(move |index| task(id, step, index))) {
+            let seen = last_seen.entry(key).or_insert(cluster.now);
+            if !workers_of(&cluster, key).is_empty() {
+                *seen = cluster.now;
+            }
+            longest_absence = longest_absence.max(cluster.now.since(*seen));
+        }
+    }
+    assert!(longest_absence < MOVE_TIME, "{longest_absence:?}");
+    assert_eq!(cluster.duplicated, []);
+}
