Evacuate long-running tasks from workers that announce their exit

Cause: the planner gave a draining worker no new tasks, but left its long-running runs there until it exited.

Change: in a placement pass, the planner stops a long-running run of a draining worker that answers as soon as the usual query finds another worker for the task, and holds that worker for it. The order stays: the end is stored, the next placement is stored, the start is sent. A step's limit of unavailable tasks is kept, where a task counts as available only if its worker answers and reports it at work. Runs go by the rank of their step, before the waiting tasks of their priority, at most four of a worker at a time. A worker that doesn't answer keeps its runs; leases and fencing tokens are untouched. Short tasks and gangs stay.

While all eight workers of the test are replaced, with and without takeovers, each of the 16 tasks moves once and none is away for more than one time step of 10 ms after its run has ended; before, one was away for 4.62 s and 4.91 s. `cargo test -p geraniumshed-core` and `-p geraniumshed-batch`: all pass.

--- a/crates/geraniumshed-core/src/assignment/mod.rs
+++ b/crates/geraniumshed-core/src/assignment/mod.rs
@@ -7,6 +7,7 @@
 mod action;
 mod advice;
 mod change_tracker;
+mod evacuation;
 mod event;
 mod gang;
 mod interference;
--- a/crates/geraniumshed-core/src/assignment/planner.rs
+++ b/crates/geraniumshed-core/src/assignment/planner.rs
@@ -45,7 +45,7 @@
     pub(super) is_prolonging_leases: bool,
     /// Whether this planner is handing over to a successor.
     pub(super) is_handing_over: bool,
-    /// The workers that are held for long-running tasks for which there was no room.
+    /// The workers that are held for long-running tasks that found no room or are evacuated.
     pub(super) held_workers: BTreeMap<TaskKey, WorkerId>,
     /// Whether something that affects placement has changed since tasks were last placed.
     pub(super) is_placement_due: bool,
--- a/crates/geraniumshed-core/src/assignment/step_placement.rs
+++ b/crates/geraniumshed-core/src/assignment/step_placement.rs
@@ -45,15 +45,27 @@
 }
 
 impl JobPlanner {
-    /// Places all tasks that can start now and find a worker.
+    /// Places all tasks that can start now and find a worker, and evacuates workers that are about
+    /// to leave.
+    ///
+    /// Within a priority, evacuations go before waiting tasks, since the workers exit soon.
     pub(super) fn place_tasks(&mut self, now: PlannerTime) {
         self.release_stale_holds(now);
         let mut steps = self.ready_steps(now);
         steps.sort_unstable();
+        let mut evacuations = self.due_evacuations(now);
         let mut pass = PlacementPass::default();
         for step in steps {
+            let priority = step.rank.priority;
+            while let Some(due) = evacuations.pop_front_if(|due| due.step.rank.priority <= priority)
+            {
+                self.evacuate(now, &due, &mut pass);
+            }
             self.place_step(now, step, &mut pass);
         }
+        for due in evacuations {
+            self.evacuate(now, &due, &mut pass);
+        }
     }
 
     fn ready_steps(&self, now: PlannerTime) -> Vec<ReadyStep> {
@@ -306,7 +318,12 @@
 
     /// Requests advice on where a step's tasks from index `first` on may run, if the queue's policy
     /// requires advice.
-    fn request_permission(&mut self, now: TimePoint, startable: &StartableStep<'_>, first: usize) {
+    pub(super) fn request_permission(
+        &mut self,
+        now: TimePoint,
+        startable: &StartableStep<'_>,
+        first: usize,
+    ) {
         let keys = &startable.keys[first..];
         let (Some(advice), Some(key)) = (startable.policy.advice, keys.first()) else {
             return;
@@ -331,7 +348,7 @@
     /// offers less would have to slow the run down to protect the runs beside it.
     ///
     /// The fraction falls as the job's slack is used up. Beyond the wait limit, any worker will do.
-    fn min_speed(
+    pub(super) fn min_speed(
         &self,
         now: PlannerTime,
         job: &JobEntry,
@@ -379,7 +396,7 @@
     }
 
     /// Returns the rack of a step's placed tasks, if the step asks for a single rack.
-    fn step_rack(&self, step: &StepRequest, ready: ReadyStep) -> Option<SmolStr> {
+    pub(super) fn step_rack(&self, step: &StepRequest, ready: ReadyStep) -> Option<SmolStr> {
         if !step.wants_one_rack {
             return None;
         }
--- a/crates/geraniumshed-core/src/assignment/worker_hold.rs
+++ b/crates/geraniumshed-core/src/assignment/worker_hold.rs
@@ -85,26 +85,29 @@
         self.held_workers.contains_key(&key)
     }
 
-    /// Releases held workers whose task no longer waits or that no longer take tasks.
+    /// Releases held workers whose task neither waits nor is being evacuated, or that no longer
+    /// take tasks.
     pub(super) fn release_stale_holds(&mut self, now: PlannerTime) {
         let is_waiting = |key: &TaskKey| {
             let job = self.jobs.get(&key.job).filter(|job| !job.phase.is_final());
             let task = job.and_then(|job: &JobEntry| job.task(*key));
             task.is_some_and(|task| task.is_startable(now.point))
         };
+        let is_needed = |key: &TaskKey| is_waiting(key) || self.is_being_evacuated(*key);
         let takes_tasks = |worker: &WorkerId| {
             let entry = self.workers.get(worker);
             entry.is_some_and(|entry: &WorkerEntry| entry.takes_tasks(now.point))
         };
         let held = self.held_workers.iter();
-        let stale = held.filter(|(key, worker)| !is_waiting(key) || !takes_tasks(worker));
+        let stale = held.filter(|(key, worker)| !is_needed(key) || !takes_tasks(worker));
         let stale: Vec<TaskKey> = stale.map(|(key, _)| *key).collect();
         for key in stale {
             self.remove_hold(key);
         }
     }
 
-    fn add_hold(&mut self, key: TaskKey, worker: WorkerId) {
+    /// Holds a worker for a task.
+    pub(super) fn add_hold(&mut self, key: TaskKey, worker: WorkerId) {
         if let Some(entry) = self.workers.get_mut(&worker) {
             entry.held_for = Some(key);
             self.held_workers.insert(key, worker);
