Wait no longer for a silent worker than leaders ask leases for

Cause: a new leader assumes that its predecessor granted the longest lease that workers accept, though leaders ask for 7 s at most. The assumption then came true: the first renewal of an adopted worker carried the assumed deadline. Same class of fault: what a predecessor knew of a wait is replaced by the worst case at the takeover.

Change: the stored record of leases names the longest time that any lease may last, and a successor assumes that. A leader whose predecessor left no record of its own term, such as an older release, assumes the longest lease and names that until it has run out. Calls carry just the lease that they ask for; workers never shorten one. The first reading of a worker's clock bounds its lease by the same end, counted from the moment at which the call was sent.

Why nothing runs twice by it: each bound is either stored by the one leader that could have extended leases, or the worst case. The 20 cases of takeover::successive_takeovers_wait_only_once_for_silent_worker with leases of 10 s that this commit adds fail without the stored limit: the task is away for 10.4 to 11.7 s, limit 9 s.

--- a/crates/geraniumshed-batch/src/leader/run.rs
+++ b/crates/geraniumshed-batch/src/leader/run.rs
@@ -156,13 +156,13 @@
     fn restore(&mut self, recovered: RecoveredState) {
         let now = self.clock.planner_time();
         log::info!(jobs = recovered.jobs.len(), withdrawn = recovered.withdrawn.len(); "leading with the jobs from the store");
+        self.planner.restore_leases(now, recovered.leases);
         for (id, request, stored) in recovered.jobs {
             match stored {
                 Some(stored) => self.planner.restore(now, id, request, stored),
                 None => self.planner.submit(id, request),
             }
         }
-        self.planner.restore_leases(now, recovered.leases);
         self.planner.restore_interference(recovered.interference);
         for (id, cancelled_unix_ms) in recovered.withdrawn {
             self.planner.restore_withdrawn(id, cancelled_unix_ms);
--- a/crates/geraniumshed-batch/src/leader/takeover.rs
+++ b/crates/geraniumshed-batch/src/leader/takeover.rs
@@ -60,8 +60,8 @@
     pub(crate) cancelled: BTreeSet<JobId>,
     /// The interference between images that earlier leaders learned.
     pub(crate) interference: InterferenceSnapshot,
-    /// The leases of the workers that didn't answer the leader before.
-    pub(crate) leases: LeaseSnapshot,
+    /// What the leader before stored about leases.
+    pub(crate) leases: Option<LeaseSnapshot>,
     /// The offset from which to read further requests.
     pub(crate) next_request: LogOffset,
 }
@@ -101,7 +101,7 @@
     );
     let find = |key: &str| progress.iter().find(|record| record.key == key);
     let interference = find(&INTERFERENCE_KEY).map(decode_interference);
-    let leases = find(&LEASES_KEY).map(|record| decode_leases(record, term));
+    let leases = find(&LEASES_KEY).and_then(|record| decode_leases(record, term));
     let mut stored_jobs: BTreeMap<JobId, StoredJob> =
         progress.iter().filter_map(decode_stored_job).collect();
     let jobs = requests
@@ -125,7 +125,7 @@
         withdrawn,
         cancelled: BTreeSet::new(),
         interference: interference.unwrap_or_default(),
-        leases: leases.unwrap_or_default(),
+        leases,
         next_request,
     })
 }
@@ -155,22 +155,19 @@
     )
 }
 
-/// Decodes the leases of silent workers, for the leader of a term.
+/// Decodes what is stored about leases, for the leader of a term.
 ///
-/// They hold only if the leader right before wrote them, since a leader in between may have extended
-/// them. Without them, the planner assumes the longest lease.
-fn decode_leases(record: &KeyedRecord, term: LeaderTerm) -> LeaseSnapshot {
-    match decode::<LeaseSnapshotWire>(&record.value) {
-        Ok(wire) if wire.term().precedes(term) => wire.into(),
-        Ok(wire) => {
-            log::info!(written_in:% = wire.term(), term:% = term; "stored leases of silent workers are not of the leader before; not used");
-            LeaseSnapshot::default()
-        }
-        Err(error) => {
-            log::error!(error:% = error; "could not decode the leases of silent workers");
-            LeaseSnapshot::default()
-        }
+/// It holds only if the leader right before wrote it, since a leader in between may have extended
+/// leases. Without it, the planner assumes the longest lease.
+fn decode_leases(record: &KeyedRecord, term: LeaderTerm) -> Option<LeaseSnapshot> {
+    let wire = decode::<LeaseSnapshotWire>(&record.value)
+        .inspect_err(|error| log::error!(error:% = error; "could not decode the stored leases"))
+        .ok()?;
+    if !wire.term().precedes(term) {
+        log::info!(written_in:% = wire.term(), term:% = term; "stored leases are not of the leader before; assuming the longest lease");
+        return None;
     }
+    Some(wire.into())
 }
 
 /// Decodes the stored progress of a job. Progress that can't be decoded is logged and skipped.
--- a/crates/geraniumshed-batch/src/wire/lease.rs
+++ b/crates/geraniumshed-batch/src/wire/lease.rs
@@ -1,4 +1,4 @@
-//! The stored form of the leases of silent workers.
+//! The stored form of what is known about leases.
 
 use std::time::Duration;
 
@@ -9,22 +9,25 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-/// The leases of silent workers, as they are stored.
+/// What is known about leases, as it is stored.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeaseSnapshotWire {
     /// The term of the leader that wrote the record.
     term: u64,
+    /// The longest time that any lease may last, in milliseconds.
+    limit_ms: u64,
     /// Each silent worker, and the time until its lease has expired, in milliseconds.
-    leases: Vec<(SmolStr, u64)>,
+    silent: Vec<(SmolStr, u64)>,
 }
 
 impl LeaseSnapshotWire {
     /// Creates the stored form of a snapshot that the leader of a term took.
     pub fn new(term: LeaderTerm, snapshot: LeaseSnapshot) -> Self {
-        let lease = |one: SilentLease| (one.worker.0, whole_millis(one.remaining) + 1);
+        let lease = |one: SilentLease| (one.worker.0, ceil_millis(one.remaining));
         Self {
             term: term.0,
-            leases: snapshot.leases.into_iter().map(lease).collect(),
+            limit_ms: ceil_millis(snapshot.limit),
+            silent: snapshot.silent.into_iter().map(lease).collect(),
         }
     }
 
@@ -41,7 +44,13 @@
             remaining: Duration::from_millis(remaining_ms),
         };
         Self {
-            leases: wire.leases.into_iter().map(lease).collect(),
+            limit: Duration::from_millis(wire.limit_ms),
+            silent: wire.silent.into_iter().map(lease).collect(),
         }
     }
 }
+
+/// Returns a number of milliseconds that is not shorter than a time.
+fn ceil_millis(time: Duration) -> u64 {
+    whole_millis(time + Duration::from_nanos(999_999))
+}
--- a/crates/geraniumshed-batch/tests/nodes.rs
+++ b/crates/geraniumshed-batch/tests/nodes.rs
@@ -315,7 +315,8 @@
         .service()
         .submit(JobId(95), &job(1), deadline())
         .await;
-    support::wait_for(async || site.stored_leases().is_some()).await;
+    let is_silent = |wire: &LeaseSnapshotWire| !LeaseSnapshot::from(wire.clone()).silent.is_empty();
+    support::wait_for(async || site.stored_leases().as_ref().is_some_and(is_silent)).await;
     let first = site.stored_leases().unwrap();
     assert_eq!(first.term(), LeaderTerm(1));
     tokio::time::sleep(Duration::from_secs(1)).await;
@@ -323,6 +324,6 @@
     let is_later = |wire: &LeaseSnapshotWire| wire.term() > first.term();
     support::wait_for(async || site.stored_leases().as_ref().is_some_and(is_later)).await;
     let second = site.stored_leases().unwrap();
-    let remaining = |wire: LeaseSnapshotWire| LeaseSnapshot::from(wire).leases[0].remaining;
+    let remaining = |wire: LeaseSnapshotWire| LeaseSnapshot::from(wire).silent[0].remaining;
     assert!(remaining(second) < remaining(first));
 }
--- a/crates/geraniumshed-core/src/assignment/lease_ledger.rs
+++ b/crates/geraniumshed-core/src/assignment/lease_ledger.rs
@@ -1,10 +1,11 @@
-//! The leases of silent workers, as they are stored for a successor.
+//! What is known about leases, as it is stored for a successor.
 //!
 //! A successor doesn't know when a silent worker was last called. Without the stored leases it has
 //! to assume that the longest lease was granted right before its takeover, and leaders that follow
-//! each other sooner than that would never give the worker up.
+//! each other sooner than that would never give the worker up. Nor does it know which leases its
+//! predecessor asked for, and workers may grant much longer ones.
 
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 use geraniumshed_model::prelude::TimePoint;
@@ -20,11 +21,17 @@
 /// It is longer than a worker may hold a renewal back.
 const SILENCE_LIMIT: Duration = Duration::from_millis(1100);
 
-/// The leases of the silent workers that may still have runs.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+/// The margin by which a lease of an earlier planner may outlast its length plus clock drift.
+const LEASE_MARGIN: Duration = Duration::from_millis(300);
+
+/// The leases of the silent workers that may still have runs, and a limit of all leases.
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct LeaseSnapshot {
-    /// The leases.
-    pub leases: Vec<SilentLease>,
+    /// The longest time that the lease of any worker may last, counted from the snapshot or from
+    /// any later time until the next snapshot.
+    pub limit: Duration,
+    /// The leases of silent workers.
+    pub silent: Vec<SilentLease>,
 }
 
 /// The lease of a silent worker.
@@ -36,18 +43,24 @@
     pub remaining: Duration,
 }
 
-/// Tracks whose leases the store may hold.
+/// Tracks what is known about leases of earlier planners, and whose leases the store may hold.
 ///
 /// A stored lease must not be extended, since a successor relies on it. It has to be withdrawn
 /// first: by a stored snapshot without it.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct LeaseLedger {
+    /// The limit of the leases that earlier planners asked for.
+    inherited_limit: Duration,
+    /// When all leases of earlier planners have expired, once the takeover is known.
+    inherited_until: Option<TimePoint>,
+    /// When the leases expire that an earlier planner has stored.
+    inherited: BTreeMap<WorkerId, TimePoint>,
+    /// The limit in the newest snapshot, if there is one.
+    newest_limit: Option<Duration>,
     /// The workers in the newest snapshot that is certainly stored.
     stored: BTreeSet<WorkerId>,
     /// The batches with later snapshots, and the workers in each of them.
     unstored: VecDeque<(u64, BTreeSet<WorkerId>)>,
-    /// The workers whose leases an earlier planner has stored.
-    inherited: BTreeSet<WorkerId>,
     /// Whether the next batch has to contain a snapshot.
     is_due: bool,
     /// The earliest time of the next snapshot that only brings the remaining times up to date.
@@ -55,6 +68,20 @@
 }
 
 impl LeaseLedger {
+    /// Creates a ledger for workers that grant leases up to the given length.
+    pub(super) fn new(longest_lease: Duration) -> Self {
+        Self {
+            inherited_limit: longest_lease,
+            inherited_until: None,
+            inherited: BTreeMap::new(),
+            newest_limit: None,
+            stored: BTreeSet::new(),
+            unstored: VecDeque::new(),
+            is_due: false,
+            next_update: TimePoint::default(),
+        }
+    }
+
     /// Returns whether the next batch has to contain a snapshot.
     pub(super) fn is_due(&self) -> bool {
         self.is_due
@@ -91,26 +118,58 @@
 }
 
 impl JobPlanner {
-    /// Restores the leases that the planner right before this one stored.
+    /// Restores what the planner right before this one stored about leases, if it did.
     ///
-    /// The jobs have to be restored before.
-    pub fn restore_leases(&mut self, now: PlannerTime, snapshot: LeaseSnapshot) {
-        for lease in snapshot.leases {
-            let Some(entry) = self.workers.get_mut(&lease.worker) else {
-                continue;
-            };
-            let expires_at = now.point + lease.remaining;
-            entry.lease_expires_at = entry.lease_expires_at.min(expires_at);
-            self.lease_ledger.inherited.insert(lease.worker);
-            self.lease_ledger.is_due = true;
+    /// Has to be called before jobs are restored.
+    pub fn restore_leases(&mut self, now: PlannerTime, snapshot: Option<LeaseSnapshot>) {
+        if let Some(snapshot) = snapshot {
+            let limit = self.lease_ledger.inherited_limit.min(snapshot.limit);
+            self.lease_ledger.inherited_limit = limit;
+            let silent = snapshot.silent.into_iter();
+            self.lease_ledger.inherited = silent
+                .map(|lease| (lease.worker, now.point + lease.remaining))
+                .collect();
         }
+        self.lease_ledger.inherited_until = Some(self.inherited_lease_end(now.point));
+        self.lease_ledger.is_due = true;
     }
 
-    /// Decides whether the leases of silent workers have to be stored.
-    pub(super) fn watch_silent_leases(&mut self, now: TimePoint) {
+    /// Returns the time by which all leases of earlier planners have expired.
+    pub(super) fn inherited_lease_end(&self, now: TimePoint) -> TimePoint {
+        let limit = self.lease_ledger.inherited_limit;
+        now + limit + limit / 50 + LEASE_MARGIN
+    }
+
+    /// Returns the time by which the lease of a worker has expired that earlier planners granted.
+    pub(super) fn restored_lease_end(&self, now: TimePoint, worker: &WorkerId) -> TimePoint {
+        let latest = self.inherited_lease_end(now);
+        let stored = self.lease_ledger.inherited.get(worker);
+        stored.map_or(latest, |end| latest.min(*end))
+    }
+
+    /// Decides whether a snapshot has to be stored.
+    pub(super) fn watch_leases(&mut self, now: TimePoint) {
         let silent = self.silent_workers(now);
         let needs_update = !silent.is_empty() && self.lease_ledger.next_update <= now;
-        self.lease_ledger.is_due = needs_update || self.lease_ledger.is_outdated(&silent);
+        let limit = self.lease_limit(now);
+        let is_lower = self
+            .lease_ledger
+            .newest_limit
+            .is_none_or(|newest| limit < newest);
+        self.lease_ledger.is_due = needs_update
+            || self.lease_ledger.is_outdated(&silent)
+            || (is_lower && limit == self.longest_requested_lease());
+    }
+
+    /// Returns the longest time that the lease of any worker may last from now on or from any later
+    /// time: of this planner's leases and of those that earlier planners granted.
+    fn lease_limit(&self, now: TimePoint) -> Duration {
+        let longest = self.settings.longest_lease;
+        let inherited = match self.lease_ledger.inherited_until {
+            Some(until) => until.since(now),
+            None => longest,
+        };
+        self.longest_requested_lease().max(inherited).min(longest)
     }
 
     /// Takes the snapshot that a batch stores, if one is due. From now on, no call extends the
@@ -123,22 +182,24 @@
         if !self.lease_ledger.is_due {
             return None;
         }
-        let silent = self.silent_workers(now);
-        let mut leases = Vec::new();
-        for worker in &silent {
+        let limit = self.lease_limit(now);
+        let workers = self.silent_workers(now);
+        let mut silent = Vec::new();
+        for worker in &workers {
             let Some(entry) = self.workers.get_mut(worker) else {
                 continue;
             };
             entry.has_stored_lease = true;
-            leases.push(SilentLease {
+            silent.push(SilentLease {
                 worker: worker.clone(),
                 remaining: entry.lease_expires_at.since(now),
             });
         }
-        self.lease_ledger.unstored.push_back((batch, silent));
+        self.lease_ledger.unstored.push_back((batch, workers));
+        self.lease_ledger.newest_limit = Some(limit);
         self.lease_ledger.next_update = now + STORE_INTERVAL;
         self.lease_ledger.is_due = false;
-        Some(LeaseSnapshot { leases })
+        Some(LeaseSnapshot { limit, silent })
     }
 
     /// Allows calls to extend the leases that were withdrawn from the store, and renews them.
@@ -163,7 +224,7 @@
         if !entry.is_adopted {
             return entry.unanswered_calls > 0
                 || !entry.has_address()
-                || self.lease_ledger.inherited.contains(entry.id());
+                || self.lease_ledger.inherited.contains_key(entry.id());
         }
         entry.unanswered_calls > 0 && now.since(entry.read_at) >= SILENCE_LIMIT
     }
--- a/crates/geraniumshed-core/src/assignment/planner.rs
+++ b/crates/geraniumshed-core/src/assignment/planner.rs
@@ -70,6 +70,7 @@
     /// Creates a planner whose calls carry the given fencing token or higher ones.
     pub fn new(settings: PlannerSettings, first_token: FenceToken) -> Self {
         Self {
+            lease_ledger: LeaseLedger::new(settings.longest_lease),
             settings,
             first_token,
             queues: QueueTable::default(),
@@ -78,7 +79,6 @@
             open_jobs: BTreeSet::new(),
             workers: BTreeMap::new(),
             change_tracker: ChangeTracker::default(),
-            lease_ledger: LeaseLedger::default(),
             interference: InterferenceModel::default(),
             advice: AdviceTable::default(),
             actions: Vec::new(),
@@ -238,7 +238,7 @@
             self.next_watch = now.point + WATCH_INTERVAL;
             self.release_expired_workers(now);
             self.watch_runs(now);
-            self.watch_silent_leases(now.point);
+            self.watch_leases(now.point);
             self.begin_occurrences(now);
         }
         if self.is_placement_due {
--- a/crates/geraniumshed-core/src/assignment/registry.rs
+++ b/crates/geraniumshed-core/src/assignment/registry.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeSet;
 use std::net::{Ipv4Addr, SocketAddr};
-use std::time::Duration;
 
 use geraniumshed_model::prelude::{ResourceSize, TimePoint};
 
@@ -12,9 +11,6 @@
 use crate::job::{JobEntry, ServiceName, TaskKey, TaskPhase, WorkerId};
 use crate::worker::{FenceToken, RunPhase, WorkerChange, WorkerEntry, WorkerListing};
 
-/// The margin by which a lease of an earlier planner may outlast its length plus clock drift.
-const LEASE_MARGIN: Duration = Duration::from_millis(300);
-
 impl JobPlanner {
     /// Replaces the list of registered workers. Workers that are missing in it get no new tasks.
     pub fn replace_workers(&mut self, now: PlannerTime, listings: Vec<WorkerListing>) {
@@ -75,7 +71,7 @@
         let Some(step) = job.request.steps.get(key.step as usize) else {
             return;
         };
-        let lease_expires_at = self.inherited_lease_end(now);
+        let lease_expires_at = self.restored_lease_end(now, id);
         let token = self.first_token;
         let entry = self
             .workers
@@ -84,12 +80,6 @@
         let phase = RunPhase::Unsettled(FenceToken(token.0.saturating_sub(1)));
         entry.add_run(key, run_entry(step, task.run, phase, now));
     }
-
-    /// Returns the time by which every lease of an earlier planner has expired.
-    fn inherited_lease_end(&self, now: TimePoint) -> TimePoint {
-        let longest = self.settings.longest_lease;
-        now + longest + longest / 50 + LEASE_MARGIN
-    }
 }
 
 /// Creates a worker that is only known from a stored placement.
--- a/crates/geraniumshed-core/src/assignment/renewals.rs
+++ b/crates/geraniumshed-core/src/assignment/renewals.rs
@@ -30,14 +30,19 @@
     /// Returns the length of the lease that calls to workers ask for.
     pub(super) fn lease_length(&self) -> Duration {
         if self.is_prolonging_leases {
-            self.settings
-                .prolonged_lease
-                .min(self.settings.longest_lease)
+            self.longest_requested_lease()
         } else {
             self.settings.lease
         }
     }
 
+    /// Returns the longest lease that any call of this planner asks for.
+    pub(super) fn longest_requested_lease(&self) -> Duration {
+        let settings = &self.settings;
+        let longest = settings.prolonged_lease.max(settings.lease);
+        longest.min(settings.longest_lease)
+    }
+
     /// Forces an immediate renewal with a fencing token above those of all calls in flight, to
     /// learn which runs the worker has.
     pub(super) fn force_renewal(&mut self, worker: &WorkerId) {
--- a/crates/geraniumshed-core/src/assignment/worker_replies.rs
+++ b/crates/geraniumshed-core/src/assignment/worker_replies.rs
@@ -125,7 +125,7 @@
         entry.incarnation = reply.incarnation.or(entry.incarnation);
         entry.unanswered_calls = 0;
         if is_latest {
-            entry.read_clock(reply.clock, now.point, self.settings.longest_lease);
+            entry.read_clock(reply.clock, sent.sent_at, now.point);
         }
         if !entry.is_adopted {
             entry.is_adopted = true;
@@ -173,10 +173,12 @@
         worker: &WorkerId,
         incarnation: WorkerIncarnation,
     ) {
+        let inherited_lease_end = self.inherited_lease_end(now.point);
         let Some(entry) = self.workers.get_mut(worker) else {
             return;
         };
         let runs = entry.begin_incarnation(incarnation);
+        entry.lease_expires_at = inherited_lease_end;
         self.emit(PlannerEvent::WorkerRestarted(worker.clone()));
         for (key, run) in runs {
             self.finish_run(
--- a/crates/geraniumshed-core/src/worker/entry.rs
+++ b/crates/geraniumshed-core/src/worker/entry.rs
@@ -46,7 +46,8 @@
     pub unanswered_calls: u32,
     /// The newest reading of the worker's clock.
     pub clock: Option<WorkerClock>,
-    /// The latest lease deadline that any order or renewal carried.
+    /// The latest lease deadline that any order or renewal carried, or that an earlier scheduler's
+    /// may have carried.
     pub deadline: WorkerTime,
     /// The time by which the worker's lease has certainly expired.
     pub lease_expires_at: TimePoint,
@@ -208,19 +209,20 @@
             return None;
         }
         let clock = self.clock?;
-        let deadline = clock.earliest(now).plus(length).max(self.deadline);
-        self.deadline = deadline;
+        let deadline = clock.earliest(now).plus(length);
+        self.deadline = self.deadline.max(deadline);
         self.lease_expires_at = self.lease_expires_at.max(clock.passed_at(deadline));
         Some(deadline)
     }
 
     /// Records a reading of the worker's clock.
     ///
-    /// The first reading assumes that an earlier scheduler granted the longest possible lease just
-    /// before.
-    pub fn read_clock(&mut self, reading: WorkerTime, now: TimePoint, longest: Duration) {
+    /// Until the first reading, it is only known when the leases of earlier schedulers have expired.
+    /// The worker took the reading after the call that asked for it was sent.
+    pub fn read_clock(&mut self, reading: WorkerTime, sent_at: TimePoint, now: TimePoint) {
         if self.clock.is_none() {
-            self.deadline = reading.plus(longest);
+            let remaining = self.lease_expires_at.since(sent_at);
+            self.deadline = reading.plus(remaining);
         }
         let clock = WorkerClock::new(reading, now);
         self.clock = Some(clock);
--- a/crates/geraniumshed-core/tests/planner/builders.rs
+++ b/crates/geraniumshed-core/tests/planner/builders.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use geraniumshed_core::assignment::PlannerSettings;
 use geraniumshed_core::job::{JobId, StepRequest, TaskKey, WorkerId};
 use geraniumshed_model::prelude::{AcceleratorCount, MemorySize, ProcessorShare, ResourceSize};
 
@@ -35,3 +36,11 @@
 pub fn worker(number: usize) -> WorkerId {
     WorkerId(format!("w{number:02}").into())
 }
+
+/// Returns settings for workers that grant leases of up to the given length.
+pub fn settings_with_longest_lease(longest_lease: Duration) -> PlannerSettings {
+    PlannerSettings {
+        longest_lease,
+        ..PlannerSettings::default()
+    }
+}
--- a/crates/geraniumshed-core/tests/planner/fixture.rs
+++ b/crates/geraniumshed-core/tests/planner/fixture.rs
@@ -45,6 +45,7 @@
 /// A planner with simulated workers and a simulated store.
 pub struct Cluster {
     pub planner: JobPlanner,
+    settings: PlannerSettings,
     /// The number of planners so far.
     planner_count: u64,
     pub workers: BTreeMap<WorkerId, SimulatedWorker>,
@@ -59,8 +60,8 @@
     pub stored: BTreeMap<JobId, StoredJob>,
     pub requests: BTreeMap<JobId, JobRequest>,
     pub interference: InterferenceSnapshot,
-    /// The leases of silent workers, which only the next planner may use.
-    pub leases: LeaseSnapshot,
+    /// The stored leases, which only the next planner may use.
+    pub leases: Option<LeaseSnapshot>,
     /// The pressure per processor that a best-effort image (second) adds to an image with a latency
     /// target (first).
     pub pressures: BTreeMap<(SmolStr, SmolStr), f64>,
@@ -88,8 +89,14 @@
 impl Cluster {
     /// Creates a cluster of equal workers, with four workers per rack.
     pub fn with_workers(count: usize) -> Self {
+        Self::with_settings(count, PlannerSettings::default())
+    }
+
+    /// Creates a cluster like [`Self::with_workers`], whose planners have the given settings.
+    pub fn with_settings(count: usize, settings: PlannerSettings) -> Self {
         let mut cluster = Self {
-            planner: new_planner(FIRST_TOKEN),
+            planner: new_planner(&settings, FIRST_TOKEN),
+            settings,
             planner_count: 1,
             workers: BTreeMap::new(),
             now: TimePoint(1_000_000),
@@ -100,7 +107,7 @@
             stored: BTreeMap::new(),
             requests: BTreeMap::new(),
             interference: InterferenceSnapshot::default(),
-            leases: LeaseSnapshot::default(),
+            leases: None,
             pressures: BTreeMap::new(),
             tail_counts: (0, 0),
             duplicated: Vec::new(),
@@ -120,6 +127,8 @@
                 .workers
                 .insert(listing.id.clone(), SimulatedWorker::new(listing));
         }
+        let now = cluster.planner_time();
+        cluster.planner.restore_leases(now, None);
         cluster.replace_workers();
         cluster.advance(Duration::from_millis(100));
         cluster
@@ -181,11 +190,15 @@
     /// Replaces the planner by a successor that knows only the stored state.
     pub fn replace_planner(&mut self) {
         self.planner_count += 1;
-        self.planner = new_planner(FenceToken(FIRST_TOKEN.0 * self.planner_count));
+        self.planner = new_planner(
+            &self.settings,
+            FenceToken(FIRST_TOKEN.0 * self.planner_count),
+        );
         self.planner.restore_interference(self.interference.clone());
         self.unstored_batches.clear();
         self.held_renewals.clear();
         let now = self.planner_time();
+        self.planner.restore_leases(now, self.leases.take());
         for (id, request) in &self.requests {
             match self.stored.get(id) {
                 Some(image) => {
@@ -195,8 +208,6 @@
                 None => self.planner.submit(*id, request.clone()),
             }
         }
-        let leases = std::mem::take(&mut self.leases);
-        self.planner.restore_leases(now, leases);
         let withdrawn = self.stored.iter();
         for (id, image) in withdrawn.filter(|(id, _)| !self.requests.contains_key(id)) {
             self.planner.restore_withdrawn(*id, image.ended_unix_ms);
@@ -286,7 +297,7 @@
                         self.stored.insert(id, stored);
                     }
                     StoreChange::Interference(snapshot) => self.interference = snapshot,
-                    StoreChange::Leases(snapshot) => self.leases = snapshot,
+                    StoreChange::Leases(snapshot) => self.leases = Some(snapshot),
                     StoreChange::Forget(id) => {
                         self.stored.remove(&id);
                         self.requests.remove(&id);
@@ -548,8 +559,8 @@
     }
 }
 
-fn new_planner(token: FenceToken) -> JobPlanner {
-    let mut planner = JobPlanner::new(PlannerSettings::default(), token);
+fn new_planner(settings: &PlannerSettings, token: FenceToken) -> JobPlanner {
+    let mut planner = JobPlanner::new(settings.clone(), token);
     let policy = QueuePolicy {
         service: "s".into(),
         priority: 0,
--- a/crates/geraniumshed-core/tests/planner/silent_workers.rs
+++ b/crates/geraniumshed-core/tests/planner/silent_workers.rs
@@ -2,12 +2,12 @@
 
 use std::time::Duration;
 
-use geraniumshed_core::job::{StepRequest, WorkerId};
+use geraniumshed_core::job::{JobId, StepRequest, WorkerId};
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
 
-use crate::builders::{step, worker};
+use crate::builders::{settings_with_longest_lease, step, task, worker};
 use crate::fixture::{Cluster, STEP};
 
 /// The number of long-running tasks.
@@ -19,9 +19,11 @@
 /// The time after the last fault by which all tasks have to run.
 const RECOVERY_TIME: Duration = Duration::from_secs(8);
 
-/// Starts long-running tasks on workers whose clocks run at the given speed.
-fn start_tasks(clock_percent: u64) -> Cluster {
-    let mut cluster = Cluster::with_workers(WORKER_COUNT);
+/// Starts long-running tasks on workers whose clocks run at the given speed and that grant leases of
+/// up to the given length.
+fn start_tasks(clock_percent: u64, longest_lease_s: u64) -> Cluster {
+    let settings = settings_with_longest_lease(Duration::from_secs(longest_lease_s));
+    let mut cluster = Cluster::with_settings(WORKER_COUNT, settings);
     for worker in cluster.workers.values_mut() {
         worker.clock_percent = clock_percent;
     }
@@ -79,11 +81,12 @@
 #[rstest]
 fn stored_lease_is_withdrawn_before_it_is_extended(
     #[values(98, 100)] clock_percent: u64,
+    #[values(6, 10)] longest_lease_s: u64,
     #[values(true, false)] is_store_up: bool,
     #[values(1_500, 3_000, 4_200)] silent_ms: u64,
     #[values(20, 60, 300, 1_500, 4_000)] answering_ms: u64,
 ) {
-    let mut cluster = start_tasks(clock_percent);
+    let mut cluster = start_tasks(clock_percent, longest_lease_s);
     let silent = worker(0);
     set_silent(&mut cluster, &silent, true);
     advance_checked(&mut cluster, Duration::from_millis(silent_ms));
@@ -97,13 +100,38 @@
     assert_eq!(cluster.running_on(&silent), 0);
 }
 
+/// Guards against a successor that relies on the limit of its predecessor's leases while a lease of
+/// an older release, which asked for the longest one, is still in force.
+#[rstest]
+fn lease_of_an_older_release_is_waited_for(
+    #[values(100, 1_000, 3_000, 5_000)] interval_ms: u64,
+    #[values(1, 2, 3)] takeovers: u32,
+) {
+    let longest_lease_s = 10;
+    let mut cluster = start_tasks(100, longest_lease_s);
+    let silent = worker(0);
+    let granted_until = cluster.now + Duration::from_secs(longest_lease_s);
+    let one = cluster.workers.get_mut(&silent).unwrap();
+    one.deadline = granted_until;
+    one.fault.is_silent = true;
+    cluster.leases = None;
+    for _ in 0..takeovers {
+        cluster.replace_planner();
+        advance_checked(&mut cluster, Duration::from_millis(interval_ms));
+    }
+    let remaining = granted_until.since(cluster.now);
+    advance_checked(&mut cluster, remaining + RECOVERY_TIME);
+    assert_eq!(cluster.running_on(&silent), 0);
+    assert_eq!(cluster.starts_of(task(JobId(1), 0, 0)).len(), 2);
+}
+
 /// Guards against a stored lease that keeps a worker which answers again from being renewed.
 #[rstest]
 fn worker_that_answers_again_keeps_its_tasks(
     #[values(500, 1_500, 3_100)] silent_ms: u64,
     #[values(false, true)] holds_renewals: bool,
 ) {
-    let mut cluster = start_tasks(100);
+    let mut cluster = start_tasks(100, 6);
     for worker in cluster.workers.values_mut() {
         worker.fault.holds_renewals = holds_renewals;
     }
@@ -117,10 +145,13 @@
 
 /// Workers are cut off, lose replies, restart and return, while planners and the store fail.
 #[rstest]
-fn no_task_runs_twice_and_all_run_after_random_faults(#[values(98, 100)] clock_percent: u64) {
+fn no_task_runs_twice_and_all_run_after_random_faults(
+    #[values(98, 100)] clock_percent: u64,
+    #[values(6, 10)] longest_lease_s: u64,
+) {
     for seed in 0..150 {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
-        let mut cluster = start_tasks(clock_percent);
+        let mut cluster = start_tasks(clock_percent, longest_lease_s);
         for _ in 0..EVENT_COUNT {
             apply_random_event(&mut cluster, &mut rng);
             let span = Duration::from_millis(rng.random_range(10..1_800));
--- a/crates/geraniumshed-core/tests/planner/takeover.rs
+++ b/crates/geraniumshed-core/tests/planner/takeover.rs
@@ -5,7 +5,7 @@
 use geraniumshed_core::job::{JobPhase, StepRequest, WorkerId};
 use rstest::rstest;
 
-use crate::builders::{step, task};
+use crate::builders::{settings_with_longest_lease, step, task};
 use crate::fixture::{Cluster, STEP};
 
 /// The longest time for which a long-running task may be away while there is room for it.
@@ -133,15 +133,20 @@
     assert_eq!(cluster.duplicated, []);
 }
 
-/// Guards against a fault in which each successor waited for the lease of a silent worker anew, so
-/// that takeovers in quick succession kept a long-running task away.
+/// Guards against successors that wait for the lease of a silent worker anew, so that takeovers in
+/// quick succession keep a long-running task away, and that wait for the longest lease that workers
+/// grant although no leader asks for it.
 #[rstest]
 fn successive_takeovers_wait_only_once_for_silent_worker(
     #[values(WorkerLoss::Exit, WorkerLoss::Cut)] loss: WorkerLoss,
     #[values(PlannerEnd::HandOver, PlannerEnd::Crash)] end: PlannerEnd,
-    #[values(1_900, 2_500, 4_000, 6_000)] interval_ms: u64,
+    #[values(1_900, 2_500, 4_000, 6_000, 60_000)] interval_ms: u64,
+    #[values(6_000, 10_000)] longest_lease_ms: u64,
 ) {
-    let mut cluster = Cluster::with_workers(2);
+    let settings = settings_with_longest_lease(Duration::from_millis(longest_lease_ms));
+    let mut cluster = Cluster::with_settings(2, settings);
+    // The first planner can't rule out that an earlier one asked for the longest lease.
+    cluster.advance(Duration::from_secs(4));
     let silent = start_long_running_task(&mut cluster);
     end.replace_planner(&mut cluster);
     cluster.advance(Duration::from_millis(300));
