Pass the limits of leases on through leaders in quick succession

Cause: a leader stored its limit only once the last lease of its predecessor had expired, 0.44 s after its takeover, unless workers were silent; and a limit that covered leases of earlier leaders got the margins for drift anew from each successor.

Change: the record holds the longest lease that the leader asks for and, apart from it, the time until the leases of earlier leaders have expired, which gets no margin again. It is stored with the first batch of a leader, and once more when it has fallen to what the leader asks for.

--- a/crates/geraniumshed-batch/src/wire/lease.rs
+++ b/crates/geraniumshed-batch/src/wire/lease.rs
@@ -14,8 +14,10 @@
 pub struct LeaseSnapshotWire {
     /// The term of the leader that wrote the record.
     term: u64,
-    /// The longest time that any lease may last, in milliseconds.
-    limit_ms: u64,
+    /// The longest lease that the leader asks for, in milliseconds.
+    requested_ms: u64,
+    /// The time until the leases of earlier leaders have expired, in milliseconds.
+    inherited_ms: u64,
     /// Each silent worker, and the time until its lease has expired, in milliseconds.
     silent: Vec<(SmolStr, u64)>,
 }
@@ -26,7 +28,8 @@
         let lease = |one: SilentLease| (one.worker.0, ceil_millis(one.remaining));
         Self {
             term: term.0,
-            limit_ms: ceil_millis(snapshot.limit),
+            requested_ms: ceil_millis(snapshot.requested),
+            inherited_ms: ceil_millis(snapshot.inherited),
             silent: snapshot.silent.into_iter().map(lease).collect(),
         }
     }
@@ -44,7 +47,8 @@
             remaining: Duration::from_millis(remaining_ms),
         };
         Self {
-            limit: Duration::from_millis(wire.limit_ms),
+            requested: Duration::from_millis(wire.requested_ms),
+            inherited: Duration::from_millis(wire.inherited_ms),
             silent: wire.silent.into_iter().map(lease).collect(),
         }
     }
--- a/crates/geraniumshed-core/src/assignment/lease_ledger.rs
+++ b/crates/geraniumshed-core/src/assignment/lease_ledger.rs
@@ -20,16 +20,16 @@
 /// The time without a report after which a worker that leaves calls unanswered counts as silent.
 /// It is longer than a worker may hold a renewal back.
 const SILENCE_LIMIT: Duration = Duration::from_millis(1100);
-
 /// The margin by which a lease of an earlier planner may outlast its length plus clock drift.
 const LEASE_MARGIN: Duration = Duration::from_millis(300);
 
-/// The leases of the silent workers that may still have runs, and a limit of all leases.
+/// The leases of the silent workers that may still have runs, and limits of all leases.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct LeaseSnapshot {
-    /// The longest time that the lease of any worker may last, counted from the snapshot or from
-    /// any later time until the next snapshot.
-    pub limit: Duration,
+    /// The longest lease that the planner asks for.
+    pub requested: Duration,
+    /// The time until all leases of earlier planners have expired, counted from the snapshot.
+    pub inherited: Duration,
     /// The leases of silent workers.
     pub silent: Vec<SilentLease>,
 }
@@ -49,14 +49,14 @@
 /// first: by a stored snapshot without it.
 #[derive(Debug)]
 pub(super) struct LeaseLedger {
-    /// The limit of the leases that earlier planners asked for.
-    inherited_limit: Duration,
+    /// The longest lease that the planner right before this one asked for.
+    inherited_request: Duration,
     /// When all leases of earlier planners have expired, once the takeover is known.
     inherited_until: Option<TimePoint>,
     /// When the leases expire that an earlier planner has stored.
     inherited: BTreeMap<WorkerId, TimePoint>,
-    /// The limit in the newest snapshot, if there is one.
-    newest_limit: Option<Duration>,
+    /// The time until the leases of earlier planners expire in the newest snapshot, if there is one.
+    newest_inherited: Option<Duration>,
     /// The workers in the newest snapshot that is certainly stored.
     stored: BTreeSet<WorkerId>,
     /// The batches with later snapshots, and the workers in each of them.
@@ -71,10 +71,10 @@
     /// Creates a ledger for workers that grant leases up to the given length.
     pub(super) fn new(longest_lease: Duration) -> Self {
         Self {
-            inherited_limit: longest_lease,
+            inherited_request: longest_lease,
             inherited_until: None,
             inherited: BTreeMap::new(),
-            newest_limit: None,
+            newest_inherited: None,
             stored: BTreeSet::new(),
             unstored: VecDeque::new(),
             is_due: false,
@@ -122,22 +122,25 @@
     ///
     /// Has to be called before jobs are restored.
     pub fn restore_leases(&mut self, now: PlannerTime, snapshot: Option<LeaseSnapshot>) {
+        let mut until = now.point;
         if let Some(snapshot) = snapshot {
-            let limit = self.lease_ledger.inherited_limit.min(snapshot.limit);
-            self.lease_ledger.inherited_limit = limit;
+            let longest = self.settings.longest_lease;
+            self.lease_ledger.inherited_request = snapshot.requested.min(longest);
+            until = now.point + snapshot.inherited;
             let silent = snapshot.silent.into_iter();
             self.lease_ledger.inherited = silent
                 .map(|lease| (lease.worker, now.point + lease.remaining))
                 .collect();
         }
-        self.lease_ledger.inherited_until = Some(self.inherited_lease_end(now.point));
-        self.lease_ledger.is_due = true;
+        let requested = now.point + longest_duration(self.lease_ledger.inherited_request);
+        self.lease_ledger.inherited_until = Some(until.max(requested));
     }
 
-    /// Returns the time by which all leases of earlier planners have expired.
+    /// Returns the time by which a lease has expired that an earlier planner may have asked for
+    /// until now.
     pub(super) fn inherited_lease_end(&self, now: TimePoint) -> TimePoint {
-        let limit = self.lease_ledger.inherited_limit;
-        now + limit + limit / 50 + LEASE_MARGIN
+        let requested = now + longest_duration(self.lease_ledger.inherited_request);
+        requested.max(self.lease_ledger.inherited_until.unwrap_or_default())
     }
 
     /// Returns the time by which the lease of a worker has expired that earlier planners granted.
@@ -151,25 +154,26 @@
     pub(super) fn watch_leases(&mut self, now: TimePoint) {
         let silent = self.silent_workers(now);
         let needs_update = !silent.is_empty() && self.lease_ledger.next_update <= now;
-        let limit = self.lease_limit(now);
-        let is_lower = self
-            .lease_ledger
-            .newest_limit
-            .is_none_or(|newest| limit < newest);
-        self.lease_ledger.is_due = needs_update
-            || self.lease_ledger.is_outdated(&silent)
-            || (is_lower && limit == self.longest_requested_lease());
-    }
-
-    /// Returns the longest time that the lease of any worker may last from now on or from any later
-    /// time: of this planner's leases and of those that earlier planners granted.
-    fn lease_limit(&self, now: TimePoint) -> Duration {
-        let longest = self.settings.longest_lease;
-        let inherited = match self.lease_ledger.inherited_until {
-            Some(until) => until.since(now),
-            None => longest,
+        self.lease_ledger.is_due =
+            needs_update || self.lease_ledger.is_outdated(&silent) || self.is_limit_outdated(now);
+    }
+
+    /// Returns whether the store has no limits of this planner yet, or such as still name a lease of
+    /// an earlier planner that is longer than its own and has expired by now.
+    fn is_limit_outdated(&self, now: TimePoint) -> bool {
+        let Some(newest) = self.lease_ledger.newest_inherited else {
+            return true;
         };
-        self.longest_requested_lease().max(inherited).min(longest)
+        let requested = longest_duration(self.longest_requested_lease());
+        newest > requested && self.inherited_remaining(now) <= requested
+    }
+
+    /// Returns the time until all leases of earlier planners have expired.
+    fn inherited_remaining(&self, now: TimePoint) -> Duration {
+        let until = self.lease_ledger.inherited_until;
+        until.map_or(longest_duration(self.settings.longest_lease), |until| {
+            until.since(now)
+        })
     }
 
     /// Takes the snapshot that a batch stores, if one is due. From now on, no call extends the
@@ -182,7 +186,7 @@
         if !self.lease_ledger.is_due {
             return None;
         }
-        let limit = self.lease_limit(now);
+        let inherited = self.inherited_remaining(now);
         let workers = self.silent_workers(now);
         let mut silent = Vec::new();
         for worker in &workers {
@@ -196,10 +200,14 @@
             });
         }
         self.lease_ledger.unstored.push_back((batch, workers));
-        self.lease_ledger.newest_limit = Some(limit);
+        self.lease_ledger.newest_inherited = Some(inherited);
         self.lease_ledger.next_update = now + STORE_INTERVAL;
         self.lease_ledger.is_due = false;
-        Some(LeaseSnapshot { limit, silent })
+        Some(LeaseSnapshot {
+            requested: self.longest_requested_lease(),
+            inherited,
+            silent,
+        })
     }
 
     /// Allows calls to extend the leases that were withdrawn from the store, and renews them.
@@ -229,3 +237,8 @@
         entry.unanswered_calls > 0 && now.since(entry.read_at) >= SILENCE_LIMIT
     }
 }
+
+/// Returns the time after which a lease has certainly expired, even if the worker's clock runs slow.
+fn longest_duration(lease: Duration) -> Duration {
+    lease + lease / 50 + LEASE_MARGIN
+}
--- a/crates/geraniumshed-core/tests/planner/takeover.rs
+++ b/crates/geraniumshed-core/tests/planner/takeover.rs
@@ -140,7 +140,7 @@
 fn successive_takeovers_wait_only_once_for_silent_worker(
     #[values(WorkerLoss::Exit, WorkerLoss::Cut)] loss: WorkerLoss,
     #[values(PlannerEnd::HandOver, PlannerEnd::Crash)] end: PlannerEnd,
-    #[values(1_900, 2_500, 4_000, 6_000, 60_000)] interval_ms: u64,
+    #[values(300, 1_900, 2_500, 4_000, 6_000, 60_000)] interval_ms: u64,
     #[values(6_000, 10_000)] longest_lease_ms: u64,
 ) {
     let settings = settings_with_longest_lease(Duration::from_millis(longest_lease_ms));
@@ -148,8 +148,11 @@
     // The first planner can't rule out that an earlier one asked for the longest lease.
     cluster.advance(Duration::from_secs(4));
     let silent = start_long_running_task(&mut cluster);
-    end.replace_planner(&mut cluster);
-    cluster.advance(Duration::from_millis(300));
+    // The first of the two successors leads for less time than the last lease of its predecessor.
+    for _ in 0..2 {
+        end.replace_planner(&mut cluster);
+        cluster.advance(Duration::from_millis(300));
+    }
     match loss {
         WorkerLoss::Exit => {
             cluster.workers.remove(&silent);
