Ask for leases of 6 s at most

Change: prolonged leases are of 6 s everywhere, as they are where workers grant no longer ones.

Evidence: the two cases of takeover::successive_takeovers_wait_only_once_for_silent_worker with crashes every 0.3 s and longest leases of 10 s failed with 9.17 and 9.21 s and pass. leases::prolonged_leases_outlast_slow_takeover, a takeover of 4.8 s, passes as before.

--- a/crates/geraniumshed-core/src/assignment/settings.rs
+++ b/crates/geraniumshed-core/src/assignment/settings.rs
@@ -33,7 +33,7 @@
         Self {
             longest_lease: Duration::from_secs(6),
             lease: Duration::from_millis(4500),
-            prolonged_lease: Duration::from_secs(7),
+            prolonged_lease: Duration::from_secs(6),
             renewal_wait: Duration::from_secs(1),
             latency_renewal_wait: Duration::from_millis(350),
             unstored_renewal_delay: Duration::from_millis(400),
