Add failing tests of stored leases right after a takeover and of new workers

A planner that hasn't read the registrations yet stores the leases of all workers as silent and can renew none until two batches are stored, so a store that fails after a takeover costs all runs. A planner that stored nothing, for example because the answer to its claim was lost, voids the stored leases of the one before. A planner without stored leases assumes the longest lease for workers that appear later.

--- a/crates/geraniumshed-core/tests/planner/fixture.rs
+++ b/crates/geraniumshed-core/tests/planner/fixture.rs
@@ -198,10 +198,18 @@
         let requested_at = self.now;
         self.advance_without_planner(delay);
         self.replace_planner_after(requested_at);
+        self.replace_workers();
     }
 
-    /// Replaces the planner by a successor that knows only the stored state.
+    /// Replaces the planner by a successor that knows only the stored state and the registered
+    /// workers.
     pub fn replace_planner(&mut self) {
+        self.replace_planner_before_listing();
+        self.replace_workers();
+    }
+
+    /// Replaces the planner by a successor that hasn't read the registrations of workers yet.
+    pub fn replace_planner_before_listing(&mut self) {
         self.replace_planner_after(self.now);
     }
 
@@ -231,7 +239,6 @@
         for (id, image) in withdrawn.filter(|(id, _)| !self.requests.contains_key(id)) {
             self.planner.restore_withdrawn(*id, image.ended_unix_ms);
         }
-        self.replace_workers();
     }
 
     /// Advances the time.
--- a/crates/geraniumshed-core/tests/planner/silent_workers.rs
+++ b/crates/geraniumshed-core/tests/planner/silent_workers.rs
@@ -166,3 +166,21 @@
         assert_eq!(running, TASK_COUNT as usize, "seed {seed}");
     }
 }
+
+/// Guards against a new planner that stores the leases of all workers because it hasn't read their
+/// registrations yet, and then can't renew any of them while the store is down or slow.
+#[rstest]
+#[case::listed_at_once(0)]
+#[case::listed_later(10)]
+fn workers_are_renewed_while_the_store_fails_after_a_takeover(#[case] listed_after_ms: u64) {
+    let mut cluster = start_tasks(100, 6);
+    advance_checked(&mut cluster, Duration::from_secs(2));
+    cluster.replace_planner_before_listing();
+    cluster.is_store_up = false;
+    advance_checked(&mut cluster, Duration::from_millis(listed_after_ms));
+    cluster.replace_workers();
+    advance_checked(&mut cluster, Duration::from_secs(5));
+    cluster.is_store_up = true;
+    advance_checked(&mut cluster, RECOVERY_TIME);
+    assert_eq!(cluster.starts.len(), TASK_COUNT as usize);
+}
--- a/crates/geraniumshed-core/tests/planner/takeover.rs
+++ b/crates/geraniumshed-core/tests/planner/takeover.rs
@@ -5,7 +5,7 @@
 use geraniumshed_core::job::{JobPhase, StepRequest, WorkerId};
 use rstest::rstest;
 
-use crate::builders::{settings_with_longest_lease, step, task};
+use crate::builders::{settings_with_longest_lease, step, task, worker};
 use crate::fixture::{Cluster, STEP};
 
 /// The longest time for which a long-running task may be away while there is room for it.
@@ -237,3 +237,87 @@
     assert!(cluster.acknowledged.contains(&(task(id, 0, 0), 1)));
     assert_eq!(cluster.phase(id), Some(JobPhase::Completed));
 }
+
+/// Guards against a wait for a silent worker that starts anew after a planner that stored nothing,
+/// since it was lost before its first batch or never received the answer to its claim.
+#[rstest]
+#[case::soon(2_000, 6_000)]
+#[case::late(4_000, 6_000)]
+#[case::long_leases(1_000, 10_000)]
+fn planner_without_batch_does_not_restart_the_wait_for_a_silent_worker(
+    #[case] lost_after_ms: u64,
+    #[case] longest_lease_ms: u64,
+) {
+    let settings = settings_with_longest_lease(Duration::from_millis(longest_lease_ms));
+    let mut cluster = Cluster::with_settings(2, settings);
+    // The first planner can't rule out that an earlier one asked for the longest lease.
+    cluster.advance(Duration::from_secs(4));
+    let silent = start_long_running_task(&mut cluster);
+    cluster.workers.get_mut(&silent).unwrap().fault.is_silent = true;
+    let lost_at = cluster.now;
+    cluster.advance(Duration::from_millis(lost_after_ms));
+    cluster.replace_planner();
+    cluster.replace_planner();
+    advance_until_restart(&mut cluster, &silent, AWAY_LIMIT * 2);
+    let restart = cluster
+        .starts
+        .get(1)
+        .expect("the task was not started again");
+    assert!(
+        restart.at.since(lost_at) < AWAY_LIMIT,
+        "the task was away for {:?}",
+        restart.at.since(lost_at)
+    );
+}
+
+/// Guards against a planner that waits for the longest lease of earlier planners on a worker that
+/// appears or restarts after all of those have expired.
+#[rstest]
+#[case::new(6_000, false)]
+#[case::new_with_long_leases(10_000, false)]
+#[case::restarted(6_000, true)]
+#[case::restarted_with_long_leases(10_000, true)]
+fn lost_new_worker_is_not_waited_for_beyond_the_requested_lease(
+    #[case] longest_lease_ms: u64,
+    #[case] is_restarted: bool,
+) {
+    let settings = settings_with_longest_lease(Duration::from_millis(longest_lease_ms));
+    let mut cluster = Cluster::with_settings(1, settings);
+    cluster.advance(Duration::from_secs(30));
+    let capacity = cluster.workers[&worker(0)].listing.capacity;
+    let other = cluster.add_worker(1, capacity);
+    if is_restarted {
+        cluster.advance(Duration::from_secs(30));
+        cluster.workers.get_mut(&other).unwrap().restart();
+        cluster.advance(Duration::from_millis(100));
+    }
+    // Only the other worker takes the task.
+    cluster
+        .workers
+        .get_mut(&worker(0))
+        .unwrap()
+        .listing
+        .is_draining = true;
+    cluster.replace_workers();
+    let silent = start_long_running_task(&mut cluster);
+    assert_eq!(silent, other);
+    cluster
+        .workers
+        .get_mut(&worker(0))
+        .unwrap()
+        .listing
+        .is_draining = false;
+    cluster.replace_workers();
+    cluster.workers.get_mut(&silent).unwrap().fault.is_silent = true;
+    let lost_at = cluster.now;
+    advance_until_restart(&mut cluster, &silent, AWAY_LIMIT * 2);
+    let restart = cluster
+        .starts
+        .get(1)
+        .expect("the task was not started again");
+    assert!(
+        restart.at.since(lost_at) < AWAY_LIMIT,
+        "the task was away for {:?}",
+        restart.at.since(lost_at)
+    );
+}
