Add a failing test of the lease of a restarted worker

A worker that restarts under its id has a clock that starts anew. The renewal that is under way carries a deadline on the clock of the earlier process, which the new one limits only to the longest lease. Since planners assume that no lease exceeds 7 s, a task runs twice where workers grant 10 s.

--- a/crates/geraniumshed-core/tests/planner/silent_workers.rs
+++ b/crates/geraniumshed-core/tests/planner/silent_workers.rs
@@ -184,3 +184,49 @@
     advance_checked(&mut cluster, RECOVERY_TIME);
     assert_eq!(cluster.starts.len(), TASK_COUNT as usize);
 }
+
+/// Guards against a second run of a task while a restarted worker has the longest lease: a renewal
+/// that was sent before the restart is known carries a deadline on the clock of the earlier process,
+/// which the new one only limits to the longest lease.
+#[rstest]
+#[case::six_seconds(6, false)]
+#[case::six_seconds_with_takeover(6, true)]
+#[case::ten_seconds(10, false)]
+#[case::ten_seconds_with_takeover(10, true)]
+fn lease_of_a_restarted_worker_is_waited_for(
+    #[case] longest_lease_s: u64,
+    #[case] is_replaced: bool,
+) {
+    let settings = settings_with_longest_lease(Duration::from_secs(longest_lease_s));
+    let mut cluster = Cluster::with_settings(2, settings);
+    cluster.advance(Duration::from_secs(20));
+    cluster.replace_planner();
+    cluster.advance(Duration::from_secs(20));
+    // Only the restarted worker takes the task.
+    let (silent, other) = (worker(0), worker(1));
+    set_draining(&mut cluster, &other, true);
+    let now = cluster.now;
+    let restarted = cluster.workers.get_mut(&silent).unwrap();
+    restarted.restart_with_clock(now);
+    cluster.advance(Duration::from_millis(50));
+    let long_running = StepRequest {
+        is_long_running: true,
+        ..step(1)
+    };
+    cluster.submit(1, vec![long_running]);
+    advance_checked(&mut cluster, Duration::from_millis(100));
+    assert_eq!(cluster.running_on(&silent), 1);
+    set_draining(&mut cluster, &other, false);
+    set_silent(&mut cluster, &silent, true);
+    if is_replaced {
+        cluster.replace_planner();
+    }
+    advance_checked(&mut cluster, Duration::from_secs(2 * longest_lease_s));
+    assert_eq!(cluster.running_on(&other), 1);
+}
+
+fn set_draining(cluster: &mut Cluster, worker: &WorkerId, is_draining: bool) {
+    let one = cluster.workers.get_mut(worker).unwrap();
+    one.listing.is_draining = is_draining;
+    cluster.replace_workers();
+}
