Take no worker for silent before the registrations are read

What callers would see: when the store fails right after a takeover, all runs lose their leases, and with a healthy store each takeover waits for two appends before anything starts. Found in review of the stored leases.

Cause: a leader steps before it has read the registrations, when no restored worker has an address, and counted workers without an address as silent. Its first record of leases named all of them, and leases in the store are not extended.

Change: workers without an address count as silent only once all registrations were read.

--- a/crates/geraniumshed-core/src/assignment/lease_ledger.rs
+++ b/crates/geraniumshed-core/src/assignment/lease_ledger.rs
@@ -251,8 +251,10 @@
 
     fn is_silent(&self, entry: &WorkerEntry, now: TimePoint) -> bool {
         if !entry.is_adopted {
+            // Before the registrations were read, no restored worker has an address.
+            let is_unregistered = self.has_listing && !entry.has_address();
             return entry.unanswered_calls > 0
-                || !entry.has_address()
+                || is_unregistered
                 || self.lease_ledger.inherited.contains_key(entry.id());
         }
         // A planner that hands over extends no more leases, so storing one costs nothing.
--- a/crates/geraniumshed-core/src/assignment/planner.rs
+++ b/crates/geraniumshed-core/src/assignment/planner.rs
@@ -38,6 +38,8 @@
     /// The jobs that haven't ended.
     pub(super) open_jobs: BTreeSet<JobId>,
     pub(super) workers: BTreeMap<WorkerId, WorkerEntry>,
+    /// Whether all registrations of workers have been read.
+    pub(super) has_listing: bool,
     pub(super) change_tracker: ChangeTracker,
     pub(super) lease_ledger: LeaseLedger,
     pub(super) interference: InterferenceModel,
@@ -78,6 +80,7 @@
             withdrawn: BTreeMap::new(),
             open_jobs: BTreeSet::new(),
             workers: BTreeMap::new(),
+            has_listing: false,
             change_tracker: ChangeTracker::default(),
             interference: InterferenceModel::default(),
             advice: AdviceTable::default(),
--- a/crates/geraniumshed-core/src/assignment/registry.rs
+++ b/crates/geraniumshed-core/src/assignment/registry.rs
@@ -21,6 +21,7 @@
         for listing in listings {
             self.upsert_worker(now, listing);
         }
+        self.has_listing = true;
         self.report_departures(now.point);
         self.is_placement_due = true;
     }
