Assume the longest lease of a worker whose process is new

What callers would see: where workers grant leases of 10 s, a task runs twice for 2.4 s.

Cause: a worker may restart under its id with a clock that starts anew. A call that was sent before has a deadline on the earlier clock, which the new process shortens to the longest lease that it grants. Leaders and the stored limit assumed the longest lease that they ask for.

Change: when a worker's process is new, by its incarnation or by a clock younger than the longest lease, the leader assumes the longest lease, and the record of leases names the worker until that has run out.

Not covered: a worker that restarts, takes a start in flight, and is cut off before it answers any leader, right before a takeover.

--- a/crates/geraniumshed-batch/src/wire/lease.rs
+++ b/crates/geraniumshed-batch/src/wire/lease.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use geraniumshed_core::assignment::{LeaseSnapshot, SilentLease};
+use geraniumshed_core::assignment::{LeaseSnapshot, WorkerLease};
 use geraniumshed_core::job::WorkerId;
 use geraniumshed_core::leadership::LeaderTerm;
 use geraniumshed_model::prelude::whole_millis;
@@ -20,17 +20,20 @@
     inherited_ms: u64,
     /// Each silent worker, and the time until its lease has expired, in milliseconds.
     silent: Vec<(SmolStr, u64)>,
+    /// The same for the workers with leases that may be longer than requested.
+    long: Vec<(SmolStr, u64)>,
 }
 
 impl LeaseSnapshotWire {
     /// Creates the stored form of a snapshot that the leader of a term took.
     pub fn new(term: LeaderTerm, snapshot: LeaseSnapshot) -> Self {
-        let lease = |one: SilentLease| (one.worker.0, ceil_millis(one.remaining));
+        let lease = |one: WorkerLease| (one.worker.0, ceil_millis(one.remaining));
         Self {
             term: term.0,
             requested_ms: ceil_millis(snapshot.requested),
             inherited_ms: ceil_millis(snapshot.inherited),
             silent: snapshot.silent.into_iter().map(lease).collect(),
+            long: snapshot.long.into_iter().map(lease).collect(),
         }
     }
 
@@ -42,7 +45,7 @@
 
 impl From<LeaseSnapshotWire> for LeaseSnapshot {
     fn from(wire: LeaseSnapshotWire) -> Self {
-        let lease = |(worker, remaining_ms)| SilentLease {
+        let lease = |(worker, remaining_ms)| WorkerLease {
             worker: WorkerId(worker),
             remaining: Duration::from_millis(remaining_ms),
         };
@@ -50,6 +53,7 @@
             requested: Duration::from_millis(wire.requested_ms),
             inherited: Duration::from_millis(wire.inherited_ms),
             silent: wire.silent.into_iter().map(lease).collect(),
+            long: wire.long.into_iter().map(lease).collect(),
         }
     }
 }
--- a/crates/geraniumshed-core/src/assignment/lease_ledger.rs
+++ b/crates/geraniumshed-core/src/assignment/lease_ledger.rs
@@ -13,7 +13,7 @@
 use super::action::{PlannerTime, StoreBatch, StoreChange};
 use super::planner::JobPlanner;
 use crate::job::WorkerId;
-use crate::worker::WorkerEntry;
+use crate::worker::{WorkerEntry, WorkerTime};
 
 /// The minimum interval between two writes of the leases of silent workers.
 const STORE_INTERVAL: Duration = Duration::from_millis(100);
@@ -30,13 +30,15 @@
     pub requested: Duration,
     /// The time until all leases of earlier planners have expired, counted from the snapshot.
     pub inherited: Duration,
-    /// The leases of silent workers.
-    pub silent: Vec<SilentLease>,
+    /// The leases of silent workers, which end by then.
+    pub silent: Vec<WorkerLease>,
+    /// The leases of new processes of workers, which may be longer than requested.
+    pub long: Vec<WorkerLease>,
 }
 
-/// The lease of a silent worker.
+/// The lease of a worker.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct SilentLease {
+pub struct WorkerLease {
     /// The worker.
     pub worker: WorkerId,
     /// The time until the lease has certainly expired, counted from the snapshot.
@@ -53,8 +55,10 @@
     inherited_request: Duration,
     /// When all leases of earlier planners have expired, once the takeover is known.
     inherited_until: Option<TimePoint>,
-    /// When the leases expire that an earlier planner has stored.
+    /// When the leases of silent workers expire that an earlier planner has stored.
     inherited: BTreeMap<WorkerId, TimePoint>,
+    /// When the longer leases expire that an earlier planner has stored.
+    inherited_long: BTreeMap<WorkerId, TimePoint>,
     /// The time until the leases of earlier planners expire in the newest snapshot, if there is one.
     newest_inherited: Option<Duration>,
     /// The workers in the newest snapshot that is certainly stored.
@@ -74,6 +78,7 @@
             inherited_request: longest_lease,
             inherited_until: None,
             inherited: BTreeMap::new(),
+            inherited_long: BTreeMap::new(),
             newest_inherited: None,
             stored: BTreeSet::new(),
             unstored: VecDeque::new(),
@@ -133,10 +138,9 @@
             let longest = self.settings.longest_lease;
             self.lease_ledger.inherited_request = snapshot.requested.min(longest);
             until = counted_from + snapshot.inherited;
-            let silent = snapshot.silent.into_iter();
-            self.lease_ledger.inherited = silent
-                .map(|lease| (lease.worker, counted_from + lease.remaining))
-                .collect();
+            let end = |lease: WorkerLease| (lease.worker, counted_from + lease.remaining);
+            self.lease_ledger.inherited = snapshot.silent.into_iter().map(end).collect();
+            self.lease_ledger.inherited_long = snapshot.long.into_iter().map(end).collect();
         }
         let requested = now.point + longest_duration(self.lease_ledger.inherited_request);
         self.lease_ledger.inherited_until = Some(until.max(requested));
@@ -151,9 +155,34 @@
 
     /// Returns the time by which the lease of a worker has expired that earlier planners granted.
     pub(super) fn restored_lease_end(&self, now: TimePoint, worker: &WorkerId) -> TimePoint {
+        let ledger = &self.lease_ledger;
+        if let Some(end) = ledger.inherited.get(worker) {
+            return *end;
+        }
         let latest = self.inherited_lease_end(now);
-        let stored = self.lease_ledger.inherited.get(worker);
-        stored.map_or(latest, |end| latest.min(*end))
+        let long = ledger.inherited_long.get(worker);
+        long.map_or(latest, |end| latest.max(*end))
+    }
+
+    /// Assumes that a worker has just been granted the longest lease, because its process is new.
+    ///
+    /// A call that was meant for an earlier process carries a deadline on another clock. The worker
+    /// shortens it, but only to the longest lease that it grants.
+    pub(super) fn assume_longest_lease(&mut self, now: TimePoint, worker: &WorkerId) {
+        let end = now + longest_duration(self.settings.longest_lease);
+        if let Some(entry) = self.workers.get_mut(worker) {
+            entry.lease_expires_at = end;
+            entry.long_lease_until = end;
+        }
+        if end > now + longest_duration(self.longest_requested_lease()) {
+            self.lease_ledger.newest_inherited = None;
+        }
+    }
+
+    /// Returns whether a worker's process may be so new that a call for an earlier one has granted
+    /// it the longest lease.
+    pub(super) fn is_new_process(&self, reading: WorkerTime) -> bool {
+        reading < WorkerTime::default().plus(longest_duration(self.settings.longest_lease))
     }
 
     /// Decides whether a snapshot has to be stored.
@@ -200,7 +229,7 @@
                 continue;
             };
             entry.has_stored_lease = true;
-            silent.push(SilentLease {
+            silent.push(WorkerLease {
                 worker: worker.clone(),
                 remaining: entry.lease_expires_at.since(now),
             });
@@ -213,6 +242,7 @@
             requested: self.longest_requested_lease(),
             inherited,
             silent,
+            long: self.long_leases(now),
         })
     }
 
@@ -242,6 +272,18 @@
         }
     }
 
+    /// Returns the leases that may be longer than any that this planner asks for.
+    fn long_leases(&self, now: TimePoint) -> Vec<WorkerLease> {
+        let requested = now + longest_duration(self.longest_requested_lease());
+        let workers = self.workers.values();
+        let long = workers.filter(|entry| entry.long_lease_until > requested);
+        long.map(|entry| WorkerLease {
+            worker: entry.id().clone(),
+            remaining: entry.long_lease_until.since(now),
+        })
+        .collect()
+    }
+
     /// Returns the workers that may have runs and don't answer.
     fn silent_workers(&self, now: TimePoint) -> BTreeSet<WorkerId> {
         let workers = self.workers.values();
--- a/crates/geraniumshed-core/src/assignment/mod.rs
+++ b/crates/geraniumshed-core/src/assignment/mod.rs
@@ -36,7 +36,7 @@
 pub use interference::{
     InterferenceModel, InterferenceSnapshot, LoadShare, ServedImageRecord, SlopeRecord,
 };
-pub use lease_ledger::{LeaseSnapshot, SilentLease};
+pub use lease_ledger::{LeaseSnapshot, WorkerLease};
 pub use placement_query::PlacementRefusal;
 pub use planner::JobPlanner;
 pub use settings::PlannerSettings;
--- a/crates/geraniumshed-core/src/assignment/worker_replies.rs
+++ b/crates/geraniumshed-core/src/assignment/worker_replies.rs
@@ -98,6 +98,7 @@
         sent: SentRenewal,
         reply: RenewReply,
     ) {
+        let is_new_process = self.is_new_process(reply.clock);
         let Some(entry) = self.workers.get_mut(worker) else {
             return;
         };
@@ -124,6 +125,12 @@
         };
         entry.incarnation = reply.incarnation.or(entry.incarnation);
         entry.unanswered_calls = 0;
+        if entry.clock.is_none() && is_new_process {
+            self.assume_longest_lease(now.point, worker);
+        }
+        let Some(entry) = self.workers.get_mut(worker) else {
+            return;
+        };
         if is_latest {
             entry.read_clock(reply.clock, sent.sent_at, now.point);
         }
@@ -173,12 +180,10 @@
         worker: &WorkerId,
         incarnation: WorkerIncarnation,
     ) {
-        let inherited_lease_end = self.inherited_lease_end(now.point);
         let Some(entry) = self.workers.get_mut(worker) else {
             return;
         };
         let runs = entry.begin_incarnation(incarnation);
-        entry.lease_expires_at = inherited_lease_end;
         self.emit(PlannerEvent::WorkerRestarted(worker.clone()));
         for (key, run) in runs {
             self.finish_run(
--- a/crates/geraniumshed-core/src/worker/entry.rs
+++ b/crates/geraniumshed-core/src/worker/entry.rs
@@ -51,6 +51,8 @@
     pub deadline: WorkerTime,
     /// The time by which the worker's lease has certainly expired.
     pub lease_expires_at: TimePoint,
+    /// The time until which the worker may have a lease that is longer than requested.
+    pub long_lease_until: TimePoint,
     /// Whether the store may hold the lease for a successor, so that it must not be extended.
     pub has_stored_lease: bool,
     /// The runs that may be executing on the worker.
@@ -110,6 +112,7 @@
             clock: None,
             deadline: WorkerTime::default(),
             lease_expires_at,
+            long_lease_until: TimePoint::default(),
             has_stored_lease: false,
             runs: BTreeMap::new(),
             reserved: ResourceSize::default(),
