Continue the waits of long-running tasks across takeovers

What callers see: a large long-running task whose run ended during a rolling restart stays away among a stream of short tasks (LOST).

Cause: a worker is held for such a task after it has waited 1 s, or 6 s where all capacity is taken. Since when it waits and which workers are held stood only in the memory of a leader, so each successor counted anew and gave the held workers to short tasks. The class of fault is that of the silent workers: a bounded wait that starts anew with each successor is unbounded.

Change: a record `waits` beside the progress of jobs holds the long-running steps that wait for workers, since when in Unix time, and the held workers. It is stored when it changes, at most every 250 ms, with a batch that is stored anyway, or by itself if there is none for 250 ms. A successor continues from it. What it reads is checked: a time in the future is cut to now, a wait counts only while the step has a waiting task, and a held worker has to answer within a second of the takeover. A record that can't be decoded is logged and ignored.

Why no term is checked: the record only decides when a worker is held, so an old one can't do harm that a leader without one couldn't.

New tests: records with a time an hour ahead or behind, a job or worker that isn't there or a worker that doesn't reply; a wait of a step that has been placed meanwhile; a takeover of nodes; a record of another build.

--- a/crates/geraniumshed-batch/src/leader/run.rs
+++ b/crates/geraniumshed-batch/src/leader/run.rs
@@ -163,6 +163,7 @@
             }
         }
         self.planner.restore_leases(now, recovered.leases);
+        self.planner.restore_waits(now, recovered.waits);
         self.planner.restore_interference(recovered.interference);
         for (id, cancelled_unix_ms) in recovered.withdrawn {
             self.planner.restore_withdrawn(id, cancelled_unix_ms);
--- a/crates/geraniumshed-batch/src/leader/takeover.rs
+++ b/crates/geraniumshed-batch/src/leader/takeover.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use geraniumshed_core::assignment::{InterferenceSnapshot, LeaseSnapshot};
+use geraniumshed_core::assignment::{InterferenceSnapshot, LeaseSnapshot, WaitSnapshot};
 use geraniumshed_core::job::{JobId, JobPhase, JobRequest, StoredJob};
 use geraniumshed_core::leadership::{LeaderRecord, LeaderTerm, MemberIdentity};
 use geraniumshed_model::prelude::{LogOffset, whole_millis};
@@ -13,10 +13,11 @@
     AppendCondition, KeyedRecord, StoreClient, StoreError, WriterMark, read_newest,
 };
 use crate::topic::{
-    INTERFERENCE_KEY, LEADER_KEY, LEADERS, LEASES_KEY, PROGRESS, REQUESTS, parse_job_key,
+    INTERFERENCE_KEY, LEADER_KEY, LEADERS, LEASES_KEY, PROGRESS, REQUESTS, WAITS_KEY, parse_job_key,
 };
 use crate::wire::{
-    InterferenceWire, JobRequestWire, LeaseSnapshotWire, MemberWire, StoredJobWire, decode, encode,
+    InterferenceWire, JobRequestWire, LeaseSnapshotWire, MemberWire, StoredJobWire,
+    WaitSnapshotWire, decode, encode,
 };
 
 /// The timeout for an append during the takeover.
@@ -62,6 +63,8 @@
     pub(crate) interference: InterferenceSnapshot,
     /// The leases of the workers that didn't answer the leader before.
     pub(crate) leases: LeaseSnapshot,
+    /// The waits of long-running tasks.
+    pub(crate) waits: WaitSnapshot,
     /// The offset from which to read further requests.
     pub(crate) next_request: LogOffset,
 }
@@ -102,6 +105,7 @@
     let find = |key: &str| progress.iter().find(|record| record.key == key);
     let interference = find(&INTERFERENCE_KEY).map(decode_interference);
     let leases = find(&LEASES_KEY).map(|record| decode_leases(record, term));
+    let waits = find(&WAITS_KEY).map(decode_waits);
     let mut stored_jobs: BTreeMap<JobId, StoredJob> =
         progress.iter().filter_map(decode_stored_job).collect();
     let jobs = requests
@@ -126,6 +130,7 @@
         cancelled: BTreeSet::new(),
         interference: interference.unwrap_or_default(),
         leases: leases.unwrap_or_default(),
+        waits: waits.unwrap_or_default(),
         next_request,
     })
 }
@@ -173,6 +178,20 @@
     }
 }
 
+/// Decodes the waits of long-running tasks. If they can't be decoded, they are counted anew.
+///
+/// They are hints that only decide when a worker is held, so those of any earlier term may be used.
+fn decode_waits(record: &KeyedRecord) -> WaitSnapshot {
+    let decoded = decode::<WaitSnapshotWire>(&record.value);
+    decoded.map_or_else(
+        |error| {
+            log::error!(error:% = error; "could not decode the waits of long-running tasks");
+            WaitSnapshot::default()
+        },
+        WaitSnapshot::from,
+    )
+}
+
 /// Decodes the stored progress of a job. Progress that can't be decoded is logged and skipped.
 fn decode_stored_job(record: &KeyedRecord) -> Option<(JobId, StoredJob)> {
     let id = parse_job_key(&record.key)?;
--- a/crates/geraniumshed-batch/src/leader/writer.rs
+++ b/crates/geraniumshed-batch/src/leader/writer.rs
@@ -15,8 +15,8 @@
 };
 use crate::store_monitor::StoreMonitor;
 use crate::telemetry::{DependencyWatch, NodeMetrics};
-use crate::topic::{INTERFERENCE_KEY, LEASES_KEY, PROGRESS, REQUESTS, job_key};
-use crate::wire::{InterferenceWire, LeaseSnapshotWire, StoredJobWire, encode};
+use crate::topic::{INTERFERENCE_KEY, LEASES_KEY, PROGRESS, REQUESTS, WAITS_KEY, job_key};
+use crate::wire::{InterferenceWire, LeaseSnapshotWire, StoredJobWire, WaitSnapshotWire, encode};
 
 /// The timeout for deleting requests.
 const DELETE_TIMEOUT: Duration = Duration::from_millis(500);
@@ -160,6 +160,10 @@
             key: LEASES_KEY,
             value: encode(&LeaseSnapshotWire::new(term, snapshot)),
         },
+        StoreChange::Waits(snapshot) => KeyedRecord {
+            key: WAITS_KEY,
+            value: encode(&WaitSnapshotWire::from(snapshot)),
+        },
     }
 }
 
@@ -173,9 +177,10 @@
                 key: job_key(*id),
                 value: bytes::Bytes::new(),
             }),
-            StoreChange::Progress(..) | StoreChange::Interference(_) | StoreChange::Leases(_) => {
-                None
-            }
+            StoreChange::Progress(..)
+            | StoreChange::Interference(_)
+            | StoreChange::Leases(_)
+            | StoreChange::Waits(_) => None,
         })
         .collect()
 }
--- a/crates/geraniumshed-batch/src/topic.rs
+++ b/crates/geraniumshed-batch/src/topic.rs
@@ -7,7 +7,8 @@
 
 /// The submitted jobs, by job ID. Every node appends to it; the leader removes old jobs.
 pub const REQUESTS: TopicName = TopicName("keyed.geraniumshed.requests");
-/// The progress of jobs, by job ID, learned interference, and the leases of silent workers. Only the leader appends to it.
+/// The progress of jobs, by job ID, learned interference, the leases of silent workers, and the waits
+/// of long-running tasks. Only the leader appends to it.
 pub const PROGRESS: TopicName = TopicName("keyed.geraniumshed.progress");
 /// The claims to lead. The newest one names the leader, and the offset after it is the term.
 pub const LEADERS: TopicName = TopicName("keyed.geraniumshed.leaders");
@@ -21,6 +22,9 @@
 /// The key of the record in [`PROGRESS`] that holds the leases of silent workers.
 pub const LEASES_KEY: SmolStr = SmolStr::new_static("leases");
 
+/// The key of the record in [`PROGRESS`] that holds the waits of long-running tasks.
+pub const WAITS_KEY: SmolStr = SmolStr::new_static("waits");
+
 /// Returns the key of a job's records.
 pub fn job_key(id: JobId) -> SmolStr {
     id.to_smolstr()
--- a/crates/geraniumshed-batch/src/wire/mod.rs
+++ b/crates/geraniumshed-batch/src/wire/mod.rs
@@ -10,6 +10,7 @@
 mod peer;
 mod request;
 mod stored_job;
+mod wait;
 
 pub use call::{JobAnswerWire, JobCallWire, JobPhaseWire};
 pub use codec::{WireDecodeError, decode, encode};
@@ -19,3 +20,4 @@
 pub use peer::{HeartbeatReplyWire, HeartbeatWire, NodePeer, NodePeerClient};
 pub use request::JobRequestWire;
 pub use stored_job::StoredJobWire;
+pub use wait::WaitSnapshotWire;
--- /dev/null
+++ b/crates/geraniumshed-batch/src/wire/wait.rs
@@ -0,0 +1,97 @@
+//! The stored form of the waits of long-running tasks.
+
+use geraniumshed_core::assignment::{StepWait, WaitSnapshot, WorkerHold};
+use geraniumshed_core::job::{JobId, TaskKey, WorkerId};
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+/// The waits of long-running tasks and the workers held for them, as they are stored.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WaitSnapshotWire {
+    steps: Vec<StepWaitWire>,
+    /// Each held worker, and the task that it is held for.
+    holds: Vec<(SmolStr, TaskKeyWire)>,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct StepWaitWire {
+    job: u64,
+    occurrence: u32,
+    step: u32,
+    since_unix_ms: u64,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct TaskKeyWire {
+    job: u64,
+    occurrence: u32,
+    step: u32,
+    index: u32,
+}
+
+impl From<WaitSnapshot> for WaitSnapshotWire {
+    fn from(snapshot: WaitSnapshot) -> Self {
+        let hold = |one: WorkerHold| (one.worker.0, TaskKeyWire::from(one.task));
+        Self {
+            steps: snapshot.steps.into_iter().map(StepWaitWire::from).collect(),
+            holds: snapshot.holds.into_iter().map(hold).collect(),
+        }
+    }
+}
+
+impl From<WaitSnapshotWire> for WaitSnapshot {
+    fn from(wire: WaitSnapshotWire) -> Self {
+        let hold = |(worker, task): (SmolStr, TaskKeyWire)| WorkerHold {
+            task: task.into(),
+            worker: WorkerId(worker),
+        };
+        Self {
+            steps: wire.steps.into_iter().map(StepWait::from).collect(),
+            holds: wire.holds.into_iter().map(hold).collect(),
+        }
+    }
+}
+
+impl From<StepWait> for StepWaitWire {
+    fn from(wait: StepWait) -> Self {
+        Self {
+            job: wait.job.0,
+            occurrence: wait.occurrence,
+            step: wait.step,
+            since_unix_ms: wait.since_unix_ms,
+        }
+    }
+}
+
+impl From<StepWaitWire> for StepWait {
+    fn from(wire: StepWaitWire) -> Self {
+        Self {
+            job: JobId(wire.job),
+            occurrence: wire.occurrence,
+            step: wire.step,
+            since_unix_ms: wire.since_unix_ms,
+        }
+    }
+}
+
+impl From<TaskKey> for TaskKeyWire {
+    fn from(key: TaskKey) -> Self {
+        Self {
+            job: key.job.0,
+            occurrence: key.occurrence,
+            step: key.step,
+            index: key.index,
+        }
+    }
+}
+
+impl From<TaskKeyWire> for TaskKey {
+    fn from(wire: TaskKeyWire) -> Self {
+        Self {
+            job: JobId(wire.job),
+            occurrence: wire.occurrence,
+            step: wire.step,
+            index: wire.index,
+        }
+    }
+}
--- a/crates/geraniumshed-batch/tests/nodes.rs
+++ b/crates/geraniumshed-batch/tests/nodes.rs
@@ -4,11 +4,14 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
+use geraniumshed_batch::topic::WAITS_KEY;
 use geraniumshed_batch::wire::LeaseSnapshotWire;
 use geraniumshed_batch::{BatchNode, CallOutcome};
 use geraniumshed_core::assignment::LeaseSnapshot;
-use geraniumshed_core::job::{JobId, JobPhase};
+use geraniumshed_core::job::{JobId, JobPhase, JobRequest, StepRequest};
 use geraniumshed_core::leadership::LeaderTerm;
+use geraniumshed_model::prelude::ProcessorShare;
 use support::{Site, deadline, job};
 
 #[tokio::test]
@@ -303,3 +306,47 @@
     let remaining = |wire: LeaseSnapshotWire| LeaseSnapshot::from(wire).leases[0].remaining;
     assert!(remaining(second) < remaining(first));
 }
+
+// Guards against a takeover that loses since when a long-running task waits for a worker.
+#[tokio::test]
+async fn a_new_leader_continues_the_wait_of_a_long_running_task() {
+    let site = Site::new();
+    let nodes = site.spawn_nodes(2, 21_360).await;
+    let stopped = support::settled_leader(&nodes).await;
+    let mut too_large = StepRequest {
+        is_long_running: true,
+        task_count: 1,
+        ..StepRequest::default()
+    };
+    too_large.size.processors = ProcessorShare(1_000_000);
+    let request = JobRequest {
+        steps: vec![too_large],
+        ..job(1)
+    };
+    let service = nodes[0].service();
+    service.submit(JobId(96), &request, deadline()).await;
+    support::wait_for(async || site.stored_waits().is_some()).await;
+    let first = site.stored_waits().unwrap();
+    assert_eq!(first.steps.len(), 1);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    nodes[stopped].begin_stop();
+    let service = nodes[(stopped + 1) % 2].service();
+    service.submit(JobId(97), &job(1), deadline()).await;
+    let completed = CallOutcome::Status(JobPhase::Completed);
+    support::wait_for(async || service.status(JobId(97), deadline()).await == completed).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert_eq!(site.stored_waits(), Some(first));
+}
+
+// Guards against a leader that fails on a record of another build.
+#[tokio::test]
+async fn a_leader_ignores_waits_that_it_can_not_decode() {
+    let site = Site::new();
+    site.put_progress(WAITS_KEY, Bytes::from_static(&[2, 200, 200]));
+    site.put_progress("of a later build".into(), Bytes::from_static(&[1]));
+    let nodes = site.spawn_nodes(1, 21_380).await;
+    let service = nodes[0].service();
+    service.submit(JobId(98), &job(1), deadline()).await;
+    let completed = CallOutcome::Status(JobPhase::Completed);
+    support::wait_for(async || service.status(JobId(98), deadline()).await == completed).await;
+}
--- a/crates/geraniumshed-batch/tests/support/mod.rs
+++ b/crates/geraniumshed-batch/tests/support/mod.rs
@@ -12,10 +12,10 @@
 use geraniumshed_batch::store::{
     AppendCondition, KeyedRecord, NewestPage, ReadBatch, StoreClient, StoreError, TopicName,
 };
-use geraniumshed_batch::topic::{LEASES_KEY, PROGRESS};
-use geraniumshed_batch::wire::{LeaseSnapshotWire, decode};
+use geraniumshed_batch::topic::{LEASES_KEY, PROGRESS, WAITS_KEY};
+use geraniumshed_batch::wire::{LeaseSnapshotWire, WaitSnapshotWire, decode};
 use geraniumshed_batch::{BatchNode, NodeSettings};
-use geraniumshed_core::assignment::PlannerSettings;
+use geraniumshed_core::assignment::{PlannerSettings, WaitSnapshot};
 use geraniumshed_core::job::{JobRequest, QueueName, QueuePolicy, StepRequest, WorkerId};
 use geraniumshed_core::leadership::MemberIdentity;
 use geraniumshed_core::worker::{
@@ -170,10 +170,29 @@
 
     /// Returns the newest record of silent workers' leases.
     pub fn stored_leases(&self) -> Option<LeaseSnapshotWire> {
+        let value = self.newest_progress(&LEASES_KEY)?;
+        Some(decode(&value).unwrap())
+    }
+
+    /// Returns the newest record of the waits of long-running tasks.
+    pub fn stored_waits(&self) -> Option<WaitSnapshot> {
+        let value = self.newest_progress(&WAITS_KEY)?;
+        Some(decode::<WaitSnapshotWire>(&value).unwrap().into())
+    }
+
+    /// Stores a record of progress that no leader has written.
+    pub fn put_progress(&self, key: SmolStr, value: Bytes) {
+        let record = KeyedRecord { key, value };
+        let mut state = self.lock();
+        let topic = state.topics.entry(PROGRESS).or_default();
+        topic.records.push(record);
+    }
+
+    fn newest_progress(&self, key: &SmolStr) -> Option<Bytes> {
         let state = self.lock();
         let mut records = state.topics.get(&PROGRESS)?.records.iter().rev();
-        let record = records.find(|record| record.key == LEASES_KEY)?;
-        Some(decode(&record.value).unwrap())
+        let record = records.find(|record| record.key == *key)?;
+        Some(record.value.clone())
     }
 
     pub fn start_count(&self) -> usize {
--- a/crates/geraniumshed-core/src/assignment/action.rs
+++ b/crates/geraniumshed-core/src/assignment/action.rs
@@ -5,6 +5,7 @@
 use super::event::PlannerEvent;
 use super::interference::InterferenceSnapshot;
 use super::lease_ledger::LeaseSnapshot;
+use super::wait_ledger::WaitSnapshot;
 use crate::job::{JobId, JobPhase, StoredJob};
 use crate::worker::{
     AdviceRequest, PaceOrder, RenewRequest, SentRenewal, StartOrder, StopOrder, WorkerCall,
@@ -47,6 +48,8 @@
     Interference(InterferenceSnapshot),
     /// The leases of silent workers.
     Leases(LeaseSnapshot),
+    /// The waits of long-running tasks.
+    Waits(WaitSnapshot),
 }
 
 /// Changes that are stored together.
--- a/crates/geraniumshed-core/src/assignment/planner.rs
+++ b/crates/geraniumshed-core/src/assignment/planner.rs
@@ -16,6 +16,7 @@
 use super::lease_ledger::LeaseLedger;
 use super::rank::allowed_time;
 use super::settings::PlannerSettings;
+use super::wait_ledger::WaitLedger;
 use crate::job::{
     JobEntry, JobId, JobPhase, JobRequest, QueueName, QueuePolicy, QueueTable, StoredJob, TaskKey,
     TaskPhase, WorkerId,
@@ -40,6 +41,7 @@
     pub(super) workers: BTreeMap<WorkerId, WorkerEntry>,
     pub(super) change_tracker: ChangeTracker,
     pub(super) lease_ledger: LeaseLedger,
+    pub(super) wait_ledger: WaitLedger,
     pub(super) interference: InterferenceModel,
     pub(super) advice: AdviceTable,
     pub(super) actions: Vec<PlannerAction>,
@@ -79,6 +81,7 @@
             workers: BTreeMap::new(),
             change_tracker: ChangeTracker::default(),
             lease_ledger: LeaseLedger::default(),
+            wait_ledger: WaitLedger::default(),
             interference: InterferenceModel::default(),
             advice: AdviceTable::default(),
             actions: Vec::new(),
@@ -187,7 +190,7 @@
 
     /// Returns whether there are changes to store.
     pub fn has_changes(&self) -> bool {
-        self.change_tracker.has_changes() || self.lease_ledger.is_due()
+        self.change_tracker.has_changes() || self.lease_ledger.is_due() || self.wait_ledger.is_due()
     }
 
     /// Returns whether a renewal carried the newest fencing token that this planner used for a
@@ -218,6 +221,8 @@
         }
         let leases = self.take_lease_snapshot(now.point, number);
         changes.extend(leases.map(StoreChange::Leases));
+        let waits = self.take_wait_snapshot();
+        changes.extend(waits.map(StoreChange::Waits));
         Some(StoreBatch { number, changes })
     }
 
@@ -239,6 +244,7 @@
             self.release_expired_workers(now);
             self.watch_runs(now);
             self.watch_silent_leases(now.point);
+            self.watch_waits(now.point);
             self.begin_occurrences(now);
         }
         if self.is_placement_due {
--- a/crates/geraniumshed-core/src/assignment/worker_hold.rs
+++ b/crates/geraniumshed-core/src/assignment/worker_hold.rs
@@ -87,14 +87,16 @@
 
     /// Releases held workers whose task no longer waits or that no longer take tasks.
     pub(super) fn release_stale_holds(&mut self, now: PlannerTime) {
+        self.adopt_holds();
+        let awaits_adoption = self.wait_ledger.awaits_adoption(now.point);
         let is_waiting = |key: &TaskKey| {
             let job = self.jobs.get(&key.job).filter(|job| !job.phase.is_final());
             let task = job.and_then(|job: &JobEntry| job.task(*key));
             task.is_some_and(|task| task.is_startable(now.point))
         };
-        let takes_tasks = |worker: &WorkerId| {
-            let entry = self.workers.get(worker);
-            entry.is_some_and(|entry: &WorkerEntry| entry.takes_tasks(now.point))
+        let takes_tasks = |worker: &WorkerId| match self.workers.get(worker) {
+            Some(entry) if entry.is_adopted => entry.takes_tasks(now.point),
+            Some(_) | None => awaits_adoption,
         };
         let held = self.held_workers.iter();
         let stale = held.filter(|(key, worker)| !is_waiting(key) || !takes_tasks(worker));
@@ -104,6 +106,15 @@
         }
     }
 
+    /// Marks workers as held that became known after the holds were restored.
+    fn adopt_holds(&mut self) {
+        for (key, worker) in &self.held_workers {
+            if let Some(entry) = self.workers.get_mut(worker) {
+                entry.held_for = Some(*key);
+            }
+        }
+    }
+
     fn add_hold(&mut self, key: TaskKey, worker: WorkerId) {
         if let Some(entry) = self.workers.get_mut(&worker) {
             entry.held_for = Some(key);
--- a/crates/geraniumshed-core/src/job/diagnostics.rs
+++ b/crates/geraniumshed-core/src/job/diagnostics.rs
@@ -5,7 +5,7 @@
 
 /// The delays and failures of a job, which are logged when it ends.
 ///
-/// They aren't stored, so that a new leader starts with none.
+/// Only the waits of long-running steps are stored, so a new leader starts without the others.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct JobDiagnostics {
     /// When the first task was placed on a worker, in milliseconds of Unix time.
@@ -41,6 +41,13 @@
         self.waiting_since.remove(&(occurrence, step));
     }
 
+    /// Returns the steps that are waiting for a worker: the occurrence, the index, and the time in
+    /// milliseconds of Unix time since when each waits.
+    pub fn waiting_steps(&self) -> impl Iterator<Item = (u32, u32, u64)> {
+        let waits = self.waiting_since.iter();
+        waits.map(|((occurrence, step), since)| (*occurrence, *step, *since))
+    }
+
     /// Returns since when tasks of a step wait for a worker, in milliseconds of Unix time.
     pub fn waiting_since(&self, occurrence: u32, step: u32) -> Option<u64> {
         self.waiting_since.get(&(occurrence, step)).copied()
--- a/crates/geraniumshed-core/tests/planner/fixture.rs
+++ b/crates/geraniumshed-core/tests/planner/fixture.rs
@@ -5,7 +5,7 @@
 
 use geraniumshed_core::assignment::{
     InterferenceSnapshot, JobPlanner, JobStatus, LeaseSnapshot, PlannerAction, PlannerEvent,
-    PlannerSettings, PlannerTime, StoreChange,
+    PlannerSettings, PlannerTime, StoreChange, WaitSnapshot,
 };
 use geraniumshed_core::job::{
     AdvicePolicy, JobId, JobPhase, JobRequest, QueueName, QueuePolicy, StepRequest, StoredJob,
@@ -59,6 +59,8 @@
     pub interference: InterferenceSnapshot,
     /// The leases of silent workers, which only the next planner may use.
     pub leases: LeaseSnapshot,
+    /// The waits of long-running tasks.
+    pub waits: WaitSnapshot,
     /// The pressure per processor that a best-effort image (second) adds to an image with a latency
     /// target (first).
     pub pressures: BTreeMap<(SmolStr, SmolStr), f64>,
@@ -95,6 +97,7 @@
             requests: BTreeMap::new(),
             interference: InterferenceSnapshot::default(),
             leases: LeaseSnapshot::default(),
+            waits: WaitSnapshot::default(),
             pressures: BTreeMap::new(),
             tail_counts: (0, 0),
             duplicated: Vec::new(),
@@ -170,6 +173,7 @@
         }
         let leases = std::mem::take(&mut self.leases);
         self.planner.restore_leases(now, leases);
+        self.planner.restore_waits(now, self.waits.clone());
         let withdrawn = self.stored.iter();
         for (id, image) in withdrawn.filter(|(id, _)| !self.requests.contains_key(id)) {
             self.planner.restore_withdrawn(*id, image.ended_unix_ms);
@@ -260,6 +264,7 @@
                     }
                     StoreChange::Interference(snapshot) => self.interference = snapshot,
                     StoreChange::Leases(snapshot) => self.leases = snapshot,
+                    StoreChange::Waits(snapshot) => self.waits = snapshot,
                     StoreChange::Forget(id) => {
                         self.stored.remove(&id);
                         self.requests.remove(&id);
--- a/crates/geraniumshed-core/tests/planner/succession.rs
+++ b/crates/geraniumshed-core/tests/planner/succession.rs
@@ -3,13 +3,14 @@
 
 use std::time::Duration;
 
+use geraniumshed_core::assignment::{StepWait, WaitSnapshot, WorkerHold};
 use geraniumshed_core::job::{JobId, StepRequest};
 use geraniumshed_core::worker::EndKind;
 use geraniumshed_model::prelude::TimePoint;
 use rstest::rstest;
 use smol_str::SmolStr;
 
-use crate::builders::{size, step, task};
+use crate::builders::{size, step, task, worker};
 use crate::fixture::{Cluster, STEP};
 
 /// A time between takeovers with which no takeover happens during a test.
@@ -106,6 +107,121 @@
     );
 }
 
+/// What a record of waits gets wrong.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum WrongWait {
+    /// It was written by the clock of a VM that is an hour ahead.
+    IsInFuture,
+    /// It is of a much earlier time.
+    IsOld,
+    /// It names a worker that isn't there.
+    HoldsUnknownWorker,
+    /// It names a worker that doesn't reply.
+    HoldsSilentWorker,
+    /// It names a job that isn't there.
+    NamesUnknownJob,
+}
+
+// Guards against a stored wait of another clock or another state that keeps a task away.
+#[rstest]
+fn wrong_waits_only_change_the_time_of_a_hold(
+    #[values(
+        WrongWait::IsInFuture,
+        WrongWait::IsOld,
+        WrongWait::HoldsUnknownWorker,
+        WrongWait::HoldsSilentWorker,
+        WrongWait::NamesUnknownJob
+    )]
+    wrong: WrongWait,
+) {
+    let mut cluster = Cluster::with_workers(4);
+    let large = StepRequest {
+        is_long_running: true,
+        size: size(14_000, 16),
+        ..step(4)
+    };
+    let id = cluster.submit(1, vec![large]);
+    cluster.advance(Duration::from_secs(2));
+    let failed_worker = cluster.starts[0].worker.clone();
+    let hour_ms = 3_600_000;
+    for number in 0..600 {
+        let short = StepRequest {
+            estimate: Duration::from_millis(700 + number * 83 % 600),
+            size: size(5_000, 2),
+            ..step(1)
+        };
+        cluster.submit(100 + number, vec![short]);
+        cluster.advance(Duration::from_millis(20));
+        if number == 200 {
+            let worker = cluster.workers.get_mut(&failed_worker).unwrap();
+            worker.end(task(id, 0, 0), EndKind::Failed);
+        }
+        if number == 240 {
+            let silent = worker(if failed_worker == worker(3) { 2 } else { 3 });
+            let mut wait = StepWait {
+                job: id,
+                occurrence: 0,
+                step: 0,
+                since_unix_ms: cluster.planner_time().unix_ms,
+            };
+            let mut holds = Vec::new();
+            let mut hold = |worker| {
+                let task = task(id, 0, 0);
+                holds.push(WorkerHold { task, worker });
+            };
+            match wrong {
+                WrongWait::IsInFuture => wait.since_unix_ms += hour_ms,
+                WrongWait::IsOld => wait.since_unix_ms -= hour_ms,
+                WrongWait::HoldsUnknownWorker => hold(worker(99)),
+                WrongWait::HoldsSilentWorker => hold(silent.clone()),
+                WrongWait::NamesUnknownJob => wait.job = JobId(9_999),
+            }
+            if wrong == WrongWait::HoldsSilentWorker {
+                let worker = cluster.workers.get_mut(&silent).unwrap();
+                worker.fault.is_silent = true;
+            }
+            let steps = vec![wait];
+            cluster.waits = WaitSnapshot { steps, holds };
+            cluster.replace_planner();
+        }
+    }
+    let runs = cluster.starts_of(task(id, 0, 0));
+    assert_eq!(runs.len(), 2, "the long-running task was not placed again");
+    let failed_at = runs[0].at + Duration::from_secs(6);
+    let gap = runs[1].at.since(failed_at);
+    assert!(gap < Duration::from_secs(5), "not running for {gap:?}");
+}
+
+// Guards against a step that has started meanwhile and would get a worker held at once when its
+// task ends again, since a stored wait is taken to last.
+#[test]
+fn wait_of_a_placed_step_is_removed() {
+    let mut cluster = Cluster::with_workers(2);
+    let served = StepRequest {
+        is_long_running: true,
+        ..step(1)
+    };
+    let id = cluster.submit(1, vec![served]);
+    cluster.advance(Duration::from_secs(1));
+    let wait = StepWait {
+        job: id,
+        occurrence: 0,
+        step: 0,
+        since_unix_ms: 1_600_000_000_000,
+    };
+    let hold = WorkerHold {
+        task: task(id, 0, 0),
+        worker: worker(1),
+    };
+    cluster.waits = WaitSnapshot {
+        steps: vec![wait],
+        holds: vec![hold],
+    };
+    cluster.replace_planner();
+    cluster.advance(Duration::from_secs(1));
+    assert_eq!(cluster.waits, WaitSnapshot::default());
+}
+
 fn served_step(task_count: u32) -> StepRequest {
     StepRequest {
         is_long_running: true,
