Count only the time at full speed as time without progress

Change: a run keeps the time without progress at full speed, also across changes of speed, until it progresses. A stalled run that is slowed at times is still moved.

--- a/crates/geraniumshed-core/src/assignment/pacing.rs
+++ b/crates/geraniumshed-core/src/assignment/pacing.rs
@@ -8,10 +8,8 @@
 
 use super::interference::{InterferenceModel, LoadShare};
 use crate::job::TaskKey;
-use crate::worker::{PaceOrder, RunEntry, RunPhase, WorkerEntry};
+use crate::worker::{FULL_PERCENT, PaceOrder, RunEntry, RunPhase, WorkerEntry};
 
-/// The full speed, in percent.
-pub(super) const FULL_PERCENT: u32 = 100;
 /// The smallest increase of speed that is worth a call, in percentage points. An increase to full
 /// speed is always worth it.
 const MIN_PACE_INCREASE: u32 = 20;
--- a/crates/geraniumshed-core/src/assignment/starting.rs
+++ b/crates/geraniumshed-core/src/assignment/starting.rs
@@ -6,11 +6,10 @@
 
 use super::action::{PlannerAction, PlannerTime};
 use super::change_tracker::DeferredStart;
-use super::pacing::FULL_PERCENT;
 use super::placement_query::StepPermission;
 use super::planner::JobPlanner;
 use crate::job::{JobPhase, StepRequest, TaskKey, TaskPhase, WorkerId};
-use crate::worker::{RunEntry, RunPhase, StartOrder, WorkerCall};
+use crate::worker::{FULL_PERCENT, RunEntry, RunPhase, StartOrder, WorkerCall};
 
 impl JobPlanner {
     /// Places a task on a worker as its next run.
@@ -135,6 +134,7 @@
         paced_at: now,
         percent: 0,
         progressed_at: now,
+        earlier_idle_time: Duration::ZERO,
         stop_sent_at: None,
     }
 }
--- a/crates/geraniumshed-core/src/assignment/supervision.rs
+++ b/crates/geraniumshed-core/src/assignment/supervision.rs
@@ -11,8 +11,7 @@
 
 /// The time after its start by which a long-running task has to be ready.
 const STARTUP_LIMIT: Duration = Duration::from_secs(3);
-/// The progress that a long-running task reports once it is ready, and the full speed of a run, in
-/// percent.
+/// The progress that a long-running task reports once it is ready, in percent.
 pub(super) const WHOLE_PERCENT: u32 = 100;
 
 impl JobPlanner {
@@ -107,7 +106,7 @@
         let mut stalled = Vec::new();
         for (id, entry) in &self.workers {
             for (key, run) in &entry.runs {
-                let RunPhase::Running(since) = run.phase else {
+                let RunPhase::Running(_) = run.phase else {
                     continue;
                 };
                 if let Some(sent_at) = run.stop_sent_at {
@@ -122,12 +121,10 @@
                     self.settings.stall_limit + run.estimate / 20
                 };
                 let is_working = run.is_long_running && run.percent >= WHOLE_PERCENT;
-                let is_paced = run.pace_percent < WHOLE_PERCENT;
-                let last = run.progressed_at.max(since);
                 // The time since the last reading says nothing about the progress, so the idle time
                 // ends at that reading.
-                let idle_time = entry.read_at.since(last);
-                if !is_working && !is_paced && idle_time > limit {
+                let idle_time = run.idle_time(entry.read_at);
+                if !is_working && run.has_full_speed() && idle_time > limit {
                     stalled.push((id.clone(), *key));
                 }
             }
--- a/crates/geraniumshed-core/src/assignment/worker_replies.rs
+++ b/crates/geraniumshed-core/src/assignment/worker_replies.rs
@@ -246,8 +246,7 @@
             run.progressed_at = now;
         }
         if run.percent != report.percent {
-            run.percent = report.percent;
-            run.progressed_at = now;
+            run.record_progress(report.percent, now);
         }
         if run.is_long_running
             && run.percent >= WHOLE_PERCENT
--- a/crates/geraniumshed-core/src/worker/mod.rs
+++ b/crates/geraniumshed-core/src/worker/mod.rs
@@ -19,4 +19,4 @@
     RunReport, StartOrder, StartReply, StopOrder, WorkerCall, WorkerFailure,
 };
 pub use quarantine::WorkerQuarantine;
-pub use run::{RunEntry, RunPhase};
+pub use run::{FULL_PERCENT, RunEntry, RunPhase};
--- a/crates/geraniumshed-core/src/worker/run.rs
+++ b/crates/geraniumshed-core/src/worker/run.rs
@@ -7,6 +7,9 @@
 
 use super::message::FenceToken;
 
+/// The full speed, in percent.
+pub const FULL_PERCENT: u32 = 100;
+
 /// The progress of the order to start a run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RunPhase {
@@ -59,6 +62,8 @@
     pub percent: u32,
     /// When the progress last changed.
     pub progressed_at: TimePoint,
+    /// The time without progress at full speed before the last change of speed.
+    pub earlier_idle_time: Duration,
     /// When the last order to stop the run was sent.
     pub stop_sent_at: Option<TimePoint>,
 }
@@ -74,8 +79,31 @@
         f64::from(self.processors.0) / 1000.0
     }
 
+    /// Returns whether the run was ordered to run at full speed.
+    pub fn has_full_speed(&self) -> bool {
+        self.pace_percent >= FULL_PERCENT
+    }
+
+    /// Records a change of the progress, in percent.
+    pub fn record_progress(&mut self, percent: u32, now: TimePoint) {
+        self.percent = percent;
+        self.progressed_at = now;
+        self.earlier_idle_time = Duration::ZERO;
+    }
+
+    /// Returns how long the run has had its full speed without any progress. A slowed run may not
+    /// progress at all, so that time doesn't count.
+    pub fn idle_time(&self, now: TimePoint) -> Duration {
+        if !self.has_full_speed() {
+            return self.earlier_idle_time;
+        }
+        let since = self.progressed_at.max(self.paced_at);
+        self.earlier_idle_time + now.since(since)
+    }
+
     /// Records an order to change the speed, in percent of full speed.
     pub fn change_pace(&mut self, percent: u32, now: TimePoint) {
+        self.earlier_idle_time = self.idle_time(now);
         self.previous_percent = self.pace_percent;
         self.pace_percent = percent;
         self.paced_at = now;
--- a/crates/geraniumshed-core/tests/planner/simulation.rs
+++ b/crates/geraniumshed-core/tests/planner/simulation.rs
@@ -25,6 +25,8 @@
     pub fails: bool,
     /// The tasks on the worker make no progress.
     pub stalls: bool,
+    /// The best-effort tasks on the worker make no progress.
+    pub stalls_best_effort: bool,
 }
 
 /// A run on a simulated worker.
@@ -128,7 +130,9 @@
     pub fn reports(&self, worker: &SimulatedWorker, now: TimePoint) -> Vec<RunReport> {
         let report = |(task, run): (&TaskKey, &SimulatedRun)| {
             let done = now.since(run.started_at).as_millis() * 100 / run.length.as_millis().max(1);
-            let percent = if worker.fault.stalls {
+            let fault = worker.fault;
+            let is_best_effort = self.step(task).is_best_effort;
+            let percent = if fault.stalls || fault.stalls_best_effort && is_best_effort {
                 7
             } else if self.step(task).is_long_running {
                 100
--- a/crates/geraniumshed-core/tests/planner/succession.rs
+++ b/crates/geraniumshed-core/tests/planner/succession.rs
@@ -307,6 +307,70 @@
     assert!(slowed.clone().all(|(_, percent)| *percent == 100));
 }
 
+/// Returns a cluster with an image that exceeds its target for most of each period of its load by
+/// itself, so that the best-effort run beside it is suspended for seconds.
+fn suspending_cluster() -> Cluster {
+    let mut cluster = Cluster::with_workers(1);
+    let pair = (SmolStr::new("calls"), SmolStr::new("noisy"));
+    cluster.pressures.insert(pair, STRONG_PRESSURE);
+    let tight = StepRequest {
+        latency_target: Some(Duration::from_millis(7)),
+        ..served_step(1)
+    };
+    cluster.submit(1, vec![tight]);
+    cluster.advance(Duration::from_secs(3));
+    cluster.submit(2, vec![noisy_step()]);
+    cluster
+}
+
+// Guards against a run that counts as stalled as soon as it regains full speed, since it made no
+// progress while it was suspended.
+#[rstest]
+#[case::one_planner(NEVER)]
+fn suspended_run_does_not_count_as_stalled(#[case] interval_ms: u64) {
+    let mut cluster = suspending_cluster();
+    let noisy = task(JobId(2), 0, 0);
+    let mut suspended = Duration::ZERO;
+    let mut longest = Duration::ZERO;
+    for step in 1..=4_000 {
+        cluster.advance(STEP);
+        let is_suspended = cluster.paces.get(&noisy) == Some(&0);
+        for one in cluster.workers.values_mut() {
+            one.fault.stalls_best_effort = is_suspended;
+        }
+        suspended = if is_suspended {
+            suspended + STEP
+        } else {
+            Duration::ZERO
+        };
+        longest = longest.max(suspended);
+        if step * 10 % interval_ms == 0 {
+            cluster.replace_planner();
+        }
+    }
+    assert!(
+        longest > Duration::from_secs(6),
+        "suspended for {longest:?}"
+    );
+    assert_eq!(cluster.starts_of(noisy).len(), 1);
+}
+
+// Guards against a stalled run that is never moved, since it is slowed at times and the time without
+// progress starts anew whenever it regains full speed.
+#[test]
+fn stalled_run_that_is_slowed_at_times_is_moved() {
+    let (mut cluster, _) = disturbed_cluster();
+    cluster
+        .workers
+        .get_mut(&worker(0))
+        .unwrap()
+        .fault
+        .stalls_best_effort = true;
+    cluster.advance(Duration::from_secs(25));
+    let noisy = task(JobId(2), 0, 0);
+    assert!(cluster.starts_of(noisy).len() > 1);
+}
+
 // Guards against an interference model that never grows, because each planner stores it once at its
 // takeover and then only after an interval that it doesn't reach.
 #[rstest]
