Lift adopted runs that an earlier planner slowed to full speed

What was seen: a best-effort run that an earlier planner had slowed kept that speed after the runs that it disturbed had ended, since a successor took all runs that it adopts to run at full speed and ordered nothing.

Change: the speed of an adopted best-effort run is unknown until the successor has ordered one. The first order is due once the run was seen for the warm-up of tail latencies (1.5 s), so that the tails of the runs beside it count and a takeover by itself lifts no slowed run. Until then, the run doesn't count as stalled.

Cost: one call for each adopted best-effort run, 1.5 s after a takeover, also where nothing was slowed.

--- a/crates/geraniumshed-core/src/assignment/pacing.rs
+++ b/crates/geraniumshed-core/src/assignment/pacing.rs
@@ -95,7 +95,7 @@
         if percent <= MOVE_PERCENT && may_move(run) {
             plan.moves.push(key);
         }
-        if is_worth_sending(run.pace_percent, percent) {
+        if is_worth_sending(run.pace_percent, percent) || is_first_order_due(run, now) {
             run.change_pace(percent, now);
             plan.orders.push(PaceOrder {
                 task: key,
@@ -320,6 +320,15 @@
     wanted < current || is_full || wanted >= current + MIN_PACE_INCREASE
 }
 
+/// Returns whether an adopted run is due for the first order of this planner, which sets its unknown
+/// speed. The runs beside it were adopted at the same time, so they are past their warm-up too.
+fn is_first_order_due(run: &RunEntry, now: TimePoint) -> bool {
+    let RunPhase::Running(since) = run.phase else {
+        return false;
+    };
+    !run.is_pace_known && now.since(since) >= WARM_UP
+}
+
 /// Returns the image of a best-effort run that is running and isn't being stopped.
 fn best_effort_image(run: &RunEntry) -> Option<SmolStr> {
     let is_running = matches!(run.phase, RunPhase::Running(_));
--- a/crates/geraniumshed-core/src/assignment/starting.rs
+++ b/crates/geraniumshed-core/src/assignment/starting.rs
@@ -116,6 +116,8 @@
 
 /// Creates the entry for a run of a step's task.
 pub(super) fn run_entry(step: &StepRequest, run: u32, phase: RunPhase, now: TimePoint) -> RunEntry {
+    // Only a run of an earlier planner begins with an unsettled state.
+    let is_adopted = matches!(phase, RunPhase::Unsettled(_));
     RunEntry {
         run,
         phase,
@@ -130,6 +132,7 @@
         estimate: step.estimate,
         is_long_running: step.is_long_running,
         pace_percent: FULL_PERCENT,
+        is_pace_known: !step.is_best_effort || !is_adopted,
         previous_percent: FULL_PERCENT,
         paced_at: now,
         percent: 0,
--- a/crates/geraniumshed-core/src/worker/run.rs
+++ b/crates/geraniumshed-core/src/worker/run.rs
@@ -54,6 +54,8 @@
     pub is_long_running: bool,
     /// The speed that was last ordered, in percent of full speed.
     pub pace_percent: u32,
+    /// Whether this planner knows the speed. An earlier planner may have slowed an adopted run.
+    pub is_pace_known: bool,
     /// The speed before the last change, in percent of full speed.
     pub previous_percent: u32,
     /// When the last change of speed was ordered.
@@ -79,9 +81,9 @@
         f64::from(self.processors.0) / 1000.0
     }
 
-    /// Returns whether the run was ordered to run at full speed.
+    /// Returns whether the run is known to have its full speed.
     pub fn has_full_speed(&self) -> bool {
-        self.pace_percent >= FULL_PERCENT
+        self.is_pace_known && self.pace_percent >= FULL_PERCENT
     }
 
     /// Records a change of the progress, in percent.
@@ -106,6 +108,7 @@
         self.earlier_idle_time = self.idle_time(now);
         self.previous_percent = self.pace_percent;
         self.pace_percent = percent;
+        self.is_pace_known = true;
         self.paced_at = now;
     }
 
--- a/crates/geraniumshed-core/tests/planner/succession.rs
+++ b/crates/geraniumshed-core/tests/planner/succession.rs
@@ -327,6 +327,7 @@
 // progress while it was suspended.
 #[rstest]
 #[case::one_planner(NEVER)]
+#[case::takeovers(3_700)]
 fn suspended_run_does_not_count_as_stalled(#[case] interval_ms: u64) {
     let mut cluster = suspending_cluster();
     let noisy = task(JobId(2), 0, 0);
@@ -355,6 +356,34 @@
     assert_eq!(cluster.starts_of(noisy).len(), 1);
 }
 
+// Guards against a suspended run that each successor lifts to full speed before it has measured the
+// run beside it.
+#[test]
+fn suspended_run_stays_suspended_at_takeovers() {
+    let mut cluster = suspending_cluster();
+    let noisy = task(JobId(2), 0, 0);
+    for _ in 0..3 {
+        while cluster.paces.get(&noisy) == Some(&0) {
+            cluster.advance(STEP);
+        }
+        let mut suspended = Duration::ZERO;
+        while suspended < Duration::from_secs(3) {
+            cluster.advance(STEP);
+            let is_suspended = cluster.paces.get(&noisy) == Some(&0);
+            suspended = if is_suspended {
+                suspended + STEP
+            } else {
+                Duration::ZERO
+            };
+        }
+        cluster.replace_planner();
+        for _ in 0..200 {
+            cluster.advance(STEP);
+            assert_eq!(cluster.paces[&noisy], 0, "lifted at {:?}", cluster.now);
+        }
+    }
+}
+
 // Guards against a stalled run that is never moved, since it is slowed at times and the time without
 // progress starts anew whenever it regains full speed.
 #[test]
