Continue the time without progress of a run across takeovers

What was seen: a stalled task was not moved within 9 s while planners followed each other every 2 s: each measured the time without progress (2.3 s, or 3 s until a long-running task is ready) from its own takeover.

Change: the record `waits` also lists the runs that have made no progress for at least half of that time. A successor continues from there.

Why no run that progresses is stopped by it: a time in the record counts only while the worker reports the same run with the same progress; any other progress sets it to zero. The record holds a duration at full speed, not a date: it's a lower bound of the real time without progress, whatever the clocks of the VMs show and whichever leader wrote it. The time between the record and the successor's first report doesn't count. While such runs exist, the record is stored again every 250 to 500 ms; it lists at most 256 runs.

Not covered: planners that follow each other within half of the limit store nothing and still start anew.

New tests: a stalled best-effort task, whose speed each planner has to order first; a record with another progress or of another run; runs of 2 and 40 s that pause for 1.7 s with a planner every 0.7 to 2.9 s. They fail without the reset, without the check of the run, or without the restoration, but for the last, which is a guard only.

--- a/crates/geraniumshed-batch/src/leader/takeover.rs
+++ b/crates/geraniumshed-batch/src/leader/takeover.rs
@@ -63,7 +63,7 @@
     pub(crate) interference: InterferenceSnapshot,
     /// The leases of the workers that didn't answer the leader before.
     pub(crate) leases: LeaseSnapshot,
-    /// The waits of long-running tasks.
+    /// The waits of long-running tasks and the runs without progress.
     pub(crate) waits: WaitSnapshot,
     /// The offset from which to read further requests.
     pub(crate) next_request: LogOffset,
@@ -178,9 +178,11 @@
     }
 }
 
-/// Decodes the waits of long-running tasks. If they can't be decoded, they are counted anew.
+/// Decodes the waits of long-running tasks and the runs without progress. If they can't be decoded,
+/// they are counted anew.
 ///
-/// They are hints that only decide when a worker is held, so those of any earlier term may be used.
+/// They are hints that only decide when a worker is held, or that count only for an unchanged run, so
+/// those of any earlier term may be used.
 fn decode_waits(record: &KeyedRecord) -> WaitSnapshot {
     let decoded = decode::<WaitSnapshotWire>(&record.value);
     decoded.map_or_else(
--- a/crates/geraniumshed-batch/src/topic.rs
+++ b/crates/geraniumshed-batch/src/topic.rs
@@ -8,7 +8,7 @@
 /// The submitted jobs, by job ID. Every node appends to it; the leader removes old jobs.
 pub const REQUESTS: TopicName = TopicName("keyed.geraniumshed.requests");
 /// The progress of jobs, by job ID, learned interference, the leases of silent workers, and the waits
-/// of long-running tasks. Only the leader appends to it.
+/// of long-running tasks with the runs without progress. Only the leader appends to it.
 pub const PROGRESS: TopicName = TopicName("keyed.geraniumshed.progress");
 /// The claims to lead. The newest one names the leader, and the offset after it is the term.
 pub const LEADERS: TopicName = TopicName("keyed.geraniumshed.leaders");
@@ -22,7 +22,8 @@
 /// The key of the record in [`PROGRESS`] that holds the leases of silent workers.
 pub const LEASES_KEY: SmolStr = SmolStr::new_static("leases");
 
-/// The key of the record in [`PROGRESS`] that holds the waits of long-running tasks.
+/// The key of the record in [`PROGRESS`] that holds the waits of long-running tasks and the runs
+/// without progress.
 pub const WAITS_KEY: SmolStr = SmolStr::new_static("waits");
 
 /// Returns the key of a job's records.
--- a/crates/geraniumshed-batch/src/wire/wait.rs
+++ b/crates/geraniumshed-batch/src/wire/wait.rs
@@ -1,16 +1,29 @@
-//! The stored form of the waits of long-running tasks.
+//! The stored form of the waits of long-running tasks and of the runs without progress.
 
-use geraniumshed_core::assignment::{StepWait, WaitSnapshot, WorkerHold};
+use std::time::Duration;
+
+use geraniumshed_core::assignment::{IdleRun, StepWait, WaitSnapshot, WorkerHold};
 use geraniumshed_core::job::{JobId, TaskKey, WorkerId};
+use geraniumshed_model::prelude::whole_millis;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-/// The waits of long-running tasks and the workers held for them, as they are stored.
+/// The waits of long-running tasks, the workers held for them and the runs without progress, as they
+/// are stored.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WaitSnapshotWire {
     steps: Vec<StepWaitWire>,
     /// Each held worker, and the task that it is held for.
     holds: Vec<(SmolStr, TaskKeyWire)>,
+    idle_runs: Vec<IdleRunWire>,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct IdleRunWire {
+    task: TaskKeyWire,
+    run: u32,
+    percent: u32,
+    idle_ms: u64,
 }
 
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -35,6 +48,11 @@
         Self {
             steps: snapshot.steps.into_iter().map(StepWaitWire::from).collect(),
             holds: snapshot.holds.into_iter().map(hold).collect(),
+            idle_runs: snapshot
+                .idle_runs
+                .into_iter()
+                .map(IdleRunWire::from)
+                .collect(),
         }
     }
 }
@@ -48,6 +66,7 @@
         Self {
             steps: wire.steps.into_iter().map(StepWait::from).collect(),
             holds: wire.holds.into_iter().map(hold).collect(),
+            idle_runs: wire.idle_runs.into_iter().map(IdleRun::from).collect(),
         }
     }
 }
@@ -74,6 +93,28 @@
     }
 }
 
+impl From<IdleRun> for IdleRunWire {
+    fn from(idle: IdleRun) -> Self {
+        Self {
+            task: idle.task.into(),
+            run: idle.run,
+            percent: idle.percent,
+            idle_ms: whole_millis(idle.idle_time),
+        }
+    }
+}
+
+impl From<IdleRunWire> for IdleRun {
+    fn from(wire: IdleRunWire) -> Self {
+        Self {
+            task: wire.task.into(),
+            run: wire.run,
+            percent: wire.percent,
+            idle_time: Duration::from_millis(wire.idle_ms),
+        }
+    }
+}
+
 impl From<TaskKey> for TaskKeyWire {
     fn from(key: TaskKey) -> Self {
         Self {
--- a/crates/geraniumshed-core/src/assignment/action.rs
+++ b/crates/geraniumshed-core/src/assignment/action.rs
@@ -48,7 +48,7 @@
     Interference(InterferenceSnapshot),
     /// The leases of silent workers.
     Leases(LeaseSnapshot),
-    /// The waits of long-running tasks.
+    /// The waits of long-running tasks and the runs without progress.
     Waits(WaitSnapshot),
 }
 
--- a/crates/geraniumshed-core/src/assignment/mod.rs
+++ b/crates/geraniumshed-core/src/assignment/mod.rs
@@ -40,4 +40,4 @@
 pub use placement_query::PlacementRefusal;
 pub use planner::JobPlanner;
 pub use settings::PlannerSettings;
-pub use wait_ledger::{StepWait, WaitSnapshot, WorkerHold};
+pub use wait_ledger::{IdleRun, StepWait, WaitSnapshot, WorkerHold};
--- a/crates/geraniumshed-core/src/assignment/supervision.rs
+++ b/crates/geraniumshed-core/src/assignment/supervision.rs
@@ -7,7 +7,7 @@
 use super::action::{PlannerAction, PlannerTime};
 use super::planner::JobPlanner;
 use crate::job::{TaskKey, WorkerId};
-use crate::worker::{RunPhase, StopOrder, WorkerCall, WorkerEntry};
+use crate::worker::{RunEntry, RunPhase, StopOrder, WorkerCall, WorkerEntry};
 
 /// The time after its start by which a long-running task has to be ready.
 const STARTUP_LIMIT: Duration = Duration::from_secs(3);
@@ -115,16 +115,11 @@
                     }
                     continue;
                 }
-                let limit = if run.is_long_running {
-                    STARTUP_LIMIT
-                } else {
-                    self.settings.stall_limit + run.estimate / 20
-                };
-                let is_working = run.is_long_running && run.percent >= WHOLE_PERCENT;
                 // The time since the last reading says nothing about the progress, so the idle time
                 // ends at that reading.
                 let idle_time = run.idle_time(entry.read_at);
-                if !is_working && run.has_full_speed() && idle_time > limit {
+                let is_idle = self.idle_limit(run).is_some_and(|limit| idle_time > limit);
+                if is_idle && run.has_full_speed() {
                     stalled.push((id.clone(), *key));
                 }
             }
@@ -137,6 +132,15 @@
         }
     }
 
+    /// Returns the time without progress after which a run counts as stalled, or `None` if the run
+    /// need not progress.
+    pub(super) fn idle_limit(&self, run: &RunEntry) -> Option<Duration> {
+        if !run.is_long_running {
+            return Some(self.settings.stall_limit + run.estimate / 20);
+        }
+        (run.percent < WHOLE_PERCENT).then_some(STARTUP_LIMIT)
+    }
+
     fn stop_stalled_run(&mut self, now: PlannerTime, worker: &WorkerId, key: TaskKey) {
         if let Some(task) = self
             .jobs
--- a/crates/geraniumshed-core/src/assignment/wait_ledger.rs
+++ b/crates/geraniumshed-core/src/assignment/wait_ledger.rs
@@ -1,9 +1,9 @@
-//! The waits of long-running tasks and the workers held for them, as they are stored for a
-//! successor.
+//! The waits of long-running tasks, the workers held for them and the runs without progress, as they
+//! are stored for a successor.
 //!
 //! A worker is held for a task that has waited for a while. If each leader counted that time from
 //! its own takeover and released the held workers, leaders that follow each other sooner would
-//! never make room for the task.
+//! never make room for the task. The same holds for the time after which a run counts as stalled.
 
 use std::time::Duration;
 
@@ -11,21 +11,28 @@
 
 use super::action::PlannerTime;
 use super::planner::JobPlanner;
-use crate::job::{JobEntry, JobId, TaskKey, WorkerId};
+use crate::job::{JobEntry, JobId, TaskKey, TaskPhase, WorkerId};
+use crate::worker::{RunEntry, RunPhase, WorkerEntry};
 
 /// The minimum interval between two writes of the waits, and the time for which a change of them
 /// waits for a batch that is stored anyway.
 const STORE_INTERVAL: Duration = Duration::from_millis(250);
 /// The time after a takeover within which a held worker has to answer. Otherwise, it is released.
 const ADOPTION_LIMIT: Duration = Duration::from_secs(1);
+/// The maximum number of stored runs without progress, which keeps the record small if all runs
+/// stall at once.
+const IDLE_RUN_LIMIT: usize = 256;
 
-/// The waits of long-running tasks and the workers held for them.
+/// The waits of long-running tasks, the workers held for them and the runs without progress.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct WaitSnapshot {
     /// The long-running steps that wait for workers.
     pub steps: Vec<StepWait>,
     /// The held workers.
     pub holds: Vec<WorkerHold>,
+    /// The runs that have made no progress for at least half of the time after which they count as
+    /// stalled.
+    pub idle_runs: Vec<IdleRun>,
 }
 
 /// A long-running step with tasks that wait for workers.
@@ -50,6 +57,20 @@
     pub worker: WorkerId,
 }
 
+/// A run without progress.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct IdleRun {
+    /// The task.
+    pub task: TaskKey,
+    /// The number of the run.
+    pub run: u32,
+    /// The progress of the run, in percent.
+    pub percent: u32,
+    /// How long the run has had its full speed without any progress. It doesn't depend on the
+    /// clocks of different VMs.
+    pub idle_time: Duration,
+}
+
 /// Tracks which waits the store holds.
 #[derive(Debug, Default)]
 pub(super) struct WaitLedger {
@@ -81,7 +102,8 @@
     /// Restores the waits that an earlier planner stored.
     ///
     /// The jobs have to be restored before. The snapshot of any earlier planner may be used: a
-    /// wrong one only makes a worker be held a little sooner or later.
+    /// wrong one only makes a worker be held a little sooner or later, and a run without progress
+    /// counts only if the worker reports the same run with the same progress.
     pub fn restore_waits(&mut self, now: PlannerTime, snapshot: WaitSnapshot) {
         for wait in &snapshot.steps {
             let job = self.jobs.get_mut(&wait.job);
@@ -94,6 +116,9 @@
         }
         let holds = snapshot.holds.iter().cloned();
         self.held_workers = holds.map(|hold| (hold.task, hold.worker)).collect();
+        for idle in &snapshot.idle_runs {
+            self.restore_idle_run(idle);
+        }
         self.wait_ledger.newest = snapshot;
         self.wait_ledger.adoption_end = now.point + ADOPTION_LIMIT;
     }
@@ -131,10 +156,55 @@
         WaitSnapshot {
             steps: open_jobs.flat_map(long_running_waits).collect(),
             holds: self.held_workers.iter().map(hold).collect(),
+            idle_runs: self.idle_runs(),
+        }
+    }
+
+    /// Returns the runs that have made no progress for at least half of their limit.
+    fn idle_runs(&self) -> Vec<IdleRun> {
+        let workers = self.workers.values();
+        let runs =
+            workers.flat_map(|entry| entry.runs.iter().map(move |(key, run)| (entry, key, run)));
+        let idle = runs.filter_map(|(entry, key, run)| {
+            let limit = self.idle_limit(run).filter(|_| !run.is_stopping())?;
+            let idle_time = observed_idle_time(entry, run);
+            (idle_time >= limit / 2).then_some(IdleRun {
+                task: *key,
+                run: run.run,
+                percent: run.percent,
+                idle_time,
+            })
+        });
+        idle.take(IDLE_RUN_LIMIT).collect()
+    }
+
+    /// Restores how long a run has made no progress. The first report of the run resets it, unless
+    /// the progress is still the same.
+    fn restore_idle_run(&mut self, idle: &IdleRun) {
+        let job = self.jobs.get(&idle.task.job);
+        let task = job.and_then(|job| job.task(idle.task));
+        let Some(TaskPhase::Placed(worker)) = task.map(|task| &task.phase) else {
+            return;
+        };
+        let entry = self.workers.get_mut(worker);
+        let run = entry.and_then(|entry| entry.runs.get_mut(&idle.task));
+        if let Some(run) = run.filter(|run| run.run == idle.run) {
+            run.percent = idle.percent;
+            run.earlier_idle_time = idle.idle_time;
         }
     }
 }
 
+/// Returns how long a run has made no progress, as far as its worker has reported it.
+fn observed_idle_time(entry: &WorkerEntry, run: &RunEntry) -> Duration {
+    match run.phase {
+        RunPhase::Storing | RunPhase::Ordered(_) => Duration::ZERO,
+        // Keeps what an earlier planner has observed until the worker answers this one.
+        RunPhase::Unsettled(_) => run.earlier_idle_time,
+        RunPhase::Running(_) => run.idle_time(entry.read_at),
+    }
+}
+
 /// Returns the waits of a job's long-running steps.
 fn long_running_waits(job: &JobEntry) -> impl Iterator<Item = StepWait> {
     let waits = job.diagnostics.waiting_steps();
--- a/crates/geraniumshed-core/tests/planner/fixture.rs
+++ b/crates/geraniumshed-core/tests/planner/fixture.rs
@@ -59,7 +59,7 @@
     pub interference: InterferenceSnapshot,
     /// The leases of silent workers, which only the next planner may use.
     pub leases: LeaseSnapshot,
-    /// The waits of long-running tasks.
+    /// The waits of long-running tasks and the runs without progress.
     pub waits: WaitSnapshot,
     /// The pressure per processor that a best-effort image (second) adds to an image with a latency
     /// target (first).
--- a/crates/geraniumshed-core/tests/planner/succession.rs
+++ b/crates/geraniumshed-core/tests/planner/succession.rs
@@ -3,8 +3,8 @@
 
 use std::time::Duration;
 
-use geraniumshed_core::assignment::{StepWait, WaitSnapshot, WorkerHold};
-use geraniumshed_core::job::{JobId, StepRequest};
+use geraniumshed_core::assignment::{IdleRun, StepWait, WaitSnapshot, WorkerHold};
+use geraniumshed_core::job::{JobId, JobPhase, StepRequest};
 use geraniumshed_core::worker::EndKind;
 use geraniumshed_model::prelude::TimePoint;
 use rstest::rstest;
@@ -60,6 +60,84 @@
     assert_eq!(cluster.duplicated, []);
 }
 
+// Guards against a stalled best-effort task that is never moved, because each planner first has to
+// order its speed.
+#[test]
+fn stalled_best_effort_task_is_moved_despite_takeovers() {
+    let mut cluster = Cluster::with_workers(2);
+    for one in cluster.workers.values_mut() {
+        one.fault.stalls = true;
+    }
+    let slow = StepRequest {
+        is_best_effort: true,
+        estimate: Duration::from_secs(10),
+        ..step(1)
+    };
+    let id = cluster.submit(1, vec![slow]);
+    advance_with_takeovers(&mut cluster, Duration::from_secs(14), 2_000);
+    assert!(cluster.starts_of(task(id, 0, 0)).len() > 1);
+}
+
+// Guards against a run that is stopped as stalled although it progresses, because a stored time
+// without progress is of another state of the run.
+#[rstest]
+#[case::other_progress(1, 3)]
+#[case::other_run(2, 20)]
+fn run_with_progress_is_not_stopped_for_a_stored_idle_time(#[case] run: u32, #[case] percent: u32) {
+    let mut cluster = Cluster::with_workers(2);
+    let slow = StepRequest {
+        estimate: Duration::from_secs(10),
+        ..step(1)
+    };
+    let id = cluster.submit(1, vec![slow]);
+    cluster.advance(Duration::from_secs(2));
+    let idle = IdleRun {
+        task: task(id, 0, 0),
+        run,
+        percent,
+        idle_time: Duration::from_mins(1),
+    };
+    cluster.waits.idle_runs.push(idle);
+    cluster.replace_planner();
+    cluster.advance(Duration::from_secs(1));
+    assert_eq!(cluster.waits.idle_runs, []);
+    cluster.advance(Duration::from_secs(10));
+    assert_eq!(cluster.starts_of(task(id, 0, 0)).len(), 1);
+    assert_eq!(cluster.phase(id), Some(JobPhase::Completed));
+}
+
+// Guards against runs that progress slowly and are stopped, because the times without progress of
+// several planners add up.
+#[rstest]
+fn slow_runs_are_not_stopped_at_takeovers(
+    #[values(2, 40)] estimate_s: u64,
+    #[values(700, 1_300, 2_000, 2_900)] interval_ms: u64,
+) {
+    let mut cluster = Cluster::with_workers(2);
+    let slow = StepRequest {
+        estimate: Duration::from_secs(estimate_s),
+        task_count: 4,
+        ..step(1)
+    };
+    let id = cluster.submit(1, vec![slow]);
+    // The runs pause for less than their limit.
+    let pause = Duration::from_millis(1_700);
+    for one in cluster.workers.values_mut() {
+        one.fault.stalls = true;
+    }
+    advance_with_takeovers(&mut cluster, pause, interval_ms);
+    for one in cluster.workers.values_mut() {
+        one.fault.stalls = false;
+    }
+    advance_with_takeovers(
+        &mut cluster,
+        Duration::from_secs(estimate_s + 2),
+        interval_ms,
+    );
+    assert_eq!(cluster.starts.len(), 4);
+    assert_eq!(cluster.phase(id), Some(JobPhase::Completed));
+}
+
 // Guards against a large long-running task that is kept away by short ones, because each planner
 // counts the time before it holds a worker from its own takeover and releases earlier holds.
 #[rstest]
@@ -181,7 +259,11 @@
                 worker.fault.is_silent = true;
             }
             let steps = vec![wait];
-            cluster.waits = WaitSnapshot { steps, holds };
+            cluster.waits = WaitSnapshot {
+                steps,
+                holds,
+                ..WaitSnapshot::default()
+            };
             cluster.replace_planner();
         }
     }
@@ -216,6 +298,7 @@
     cluster.waits = WaitSnapshot {
         steps: vec![wait],
         holds: vec![hold],
+        ..WaitSnapshot::default()
     };
     cluster.replace_planner();
     cluster.advance(Duration::from_secs(1));
