Store what a planner learned before a short term ends

What was seen: with a planner every 2 s, nothing that was learned about interference was stored within 23 s. A planner stored the model in its first batch, when it had only what it restored, and next 3 s later.

Change: the first write is due a second after the takeover, later ones at intervals of a quarter of the planner's time so far, from 250 ms up to 3 s, still only with batches that are stored anyway. A planner that ends loses about a fifth of its time.

Cost: a leader's first 12 s have up to 12 writes of the model instead of 4; from then on they are 3 s apart as before.

--- a/crates/geraniumshed-core/src/assignment/mod.rs
+++ b/crates/geraniumshed-core/src/assignment/mod.rs
@@ -11,6 +11,7 @@
 mod gang;
 mod interference;
 mod lease_ledger;
+mod model_schedule;
 mod pacing;
 mod placement_pass;
 mod placement_query;
--- a/crates/geraniumshed-core/src/assignment/planner.rs
+++ b/crates/geraniumshed-core/src/assignment/planner.rs
@@ -14,6 +14,7 @@
 use super::event::{JobSummary, PlannerEvent};
 use super::interference::{InterferenceModel, InterferenceSnapshot};
 use super::lease_ledger::LeaseLedger;
+use super::model_schedule::ModelSchedule;
 use super::rank::allowed_time;
 use super::settings::PlannerSettings;
 use super::wait_ledger::WaitLedger;
@@ -57,16 +58,14 @@
     pub(super) next_hold_search: TimePoint,
     next_watch: TimePoint,
     next_cleanup: TimePoint,
-    /// When the interference model is next stored.
-    next_model_store: TimePoint,
+    /// When the interference model is stored.
+    model_schedule: ModelSchedule,
 }
 
 /// The interval between two checks for expired leases and stalled runs.
 const WATCH_INTERVAL: Duration = Duration::from_millis(40);
 /// The interval between two searches for ended jobs whose retention time is over.
 const CLEANUP_INTERVAL: Duration = Duration::from_secs(5);
-/// The minimum interval between two writes of the interference model.
-const MODEL_STORE_INTERVAL: Duration = Duration::from_secs(3);
 
 impl JobPlanner {
     /// Creates a planner whose calls carry the given fencing token or higher ones.
@@ -92,7 +91,7 @@
             next_hold_search: TimePoint::default(),
             next_watch: TimePoint::default(),
             next_cleanup: TimePoint::default(),
-            next_model_store: TimePoint::default(),
+            model_schedule: ModelSchedule::default(),
         }
     }
 
@@ -215,8 +214,7 @@
         });
         let forgotten = forgotten.into_iter().map(StoreChange::Forget);
         let mut changes: Vec<StoreChange> = progress.chain(forgotten).collect();
-        if self.next_model_store <= now.point {
-            self.next_model_store = now.point + MODEL_STORE_INTERVAL;
+        if self.model_schedule.take_due(now.point) {
             changes.push(StoreChange::Interference(self.interference.snapshot()));
         }
         let leases = self.take_lease_snapshot(now.point, number);
@@ -239,6 +237,7 @@
 
     /// Does all work that is due at the given time, and places tasks if anything has changed.
     pub fn advance(&mut self, now: PlannerTime) {
+        self.model_schedule.begin(now.point);
         if self.next_watch <= now.point {
             self.next_watch = now.point + WATCH_INTERVAL;
             self.release_expired_workers(now);
