Test that a stored idle time outlasts a planner without an answer

Guards the part that keeps the time without progress of a run in the record until its worker has answered the successor. The test passes; without that part it fails.

--- a/crates/geraniumshed-core/tests/planner/succession.rs
+++ b/crates/geraniumshed-core/tests/planner/succession.rs
@@ -78,6 +78,34 @@
     assert!(cluster.starts_of(task(id, 0, 0)).len() > 1);
 }
 
+// Guards against a planner that drops the stored time without progress of a run before its worker
+// has answered it.
+#[test]
+fn idle_time_outlasts_a_planner_that_the_worker_does_not_answer() {
+    let mut cluster = Cluster::with_workers(2);
+    let slow = StepRequest {
+        estimate: Duration::from_secs(10),
+        ..step(1)
+    };
+    for one in cluster.workers.values_mut() {
+        one.fault.stalls = true;
+    }
+    let id = cluster.submit(1, vec![slow]);
+    cluster.advance(Duration::from_secs(2));
+    let first = cluster.starts[0].worker.clone();
+    let set_silent = |cluster: &mut Cluster, is_silent: bool| {
+        let worker = cluster.workers.get_mut(&first).unwrap();
+        worker.fault.is_silent = is_silent;
+    };
+    set_silent(&mut cluster, true);
+    cluster.replace_planner();
+    cluster.advance(Duration::from_millis(700));
+    set_silent(&mut cluster, false);
+    cluster.replace_planner();
+    cluster.advance(Duration::from_millis(1_500));
+    assert_eq!(cluster.starts_of(task(id, 0, 0)).len(), 2);
+}
+
 // Guards against a run that is stopped as stalled although it progresses, because a stored time
 // without progress is of another state of the run.
 #[rstest]
