--- a/crates/geraniumshed-batch/tests/nodes.rs
+++ b/crates/geraniumshed-batch/tests/nodes.rs
@@ -8,7 +8,7 @@
 use geraniumshed_batch::topic::WAITS_KEY;
 use geraniumshed_batch::wire::LeaseSnapshotWire;
 use geraniumshed_batch::{BatchNode, CallOutcome};
-use geraniumshed_core::assignment::LeaseSnapshot;
+use geraniumshed_core::assignment::{LeaseSnapshot, PlannerSettings};
 use geraniumshed_core::job::{JobId, JobPhase, JobRequest, StepRequest};
 use geraniumshed_core::leadership::LeaderTerm;
 use geraniumshed_model::prelude::ProcessorShare;
@@ -52,6 +52,29 @@
     }
 }
 
+#[tokio::test]
+async fn metrics_count_lost_workers() {
+    let site = Site::new();
+    site.fail_worker();
+    let nodes = site.spawn_nodes(1, 21_340).await;
+    nodes[0]
+        .service()
+        .submit(JobId(7), &job(1), deadline())
+        .await;
+    let count = "geraniumshed_worker_loss_seconds_count 1";
+    let text = || nodes[0].metrics().text();
+    support::wait_for(async || text().lines().any(|one| one == count)).await;
+    let sum = text().lines().find_map(|line| {
+        line.strip_prefix("geraniumshed_worker_loss_seconds_sum ")?
+            .parse()
+            .ok()
+    });
+    let waited: f64 = sum.unwrap();
+    let lease = PlannerSettings::default().lease.as_secs_f64();
+    assert!(waited >= lease, "{waited} of {lease}");
+    assert!(text().contains("geraniumshed_lost_runs_total{reason=\"lease ran out\"} 1"));
+}
+
 #[tokio::test]
 async fn a_resubmitted_job_runs_once_and_an_unknown_job_is_unknown() {
     let site = Site::new();
@@ -288,14 +311,15 @@
 #[tokio::test]
 async fn a_new_leader_continues_the_wait_for_a_silent_worker() {
     let site = Site::new();
-    let nodes = site.spawn_nodes(2, 21_340).await;
+    let nodes = site.spawn_nodes(2, 21_360).await;
     let stopped = support::settled_leader(&nodes).await;
-    site.silence_worker_after_start();
+    site.fail_worker();
     nodes[0]
         .service()
         .submit(JobId(95), &job(1), deadline())
         .await;
-    support::wait_for(async || site.stored_leases().is_some()).await;
+    let is_silent = |wire: &LeaseSnapshotWire| !LeaseSnapshot::from(wire.clone()).silent.is_empty();
+    support::wait_for(async || site.stored_leases().as_ref().is_some_and(is_silent)).await;
     let first = site.stored_leases().unwrap();
     assert_eq!(first.term(), LeaderTerm(1));
     tokio::time::sleep(Duration::from_secs(1)).await;
@@ -303,7 +327,7 @@
     let is_later = |wire: &LeaseSnapshotWire| wire.term() > first.term();
     support::wait_for(async || site.stored_leases().as_ref().is_some_and(is_later)).await;
     let second = site.stored_leases().unwrap();
-    let remaining = |wire: LeaseSnapshotWire| LeaseSnapshot::from(wire).leases[0].remaining;
+    let remaining = |wire: LeaseSnapshotWire| LeaseSnapshot::from(wire).silent[0].remaining;
     assert!(remaining(second) < remaining(first));
 }
 
@@ -311,7 +335,7 @@
 #[tokio::test]
 async fn a_new_leader_continues_the_wait_of_a_long_running_task() {
     let site = Site::new();
-    let nodes = site.spawn_nodes(2, 21_360).await;
+    let nodes = site.spawn_nodes(2, 21_380).await;
     let stopped = support::settled_leader(&nodes).await;
     let mut too_large = StepRequest {
         is_long_running: true,
@@ -344,7 +368,7 @@
     let site = Site::new();
     site.put_progress(WAITS_KEY, Bytes::from_static(&[2, 200, 200]));
     site.put_progress("of a later build".into(), Bytes::from_static(&[1]));
-    let nodes = site.spawn_nodes(1, 21_380).await;
+    let nodes = site.spawn_nodes(1, 21_400).await;
     let service = nodes[0].service();
     service.submit(JobId(98), &job(1), deadline()).await;
     let completed = CallOutcome::Status(JobPhase::Completed);
--- a/crates/geraniumshed-core/src/assignment/lease_ledger.rs
+++ b/crates/geraniumshed-core/src/assignment/lease_ledger.rs
@@ -1,10 +1,11 @@
-//! The leases of silent workers, as they are stored for a successor.
+//! What is known about leases, as it is stored for a successor.
 //!
 //! A successor doesn't know when a silent worker was last called. Without the stored leases it has
 //! to assume that the longest lease was granted right before its takeover, and leaders that follow
-//! each other sooner than that would never give the worker up.
+//! each other sooner than that would never give the worker up. Nor does it know which leases its
+//! predecessor asked for, and workers may grant much longer ones.
 
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 use geraniumshed_model::prelude::TimePoint;
@@ -19,12 +20,18 @@
 /// The time without a report after which a worker that leaves calls unanswered counts as silent.
 /// It is longer than a worker may hold a renewal back.
 const SILENCE_LIMIT: Duration = Duration::from_millis(1100);
+/// The margin by which a lease of an earlier planner may outlast its length plus clock drift.
+const LEASE_MARGIN: Duration = Duration::from_millis(300);
 
-/// The leases of the silent workers that may still have runs.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+/// The leases of the silent workers that may still have runs, and limits of all leases.
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct LeaseSnapshot {
-    /// The leases.
-    pub leases: Vec<SilentLease>,
+    /// The longest lease that the planner asks for.
+    pub requested: Duration,
+    /// The time until all leases of earlier planners have expired, counted from the snapshot.
+    pub inherited: Duration,
+    /// The leases of silent workers.
+    pub silent: Vec<SilentLease>,
 }
 
 /// The lease of a silent worker.
@@ -36,18 +43,24 @@
     pub remaining: Duration,
 }
 
-/// Tracks whose leases the store may hold.
+/// Tracks what is known about leases of earlier planners, and whose leases the store may hold.
 ///
 /// A stored lease must not be extended, since a successor relies on it. It has to be withdrawn
 /// first: by a stored snapshot without it.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct LeaseLedger {
+    /// The longest lease that the planner right before this one asked for.
+    inherited_request: Duration,
+    /// When all leases of earlier planners have expired, once the takeover is known.
+    inherited_until: Option<TimePoint>,
+    /// When the leases expire that an earlier planner has stored.
+    inherited: BTreeMap<WorkerId, TimePoint>,
+    /// The time until the leases of earlier planners expire in the newest snapshot, if there is one.
+    newest_inherited: Option<Duration>,
     /// The workers in the newest snapshot that is certainly stored.
     stored: BTreeSet<WorkerId>,
     /// The batches with later snapshots, and the workers in each of them.
     unstored: VecDeque<(u64, BTreeSet<WorkerId>)>,
-    /// The workers whose leases an earlier planner has stored.
-    inherited: BTreeSet<WorkerId>,
     /// Whether the next batch has to contain a snapshot.
     is_due: bool,
     /// The earliest time of the next snapshot that only brings the remaining times up to date.
@@ -55,6 +68,20 @@
 }
 
 impl LeaseLedger {
+    /// Creates a ledger for workers that grant leases up to the given length.
+    pub(super) fn new(longest_lease: Duration) -> Self {
+        Self {
+            inherited_request: longest_lease,
+            inherited_until: None,
+            inherited: BTreeMap::new(),
+            newest_inherited: None,
+            stored: BTreeSet::new(),
+            unstored: VecDeque::new(),
+            is_due: false,
+            next_update: TimePoint::default(),
+        }
+    }
+
     /// Returns whether the next batch has to contain a snapshot.
     pub(super) fn is_due(&self) -> bool {
         self.is_due
@@ -91,26 +118,62 @@
 }
 
 impl JobPlanner {
-    /// Restores the leases that the planner right before this one stored.
+    /// Restores what the planner right before this one stored about leases, if it did.
     ///
-    /// The jobs have to be restored before.
-    pub fn restore_leases(&mut self, now: PlannerTime, snapshot: LeaseSnapshot) {
-        for lease in snapshot.leases {
-            let Some(entry) = self.workers.get_mut(&lease.worker) else {
-                continue;
-            };
-            let expires_at = now.point + lease.remaining;
-            entry.lease_expires_at = entry.lease_expires_at.min(expires_at);
-            self.lease_ledger.inherited.insert(lease.worker);
-            self.lease_ledger.is_due = true;
+    /// Has to be called before jobs are restored.
+    pub fn restore_leases(&mut self, now: PlannerTime, snapshot: Option<LeaseSnapshot>) {
+        let mut until = now.point;
+        if let Some(snapshot) = snapshot {
+            let longest = self.settings.longest_lease;
+            self.lease_ledger.inherited_request = snapshot.requested.min(longest);
+            until = now.point + snapshot.inherited;
+            let silent = snapshot.silent.into_iter();
+            self.lease_ledger.inherited = silent
+                .map(|lease| (lease.worker, now.point + lease.remaining))
+                .collect();
         }
+        let requested = now.point + longest_duration(self.lease_ledger.inherited_request);
+        self.lease_ledger.inherited_until = Some(until.max(requested));
+    }
+
+    /// Returns the time by which a lease has expired that an earlier planner may have asked for
+    /// until now.
+    pub(super) fn inherited_lease_end(&self, now: TimePoint) -> TimePoint {
+        let requested = now + longest_duration(self.lease_ledger.inherited_request);
+        requested.max(self.lease_ledger.inherited_until.unwrap_or_default())
     }
 
-    /// Decides whether the leases of silent workers have to be stored.
-    pub(super) fn watch_silent_leases(&mut self, now: TimePoint) {
+    /// Returns the time by which the lease of a worker has expired that earlier planners granted.
+    pub(super) fn restored_lease_end(&self, now: TimePoint, worker: &WorkerId) -> TimePoint {
+        let latest = self.inherited_lease_end(now);
+        let stored = self.lease_ledger.inherited.get(worker);
+        stored.map_or(latest, |end| latest.min(*end))
+    }
+
+    /// Decides whether a snapshot has to be stored.
+    pub(super) fn watch_leases(&mut self, now: TimePoint) {
         let silent = self.silent_workers(now);
         let needs_update = !silent.is_empty() && self.lease_ledger.next_update <= now;
-        self.lease_ledger.is_due = needs_update || self.lease_ledger.is_outdated(&silent);
+        self.lease_ledger.is_due =
+            needs_update || self.lease_ledger.is_outdated(&silent) || self.is_limit_outdated(now);
+    }
+
+    /// Returns whether the store has no limits of this planner yet, or such as still name a lease of
+    /// an earlier planner that is longer than its own and has expired by now.
+    fn is_limit_outdated(&self, now: TimePoint) -> bool {
+        let Some(newest) = self.lease_ledger.newest_inherited else {
+            return true;
+        };
+        let requested = longest_duration(self.longest_requested_lease());
+        newest > requested && self.inherited_remaining(now) <= requested
+    }
+
+    /// Returns the time until all leases of earlier planners have expired.
+    fn inherited_remaining(&self, now: TimePoint) -> Duration {
+        let until = self.lease_ledger.inherited_until;
+        until.map_or(longest_duration(self.settings.longest_lease), |until| {
+            until.since(now)
+        })
     }
 
     /// Takes the snapshot that a batch stores, if one is due. From now on, no call extends the
@@ -123,22 +186,28 @@
         if !self.lease_ledger.is_due {
             return None;
         }
-        let silent = self.silent_workers(now);
-        let mut leases = Vec::new();
-        for worker in &silent {
+        let inherited = self.inherited_remaining(now);
+        let workers = self.silent_workers(now);
+        let mut silent = Vec::new();
+        for worker in &workers {
             let Some(entry) = self.workers.get_mut(worker) else {
                 continue;
             };
             entry.has_stored_lease = true;
-            leases.push(SilentLease {
+            silent.push(SilentLease {
                 worker: worker.clone(),
                 remaining: entry.lease_expires_at.since(now),
             });
         }
-        self.lease_ledger.unstored.push_back((batch, silent));
+        self.lease_ledger.unstored.push_back((batch, workers));
+        self.lease_ledger.newest_inherited = Some(inherited);
         self.lease_ledger.next_update = now + STORE_INTERVAL;
         self.lease_ledger.is_due = false;
-        Some(LeaseSnapshot { leases })
+        Some(LeaseSnapshot {
+            requested: self.longest_requested_lease(),
+            inherited,
+            silent,
+        })
     }
 
     /// Allows calls to extend the leases that were withdrawn from the store, and renews them.
@@ -163,8 +232,13 @@
         if !entry.is_adopted {
             return entry.unanswered_calls > 0
                 || !entry.has_address()
-                || self.lease_ledger.inherited.contains(entry.id());
+                || self.lease_ledger.inherited.contains_key(entry.id());
         }
         entry.unanswered_calls > 0 && now.since(entry.read_at) >= SILENCE_LIMIT
     }
 }
+
+/// Returns the time after which a lease has certainly expired, even if the worker's clock runs slow.
+fn longest_duration(lease: Duration) -> Duration {
+    lease + lease / 50 + LEASE_MARGIN
+}
--- a/crates/geraniumshed-core/src/assignment/planner.rs
+++ b/crates/geraniumshed-core/src/assignment/planner.rs
@@ -50,7 +50,7 @@
     pub(super) is_prolonging_leases: bool,
     /// Whether this planner is handing over to a successor.
     pub(super) is_handing_over: bool,
-    /// The workers that are held for long-running tasks for which there was no room.
+    /// The workers that are held for long-running tasks that found no room or are evacuated.
     pub(super) held_workers: BTreeMap<TaskKey, WorkerId>,
     /// Whether something that affects placement has changed since tasks were last placed.
     pub(super) is_placement_due: bool,
@@ -71,6 +71,7 @@
     /// Creates a planner whose calls carry the given fencing token or higher ones.
     pub fn new(settings: PlannerSettings, first_token: FenceToken) -> Self {
         Self {
+            lease_ledger: LeaseLedger::new(settings.longest_lease),
             settings,
             first_token,
             queues: QueueTable::default(),
@@ -79,7 +80,6 @@
             open_jobs: BTreeSet::new(),
             workers: BTreeMap::new(),
             change_tracker: ChangeTracker::default(),
-            lease_ledger: LeaseLedger::default(),
             wait_ledger: WaitLedger::default(),
             interference: InterferenceModel::default(),
             advice: AdviceTable::default(),
@@ -242,7 +242,7 @@
             self.next_watch = now.point + WATCH_INTERVAL;
             self.release_expired_workers(now);
             self.watch_runs(now);
-            self.watch_silent_leases(now.point);
+            self.watch_leases(now.point);
             self.watch_waits(now.point);
             self.begin_occurrences(now);
         }
--- a/crates/geraniumshed-core/tests/planner/fixture.rs
+++ b/crates/geraniumshed-core/tests/planner/fixture.rs
@@ -15,7 +15,7 @@
     EndKind, FenceToken, RenewReply, RenewRequest, SentRenewal, StartOrder, StartReply,
     WorkerFailure, WorkerIncarnation, WorkerListing, WorkerTime,
 };
-use geraniumshed_model::prelude::TimePoint;
+use geraniumshed_model::prelude::{ResourceSize, TimePoint};
 use smol_str::SmolStr;
 
 use crate::adviser::{ADVISED_QUEUE, DECISION_TIME, SimulatedAdviser, WORKER_TIME, is_valid};
@@ -28,6 +28,8 @@
 const PACE_DELAY: Duration = Duration::from_millis(100);
 /// The system time at the start of a test, in milliseconds of Unix time.
 const START_UNIX_MS: u64 = 1_700_000_000_000;
+/// A queue of lower priority than the default queue.
+pub const BACKGROUND_QUEUE: &str = "background";
 /// The fencing token of the first planner.
 pub const FIRST_TOKEN: FenceToken = FenceToken(1 << 24);
 
@@ -43,6 +45,7 @@
 /// A planner with simulated workers and a simulated store.
 pub struct Cluster {
     pub planner: JobPlanner,
+    settings: PlannerSettings,
     /// The number of planners so far.
     planner_count: u64,
     pub workers: BTreeMap<WorkerId, SimulatedWorker>,
@@ -57,8 +60,8 @@
     pub stored: BTreeMap<JobId, StoredJob>,
     pub requests: BTreeMap<JobId, JobRequest>,
     pub interference: InterferenceSnapshot,
-    /// The leases of silent workers, which only the next planner may use.
-    pub leases: LeaseSnapshot,
+    /// The stored leases, which only the next planner may use.
+    pub leases: Option<LeaseSnapshot>,
     /// The waits of long-running tasks and the runs without progress.
     pub waits: WaitSnapshot,
     /// The pressure per processor that a best-effort image (second) adds to an image with a latency
@@ -71,6 +74,10 @@
     /// The newest speed of each task whose speed was changed, in percent.
     pub paces: BTreeMap<TaskKey, u32>,
     pub adviser: SimulatedAdviser,
+    /// The number of orders to stop a run.
+    pub stop_order_count: usize,
+    /// The time after its start from which on a long-running task is at work.
+    pub startup: Duration,
     /// The events that the planner emitted.
     pub events: Vec<PlannerEvent>,
     /// The changes of speed that haven't taken effect yet.
@@ -84,8 +91,14 @@
 impl Cluster {
     /// Creates a cluster of equal workers, with four workers per rack.
     pub fn with_workers(count: usize) -> Self {
+        Self::with_settings(count, PlannerSettings::default())
+    }
+
+    /// Creates a cluster like [`Self::with_workers`], whose planners have the given settings.
+    pub fn with_settings(count: usize, settings: PlannerSettings) -> Self {
         let mut cluster = Self {
-            planner: new_planner(FIRST_TOKEN),
+            planner: new_planner(&settings, FIRST_TOKEN),
+            settings,
             planner_count: 1,
             workers: BTreeMap::new(),
             now: TimePoint(1_000_000),
@@ -96,13 +109,15 @@
             stored: BTreeMap::new(),
             requests: BTreeMap::new(),
             interference: InterferenceSnapshot::default(),
-            leases: LeaseSnapshot::default(),
+            leases: None,
             waits: WaitSnapshot::default(),
             pressures: BTreeMap::new(),
             tail_counts: (0, 0),
             duplicated: Vec::new(),
             paces: BTreeMap::new(),
             adviser: SimulatedAdviser::default(),
+            stop_order_count: 0,
+            startup: Duration::ZERO,
             events: Vec::new(),
             pending_paces: VecDeque::new(),
             held_renewals: Vec::new(),
@@ -115,6 +130,8 @@
                 .workers
                 .insert(listing.id.clone(), SimulatedWorker::new(listing));
         }
+        let now = cluster.planner_time();
+        cluster.planner.restore_leases(now, None);
         cluster.replace_workers();
         cluster.advance(Duration::from_millis(100));
         cluster
@@ -134,6 +151,25 @@
         self.planner.replace_workers(self.planner_time(), listings);
     }
 
+    /// Adds a worker and registers it.
+    pub fn add_worker(&mut self, number: usize, capacity: ResourceSize) -> WorkerId {
+        let listing = WorkerListing {
+            capacity,
+            ..listing(number)
+        };
+        let id = listing.id.clone();
+        self.workers
+            .insert(id.clone(), SimulatedWorker::new(listing));
+        self.replace_workers();
+        id
+    }
+
+    /// Removes a worker with all its runs, as if its process had exited.
+    pub fn remove_worker(&mut self, worker: &WorkerId) {
+        self.workers.remove(worker);
+        self.replace_workers();
+    }
+
     /// Submits a job to the default queue.
     pub fn submit(&mut self, number: u64, steps: Vec<StepRequest>) -> JobId {
         self.submit_to("q", number, steps)
@@ -157,11 +193,15 @@
     /// Replaces the planner by a successor that knows only the stored state.
     pub fn replace_planner(&mut self) {
         self.planner_count += 1;
-        self.planner = new_planner(FenceToken(FIRST_TOKEN.0 * self.planner_count));
+        self.planner = new_planner(
+            &self.settings,
+            FenceToken(FIRST_TOKEN.0 * self.planner_count),
+        );
         self.planner.restore_interference(self.interference.clone());
         self.unstored_batches.clear();
         self.held_renewals.clear();
         let now = self.planner_time();
+        self.planner.restore_leases(now, self.leases.take());
         for (id, request) in &self.requests {
             match self.stored.get(id) {
                 Some(image) => {
@@ -171,8 +211,6 @@
                 None => self.planner.submit(*id, request.clone()),
             }
         }
-        let leases = std::mem::take(&mut self.leases);
-        self.planner.restore_leases(now, leases);
         self.planner.restore_waits(now, self.waits.clone());
         let withdrawn = self.stored.iter();
         for (id, image) in withdrawn.filter(|(id, _)| !self.requests.contains_key(id)) {
@@ -263,7 +301,7 @@
                         self.stored.insert(id, stored);
                     }
                     StoreChange::Interference(snapshot) => self.interference = snapshot,
-                    StoreChange::Leases(snapshot) => self.leases = snapshot,
+                    StoreChange::Leases(snapshot) => self.leases = Some(snapshot),
                     StoreChange::Waits(snapshot) => self.waits = snapshot,
                     StoreChange::Forget(id) => {
                         self.stored.remove(&id);
@@ -285,11 +323,12 @@
                     .start_answered(now, &call.worker, task, run, reply);
             }
             PlannerAction::Stop(call) => {
+                self.stop_order_count += 1;
                 let Some(worker) = self.workers.get_mut(&call.worker) else {
                     return;
                 };
                 if !worker.fault.is_silent && call.token >= worker.token {
-                    worker.end(call.body.task, EndKind::Stopped);
+                    worker.stop(call.body.task, call.body.run, self.now);
                 }
             }
             PlannerAction::Renew(call, sent) => self.renew(&call.worker, sent, &call.body),
@@ -427,6 +466,7 @@
             requests: &self.requests,
             pressures: &self.pressures,
             paces: &self.paces,
+            startup: self.startup,
         };
         let running = workload.reports(worker, self.now);
         let (all, high) = workload.tail_counts(&running);
@@ -469,6 +509,7 @@
             requests: &self.requests,
             pressures: &self.pressures,
             paces: &self.paces,
+            startup: self.startup,
         };
         for worker in self.workers.values_mut() {
             for (task, pressure) in workload.pressures(worker, self.now) {
@@ -487,6 +528,7 @@
         let now = self.now;
         let mut delayed = Vec::new();
         for (id, worker) in &mut self.workers {
+            worker.end_stopped(now);
             let due: Vec<TaskKey> = worker
                 .runs
                 .iter()
@@ -522,8 +564,8 @@
     }
 }
 
-fn new_planner(token: FenceToken) -> JobPlanner {
-    let mut planner = JobPlanner::new(PlannerSettings::default(), token);
+fn new_planner(settings: &PlannerSettings, token: FenceToken) -> JobPlanner {
+    let mut planner = JobPlanner::new(settings.clone(), token);
     let policy = QueuePolicy {
         service: "s".into(),
         priority: 0,
@@ -539,8 +581,13 @@
         }),
         ..policy.clone()
     };
+    let background = QueuePolicy {
+        priority: 1,
+        ..policy.clone()
+    };
     let queues = [
         (QueueName::from("q"), policy),
+        (QueueName::from(BACKGROUND_QUEUE), background),
         (QueueName::from(ADVISED_QUEUE), advised),
     ];
     planner.replace_queues(queues.into());
