--- a/crates/geraniumshed-core/src/assignment/planner.rs
+++ b/crates/geraniumshed-core/src/assignment/planner.rs
@@ -14,8 +14,10 @@
 use super::event::{JobSummary, PlannerEvent};
 use super::interference::{InterferenceModel, InterferenceSnapshot};
 use super::lease_ledger::LeaseLedger;
+use super::model_schedule::ModelSchedule;
 use super::rank::allowed_time;
 use super::settings::PlannerSettings;
+use super::wait_ledger::WaitLedger;
 use crate::job::{
     JobEntry, JobId, JobPhase, JobRequest, QueueName, QueuePolicy, QueueTable, StoredJob, TaskKey,
     TaskPhase, WorkerId,
@@ -42,6 +44,7 @@
     pub(super) has_listing: bool,
     pub(super) change_tracker: ChangeTracker,
     pub(super) lease_ledger: LeaseLedger,
+    pub(super) wait_ledger: WaitLedger,
     pub(super) interference: InterferenceModel,
     pub(super) advice: AdviceTable,
     pub(super) actions: Vec<PlannerAction>,
@@ -57,16 +60,14 @@
     pub(super) next_hold_search: TimePoint,
     next_watch: TimePoint,
     next_cleanup: TimePoint,
-    /// When the interference model is next stored.
-    next_model_store: TimePoint,
+    /// When the interference model is stored.
+    model_schedule: ModelSchedule,
 }
 
 /// The interval between two checks for expired leases and stalled runs.
 const WATCH_INTERVAL: Duration = Duration::from_millis(40);
 /// The interval between two searches for ended jobs whose retention time is over.
 const CLEANUP_INTERVAL: Duration = Duration::from_secs(5);
-/// The minimum interval between two writes of the interference model.
-const MODEL_STORE_INTERVAL: Duration = Duration::from_secs(3);
 
 impl JobPlanner {
     /// Creates a planner whose calls carry the given fencing token or higher ones.
@@ -82,6 +83,7 @@
             workers: BTreeMap::new(),
             has_listing: false,
             change_tracker: ChangeTracker::default(),
+            wait_ledger: WaitLedger::default(),
             interference: InterferenceModel::default(),
             advice: AdviceTable::default(),
             actions: Vec::new(),
@@ -92,7 +94,7 @@
             next_hold_search: TimePoint::default(),
             next_watch: TimePoint::default(),
             next_cleanup: TimePoint::default(),
-            next_model_store: TimePoint::default(),
+            model_schedule: ModelSchedule::default(),
         }
     }
 
@@ -190,7 +192,7 @@
 
     /// Returns whether there are changes to store.
     pub fn has_changes(&self) -> bool {
-        self.change_tracker.has_changes() || self.lease_ledger.is_due()
+        self.change_tracker.has_changes() || self.lease_ledger.is_due() || self.wait_ledger.is_due()
     }
 
     /// Returns whether a renewal carried the newest fencing token that this planner used for a
@@ -215,12 +217,13 @@
         });
         let forgotten = forgotten.into_iter().map(StoreChange::Forget);
         let mut changes: Vec<StoreChange> = progress.chain(forgotten).collect();
-        if self.next_model_store <= now.point {
-            self.next_model_store = now.point + MODEL_STORE_INTERVAL;
+        if self.model_schedule.take_due(now.point) {
             changes.push(StoreChange::Interference(self.interference.snapshot()));
         }
         let leases = self.take_lease_snapshot(now.point, number);
         changes.extend(leases.map(StoreChange::Leases));
+        let waits = self.take_wait_snapshot();
+        changes.extend(waits.map(StoreChange::Waits));
         Some(StoreBatch { number, changes })
     }
 
@@ -237,11 +240,13 @@
 
     /// Does all work that is due at the given time, and places tasks if anything has changed.
     pub fn advance(&mut self, now: PlannerTime) {
+        self.model_schedule.begin(now.point);
         if self.next_watch <= now.point {
             self.next_watch = now.point + WATCH_INTERVAL;
             self.release_expired_workers(now);
             self.watch_runs(now);
             self.watch_leases(now.point);
+            self.watch_waits(now.point);
             self.begin_occurrences(now);
         }
         if self.is_placement_due {
--- a/crates/geraniumshed-core/src/assignment/starting.rs
+++ b/crates/geraniumshed-core/src/assignment/starting.rs
@@ -6,11 +6,10 @@
 
 use super::action::{PlannerAction, PlannerTime};
 use super::change_tracker::DeferredStart;
-use super::pacing::FULL_PERCENT;
 use super::placement_query::StepPermission;
 use super::planner::JobPlanner;
 use crate::job::{JobPhase, StepRequest, TaskKey, TaskPhase, WorkerId};
-use crate::worker::{RunEntry, RunPhase, StartOrder, WorkerCall};
+use crate::worker::{FULL_PERCENT, RunEntry, RunPhase, StartOrder, WorkerCall};
 
 impl JobPlanner {
     /// Places a task on a worker as its next run.
@@ -117,6 +116,8 @@
 
 /// Creates the entry for a run of a step's task.
 pub(super) fn run_entry(step: &StepRequest, run: u32, phase: RunPhase, now: TimePoint) -> RunEntry {
+    // Only a run of an earlier planner begins with an unsettled state.
+    let is_adopted = matches!(phase, RunPhase::Unsettled(_));
     RunEntry {
         run,
         phase,
@@ -131,10 +132,12 @@
         estimate: step.estimate,
         is_long_running: step.is_long_running,
         pace_percent: FULL_PERCENT,
+        is_pace_known: !step.is_best_effort || !is_adopted,
         previous_percent: FULL_PERCENT,
         paced_at: now,
         percent: 0,
         progressed_at: now,
+        earlier_idle_time: Duration::ZERO,
         stop_sent_at: None,
     }
 }
--- a/crates/geraniumshed-core/tests/planner/fixture.rs
+++ b/crates/geraniumshed-core/tests/planner/fixture.rs
@@ -5,7 +5,7 @@
 
 use geraniumshed_core::assignment::{
     InterferenceSnapshot, JobPlanner, JobStatus, LeaseSnapshot, PlannerAction, PlannerEvent,
-    PlannerSettings, PlannerTime, StoreChange,
+    PlannerSettings, PlannerTime, StoreChange, WaitSnapshot,
 };
 use geraniumshed_core::job::{
     AdvicePolicy, JobId, JobPhase, JobRequest, QueueName, QueuePolicy, StepRequest, StoredJob,
@@ -62,6 +62,8 @@
     pub interference: InterferenceSnapshot,
     /// The stored leases, which only the next planner may use.
     pub leases: Option<LeaseSnapshot>,
+    /// The waits of long-running tasks and the runs without progress.
+    pub waits: WaitSnapshot,
     /// The pressure per processor that a best-effort image (second) adds to an image with a latency
     /// target (first).
     pub pressures: BTreeMap<(SmolStr, SmolStr), f64>,
@@ -108,6 +110,7 @@
             requests: BTreeMap::new(),
             interference: InterferenceSnapshot::default(),
             leases: None,
+            waits: WaitSnapshot::default(),
             pressures: BTreeMap::new(),
             tail_counts: (0, 0),
             duplicated: Vec::new(),
@@ -235,6 +238,7 @@
                 None => self.planner.submit(*id, request.clone()),
             }
         }
+        self.planner.restore_waits(now, self.waits.clone());
         let withdrawn = self.stored.iter();
         for (id, image) in withdrawn.filter(|(id, _)| !self.requests.contains_key(id)) {
             self.planner.restore_withdrawn(*id, image.ended_unix_ms);
@@ -329,6 +333,7 @@
                     }
                     StoreChange::Interference(snapshot) => self.interference = snapshot,
                     StoreChange::Leases(snapshot) => self.leases = Some(snapshot),
+                    StoreChange::Waits(snapshot) => self.waits = snapshot,
                     StoreChange::Forget(id) => {
                         self.stored.remove(&id);
                         self.requests.remove(&id);
