Let a new leader learn that its claim is stored

Cause: a member that reads a new claim sends a heartbeat to the claimant at once. If that is faster than the store's answer to the claimant, the claimant answers that it doesn't lead, and the member claims over it. The term between stores nothing, so the stored leases of silent workers no longer count, and the wait for them starts anew.

Evidence, from the daemons' logs: term 9 is claimed by edge-mvd-centro-1; at 21.691 s edge-mvd-carrasco-2 gets "not leading" from it, at 21.734 s it is elected in term 10, at 21.787 s edge-mvd-centro-1 learns of term 9, and at 21.962 s the leases written in term 8 are not used.

Change: a process that knows only earlier terms than the record in which it is named is asked again every 50 ms, and replaced after half a second.

election::a_new_leader_has_time_to_learn_that_it_leads is the test of it; the verdict is new with it.

--- a/crates/geraniumshed-batch/src/member.rs
+++ b/crates/geraniumshed-batch/src/member.rs
@@ -451,11 +451,18 @@
     match answer {
         Ok(reply) if reply.incarnation != record.member.incarnation => BeatVerdict::NotLeading,
         Ok(reply) if reply.is_leading => BeatVerdict::Leading,
+        Ok(reply) if knows_only_earlier_terms(record, reply) => BeatVerdict::Unaware,
         Ok(_) | Err(PeerFailure::Refused) => BeatVerdict::NotLeading,
         Err(PeerFailure::NotSent | PeerFailure::Unanswered) => BeatVerdict::Silent,
     }
 }
 
+/// Returns whether an answering process doesn't know the given record yet.
+fn knows_only_earlier_terms(record: &LeaderRecord, reply: &HeartbeatReplyWire) -> bool {
+    let known = reply.leader.clone().map(LeaderRecord::from);
+    known.is_none_or(|known| known.term < record.term)
+}
+
 /// Reads the newest claim to lead.
 async fn read_leader<S: StoreClient>(store: &S) -> Result<StoredLeader, StoreError> {
     let page = store.newest(LEADERS, None, RECORD_TIMEOUT).await?;
--- a/crates/geraniumshed-core/src/leadership/election.rs
+++ b/crates/geraniumshed-core/src/leadership/election.rs
@@ -15,6 +15,10 @@
 const RANK_DELAY: Duration = Duration::from_millis(150);
 /// The delay before the next heartbeat to a leader that is silent but still in the store's group.
 const RECHECK_DELAY: Duration = Duration::from_millis(400);
+/// The time that a new leader has to learn that its claim is stored.
+const CLAIM_ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
+/// The delay before the next heartbeat to a leader that hasn't learned that its claim is stored.
+const UNAWARE_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// The delay before a retry when the store gave no answer.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 
@@ -25,6 +29,8 @@
     Leading,
     /// The process answers that it doesn't lead, or nothing listens at its address.
     NotLeading,
+    /// The process doesn't know its claim as stored yet.
+    Unaware,
     /// No answer came.
     Silent,
 }
@@ -132,7 +138,10 @@
                 self.suspicion = Suspicion::None;
                 self.plan(ElectionAction::SendHeartbeat, now + HEARTBEAT_INTERVAL);
             }
-            BeatVerdict::NotLeading => {
+            BeatVerdict::Unaware if now.since(self.heard_at) < CLAIM_ANSWER_TIMEOUT => {
+                self.plan(ElectionAction::SendHeartbeat, now + UNAWARE_RETRY_DELAY);
+            }
+            BeatVerdict::NotLeading | BeatVerdict::Unaware => {
                 self.suspicion = Suspicion::Certain;
                 self.plan(ElectionAction::ReadRecord, now + RANK_DELAY * self.rank);
             }
--- a/crates/geraniumshed-core/tests/election.rs
+++ b/crates/geraniumshed-core/tests/election.rs
@@ -146,3 +146,29 @@
     assert!(LeaderTerm(2).first_token() > LeaderTerm(1).first_token());
     assert!(LeaderTerm(1).first_token().0 > 0);
 }
+
+// Guards against members that depose a leader which has just been elected and hasn't got the store's
+// answer to its claim yet.
+#[rstest]
+#[case::answer_arrives(100, BeatVerdict::Leading, ElectionAction::SendHeartbeat)]
+#[case::answer_is_late(400, BeatVerdict::Unaware, ElectionAction::SendHeartbeat)]
+#[case::answer_is_lost(600, BeatVerdict::Unaware, ElectionAction::ReadRecord)]
+#[case::leader_resigns(100, BeatVerdict::NotLeading, ElectionAction::ReadRecord)]
+fn a_new_leader_has_time_to_learn_that_it_leads(
+    #[case] at_ms: u64,
+    #[case] verdict: BeatVerdict,
+    #[case] expected: ElectionAction,
+) {
+    let mut election = following_election();
+    election.record_read(millis(1_000), Some(record(2, 3)));
+    election.heartbeat_answered(millis(1_002), BeatVerdict::Unaware, Some(0));
+    let (step, at) = next_step(&election, millis(1_002));
+    assert_eq!(step, ElectionAction::SendHeartbeat);
+    assert!(
+        at > millis(1_002),
+        "heartbeats have to leave time for the answer"
+    );
+    let now = millis(1_000 + at_ms);
+    election.heartbeat_answered(now, verdict, Some(0));
+    assert_eq!(next_step(&election, now).0, expected);
+}
