Replace only the leader that asked for it

Cause: a resigning leader asks a successor to lead. If another member claims first, the one that was asked reads that claim, and then takes the request as one to replace the new leader.

Evidence, from the daemons' logs: edge-nisantasi-3 resigns in term 7 and asks edge-kadikoy-1 at 24.572 s, edge-nisantasi-2 is elected in term 8 at 24.604 s, edge-kadikoy-1 in term 9 at 24.761 s, which finds the leases written in term 7 at 25.020 s.

Change: the request names its term, and counts only while no later leader is known.

election::a_request_to_lead_replaces_only_the_leader_that_sent_it fails in its case of an earlier leader if the request is followed in any case, as before.

--- a/crates/geraniumshed-batch/src/member.rs
+++ b/crates/geraniumshed-batch/src/member.rs
@@ -94,7 +94,10 @@
                     tokio::select! {
                         () = tokio::time::sleep(delay) => {}
                         () = self.shared.asked_to_lead.notified() => {
-                            election.leader_resigned(clock.now(), 0);
+                            let request = self.shared.view().lead_request;
+                            if let Some(request) = request {
+                                election.lead_requested(clock.now(), request.term);
+                            }
                         }
                     }
                 }
--- a/crates/geraniumshed-core/src/leadership/election.rs
+++ b/crates/geraniumshed-core/src/leadership/election.rs
@@ -4,7 +4,7 @@
 
 use geraniumshed_model::prelude::TimePoint;
 
-use super::record::{LeaderRecord, MemberIdentity};
+use super::record::{LeaderRecord, LeaderTerm, MemberIdentity};
 
 /// The time between two heartbeats to the leader.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(250);
@@ -174,7 +174,15 @@
         self.follow(now);
     }
 
-    /// Records that this member no longer leads, or that the leader asked to be replaced.
+    /// Records that the leader of a term asked this member to lead. Does nothing if another leader
+    /// has been elected since.
+    pub fn lead_requested(&mut self, now: TimePoint, term: LeaderTerm) {
+        if self.known.as_ref().is_none_or(|known| known.term <= term) {
+            self.leader_resigned(now, 0);
+        }
+    }
+
+    /// Records that this member no longer leads.
     pub fn leader_resigned(&mut self, now: TimePoint, rank: u32) {
         self.suspicion = Suspicion::Certain;
         self.plan(ElectionAction::ReadRecord, now + RANK_DELAY * rank);
--- a/crates/geraniumshed-core/tests/election.rs
+++ b/crates/geraniumshed-core/tests/election.rs
@@ -172,3 +172,16 @@
     election.heartbeat_answered(now, verdict, Some(0));
     assert_eq!(next_step(&election, now).0, expected);
 }
+
+// Guards against a member that deposes the successor of the leader that asked it to lead.
+#[rstest]
+#[case::known_leader(1, ElectionAction::ReadRecord)]
+#[case::earlier_leader(0, ElectionAction::SendHeartbeat)]
+fn a_request_to_lead_replaces_only_the_leader_that_sent_it(
+    #[case] term: u64,
+    #[case] expected: ElectionAction,
+) {
+    let mut election = following_election();
+    election.lead_requested(millis(10), LeaderTerm(term));
+    assert_eq!(next_step(&election, millis(10)).0, expected);
+}
