--- a/crates/geraniumshed-batch/src/member.rs
+++ b/crates/geraniumshed-batch/src/member.rs
@@ -94,7 +94,10 @@
                     tokio::select! {
                         () = tokio::time::sleep(delay) => {}
                         () = self.shared.asked_to_lead.notified() => {
-                            election.leader_resigned(clock.now(), 0);
+                            let request = self.shared.view().lead_request;
+                            if let Some(request) = request {
+                                election.lead_requested(clock.now(), request.term);
+                            }
                         }
                     }
                 }
@@ -451,11 +454,18 @@
     match answer {
         Ok(reply) if reply.incarnation != record.member.incarnation => BeatVerdict::NotLeading,
         Ok(reply) if reply.is_leading => BeatVerdict::Leading,
+        Ok(reply) if knows_only_earlier_terms(record, reply) => BeatVerdict::Unaware,
         Ok(_) | Err(PeerFailure::Refused) => BeatVerdict::NotLeading,
         Err(PeerFailure::NotSent | PeerFailure::Unanswered) => BeatVerdict::Silent,
     }
 }
 
+/// Returns whether an answering process doesn't know the given record yet.
+fn knows_only_earlier_terms(record: &LeaderRecord, reply: &HeartbeatReplyWire) -> bool {
+    let known = reply.leader.clone().map(LeaderRecord::from);
+    known.is_none_or(|known| known.term < record.term)
+}
+
 /// Reads the newest claim to lead.
 async fn read_leader<S: StoreClient>(store: &S) -> Result<StoredLeader, StoreError> {
     let page = store.newest(LEADERS, None, RECORD_TIMEOUT).await?;
