Answer no cancellation by the last batch of a leader that resigns

Cause: a leader that resigns stores the leases of silent workers in a last batch and drops its other unstored changes. The batch has the number that cancellations of that moment wait for, so its confirmation acknowledged them although they were not stored.

Change: the confirmation of the last batch answers nothing. The callers are answered by the next leader.

No test of its own yet.

--- a/crates/geraniumshed-batch/src/leader/run.rs
+++ b/crates/geraniumshed-batch/src/leader/run.rs
@@ -228,10 +228,11 @@
             let LeaderEvent::BatchStored(number) = event else {
                 continue;
             };
-            self.batch_stored(number);
+            // The last batch lacks the changes that cancellations wait for, so it answers none.
             if number >= last {
                 return end;
             }
+            self.batch_stored(number);
         }
         log::info!(batch = last; "resigning before the leases of silent workers are stored");
         end
