Log and measure each step of a configuration on its way to a daemon

A daemon that never got a configuration wrote nothing: a failed read was a line of level debug, and what was read, from where, in which time, how large it was and how long decoding took was not told. The three hypotheses of the incident could not be told apart.

Lines for noticed, read (source, size, time), could not be read (reason, time), decoded, in force (source, replaced version) and for the count of a queue with the version that answered; counters and histograms of reads by source and outcome and of decoding. The feed returns the bytes of the configuration, so that decoding is measured by itself; nothing else of the logic changes.

--- a/crates/geraniumshed-batch/src/config.rs
+++ b/crates/geraniumshed-batch/src/config.rs
@@ -3,11 +3,14 @@
 use std::sync::{Arc, PoisonError};
 use std::time::Duration;
 
+use bytes::Bytes;
 use geraniumshed_core::leadership::MemberIdentity;
+use tokio::time::Instant;
 
 use crate::node::NodeShared;
 use crate::site::{SiteConfig, SiteFeed, WorkerCaller};
 use crate::store::StoreClient;
+use crate::telemetry::{ConfigRead, ConfigSource, log_decoded};
 
 /// How long a read of the configuration waits for a change.
 const CONFIG_WAIT: Duration = Duration::from_secs(3);
@@ -24,20 +27,27 @@
     W: WorkerCaller,
 {
     let feed = shared.context.feed.clone();
+    let source = ConfigSource::Store;
     loop {
+        let read = ConfigRead::start(&source);
         match feed.config().await {
             Ok((config, next)) => {
                 if let Some(config) = config {
-                    shared.apply_config(config);
+                    read.finish(shared.metrics(), config.len());
+                    shared.decode_config(&source, &config);
                 }
                 // The configuration is read again even if the wait fails or ends without a change.
-                if let Err(error) = feed.config_changed(next, CONFIG_WAIT).await {
-                    log::debug!("could not wait for a configuration change: {error}");
-                    tokio::time::sleep(CONFIG_RETRY_DELAY).await;
+                match feed.config_changed(next, CONFIG_WAIT).await {
+                    Ok(true) => log::info!(offset:% = next; "configuration was published"),
+                    Ok(false) => {}
+                    Err(error) => {
+                        log::warn!(offset:% = next, error:% = error; "could not wait for a configuration");
+                        tokio::time::sleep(CONFIG_RETRY_DELAY).await;
+                    }
                 }
             }
             Err(error) => {
-                log::debug!("could not read the configuration: {error}");
+                read.fail(shared.metrics(), &error);
                 tokio::time::sleep(CONFIG_RETRY_DELAY).await;
             }
         }
@@ -45,15 +55,31 @@
 }
 
 impl<S: StoreClient, F: SiteFeed, W: WorkerCaller> NodeShared<S, F, W> {
+    /// Decodes a configuration and puts it in force if it is newer than the current one.
+    fn decode_config(&self, source: &ConfigSource, bytes: &Bytes) {
+        let started = Instant::now();
+        let Some(config) = self.context.feed.decode(bytes) else {
+            return;
+        };
+        log_decoded(source, config.version, started.elapsed(), self.metrics());
+        self.apply_config(source, config);
+    }
+
     /// Puts a configuration in force if it is newer than the current one.
-    pub(crate) fn apply_config(&self, config: SiteConfig<F::Routes>) {
+    fn apply_config(&self, source: &ConfigSource, config: SiteConfig<F::Routes>) {
         if self
             .config()
             .is_some_and(|one| one.version >= config.version)
         {
             return;
         }
-        log::info!(version = config.version.0, queues = config.queues.len(); "configuration is in force");
+        log::info!(
+            version = config.version.0,
+            replaced = self.config_version().0,
+            queues = config.queues.len(),
+            source:% = source;
+            "configuration is in force"
+        );
         self.metrics()
             .config_version
             .set(config.version.0.cast_signed());
@@ -69,13 +95,15 @@
         if version <= self.config_version().0 {
             return;
         }
+        let source = ConfigSource::Peer(member.name.clone());
+        log::info!(version, source:% = source; "node has a newer configuration");
+        let read = ConfigRead::start(&source);
         match self.pool.config(member.address, PEER_TIMEOUT).await {
-            Ok(source) => {
-                if let Some(config) = self.context.feed.decode(&source) {
-                    self.apply_config(config);
-                }
+            Ok(bytes) => {
+                read.finish(self.metrics(), bytes.len());
+                self.decode_config(&source, &bytes);
             }
-            Err(error) => log::debug!("could not read the configuration of {member}: {error:?}"),
+            Err(error) => read.fail(self.metrics(), &error),
         }
     }
 }
--- a/crates/geraniumshed-batch/src/service.rs
+++ b/crates/geraniumshed-batch/src/service.rs
@@ -243,6 +243,13 @@
         let taken = started.elapsed();
         self.metrics()
             .record_call(CallKind::Pending, outcome, taken);
+        log::info!(
+            queue:% = queue,
+            config_version = self.shared.config_version().0,
+            taken_ms = whole_millis(taken),
+            outcome = outcome_name(outcome);
+            "client asked for the pending jobs of a queue"
+        );
         outcome
     }
 
--- a/crates/geraniumshed-batch/src/site.rs
+++ b/crates/geraniumshed-batch/src/site.rs
@@ -75,8 +75,9 @@
     pub source: Bytes,
 }
 
-/// The newest configuration, and the offset from which to wait for changes.
-pub type PublishedConfig<R> = (Option<SiteConfig<R>>, LogOffset);
+/// The newest configuration in the platform's own format, and the offset from which to wait for
+/// changes.
+pub type PublishedConfig = (Option<Bytes>, LogOffset);
 
 /// Reads the configuration and the registered workers that the platform publishes.
 pub trait SiteFeed: Debug + Clone + Send + Sync + 'static {
@@ -88,9 +89,7 @@
     /// # Errors
     ///
     /// Returns why there is no usable answer.
-    fn config(
-        &self,
-    ) -> impl Future<Output = Result<PublishedConfig<Self::Routes>, StoreError>> + Send;
+    fn config(&self) -> impl Future<Output = Result<PublishedConfig, StoreError>> + Send;
 
     /// Waits until something is published at or after an offset, and returns whether anything was.
     ///
--- a/crates/geraniumshed-batch/src/telemetry/metrics.rs
+++ b/crates/geraniumshed-batch/src/telemetry/metrics.rs
@@ -73,6 +73,15 @@
     pub in_time: &'static str,
 }
 
+/// The labels of a read of the configuration.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct ConfigLabels {
+    /// Where the configuration is read: `store` or `peer`.
+    pub source: &'static str,
+    /// The outcome.
+    pub outcome: &'static str,
+}
+
 /// Counters and latency histograms of a node. Clones share them.
 #[derive(Clone)]
 pub struct NodeMetrics {
@@ -101,6 +110,10 @@
     pub(crate) leading: Gauge,
     /// The version of the configuration in force.
     pub(crate) config_version: Gauge,
+    config_reads: Family<ConfigLabels, Counter>,
+    config_read_seconds: Family<ConfigLabels, Histogram, fn() -> Histogram>,
+    /// The time that decoding a configuration takes.
+    pub(crate) config_decode_seconds: Histogram,
 }
 
 impl Debug for NodeMetrics {
@@ -134,6 +147,9 @@
             wait_seconds: latency(),
             leading: Gauge::default(),
             config_version: Gauge::default(),
+            config_reads: Family::default(),
+            config_read_seconds: Family::new_with_constructor(latency),
+            config_decode_seconds: latency(),
         };
         metrics.create_default_series();
         Self {
@@ -159,6 +175,12 @@
             in_time: "yes",
         };
         drop(self.ended_jobs.get_or_create(&ended));
+        let read = ConfigLabels {
+            source: "store",
+            outcome: "read",
+        };
+        drop(self.config_reads.get_or_create(&read));
+        drop(self.config_read_seconds.get_or_create(&read));
     }
 
     fn register(&self) -> Registry {
@@ -216,9 +238,31 @@
             "The version of the configuration in force",
             self.config_version.clone(),
         );
+        registry.register(
+            "config_reads",
+            "Reads of the configuration",
+            self.config_reads.clone(),
+        );
+        registry.register(
+            "config_read_seconds",
+            "The time that a read of the configuration takes",
+            self.config_read_seconds.clone(),
+        );
+        registry.register(
+            "config_decode_seconds",
+            "The time that decoding a configuration takes",
+            self.config_decode_seconds.clone(),
+        );
         registry
     }
 
+    /// Counts a read of the configuration.
+    pub(crate) fn record_config_read(&self, labels: ConfigLabels, taken: Duration) {
+        self.config_reads.get_or_create(&labels).inc();
+        let seconds = self.config_read_seconds.get_or_create(&labels);
+        seconds.observe(taken.as_secs_f64());
+    }
+
     /// Counts the answer to a client's call.
     pub(crate) fn record_call(&self, call: CallKind, outcome: CallOutcome, taken: Duration) {
         let labels = CallLabels {
--- a/crates/geraniumshed-batch/tests/support/mod.rs
+++ b/crates/geraniumshed-batch/tests/support/mod.rs
@@ -333,10 +333,10 @@
 impl SiteFeed for NodeStore {
     type Routes = ();
 
-    async fn config(&self) -> Result<PublishedConfig<()>, StoreError> {
+    async fn config(&self) -> Result<PublishedConfig, StoreError> {
         let version = self.config_version()?;
         let source = Bytes::copy_from_slice(&version.to_be_bytes());
-        Ok((self.decode(&source), LogOffset(version)))
+        Ok((Some(source), LogOffset(version)))
     }
 
     async fn config_changed(&self, from: LogOffset, wait: Duration) -> Result<bool, StoreError> {
