Let the leader read a configuration in the store, and pass on what has changed

Cause: every daemon read each configuration twice in the store, once to learn that there is one and once as text in a page, and at each heartbeat, every 250 ms, began to copy all of it from a daemon that had it, with 400 ms for all of its bytes.

Change: the leader asks for the end of the topic every 200 ms and reads the newest record, as raw bytes. Other daemons learn of it by heartbeats or by a check of their own every 800 ms, and ask the leader for what has changed since the version that they have in force; they read it in the store themselves if the leader can't, at once and spread by rank, or takes longer than 0.9 s. A read in progress is never given up for another one, and a slow store gets more time after each failure. Nodes exchange the project's own types, so that a route takes some 60 bytes instead of 210; connections for them are separate from those of heartbeats. The decisions are in core/site, without I/O.

--- /dev/null
+++ b/crates/geraniumshed-batch/src/config/follow.rs
@@ -0,0 +1,218 @@
+//! Reads newer configurations, from the store or from other nodes.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use geraniumshed_core::leadership::MemberIdentity;
+use geraniumshed_core::site::{
+    ConfigUpdate, ConfigVersion, FollowAction, FollowRole, PeerAnswer, SiteConfig,
+};
+use geraniumshed_model::prelude::{LogOffset, whole_millis};
+use tokio::time::Instant;
+
+use crate::node::NodeShared;
+use crate::site::{SiteFeed, WorkerCaller};
+use crate::store::StoreClient;
+use crate::telemetry::{ConfigRead, ConfigSource, DependencyWatch, log_decoded};
+use crate::wire::{ConfigQueryWire, ConfigReplyWire, ConfigUpdateWire, decode, encode};
+
+/// The time within which the store has to tell the end of the topic.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(800);
+/// The time for which a peer holds a question until it has something newer.
+const PEER_HOLD: Duration = Duration::from_millis(500);
+/// The time within which the changes have to arrive from a peer. A read in the store begins before
+/// that.
+const PEER_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Keeps the newest configuration in force.
+pub(crate) async fn follow_config<S, F, W>(shared: Arc<NodeShared<S, F, W>>)
+where
+    S: StoreClient,
+    F: SiteFeed,
+    W: WorkerCaller,
+{
+    let store = Arc::new(tokio::sync::Mutex::new(DependencyWatch::new(
+        "store, for configurations",
+    )));
+    loop {
+        match shared.config.next_action(&shared.follow_role()) {
+            FollowAction::CheckTopic => {
+                let (shared, store) = (Arc::clone(&shared), Arc::clone(&store));
+                tokio::spawn(async move { shared.check_topic(&mut *store.lock().await).await });
+            }
+            FollowAction::ReadStore(limit) => {
+                let shared = Arc::clone(&shared);
+                tokio::spawn(async move { shared.read_store(limit).await });
+            }
+            FollowAction::ReadPeer(member) => {
+                let shared = Arc::clone(&shared);
+                tokio::spawn(async move { shared.read_peer(&member).await });
+            }
+            FollowAction::Wait(limit) => shared.config.wait(limit).await,
+        }
+    }
+}
+
+/// Answers the question of another node for what has changed.
+pub(crate) async fn answer_config_query<S, F, W>(
+    shared: &NodeShared<S, F, W>,
+    query: ConfigQueryWire,
+) -> ConfigReplyWire
+where
+    S: StoreClient,
+    F: SiteFeed,
+    W: WorkerCaller,
+{
+    let base = ConfigVersion(query.base);
+    let published = LogOffset(query.published);
+    let (answer, update) = shared.config.update_from(base, published, PEER_HOLD).await;
+    ConfigReplyWire {
+        covered: answer.covered.0,
+        can_read_store: answer.can_read_store,
+        update: update
+            .map(|update| encode(&ConfigUpdateWire::from(update)))
+            .unwrap_or_default(),
+    }
+}
+
+impl<S: StoreClient, F: SiteFeed, W: WorkerCaller> NodeShared<S, F, W> {
+    /// Returns what this node knows about the leader.
+    fn follow_role(&self) -> FollowRole {
+        let view = self.view();
+        let leader = view.leader.as_ref().map(|record| &record.member);
+        match leader {
+            _ if view.is_leading => FollowRole::Leading,
+            Some(leader) if *leader != self.settings.identity => FollowRole::Following {
+                leader: leader.clone(),
+                rank: view.rank.unwrap_or_default(),
+            },
+            Some(_) | None => FollowRole::Alone,
+        }
+    }
+
+    /// Asks the store where the topic ends.
+    async fn check_topic(&self, store: &mut DependencyWatch) {
+        let known = self.config.published();
+        let end = self.context.feed.config_end(CHECK_TIMEOUT).await;
+        store.record_call(&end);
+        match &end {
+            Ok(end) if *end > known => {
+                log::info!(offset:% = end, known:% = known; "configuration was published");
+            }
+            Ok(_) => {}
+            Err(error) => log::debug!("could not read the end of the configurations: {error}"),
+        }
+        self.config.topic_checked(end.ok());
+    }
+
+    /// Reads the whole configuration in the store, which has to begin its answer within a time.
+    async fn read_store(&self, limit: Duration) {
+        let source = ConfigSource::Store;
+        let read = ConfigRead::start(&source);
+        let known_end = self.config.published();
+        match self.context.feed.config(known_end, limit).await {
+            Ok((bytes, end)) => {
+                if let Some(bytes) = bytes {
+                    read.finish(self.metrics(), bytes.len());
+                    let started = Instant::now();
+                    if let Some(config) = self.context.feed.decode(&bytes) {
+                        log_decoded(&source, config.version, started.elapsed(), self.metrics());
+                        self.apply_config(&source, config);
+                    }
+                }
+                self.config.store_answered(Some(end));
+            }
+            Err(error) => {
+                read.fail(self.metrics(), &error);
+                self.config.store_answered(None);
+            }
+        }
+    }
+
+    /// Asks another node for what has changed.
+    async fn read_peer(&self, member: &MemberIdentity) {
+        let source = ConfigSource::Peer(member.name.clone());
+        let query = ConfigQueryWire {
+            base: self.config.version().0,
+            published: self.config.published().0,
+        };
+        let read = ConfigRead::start(&source);
+        let reply = self
+            .config_pool
+            .config_update(member.address, query, PEER_TIMEOUT)
+            .await;
+        match reply {
+            Ok(reply) => {
+                if !reply.update.is_empty() {
+                    read.finish(self.metrics(), reply.update.len());
+                }
+                let answer = self.apply_update(&source, &reply);
+                self.config.peer_answered(answer);
+            }
+            Err(error) => {
+                read.fail(self.metrics(), &error);
+                self.config.peer_answered(None);
+            }
+        }
+    }
+
+    /// Puts what a peer has sent in force. Returns what the answer tells, or `None` if it is invalid.
+    fn apply_update(&self, source: &ConfigSource, reply: &ConfigReplyWire) -> Option<PeerAnswer> {
+        let answer = PeerAnswer {
+            covered: LogOffset(reply.covered),
+            can_read_store: reply.can_read_store,
+        };
+        if reply.update.is_empty() {
+            return Some(answer);
+        }
+        let started = Instant::now();
+        let decoded = decode::<ConfigUpdateWire>(&reply.update).and_then(ConfigUpdate::try_from);
+        let update = decoded
+            .inspect_err(|error| {
+                log::error!(source:% = source, error:% = error; "changes of the configuration are invalid");
+            })
+            .ok()?;
+        let version = update.version;
+        let current = self.config.config().unwrap_or_default();
+        if current.version >= version {
+            return Some(answer);
+        }
+        let Some(config) = current.updated(update) else {
+            log::info!(
+                source:% = source,
+                version = version.0,
+                current = current.version.0;
+                "changes of the configuration are based on another version"
+            );
+            // What the peer has read counts only with its version in force.
+            let covered = LogOffset(0);
+            return Some(PeerAnswer { covered, ..answer });
+        };
+        log_decoded(source, version, started.elapsed(), self.metrics());
+        self.apply_config(source, config);
+        Some(answer)
+    }
+
+    /// Puts a configuration in force if it is newer than the current one.
+    fn apply_config(&self, source: &ConfigSource, config: SiteConfig) {
+        let config = Arc::new(config);
+        let noticed_ms = whole_millis(self.config.waiting());
+        let Some(replaced) = self.config.replace(&config) else {
+            return;
+        };
+        log::info!(
+            version = config.version.0,
+            replaced = replaced.0,
+            queues = config.routes.len(),
+            source:% = source,
+            noticed_ms;
+            "configuration is in force"
+        );
+        self.metrics()
+            .config_version
+            .set(config.version.0.cast_signed());
+        if let Some(handle) = self.view().handle.clone() {
+            handle.replace_queues(config.routes.queues());
+        }
+    }
+}
--- a/crates/geraniumshed-batch/src/handler.rs
+++ b/crates/geraniumshed-batch/src/handler.rs
@@ -3,20 +3,22 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use geraniumshed_core::job::JobId;
 use geraniumshed_core::leadership::{LeaderTerm, MemberIdentity};
+use geraniumshed_core::site::ConfigVersion;
 use geraniumshed_model::prelude::ProcessorShare;
 use tarpc::context::Context;
 use tokio::time::Instant;
 
+use crate::config::answer_config_query;
 use crate::node::{LeadRequest, NodeShared, TrackedMember};
 use crate::service::{CallOutcome, JobService, ask_local_leader};
 use crate::site::{SiteFeed, WorkerCaller};
 use crate::store::{StoreClient, StoreError};
 use crate::topic::LEADERS;
 use crate::wire::{
-    HeartbeatReplyWire, HeartbeatWire, JobAnswerWire, JobCallWire, LeaderWire, MemberWire, NodePeer,
+    ConfigQueryWire, ConfigReplyWire, HeartbeatReplyWire, HeartbeatWire, JobAnswerWire,
+    JobCallWire, LeaderWire, MemberWire, NodePeer,
 };
 
 /// The time within which a forwarded call has to be answered.
@@ -54,11 +56,9 @@
     async fn heartbeat(self, _: Context, request: HeartbeatWire) -> HeartbeatReplyWire {
         let shared = self.shared();
         let member = MemberIdentity::from(request.member);
-        if request.config_version > shared.config_version().0 {
-            let (shared, member) = (Arc::clone(&self.service.shared), member.clone());
-            tokio::spawn(async move { shared.fetch_config(&member, request.config_version).await });
-        }
-        let config_version = shared.config_version().0;
+        let announced = ConfigVersion(request.config_version);
+        shared.config.version_announced(&member, announced);
+        let config_version = shared.config.version().0;
         let now = shared.clock().now();
         let mut view = shared.view();
         let first_heartbeat = view
@@ -123,9 +123,8 @@
         jobs.into_iter().map(|job| job.0).collect()
     }
 
-    async fn config(self, _: Context) -> Bytes {
-        let config = self.shared().config();
-        config.map(|one| one.source.clone()).unwrap_or_default()
+    async fn config_update(self, _: Context, query: ConfigQueryWire) -> ConfigReplyWire {
+        answer_config_query(self.shared(), query).await
     }
 
     async fn probe_store(self, _: Context) -> bool {
--- a/crates/geraniumshed-batch/src/member.rs
+++ b/crates/geraniumshed-batch/src/member.rs
@@ -8,6 +8,7 @@
 use geraniumshed_core::leadership::{
     BeatVerdict, ElectionAction, LeaderElection, LeaderRecord, LeaderTerm, MemberIdentity,
 };
+use geraniumshed_core::site::ConfigVersion;
 use geraniumshed_model::prelude::LogOffset;
 use smol_str::{SmolStr, ToSmolStr};
 use tokio::sync::mpsc;
@@ -38,6 +39,8 @@
 const BECOME_LEADER_TIMEOUT: Duration = Duration::from_millis(300);
 /// The timeout for reading the leader's record from the store.
 const RECORD_TIMEOUT: Duration = Duration::from_secs(1);
+/// The time for which a new node waits for its first configuration before it gives up a claim.
+const FIRST_CONFIG_TIMEOUT: Duration = Duration::from_millis(300);
 /// The delay before a failed takeover is retried.
 const TAKEOVER_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// The timeout for the answer of a node that is asked for its active cancellations.
@@ -132,7 +135,12 @@
     async fn claim_lead(&self, election: &mut LeaderElection, end: LogOffset) {
         let clock = self.shared.clock();
         // The planner needs a configuration.
-        if self.shared.config().is_none() {
+        if !self
+            .shared
+            .config
+            .is_read_within(FIRST_CONFIG_TIMEOUT)
+            .await
+        {
             election.store_failed(clock.now());
             return;
         }
@@ -188,16 +196,18 @@
             }
             let peers = reply.peers.into_iter().map(MemberIdentity::from).collect();
             self.shared.view().peers = peers;
+            self.shared.view().rank = rank;
+            let announced = ConfigVersion(reply.config_version);
             self.shared
-                .fetch_config(&record.member, reply.config_version)
-                .await;
+                .config
+                .version_announced(&record.member, announced);
         }
     }
 
     fn own_heartbeat(&self) -> HeartbeatWire {
         HeartbeatWire {
             member: MemberWire::from(self.shared.settings.identity.clone()),
-            config_version: self.shared.config_version().0,
+            config_version: self.shared.config.version().0,
             processors: self.shared.settings.processors.0,
             is_stopping: self.shared.is_stopping(),
         }
@@ -215,9 +225,8 @@
             let Ok(reply) = answer else {
                 continue;
             };
-            self.shared
-                .fetch_config(&member, reply.config_version)
-                .await;
+            let announced = ConfigVersion(reply.config_version);
+            self.shared.config.version_announced(&member, announced);
             let record = reply.leader.map(LeaderRecord::from);
             let known = election.known().map(|record| record.term);
             if record.as_ref().map(|record| record.term) > known {
@@ -257,11 +266,8 @@
             return;
         };
         recovered.cancelled = cancelled;
-        let queues = self
-            .shared
-            .config()
-            .map(|one| one.queues.clone())
-            .unwrap_or_default();
+        let config = self.shared.config.config().unwrap_or_default();
+        let queues = config.routes.queues();
         let (probe_sender, probe_requests) = mpsc::unbounded_channel();
         let (handle, end) = leader::run(
             self.shared.context.clone(),
--- a/crates/geraniumshed-batch/src/node.rs
+++ b/crates/geraniumshed-batch/src/node.rs
@@ -15,14 +15,14 @@
 
 use crate::cancel::ActiveCancels;
 use crate::clock::NodeClock;
-use crate::config::follow_config;
+use crate::config::{ConfigState, follow_config};
 use crate::handler::PeerHandler;
 use crate::intake::RequestWriter;
 use crate::leader::{LeaderContext, LeaderHandle};
 use crate::member::MemberTask;
 use crate::peer::{PeerPool, PeerServer};
 use crate::service::JobService;
-use crate::site::{ConfigVersion, SiteConfig, SiteFeed, WorkerCaller};
+use crate::site::{SiteFeed, WorkerCaller};
 use crate::store::StoreClient;
 use crate::store_monitor::StoreMonitor;
 use crate::telemetry::NodeMetrics;
@@ -76,6 +76,8 @@
     pub(crate) tracked_members: BTreeMap<SocketAddr, TrackedMember>,
     /// The live members that the leader knows.
     pub(crate) peers: Vec<MemberIdentity>,
+    /// This node's rank among the candidates to succeed the leader, if the leader has told it.
+    pub(crate) rank: Option<u32>,
     /// The newest request to become the leader.
     pub(crate) lead_request: Option<LeadRequest>,
 }
@@ -114,10 +116,12 @@
     pub(crate) settings: NodeSettings,
     pub(crate) context: LeaderContext<S, F, W>,
     pub(crate) pool: PeerPool,
+    /// Connections for configurations, which would hold up heartbeats on a narrow link.
+    pub(crate) config_pool: PeerPool,
     pub(crate) intake: RequestWriter,
     pub(crate) active_cancels: ActiveCancels,
     view: Mutex<MemberView>,
-    pub(crate) config: Mutex<Option<Arc<SiteConfig<F::Routes>>>>,
+    pub(crate) config: ConfigState,
     pub(crate) is_stopping: AtomicBool,
     /// Notified when the former leader asks this process to lead.
     pub(crate) asked_to_lead: Notify,
@@ -142,15 +146,6 @@
         self.metrics().leading.set(0);
     }
 
-    pub(crate) fn config(&self) -> Option<Arc<SiteConfig<F::Routes>>> {
-        let config = self.config.lock().unwrap_or_else(PoisonError::into_inner);
-        config.clone()
-    }
-
-    pub(crate) fn config_version(&self) -> ConfigVersion {
-        self.config().map_or(ConfigVersion(0), |one| one.version)
-    }
-
     /// Returns whether the store is slow to answer the appends of this process.
     pub(crate) fn is_store_slow(&self) -> bool {
         self.context.progress_monitor.is_slow() || self.intake.monitor().is_slow()
@@ -194,10 +189,11 @@
             settings,
             context,
             pool: PeerPool::default(),
+            config_pool: PeerPool::default(),
             intake,
             active_cancels: ActiveCancels::default(),
             view: Mutex::default(),
-            config: Mutex::default(),
+            config: ConfigState::new(clock),
             is_stopping: AtomicBool::new(false),
             asked_to_lead: Notify::new(),
         });
--- a/crates/geraniumshed-batch/src/peer/client.rs
+++ b/crates/geraniumshed-batch/src/peer/client.rs
@@ -6,7 +6,6 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use geraniumshed_core::job::JobId;
 use tarpc::client::{Config, NewClient, RpcError};
 use tarpc::context::{self, Context};
@@ -18,7 +17,10 @@
 
 use super::stream::frame_codec;
 use crate::net::prepare_stream;
-use crate::wire::{HeartbeatReplyWire, HeartbeatWire, JobAnswerWire, JobCallWire, NodePeerClient};
+use crate::wire::{
+    ConfigQueryWire, ConfigReplyWire, HeartbeatReplyWire, HeartbeatWire, JobAnswerWire,
+    JobCallWire, NodePeerClient,
+};
 
 /// The timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -75,14 +77,19 @@
         .await
     }
 
-    /// Reads the configuration that a node has in force.
+    /// Asks a node what has changed in the configuration.
     ///
     /// # Errors
     ///
     /// Returns why there is no answer.
-    pub async fn config(&self, address: SocketAddr, limit: Duration) -> Result<Bytes, PeerFailure> {
+    pub async fn config_update(
+        &self,
+        address: SocketAddr,
+        query: ConfigQueryWire,
+        limit: Duration,
+    ) -> Result<ConfigReplyWire, PeerFailure> {
         self.request(address, limit, async |client, context| {
-            client.config(context).await
+            client.config_update(context, query).await
         })
         .await
     }
--- a/crates/geraniumshed-batch/src/service.rs
+++ b/crates/geraniumshed-batch/src/service.rs
@@ -7,6 +7,7 @@
 use geraniumshed_core::intake::AppendRoute;
 use geraniumshed_core::job::{JobId, JobPhase, JobRequest, QueueName};
 use geraniumshed_core::leadership::MemberIdentity;
+use geraniumshed_core::site::SiteConfig;
 use geraniumshed_model::prelude::whole_millis;
 use smol_str::SmolStr;
 use tokio::sync::oneshot;
@@ -15,7 +16,7 @@
 use crate::leader::{LeaderHandle, LeaderQuery};
 use crate::node::NodeShared;
 use crate::peer::PeerFailure;
-use crate::site::{SiteConfig, SiteFeed, WorkerCaller};
+use crate::site::{SiteFeed, WorkerCaller};
 use crate::store::{StoreClient, StoreError};
 use crate::telemetry::{CallKind, NodeMetrics, outcome_name};
 use crate::wire::{JobAnswerWire, JobCallWire, JobRequestWire};
@@ -113,13 +114,13 @@
     }
 
     /// Returns the configuration in force.
-    pub fn config(&self) -> Option<Arc<SiteConfig<F::Routes>>> {
-        self.shared.config()
+    pub fn config(&self) -> Option<Arc<SiteConfig>> {
+        self.shared.config.config()
     }
 
     /// Returns whether this node should receive clients' calls.
     pub fn is_ready(&self) -> bool {
-        !self.shared.is_stopping() && self.shared.config().is_some()
+        !self.shared.is_stopping() && self.shared.config.config().is_some()
     }
 
     /// Stores a job.
@@ -132,7 +133,7 @@
             job:% = id,
             queue:% = request.queue,
             steps = request.steps.len(),
-            config_version = self.shared.config_version().0,
+            config_version = self.shared.config.version().0,
             taken_ms = whole_millis(taken),
             outcome = outcome_name(outcome);
             "job was handed in"
@@ -245,7 +246,7 @@
             .record_call(CallKind::Pending, outcome, taken);
         log::info!(
             queue:% = queue,
-            config_version = self.shared.config_version().0,
+            config_version = self.shared.config.version().0,
             taken_ms = whole_millis(taken),
             outcome = outcome_name(outcome);
             "client asked for the pending jobs of a queue"
--- a/crates/geraniumshed-batch/src/site.rs
+++ b/crates/geraniumshed-batch/src/site.rs
@@ -1,12 +1,11 @@
 //! The interface to the rest of the platform: workers, their registrations and the operators'
 //! configuration.
 
-use std::collections::BTreeMap;
 use std::fmt::Debug;
 use std::time::Duration;
 
 use bytes::Bytes;
-use geraniumshed_core::job::{QueueName, QueuePolicy};
+use geraniumshed_core::site::SiteConfig;
 use geraniumshed_core::worker::{
     AdviceReply, AdviceRequest, PaceOrder, RenewReply, RenewRequest, StartOrder, StartReply,
     StopOrder, WorkerCall, WorkerChange, WorkerFailure, WorkerListing,
@@ -58,52 +57,37 @@
     fn renew(&self, call: WorkerCall<RenewRequest>) -> impl Future<Output = RenewOutcome> + Send;
 }
 
-/// The version of a configuration.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub struct ConfigVersion(pub u64);
-
-/// The parts of a configuration that nodes use, and the configuration in the platform's own format.
-#[derive(Debug, Clone)]
-pub struct SiteConfig<R> {
-    /// The version.
-    pub version: ConfigVersion,
-    /// The queues in force.
-    pub queues: BTreeMap<QueueName, QueuePolicy>,
-    /// The settings of the listener for clients.
-    pub routes: R,
-    /// The configuration in the platform's own format, which nodes send to their peers.
-    pub source: Bytes,
-}
-
-/// The newest configuration in the platform's own format, and the offset from which to wait for
-/// changes.
+/// The newest configuration in the platform's own format, and the offset before which there is
+/// nothing newer.
 pub type PublishedConfig = (Option<Bytes>, LogOffset);
 
 /// Reads the configuration and the registered workers that the platform publishes.
 pub trait SiteFeed: Debug + Clone + Send + Sync + 'static {
-    /// The settings of the listener for clients in a configuration.
-    type Routes: Debug + Clone + Send + Sync + 'static;
-
-    /// Reads the newest configuration, and the offset from which to wait for changes.
+    /// Reads the newest configuration, and the offset before which there is nothing newer. The topic
+    /// is known to end at `known_end` or later. The answer has to begin within the given time; how
+    /// long all of it takes depends on its size.
     ///
     /// # Errors
     ///
     /// Returns why there is no usable answer.
-    fn config(&self) -> impl Future<Output = Result<PublishedConfig, StoreError>> + Send;
+    fn config(
+        &self,
+        known_end: LogOffset,
+        limit: Duration,
+    ) -> impl Future<Output = Result<PublishedConfig, StoreError>> + Send;
 
-    /// Waits until something is published at or after an offset, and returns whether anything was.
+    /// Returns the offset at which the topic of configurations ends, within the given time.
     ///
     /// # Errors
     ///
     /// Returns why there is no usable answer.
-    fn config_changed(
+    fn config_end(
         &self,
-        from: LogOffset,
-        wait: Duration,
-    ) -> impl Future<Output = Result<bool, StoreError>> + Send;
+        limit: Duration,
+    ) -> impl Future<Output = Result<LogOffset, StoreError>> + Send;
 
     /// Decodes a configuration from the platform's own format; returns nothing if it is invalid.
-    fn decode(&self, source: &Bytes) -> Option<SiteConfig<Self::Routes>>;
+    fn decode(&self, source: &Bytes) -> Option<SiteConfig>;
 
     /// Reads the workers that are registered, and the offset from which to read changes.
     ///
--- a/crates/geraniumshed-batch/src/telemetry/config.rs
+++ b/crates/geraniumshed-batch/src/telemetry/config.rs
@@ -3,13 +3,13 @@
 use std::fmt::{self, Display, Formatter};
 use std::time::Duration;
 
+use geraniumshed_core::site::ConfigVersion;
 use geraniumshed_model::prelude::whole_millis;
 use smol_str::SmolStr;
 use tokio::time::Instant;
 
 use super::metrics::{ConfigLabels, NodeMetrics};
 use crate::peer::PeerFailure;
-use crate::site::ConfigVersion;
 use crate::store::StoreError;
 
 /// Where a node reads a configuration.
--- a/crates/geraniumshed-batch/src/wire/mod.rs
+++ b/crates/geraniumshed-batch/src/wire/mod.rs
@@ -4,6 +4,7 @@
 
 mod call;
 mod codec;
+mod config;
 mod interference;
 mod leader;
 mod lease;
@@ -14,10 +15,13 @@
 
 pub use call::{JobAnswerWire, JobCallWire, JobPhaseWire};
 pub use codec::{WireDecodeError, decode, encode};
+pub use config::ConfigUpdateWire;
 pub use interference::InterferenceWire;
 pub use leader::{LeaderWire, MemberWire};
 pub use lease::LeaseSnapshotWire;
-pub use peer::{HeartbeatReplyWire, HeartbeatWire, NodePeer, NodePeerClient};
+pub use peer::{
+    ConfigQueryWire, ConfigReplyWire, HeartbeatReplyWire, HeartbeatWire, NodePeer, NodePeerClient,
+};
 pub use request::JobRequestWire;
 pub use stored_job::StoredJobWire;
 pub use wait::WaitSnapshotWire;
--- a/crates/geraniumshed-batch/src/wire/peer.rs
+++ b/crates/geraniumshed-batch/src/wire/peer.rs
@@ -38,6 +38,27 @@
     pub is_store_slow: bool,
 }
 
+/// A question for a newer configuration.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigQueryWire {
+    /// The version that the caller has in force.
+    pub base: u64,
+    /// The offset at which the topic of configurations ends, as far as the caller knows.
+    pub published: u64,
+}
+
+/// The answer to a question for a newer configuration.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigReplyWire {
+    /// The offset before which the topic holds nothing newer than what the callee has in force.
+    pub covered: u64,
+    /// Whether the store answers the callee.
+    pub can_read_store: bool,
+    /// A [`ConfigUpdateWire`](super::ConfigUpdateWire) as a record; empty if the callee has no newer
+    /// version in force than the caller.
+    pub update: Bytes,
+}
+
 /// The calls between nodes.
 #[tarpc::service]
 pub trait NodePeer {
@@ -47,9 +68,9 @@
     /// Forwards a client's call.
     async fn forward_call(call: JobCallWire) -> JobAnswerWire;
 
-    /// Returns the configuration in force in the platform's own format, or nothing if there is
-    /// none.
-    async fn config() -> Bytes;
+    /// Returns what has changed in the configuration. The callee waits a moment for what it knows to
+    /// be published.
+    async fn config_update(query: ConfigQueryWire) -> ConfigReplyWire;
 
     /// Asks the callee whether the store answers its calls.
     async fn probe_store() -> bool;
--- a/crates/geraniumshed-batch/tests/support/mod.rs
+++ b/crates/geraniumshed-batch/tests/support/mod.rs
@@ -6,9 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use geraniumshed_batch::site::{
-    ConfigVersion, PublishedConfig, RenewOutcome, SiteConfig, SiteFeed, WorkerCaller,
-};
+use geraniumshed_batch::site::{PublishedConfig, RenewOutcome, SiteFeed, WorkerCaller};
 use geraniumshed_batch::store::{
     AppendCondition, KeyedRecord, NewestPage, ReadBatch, StoreClient, StoreError, TopicName,
 };
@@ -18,6 +16,7 @@
 use geraniumshed_core::assignment::{PlannerSettings, WaitSnapshot};
 use geraniumshed_core::job::{JobRequest, QueueName, QueuePolicy, StepRequest, WorkerId};
 use geraniumshed_core::leadership::MemberIdentity;
+use geraniumshed_core::site::{ConfigVersion, RouteEntry, RouteKey, SiteConfig};
 use geraniumshed_core::worker::{
     AdviceReply, AdviceRequest, EndKind, PaceOrder, RenewReply, RenewRequest, RunEnd, StartOrder,
     StartReply, StopOrder, WorkerCall, WorkerChange, WorkerFailure, WorkerIncarnation,
@@ -331,26 +330,17 @@
 }
 
 impl SiteFeed for NodeStore {
-    type Routes = ();
-
-    async fn config(&self) -> Result<PublishedConfig, StoreError> {
+    async fn config(&self, _: LogOffset, _: Duration) -> Result<PublishedConfig, StoreError> {
         let version = self.config_version()?;
         let source = Bytes::copy_from_slice(&version.to_be_bytes());
         Ok((Some(source), LogOffset(version)))
     }
 
-    async fn config_changed(&self, from: LogOffset, wait: Duration) -> Result<bool, StoreError> {
-        let deadline = Instant::now() + wait;
-        while Instant::now() < deadline {
-            if self.config_version()? > from.0 {
-                return Ok(true);
-            }
-            tokio::time::sleep(Duration::from_millis(5)).await;
-        }
-        Ok(false)
+    async fn config_end(&self, _: Duration) -> Result<LogOffset, StoreError> {
+        Ok(LogOffset(self.config_version()?))
     }
 
-    fn decode(&self, source: &Bytes) -> Option<SiteConfig<()>> {
+    fn decode(&self, source: &Bytes) -> Option<SiteConfig> {
         let version = u64::from_be_bytes(source.as_ref().try_into().ok()?);
         let policy = QueuePolicy {
             service: "s".into(),
@@ -360,11 +350,16 @@
             latency_objective: Duration::from_secs(1),
             advice: None,
         };
+        let entry = RouteEntry {
+            queue: QueueName::from("q"),
+            policy,
+        };
         Some(SiteConfig {
             version: ConfigVersion(version),
-            queues: [(QueueName::from("q"), policy)].into(),
-            routes: (),
-            source: source.clone(),
+            body_limit: 1000,
+            routes: [(RouteKey::new("h", "/q/".into()), entry)]
+                .into_iter()
+                .collect(),
         })
     }
 
--- a/crates/geraniumshed-core/src/lib.rs
+++ b/crates/geraniumshed-core/src/lib.rs
@@ -10,5 +10,6 @@
 pub mod member;
 pub mod request;
 pub mod schedule;
+pub mod site;
 pub mod state;
 pub mod worker;
--- /dev/null
+++ b/crates/geraniumshed-core/src/site/mod.rs
@@ -0,0 +1,13 @@
+//! The operators' configuration: its queues and routes, its differences, and how a node follows it.
+
+mod config;
+mod follower;
+mod history;
+mod route;
+mod update;
+
+pub use config::{ConfigVersion, SiteConfig};
+pub use follower::{ConfigFollower, FollowAction, FollowRole, PeerAnswer};
+pub use history::ConfigHistory;
+pub use route::{RouteEntry, RouteKey, RouteTable};
+pub use update::ConfigUpdate;
