--- a/crates/geraniumshed-batch/tests/nodes.rs
+++ b/crates/geraniumshed-batch/tests/nodes.rs
@@ -249,6 +249,35 @@
     }
 }
 
+// The last batch of a resigning leader holds only leases. Its confirmation must not acknowledge a
+// cancellation, which would be lost with the leader's other changes.
+#[tokio::test]
+async fn cancellation_acknowledged_while_the_leader_resigns_is_not_lost() {
+    let site = Site::new();
+    site.fail_worker();
+    let nodes = site.spawn_nodes(2, 21_360).await;
+    let id = JobId(110);
+    let leader = support::settled_leader(&nodes).await;
+    let service = nodes[leader].service();
+    service.submit(id, &job(1), deadline()).await;
+    support::wait_for(async || {
+        let snapshot = site.stored_leases().map(LeaseSnapshot::from);
+        snapshot.is_some_and(|snapshot| !snapshot.silent.is_empty())
+    })
+    .await;
+    let cancelling = tokio::spawn(async move { service.cancel(id, deadline()).await });
+    // The leader handles the cancellation and the request to resign one right after the other, if
+    // two tasks of the cancellation have run and the leader's task has not.
+    tokio::task::yield_now().await;
+    tokio::task::yield_now().await;
+    nodes[leader].begin_stop();
+    if cancelling.await.unwrap() == CallOutcome::Cancelled {
+        let other = nodes[1 - leader].service();
+        let status = other.status(id, deadline()).await;
+        assert_eq!(status, CallOutcome::Status(JobPhase::Cancelled));
+    }
+}
+
 #[tokio::test]
 async fn a_leader_on_a_small_vm_yields_to_a_node_on_a_much_larger_one() {
     let site = Site::new();
