Let a stopping leader follow who leads after it

What callers saw: a daemon that leads and is stopped as planned answers no status, cancellation or count for the rest of its time, 2.5 s and longer, but lets each wait until shortly before the caller's deadline (503, or 504 for a cancellation).

Cause: the task that follows the leader ended with the stop, so that the node went on taking itself for the leader.

Change: from its stop on, the task only reads who leads, every 200 ms.

Evidence: stopping_leader_answers_calls_through_its_successor failed with Unavailable and passes, also when the successor is stopped as well; cancellation_acknowledged_while_the_leader_resigns_is_not_lost got Undecided after 4.9 s and now has to be answered.

--- a/crates/geraniumshed-batch/src/member.rs
+++ b/crates/geraniumshed-batch/src/member.rs
@@ -50,6 +50,8 @@
 /// The interval between checks for a node on a larger VM, and the time for which it has to be
 /// alive.
 const YIELD_CHECK_INTERVAL: Duration = Duration::from_millis(1500);
+/// The interval at which a stopping node reads who leads.
+const FOLLOW_INTERVAL: Duration = Duration::from_millis(200);
 /// The factor by which a VM has to be larger for its node to become the leader.
 const LARGER_FACTOR: u32 = 2;
 /// The number of takeover attempts before the node gives up its claim.
@@ -81,7 +83,8 @@
         Self { shared }
     }
 
-    /// Takes part in elections, and leads when elected, until the node is stopped.
+    /// Takes part in elections, and leads when elected, until the node is stopped. From then on, only
+    /// follows who leads.
     pub(crate) async fn run(self) {
         let own = self.shared.settings.identity.clone();
         let rank = self.shared.settings.first_rank;
@@ -90,7 +93,7 @@
         let mut end = LogOffset(0);
         loop {
             if self.shared.is_stopping() {
-                return;
+                return self.follow_leader(election).await;
             }
             match election.next_action(clock.now()) {
                 ElectionAction::Wait(delay) => {
@@ -114,6 +117,15 @@
         }
     }
 
+    /// Keeps track of the leader until the process ends, so that calls of clients whose connections
+    /// are still open reach it.
+    async fn follow_leader(&self, mut election: LeaderElection) {
+        loop {
+            self.read_record(&mut election).await;
+            tokio::time::sleep(FOLLOW_INTERVAL).await;
+        }
+    }
+
     /// Reads the newest claim, and returns the end of the topic if the store answers.
     async fn read_record(&self, election: &mut LeaderElection) -> Option<LogOffset> {
         match read_leader(&self.shared.context.store).await {
--- a/crates/geraniumshed-batch/tests/nodes.rs
+++ b/crates/geraniumshed-batch/tests/nodes.rs
@@ -255,7 +255,7 @@
 async fn cancellation_acknowledged_while_the_leader_resigns_is_not_lost() {
     let site = Site::new();
     site.fail_worker();
-    let nodes = site.spawn_nodes(2, 21_360).await;
+    let nodes = site.spawn_nodes(2, 21_480).await;
     let id = JobId(110);
     let leader = support::settled_leader(&nodes).await;
     let service = nodes[leader].service();
@@ -271,11 +271,34 @@
     tokio::task::yield_now().await;
     tokio::task::yield_now().await;
     nodes[leader].begin_stop();
-    if cancelling.await.unwrap() == CallOutcome::Cancelled {
-        let other = nodes[1 - leader].service();
-        let status = other.status(id, deadline()).await;
-        assert_eq!(status, CallOutcome::Status(JobPhase::Cancelled));
-    }
+    assert_eq!(cancelling.await.unwrap(), CallOutcome::Cancelled);
+    let other = nodes[1 - leader].service();
+    let status = other.status(id, deadline()).await;
+    assert_eq!(status, CallOutcome::Status(JobPhase::Cancelled));
+}
+
+// Clients keep open connections to a node until its process ends, so it has to learn who leads after
+// it has resigned.
+#[tokio::test]
+async fn stopping_leader_answers_calls_through_its_successor() {
+    let site = Site::new();
+    let nodes = site.spawn_nodes(3, 21_500).await;
+    let id = JobId(120);
+    let leader = support::settled_leader(&nodes).await;
+    let service = nodes[leader].service();
+    service.submit(id, &job(1), deadline()).await;
+    let completed = CallOutcome::Status(JobPhase::Completed);
+    support::wait_for(async || service.status(id, deadline()).await == completed).await;
+    nodes[leader].begin_stop();
+    let soon = tokio::time::Instant::now() + Duration::from_millis(1500);
+    assert_eq!(service.status(id, soon).await, completed);
+    // The successor resigns as well.
+    support::wait_for(async || nodes.iter().any(BatchNode::is_leading)).await;
+    let next = nodes.iter().position(BatchNode::is_leading).unwrap();
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    nodes[next].begin_stop();
+    let soon = tokio::time::Instant::now() + Duration::from_millis(1500);
+    assert_eq!(service.status(id, soon).await, completed);
 }
 
 #[tokio::test]
