Give up a read of the project's own log only if no more of it arrives

Seen by reading, then by a test, not by callers.

Change: the timeout is for the head of an answer and for each pause in it.

Evidence: slow_transfer::page_is_read_for_as_long_as_bytes_arrive::case_1_steady failed and passes; case_2_stalled holds that an answer that stops arriving is still given up.

--- a/crates/geraniumshed-platform/src/http/transport.rs
+++ b/crates/geraniumshed-platform/src/http/transport.rs
@@ -8,12 +8,13 @@
 use std::sync::{Arc, PoisonError, RwLock};
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use geraniumshed_model::prelude::{BootId, LogOffset, ShardTerm};
 use geraniumshed_wire::common::WireError;
 use geraniumshed_wire::platform::ErrorWire;
-use reqwest::{Client, RequestBuilder};
+use reqwest::{Client, RequestBuilder, Response};
 use smol_str::{SmolStr, format_smolstr};
+use tokio::time::timeout;
 
 use crate::error::PlatformError;
 
@@ -22,8 +23,8 @@
 pub struct HttpTimeouts {
     /// The time to establish a connection.
     pub connect: Duration,
-    /// The time from the connection to the complete answer, in addition to the time for which the
-    /// call asks the platform to wait.
+    /// The time from the connection to the head of the answer, in addition to the time for which the
+    /// call asks the platform to wait, and the longest time without a byte of the rest.
     pub answer: Duration,
     /// The time after which an idle connection is closed.
     pub idle: Duration,
@@ -81,21 +82,40 @@
         wait: Duration,
     ) -> Result<Bytes, PlatformError> {
         let limit = self.timeouts.connect + self.timeouts.answer + wait;
-        let response = match request.timeout(limit).send().await {
-            Ok(response) => response,
-            Err(error) => return Err(self.classify_failure(&error)),
+        let response = match timeout(limit, request.send()).await {
+            Ok(Ok(response)) => response,
+            Ok(Err(error)) => return Err(self.classify_failure(&error)),
+            Err(_) => return Err(self.answer_timed_out("the answer did not begin in time")),
         };
         let status = response.status();
-        let body = match response.bytes().await {
-            Ok(body) => body,
-            Err(error) => return Err(self.classify_failure(&error)),
-        };
+        let body = self.receive(response).await?;
         if status.as_u16() == 200 {
             return Ok(body);
         }
         Err(error_from_answer(status.as_u16(), &body))
     }
 
+    /// Receives the body of an answer for as long as bytes arrive, since a large one takes long on a
+    /// narrow link.
+    async fn receive(&self, mut response: Response) -> Result<Bytes, PlatformError> {
+        let mut body = BytesMut::new();
+        loop {
+            match timeout(self.timeouts.answer, response.chunk()).await {
+                Ok(Ok(Some(chunk))) => body.extend_from_slice(&chunk),
+                Ok(Ok(None)) => return Ok(body.freeze()),
+                Ok(Err(error)) => return Err(self.classify_failure(&error)),
+                Err(_) => return Err(self.answer_timed_out("the answer stopped arriving")),
+            }
+        }
+    }
+
+    fn answer_timed_out(&self, reason: &'static str) -> PlatformError {
+        self.replace_connections();
+        PlatformError::AnswerLost {
+            reason: SmolStr::new_static(reason),
+        }
+    }
+
     /// Returns the error for a call that got no complete answer.
     fn classify_failure(&self, error: &reqwest::Error) -> PlatformError {
         let reason = error_chain(error);
