Answer that a job does not exist only if all recent jobs have been read

Cause: other nodes store jobs while the leader is frozen. A leader that wakes answered from what it knew before, until it had read them.

Change: each read of new jobs carries the moment at which it began, by the monotonic and the system clock, so that suspensions count as well. A status of an unknown job, and a count, are answered only if that is less than two seconds ago, and repeated otherwise. A read waits 700 ms instead of 2 s for new jobs.

--- a/crates/geraniumshed-batch/src/clock.rs
+++ b/crates/geraniumshed-batch/src/clock.rs
@@ -33,6 +33,32 @@
     }
 }
 
+/// A moment whose age also counts the time for which the process was suspended.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct ReadMark {
+    monotonic: Instant,
+    unix_ms: u64,
+}
+
+impl ReadMark {
+    /// Returns the present moment.
+    pub(crate) fn now() -> Self {
+        Self {
+            monotonic: Instant::now(),
+            unix_ms: unix_millis(),
+        }
+    }
+
+    /// Returns the time since this moment, at least by one of the clocks. The monotonic clock may
+    /// stand still while the VM is suspended, and the system clock may be set back.
+    pub(crate) fn age(self) -> Duration {
+        let by_system = unix_millis().saturating_sub(self.unix_ms);
+        self.monotonic
+            .elapsed()
+            .max(Duration::from_millis(by_system))
+    }
+}
+
 /// Returns the system time in milliseconds of Unix time.
 ///
 /// Returns 0 if the system clock is set before 1970.
--- a/crates/geraniumshed-batch/src/leader/event.rs
+++ b/crates/geraniumshed-batch/src/leader/event.rs
@@ -9,6 +9,7 @@
 };
 use tokio::sync::{mpsc, oneshot};
 
+use crate::clock::ReadMark;
 use crate::site::RenewOutcome;
 
 /// An event that the leader task handles.
@@ -16,6 +17,8 @@
 pub(super) enum LeaderEvent {
     /// Jobs were submitted.
     Submitted(Vec<(JobId, JobRequest)>),
+    /// All jobs that were stored before this moment have been passed on.
+    RequestsRead(ReadMark),
     /// All registered workers were read.
     WorkersListed(Vec<WorkerListing>),
     /// Registrations of workers have changed.
--- a/crates/geraniumshed-batch/src/leader/polling.rs
+++ b/crates/geraniumshed-batch/src/leader/polling.rs
@@ -8,12 +8,13 @@
 
 use super::event::{LeaderEvent, LeaderHandle};
 use super::takeover::decode_request;
+use crate::clock::ReadMark;
 use crate::site::SiteFeed;
 use crate::store::{KeyedRecord, StoreClient, StoreError, read_newest};
 use crate::topic::REQUESTS;
 
 /// The time for which a read waits for a new request.
-const REQUEST_WAIT: Duration = Duration::from_secs(2);
+const REQUEST_WAIT: Duration = Duration::from_millis(700);
 /// The delay between reads of requests, during which several can accumulate.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(15);
 /// The interval between reads of all registered workers.
@@ -32,6 +33,7 @@
     mut next: LogOffset,
 ) {
     while !handle.is_closed() {
+        let mark = ReadMark::now();
         match read_requests(&store, next).await {
             Ok((records, offset)) => {
                 next = offset;
@@ -43,6 +45,7 @@
                 if !requests.is_empty() {
                     handle.send(LeaderEvent::Submitted(requests));
                 }
+                handle.send(LeaderEvent::RequestsRead(mark));
                 tokio::time::sleep(REQUEST_INTERVAL).await;
             }
             Err(error) => {
--- a/crates/geraniumshed-batch/src/leader/run.rs
+++ b/crates/geraniumshed-batch/src/leader/run.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use geraniumshed_core::assignment::{CancelOutcome, JobPlanner, PlannerSettings, StoreBatch};
+use geraniumshed_core::assignment::{
+    CancelOutcome, JobPlanner, JobStatus, PlannerSettings, StoreBatch,
+};
 use geraniumshed_core::job::{JobId, QueueName, QueuePolicy};
 use geraniumshed_core::leadership::LeaderTerm;
 use geraniumshed_model::prelude::whole_millis;
@@ -15,7 +17,7 @@
 use super::polling::{poll_requests, poll_workers};
 use super::takeover::RecoveredState;
 use super::writer::{BatchWriter, UnansweredSince};
-use crate::clock::NodeClock;
+use crate::clock::{NodeClock, ReadMark};
 use crate::site::{RenewOutcome, SiteFeed, WorkerCaller};
 use crate::store::StoreClient;
 use crate::store_monitor::StoreMonitor;
@@ -31,6 +33,9 @@
 const REVISIT_INTERVAL: Duration = Duration::from_millis(200);
 /// The time that a leader waits for its last batch to be stored when it resigns.
 const FINAL_BATCH_TIMEOUT: Duration = Duration::from_millis(150);
+/// The time after a read of new jobs until which the leader tells that a job doesn't exist, or how
+/// many wait.
+const REQUESTS_AGE_LIMIT: Duration = Duration::from_secs(2);
 /// The time without an answer to an append after which other nodes are asked whether they reach the
 /// store.
 const STORE_PROBE_DELAY: Duration = Duration::from_millis(900);
@@ -102,6 +107,7 @@
         next_step: Instant::now(),
         has_new_events: false,
         cancels: Vec::new(),
+        requests_read: recovered.requests_read,
     };
     task.restore(recovered);
     let (sender, end) = oneshot::channel();
@@ -151,6 +157,8 @@
     has_new_events: bool,
     /// The cancellations that are answered once the batch with the given number is stored.
     cancels: Vec<(u64, CancelOutcome, oneshot::Sender<CancelOutcome>)>,
+    /// All jobs that were stored before this moment are known.
+    requests_read: ReadMark,
 }
 
 impl<W: WorkerCaller> LeaderTask<W> {
@@ -311,6 +319,7 @@
                     self.planner.submit(id, request);
                 }
             }
+            LeaderEvent::RequestsRead(mark) => self.requests_read = mark,
             LeaderEvent::WorkersListed(listings) => self.planner.replace_workers(now, listings),
             LeaderEvent::WorkersChanged(changes) => self.planner.update_workers(now, changes),
             LeaderEvent::StartAnswered(worker, task, run, reply) => {
@@ -362,10 +371,20 @@
         }
     }
 
-    /// Answers a client's query; a cancellation is answered once it is stored.
+    /// Answers a client's query; a cancellation is answered once it is stored. A query is dropped, so
+    /// that it is repeated, if jobs that were stored meanwhile could change the answer.
     fn answer(&mut self, query: LeaderQuery) {
+        let knows_all_jobs = self.requests_read.age() < REQUESTS_AGE_LIMIT;
         match query {
-            LeaderQuery::Status(id, sender) => reply(sender, self.planner.status(id)),
+            LeaderQuery::Status(id, sender) => match self.planner.status(id) {
+                JobStatus::Unknown if !knows_all_jobs => {
+                    log::info!(job:% = id; "new jobs have not been read for too long to tell that there is no such job");
+                }
+                status => reply(sender, status),
+            },
+            LeaderQuery::Pending(queue, _) if !knows_all_jobs => {
+                log::info!(queue:% = queue; "new jobs have not been read for too long to count them");
+            }
             LeaderQuery::Pending(queue, sender) => {
                 reply(sender, self.planner.pending_count(&queue));
             }
--- a/crates/geraniumshed-batch/src/leader/takeover.rs
+++ b/crates/geraniumshed-batch/src/leader/takeover.rs
@@ -9,7 +9,7 @@
 use geraniumshed_model::prelude::{LogOffset, TimePoint, whole_millis};
 use tokio::time::Instant;
 
-use crate::clock::NodeClock;
+use crate::clock::{NodeClock, ReadMark};
 use crate::node::LeadRequest;
 use crate::store::{
     AppendCondition, KeyedRecord, StoreClient, StoreError, WriterMark, read_newest,
@@ -71,6 +71,8 @@
     pub(crate) waits: WaitSnapshot,
     /// The offset from which to read further requests.
     pub(crate) next_request: LogOffset,
+    /// A moment before the requests were read.
+    pub(crate) requests_read: ReadMark,
 }
 
 /// Fences earlier leaders, so that they can no longer write, and reads the state that they stored.
@@ -102,6 +104,7 @@
     let fenced_ms = whole_millis(started.elapsed());
     // Earlier leaders can no longer store progress, so the requests that are read below include
     // that of each job with progress, unless it was cancelled before its request was stored.
+    let requests_read = ReadMark::now();
     let ((progress, _), (requests, next_request)) =
         tokio::try_join!(read_newest(store, PROGRESS), read_newest(store, REQUESTS))?;
     let read_ms = whole_millis(started.elapsed());
@@ -144,6 +147,7 @@
         leases,
         waits: waits.unwrap_or_default(),
         next_request,
+        requests_read,
     })
 }
 
--- a/crates/geraniumshed-batch/tests/nodes.rs
+++ b/crates/geraniumshed-batch/tests/nodes.rs
@@ -301,6 +301,34 @@
     assert_eq!(service.status(id, soon).await, completed);
 }
 
+// Other nodes store jobs while the leader is frozen. When it wakes, it must not answer from what it
+// knew before.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn leader_that_wakes_knows_the_jobs_that_were_stored_meanwhile() {
+    let site = Site::new();
+    site.hide_worker(true);
+    let processes = site.spawn_processes(2, 21_520).await;
+    let is_leading = |(_, node): &(_, support::Node)| node.is_leading();
+    support::wait_for(async || processes.iter().any(is_leading)).await;
+    let leader = processes.iter().position(is_leading).unwrap();
+    let (runtime, node) = &processes[leader];
+    let (id, service) = (JobId(130), node.service());
+    let woken = runtime.spawn(async move {
+        std::thread::sleep(Duration::from_secs(3));
+        let pending = service.pending(&"q".into(), deadline()).await;
+        (pending, service.status(id, deadline()).await)
+    });
+    let other = processes[1 - leader].1.service();
+    let outcome = other.submit(id, &job(1), deadline()).await;
+    assert_eq!(outcome, CallOutcome::Accepted);
+    let (pending, status) = woken.await.unwrap();
+    assert_eq!(pending, CallOutcome::Pending(1));
+    assert_eq!(status, CallOutcome::Status(JobPhase::Queued));
+    for (runtime, _) in processes {
+        runtime.shutdown_background();
+    }
+}
+
 #[tokio::test]
 async fn a_leader_on_a_small_vm_yields_to_a_node_on_a_much_larger_one() {
     let site = Site::new();
