Hold a worker at once for a long-running task that was running

Cause: on a full cluster a worker is held for a long-running task after it has waited for six seconds, and one worker at a time, so that several tasks that fail at once wait for each other, and behind jobs that have never run.

Change: for a task that was running, a worker is held after one second whatever is free, one of ten workers at most. Such a task needs no more than was its own. Searches for such tasks and for new ones have intervals of their own, so that new ones don't use up the searches of the others.

--- a/crates/geraniumshed-core/src/assignment/planner.rs
+++ b/crates/geraniumshed-core/src/assignment/planner.rs
@@ -56,8 +56,10 @@
     pub(super) held_workers: BTreeMap<TaskKey, WorkerId>,
     /// Whether something that affects placement has changed since tasks were last placed.
     pub(super) is_placement_due: bool,
-    /// The earliest time of the next search for a worker to hold.
+    /// The earliest time of the next search for a worker to hold for a task that has never run.
     pub(super) next_hold_search: TimePoint,
+    /// The same for a task that was running already.
+    pub(super) next_restart_search: TimePoint,
     next_watch: TimePoint,
     next_cleanup: TimePoint,
     /// When the interference model is stored.
@@ -92,6 +94,7 @@
             held_workers: BTreeMap::new(),
             is_placement_due: false,
             next_hold_search: TimePoint::default(),
+            next_restart_search: TimePoint::default(),
             next_watch: TimePoint::default(),
             next_cleanup: TimePoint::default(),
             model_schedule: ModelSchedule::default(),
--- a/crates/geraniumshed-core/src/assignment/worker_hold.rs
+++ b/crates/geraniumshed-core/src/assignment/worker_hold.rs
@@ -18,6 +18,8 @@
 const HOLD_SEARCH_INTERVAL: Duration = Duration::from_millis(100);
 /// The number of workers for each of which one may be held, while the free capacity is scattered.
 const WORKERS_PER_HOLD: usize = 50;
+/// The number of workers for each of which one may be held for tasks that were running already.
+const WORKERS_PER_RESTART_HOLD: usize = 10;
 /// The fraction of all processors from which on free capacity counts as scattered.
 const SCATTERED_FREE_FRACTION: f64 = 0.05;
 
@@ -32,17 +34,16 @@
         startable: &StartableStep<'_>,
         key: TaskKey,
     ) {
-        let is_due = startable.step.is_long_running && self.next_hold_search <= now.point;
-        if !is_due || self.has_held_worker(key) {
+        let is_waiting = startable.step.is_long_running && !self.has_held_worker(key);
+        if !is_waiting || self.wait_time(now, key) < SCATTERED_WAIT {
             return;
         }
-        let wait_time = self.wait_time(now, key);
-        if wait_time < SCATTERED_WAIT {
-            return;
-        }
-        self.next_hold_search = now.point + HOLD_SEARCH_INTERVAL;
-        let (wait, limit) = self.hold_limits(&startable.policy.service);
-        if wait_time < wait || self.held_workers.len() >= limit {
+        let is_due = if self.has_run_before(key) {
+            self.is_restart_hold_due(now)
+        } else {
+            self.is_first_hold_due(now, startable, key)
+        };
+        if !is_due {
             return;
         }
         let Some(query) = self.query(now.point, startable, key, None) else {
@@ -59,6 +60,39 @@
         }
     }
 
+    /// Returns whether the task was started before.
+    fn has_run_before(&self, key: TaskKey) -> bool {
+        let job = self.jobs.get(&key.job);
+        job.and_then(|job| job.task(key))
+            .is_some_and(|task| task.run > 0)
+    }
+
+    /// Returns whether a worker may be held now for a task that was running already. Such tasks don't
+    /// wait for a cluster to have free capacity, since all that they need was theirs.
+    fn is_restart_hold_due(&mut self, now: PlannerTime) -> bool {
+        let limit = self.workers.len() / WORKERS_PER_RESTART_HOLD + 1;
+        if self.next_restart_search > now.point || self.held_workers.len() >= limit {
+            return false;
+        }
+        self.next_restart_search = now.point + HOLD_SEARCH_INTERVAL;
+        true
+    }
+
+    /// Returns whether a worker may be held now for a task that has never run.
+    fn is_first_hold_due(
+        &mut self,
+        now: PlannerTime,
+        startable: &StartableStep<'_>,
+        key: TaskKey,
+    ) -> bool {
+        if self.next_hold_search > now.point {
+            return false;
+        }
+        self.next_hold_search = now.point + HOLD_SEARCH_INTERVAL;
+        let (wait, limit) = self.hold_limits(&startable.policy.service);
+        self.wait_time(now, key) >= wait && self.held_workers.len() < limit
+    }
+
     /// Returns how long the task's step has waited for workers.
     fn wait_time(&self, now: PlannerTime, key: TaskKey) -> Duration {
         let diagnostics = self.jobs.get(&key.job).map(|job| &job.diagnostics);
--- a/crates/geraniumshed-core/tests/planner/load_patterns.rs
+++ b/crates/geraniumshed-core/tests/planner/load_patterns.rs
@@ -331,3 +331,61 @@
     let short = cluster.starts.iter().filter(|start| start.task.job != id);
     assert!(short.count() > 150, "short tasks were starved");
 }
+
+/// Pattern: fragmentation of a full cluster. Several long-running tasks fail at once, and a job of
+/// long-running tasks that have never run waits as well. A task that was at work has to be back
+/// within nine seconds, however full the cluster is.
+#[rstest]
+#[case::one_task(1, 0)]
+#[case::several_tasks(4, 0)]
+#[case::beside_waiting_job(1, 12)]
+#[case::several_tasks_beside_waiting_job(4, 12)]
+fn failed_long_running_tasks_run_again_on_a_full_cluster(
+    #[case] failed: u32,
+    #[case] waiting: u32,
+) {
+    let mut cluster = Cluster::with_workers(16);
+    let large = |count| StepRequest {
+        is_long_running: true,
+        size: size(14_000, 16),
+        ..step(count)
+    };
+    let id = cluster.submit(1, vec![large(4)]);
+    cluster.advance(Duration::from_secs(2));
+    let mut failed_at = None;
+    for number in 0..1_000 {
+        let short = StepRequest {
+            estimate: Duration::from_millis(1_800 + number * 83 % 1_400),
+            size: size(2_000, 2),
+            ..step(4)
+        };
+        cluster.submit(100 + number, vec![short]);
+        cluster.advance(Duration::from_millis(30));
+        if number == 150 && waiting > 0 {
+            cluster.submit(2, vec![large(waiting)]);
+        }
+        if number == 200 {
+            failed_at = Some(cluster.now);
+            for index in 0..failed {
+                let key = task(id, 0, index);
+                let worker = cluster.starts_of(key)[0].worker.clone();
+                let worker = cluster.workers.get_mut(&worker).unwrap();
+                worker.end(key, EndKind::Failed);
+            }
+        }
+    }
+    for index in 0..failed {
+        let runs = cluster.starts_of(task(id, 0, index));
+        assert_eq!(runs.len(), 2, "task {index} does not run again");
+        let gap = runs[1].at.since(failed_at.unwrap());
+        assert!(
+            gap < Duration::from_secs(9),
+            "task {index} is away for {gap:?}"
+        );
+    }
+    let short = cluster
+        .starts
+        .iter()
+        .filter(|start| start.task.job.0 >= 100);
+    assert!(short.count() > 1_000, "short tasks were starved");
+}
