--- a/crates/geraniumshed-batch/src/config/follow.rs
+++ b/crates/geraniumshed-batch/src/config/follow.rs
@@ -196,7 +196,7 @@
     /// Puts a configuration in force if it is newer than the current one.
     fn apply_config(&self, source: &ConfigSource, config: SiteConfig) {
         let config = Arc::new(config);
-        let noticed_ms = whole_millis(self.config.waiting());
+        let waited = self.config.waiting();
         let Some(replaced) = self.config.replace(&config) else {
             return;
         };
@@ -205,12 +205,12 @@
             replaced = replaced.0,
             queues = config.routes.len(),
             source:% = source,
-            noticed_ms;
+            noticed_ms = whole_millis(waited);
             "configuration is in force"
         );
-        self.metrics()
-            .config_version
-            .set(config.version.0.cast_signed());
+        let metrics = self.metrics();
+        metrics.config_version.set(config.version.0.cast_signed());
+        metrics.config_apply_seconds.observe(waited.as_secs_f64());
         if let Some(handle) = self.view().handle.clone() {
             handle.replace_queues(config.routes.queues());
         }
--- a/crates/geraniumshed-batch/src/telemetry/metrics.rs
+++ b/crates/geraniumshed-batch/src/telemetry/metrics.rs
@@ -114,6 +114,8 @@
     config_read_seconds: Family<ConfigLabels, Histogram, fn() -> Histogram>,
     /// The time that decoding a configuration takes.
     pub(crate) config_decode_seconds: Histogram,
+    /// The time from noticing a configuration until it is in force.
+    pub(crate) config_apply_seconds: Histogram,
 }
 
 impl Debug for NodeMetrics {
@@ -150,6 +152,7 @@
             config_reads: Family::default(),
             config_read_seconds: Family::new_with_constructor(latency),
             config_decode_seconds: latency(),
+            config_apply_seconds: latency(),
         };
         metrics.create_default_series();
         Self {
@@ -253,6 +256,11 @@
             "The time that decoding a configuration takes",
             self.config_decode_seconds.clone(),
         );
+        registry.register(
+            "config_apply_seconds",
+            "The time from noticing a configuration until it is in force",
+            self.config_apply_seconds.clone(),
+        );
         registry
     }
 
--- a/crates/geraniumshed-batch/tests/nodes.rs
+++ b/crates/geraniumshed-batch/tests/nodes.rs
@@ -216,6 +216,29 @@
     assert!(taken < Duration::from_millis(1500), "taken {taken:?}");
 }
 
+// The leader passes configurations on, so its loss must not hold one up beyond the users' bound.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn configuration_is_in_force_in_time_if_the_leader_is_lost_meanwhile() {
+    let site = Site::new();
+    let mut processes = site.spawn_processes(4, 21_540).await;
+    let is_leading = |(_, node): &(_, support::Node)| node.is_leading();
+    support::wait_for(async || processes.iter().any(is_leading)).await;
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    let leader = processes.iter().position(is_leading).unwrap();
+    let (runtime, _) = processes.remove(leader);
+    site.publish(2);
+    let published = tokio::time::Instant::now();
+    runtime.shutdown_background();
+    let version = |node: &support::Node| node.service().config().map(|one| one.version.0);
+    let in_force = || processes.iter().all(|(_, node)| version(node) == Some(2));
+    support::wait_for(async || in_force()).await;
+    let taken = published.elapsed();
+    assert!(taken < Duration::from_secs(3), "taken {taken:?}");
+    for (runtime, _) in processes {
+        runtime.shutdown_background();
+    }
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_cancellation_survives_the_node_that_accepted_it_and_the_leader() {
     let site = Site::new();
