Ask another node for a configuration if the first one does not answer

A node that the store turns away, and whose leader has lost power, waited up to three seconds for the leader although another node had announced the version. Found by reading; another_node_is_asked_if_the_leader_does_not_answer holds it. The watch of the store moves into the state of configurations.

--- a/crates/geraniumshed-batch/src/config/follow.rs
+++ b/crates/geraniumshed-batch/src/config/follow.rs
@@ -13,7 +13,7 @@
 use crate::node::NodeShared;
 use crate::site::{SiteFeed, WorkerCaller};
 use crate::store::StoreClient;
-use crate::telemetry::{ConfigRead, ConfigSource, DependencyWatch, log_decoded};
+use crate::telemetry::{ConfigRead, ConfigSource, log_decoded};
 use crate::wire::{ConfigQueryWire, ConfigReplyWire, ConfigUpdateWire, decode, encode};
 
 /// The time within which the store has to tell the end of the topic.
@@ -31,14 +31,11 @@
     F: SiteFeed,
     W: WorkerCaller,
 {
-    let store = Arc::new(tokio::sync::Mutex::new(DependencyWatch::new(
-        "store, for configurations",
-    )));
     loop {
         match shared.config.next_action(&shared.follow_role()) {
             FollowAction::CheckTopic => {
-                let (shared, store) = (Arc::clone(&shared), Arc::clone(&store));
-                tokio::spawn(async move { shared.check_topic(&mut *store.lock().await).await });
+                let shared = Arc::clone(&shared);
+                tokio::spawn(async move { shared.check_topic().await });
             }
             FollowAction::ReadStore(limit) => {
                 let shared = Arc::clone(&shared);
@@ -91,18 +88,9 @@
     }
 
     /// Asks the store where the topic ends.
-    async fn check_topic(&self, store: &mut DependencyWatch) {
-        let known = self.config.published();
+    async fn check_topic(&self) {
         let end = self.context.feed.config_end(CHECK_TIMEOUT).await;
-        store.record_call(&end);
-        match &end {
-            Ok(end) if *end > known => {
-                log::info!(offset:% = end, known:% = known; "configuration was published");
-            }
-            Ok(_) => {}
-            Err(error) => log::debug!("could not read the end of the configurations: {error}"),
-        }
-        self.config.topic_checked(end.ok());
+        self.config.topic_checked(end);
     }
 
     /// Reads the whole configuration in the store, which has to begin its answer within a time.
@@ -147,11 +135,11 @@
                     read.finish(self.metrics(), reply.update.len());
                 }
                 let answer = self.apply_update(&source, &reply);
-                self.config.peer_answered(answer);
+                self.config.peer_answered(member, answer);
             }
             Err(error) => {
                 read.fail(self.metrics(), &error);
-                self.config.peer_answered(None);
+                self.config.peer_answered(member, None);
             }
         }
     }
--- a/crates/geraniumshed-batch/src/config/state.rs
+++ b/crates/geraniumshed-batch/src/config/state.rs
@@ -13,6 +13,8 @@
 use tokio::time::timeout;
 
 use crate::clock::NodeClock;
+use crate::store::StoreError;
+use crate::telemetry::DependencyWatch;
 
 /// The configuration that a node has in force.
 #[derive(Debug, Clone, Default)]
@@ -39,6 +41,8 @@
     in_force: watch::Sender<ConfigInForce>,
     history: Mutex<ConfigHistory>,
     follower: Mutex<ConfigFollower>,
+    /// Logs when the store stops telling where the topic ends.
+    store_watch: Mutex<DependencyWatch>,
     /// Notified when there may be something new to do.
     changed: Notify,
 }
@@ -51,6 +55,7 @@
             in_force: watch::Sender::default(),
             history: Mutex::default(),
             follower: Mutex::new(ConfigFollower::new(clock.now())),
+            store_watch: Mutex::new(DependencyWatch::new("store, for configurations")),
             changed: Notify::new(),
         }
     }
@@ -115,9 +120,23 @@
         }
     }
 
-    /// Records the end of a check of the topic.
-    pub(super) fn topic_checked(&self, end: Option<LogOffset>) {
-        self.change(|follower, now| follower.topic_checked(now, end));
+    /// Records where the topic ends, or that the store didn't tell.
+    pub(super) fn topic_checked(&self, end: Result<LogOffset, StoreError>) {
+        let mut watch = self
+            .store_watch
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        watch.record_call(&end);
+        drop(watch);
+        let known = self.published();
+        match &end {
+            Ok(end) if *end > known => {
+                log::info!(offset:% = end, known:% = known; "configuration was published");
+            }
+            Ok(_) => {}
+            Err(error) => log::debug!("could not read the end of the configurations: {error}"),
+        }
+        self.change(|follower, now| follower.topic_checked(now, end.ok()));
     }
 
     /// Records the end of a read in the store.
@@ -127,9 +146,9 @@
     }
 
     /// Records the end of a read from a peer.
-    pub(super) fn peer_answered(&self, answer: Option<PeerAnswer>) {
+    pub(super) fn peer_answered(&self, member: &MemberIdentity, answer: Option<PeerAnswer>) {
         let version = self.version();
-        self.change(|follower, now| follower.peer_answered(now, version, answer));
+        self.change(|follower, now| follower.peer_answered(now, member, version, answer));
     }
 
     /// Waits until the node has a later version than `base` in force or has read the topic up to
--- a/crates/geraniumshed-core/src/site/follower.rs
+++ b/crates/geraniumshed-core/src/site/follower.rs
@@ -18,6 +18,8 @@
 const RANK_DELAY: Duration = Duration::from_millis(150);
 /// The largest rank that adds to the time.
 const MAX_DELAY_RANK: u32 = 5;
+/// The time after which another node is asked than the one that doesn't answer.
+const PEER_PATIENCE: Duration = Duration::from_millis(700);
 /// The delay after a read that failed or returned an outdated configuration.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 /// The time until the first answer of the store has to begin.
@@ -99,6 +101,13 @@
     Running,
 }
 
+/// A question to another node that is in progress.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct PeerQuestion {
+    member: MemberIdentity,
+    asked_at: TimePoint,
+}
+
 /// A node that has announced a version.
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct ConfigOffer {
@@ -134,7 +143,10 @@
     store_read: ReadState,
     /// The number of reads in the store that have failed in a row.
     store_failures: u32,
-    peer_read: ReadState,
+    /// The newest question to another node, while it is in progress.
+    question: Option<PeerQuestion>,
+    /// The earliest time of the next one.
+    next_question_at: TimePoint,
 }
 
 impl ConfigFollower {
@@ -152,7 +164,8 @@
             has_check_failed: false,
             store_read: ReadState::Idle(now),
             store_failures: 0,
-            peer_read: ReadState::Idle(now),
+            question: None,
+            next_question_at: now,
         }
     }
 
@@ -221,18 +234,23 @@
             return FollowAction::Wait(wait);
         };
         let offered = self.offer.as_ref().map(|offer| &offer.member);
-        let peer = offered.or(role.leader());
-        if let (Some(peer), ReadState::Idle(due)) = (peer, self.peer_read) {
+        let peer = offered.or(role.leader()).cloned();
+        let has_peer = peer.is_some();
+        if let Some(member) = peer
+            && let Some(due) = self.question_due(&member)
+        {
             if due <= now {
-                let peer = peer.clone();
-                self.peer_read = ReadState::Running;
-                return FollowAction::ReadPeer(peer);
+                self.question = Some(PeerQuestion {
+                    member: member.clone(),
+                    asked_at: now,
+                });
+                return FollowAction::ReadPeer(member);
             }
             wait = wait.min(due.since(now));
         }
         if let ReadState::Idle(retry_at) = self.store_read {
             let due = self
-                .store_read_due(noticed_at, peer.is_some(), role)
+                .store_read_due(noticed_at, has_peer, role)
                 .max(retry_at);
             if due <= now {
                 self.store_read = ReadState::Running;
@@ -243,6 +261,15 @@
         FollowAction::Wait(wait)
     }
 
+    /// Returns when a node may be asked; not before another one has had time to answer.
+    fn question_due(&self, member: &MemberIdentity) -> Option<TimePoint> {
+        match &self.question {
+            None => Some(self.next_question_at),
+            Some(question) if question.member != *member => Some(question.asked_at + PEER_PATIENCE),
+            Some(_) => None,
+        }
+    }
+
     /// Returns when the node reads in the store what was noticed at a time.
     fn store_read_due(
         &self,
@@ -280,11 +307,23 @@
     pub fn peer_answered(
         &mut self,
         now: TimePoint,
+        member: &MemberIdentity,
         version: ConfigVersion,
         answer: Option<PeerAnswer>,
     ) {
-        self.peer_read = ReadState::Idle(now + RETRY_DELAY);
-        if answer.is_none() {
+        if self
+            .question
+            .as_ref()
+            .is_some_and(|question| question.member == *member)
+        {
+            self.question = None;
+            self.next_question_at = now + RETRY_DELAY;
+        }
+        let is_offer = self
+            .offer
+            .as_ref()
+            .is_some_and(|offer| offer.member == *member);
+        if is_offer && answer.is_none() {
             self.offer = None;
         }
         if !answer.is_some_and(|answer| answer.can_read_store) {
--- a/crates/geraniumshed-core/tests/site_config.rs
+++ b/crates/geraniumshed-core/tests/site_config.rs
@@ -175,12 +175,12 @@
     };
     match behavior {
         LeaderBehavior::UpToDate => {
-            follower.peer_answered(now, ConfigVersion(2), answer(2, true));
+            follower.peer_answered(now, &member(1), ConfigVersion(2), answer(2, true));
         }
         LeaderBehavior::WithoutStore => {
-            follower.peer_answered(now, ConfigVersion(1), answer(1, false));
+            follower.peer_answered(now, &member(1), ConfigVersion(1), answer(1, false));
         }
-        LeaderBehavior::Gone => follower.peer_answered(now, ConfigVersion(1), None),
+        LeaderBehavior::Gone => follower.peer_answered(now, &member(1), ConfigVersion(1), None),
         LeaderBehavior::Silent => {}
     }
 }
@@ -241,3 +241,37 @@
     let action = follower.next_action(now, &FollowRole::Leading);
     assert_eq!(action, FollowAction::ReadPeer(member(4)));
 }
+
+/// Guards against a node that waits for a silent leader although another node has the configuration.
+#[test]
+fn another_node_is_asked_if_the_leader_does_not_answer() {
+    let mut follower = read_follower();
+    let leader = member(1);
+    let role = FollowRole::Following { leader, rank: 0 };
+    let now = TimePoint(10_000_000);
+    follower.topic_checked(now, Some(LogOffset(2)));
+    assert_eq!(
+        follower.next_action(now, &role),
+        FollowAction::ReadPeer(member(1))
+    );
+    let later = now + Duration::from_millis(100);
+    follower.version_announced(later, &member(2), ConfigVersion(2));
+    assert!(matches!(
+        follower.next_action(later, &role),
+        FollowAction::Wait(_)
+    ));
+    let much_later = now + Duration::from_millis(700);
+    assert_eq!(
+        follower.next_action(much_later, &role),
+        FollowAction::ReadPeer(member(2))
+    );
+    // The late failure of the leader doesn't affect what the other node has.
+    follower.peer_answered(much_later, &member(1), ConfigVersion(1), None);
+    let covered = LogOffset(2);
+    let answer = PeerAnswer {
+        covered,
+        can_read_store: true,
+    };
+    follower.peer_answered(much_later, &member(2), ConfigVersion(2), Some(answer));
+    assert_eq!(follower.waiting(much_later), None);
+}
