--- /dev/null
+++ b/crates/geraniumshed-batch/src/member/mod.rs
@@ -0,0 +1,6 @@
+//! Takes part in leader elections, and supervises the leader task while this node leads.
+
+mod leading;
+mod task;
+
+pub(crate) use task::MemberTask;
