Replace a configuration in one step, and wake nobody for a heartbeat without news

Found on reading: two reads that end at the same moment could each find the other's version missing, on a runtime with several threads, and put the older one in force; daemons run on one thread. The leader woke its follower for each of 160 heartbeats a second.

--- a/crates/geraniumshed-batch/src/config/state.rs
+++ b/crates/geraniumshed-batch/src/config/state.rs
@@ -79,15 +79,18 @@
 
     /// Puts a configuration in force if it is newer. Returns the version that it replaces, if it does.
     pub(super) fn replace(&self, config: &Arc<SiteConfig>) -> Option<ConfigVersion> {
-        let replaced = self.config();
-        let version = self.version();
-        if replaced.is_some() && version >= config.version {
-            return None;
-        }
-        self.history().record(replaced.as_deref(), config);
-        self.in_force
-            .send_modify(|in_force| in_force.config = Some(Arc::clone(config)));
-        Some(version)
+        let mut replaced = None;
+        self.in_force.send_if_modified(|in_force| {
+            let version = in_force.version();
+            if in_force.config.is_some() && version >= config.version {
+                return false;
+            }
+            let earlier = in_force.config.replace(Arc::clone(config));
+            self.history().record(earlier.as_deref(), config);
+            replaced = Some(version);
+            true
+        });
+        replaced
     }
 
     /// Returns what the node should do next.
@@ -114,8 +117,11 @@
 
     /// Records that another node has a version in force.
     pub(crate) fn version_announced(&self, member: &MemberIdentity, version: ConfigVersion) {
-        let is_news = self.change(|follower, now| follower.version_announced(now, member, version));
+        let now = self.clock.now();
+        let is_news = self.follower().version_announced(now, member, version);
+        // Most heartbeats announce nothing new.
         if is_news {
+            self.changed.notify_one();
             log::info!(version = version.0, source:% = member.name; "node has a newer configuration");
         }
     }
@@ -178,11 +184,11 @@
     }
 
     /// Changes the follower, and tells those who wait for what it knows.
-    fn change<T>(&self, change: impl FnOnce(&mut ConfigFollower, TimePoint) -> T) -> T {
-        let (result, covered, is_store_failing) = {
+    fn change(&self, change: impl FnOnce(&mut ConfigFollower, TimePoint)) {
+        let (covered, is_store_failing) = {
             let mut follower = self.follower();
-            let result = change(&mut follower, self.clock.now());
-            (result, follower.covered(), follower.is_store_failing())
+            change(&mut follower, self.clock.now());
+            (follower.covered(), follower.is_store_failing())
         };
         self.in_force.send_if_modified(|in_force| {
             let before = (in_force.covered, in_force.is_store_failing);
@@ -191,7 +197,6 @@
             before != (covered, is_store_failing)
         });
         self.changed.notify_one();
-        result
     }
 
     fn follower(&self) -> MutexGuard<'_, ConfigFollower> {
--- a/crates/geraniumshed-core/src/site/follower.rs
+++ b/crates/geraniumshed-core/src/site/follower.rs
@@ -18,7 +18,7 @@
 const RANK_DELAY: Duration = Duration::from_millis(150);
 /// The largest rank that adds to the time.
 const MAX_DELAY_RANK: u32 = 5;
-/// The time after which another node is asked than the one that doesn't answer.
+/// The time that a node has to answer before another one is asked as well.
 const PEER_PATIENCE: Duration = Duration::from_millis(700);
 /// The delay after a read that failed or returned an outdated configuration.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
@@ -214,8 +214,8 @@
         if is_news {
             let member = member.clone();
             self.offer = Some(ConfigOffer { version, member });
+            self.update_notice(now);
         }
-        self.update_notice(now);
         is_news
     }
 
@@ -261,7 +261,8 @@
         FollowAction::Wait(wait)
     }
 
-    /// Returns when a node may be asked; not before another one has had time to answer.
+    /// Returns when a node may be asked, or `None` while its answer is awaited. Another node that was
+    /// asked before has some time to answer first.
     fn question_due(&self, member: &MemberIdentity) -> Option<TimePoint> {
         match &self.question {
             None => Some(self.next_question_at),
@@ -313,18 +314,13 @@
     ) {
         if self
             .question
-            .as_ref()
-            .is_some_and(|question| question.member == *member)
+            .take_if(|question| question.member == *member)
+            .is_some()
         {
-            self.question = None;
             self.next_question_at = now + RETRY_DELAY;
         }
-        let is_offer = self
-            .offer
-            .as_ref()
-            .is_some_and(|offer| offer.member == *member);
-        if is_offer && answer.is_none() {
-            self.offer = None;
+        if answer.is_none() {
+            self.offer.take_if(|offer| offer.member == *member);
         }
         if !answer.is_some_and(|answer| answer.can_read_store) {
             self.has_peer_failed = true;
@@ -344,13 +340,8 @@
         self.version = self.version.max(version);
         self.covered = self.covered.max(covered.unwrap_or_default());
         self.published = self.published.max(self.covered);
-        if self
-            .offer
-            .as_ref()
-            .is_some_and(|offer| offer.version <= self.version)
-        {
-            self.offer = None;
-        }
+        let in_force = self.version;
+        self.offer.take_if(|offer| offer.version <= in_force);
         self.update_notice(now);
     }
 
