--- a/crates/geraniumshed-batch/tests/nodes/leadership.rs
+++ b/crates/geraniumshed-batch/tests/nodes/leadership.rs
@@ -50,6 +50,24 @@
     wait_for(async || site.start_count() == 3).await;
 }
 
+// A leader that resigns orders what it has placed. Otherwise, the capacity stays reserved until the
+// successor has found out that the runs don't exist.
+#[tokio::test]
+async fn resigning_leader_orders_the_placements_that_are_being_stored() {
+    let site = Site::new();
+    let nodes = site.spawn_nodes(2, 21_560).await;
+    let leader = settled_leader(&nodes).await;
+    site.delay_progress(Duration::from_millis(60));
+    let id = JobId(140);
+    let service = nodes[1 - leader].service();
+    service.submit(id, &job(1), deadline()).await;
+    wait_for(async || site.is_appending(&id.to_string())).await;
+    nodes[leader].begin_stop();
+    let completed = CallOutcome::Status(JobPhase::Completed);
+    wait_for(async || service.status(id, deadline()).await == completed).await;
+    assert_eq!(site.started_runs(), [1]);
+}
+
 #[tokio::test]
 async fn a_leader_on_a_small_vm_yields_to_a_node_on_a_much_larger_one() {
     let site = Site::new();
--- a/crates/geraniumshed-batch/tests/nodes/support/mod.rs
+++ b/crates/geraniumshed-batch/tests/nodes/support/mod.rs
@@ -48,6 +48,10 @@
     is_worker_hidden: bool,
     is_worker_failing: bool,
     takeover_delay: Duration,
+    progress_delay: Duration,
+    /// The keys of the last append of progress, which may still be in flight.
+    progress_keys: Vec<SmolStr>,
+    started_runs: Vec<u32>,
     starts: usize,
     ended: Vec<RunEnd>,
     next_end: u64,
@@ -145,6 +149,27 @@
         self.lock().takeover_delay = delay;
     }
 
+    /// Delays each append of progress.
+    pub fn delay_progress(&self, delay: Duration) {
+        self.lock().progress_delay = delay;
+    }
+
+    /// Returns whether the last append of progress, finished or not, has a record with this key.
+    pub fn is_appending(&self, key: &str) -> bool {
+        self.lock().progress_keys.iter().any(|one| one == key)
+    }
+
+    fn begin_progress(&self, records: &[KeyedRecord]) -> Duration {
+        let mut state = self.lock();
+        state.progress_keys = records.iter().map(|record| record.key.clone()).collect();
+        state.progress_delay
+    }
+
+    /// Returns the numbers of all runs that were started, in order.
+    pub fn started_runs(&self) -> Vec<u32> {
+        self.lock().started_runs.clone()
+    }
+
     /// Returns the members of the group of leaders.
     pub fn members(&self) -> Vec<SmolStr> {
         self.lock().members.clone()
--- a/crates/geraniumshed-batch/tests/nodes/support/store.rs
+++ b/crates/geraniumshed-batch/tests/nodes/support/store.rs
@@ -61,6 +61,10 @@
         condition: AppendCondition,
         _: Duration,
     ) -> Result<LogOffset, StoreError> {
+        if topic == PROGRESS {
+            let delay = self.site.begin_progress(&records);
+            tokio::time::sleep(delay).await;
+        }
         self.topic(topic, |state| {
             let end = state.records.len() as u64;
             match condition {
--- a/crates/geraniumshed-batch/tests/nodes/support/worker.rs
+++ b/crates/geraniumshed-batch/tests/nodes/support/worker.rs
@@ -32,6 +32,7 @@
     async fn start(&self, call: WorkerCall<StartOrder>) -> Result<StartReply, WorkerFailure> {
         let mut state = self.lock();
         state.starts += 1;
+        state.started_runs.push(call.body.run);
         if state.is_worker_failing {
             return Err(WorkerFailure::Unanswered);
         }
