Hold workers for all long-running tasks that were running in one pass

Cause: one worker was held every 100 ms, so that a hundred tasks wait ten seconds for their turn alone.

Change: the interval is kept only after a search that found no worker; a quarter of the workers may be held for such tasks.

--- a/crates/geraniumshed-core/src/assignment/worker_hold.rs
+++ b/crates/geraniumshed-core/src/assignment/worker_hold.rs
@@ -19,7 +19,7 @@
 /// The number of workers for each of which one may be held, while the free capacity is scattered.
 const WORKERS_PER_HOLD: usize = 50;
 /// The number of workers for each of which one may be held for tasks that were running already.
-const WORKERS_PER_RESTART_HOLD: usize = 10;
+const WORKERS_PER_RESTART_HOLD: usize = 4;
 /// The fraction of all processors from which on free capacity counts as scattered.
 const SCATTERED_FREE_FRACTION: f64 = 0.05;
 
@@ -38,7 +38,8 @@
         if !is_waiting || self.wait_time(now, key) < SCATTERED_WAIT {
             return;
         }
-        let is_due = if self.has_run_before(key) {
+        let has_run_before = self.has_run_before(key);
+        let is_due = if has_run_before {
             self.is_restart_hold_due(now)
         } else {
             self.is_first_hold_due(now, startable, key)
@@ -55,8 +56,12 @@
             .filter(|worker| worker.held_for.is_none() && query.would_fit(worker))
             .max_by_key(|worker| worker.free_size().processors)
             .map(|worker| worker.id().clone());
-        if let Some(worker) = emptiest {
-            self.add_hold(key, worker);
+        match emptiest {
+            Some(worker) => self.add_hold(key, worker),
+            None if has_run_before => {
+                self.next_restart_search = now.point + HOLD_SEARCH_INTERVAL;
+            }
+            None => {}
         }
     }
 
@@ -69,13 +74,9 @@
 
     /// Returns whether a worker may be held now for a task that was running already. Such tasks don't
     /// wait for a cluster to have free capacity, since all that they need was theirs.
-    fn is_restart_hold_due(&mut self, now: PlannerTime) -> bool {
+    fn is_restart_hold_due(&self, now: PlannerTime) -> bool {
         let limit = self.workers.len() / WORKERS_PER_RESTART_HOLD + 1;
-        if self.next_restart_search > now.point || self.held_workers.len() >= limit {
-            return false;
-        }
-        self.next_restart_search = now.point + HOLD_SEARCH_INTERVAL;
-        true
+        self.next_restart_search <= now.point && self.held_workers.len() < limit
     }
 
     /// Returns whether a worker may be held now for a task that has never run.
--- a/crates/geraniumshed-core/tests/planner/load_patterns.rs
+++ b/crates/geraniumshed-core/tests/planner/load_patterns.rs
@@ -389,3 +389,47 @@
         .filter(|start| start.task.job.0 >= 100);
     assert!(short.count() > 1_000, "short tasks were starved");
 }
+
+/// Pattern: loss of many workers on a full cluster. A hundred long-running tasks have to run again at
+/// once, and each finds only workers that short tasks fill.
+#[test]
+fn many_long_running_tasks_run_again_on_a_full_cluster() {
+    const WORKERS: usize = 40;
+    const FAILED: u32 = 100;
+    let mut cluster = Cluster::with_workers(WORKERS);
+    let large = StepRequest {
+        is_long_running: true,
+        size: size(6_000, 8),
+        ..step(120)
+    };
+    let id = cluster.submit(1, vec![large]);
+    cluster.advance(Duration::from_secs(2));
+    let mut failed_at = cluster.now;
+    for number in 0..500 {
+        let short = StepRequest {
+            estimate: Duration::from_millis(1_800 + number * 83 % 1_400),
+            size: size(2_000, 2),
+            ..step(10)
+        };
+        cluster.submit(100 + number, vec![short]);
+        cluster.advance(Duration::from_millis(30));
+        if number == 150 {
+            failed_at = cluster.now;
+            for index in 0..FAILED {
+                let key = task(id, 0, index);
+                let worker = cluster.starts_of(key)[0].worker.clone();
+                let worker = cluster.workers.get_mut(&worker).unwrap();
+                worker.end(key, EndKind::Failed);
+            }
+        }
+    }
+    let gaps = (0..FAILED).map(|index| {
+        let starts = cluster.starts_of(task(id, 0, index));
+        starts.get(1).map(|start| start.at.since(failed_at))
+    });
+    let longest = gaps.map(|gap| gap.unwrap_or(Duration::MAX)).max();
+    assert!(
+        longest < Some(Duration::from_secs(9)),
+        "away for {longest:?}"
+    );
+}
