Store all changes of a leader that resigns, not only leases

Cause: a leader that resigns stored the leases of workers that were still silent and dropped its other changes. A worker given up right before, at 30.598 s of a resignation at 30.618 s, was missing among these leases, but its runs still stood in the store; each successor waited for the longest lease of it anew, and gave it up again at 37.746 s, under the fourth leader.

Change: the last batch is an ordinary one, with all changes and the leases as they are; its placements are ordered and its cancellations answered, since it holds them. The time for it and the batch in flight is 250 ms together.

--- a/crates/geraniumshed-batch/src/leader/run.rs
+++ b/crates/geraniumshed-batch/src/leader/run.rs
@@ -31,9 +31,8 @@
 const ADVANCE_INTERVAL: Duration = Duration::from_millis(50);
 /// The interval between placement attempts without any event, since quarantines of workers expire.
 const REVISIT_INTERVAL: Duration = Duration::from_millis(200);
-/// The time that a leader that resigns waits for the batch in flight, and for its last one, to be
-/// stored.
-const FINAL_BATCH_TIMEOUT: Duration = Duration::from_millis(150);
+/// The time that a leader that resigns waits for its last changes to be stored.
+const FINAL_BATCH_TIMEOUT: Duration = Duration::from_millis(250);
 /// The time after a read of new jobs until which the leader tells that a job doesn't exist, or how
 /// many wait.
 const REQUESTS_AGE_LIMIT: Duration = Duration::from_secs(2);
@@ -214,53 +213,48 @@
         }
     }
 
-    /// Finishes what was begun if the leader resigns, and returns the reason of its end.
+    /// Stores what has changed if the leader resigns, orders the placements in it, and returns the
+    /// reason of its end. Otherwise, the successor would have to find out again which runs were given
+    /// up, and which were placed but don't exist.
     async fn finish(
         mut self,
         end: LeaderEnd,
         mut events: mpsc::UnboundedReceiver<LeaderEvent>,
     ) -> LeaderEnd {
         // A slow store would only delay the successor.
-        if end == LeaderEnd::Resigned && !self.progress_monitor.is_slow() {
-            self.order_placements(&mut events).await;
-            self.store_leases(&mut events).await;
+        if end != LeaderEnd::Resigned || self.progress_monitor.is_slow() {
+            return end;
+        }
+        let deadline = Instant::now() + FINAL_BATCH_TIMEOUT;
+        let mut is_stored = self.await_batches(&mut events, deadline).await;
+        if is_stored && let Some(batch) = self.planner.take_final_batch(self.clock.planner_time()) {
+            self.sent_batch = batch.number;
+            is_stored =
+                self.batches.send(batch).is_ok() && self.await_batches(&mut events, deadline).await;
+        }
+        if !is_stored {
+            log::info!(batch = self.sent_batch; "resigning before the last changes are stored");
         }
         end
     }
 
-    /// Waits until the batch in flight is stored, and orders the placements in it. Otherwise, their
-    /// capacity stays reserved until the successor has found out that the runs don't exist.
-    async fn order_placements(&mut self, events: &mut mpsc::UnboundedReceiver<LeaderEvent>) {
-        let deadline = Instant::now() + FINAL_BATCH_TIMEOUT;
+    /// Waits until all batches that were sent are stored, and orders the placements in them. Returns
+    /// whether they are stored. Other events and queries are for the successor.
+    async fn await_batches(
+        &mut self,
+        events: &mut mpsc::UnboundedReceiver<LeaderEvent>,
+        deadline: Instant,
+    ) -> bool {
         while self.stored_batch < self.sent_batch {
-            let Some(number) = next_stored_batch(events, deadline).await else {
-                log::info!(batch = self.sent_batch; "resigning before the last placements are stored");
-                return;
+            let Ok(Some(event)) = timeout_at(deadline, events.recv()).await else {
+                return false;
             };
-            self.batch_stored(number);
-        }
-        self.execute_actions();
-    }
-
-    /// Stores the leases of silent workers for the successor. This comes after the last orders, which
-    /// may extend leases.
-    async fn store_leases(&mut self, events: &mut mpsc::UnboundedReceiver<LeaderEvent>) {
-        let Some(batch) = self.planner.take_final_batch(self.clock.planner_time()) else {
-            return;
-        };
-        let last = batch.number;
-        if self.batches.send(batch).is_err() {
-            return;
-        }
-        let deadline = Instant::now() + FINAL_BATCH_TIMEOUT;
-        while let Some(number) = next_stored_batch(events, deadline).await {
-            // The last batch lacks the changes that cancellations wait for, so it answers none.
-            if number >= last {
-                return;
+            if let LeaderEvent::BatchStored(number) = event {
+                self.batch_stored(number);
+                self.execute_actions();
             }
-            self.batch_stored(number);
         }
-        log::info!(batch = last; "resigning before the leases of silent workers are stored");
+        true
     }
 
     /// Advances the planner, stores its changes and executes its actions.
@@ -420,20 +414,6 @@
     }
 }
 
-/// Returns the number of the next batch to be stored, or `None` at the deadline. Other events and
-/// queries are for the successor.
-async fn next_stored_batch(
-    events: &mut mpsc::UnboundedReceiver<LeaderEvent>,
-    deadline: Instant,
-) -> Option<u64> {
-    loop {
-        let event = timeout_at(deadline, events.recv()).await.ok()??;
-        if let LeaderEvent::BatchStored(number) = event {
-            return Some(number);
-        }
-    }
-}
-
 /// Answers a query. The answer is dropped if the caller no longer waits.
 fn reply<T>(sender: oneshot::Sender<T>, answer: T) {
     if sender.send(answer).is_err() {
--- a/crates/geraniumshed-core/src/assignment/lease_ledger.rs
+++ b/crates/geraniumshed-core/src/assignment/lease_ledger.rs
@@ -10,7 +10,7 @@
 
 use geraniumshed_model::prelude::TimePoint;
 
-use super::action::{PlannerTime, StoreBatch, StoreChange};
+use super::action::{PlannerTime, StoreBatch};
 use super::planner::JobPlanner;
 use crate::job::WorkerId;
 use crate::worker::{WorkerEntry, WorkerTime};
@@ -246,19 +246,13 @@
         })
     }
 
-    /// Takes the last batch of a planner that hands over: the leases of silent workers, if there are
-    /// any. Other unstored changes are dropped.
+    /// Takes the last batch of a planner that hands over: all unstored changes, and the leases of
+    /// silent workers as they are now, if there are any.
     pub fn take_final_batch(&mut self, now: PlannerTime) -> Option<StoreBatch> {
-        if self.silent_workers(now.point).is_empty() {
-            return None;
+        if !self.silent_workers(now.point).is_empty() {
+            self.lease_ledger.is_due = true;
         }
-        self.lease_ledger.is_due = true;
-        let (number, ..) = self.change_tracker.take_batch();
-        let snapshot = self.take_lease_snapshot(now.point, number)?;
-        Some(StoreBatch {
-            number,
-            changes: vec![StoreChange::Leases(snapshot)],
-        })
+        self.take_batch(now)
     }
 
     /// Allows calls to extend the leases that were withdrawn from the store, and renews them.
--- a/crates/geraniumshed-core/tests/planner/takeover.rs
+++ b/crates/geraniumshed-core/tests/planner/takeover.rs
@@ -5,7 +5,7 @@
 use geraniumshed_core::job::{JobPhase, StepRequest, WorkerId};
 use rstest::rstest;
 
-use crate::builders::{settings_with_longest_lease, step, task, worker};
+use crate::builders::{settings_with_longest_lease, size, step, task, worker};
 use crate::fixture::{Cluster, STEP};
 
 /// The longest time for which a long-running task may be away while there is room for it.
@@ -321,3 +321,46 @@
         restart.at.since(lost_at)
     );
 }
+
+/// Returns a cluster with two long-running tasks that have lost their workers, one second after the
+/// other.
+fn cluster_with_lost_workers() -> Cluster {
+    let settings = settings_with_longest_lease(Duration::from_secs(6));
+    let mut cluster = Cluster::with_settings(4, settings);
+    cluster.advance(Duration::from_secs(12));
+    let long_running = StepRequest {
+        is_long_running: true,
+        size: size(20_000, 16),
+        ..step(2)
+    };
+    cluster.submit(1, vec![long_running]);
+    cluster.advance(Duration::from_millis(2_500));
+    for index in 0..2 {
+        let lost = cluster.starts[index].worker.clone();
+        cluster.workers.remove(&lost);
+        cluster.replace_workers();
+        cluster.advance(Duration::from_secs(1));
+    }
+    cluster
+}
+
+/// Guards against a run that is given up right before its leader resigns, and is waited for again by
+/// the successor, since the leader stored the leases of other silent workers, but not that.
+#[test]
+fn run_given_up_right_before_a_handover_is_not_waited_for_again() {
+    let mut undisturbed = cluster_with_lost_workers();
+    undisturbed.advance(AWAY_LIMIT);
+    let restarted_at = undisturbed.starts[2].at;
+
+    let mut cluster = cluster_with_lost_workers();
+    let span = restarted_at.since(cluster.now);
+    cluster.advance(span - STEP);
+    cluster.now = cluster.now + STEP;
+    cluster.planner.request_placement();
+    cluster.planner.advance(cluster.planner_time());
+    cluster.hand_over(HANDOVER_TIME);
+    let handed_over_at = cluster.now;
+    cluster.advance(AWAY_LIMIT);
+    let gap = cluster.starts[2].at.since(handed_over_at);
+    assert!(gap < Duration::from_millis(500), "started after {gap:?}");
+}
