--- a/crates/geraniumshed-core/tests/planner/takeover.rs
+++ b/crates/geraniumshed-core/tests/planner/takeover.rs
@@ -354,7 +354,7 @@
 
     let mut cluster = cluster_with_lost_workers();
     let span = restarted_at.since(cluster.now);
-    cluster.advance(span - STEP);
+    cluster.advance(span.saturating_sub(STEP));
     cluster.now = cluster.now + STEP;
     cluster.planner.request_placement();
     cluster.planner.advance(cluster.planner_time());
