Measure the leader's steps and count the planner's work

Why a leader is slow couldn't be told from its logs: whether it plans, handles answers, sends calls, or waits for processor time. Each step is now timed by part, with the longest time that an event was queued, and the planner counts passes, examined jobs, ready steps, searches for a worker and forecasts of pressure. No decision has changed.

--- a/crates/geraniumshed-batch/src/leader/event.rs
+++ b/crates/geraniumshed-batch/src/leader/event.rs
@@ -8,6 +8,7 @@
     AdviceReply, AdviceRequest, SentRenewal, StartReply, WorkerChange, WorkerFailure, WorkerListing,
 };
 use tokio::sync::{mpsc, oneshot};
+use tokio::time::Instant;
 
 use crate::clock::ReadMark;
 use crate::site::RenewOutcome;
@@ -46,6 +47,13 @@
     Resign,
 }
 
+/// An event with the moment at which it was sent.
+#[derive(Debug)]
+pub(super) struct QueuedEvent {
+    pub(super) event: LeaderEvent,
+    pub(super) sent_at: Instant,
+}
+
 /// A client's call that the leader answers.
 #[derive(Debug)]
 pub(crate) enum LeaderQuery {
@@ -60,19 +68,20 @@
 /// Sends events to the leader task of this process.
 #[derive(Debug, Clone)]
 pub struct LeaderHandle {
-    sender: mpsc::UnboundedSender<LeaderEvent>,
+    sender: mpsc::UnboundedSender<QueuedEvent>,
 }
 
 impl LeaderHandle {
     /// Creates a handle and the receiver of its events.
-    pub(super) fn open() -> (Self, mpsc::UnboundedReceiver<LeaderEvent>) {
+    pub(super) fn open() -> (Self, mpsc::UnboundedReceiver<QueuedEvent>) {
         let (sender, receiver) = mpsc::unbounded_channel();
         (Self { sender }, receiver)
     }
 
     /// Sends an event and returns whether the leader task still runs.
     pub(super) fn send(&self, event: LeaderEvent) -> bool {
-        self.sender.send(event).is_ok()
+        let sent_at = Instant::now();
+        self.sender.send(QueuedEvent { event, sent_at }).is_ok()
     }
 
     /// Sends a client's query. If the leader task has ended, the query and its reply channel are
--- a/crates/geraniumshed-batch/src/leader/mod.rs
+++ b/crates/geraniumshed-batch/src/leader/mod.rs
@@ -4,10 +4,12 @@
 mod event;
 mod polling;
 mod run;
+mod step_timer;
 mod takeover;
 mod writer;
 
 pub use event::LeaderHandle;
 pub(crate) use event::LeaderQuery;
 pub(crate) use run::{LeaderContext, LeaderEnd, ProbeRequest, run};
+pub(crate) use step_timer::StepPart;
 pub(crate) use takeover::{RecoveredState, claim, take_over};
--- a/crates/geraniumshed-batch/src/leader/run.rs
+++ b/crates/geraniumshed-batch/src/leader/run.rs
@@ -13,8 +13,9 @@
 use tokio::time::{Instant, sleep_until, timeout_at};
 
 use super::actions::execute_action;
-use super::event::{LeaderEvent, LeaderHandle, LeaderQuery};
+use super::event::{LeaderEvent, LeaderHandle, LeaderQuery, QueuedEvent};
 use super::polling::{poll_requests, poll_workers};
+use super::step_timer::{StepPart, StepTimer};
 use super::takeover::RecoveredState;
 use super::writer::{BatchWriter, UnansweredSince};
 use crate::clock::{NodeClock, ReadMark};
@@ -106,6 +107,7 @@
         next_revisit: Instant::now(),
         next_step: Instant::now(),
         has_new_events: false,
+        timer: StepTimer::default(),
         cancels: Vec::new(),
         requests_read: recovered.requests_read,
     };
@@ -155,6 +157,8 @@
     next_step: Instant,
     /// Whether events have been handled since the last step.
     has_new_events: bool,
+    /// Measures what the steps take.
+    timer: StepTimer,
     /// The cancellations that are answered once the batch with the given number is stored.
     cancels: Vec<(u64, CancelOutcome, oneshot::Sender<CancelOutcome>)>,
     /// All jobs that were stored before this moment are known.
@@ -186,7 +190,7 @@
     }
 
     /// Handles events and takes steps until the leader has to end.
-    async fn run(mut self, mut events: mpsc::UnboundedReceiver<LeaderEvent>) -> LeaderEnd {
+    async fn run(mut self, mut events: mpsc::UnboundedReceiver<QueuedEvent>) -> LeaderEnd {
         loop {
             if self.next_step <= Instant::now() {
                 self.step();
@@ -198,14 +202,9 @@
                     let Some(event) = event else {
                         return LeaderEnd::Resigned;
                     };
-                    if let Some(end) = self.handle_event(event) {
-                        return self.finish(end, events).await;
-                    }
                     self.has_new_events = true;
-                    while let Ok(event) = events.try_recv() {
-                        if let Some(end) = self.handle_event(event) {
-                            return self.finish(end, events).await;
-                        }
+                    if let Some(end) = self.handle_events(event, &mut events) {
+                        return self.finish(end, events).await;
                     }
                 }
                 () = sleep_until(wake) => {}
@@ -213,13 +212,35 @@
         }
     }
 
+    /// Handles an event and all that are queued behind it. Returns the reason if the leader task has
+    /// to end.
+    fn handle_events(
+        &mut self,
+        first: QueuedEvent,
+        events: &mut mpsc::UnboundedReceiver<QueuedEvent>,
+    ) -> Option<LeaderEnd> {
+        let begun = Instant::now();
+        let mut next = Some(first);
+        while let Some(queued) = next {
+            self.timer
+                .record_event(begun.duration_since(queued.sent_at));
+            let end = self.handle_event(queued.event);
+            if end.is_some() {
+                return end;
+            }
+            next = events.try_recv().ok();
+        }
+        self.timer.record_part(StepPart::Events, begun.elapsed());
+        None
+    }
+
     /// Stores what has changed if the leader resigns, orders the placements in it, and returns the
     /// reason of its end. Otherwise, the successor would have to find out again which runs were given
     /// up, and which were placed but don't exist.
     async fn finish(
         mut self,
         end: LeaderEnd,
-        mut events: mpsc::UnboundedReceiver<LeaderEvent>,
+        mut events: mpsc::UnboundedReceiver<QueuedEvent>,
     ) -> LeaderEnd {
         // A slow store would only delay the successor.
         if end != LeaderEnd::Resigned || self.progress_monitor.is_slow() {
@@ -242,14 +263,14 @@
     /// whether they are stored. Other events and queries are for the successor.
     async fn await_batches(
         &mut self,
-        events: &mut mpsc::UnboundedReceiver<LeaderEvent>,
+        events: &mut mpsc::UnboundedReceiver<QueuedEvent>,
         deadline: Instant,
     ) -> bool {
         while self.stored_batch < self.sent_batch {
             let Ok(Some(event)) = timeout_at(deadline, events.recv()).await else {
                 return false;
             };
-            if let LeaderEvent::BatchStored(number) = event {
+            if let LeaderEvent::BatchStored(number) = event.event {
                 self.batch_stored(number);
                 self.execute_actions();
             }
@@ -268,6 +289,9 @@
         // A slow store prolongs a takeover, so leases have to last longer.
         self.planner.prolong_leases(self.progress_monitor.is_slow());
         self.planner.advance(self.clock.planner_time());
+        let advanced = Instant::now();
+        self.timer
+            .record_part(StepPart::Plan, advanced.duration_since(now));
         if self.stored_batch == self.sent_batch
             && self.next_append <= now
             && let Some(batch) = self.planner.take_batch(self.clock.planner_time())
@@ -278,7 +302,13 @@
                 log::debug!("the writer has ended, and its event ends the leader task");
             }
         }
+        let collected = Instant::now();
+        self.timer
+            .record_part(StepPart::Collect, collected.duration_since(advanced));
         self.execute_actions();
+        self.timer.record_part(StepPart::Order, collected.elapsed());
+        self.timer
+            .finish_step(now, self.planner.work(), &self.metrics);
         self.probe_stalled_store(now);
     }
 
--- a/crates/geraniumshed-batch/src/telemetry/metrics.rs
+++ b/crates/geraniumshed-batch/src/telemetry/metrics.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use geraniumshed_core::assignment::{JobSummary, LostWorker, PlannerEvent};
+use geraniumshed_core::assignment::{JobSummary, LostWorker, PlannerEvent, PlannerWork};
 use geraniumshed_core::job::JobPhase;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue};
@@ -14,6 +14,7 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+use crate::leader::StepPart;
 use crate::service::CallOutcome;
 use crate::store::StoreError;
 
@@ -82,6 +83,20 @@
     pub outcome: &'static str,
 }
 
+/// The labels of a part of the leader's steps.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct PartLabels {
+    /// The part.
+    pub part: &'static str,
+}
+
+/// The labels of a count of the planner's work.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct WorkLabels {
+    /// What is counted.
+    pub kind: &'static str,
+}
+
 /// Counters and latency histograms of a node. Clones share them.
 #[derive(Clone)]
 pub struct NodeMetrics {
@@ -106,6 +121,9 @@
     pub(crate) job_seconds: Histogram,
     /// The time from the submission of a job to its first placement.
     pub(crate) wait_seconds: Histogram,
+    step_seconds: Family<PartLabels, Histogram, fn() -> Histogram>,
+    queue_seconds: Histogram,
+    planner_work: Family<WorkLabels, Counter>,
     /// 1 while this process leads.
     pub(crate) leading: Gauge,
     /// The version of the configuration in force.
@@ -147,6 +165,9 @@
             ended_jobs: Family::default(),
             job_seconds: Histogram::new(JOB_BOUNDS),
             wait_seconds: latency(),
+            step_seconds: Family::new_with_constructor(latency),
+            queue_seconds: latency(),
+            planner_work: Family::default(),
             leading: Gauge::default(),
             config_version: Gauge::default(),
             config_reads: Family::default(),
@@ -183,6 +204,11 @@
             outcome: "read",
         };
         drop(self.config_reads.get_or_create(&read));
+        for part in StepPart::ALL {
+            let labels = PartLabels { part: part.name() };
+            drop(self.step_seconds.get_or_create(&labels));
+        }
+        self.record_work(&PlannerWork::default());
         drop(self.config_read_seconds.get_or_create(&read));
     }
 
@@ -235,6 +261,21 @@
             "The time from handing a job in to its first placement",
             self.wait_seconds.clone(),
         );
+        registry.register(
+            "step_seconds",
+            "The time that a part of a leader's step takes",
+            self.step_seconds.clone(),
+        );
+        registry.register(
+            "queue_seconds",
+            "The longest time that an event was queued before a leader's step",
+            self.queue_seconds.clone(),
+        );
+        registry.register(
+            "planner_work",
+            "The work of the planner",
+            self.planner_work.clone(),
+        );
         registry.register("leading", "1 while the process leads", self.leading.clone());
         registry.register(
             "config_version",
@@ -291,6 +332,33 @@
         self.append_seconds.observe(taken.as_secs_f64());
     }
 
+    /// Records the duration of a part of a leader's step.
+    pub(crate) fn record_step_part(&self, part: StepPart, taken: Duration) {
+        let labels = PartLabels { part: part.name() };
+        let seconds = self.step_seconds.get_or_create(&labels);
+        seconds.observe(taken.as_secs_f64());
+    }
+
+    /// Records the longest time that an event was queued before a leader's step.
+    pub(crate) fn record_queue_time(&self, queued: Duration) {
+        self.queue_seconds.observe(queued.as_secs_f64());
+    }
+
+    /// Counts the planner's work.
+    pub(crate) fn record_work(&self, done: &PlannerWork) {
+        let counts = [
+            ("passes", done.passes),
+            ("examined_jobs", done.examined_jobs),
+            ("ready_steps", done.ready_steps),
+            ("searches", done.searches),
+            ("pressure_forecasts", done.pressure_forecasts),
+        ];
+        for (kind, count) in counts {
+            let labels = WorkLabels { kind };
+            self.planner_work.get_or_create(&labels).inc_by(count);
+        }
+    }
+
     /// Counts an event of the planner.
     pub(crate) fn record_event(&self, event: &PlannerEvent) {
         match event {
--- a/crates/geraniumshed-core/src/assignment/mod.rs
+++ b/crates/geraniumshed-core/src/assignment/mod.rs
@@ -17,6 +17,7 @@
 mod placement_pass;
 mod placement_query;
 mod planner;
+mod planner_work;
 mod rank;
 mod registry;
 mod renewals;
@@ -41,5 +42,6 @@
 pub use lease_ledger::{LeaseSnapshot, WorkerLease};
 pub use placement_query::PlacementRefusal;
 pub use planner::JobPlanner;
+pub use planner_work::PlannerWork;
 pub use settings::PlannerSettings;
 pub use wait_ledger::{IdleRun, StepWait, WaitSnapshot, WorkerHold};
--- a/crates/geraniumshed-core/src/assignment/planner.rs
+++ b/crates/geraniumshed-core/src/assignment/planner.rs
@@ -15,6 +15,7 @@
 use super::interference::{InterferenceModel, InterferenceSnapshot};
 use super::lease_ledger::LeaseLedger;
 use super::model_schedule::ModelSchedule;
+use super::planner_work::PlannerWork;
 use super::rank::allowed_time;
 use super::settings::PlannerSettings;
 use super::wait_ledger::WaitLedger;
@@ -48,6 +49,8 @@
     pub(super) interference: InterferenceModel,
     pub(super) advice: AdviceTable,
     pub(super) actions: Vec<PlannerAction>,
+    /// The work done so far.
+    pub(super) work: PlannerWork,
     /// Whether calls to workers ask for the prolonged lease.
     pub(super) is_prolonging_leases: bool,
     /// Whether this planner is handing over to a successor.
@@ -89,6 +92,7 @@
             interference: InterferenceModel::default(),
             advice: AdviceTable::default(),
             actions: Vec::new(),
+            work: PlannerWork::default(),
             is_prolonging_leases: false,
             is_handing_over: false,
             held_workers: BTreeMap::new(),
@@ -193,6 +197,11 @@
             .count()
     }
 
+    /// Returns the work that the planner has done so far.
+    pub fn work(&self) -> PlannerWork {
+        self.work
+    }
+
     /// Returns whether there are changes to store.
     pub fn has_changes(&self) -> bool {
         self.change_tracker.has_changes() || self.lease_ledger.is_due() || self.wait_ledger.is_due()
--- a/crates/geraniumshed-core/src/assignment/starting.rs
+++ b/crates/geraniumshed-core/src/assignment/starting.rs
@@ -45,6 +45,7 @@
         let Some(job) = self.jobs.get_mut(&key.job) else {
             return;
         };
+        self.work.placed_tasks += 1;
         if job.phase == JobPhase::Queued {
             job.phase = JobPhase::Running;
         }
--- a/crates/geraniumshed-core/src/assignment/step_placement.rs
+++ b/crates/geraniumshed-core/src/assignment/step_placement.rs
@@ -51,7 +51,9 @@
     /// Within a priority, evacuations go before waiting tasks, since the workers exit soon.
     pub(super) fn place_tasks(&mut self, now: PlannerTime) {
         self.release_stale_holds(now);
+        self.work.passes += 1;
         let mut steps = self.ready_steps(now);
+        self.work.ready_steps += steps.len() as u64;
         steps.sort_unstable();
         let mut evacuations = self.due_evacuations(now);
         let mut pass = PlacementPass::default();
@@ -68,8 +70,9 @@
         }
     }
 
-    fn ready_steps(&self, now: PlannerTime) -> Vec<ReadyStep> {
+    fn ready_steps(&mut self, now: PlannerTime) -> Vec<ReadyStep> {
         let mut steps = Vec::new();
+        self.work.examined_jobs += self.open_jobs.len() as u64;
         for id in &self.open_jobs {
             let Some(job) = self.jobs.get(id) else {
                 continue;
@@ -158,6 +161,8 @@
                 self.try_hold_worker(now, startable, key);
                 continue;
             }
+            self.work.searches += 1;
+            self.work.pressure_forecasts += u64::from(step.is_best_effort);
             let chosen = self.choose_worker(now.point, startable, key, rack.as_ref());
             if let Some(worker) = chosen {
                 self.place_task(now.point, step, key, &worker);
