Examine only jobs with tasks to place in a placement pass

Cause: each pass looked at every task of every open job, whether it ran, waited or was done, and each check for due occurrences at every open job. Change: the planner keeps the jobs that may have tasks to place. A job leaves when a pass finds that no task waits in a step whose turn has come, and returns when a run of it ends or an occurrence begins. The same for occurrences that haven't begun.

--- a/crates/geraniumshed-core/src/assignment/planner.rs
+++ b/crates/geraniumshed-core/src/assignment/planner.rs
@@ -40,6 +40,10 @@
     withdrawn: BTreeMap<JobId, u64>,
     /// The jobs that haven't ended.
     pub(super) open_jobs: BTreeSet<JobId>,
+    /// The open jobs that may have tasks to place.
+    pub(super) jobs_to_place: BTreeSet<JobId>,
+    /// The open jobs with occurrences that haven't begun.
+    pub(super) jobs_to_begin: BTreeSet<JobId>,
     pub(super) workers: BTreeMap<WorkerId, WorkerEntry>,
     /// Whether all registrations of workers have been read.
     pub(super) has_listing: bool,
@@ -85,6 +89,8 @@
             jobs: BTreeMap::new(),
             withdrawn: BTreeMap::new(),
             open_jobs: BTreeSet::new(),
+            jobs_to_place: BTreeSet::new(),
+            jobs_to_begin: BTreeSet::new(),
             workers: BTreeMap::new(),
             has_listing: false,
             change_tracker: ChangeTracker::default(),
@@ -118,10 +124,9 @@
             self.restore_run(now.point, &job, key);
         }
         if !job.phase.is_final() {
-            self.open_jobs.insert(id);
+            self.open_job(id);
         }
         self.jobs.insert(id, job);
-        self.is_placement_due = true;
     }
 
     /// Adds a job whose request is stored. Does nothing if the job is already known.
@@ -137,8 +142,7 @@
             return;
         }
         self.jobs.insert(id, job);
-        self.open_jobs.insert(id);
-        self.is_placement_due = true;
+        self.open_job(id);
     }
 
     /// Restores the interference model of an earlier planner.
@@ -293,6 +297,8 @@
         job.phase = phase;
         job.ended_unix_ms = now.unix_ms;
         self.open_jobs.remove(&id);
+        self.jobs_to_place.remove(&id);
+        self.jobs_to_begin.remove(&id);
         self.advice.forget(id);
         self.change_tracker.mark_changed(id);
         let policy = self.queues.policy(&job.request.queue);
@@ -329,15 +335,27 @@
         self.stop_run(now, &worker, key);
     }
 
+    /// Adds a job to those that haven't ended.
+    fn open_job(&mut self, id: JobId) {
+        self.open_jobs.insert(id);
+        self.jobs_to_place.insert(id);
+        self.jobs_to_begin.insert(id);
+        self.is_placement_due = true;
+    }
+
     fn begin_occurrences(&mut self, now: PlannerTime) {
-        for id in &self.open_jobs {
+        let mut remaining = std::mem::take(&mut self.jobs_to_begin);
+        remaining.retain(|id| {
             let Some(job) = self.jobs.get_mut(id) else {
-                continue;
+                return false;
             };
             if job.begin_due(now.unix_ms) {
+                self.jobs_to_place.insert(*id);
                 self.is_placement_due = true;
             }
-        }
+            job.next_due_unix_ms().is_some()
+        });
+        self.jobs_to_begin = remaining;
     }
 
     fn forget_old_jobs(&mut self, now: PlannerTime) {
--- a/crates/geraniumshed-core/src/assignment/run_end.rs
+++ b/crates/geraniumshed-core/src/assignment/run_end.rs
@@ -67,6 +67,7 @@
         if is_final {
             return unstored;
         }
+        self.jobs_to_place.insert(key.job);
         let loss_reason = match outcome {
             RunEndCause::Ended(EndKind::Done) => None,
             RunEndCause::Ended(EndKind::Failed) => Some("failed"),
--- a/crates/geraniumshed-core/src/assignment/step_placement.rs
+++ b/crates/geraniumshed-core/src/assignment/step_placement.rs
@@ -70,15 +70,18 @@
         }
     }
 
+    /// Returns the steps with tasks that can start now, and forgets the jobs without tasks to place
+    /// until one of their runs ends or an occurrence begins.
     fn ready_steps(&mut self, now: PlannerTime) -> Vec<ReadyStep> {
         let mut steps = Vec::new();
-        self.work.examined_jobs += self.open_jobs.len() as u64;
-        for id in &self.open_jobs {
+        self.work.examined_jobs += self.jobs_to_place.len() as u64;
+        self.jobs_to_place.retain(|id| {
             let Some(job) = self.jobs.get(id) else {
-                continue;
+                return false;
             };
+            // The queue may be part of a configuration that is yet to come.
             let Some(policy) = self.queues.policy(&job.request.queue) else {
-                continue;
+                return true;
             };
             for occurrence in &job.occurrences {
                 let ready = ready_indices(job, occurrence, now.point);
@@ -89,7 +92,8 @@
                     step,
                 }));
             }
-        }
+            job.has_tasks_to_place()
+        });
         steps
     }
 
--- a/crates/geraniumshed-core/src/job/entry.rs
+++ b/crates/geraniumshed-core/src/job/entry.rs
@@ -64,6 +64,13 @@
         (0..self.steps.len()).all(|step| self.is_step_done(step))
     }
 
+    /// Returns whether a step whose turn has come has a task that waits to be placed.
+    fn has_tasks_to_place(&self, request: &JobRequest) -> bool {
+        let is_waiting = |task: &TaskEntry| task.phase == TaskPhase::Waiting;
+        let mut steps = request.steps.iter().zip(&self.steps);
+        steps.any(|(step, tasks)| tasks.iter().any(is_waiting) && self.is_step_due(step))
+    }
+
     /// Returns whether all steps that a step depends on are done.
     pub fn is_step_due(&self, request: &StepRequest) -> bool {
         request
@@ -228,6 +235,13 @@
             .find(|occurrence| occurrence.number == number)
     }
 
+    /// Returns whether any task waits to be placed and its turn has come. It may still have to wait
+    /// for the end of a retry delay.
+    pub fn has_tasks_to_place(&self) -> bool {
+        let mut occurrences = self.occurrences.iter();
+        occurrences.any(|occurrence| occurrence.has_tasks_to_place(&self.request))
+    }
+
     /// Returns the keys of all tasks that are placed on a worker and may be running.
     pub fn placed_tasks(&self) -> Vec<TaskKey> {
         self.keys_where(|task| matches!(task.phase, TaskPhase::Placed(_)))
--- a/crates/geraniumshed-core/tests/planner/main.rs
+++ b/crates/geraniumshed-core/tests/planner/main.rs
@@ -7,6 +7,7 @@
 mod fixture;
 mod leases;
 mod load_patterns;
+mod planner_work;
 mod rules;
 mod silent_workers;
 mod simulation;
--- /dev/null
+++ b/crates/geraniumshed-core/tests/planner/planner_work.rs
@@ -0,0 +1,90 @@
+//! Tests of how much work the planner does, in counts that don't depend on the machine.
+
+use std::time::Duration;
+
+use geraniumshed_core::assignment::PlannerWork;
+use geraniumshed_core::job::{JobId, JobPhase, StepRequest};
+use rstest::rstest;
+
+use crate::builders::{size, step};
+use crate::fixture::Cluster;
+
+/// The time for which work is counted.
+const COUNTED: Duration = Duration::from_secs(1);
+
+/// Returns the work of the planner while the cluster advances.
+fn work_while_advancing(cluster: &mut Cluster, span: Duration) -> PlannerWork {
+    let before = cluster.planner.work();
+    cluster.advance(span);
+    cluster.planner.work().since(&before)
+}
+
+fn long_task(task_count: u32) -> StepRequest {
+    StepRequest {
+        size: size(100, 1),
+        estimate: Duration::from_secs(30),
+        ..step(task_count)
+    }
+}
+
+/// Pattern: many jobs run whose tasks are all placed, and a few more come each second. A pass
+/// examines the jobs with tasks to place, not all that run.
+#[rstest]
+#[case::few_running(20)]
+#[case::many_running(400)]
+fn passes_examine_only_jobs_with_tasks_to_place(#[case] running: u64) {
+    let mut cluster = Cluster::with_workers(20);
+    for number in 0..running {
+        cluster.submit(1_000 + number, vec![long_task(2)]);
+    }
+    cluster.advance(Duration::from_secs(1));
+    let mut examined = 0;
+    let mut passes = 0;
+    for number in 0..10 {
+        cluster.submit(10_000 + number, vec![long_task(2)]);
+        let work = work_while_advancing(&mut cluster, COUNTED / 10);
+        examined += work.examined_jobs;
+        passes += work.passes;
+    }
+    assert!(passes >= 10, "{passes} passes");
+    // One job comes with each tenth of a second, and is placed in one pass.
+    assert!(examined <= 20, "{examined} jobs in {passes} passes");
+}
+
+/// Pattern: jobs wait for tasks that run. A job whose next step isn't due yet has nothing to place,
+/// and its next step starts as soon as the step before ends.
+#[test]
+fn jobs_with_undue_steps_are_examined_again_when_a_step_ends() {
+    let mut cluster = Cluster::with_workers(4);
+    let second = StepRequest {
+        after: vec![0],
+        ..step(2)
+    };
+    let job = cluster.submit(1, vec![step(2), second]);
+    cluster.advance(Duration::from_millis(300));
+    let work = work_while_advancing(&mut cluster, Duration::from_millis(500));
+    assert_eq!(work.examined_jobs, 0);
+    cluster.advance(Duration::from_secs(4));
+    assert_eq!(cluster.phase(job), Some(JobPhase::Completed));
+}
+
+/// Pattern: all workers are full and many jobs wait. Waiting jobs are examined in each pass, since
+/// room for any of them may have become free.
+#[test]
+fn waiting_jobs_start_in_order_once_there_is_room() {
+    let mut cluster = Cluster::with_workers(1);
+    let whole = |number: u64| JobId(100 + number);
+    for number in 0..4 {
+        cluster.submit(
+            100 + number,
+            vec![StepRequest {
+                size: size(16_000, 1),
+                ..step(1)
+            }],
+        );
+        cluster.advance(Duration::from_millis(20));
+    }
+    cluster.advance(Duration::from_secs(12));
+    let order: Vec<JobId> = cluster.starts.iter().map(|start| start.task.job).collect();
+    assert_eq!(order, [whole(0), whole(1), whole(2), whole(3)]);
+}
