Keep the sums of a worker's load, and begin a search without counting up to its place

Cause: a query adds up the processors of all images on each of 64 candidates, and reaches the worker at which it begins by stepping over all workers before it. Change: a load keeps the sums as runs come and go; a placement pass notes the ids of the workers, and a search begins at the id.

--- a/crates/geraniumshed-core/src/assignment/placement_query.rs
+++ b/crates/geraniumshed-core/src/assignment/placement_query.rs
@@ -374,10 +374,9 @@
 /// Returns the number of processors that a worker's runs are expected to leave idle, in
 /// thousandths.
 pub(super) fn idle_processors(worker: &WorkerEntry) -> f64 {
-    let served = worker.load.served.values().map(|load| load.processors);
-    let best_effort = worker.load.best_effort.values();
-    let used = whole_processors(served.sum::<u64>()) * SERVED_UTILIZATION
-        + whole_processors(best_effort.sum::<u64>() + worker.load.other);
+    let load = &worker.load;
+    let used = whole_processors(load.served_sum) * SERVED_UTILIZATION
+        + whole_processors(load.best_effort_sum + load.other);
     f64::from(worker.listing.capacity.processors.0) - used * 1000.0
 }
 
--- a/crates/geraniumshed-core/src/assignment/planner.rs
+++ b/crates/geraniumshed-core/src/assignment/planner.rs
@@ -45,6 +45,8 @@
     /// The open jobs with occurrences that haven't begun.
     pub(super) jobs_to_begin: BTreeSet<JobId>,
     pub(super) workers: BTreeMap<WorkerId, WorkerEntry>,
+    /// The ids of the workers that were known when the newest placement pass began.
+    pub(super) worker_ids: Vec<WorkerId>,
     /// Whether all registrations of workers have been read.
     pub(super) has_listing: bool,
     pub(super) change_tracker: ChangeTracker,
@@ -92,6 +94,7 @@
             jobs_to_place: BTreeSet::new(),
             jobs_to_begin: BTreeSet::new(),
             workers: BTreeMap::new(),
+            worker_ids: Vec::new(),
             has_listing: false,
             change_tracker: ChangeTracker::default(),
             wait_ledger: WaitLedger::default(),
--- a/crates/geraniumshed-core/src/assignment/step_placement.rs
+++ b/crates/geraniumshed-core/src/assignment/step_placement.rs
@@ -55,6 +55,8 @@
     pub(super) fn place_tasks(&mut self, now: PlannerTime) {
         self.release_stale_holds(now);
         self.work.passes += 1;
+        self.worker_ids.clear();
+        self.worker_ids.extend(self.workers.keys().cloned());
         let mut steps = self.ready_steps(now);
         self.work.ready_steps += steps.len() as u64;
         steps.sort_unstable();
@@ -314,11 +316,15 @@
     /// Returns all workers, beginning at a position that depends on the task, so that tasks spread
     /// over the workers.
     fn rotated_workers(&self, key: TaskKey) -> impl Iterator<Item = &WorkerEntry> {
-        let count = self.workers.len().max(1);
+        let count = self.worker_ids.len().max(1);
         let first = (u64::from(key.index) * START_STRIDE).wrapping_add(key.job.0);
         let first = usize::try_from(first % count as u64).unwrap_or_default();
-        let workers = self.workers.values();
-        workers.clone().skip(first).chain(workers.take(first))
+        // Without ids, the empty one precedes all workers.
+        let first = self.worker_ids.get(first).cloned();
+        let first = first.unwrap_or_else(|| WorkerId(SmolStr::default()));
+        let tail = self.workers.range(first.clone()..);
+        let head = self.workers.range(..first);
+        tail.chain(head).map(|(_, worker)| worker)
     }
 
     /// Returns the pressure that a best-effort task of a step adds to each served image. It is the
--- a/crates/geraniumshed-core/src/worker/load.rs
+++ b/crates/geraniumshed-core/src/worker/load.rs
@@ -27,6 +27,10 @@
     pub best_effort: BTreeMap<SmolStr, u64>,
     /// The processors of all other runs, in thousandths.
     pub other: u64,
+    /// The sum of the processors in `served`, in thousandths.
+    pub served_sum: u64,
+    /// The sum of the processors in `best_effort`, in thousandths.
+    pub best_effort_sum: u64,
 }
 
 impl WorkerLoad {
@@ -43,7 +47,9 @@
             load.target = load.target.min(target);
             load.count += 1;
             load.processors += processors;
+            self.served_sum += processors;
         } else if run.is_best_effort {
+            self.best_effort_sum += processors;
             *self.best_effort.entry(image).or_default() += processors;
         } else {
             self.other += processors;
@@ -60,7 +66,9 @@
                 load.processors = load.processors.saturating_sub(processors);
             }
             self.served.retain(|_, load| load.count > 0);
+            self.served_sum = self.served_sum.saturating_sub(processors);
         } else if run.is_best_effort {
+            self.best_effort_sum = self.best_effort_sum.saturating_sub(processors);
             if let Some(load) = self.best_effort.get_mut(&image) {
                 *load = load.saturating_sub(processors);
             }
