Limit the starts in flight to what is answered within half a second

Cause: a planner that is slower than the jobs that come placed all their tasks in one pass, and sent all their starts. Change: as many starts may be unstored or unanswered as are answered within half a second, 256 at least. Tasks beyond that wait for answers, in order of rank, so that a later urgent job goes before the rest of a burst.

--- a/crates/geraniumshed-core/src/assignment/change_tracker.rs
+++ b/crates/geraniumshed-core/src/assignment/change_tracker.rs
@@ -62,6 +62,11 @@
         self.deferred_starts.push_back((self.open_batch, start));
     }
 
+    /// Returns the number of starts that wait for their placements to be stored.
+    pub(super) fn deferred_count(&self) -> usize {
+        self.deferred_starts.len()
+    }
+
     /// Returns the batch that completes the storage of a job's changes, if any are unstored.
     pub(super) fn unstored_batch(&self, job: JobId) -> Option<u64> {
         self.newest_batches.get(&job).copied()
--- a/crates/geraniumshed-core/src/assignment/mod.rs
+++ b/crates/geraniumshed-core/src/assignment/mod.rs
@@ -23,6 +23,7 @@
 mod renewals;
 mod run_end;
 mod settings;
+mod start_window;
 mod starting;
 mod step_placement;
 mod supervision;
--- a/crates/geraniumshed-core/src/assignment/placement_pass.rs
+++ b/crates/geraniumshed-core/src/assignment/placement_pass.rs
@@ -13,6 +13,10 @@
 #[derive(Debug, Default)]
 pub(super) struct PlacementPass {
     failed: Vec<FailedQuery>,
+    /// The number of starts that this pass may still place.
+    remaining_starts: usize,
+    /// Whether any startable task was left out for want of starts.
+    is_exhausted: bool,
     mostly_idle: BTreeMap<ServiceName, bool>,
 }
 
@@ -28,6 +32,30 @@
 }
 
 impl PlacementPass {
+    /// Creates a pass that may place the given number of starts.
+    pub(super) fn with_starts(remaining_starts: usize) -> Self {
+        Self {
+            remaining_starts,
+            ..Self::default()
+        }
+    }
+
+    /// Returns how many of a step's startable tasks may be placed.
+    pub(super) fn allow_starts(&mut self, wanted: usize) -> usize {
+        self.is_exhausted |= wanted > self.remaining_starts;
+        wanted.min(self.remaining_starts)
+    }
+
+    /// Subtracts placed tasks from the starts that remain.
+    pub(super) fn use_starts(&mut self, placed: usize) {
+        self.remaining_starts = self.remaining_starts.saturating_sub(placed);
+    }
+
+    /// Returns whether any startable task was left out for want of starts.
+    pub(super) fn is_exhausted(&self) -> bool {
+        self.is_exhausted
+    }
+
     /// Records that no worker was found for a task of a step.
     pub(super) fn record_failure(
         &mut self,
--- a/crates/geraniumshed-core/src/assignment/planner.rs
+++ b/crates/geraniumshed-core/src/assignment/planner.rs
@@ -18,6 +18,7 @@
 use super::planner_work::PlannerWork;
 use super::rank::allowed_time;
 use super::settings::PlannerSettings;
+use super::start_window::StartWindow;
 use super::wait_ledger::WaitLedger;
 use crate::job::{
     JobEntry, JobId, JobPhase, JobRequest, QueueName, QueuePolicy, QueueTable, StoredJob, TaskKey,
@@ -50,6 +51,9 @@
     /// Whether all registrations of workers have been read.
     pub(super) has_listing: bool,
     pub(super) change_tracker: ChangeTracker,
+    pub(super) start_window: StartWindow,
+    /// Whether the newest placement pass left startable tasks for when starts are answered.
+    pub(super) is_window_full: bool,
     pub(super) lease_ledger: LeaseLedger,
     pub(super) wait_ledger: WaitLedger,
     pub(super) interference: InterferenceModel,
@@ -97,6 +101,8 @@
             worker_ids: Vec::new(),
             has_listing: false,
             change_tracker: ChangeTracker::default(),
+            start_window: StartWindow::default(),
+            is_window_full: false,
             wait_ledger: WaitLedger::default(),
             interference: InterferenceModel::default(),
             advice: AdviceTable::default(),
--- a/crates/geraniumshed-core/src/assignment/starting.rs
+++ b/crates/geraniumshed-core/src/assignment/starting.rs
@@ -106,6 +106,7 @@
                 .and_then(|task| task.checkpoint.clone()),
             ticket,
         };
+        self.start_window.record_sent();
         self.actions.push(PlannerAction::Start(WorkerCall {
             worker: start.worker,
             address: worker.listing.address,
--- a/crates/geraniumshed-core/src/assignment/step_placement.rs
+++ b/crates/geraniumshed-core/src/assignment/step_placement.rs
@@ -61,7 +61,8 @@
         self.work.ready_steps += steps.len() as u64;
         steps.sort_unstable();
         let mut evacuations = self.due_evacuations(now);
-        let mut pass = PlacementPass::default();
+        let unstored = self.change_tracker.deferred_count();
+        let mut pass = PlacementPass::with_starts(self.start_window.available(unstored));
         for step in steps {
             let priority = step.rank.priority;
             while let Some(due) = evacuations.pop_front_if(|due| due.step.rank.priority <= priority)
@@ -70,6 +71,7 @@
             }
             self.place_step(now, step, &mut pass);
         }
+        self.is_window_full = pass.is_exhausted();
         for due in evacuations {
             self.evacuate(now, &due, &mut pass);
         }
@@ -114,11 +116,18 @@
         let Some(step) = request.steps.get(ready.step as usize) else {
             return;
         };
+        let mut keys = startable_keys(job, ready, now.point);
+        if !step.is_gang {
+            keys.truncate(pass.allow_starts(keys.len()));
+        }
+        if keys.is_empty() {
+            return;
+        }
         let startable = StartableStep {
             ready,
             policy: &policy,
             step,
-            keys: startable_keys(job, ready, now.point),
+            keys,
             min_speed: self.min_speed(now, job, &policy, ready, pass),
             pressures: OnceCell::new(),
         };
@@ -130,6 +139,7 @@
         let has_forecast = step.is_best_effort && startable.pressures.get().is_some();
         self.work.pressure_forecasts += u64::from(has_forecast);
         if let Some(placed) = placed {
+            pass.use_starts(placed);
             self.report_placement(now, &startable, placed);
         }
     }
--- a/crates/geraniumshed-core/src/assignment/worker_replies.rs
+++ b/crates/geraniumshed-core/src/assignment/worker_replies.rs
@@ -27,6 +27,8 @@
         run: u32,
         reply: Result<StartReply, WorkerFailure>,
     ) {
+        self.start_window.record_answered(now.point);
+        self.is_placement_due |= self.is_window_full;
         let Some(entry) = self.workers.get_mut(worker) else {
             return;
         };
