Look a worker up once for all runs that it reports

Cause: for each reported run, the planner looked its worker up by name twice and built a map of all reported runs to find the missing ones. Change: the reports of a reply update the runs of one entry; only runs that are unwanted are looked up again. A run counts as missing only after its phase says that the reply must show it, so most runs aren't compared at all.

--- a/crates/geraniumshed-core/src/assignment/worker_replies.rs
+++ b/crates/geraniumshed-core/src/assignment/worker_replies.rs
@@ -11,7 +11,7 @@
 use super::run_end::RunEndCause;
 use super::starting::run_entry;
 use super::supervision::WHOLE_PERCENT;
-use crate::job::{TaskKey, WorkerId};
+use crate::job::{JobEntry, JobId, TaskKey, WorkerId};
 use crate::worker::{
     RenewReply, RunPhase, RunReport, SentRenewal, StartReply, WorkerCall, WorkerEntry,
     WorkerFailure, WorkerIncarnation,
@@ -141,7 +141,7 @@
             self.is_placement_due = true;
         }
         self.process_ends(now, worker, &reply);
-        self.process_reports(now, worker, &reply.running);
+        self.process_reports(now.point, worker, &reply.running);
         if is_latest {
             self.drop_missing_runs(now, worker, sent, &reply.running);
             self.delay_renewal(now.point, worker);
@@ -226,56 +226,30 @@
     }
 
     /// Processes the reported runs: updates those that are expected and stops all others.
-    fn process_reports(&mut self, now: PlannerTime, worker: &WorkerId, running: &[RunReport]) {
+    fn process_reports(&mut self, now: TimePoint, worker: &WorkerId, running: &[RunReport]) {
+        let Some(entry) = self.workers.get_mut(worker) else {
+            return;
+        };
+        let mut unwanted = Vec::new();
         for report in running {
-            if self.is_expected(worker, report) {
-                self.update_run(now.point, worker, report);
-            } else {
-                self.stop_orphan(now.point, worker, report);
+            if !update_run(entry, &mut self.jobs, report, now) {
+                unwanted.push(report);
             }
         }
+        for report in unwanted {
+            self.stop_unwanted(now, worker, report);
+        }
     }
 
-    /// Returns whether a reported run is the current run of its task on the worker.
-    fn is_expected(&self, worker: &WorkerId, report: &RunReport) -> bool {
+    /// Stops a reported run that isn't the current run of its task on the worker, or whose job has
+    /// ended.
+    fn stop_unwanted(&mut self, now: TimePoint, worker: &WorkerId, report: &RunReport) {
         let entry = self.workers.get(worker);
         let run = entry.and_then(|entry| entry.runs.get(&report.task));
-        run.is_some_and(|run| run.run == report.run)
-    }
-
-    fn update_run(&mut self, now: TimePoint, worker: &WorkerId, report: &RunReport) {
-        let Some(entry) = self.workers.get_mut(worker) else {
-            return;
-        };
-        let Some(run) = entry.runs.get_mut(&report.task) else {
-            return;
-        };
-        if !matches!(run.phase, RunPhase::Running(_)) {
-            run.phase = RunPhase::Running(now);
-            run.progressed_at = now;
-        }
-        if run.percent != report.percent {
-            run.record_progress(report.percent, now);
-        }
-        if run.is_long_running
-            && run.percent >= WHOLE_PERCENT
-            && entry.quarantine.is_probe(report.task)
-        {
-            entry.quarantine.record_success();
-        }
-        run.tail_latency = report.tail_latency;
-        let job = self.jobs.get_mut(&report.task.job);
-        let Some(job) = job else {
-            return;
-        };
-        let is_final = job.phase.is_final();
-        if let Some(task) = job.task_mut(report.task)
-            && report.checkpoint.is_some()
-        {
-            task.checkpoint.clone_from(&report.checkpoint);
-        }
-        if is_final {
+        if run.is_some_and(|run| run.run == report.run) {
             self.stop_run(now, worker, report.task);
+        } else {
+            self.stop_orphan(now, worker, report);
         }
     }
 
@@ -313,8 +287,10 @@
         let Some(entry) = self.workers.get(worker) else {
             return;
         };
-        let listed: BTreeMap<TaskKey, u32> =
-            running.iter().map(|one| (one.task, one.run)).collect();
+        let is_listed = |key: &TaskKey, run: u32| {
+            let mut reports = running.iter();
+            reports.any(|one| one.task == *key && one.run == run)
+        };
         let is_missing = |phase: RunPhase| match phase {
             RunPhase::Storing | RunPhase::Ordered(_) => false,
             RunPhase::Unsettled(token) => token < sent.token,
@@ -323,7 +299,7 @@
         let missing: Vec<(TaskKey, u32)> = entry
             .runs
             .iter()
-            .filter(|(key, run)| listed.get(key) != Some(&run.run) && is_missing(run.phase))
+            .filter(|(key, run)| is_missing(run.phase) && !is_listed(key, run.run))
             .map(|(key, run)| (*key, run.run))
             .collect();
         for (key, run) in missing {
@@ -373,6 +349,43 @@
     }
 }
 
+/// Updates a run by its worker's report. Returns whether it is the current run of its task there and
+/// its job hasn't ended.
+fn update_run(
+    entry: &mut WorkerEntry,
+    jobs: &mut BTreeMap<JobId, JobEntry>,
+    report: &RunReport,
+    now: TimePoint,
+) -> bool {
+    let run = entry.runs.get_mut(&report.task);
+    let Some(run) = run.filter(|run| run.run == report.run) else {
+        return false;
+    };
+    if !matches!(run.phase, RunPhase::Running(_)) {
+        run.phase = RunPhase::Running(now);
+        run.progressed_at = now;
+    }
+    if run.percent != report.percent {
+        run.record_progress(report.percent, now);
+    }
+    if run.is_long_running
+        && run.percent >= WHOLE_PERCENT
+        && entry.quarantine.is_probe(report.task)
+    {
+        entry.quarantine.record_success();
+    }
+    run.tail_latency = report.tail_latency;
+    let Some(job) = jobs.get_mut(&report.task.job) else {
+        return true;
+    };
+    if let Some(task) = job.task_mut(report.task)
+        && report.checkpoint.is_some()
+    {
+        task.checkpoint.clone_from(&report.checkpoint);
+    }
+    !job.phase.is_final()
+}
+
 impl WorkerEntry {
     /// Records that an end was processed and which batch, if any, has to be stored before the end
     /// may be acknowledged.
