Solve for the slopes of interference less often as the evidence grows

Cause: the fit of each served image was solved after each two observations. Change: a fit is solved again once a fiftieth of the retained evidence is new, or after two observations as before while there is little. The decay of evidence follows the weight of the observations, as before.

--- a/crates/geraniumshed-core/src/assignment/interference/fit.rs
+++ b/crates/geraniumshed-core/src/assignment/interference/fit.rs
@@ -15,10 +15,15 @@
 const PRIOR_WEIGHT: f64 = 15.0;
 /// The sum of amounts times effects that corresponds to the assumed slope and its weight.
 const PRIOR_EFFECT: f64 = PRIOR_WEIGHT * PRIOR_SLOPE;
-/// The fraction of the evidence that is retained after each solution.
+/// The fraction of the evidence that is retained after observations of the weight below.
 const RETENTION: f64 = 0.9985;
-/// The weight of the observations after which the fit is solved again.
+/// The weight of observations that one factor of retention stands for.
+const RETENTION_WEIGHT: f64 = 2.0;
+/// The least weight of new observations with which the fit is solved again.
 const SOLVE_WEIGHT: f64 = 2.0;
+/// The fraction of the retained weight that has to be new before the fit is solved again. The more
+/// evidence there is, the less a single observation changes the slopes.
+const SOLVE_FRACTION: f64 = 0.02;
 
 /// A ridge regression of an effect on the amounts of several causes, with exponential decay of old
 /// observations.
@@ -39,6 +44,10 @@
     solution: Vec<f64>,
     /// The weight of the observations since the newest solution.
     unsolved: f64,
+    /// The weight of the observations before it, as far as it is retained.
+    solved: f64,
+    /// The number of solutions so far.
+    solutions: u64,
 }
 
 impl LinearFit {
@@ -58,8 +67,7 @@
             }
         }
         self.unsolved += weight;
-        if self.unsolved >= SOLVE_WEIGHT {
-            self.unsolved = 0.0;
+        if self.unsolved >= SOLVE_WEIGHT.max(self.solved * SOLVE_FRACTION) {
             self.solve();
         }
     }
@@ -96,6 +104,11 @@
         self.causes.iter().enumerate().map(record).collect()
     }
 
+    /// Returns the number of times that the slopes were solved for.
+    pub(super) fn solution_count(&self) -> u64 {
+        self.solutions
+    }
+
     /// Returns the slopes of all causes.
     pub(super) fn slopes(&self) -> impl Iterator<Item = f64> {
         (0..self.causes.len()).map(|index| self.slope_at(index))
@@ -138,10 +151,14 @@
             right[index] += PRIOR_EFFECT;
         }
         self.solution = solve_symmetric(rows, right);
+        self.solutions += 1;
+        let retained = RETENTION.powf(self.unsolved / RETENTION_WEIGHT);
+        self.solved = (self.solved + self.unsolved) * retained;
+        self.unsolved = 0.0;
         for row in 0..size {
-            self.effects[row] *= RETENTION;
+            self.effects[row] *= retained;
             for sum in &mut self.products[row] {
-                *sum *= RETENTION;
+                *sum *= retained;
             }
         }
     }
--- a/crates/geraniumshed-core/src/assignment/interference/model.rs
+++ b/crates/geraniumshed-core/src/assignment/interference/model.rs
@@ -165,6 +165,12 @@
         slopes.into_iter().flatten().filter(is_excluded).count()
     }
 
+    /// Returns the number of times that the slopes of any served image were solved for.
+    pub fn solution_count(&self) -> u64 {
+        let fits = self.images.values().map(|image| &image.fit);
+        fits.map(LinearFit::solution_count).sum()
+    }
+
     fn image_mut(&mut self, served: &SmolStr, tail: f64) -> &mut ServedImage {
         let new = || ServedImage {
             lowest_tail: if tail > 0.0 { tail } else { f64::MAX },
--- a/crates/geraniumshed-core/src/assignment/worker_replies.rs
+++ b/crates/geraniumshed-core/src/assignment/worker_replies.rs
@@ -368,9 +368,7 @@
     if run.percent != report.percent {
         run.record_progress(report.percent, now);
     }
-    if run.is_long_running
-        && run.percent >= WHOLE_PERCENT
-        && entry.quarantine.is_probe(report.task)
+    if run.is_long_running && run.percent >= WHOLE_PERCENT && entry.quarantine.is_probe(report.task)
     {
         entry.quarantine.record_success();
     }
