Read tail latencies at short intervals only beside best-effort runs

Cause: a worker with a run that has a latency target was asked every 350 ms, also while no best-effort run was beside it that could raise its tail latency. Change: such a worker holds a renewal back for as long as one without a target. Once a best-effort run comes beside it, the next renewal is due after the short interval, although the worker still holds the earlier one back.

--- a/crates/geraniumshed-core/src/assignment/renewals.rs
+++ b/crates/geraniumshed-core/src/assignment/renewals.rs
@@ -78,7 +78,7 @@
                 || self.is_handing_over;
             let wait = if is_immediate {
                 Duration::ZERO
-            } else if entry.has_latency_target() {
+            } else if entry.has_interference() {
                 self.settings.latency_renewal_wait
             } else {
                 self.settings.renewal_wait
@@ -117,6 +117,14 @@
         self.listing.address.port() != 0
     }
 
+    /// Makes a renewal due at a time, although the worker may still hold back an earlier one, because
+    /// a best-effort run has come beside runs with a latency target.
+    pub(super) fn read_tails_soon(&mut self, due: TimePoint) {
+        if self.unanswered_calls == 0 && self.renewal.take().is_some() {
+            self.next_renewal_at = due;
+        }
+    }
+
     fn has_unsettled(&self) -> bool {
         self.runs
             .values()
--- a/crates/geraniumshed-core/src/assignment/starting.rs
+++ b/crates/geraniumshed-core/src/assignment/starting.rs
@@ -35,8 +35,13 @@
         worker: &WorkerId,
         run: u32,
     ) {
+        let reading_wait = self.settings.latency_renewal_wait;
         if let Some(entry) = self.workers.get_mut(worker) {
+            let had_interference = entry.has_interference();
             entry.add_run(key, run_entry(step, run, RunPhase::Storing, now));
+            if entry.has_interference() && !had_interference {
+                entry.read_tails_soon(now + reading_wait);
+            }
         }
     }
 
--- a/crates/geraniumshed-core/src/worker/entry.rs
+++ b/crates/geraniumshed-core/src/worker/entry.rs
@@ -279,8 +279,8 @@
         std::mem::take(&mut self.runs).into_iter().collect()
     }
 
-    /// Returns whether any run has a latency target.
-    pub fn has_latency_target(&self) -> bool {
-        self.runs.values().any(|run| run.latency_target.is_some())
+    /// Returns whether any best-effort run may raise the tail latency of a run with a target.
+    pub fn has_interference(&self) -> bool {
+        !self.load.served.is_empty() && !self.load.best_effort.is_empty()
     }
 }
--- a/crates/geraniumshed-core/tests/planner/fixture.rs
+++ b/crates/geraniumshed-core/tests/planner/fixture.rs
@@ -76,6 +76,8 @@
     pub adviser: SimulatedAdviser,
     /// The number of orders to stop a run.
     pub stop_order_count: usize,
+    /// The number of renewals that workers received.
+    pub renewal_count: usize,
     /// The time after its start from which on a long-running task is at work.
     pub startup: Duration,
     /// The events that the planner emitted.
@@ -117,6 +119,7 @@
             paces: BTreeMap::new(),
             adviser: SimulatedAdviser::default(),
             stop_order_count: 0,
+            renewal_count: 0,
             startup: Duration::ZERO,
             events: Vec::new(),
             pending_paces: VecDeque::new(),
@@ -452,6 +455,7 @@
             return;
         }
         worker.token = sent.token;
+        self.renewal_count += 1;
         if let Some(deadline) = request.deadline {
             worker.extend_lease(deadline, self.now, self.settings.longest_lease);
         }
--- a/crates/geraniumshed-core/tests/planner/leases.rs
+++ b/crates/geraniumshed-core/tests/planner/leases.rs
@@ -121,3 +121,79 @@
     cluster.advance(Duration::from_secs(1));
     assert_eq!(cluster.starts.len(), 8, "tasks were started again");
 }
+
+/// The runs on the worker of a test of renewals.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Neighbour {
+    None,
+    BestEffort,
+}
+
+/// Pattern: a site of which most workers serve callers and few best-effort runs are beside them. A
+/// worker is asked at short intervals only while a best-effort run may raise its tail latencies.
+#[rstest]
+#[case::served_alone(Neighbour::None, 0, 6)]
+#[case::beside_best_effort(Neighbour::BestEffort, 10, 20)]
+fn tails_are_read_often_only_beside_best_effort_runs(
+    #[case] neighbour: Neighbour,
+    #[case] least: usize,
+    #[case] most: usize,
+) {
+    let mut cluster = Cluster::with_workers(1);
+    cluster.submit(1, vec![served(1)]);
+    cluster.advance(Duration::from_secs(3));
+    if neighbour == Neighbour::BestEffort {
+        cluster.submit(2, vec![best_effort(1)]);
+        cluster.advance(Duration::from_secs(1));
+    }
+    hold_renewals(&mut cluster);
+    cluster.advance(Duration::from_secs(1));
+    cluster.renewal_count = 0;
+    cluster.advance(Duration::from_secs(5));
+    let count = cluster.renewal_count;
+    assert!((least..=most).contains(&count), "{count} renewals");
+}
+
+/// A best-effort run that comes beside a served one doesn't have to wait for the answer of a renewal
+/// that was sent before: the tail latencies are read as soon as with it.
+#[test]
+fn tails_are_read_soon_after_a_best_effort_run_comes() {
+    let mut cluster = Cluster::with_workers(1);
+    cluster.submit(1, vec![served(1)]);
+    cluster.advance(Duration::from_secs(3));
+    hold_renewals(&mut cluster);
+    cluster.advance(Duration::from_millis(1_500));
+    for number in 0..5 {
+        let id = cluster.submit(10 + number, vec![best_effort(1)]);
+        cluster.renewal_count = 0;
+        cluster.advance(Duration::from_millis(450));
+        assert!(cluster.renewal_count >= 1, "no renewal after run {number}");
+        cluster.planner.cancel(cluster.planner_time(), id);
+        cluster.advance(Duration::from_millis(2_300));
+    }
+}
+
+fn served(task_count: u32) -> StepRequest {
+    StepRequest {
+        is_long_running: true,
+        image: Some("calls".into()),
+        latency_target: Some(Duration::from_millis(20)),
+        ..step(task_count)
+    }
+}
+
+fn best_effort(task_count: u32) -> StepRequest {
+    StepRequest {
+        is_best_effort: true,
+        image: Some("filler".into()),
+        estimate: Duration::from_mins(1),
+        ..step(task_count)
+    }
+}
+
+/// Makes all workers hold renewals back for as long as they may.
+fn hold_renewals(cluster: &mut Cluster) {
+    for worker in cluster.workers.values_mut() {
+        worker.fault.holds_renewals = true;
+    }
+}
