Read a page of records once more if it fails, instead of all pages

Cause: a page that can't be read made a takeover or a listing of workers begin again with the first page. With the thousands of records of a large site, a store that turns a few calls away could keep a takeover from ending. Change: one function reads pages for takeovers and listings, and reads a page that fails soon, and for a reason that may pass, once more. One that fails late isn't repeated, since another node could have read the pages meanwhile.

--- a/crates/geraniumshed-batch/src/store.rs
+++ b/crates/geraniumshed-batch/src/store.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use geraniumshed_model::prelude::LogOffset;
 use smol_str::SmolStr;
+use tokio::time::{Instant, sleep};
 
 /// The name of a topic.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -222,6 +223,12 @@
 /// The timeout for a page of many records, which a slow store has to meet as well.
 const PAGE_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// The duration up to which a failed read of a page is repeated. One that took longer has used up the
+/// time in which another node could read the pages instead.
+const PAGE_RETRY_LIMIT: Duration = Duration::from_millis(500);
+/// The delay before a failed read of a page is repeated.
+const PAGE_RETRY_DELAY: Duration = Duration::from_millis(50);
+
 /// Reads the newest records of all keys, page by page, and the offset from which to read on.
 ///
 /// # Errors
@@ -231,11 +238,27 @@
     store: &S,
     topic: TopicName,
 ) -> Result<(Vec<KeyedRecord>, LogOffset), StoreError> {
+    read_pages(|after| store.newest(topic, after, PAGE_TIMEOUT)).await
+}
+
+/// Reads pages of the newest records until there are no more, and the offset from which to read on.
+///
+/// `read_page` reads the page that starts after a key. A page that can't be read is read once more,
+/// instead of all pages from the first one on.
+///
+/// # Errors
+///
+/// Returns why a page could not be read.
+pub async fn read_pages<R, F>(mut read_page: R) -> Result<(Vec<KeyedRecord>, LogOffset), StoreError>
+where
+    R: FnMut(Option<SmolStr>) -> F,
+    F: Future<Output = Result<NewestPage, StoreError>>,
+{
     let mut records = Vec::new();
     let mut after = None;
     let mut end = None;
     loop {
-        let page = store.newest(topic, after.take(), PAGE_TIMEOUT).await?;
+        let page = read_page_twice(&mut read_page, after.take()).await?;
         // The pages aren't one snapshot: records that are appended meanwhile lie after the end of
         // the first page, so reading on from there misses none.
         let first_end = *end.get_or_insert(page.end);
@@ -246,3 +269,26 @@
         }
     }
 }
+
+/// Reads a page, and once more if that soon fails for a reason that may pass.
+async fn read_page_twice<R, F>(
+    read_page: &mut R,
+    after: Option<SmolStr>,
+) -> Result<NewestPage, StoreError>
+where
+    R: FnMut(Option<SmolStr>) -> F,
+    F: Future<Output = Result<NewestPage, StoreError>>,
+{
+    let begun = Instant::now();
+    let error = match read_page(after.clone()).await {
+        Ok(page) => return Ok(page),
+        Err(error) => error,
+    };
+    let may_pass = matches!(error, StoreError::Refused | StoreError::Unanswered);
+    if !may_pass || begun.elapsed() >= PAGE_RETRY_LIMIT {
+        return Err(error);
+    }
+    log::info!(after:? = after, error:% = error; "could not read a page of records; reading it once more");
+    sleep(PAGE_RETRY_DELAY).await;
+    read_page(after).await
+}
