Limit unanswered starts to a quarter of a second, and unstored ones apart

A slow store on the other hand delays all placements of a batch alike, and a limit on both held back starts for which there was time. Change: unanswered starts are limited to what is answered in a quarter of a second; up to 1,024 placed starts may wait to be stored. Result: 256 of 3,000 tasks placed while the store stands still before (the new test failed), 1,024 and more now.

--- a/crates/geraniumshed-core/src/assignment/start_window.rs
+++ b/crates/geraniumshed-core/src/assignment/start_window.rs
@@ -7,10 +7,13 @@
 
 use geraniumshed_model::prelude::TimePoint;
 
-/// The number of starts that may be in flight whatever the rate of answers.
+/// The number of starts that may be unanswered whatever the rate of answers.
 const MIN_STARTS: usize = 256;
-/// The time that answering all starts in flight may take.
-const TARGET_DELAY: Duration = Duration::from_millis(500);
+/// The time that answering all unanswered starts may take.
+const TARGET_DELAY: Duration = Duration::from_millis(250);
+/// The number of placed starts that may wait to be stored. It is higher, since a slow store takes as
+/// long for many as for few.
+const UNSTORED_STARTS: usize = 1024;
 /// The interval over which answers are counted.
 const COUNT_INTERVAL: Duration = Duration::from_millis(100);
 /// The weight of the newest interval in the smoothed rate.
@@ -51,7 +54,8 @@
 
     /// Returns how many more starts may be placed, given the number of those that wait to be stored.
     pub(super) fn available(&self, unstored: usize) -> usize {
-        self.limit().saturating_sub(self.unanswered + unstored)
+        let unanswered = self.limit().saturating_sub(self.unanswered);
+        unanswered.min(UNSTORED_STARTS.saturating_sub(unstored))
     }
 
     #[expect(
--- a/crates/geraniumshed-core/tests/planner/planner_work.rs
+++ b/crates/geraniumshed-core/tests/planner/planner_work.rs
@@ -192,3 +192,20 @@
         "{compared} workers with a limit of {limit}"
     );
 }
+
+/// Pattern: a slow store. Its batches carry many placements each, so that starts keep up with the jobs
+/// that come although each batch takes long.
+#[test]
+fn slow_store_takes_many_placements_at_once() {
+    let mut cluster = Cluster::with_workers(220);
+    cluster.is_store_up = false;
+    for number in 0..30 {
+        cluster.submit(1 + number, vec![long_task(100)]);
+    }
+    cluster.advance(Duration::from_millis(200));
+    let placed = cluster.planner.work().placed_tasks;
+    assert!((1_000..=1_500).contains(&placed), "{placed} placed");
+    cluster.is_store_up = true;
+    cluster.advance(Duration::from_secs(1));
+    assert_eq!(cluster.starts.len(), 3_000);
+}
