Use the one key of a step for failed searches

The searches that failed were kept by a second type with the same three fields as the key of a step. No behaviour changes; all tests of the planner as before.

--- a/crates/geraniumshed-core/src/assignment/improvement_log.rs
+++ b/crates/geraniumshed-core/src/assignment/improvement_log.rs
@@ -7,7 +7,7 @@
 
 use geraniumshed_model::prelude::TimePoint;
 
-use crate::job::{JobId, WorkerId};
+use crate::job::WorkerId;
 
 /// The workers that have improved, each with the number of its newest improvement.
 ///
@@ -40,14 +40,6 @@
     }
 }
 
-/// Identifies a step of an occurrence of a job.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) struct StepId {
-    pub(super) job: JobId,
-    pub(super) occurrence: u32,
-    pub(super) step: u32,
-}
-
 /// A search for a worker for a task of a step that found none.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct FailedSearch {
--- a/crates/geraniumshed-core/src/assignment/planner.rs
+++ b/crates/geraniumshed-core/src/assignment/planner.rs
@@ -13,7 +13,7 @@
 use super::advice::AdviceTable;
 use super::change_tracker::ChangeTracker;
 use super::event::{JobSummary, PlannerEvent};
-use super::improvement_log::{FailedSearch, ImprovementLog, StepId};
+use super::improvement_log::{FailedSearch, ImprovementLog};
 use super::interference::{InterferenceModel, InterferenceSnapshot};
 use super::lease_ledger::LeaseLedger;
 use super::model_schedule::ModelSchedule;
@@ -23,8 +23,8 @@
 use super::start_window::StartWindow;
 use super::wait_ledger::WaitLedger;
 use crate::job::{
-    JobEntry, JobId, JobPhase, JobRequest, QueueName, QueuePolicy, QueueTable, StoredJob, TaskKey,
-    TaskPhase, WorkerId,
+    JobEntry, JobId, JobPhase, JobRequest, QueueName, QueuePolicy, QueueTable, StepKey, StoredJob,
+    TaskKey, TaskPhase, WorkerId,
 };
 use crate::worker::{FenceToken, SentRenewal, WorkerEntry};
 
@@ -52,7 +52,7 @@
     pub(super) worker_ids: Vec<WorkerId>,
     pub(super) improvement_log: ImprovementLog,
     /// The newest search that failed for each step with waiting tasks.
-    pub(super) failed_searches: BTreeMap<StepId, FailedSearch>,
+    pub(super) failed_searches: BTreeMap<StepKey, FailedSearch>,
     /// Whether all registrations of workers have been read.
     pub(super) has_listing: bool,
     pub(super) change_tracker: ChangeTracker,
--- a/crates/geraniumshed-core/src/assignment/worker_search.rs
+++ b/crates/geraniumshed-core/src/assignment/worker_search.rs
@@ -5,12 +5,12 @@
 use geraniumshed_model::prelude::TimePoint;
 use smol_str::SmolStr;
 
-use super::improvement_log::{FailedSearch, SearchScope, StepId};
+use super::improvement_log::{FailedSearch, SearchScope};
 use super::placement_query::PlacementQuery;
 use super::planner::JobPlanner;
 use super::rank::ReadyStep;
 use super::step_placement::StartableStep;
-use crate::job::{TaskKey, WorkerId};
+use crate::job::{StepKey, TaskKey, WorkerId};
 use crate::worker::WorkerEntry;
 
 /// The distance between the workers at which the searches for two consecutive tasks of a step
@@ -130,7 +130,7 @@
     }
 }
 
-impl From<ReadyStep> for StepId {
+impl From<ReadyStep> for StepKey {
     fn from(ready: ReadyStep) -> Self {
         Self {
             job: ready.job,
