Scan a job's tasks once in a pass that finds a step of it ready

Cause: since passes examine only jobs with tasks to place, each job was scanned twice: for its ready steps, and for whether any task of it waits at all. A step that is ready has a waiting task, so the second scan tells nothing new then. Change: it is left out for jobs with a ready step. The same jobs are kept. All tests of the planner as before, the four known red ones included.

--- a/crates/geraniumshed-core/src/assignment/step_placement.rs
+++ b/crates/geraniumshed-core/src/assignment/step_placement.rs
@@ -86,6 +86,7 @@
             let Some(policy) = self.queues.policy(&job.request.queue) else {
                 return true;
             };
+            let known = steps.len();
             for occurrence in &job.occurrences {
                 let ready = ready_indices(job, occurrence, now.point);
                 steps.extend(ready.map(|step| ReadyStep {
@@ -95,7 +96,8 @@
                     step,
                 }));
             }
-            job.has_tasks_to_place()
+            // Without a step that is ready, tasks may still wait for the end of a retry delay.
+            steps.len() > known || job.has_tasks_to_place()
         });
         steps
     }
