--- a/crates/geraniumshed-core/tests/planner/load_patterns.rs
+++ b/crates/geraniumshed-core/tests/planner/load_patterns.rs
@@ -366,12 +366,7 @@
         }
         if number == 200 {
             failed_at = Some(cluster.now);
-            for index in 0..failed {
-                let key = task(id, 0, index);
-                let worker = cluster.starts_of(key)[0].worker.clone();
-                let worker = cluster.workers.get_mut(&worker).unwrap();
-                worker.end(key, EndKind::Failed);
-            }
+            fail_first_runs(&mut cluster, id, failed);
         }
     }
     for index in 0..failed {
@@ -390,6 +385,16 @@
     assert!(short.count() > 1_000, "short tasks were starved");
 }
 
+/// Makes the first runs of a job's first tasks fail.
+fn fail_first_runs(cluster: &mut Cluster, job: JobId, count: u32) {
+    for index in 0..count {
+        let key = task(job, 0, index);
+        let worker = cluster.starts_of(key)[0].worker.clone();
+        let worker = cluster.workers.get_mut(&worker).unwrap();
+        worker.end(key, EndKind::Failed);
+    }
+}
+
 /// Pattern: loss of many workers on a full cluster. A hundred long-running tasks have to run again at
 /// once, and each finds only workers that short tasks fill.
 #[test]
@@ -415,12 +420,7 @@
         cluster.advance(Duration::from_millis(30));
         if number == 150 {
             failed_at = cluster.now;
-            for index in 0..FAILED {
-                let key = task(id, 0, index);
-                let worker = cluster.starts_of(key)[0].worker.clone();
-                let worker = cluster.workers.get_mut(&worker).unwrap();
-                worker.end(key, EndKind::Failed);
-            }
+            fail_first_runs(&mut cluster, id, FAILED);
         }
     }
     let gaps = (0..FAILED).map(|index| {
