Log how old lost runs were and which workers were lost with them

The log of a run that is lost with its worker told the same of all runs of that worker. It did not tell which of them had just started, whether the start was confirmed, and whether other workers went silent at that moment, so that a task at fault looks like its neighbours, and a single crash like the loss of a rack.

`run ended without success` now holds start, run_age_ms and silent_together for such runs. One function gives up the runs of a lost worker for all three causes. No decision has changed; test: events::lost_run_reports_its_age_and_other_silent_workers.

--- a/crates/geraniumshed-batch/src/telemetry/events.rs
+++ b/crates/geraniumshed-batch/src/telemetry/events.rs
@@ -5,7 +5,7 @@
 
 use geraniumshed_core::assignment::{
     AnsweringWorker, DepartingWorker, JobSummary, LostRun, LostWorker, PlacementSummary,
-    PlannerEvent, SilentWorker,
+    PlannerEvent, RunStart, SilentWorker,
 };
 use geraniumshed_core::worker::WorkerStanding;
 use geraniumshed_model::prelude::whole_millis;
@@ -63,11 +63,23 @@
         task:% = lost.task,
         run = lost.run,
         worker:% = lost.worker,
-        reason = lost.reason;
+        reason = lost.reason,
+        start = lost.loss.map(|loss| start_name(loss.start)),
+        run_age_ms = lost.loss.and_then(|loss| loss.age).map(whole_millis),
+        silent_together = lost.loss.map(|loss| loss.silent_together);
         "run ended without success"
     );
 }
 
+/// Returns the name of what is known of the start of a run, in logs.
+fn start_name(start: RunStart) -> &'static str {
+    match start {
+        RunStart::NotSent => "not sent",
+        RunStart::Unconfirmed => "unconfirmed",
+        RunStart::Confirmed => "confirmed",
+    }
+}
+
 fn log_silent_worker(silent: &SilentWorker) {
     log::info!(
         worker:% = silent.worker,
--- a/crates/geraniumshed-core/src/assignment/event.rs
+++ b/crates/geraniumshed-core/src/assignment/event.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::placement_query::PlacementRefusal;
+use super::worker_loss::WorkerRunLoss;
 use crate::job::{JobId, JobPhase, QueueName, TaskKey, WorkerId};
 use crate::worker::WorkerStanding;
 
@@ -64,6 +65,8 @@
     pub worker: WorkerId,
     /// The reason for its end.
     pub reason: &'static str,
+    /// How it was lost, if it was lost with its worker.
+    pub loss: Option<WorkerRunLoss>,
 }
 
 /// A worker with runs that left a call unanswered.
--- a/crates/geraniumshed-core/src/assignment/planner.rs
+++ b/crates/geraniumshed-core/src/assignment/planner.rs
@@ -20,6 +20,7 @@
 use super::planner_work::PlannerWork;
 use super::rank::allowed_time;
 use super::settings::PlannerSettings;
+use super::silence_log::SilenceLog;
 use super::start_window::StartWindow;
 use super::wait_ledger::WaitLedger;
 use crate::job::{
@@ -61,6 +62,7 @@
     pub(super) is_window_full: bool,
     pub(super) lease_ledger: LeaseLedger,
     pub(super) wait_ledger: WaitLedger,
+    pub(super) silence_log: SilenceLog,
     pub(super) interference: InterferenceModel,
     pub(super) advice: AdviceTable,
     pub(super) actions: Vec<PlannerAction>,
@@ -113,6 +115,7 @@
             start_window: StartWindow::default(),
             is_window_full: false,
             wait_ledger: WaitLedger::default(),
+            silence_log: SilenceLog::default(),
             interference: InterferenceModel::default(),
             advice: AdviceTable::default(),
             actions: Vec::new(),
--- a/crates/geraniumshed-core/src/assignment/run_end.rs
+++ b/crates/geraniumshed-core/src/assignment/run_end.rs
@@ -8,6 +8,7 @@
 use super::action::PlannerTime;
 use super::event::{LostRun, PlannerEvent};
 use super::planner::JobPlanner;
+use super::worker_loss::{LossCause, WorkerRunLoss};
 use crate::job::{JobId, JobPhase, TaskKey, TaskPhase, WorkerId};
 use crate::worker::EndKind;
 
@@ -19,8 +20,10 @@
 pub(super) enum RunEndCause {
     /// The worker reported the end of the run.
     Ended(EndKind),
-    /// The run never started or was lost with its worker, for this reason.
+    /// The run never started, for this reason.
     Lost(&'static str),
+    /// The run was lost with its worker.
+    LostWithWorker(LossCause, WorkerRunLoss),
 }
 
 impl JobPlanner {
@@ -61,7 +64,7 @@
                 task.not_before = now.point + RETRY_DELAY;
                 task.avoid(worker.clone());
             }
-            RunEndCause::Ended(_) | RunEndCause::Lost(_) => {}
+            RunEndCause::Ended(_) | RunEndCause::Lost(_) | RunEndCause::LostWithWorker(..) => {}
         }
         let failures = task.failures;
         if is_final {
@@ -76,6 +79,11 @@
             RunEndCause::Ended(EndKind::Broken) => Some("broken"),
             RunEndCause::Ended(EndKind::Alone) => Some("alone"),
             RunEndCause::Lost(reason) => Some(reason),
+            RunEndCause::LostWithWorker(cause, _) => Some(cause.name()),
+        };
+        let loss = match outcome {
+            RunEndCause::LostWithWorker(_, loss) => Some(loss),
+            RunEndCause::Ended(_) | RunEndCause::Lost(_) => None,
         };
         if let Some(reason) = loss_reason {
             job.diagnostics.record_lost_run(reason);
@@ -84,6 +92,7 @@
                 run,
                 worker: worker.clone(),
                 reason,
+                loss,
             }));
         }
         self.end_if_finished(now, key, failures);
@@ -119,7 +128,7 @@
                 }
             }
             RunEndCause::Ended(EndKind::Failed) => self.record_worker_failure(now, worker, key.job),
-            RunEndCause::Ended(_) | RunEndCause::Lost(_) => {}
+            RunEndCause::Ended(_) | RunEndCause::Lost(_) | RunEndCause::LostWithWorker(..) => {}
         }
     }
 
--- a/crates/geraniumshed-core/src/assignment/starting.rs
+++ b/crates/geraniumshed-core/src/assignment/starting.rs
@@ -101,6 +101,7 @@
             return;
         }
         run.phase = RunPhase::Ordered(worker.token);
+        run.ordered_at = Some(now.point);
         let order = StartOrder {
             task: start.task,
             run: start.run,
@@ -128,6 +129,7 @@
     RunEntry {
         run,
         phase,
+        ordered_at: None,
         reserved: step.reserved_size(),
         processors: step.size.processors,
         image: step.image.clone(),
--- a/crates/geraniumshed-core/src/assignment/supervision.rs
+++ b/crates/geraniumshed-core/src/assignment/supervision.rs
@@ -6,6 +6,7 @@
 
 use super::action::{PlannerAction, PlannerTime};
 use super::planner::JobPlanner;
+use super::worker_loss::LossCause;
 use crate::job::{TaskKey, WorkerId};
 use crate::worker::{RunEntry, RunPhase, StopOrder, WorkerCall, WorkerEntry};
 
@@ -27,30 +28,20 @@
             .map(|entry| entry.id().clone())
             .collect();
         for worker in expired {
-            self.release_worker(now, &worker, "lease ran out");
+            self.release_worker(now, &worker, LossCause::LeaseExpired);
         }
     }
 
     /// Gives up all runs of a worker, and removes the worker if it is no longer registered.
-    pub(super) fn release_worker(
-        &mut self,
-        now: PlannerTime,
-        worker: &WorkerId,
-        reason: &'static str,
-    ) {
+    pub(super) fn release_worker(&mut self, now: PlannerTime, worker: &WorkerId, cause: LossCause) {
         let Some(entry) = self.workers.get(worker) else {
             return;
         };
         let is_listed = entry.is_listed;
-        let runs: Vec<(TaskKey, u32)> = entry
-            .runs
-            .iter()
-            .map(|(key, run)| (*key, run.run))
-            .collect();
-        self.report_loss(now.point, worker, reason);
-        for (key, run) in runs {
-            self.drop_run(now, worker, key, run, reason);
-        }
+        let runs = entry.runs.iter().map(|(key, run)| (*key, run.clone()));
+        let runs: Vec<(TaskKey, RunEntry)> = runs.collect();
+        self.report_loss(now.point, worker, cause.name());
+        self.lose_runs(now, worker, cause, &runs);
         if is_listed {
             self.force_renewal(worker);
         } else {
--- a/crates/geraniumshed-core/src/assignment/worker_events.rs
+++ b/crates/geraniumshed-core/src/assignment/worker_events.rs
@@ -19,6 +19,7 @@
             return;
         }
         entry.contact.silent_since = Some(now);
+        self.silence_log.record(now, worker.clone());
         let silent = SilentWorker {
             worker: worker.clone(),
             runs: entry.runs.len(),
--- a/crates/geraniumshed-core/src/assignment/worker_replies.rs
+++ b/crates/geraniumshed-core/src/assignment/worker_replies.rs
@@ -11,6 +11,7 @@
 use super::run_end::RunEndCause;
 use super::starting::run_entry;
 use super::supervision::WHOLE_PERCENT;
+use super::worker_loss::LossCause;
 use crate::job::{JobEntry, JobId, TaskKey, WorkerId};
 use crate::worker::{
     RenewReply, RunPhase, RunReport, SentRenewal, StartReply, WorkerCall, WorkerEntry,
@@ -169,7 +170,7 @@
         if is_other_worker {
             // Another worker replies at this address, so this one is gone for good.
             entry.is_listed = false;
-            self.release_worker(now, worker, "worker replaced");
+            self.release_worker(now, worker, LossCause::Replaced);
         } else {
             self.report_silence(now.point, worker);
         }
@@ -187,16 +188,7 @@
         };
         let runs = entry.begin_incarnation(incarnation);
         self.emit(PlannerEvent::WorkerRestarted(worker.clone()));
-        for (key, run) in runs {
-            self.finish_run(
-                now,
-                worker,
-                key,
-                run.run,
-                RunEndCause::Lost("worker restarted"),
-                None,
-            );
-        }
+        self.lose_runs(now, worker, LossCause::Restarted, &runs);
     }
 
     /// Processes the reported ends of runs that weren't processed before.
--- a/crates/geraniumshed-core/tests/planner/events.rs
+++ b/crates/geraniumshed-core/tests/planner/events.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use geraniumshed_core::assignment::{
-    JobSummary, LostWorker, PlacementRefusal, PlannerEvent, SilentWorker,
+    JobSummary, LostWorker, PlacementRefusal, PlannerEvent, RunStart, SilentWorker, WorkerRunLoss,
 };
 use geraniumshed_core::job::{JobId, JobPhase, StepRequest, WorkerId};
 use geraniumshed_core::worker::{WorkerChange, WorkerFailure};
@@ -64,6 +64,38 @@
     assert!(summary.age > Duration::from_secs(1));
 }
 
+/// The log has to tell which of a worker's runs had just started when it crashed, and whether other
+/// workers went silent at that moment.
+#[rstest]
+#[case::one_worker(1)]
+#[case::all_workers(3)]
+fn lost_run_reports_its_age_and_other_silent_workers(#[case] silent_count: usize) {
+    let mut cluster = Cluster::with_workers(3);
+    let id = cluster.submit(1, vec![step(3)]);
+    cluster.advance(Duration::from_millis(300));
+    let silent: Vec<WorkerId> = cluster.workers.keys().take(silent_count).cloned().collect();
+    for worker in &silent {
+        set_silent(&mut cluster, worker, true);
+    }
+    cluster.advance(Duration::from_millis(500));
+    for worker in &silent {
+        cluster.workers.get_mut(worker).unwrap().restart();
+    }
+    cluster.advance(Duration::from_millis(500));
+    let lost = cluster.events.iter().filter_map(|event| match event {
+        PlannerEvent::RunLost(lost) if lost.task.job == id => lost.loss,
+        _ => None,
+    });
+    let lost: Vec<WorkerRunLoss> = lost.collect();
+    assert_eq!(lost.len(), silent_count);
+    for loss in lost {
+        assert_eq!(loss.start, RunStart::Confirmed);
+        assert_eq!(loss.silent_together, silent_count);
+        let age = loss.age.unwrap();
+        assert!(age > Duration::from_millis(200) && age < Duration::from_millis(500));
+    }
+}
+
 /// Creates a cluster in which a worker has one run that lasts a minute, and returns that worker.
 fn cluster_with_run() -> (Cluster, WorkerId) {
     let mut cluster = Cluster::with_workers(3);
