Reproduce tasks that crash worker after worker in tests that fail

A stand-in of tasks that crash the workers that start them, with workers that come back under the same id, under a new one or never. 126 of 150 cases of crashing_tasks fail: the task is started again after each crash, and its job never ends, with and without takeovers, lost replies and late starts. The 24 cases of tasks that must survive repeated outages pass and stay in force, as a fix must not give those up.

--- a/crates/geraniumshed-core/tests/planner/main.rs
+++ b/crates/geraniumshed-core/tests/planner/main.rs
@@ -2,6 +2,7 @@
 
 mod adviser;
 mod builders;
+mod crashing_tasks;
 mod draining;
 mod events;
 mod fixture;
