Keep runs that a restarted worker started before its restart was known

What callers could see: a task that runs twice at once. A worker crashes and is back under its id; the leader, whose renewal is still held back or unanswered, sends it starts, which the new process carries out. When the renewal then shows the new process, all runs of the worker were given up as runs of the earlier one, and their tasks were placed again at once.

Runs that the reply lists, that were ordered and not confirmed, or that were confirmed after the renewal was sent are kept now, as unsettled ones, and a renewal with a higher token shows whether they exist. All others can't be of the new process.

--- a/crates/geraniumshed-core/src/assignment/worker_replies.rs
+++ b/crates/geraniumshed-core/src/assignment/worker_replies.rs
@@ -14,8 +14,8 @@
 use super::worker_loss::LossCause;
 use crate::job::{JobEntry, JobId, TaskKey, WorkerId};
 use crate::worker::{
-    RenewReply, RunPhase, RunReport, SentRenewal, StartReply, WorkerCall, WorkerEntry,
-    WorkerFailure, WorkerIncarnation,
+    RenewReply, RunEntry, RunPhase, RunReport, SentRenewal, StartReply, WorkerCall, WorkerEntry,
+    WorkerFailure,
 };
 
 impl JobPlanner {
@@ -120,7 +120,7 @@
             && reply.incarnation.is_some()
             && entry.incarnation != reply.incarnation
         {
-            self.handle_worker_restart(now, worker, reply.incarnation.unwrap_or_default());
+            self.handle_worker_restart(now, worker, sent, &reply);
         }
         self.report_answer(now.point, worker);
         let Some(entry) = self.workers.get_mut(worker) else {
@@ -176,19 +176,36 @@
         }
     }
 
-    /// Handles the restart of a worker, which loses all its runs.
+    /// Handles the restart of a worker, which loses the runs of the earlier process.
+    ///
+    /// Runs that were ordered before the restart was known may be runs of the new process. They are kept
+    /// until a renewal with a higher token shows whether they exist.
     fn handle_worker_restart(
         &mut self,
         now: PlannerTime,
         worker: &WorkerId,
-        incarnation: WorkerIncarnation,
+        sent: SentRenewal,
+        reply: &RenewReply,
     ) {
         let Some(entry) = self.workers.get_mut(worker) else {
             return;
         };
-        let runs = entry.begin_incarnation(incarnation);
+        let runs = entry.begin_incarnation(reply.incarnation.unwrap_or_default());
+        let may_be_new =
+            |(key, run): &(TaskKey, RunEntry)| may_be_of_new_process(*key, run, sent, reply);
+        let (kept, lost): (Vec<_>, Vec<_>) = runs.into_iter().partition(may_be_new);
+        let has_kept = !kept.is_empty();
+        for (key, mut run) in kept {
+            if let RunPhase::Running(_) = run.phase {
+                run.phase = RunPhase::Unsettled(entry.token);
+            }
+            entry.add_run(key, run);
+        }
         self.emit(PlannerEvent::WorkerRestarted(worker.clone()));
-        self.lose_runs(now, worker, LossCause::Restarted, &runs);
+        self.lose_runs(now, worker, LossCause::Restarted, &lost);
+        if has_kept {
+            self.force_renewal(worker);
+        }
     }
 
     /// Processes the reported ends of runs that weren't processed before.
@@ -341,6 +358,23 @@
     }
 }
 
+/// Returns whether a run may have been started by a worker's new process, which answered a renewal.
+fn may_be_of_new_process(
+    key: TaskKey,
+    run: &RunEntry,
+    sent: SentRenewal,
+    reply: &RenewReply,
+) -> bool {
+    let mut reports = reply.running.iter();
+    let is_listed = reports.any(|one| one.task == key && one.run == run.run);
+    is_listed
+        || match run.phase {
+            RunPhase::Storing => false,
+            RunPhase::Ordered(_) | RunPhase::Unsettled(_) => true,
+            RunPhase::Running(since) => since >= sent.sent_at,
+        }
+}
+
 /// Updates a run by its worker's report. Returns whether it is the current run of its task there and
 /// its job hasn't ended.
 fn update_run(
--- a/crates/geraniumshed-core/tests/planner/silent_workers.rs
+++ b/crates/geraniumshed-core/tests/planner/silent_workers.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use geraniumshed_core::job::{JobId, StepRequest, WorkerId};
+use geraniumshed_core::job::{JobId, JobPhase, StepRequest, WorkerId};
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
@@ -225,6 +225,32 @@
     assert_eq!(cluster.running_on(&other), 1);
 }
 
+/// Guards against a second run of a task that a restarted worker started before its restart was known:
+/// the run was given up as one of the earlier process.
+#[rstest]
+#[case::replies_arrive(false)]
+#[case::replies_are_lost(true)]
+fn run_of_a_worker_whose_restart_is_not_known_yet_runs_once(#[case] loses_replies: bool) {
+    let mut cluster = Cluster::with_workers(2);
+    for one in cluster.workers.values_mut() {
+        one.fault.holds_renewals = true;
+    }
+    cluster.advance(Duration::from_millis(1_500));
+    for one in cluster.workers.values_mut() {
+        one.restart();
+        one.fault.loses_replies = loses_replies;
+    }
+    let id = cluster.submit(1, vec![step(4)]);
+    advance_checked(&mut cluster, Duration::from_millis(300));
+    assert_eq!(cluster.starts.len(), 4);
+    for one in cluster.workers.values_mut() {
+        one.fault.loses_replies = false;
+    }
+    advance_checked(&mut cluster, Duration::from_secs(5));
+    assert_eq!(cluster.phase(id), Some(JobPhase::Completed));
+    assert_eq!(cluster.starts.len(), 4);
+}
+
 fn set_draining(cluster: &mut Cluster, worker: &WorkerId, is_draining: bool) {
     let one = cluster.workers.get_mut(worker).unwrap();
     one.listing.is_draining = is_draining;
