Drop a placement if its worker has shrunk while it was being stored

What breaks: a start that brings a worker over its capacity (LIMIT). A placement waits for the store, seconds if that is slow or down; the worker shrinks meanwhile, and the start was sent all the same.

A start is sent only if the run still fits beside the worker's other runs, those that are being stopped included; otherwise its task waits again. Best-effort runs reserve no processors and aren't dropped for those.

A stand-in of workers whose capacity changes records each start that exceeds a capacity that was in force 4.5 s ago or is now.

--- a/crates/geraniumshed-core/src/assignment/starting.rs
+++ b/crates/geraniumshed-core/src/assignment/starting.rs
@@ -100,6 +100,12 @@
             self.drop_run(now, &start.worker, start.task, start.run, "not wanted");
             return;
         };
+        let others = worker.reserved.minus(&run.reserved);
+        if !run.reserved.fits(&worker.listing.capacity.minus(&others)) {
+            // The worker has shrunk while the placement was being stored.
+            self.drop_run(now, &start.worker, start.task, start.run, "worker shrank");
+            return;
+        }
         if needs_ticket && ticket.is_none() {
             self.drop_run(now, &start.worker, start.task, start.run, "ticket ran out");
             return;
--- a/crates/geraniumshed-core/tests/planner/main.rs
+++ b/crates/geraniumshed-core/tests/planner/main.rs
@@ -2,6 +2,7 @@
 
 mod adviser;
 mod builders;
+mod capacity;
 mod crashing_tasks;
 mod draining;
 mod events;
--- a/crates/geraniumshed-core/tests/planner/simulation.rs
+++ b/crates/geraniumshed-core/tests/planner/simulation.rs
@@ -8,7 +8,7 @@
     EndKind, FenceToken, RunEnd, RunReport, StartOrder, WorkerIncarnation, WorkerListing,
     WorkerTime,
 };
-use geraniumshed_model::prelude::TimePoint;
+use geraniumshed_model::prelude::{ResourceSize, TimePoint};
 use smol_str::SmolStr;
 
 /// The faults that a test injects into a worker.
@@ -58,6 +58,8 @@
     pub listing: WorkerListing,
     pub fault: WorkerFault,
     pub incarnation: WorkerIncarnation,
+    /// The capacities before the present one, with the time at which each ended.
+    pub earlier_capacities: Vec<(TimePoint, ResourceSize)>,
     /// The speed of the worker's clock, in percent.
     pub clock_percent: u64,
     /// When the worker's clock showed 0.
@@ -78,6 +80,7 @@
             listing,
             fault: WorkerFault::default(),
             incarnation: WorkerIncarnation(1),
+            earlier_capacities: Vec::new(),
             clock_percent: 100,
             clock_started_at: TimePoint::default(),
             token: FenceToken(0),
