Use capacity that has grown at once

A worker whose capacity grows was no improvement to a search that had failed, and no reason for a placement pass: a waiting task got it only by the next search among all workers, half a millisecond for each of them later, 0.1 s with 200 workers and 0.55 s with 1,100.

Test: capacity::grown_capacity_is_used_soon, 1 of 2 starts within 30 ms before the change, all of them now.

--- a/crates/geraniumshed-core/src/assignment/registry.rs
+++ b/crates/geraniumshed-core/src/assignment/registry.rs
@@ -50,7 +50,7 @@
         let lease_expires_at = self.inherited_lease_end(now.point);
         if let Some(entry) = self.workers.get_mut(&listing.id) {
             entry.is_listed = true;
-            entry.listing = listing;
+            self.is_placement_due |= entry.update_listing(listing);
             return;
         }
         self.prove_losses_by_address(now, listing.address);
--- a/crates/geraniumshed-core/src/worker/entry.rs
+++ b/crates/geraniumshed-core/src/worker/entry.rs
@@ -150,6 +150,14 @@
         }
     }
 
+    /// Replaces the registration, and returns whether the worker's capacity has grown.
+    pub fn update_listing(&mut self, listing: WorkerListing) -> bool {
+        let has_grown = !listing.capacity.fits(&self.listing.capacity);
+        self.listing = listing;
+        self.has_freed_capacity |= has_grown;
+        has_grown
+    }
+
     /// Returns the worker's id.
     pub fn id(&self) -> &WorkerId {
         &self.listing.id
--- a/crates/geraniumshed-core/tests/planner/capacity.rs
+++ b/crates/geraniumshed-core/tests/planner/capacity.rs
@@ -79,6 +79,28 @@
     assert_eq!(cluster.phase(second), Some(JobPhase::Completed));
 }
 
+/// Capacity that has grown was found only by a search among all workers.
+#[test]
+fn grown_capacity_is_used_soon() {
+    let mut cluster = Cluster::with_workers(200);
+    for number in 0..200 {
+        cluster.set_capacity(&worker(number), size(1_000, 128));
+    }
+    let long = StepRequest {
+        estimate: Duration::from_mins(1),
+        ..step(10)
+    };
+    cluster.submit(1, vec![long]);
+    cluster.advance(Duration::from_millis(300));
+    assert_eq!(cluster.starts, []);
+    for number in 0..10 {
+        cluster.set_capacity(&worker(number), size(2_000, 128));
+        cluster.advance(Duration::from_millis(30));
+        assert_eq!(cluster.starts.len(), number + 1);
+        cluster.advance(Duration::from_millis(37));
+    }
+}
+
 fn change_capacity(cluster: &mut Cluster, rng: &mut impl Rng) {
     let id = worker(rng.random_range(0..WORKER_COUNT));
     let processors = 4_000 * rng.random_range(1..=8);
