Release a held worker that has become too small for its task

A worker that was held for a long-running task stayed held after it had shrunk below what the task needs: neither that task nor short ones could use it until it grew again, and no other worker was held instead.

Test: capacity::worker_that_has_become_too_small_is_not_held, held a second after the shrink before, released now.

--- a/crates/geraniumshed-core/src/assignment/worker_hold.rs
+++ b/crates/geraniumshed-core/src/assignment/worker_hold.rs
@@ -121,7 +121,7 @@
     }
 
     /// Releases held workers whose task neither waits nor is being evacuated, or that no longer
-    /// take tasks.
+    /// take tasks or have become too small for it.
     pub(super) fn release_stale_holds(&mut self, now: PlannerTime) {
         self.adopt_holds();
         let awaits_adoption = self.wait_ledger.awaits_adoption(now.point);
@@ -136,13 +136,26 @@
             Some(_) | None => awaits_adoption,
         };
         let held = self.held_workers.iter();
-        let stale = held.filter(|(key, worker)| !is_needed(key) || !takes_tasks(worker));
+        let stale = held.filter(|(key, worker)| {
+            !is_needed(key) || !takes_tasks(worker) || !self.is_large_enough(worker, **key)
+        });
         let stale: Vec<TaskKey> = stale.map(|(key, _)| *key).collect();
         for key in stale {
             self.remove_hold(key);
         }
     }
 
+    /// Returns whether a worker has room for a task once its short tasks have ended, as far as is known.
+    fn is_large_enough(&self, worker: &WorkerId, key: TaskKey) -> bool {
+        let entry = self.workers.get(worker).filter(|entry| entry.is_adopted);
+        let job = self.jobs.get(&key.job);
+        let step = job.and_then(|job| job.request.steps.get(key.step as usize));
+        let Some((entry, step)) = entry.zip(step) else {
+            return true;
+        };
+        step.reserved_size().fits(&entry.size_beside_long_running())
+    }
+
     /// Marks workers as held that became known after the holds were restored.
     fn adopt_holds(&mut self) {
         for (key, worker) in &self.held_workers {
--- a/crates/geraniumshed-core/tests/planner/capacity.rs
+++ b/crates/geraniumshed-core/tests/planner/capacity.rs
@@ -3,12 +3,13 @@
 use std::time::Duration;
 
 use geraniumshed_core::job::{JobId, JobPhase, StepRequest};
+use geraniumshed_core::worker::EndKind;
 use geraniumshed_model::prelude::{ProcessorShare, ResourceSize};
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
 
-use crate::builders::{size, step, worker};
+use crate::builders::{size, step, task, worker};
 use crate::fixture::Cluster;
 
 const WORKER_COUNT: usize = 6;
@@ -101,6 +102,33 @@
     }
 }
 
+/// A worker that was held for a long-running task stayed held after it had become too small for it.
+#[test]
+fn worker_that_has_become_too_small_is_not_held() {
+    let mut cluster = Cluster::with_workers(4);
+    let large = StepRequest {
+        is_long_running: true,
+        ..wide_step(1, 14_000)
+    };
+    let id = cluster.submit(1, vec![large]);
+    cluster.advance(Duration::from_millis(500));
+    let filling = StepRequest {
+        estimate: Duration::from_mins(1),
+        ..wide_step(100, 2_000)
+    };
+    cluster.submit(2, vec![filling]);
+    cluster.advance(Duration::from_millis(500));
+    let failed = cluster.starts_of(task(id, 0, 0))[0].worker.clone();
+    let failed = cluster.workers.get_mut(&failed).unwrap();
+    failed.end(task(id, 0, 0), EndKind::Failed);
+    cluster.advance(Duration::from_secs(8));
+    let held = cluster.waits.holds[0].worker.clone();
+    cluster.set_capacity(&held, size(4_000, 128));
+    cluster.advance(Duration::from_secs(1));
+    let mut holds = cluster.waits.holds.iter();
+    assert!(holds.all(|hold| hold.worker != held));
+}
+
 fn change_capacity(cluster: &mut Cluster, rng: &mut impl Rng) {
     let id = worker(rng.random_range(0..WORKER_COUNT));
     let processors = 4_000 * rng.random_range(1..=8);
