Split the loss of workers, the assessment of crashes and trials

A common cause is looked for once for each worker rather than for each run, and the limit of trials only for tasks that the pass still searches for.

--- a/crates/geraniumshed-core/src/assignment/mod.rs
+++ b/crates/geraniumshed-core/src/assignment/mod.rs
@@ -7,6 +7,7 @@
 mod action;
 mod advice;
 mod change_tracker;
+mod crash_assessment;
 mod crash_ledger;
 mod evacuation;
 mod event;
@@ -30,6 +31,7 @@
 mod starting;
 mod step_placement;
 mod supervision;
+mod trial;
 mod unproved_loss;
 mod wait_ledger;
 mod worker_events;
--- a/crates/geraniumshed-core/src/assignment/step_placement.rs
+++ b/crates/geraniumshed-core/src/assignment/step_placement.rs
@@ -178,13 +178,13 @@
             // All tasks of a step have the same requirements in the end, but for those that have a
             // worker held for them: workers to avoid are taken if there are no others.
             let has_held_worker = self.has_held_worker(key);
-            if !self.allows_trials(&[key]) {
-                continue;
-            }
             if has_failed && !has_held_worker {
                 self.try_hold_worker(now, startable, key);
                 continue;
             }
+            if !self.allows_trials(&[key]) {
+                continue;
+            }
             self.work.searches += 1;
             let scope = if has_held_worker {
                 SearchScope::All
