Count a proved crash in full although the lease expired before

A worker that is back only after its lease has expired looks like one that was cut off until then. Once its new process, or another worker at its address, answers, the crash is proved, but counted as a weak sign: a task whose workers are away for 5 or 8 s was started more than five times.

The loss keeps what was found about the run, and counts in full when it is proved.

--- a/crates/geraniumshed-core/src/assignment/worker_loss.rs
+++ b/crates/geraniumshed-core/src/assignment/worker_loss.rs
@@ -99,11 +99,11 @@
         let silent_at = silent_since.unwrap_or(now.point);
         let silent_together = entry.map_or(0, |entry| self.silent_together(entry, silent_at));
         for (key, run) in runs {
-            let loss = WorkerRunLoss {
+            let mut loss = WorkerRunLoss {
                 start: run.start(),
                 age: run.age_at(silent_at),
                 silent_together: silent_together.max(1),
-                evidence: cause.limit(self.evidence_of(*key, run)),
+                evidence: self.evidence_of(*key, run),
                 was_trial: trial == Some(*key),
                 is_crash: cause.is_crash() || is_gone,
             };
@@ -111,6 +111,7 @@
                 self.unproved_losses
                     .record(now.point, worker, address, *key, loss);
             }
+            loss.evidence = cause.limit(loss.evidence);
             if let Some(entry) = self.workers.get_mut(worker) {
                 entry.remove_run(*key, run.run);
             }
--- a/crates/geraniumshed-core/tests/planner/crashing_tasks.rs
+++ b/crates/geraniumshed-core/tests/planner/crashing_tasks.rs
@@ -147,6 +147,23 @@
     assert_eq!(cluster.duplicated, []);
 }
 
+/// A worker that is back only after its lease has expired looks like one that was cut off until then.
+#[rstest]
+fn crashes_of_workers_that_are_back_after_their_leases_are_counted(
+    #[values(WorkerReturn::SameId, WorkerReturn::NewId)] worker_return: WorkerReturn,
+    #[values(5, 8, 15)] down_s: u64,
+) {
+    let (mut cluster, mut neighbours) = busy_cluster(worker_return);
+    cluster.crashes.down_time = Duration::from_secs(down_s);
+    let delay = Duration::from_millis(10);
+    let key = submit_crashing_task(&mut cluster, StepKind::Plain, delay);
+    neighbours.extend(advance_with_traffic(&mut cluster, 200, OBSERVATION_TIME));
+    cluster.advance(Duration::from_secs(20));
+    assert!(cluster.starts_of(key).len() <= START_LIMIT);
+    assert_eq!(cluster.phase(key.job), Some(JobPhase::Failed));
+    assert_completed(&cluster, &neighbours);
+}
+
 /// How calls to half of the workers fail.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum CallFault {
