--- a/crates/geraniumshed-core/tests/planner/crashing_tasks.rs
+++ b/crates/geraniumshed-core/tests/planner/crashing_tasks.rs
@@ -90,6 +90,15 @@
     }
 }
 
+/// Checks that a task was started within its limit and given up, and that all jobs of its neighbours
+/// are complete.
+fn assert_given_up_alone(cluster: &Cluster, key: TaskKey, neighbours: &[JobId]) {
+    assert!(cluster.starts_of(key).len() <= START_LIMIT);
+    assert_eq!(cluster.phase(key.job), Some(JobPhase::Failed));
+    assert_completed(cluster, neighbours);
+    assert_eq!(cluster.duplicated, []);
+}
+
 /// A task that crashes each worker on which it starts was started without limit, since a run that is
 /// lost with its worker left no trace in its task.
 #[rstest]
@@ -111,10 +120,7 @@
     let key = submit_crashing_task(&mut cluster, kind, delay);
     neighbours.extend(advance_with_traffic(&mut cluster, 200, OBSERVATION_TIME));
     cluster.advance(Duration::from_secs(12));
-    assert!(cluster.starts_of(key).len() <= START_LIMIT);
-    assert_eq!(cluster.phase(key.job), Some(JobPhase::Failed));
-    assert_completed(&cluster, &neighbours);
-    assert_eq!(cluster.duplicated, []);
+    assert_given_up_alone(&cluster, key, &neighbours);
 }
 
 /// The count of crashes was lost with the leader, or a crash between two leaders wasn't counted.
@@ -141,10 +147,7 @@
         }
     }
     cluster.advance(Duration::from_secs(20));
-    assert!(cluster.starts_of(key).len() <= START_LIMIT);
-    assert_eq!(cluster.phase(key.job), Some(JobPhase::Failed));
-    assert_completed(&cluster, &neighbours);
-    assert_eq!(cluster.duplicated, []);
+    assert_given_up_alone(&cluster, key, &neighbours);
 }
 
 /// A worker that is back only after its lease has expired looks like one that was cut off until then.
@@ -159,9 +162,7 @@
     let key = submit_crashing_task(&mut cluster, StepKind::Plain, delay);
     neighbours.extend(advance_with_traffic(&mut cluster, 200, OBSERVATION_TIME));
     cluster.advance(Duration::from_secs(20));
-    assert!(cluster.starts_of(key).len() <= START_LIMIT);
-    assert_eq!(cluster.phase(key.job), Some(JobPhase::Failed));
-    assert_completed(&cluster, &neighbours);
+    assert_given_up_alone(&cluster, key, &neighbours);
 }
 
 /// How calls to half of the workers fail.
@@ -196,10 +197,7 @@
         worker.fault.start_delay = None;
     }
     cluster.advance(Duration::from_secs(20));
-    assert!(cluster.starts_of(key).len() <= START_LIMIT);
-    assert_eq!(cluster.phase(key.job), Some(JobPhase::Failed));
-    assert_completed(&cluster, &neighbours);
-    assert_eq!(cluster.duplicated, []);
+    assert_given_up_alone(&cluster, key, &neighbours);
 }
 
 /// Tasks of one step that crash their workers at the same moment look like the loss of a rack.
