Store nothing of runs that are excused by a common cause

When many workers are lost at once, each run on them was looked up in the log of silences, and an empty finding was stored for each, and removed again when the worker was given up: with 165 of 1,100 workers, thousands of records in a leader's busiest second.

The log is searched for trials only from a worker with one, and a finding that excuses a run is not stored: a successor finds the same common cause.

--- a/crates/geraniumshed-core/src/assignment/crash_assessment.rs
+++ b/crates/geraniumshed-core/src/assignment/crash_assessment.rs
@@ -59,7 +59,12 @@
             let run = run.run;
             (*key, RunSuspicion { run, evidence })
         };
-        let assessed: Vec<(TaskKey, RunSuspicion)> = entry.runs.iter().map(assess).collect();
+        // A common cause excuses runs without a record, since whole racks are lost with many jobs.
+        let is_needed = |(_, one): &(TaskKey, RunSuspicion)| {
+            !has_common_cause || one.evidence != CrashEvidence::None
+        };
+        let assessed = entry.runs.iter().map(assess).filter(is_needed);
+        let assessed: Vec<(TaskKey, RunSuspicion)> = assessed.collect();
         for (key, suspicion) in assessed {
             self.suspect(key, suspicion);
         }
@@ -77,7 +82,7 @@
         let log = &self.silence_log;
         if !entry.was_heard() {
             CrashEvidence::None
-        } else if log.is_on_trial_everywhere(silent_at, job) {
+        } else if entry.trial.is_some() && log.is_on_trial_everywhere(silent_at, job) {
             evidence
         } else if evidence >= CrashEvidence::Likely && log.is_on_most(silent_at, job) {
             CrashEvidence::Shared
