Share the log line of trials and the look-up of a reported run

Cause: the two log lines about tasks that crash workers repeated their fields, and two functions searched a reply for a run in the same way.

Change: one function logs both, and RenewReply::lists serves both searches; evidence_name is private, as only the log uses it. No behaviour has changed.

--- a/crates/geraniumshed-batch/src/telemetry/events.rs
+++ b/crates/geraniumshed-batch/src/telemetry/events.rs
@@ -5,11 +5,12 @@
 
 use geraniumshed_core::assignment::{
     AnsweringWorker, DepartingWorker, JobSummary, LostRun, LostWorker, PlacementSummary,
-    PlannerEvent, RunStart, SilentWorker,
+    PlannerEvent, RunStart, SilentWorker, TaskTrial,
 };
 use geraniumshed_core::job::CrashEvidence;
 use geraniumshed_core::worker::WorkerStanding;
 use geraniumshed_model::prelude::whole_millis;
+use log::Level;
 
 use super::metrics::{in_time, phase_name};
 
@@ -42,29 +43,32 @@
         PlannerEvent::WorkerRestarted(worker) => {
             log::info!(worker:% = worker; "worker has restarted and lost its runs");
         }
-        PlannerEvent::TrialBegun(trial) => {
-            log::info!(
-                job:% = trial.task.job,
-                task:% = trial.task,
-                worker:% = trial.worker,
-                crashes = trial.crashes.total,
-                score = trial.crashes.score;
-                "task is on trial, since workers crashed under it"
-            );
-        }
-        PlannerEvent::TaskGivenUp(trial) => {
-            log::warn!(
-                job:% = trial.task.job,
-                task:% = trial.task,
-                worker:% = trial.worker,
-                crashes = trial.crashes.total,
-                score = trial.crashes.score;
-                "task is given up with its job, since it crashes workers"
-            );
-        }
+        PlannerEvent::TrialBegun(trial) => log_trial(
+            Level::Info,
+            trial,
+            "task is on trial, since workers crashed under it",
+        ),
+        PlannerEvent::TaskGivenUp(trial) => log_trial(
+            Level::Warn,
+            trial,
+            "task is given up with its job, since it crashes workers",
+        ),
     }
 }
 
+/// Logs what happens to a task under which workers have crashed.
+fn log_trial(level: Level, trial: &TaskTrial, message: &str) {
+    log::log!(
+        level,
+        job:% = trial.task.job,
+        task:% = trial.task,
+        worker:% = trial.worker,
+        crashes = trial.crashes.total,
+        score = trial.crashes.score;
+        "{message}"
+    );
+}
+
 fn log_placement(placement: &PlacementSummary) {
     log::info!(
         job:% = placement.job,
@@ -104,8 +108,8 @@
     }
 }
 
-/// Returns the name of what a crash says about a run, in logs and metrics.
-pub(crate) fn evidence_name(evidence: CrashEvidence) -> &'static str {
+/// Returns the name of what a crash says about a run, in logs.
+fn evidence_name(evidence: CrashEvidence) -> &'static str {
     match evidence {
         CrashEvidence::None => "none",
         CrashEvidence::Shared => "shared",
--- a/crates/geraniumshed-core/src/assignment/worker_replies.rs
+++ b/crates/geraniumshed-core/src/assignment/worker_replies.rs
@@ -312,17 +312,14 @@
         let Some(entry) = self.workers.get(worker) else {
             return;
         };
-        let is_listed = |key: &TaskKey, run: u32| {
-            let mut reports = reply.running.iter();
-            reports.any(|one| one.task == *key && one.run == run)
-        };
         let is_missing = |phase: RunPhase| match phase {
             RunPhase::Storing | RunPhase::Ordered(_) => false,
             RunPhase::Unsettled(token) => token < sent.token,
             RunPhase::Running(since) => since < sent.sent_at,
         };
         let runs = entry.runs.iter();
-        let missing = runs.filter(|(key, run)| is_missing(run.phase) && !is_listed(key, run.run));
+        let missing =
+            runs.filter(|(key, run)| is_missing(run.phase) && !reply.lists(**key, run.run));
         let missing = missing.map(|(key, run)| (*key, run.clone()));
         // A run that was started by an earlier process of the worker is lost with it.
         let up_since = entry.up_since;
@@ -385,9 +382,7 @@
     sent: SentRenewal,
     reply: &RenewReply,
 ) -> bool {
-    let mut reports = reply.running.iter();
-    let is_listed = reports.any(|one| one.task == key && one.run == run.run);
-    is_listed
+    reply.lists(key, run.run)
         || match run.phase {
             RunPhase::Storing => false,
             RunPhase::Ordered(_) | RunPhase::Unsettled(_) => true,
--- a/crates/geraniumshed-core/src/worker/message.rs
+++ b/crates/geraniumshed-core/src/worker/message.rs
@@ -145,6 +145,14 @@
     pub ended: Vec<RunEnd>,
 }
 
+impl RenewReply {
+    /// Returns whether the worker reports a run of a task as in progress.
+    pub fn lists(&self, task: TaskKey, run: u32) -> bool {
+        let mut reports = self.running.iter();
+        reports.any(|one| one.task == task && one.run == run)
+    }
+}
+
 /// A run in progress, as its worker reports it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RunReport {
