Log what tells the hypotheses of tasks that run twice apart

A takeover logs the ends of the topics that it read, and a leader the end of the topic after its last confirmed append, so that an outdated read shows. A run, or the end of a run, that a worker lists and that is not the newest run of its task is logged with what the leader knows of the task, and counted. No logic is changed.

--- a/crates/geraniumshed-batch/src/leader/takeover.rs
+++ b/crates/geraniumshed-batch/src/leader/takeover.rs
@@ -99,7 +99,7 @@
     };
     let condition = AppendCondition::Writer(mark);
     let started = Instant::now();
-    store
+    let fence_end = store
         .append(PROGRESS, Vec::new(), condition, APPEND_TIMEOUT)
         .await?;
     let requested_at = request.filter(|one| one.term.precedes(term));
@@ -108,7 +108,7 @@
     // Earlier leaders can no longer store progress, so the requests that are read below include
     // that of each job with progress, unless it was cancelled before its request was stored.
     let requests_read = ReadMark::now();
-    let ((progress, _), (requests, next_request)) =
+    let ((progress, progress_end), (requests, next_request)) =
         tokio::try_join!(read_newest(store, PROGRESS), read_newest(store, REQUESTS))?;
     let read_ms = whole_millis(started.elapsed());
     log::info!(
@@ -116,7 +116,10 @@
         fenced_ms,
         read_ms,
         images = progress.len(),
-        requests = requests.len();
+        requests = requests.len(),
+        fence_end:% = fence_end,
+        progress_end:% = progress_end,
+        requests_end:% = next_request;
         "read the state of earlier leaders"
     );
     let find = |key: &str| progress.iter().find(|record| record.key == key);
--- a/crates/geraniumshed-batch/src/leader/writer.rs
+++ b/crates/geraniumshed-batch/src/leader/writer.rs
@@ -4,6 +4,7 @@
 
 use geraniumshed_core::assignment::{StoreBatch, StoreChange};
 use geraniumshed_core::leadership::LeaderTerm;
+use geraniumshed_model::prelude::LogOffset;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
@@ -41,6 +42,8 @@
     monitor: StoreMonitor,
     metrics: NodeMetrics,
     watch: DependencyWatch,
+    /// The end of the topic after the last batch that the store has confirmed.
+    stored_end: LogOffset,
 }
 
 /// When the batch that the store has not confirmed yet was first sent, if there is one.
@@ -70,6 +73,7 @@
             monitor: context.progress_monitor.clone(),
             metrics: context.metrics.clone(),
             watch: DependencyWatch::new("store, for progress"),
+            stored_end: LogOffset(0),
         };
         tokio::spawn(writer.run(batches));
         (sender, unanswered_since)
@@ -82,11 +86,12 @@
             let forgotten = forgotten_requests(&batch);
             if !self.store_progress(batch).await {
                 self.handle.send(LeaderEvent::Deposed);
-                return;
+                break;
             }
             self.handle.send(LeaderEvent::BatchStored(number));
             self.delete_requests(forgotten).await;
         }
+        log::info!(term:% = self.term, stored_end:% = self.stored_end; "storing no more progress in this term");
     }
 
     /// Stores a batch, retrying until the store answers, and returns whether this leader may still
@@ -113,7 +118,10 @@
             self.monitor.append_answered(appended.is_ok());
             self.watch.record_call(&appended);
             match appended {
-                Ok(_) => break,
+                Ok(end) => {
+                    self.stored_end = end;
+                    break;
+                }
                 Err(StoreError::Refused | StoreError::Unanswered) => {
                     if self.handle.is_closed() {
                         return false;
--- a/crates/geraniumshed-batch/src/telemetry/events.rs
+++ b/crates/geraniumshed-batch/src/telemetry/events.rs
@@ -5,10 +5,10 @@
 
 use geraniumshed_core::assignment::{
     AnsweringWorker, DepartingWorker, JobSummary, LostRun, LostWorker, PlacementSummary,
-    PlannerEvent, RunStart, SilentWorker, TaskTrial,
+    PlannerEvent, RunStart, SilentWorker, TaskTrial, UnexpectedRun,
 };
 use geraniumshed_core::job::CrashEvidence;
-use geraniumshed_core::worker::WorkerStanding;
+use geraniumshed_core::worker::{EndKind, WorkerStanding};
 use geraniumshed_model::prelude::whole_millis;
 use log::Level;
 
@@ -32,6 +32,7 @@
             );
         }
         PlannerEvent::RunLost(lost) => log_lost_run(lost),
+        PlannerEvent::RunUnexpected(unexpected) => log_unexpected_run(unexpected),
         PlannerEvent::JobEnded(summary) => log_job_end(summary),
         PlannerEvent::WorkerQuarantined(worker) => {
             log::info!(worker:% = worker; "worker gets no tasks for a while, since it failed some");
@@ -99,6 +100,38 @@
     );
 }
 
+fn log_unexpected_run(unexpected: &UnexpectedRun) {
+    // A run that was given up may well end without success afterwards.
+    let level = match unexpected.end {
+        None | Some(EndKind::Done) => Level::Warn,
+        Some(_) => Level::Info,
+    };
+    log::log!(
+        level,
+        job:% = unexpected.task.job,
+        task:% = unexpected.task,
+        run = unexpected.run,
+        worker:% = unexpected.worker,
+        end = unexpected.end.map(end_name),
+        known_run = unexpected.known_run,
+        placed_on = unexpected.placed_on.as_ref().map(|worker| worker.0.as_str()),
+        is_done = unexpected.is_done;
+        "worker lists a run that is not the newest one of its task"
+    );
+}
+
+/// Returns the name of how a run ended, in logs.
+fn end_name(kind: EndKind) -> &'static str {
+    match kind {
+        EndKind::Done => "done",
+        EndKind::Failed => "failed",
+        EndKind::Stopped => "stopped",
+        EndKind::Lapsed => "lapsed",
+        EndKind::Broken => "broken",
+        EndKind::Alone => "alone",
+    }
+}
+
 /// Returns the name of what is known of the start of a run, in logs.
 fn start_name(start: RunStart) -> &'static str {
     match start {
--- a/crates/geraniumshed-batch/src/telemetry/metrics.rs
+++ b/crates/geraniumshed-batch/src/telemetry/metrics.rs
@@ -117,6 +117,7 @@
     pub(crate) crashing_tasks: Counter,
     /// The runs that ended without success.
     pub(crate) lost_runs: Family<ReasonLabels, Counter>,
+    pub(crate) unexpected_runs: Counter,
     /// The time for which the runs of lost workers waited to be given up.
     pub(crate) worker_loss_seconds: Histogram,
     /// The jobs that ended.
@@ -167,6 +168,7 @@
             trial_runs: Counter::default(),
             crashing_tasks: Counter::default(),
             lost_runs: Family::default(),
+            unexpected_runs: Counter::default(),
             worker_loss_seconds: Histogram::new(LOSS_BOUNDS),
             ended_jobs: Family::default(),
             job_seconds: Histogram::new(JOB_BOUNDS),
@@ -232,31 +234,7 @@
             "The time that an append to the store takes",
             self.append_seconds.clone(),
         );
-        registry.register(
-            "placements",
-            "Tasks that got workers",
-            self.placements.clone(),
-        );
-        registry.register(
-            "waiting_steps",
-            "Steps that began to wait for a worker",
-            self.waiting_steps.clone(),
-        );
-        registry.register(
-            "trial_runs",
-            "Runs on trial, since workers crashed under earlier runs of their tasks",
-            self.trial_runs.clone(),
-        );
-        registry.register(
-            "crashing_tasks",
-            "Tasks that were given up with their jobs, since they crash workers",
-            self.crashing_tasks.clone(),
-        );
-        registry.register(
-            "lost_runs",
-            "Runs that ended without success",
-            self.lost_runs.clone(),
-        );
+        self.register_runs(&mut registry);
         registry.register(
             "worker_loss_seconds",
             "The time from the last answer of a worker with runs, or from the takeover, until it is given up",
@@ -321,6 +299,40 @@
         registry
     }
 
+    /// Registers the counters of placements and of the ends of runs.
+    fn register_runs(&self, registry: &mut Registry) {
+        registry.register(
+            "placements",
+            "Tasks that got workers",
+            self.placements.clone(),
+        );
+        registry.register(
+            "waiting_steps",
+            "Steps that began to wait for a worker",
+            self.waiting_steps.clone(),
+        );
+        registry.register(
+            "trial_runs",
+            "Runs on trial, since workers crashed under earlier runs of their tasks",
+            self.trial_runs.clone(),
+        );
+        registry.register(
+            "crashing_tasks",
+            "Tasks that were given up with their jobs, since they crash workers",
+            self.crashing_tasks.clone(),
+        );
+        registry.register(
+            "lost_runs",
+            "Runs that ended without success",
+            self.lost_runs.clone(),
+        );
+        registry.register(
+            "unexpected_runs",
+            "Runs and ends that workers list, but that are not those of the newest runs of their tasks",
+            self.unexpected_runs.clone(),
+        );
+    }
+
     /// Counts a read of the configuration.
     pub(crate) fn record_config_read(&self, labels: ConfigLabels, taken: Duration) {
         self.config_reads.get_or_create(&labels).inc();
@@ -391,6 +403,9 @@
                 };
                 self.lost_runs.get_or_create(&labels).inc();
             }
+            PlannerEvent::RunUnexpected(_) => {
+                self.unexpected_runs.inc();
+            }
             PlannerEvent::JobEnded(summary) => self.job_ended(summary),
             PlannerEvent::WorkerLost(lost) => self.worker_lost(lost),
             PlannerEvent::WorkerQuarantined(_)
--- a/crates/geraniumshed-core/src/assignment/event.rs
+++ b/crates/geraniumshed-core/src/assignment/event.rs
@@ -6,7 +6,7 @@
 use super::placement_query::PlacementRefusal;
 use super::worker_loss::WorkerRunLoss;
 use crate::job::{CrashHistory, JobId, JobPhase, QueueName, TaskKey, WorkerId};
-use crate::worker::WorkerStanding;
+use crate::worker::{EndKind, WorkerStanding};
 
 /// A decision of the planner, with the inputs that led to it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -18,6 +18,8 @@
     StepWaiting(PlacementSummary, BTreeMap<PlacementRefusal, u32>),
     /// A run ended without success.
     RunLost(LostRun),
+    /// A worker lists a run, or the end of a run, that is not the newest run of its task there.
+    RunUnexpected(UnexpectedRun),
     /// A job ended.
     JobEnded(JobSummary),
     /// A worker is in quarantine and gets no new tasks for a while.
@@ -73,6 +75,25 @@
     pub loss: Option<WorkerRunLoss>,
 }
 
+/// A run of an open job that its worker lists, but that is not the newest run of its task there.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct UnexpectedRun {
+    /// The task.
+    pub task: TaskKey,
+    /// The number of the listed run.
+    pub run: u32,
+    /// The worker that lists it.
+    pub worker: WorkerId,
+    /// How it ended, or `None` if it is in progress.
+    pub end: Option<EndKind>,
+    /// The number of the task's newest known run, or 0 if there is none.
+    pub known_run: u32,
+    /// The worker on which the newest known run is placed, if it is.
+    pub placed_on: Option<WorkerId>,
+    /// Whether the task is known to have succeeded.
+    pub is_done: bool,
+}
+
 /// A task under which workers have crashed.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct TaskTrial {
--- a/crates/geraniumshed-core/src/assignment/run_end.rs
+++ b/crates/geraniumshed-core/src/assignment/run_end.rs
@@ -67,12 +67,18 @@
         self.update_quarantine(now.point, worker, key, outcome);
         let unstored = self.change_tracker.unstored_batch(key.job);
         let Some(job) = self.jobs.get_mut(&key.job) else {
+            if let RunEndCause::Ended(kind) = outcome {
+                self.report_unexpected_run(worker, key, run, Some(kind));
+            }
             return unstored;
         };
         let is_final = job.phase.is_final();
         let step = job.request.steps.get(key.step as usize)?.clone();
         let task = job.task_mut(key)?;
         if task.run != run || task.phase != TaskPhase::Placed(worker.clone()) {
+            if let RunEndCause::Ended(kind) = outcome {
+                self.report_unexpected_run(worker, key, run, Some(kind));
+            }
             return unstored;
         }
         if checkpoint.is_some() && step.has_checkpoints {
--- a/crates/geraniumshed-core/src/assignment/worker_events.rs
+++ b/crates/geraniumshed-core/src/assignment/worker_events.rs
@@ -4,11 +4,13 @@
 
 use geraniumshed_model::prelude::TimePoint;
 
-use super::event::{AnsweringWorker, DepartingWorker, LostWorker, PlannerEvent, SilentWorker};
+use super::event::{
+    AnsweringWorker, DepartingWorker, LostWorker, PlannerEvent, SilentWorker, UnexpectedRun,
+};
 use super::planner::JobPlanner;
 use super::silence_log::Silence;
-use crate::job::WorkerId;
-use crate::worker::{WorkerEntry, WorkerStanding};
+use crate::job::{TaskEntry, TaskKey, TaskPhase, WorkerId};
+use crate::worker::{EndKind, WorkerEntry, WorkerStanding};
 
 impl JobPlanner {
     /// Reports that a worker with runs left a call unanswered, unless it was silent before.
@@ -92,6 +94,36 @@
         }
     }
 
+    /// Reports that a worker lists a run, or the end of one, that is not the newest run of its task
+    /// there. Those of ended jobs are not reported.
+    pub(super) fn report_unexpected_run(
+        &mut self,
+        worker: &WorkerId,
+        task: TaskKey,
+        run: u32,
+        end: Option<EndKind>,
+    ) {
+        let job = self.jobs.get(&task.job);
+        if job.is_some_and(|job| job.phase.is_final()) {
+            return;
+        }
+        let known = job.and_then(|job| job.task(task));
+        let placed_on = known.and_then(|known| match &known.phase {
+            TaskPhase::Placed(worker) => Some(worker.clone()),
+            TaskPhase::Waiting | TaskPhase::Done => None,
+        });
+        let unexpected = UnexpectedRun {
+            task,
+            run,
+            worker: worker.clone(),
+            end,
+            known_run: known.map_or(0, |known| known.run),
+            placed_on,
+            is_done: known.is_some_and(TaskEntry::is_done),
+        };
+        self.emit(PlannerEvent::RunUnexpected(unexpected));
+    }
+
     /// Reports that the runs of a worker are given up.
     pub(super) fn report_loss(&mut self, now: TimePoint, worker: &WorkerId, reason: &'static str) {
         let Some(entry) = self.workers.get(worker) else {
--- a/crates/geraniumshed-core/src/assignment/worker_replies.rs
+++ b/crates/geraniumshed-core/src/assignment/worker_replies.rs
@@ -279,6 +279,7 @@
 
     /// Stops a run that isn't expected on its worker.
     fn stop_orphan(&mut self, now: TimePoint, worker: &WorkerId, report: &RunReport) {
+        self.report_unexpected_run(worker, report.task, report.run, None);
         let step = self
             .jobs
             .get(&report.task.job)
