Include the last changes of earlier leaders in what a takeover reads

Callers saw tasks that ran a second time after a change of the leader: on two workers at once, or after an acknowledged end. Cause: a new leader took whatever the store showed for the newest state. The append that fences earlier leaders added no record, so nothing told how old the pages were. If the store shows topics as they were some seconds ago, the successor misses placements and ends that its predecessor had stored, and places those tasks again; a request that is shown late makes a job with progress a new one.

A new leader now appends a record to both topics. Since a partition carries out its appends in order, all records that earlier leaders could store lie before it. The end of several pages is the lowest one, since a later page may be older.

--- a/crates/geraniumshed-batch/src/leader/takeover.rs
+++ b/crates/geraniumshed-batch/src/leader/takeover.rs
@@ -12,10 +12,10 @@
 use crate::clock::{NodeClock, ReadMark};
 use crate::node::LeadRequest;
 use crate::store::{
-    AppendCondition, KeyedRecord, StoreClient, StoreError, WriterMark, read_newest,
+    AppendCondition, KeyedRecord, StoreClient, StoreError, TopicName, WriterMark, read_newest_up_to,
 };
 use crate::topic::{
-    INTERFERENCE_KEY, LEADER_KEY, LEADERS, LEASES_KEY, PROGRESS, REQUESTS, WAITS_KEY,
+    INTERFERENCE_KEY, LEADER_KEY, LEADERS, LEASES_KEY, PROGRESS, REQUESTS, TAKEOVER_KEY, WAITS_KEY,
     parse_crashes_key, parse_job_key,
 };
 use crate::wire::{
@@ -78,6 +78,22 @@
     pub(crate) requests_read: ReadMark,
 }
 
+/// Appends the record of a takeover to a topic, and returns the end of the topic after it.
+async fn mark_takeover<S: StoreClient>(
+    store: &S,
+    topic: TopicName,
+    term: LeaderTerm,
+    condition: AppendCondition,
+) -> Result<LogOffset, StoreError> {
+    let record = KeyedRecord {
+        key: TAKEOVER_KEY,
+        value: encode(&term.0),
+    };
+    store
+        .append(topic, vec![record], condition, APPEND_TIMEOUT)
+        .await
+}
+
 /// Fences earlier leaders, so that they can no longer write, and reads the state that they stored.
 ///
 /// What was stored about leases is counted from the request of the leader before to become the
@@ -97,19 +113,19 @@
         epoch: term.0,
         sequence: 0,
     };
-    let condition = AppendCondition::Writer(mark);
     let started = Instant::now();
-    let fence_end = store
-        .append(PROGRESS, Vec::new(), condition, APPEND_TIMEOUT)
-        .await?;
+    let progress_end = mark_takeover(store, PROGRESS, term, AppendCondition::Writer(mark)).await?;
     let requested_at = request.filter(|one| one.term.precedes(term));
     let leases_counted_from = requested_at.map_or_else(|| clock.now(), |one| one.at);
     let fenced_ms = whole_millis(started.elapsed());
-    // Earlier leaders can no longer store progress, so the requests that are read below include
-    // that of each job with progress, unless it was cancelled before its request was stored.
+    // Earlier leaders can no longer store progress, so the requests up to this record include that of
+    // each job with progress, unless it was cancelled before its request was stored.
+    let requests_end = mark_takeover(store, REQUESTS, term, AppendCondition::None).await?;
     let requests_read = ReadMark::now();
-    let ((progress, progress_end), (requests, next_request)) =
-        tokio::try_join!(read_newest(store, PROGRESS), read_newest(store, REQUESTS))?;
+    let ((progress, next_progress), (requests, next_request)) = tokio::try_join!(
+        read_newest_up_to(store, PROGRESS, progress_end),
+        read_newest_up_to(store, REQUESTS, requests_end)
+    )?;
     let read_ms = whole_millis(started.elapsed());
     log::info!(
         term:% = term,
@@ -117,8 +133,7 @@
         read_ms,
         images = progress.len(),
         requests = requests.len(),
-        fence_end:% = fence_end,
-        progress_end:% = progress_end,
+        progress_end:% = next_progress,
         requests_end:% = next_request;
         "read the state of earlier leaders"
     );
--- a/crates/geraniumshed-batch/src/store.rs
+++ b/crates/geraniumshed-batch/src/store.rs
@@ -1,5 +1,6 @@
 //! The interface to the platform's store, which keeps all persistent state in topics.
 
+use std::collections::BTreeMap;
 use std::fmt::{self, Debug, Display, Formatter};
 use std::time::Duration;
 
@@ -85,6 +86,8 @@
     OutOfSequence,
     /// The records before this offset have been deleted.
     Expired(LogOffset),
+    /// The store shows the topic only up to this offset, although it has later records.
+    Outdated(LogOffset),
     /// The answer can't be parsed, or the store rejects the call permanently.
     Invalid(SmolStr),
 }
@@ -98,6 +101,7 @@
             Self::Fenced => f.write_str("a writer with a higher epoch has appended"),
             Self::OutOfSequence => f.write_str("the sequence number is not the expected one"),
             Self::Expired(first) => write!(f, "records before offset {first} are deleted"),
+            Self::Outdated(end) => write!(f, "the topic is only shown up to offset {end}"),
             Self::Invalid(reason) => write!(f, "the call to the store failed: {reason}"),
         }
     }
@@ -229,6 +233,11 @@
 /// The delay before a failed read of a page is repeated.
 const PAGE_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// The time for which a read waits for a record that the store doesn't show yet.
+const CATCH_UP_WAIT: Duration = Duration::from_millis(500);
+/// The time after which a topic is given up whose known records the store doesn't show.
+const CATCH_UP_TIMEOUT: Duration = Duration::from_secs(4);
+
 /// Reads the newest records of all keys, page by page, and the offset from which to read on.
 ///
 /// # Errors
@@ -241,6 +250,48 @@
     read_pages(|after| store.newest(topic, after, PAGE_TIMEOUT)).await
 }
 
+/// Reads the newest records of all keys of a topic that ends at a known offset or later, and the offset
+/// from which to read on.
+///
+/// The pages may be outdated. The records that they lack are read one after the other, in their order.
+///
+/// # Errors
+///
+/// Returns why the records could not be read, or [`StoreError::Outdated`] if the store doesn't show
+/// them in time.
+pub async fn read_newest_up_to<S: StoreClient>(
+    store: &S,
+    topic: TopicName,
+    known_end: LogOffset,
+) -> Result<(Vec<KeyedRecord>, LogOffset), StoreError> {
+    let (records, mut next) = read_newest(store, topic).await?;
+    let mut newest: BTreeMap<SmolStr, KeyedRecord> = BTreeMap::new();
+    newest.extend(
+        records
+            .into_iter()
+            .map(|record| (record.key.clone(), record)),
+    );
+    let deadline = Instant::now() + CATCH_UP_TIMEOUT;
+    if next < known_end {
+        log::warn!(topic:% = topic, shown_end:% = next, known_end:% = known_end; "store shows an outdated topic; reading on");
+    }
+    while next < known_end {
+        let batch = store.read(topic, next, CATCH_UP_WAIT).await?;
+        if batch.next == next && Instant::now() >= deadline {
+            return Err(StoreError::Outdated(next));
+        }
+        next = batch.next;
+        newest.extend(
+            batch
+                .records
+                .into_iter()
+                .map(|record| (record.key.clone(), record)),
+        );
+    }
+    newest.retain(|_, record| !record.value.is_empty());
+    Ok((newest.into_values().collect(), next))
+}
+
 /// Reads pages of the newest records until there are no more, and the offset from which to read on.
 ///
 /// `read_page` reads the page that starts after a key. A page that can't be read is read once more,
@@ -259,13 +310,14 @@
     let mut end = None;
     loop {
         let page = read_page_twice(&mut read_page, after.take()).await?;
-        // The pages aren't one snapshot: records that are appended meanwhile lie after the end of
-        // the first page, so reading on from there misses none.
-        let first_end = *end.get_or_insert(page.end);
+        // The pages aren't one snapshot, and a later page may show an earlier state. Reading on from the
+        // lowest end misses no record.
+        let lowest_end = end.map_or(page.end, |end: LogOffset| end.min(page.end));
+        end = Some(lowest_end);
         after = page.records.last().map(|(_, record)| record.key.clone());
         records.extend(page.records.into_iter().map(|(_, record)| record));
         if !page.has_more || after.is_none() {
-            return Ok((records, first_end));
+            return Ok((records, lowest_end));
         }
     }
 }
--- a/crates/geraniumshed-batch/tests/nodes/leadership.rs
+++ b/crates/geraniumshed-batch/tests/nodes/leadership.rs
@@ -3,16 +3,21 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use geraniumshed_batch::topic::WAITS_KEY;
+use geraniumshed_batch::store::TopicName;
+use geraniumshed_batch::topic::{PROGRESS, REQUESTS, WAITS_KEY};
 use geraniumshed_batch::wire::LeaseSnapshotWire;
 use geraniumshed_batch::{BatchNode, CallOutcome};
 use geraniumshed_core::assignment::LeaseSnapshot;
 use geraniumshed_core::job::{JobId, JobPhase, JobRequest, StepRequest};
 use geraniumshed_core::leadership::LeaderTerm;
 use geraniumshed_model::prelude::ProcessorShare;
+use rstest::rstest;
 
 use crate::support::{Site, deadline, job, settled_leader, wait_for};
 
+/// How old the topics are that an outdated store shows.
+const OUTDATED_AGE: Duration = Duration::from_millis(1_500);
+
 #[tokio::test]
 async fn a_node_without_the_store_learns_the_new_leader_from_its_peers() {
     let site = Site::new();
@@ -50,6 +55,33 @@
     wait_for(async || site.start_count() == 3).await;
 }
 
+// Guards against tasks that a new leader starts a second time, because the store shows it the topics
+// as they were before the last changes of the leader before.
+#[rstest]
+#[case::all_topics(&[REQUESTS, PROGRESS], 21_620)]
+#[case::progress(&[PROGRESS], 21_640)]
+#[case::requests(&[REQUESTS], 21_660)]
+#[tokio::test]
+async fn takeover_from_outdated_topics_starts_no_task_again(
+    #[case] outdated: &[TopicName],
+    #[case] first_port: u16,
+) {
+    let site = Site::new();
+    let nodes = site.spawn_nodes(2, first_port).await;
+    let leader = settled_leader(&nodes).await;
+    let id = JobId(150);
+    let service = nodes[1 - leader].service();
+    service.submit(id, &job(3), deadline()).await;
+    let completed = CallOutcome::Status(JobPhase::Completed);
+    wait_for(async || service.status(id, deadline()).await == completed).await;
+    site.outdate(outdated, OUTDATED_AGE);
+    nodes[leader].begin_stop();
+    wait_for(async || nodes[1 - leader].is_leading()).await;
+    tokio::time::sleep(OUTDATED_AGE).await;
+    wait_for(async || service.status(id, deadline()).await == completed).await;
+    assert_eq!(site.started_runs(), [1, 1, 1]);
+}
+
 // A leader that resigns orders what it has placed. Otherwise, the capacity stays reserved until the
 // successor has found out that the runs don't exist.
 #[tokio::test]
--- a/crates/geraniumshed-batch/tests/nodes/support/mod.rs
+++ b/crates/geraniumshed-batch/tests/nodes/support/mod.rs
@@ -37,6 +37,17 @@
 struct TopicState {
     records: Vec<KeyedRecord>,
     epochs: BTreeMap<&'static str, u64>,
+    /// When each append was carried out, and the end of the topic after it.
+    ends: Vec<(Instant, usize)>,
+}
+
+impl TopicState {
+    /// Returns the end of the topic as it was some time ago.
+    fn end_before(&self, age: Duration) -> usize {
+        let is_shown = |appended: &&(Instant, usize)| appended.0.elapsed() >= age;
+        let shown = self.ends.iter().rev().find(is_shown);
+        shown.map_or(0, |(_, end)| *end)
+    }
 }
 
 #[derive(Debug, Default)]
@@ -48,6 +59,8 @@
     is_worker_hidden: bool,
     is_worker_failing: bool,
     takeover_delay: Duration,
+    /// How old what is read of each topic is.
+    read_ages: BTreeMap<TopicName, Duration>,
     progress_delay: Duration,
     /// The keys of the last append of progress, which may still be in flight.
     progress_keys: Vec<SmolStr>,
@@ -149,6 +162,12 @@
         self.lock().takeover_delay = delay;
     }
 
+    /// Shows topics as they were some time ago.
+    pub fn outdate(&self, topics: &[TopicName], age: Duration) {
+        let ages = topics.iter().map(|topic| (*topic, age));
+        self.lock().read_ages = ages.collect();
+    }
+
     /// Delays each append of progress.
     pub fn delay_progress(&self, delay: Duration) {
         self.lock().progress_delay = delay;
@@ -203,6 +222,7 @@
         let mut state = self.lock();
         let topic = state.topics.entry(PROGRESS).or_default();
         topic.records.push(record);
+        topic.ends.push((Instant::now(), topic.records.len()));
     }
 
     fn newest_progress(&self, key: &SmolStr) -> Option<Bytes> {
--- a/crates/geraniumshed-batch/tests/nodes/support/store.rs
+++ b/crates/geraniumshed-batch/tests/nodes/support/store.rs
@@ -46,6 +46,15 @@
         change(state.topics.entry(topic).or_default())
     }
 
+    /// Returns the records of a topic that are shown to readers.
+    fn shown_records(&self, topic: TopicName) -> Result<Vec<KeyedRecord>, StoreError> {
+        let age = self.access()?.read_ages.get(&topic).copied();
+        self.topic(topic, |state| {
+            let end = age.map_or(state.records.len(), |age| state.end_before(age));
+            Ok(state.records[..end].to_vec())
+        })
+    }
+
     fn config_version(&self) -> Result<u64, StoreError> {
         let state = self.access()?;
         // There is always a configuration, since nodes only become ready with one.
@@ -80,6 +89,7 @@
                 }
             }
             state.records.extend(records);
+            state.ends.push((Instant::now(), state.records.len()));
             Ok(LogOffset(state.records.len() as u64))
         })
     }
@@ -97,17 +107,17 @@
                 return Err(StoreError::Unanswered);
             }
         }
-        self.topic(topic, |state| {
-            let mut newest = BTreeMap::new();
-            for (offset, record) in (0..).zip(&state.records) {
-                newest.insert(record.key.clone(), (LogOffset(offset), record.clone()));
-            }
-            newest.retain(|_, (_, record)| !record.value.is_empty());
-            Ok(NewestPage {
-                records: newest.into_values().collect(),
-                end: LogOffset(state.records.len() as u64),
-                has_more: false,
-            })
+        let shown = self.shown_records(topic)?;
+        let end = LogOffset(shown.len() as u64);
+        let mut newest = BTreeMap::new();
+        for (offset, record) in (0..).zip(shown) {
+            newest.insert(record.key.clone(), (LogOffset(offset), record));
+        }
+        newest.retain(|_, (_, record)| !record.value.is_empty());
+        Ok(NewestPage {
+            records: newest.into_values().collect(),
+            end,
+            has_more: false,
         })
     }
 
@@ -119,10 +129,9 @@
     ) -> Result<ReadBatch, StoreError> {
         let deadline = Instant::now() + wait;
         loop {
-            let records = self.topic(topic, |state| {
-                let first = usize::try_from(from.0).unwrap();
-                Ok(state.records[first..].to_vec())
-            })?;
+            let mut records = self.shown_records(topic)?;
+            let first = usize::try_from(from.0).unwrap();
+            records.drain(..first.min(records.len()));
             if !records.is_empty() || Instant::now() >= deadline {
                 let next = LogOffset(from.0 + records.len() as u64);
                 return Ok(ReadBatch { records, next });
