Continue a task with a run that its worker lists

Callers saw tasks that ran a second time after a change of the leader. Behind it, whatever makes a leader's state lag behind the workers: a run that a worker lists and that isn't the newest known one of its task was only ordered to stop, while the task was placed elsewhere at once; its end, even a successful one, was ignored and acknowledged, which loses it for good.

What a worker lists has happened. A task that waits, or whose start was not sent yet, now continues with a listed run that is not older than its newest one; the end of a newer run counts like any other; and a task of which any run has succeeded is done, and another run of it is stopped. Members of gangs are left out, since they only run together.

--- /dev/null
+++ b/crates/geraniumshed-core/src/assignment/listed_run.rs
@@ -0,0 +1,146 @@
+//! Runs and ends that a worker lists, but that are not those of the newest known runs of their tasks.
+//!
+//! What a worker lists has happened, also if the planner knows nothing of it or has given the run up.
+//! A task that waits for its next start continues with such a run instead, and a task of which any run
+//! has succeeded is done.
+
+use geraniumshed_model::prelude::TimePoint;
+
+use super::action::PlannerTime;
+use super::planner::JobPlanner;
+use super::starting::run_entry;
+use crate::job::{StepRequest, TaskKey, TaskPhase, WorkerId};
+use crate::worker::{EndKind, RunPhase, RunReport};
+
+/// What is known of the newest run of a task that may continue with a run that a worker lists.
+#[derive(Debug)]
+struct NewestRun {
+    step: StepRequest,
+    /// The number of the newest run that a worker may have been told to start.
+    started: u32,
+    progress: StartProgress,
+}
+
+/// How far the next start of a task has come.
+#[derive(Debug)]
+enum StartProgress {
+    /// The task waits for a worker.
+    Waiting,
+    /// The task is placed on this worker, which hasn't been told yet.
+    Unsent(WorkerId),
+    /// This worker may run the task.
+    Sent(WorkerId),
+}
+
+impl JobPlanner {
+    /// Continues a task with a run that its worker lists, if no newer run can have been started.
+    /// Returns whether it does.
+    pub(super) fn adopt_run(
+        &mut self,
+        now: TimePoint,
+        worker: &WorkerId,
+        report: &RunReport,
+    ) -> bool {
+        let key = report.task;
+        let Some(newest) = self.newest_run(key) else {
+            return false;
+        };
+        if matches!(newest.progress, StartProgress::Sent(_)) || report.run < newest.started {
+            return false;
+        }
+        self.withdraw_start(key, &newest);
+        self.expect_run(worker, key, report.run);
+        if let Some(entry) = self.workers.get_mut(worker) {
+            let phase = RunPhase::Running(now);
+            let mut run = run_entry(&newest.step, report.run, phase, now);
+            run.is_reported = true;
+            // An earlier planner may have slowed it.
+            run.is_pace_known = !newest.step.is_best_effort;
+            run.record_progress(report.percent, now);
+            entry.add_run(key, run);
+        }
+        self.change_tracker.mark_changed(key.job);
+        true
+    }
+
+    /// Makes a run that has ended on its worker the newest one of its task, if it succeeded, or if it is
+    /// newer than all that are known. Returns whether it is.
+    pub(super) fn adopt_end(
+        &mut self,
+        now: PlannerTime,
+        worker: &WorkerId,
+        key: TaskKey,
+        run: u32,
+        kind: EndKind,
+    ) -> bool {
+        let Some(newest) = self.newest_run(key) else {
+            return false;
+        };
+        let has_succeeded = kind == EndKind::Done && !newest.step.is_long_running;
+        match &newest.progress {
+            StartProgress::Sent(_) if !has_succeeded => return false,
+            StartProgress::Sent(other) => self.stop_run(now.point, other, key),
+            // The end of a run that is known was counted when the run was given up.
+            StartProgress::Waiting | StartProgress::Unsent(_) => {
+                if !has_succeeded && run <= newest.started {
+                    return false;
+                }
+                self.withdraw_start(key, &newest);
+            }
+        }
+        self.expect_run(worker, key, run.max(newest.started));
+        true
+    }
+
+    /// Returns what is known of the newest run of a task, unless the task has succeeded, its job has
+    /// ended, or it belongs to a gang, whose members only run together.
+    fn newest_run(&self, key: TaskKey) -> Option<NewestRun> {
+        let job = self
+            .jobs
+            .get(&key.job)
+            .filter(|job| !job.phase.is_final())?;
+        let step = job.request.steps.get(key.step as usize)?;
+        if step.is_gang {
+            return None;
+        }
+        let task = job.task(key)?;
+        let progress = match &task.phase {
+            TaskPhase::Done => return None,
+            TaskPhase::Waiting => StartProgress::Waiting,
+            TaskPhase::Placed(worker) if self.is_unsent(worker, key, task.run) => {
+                StartProgress::Unsent(worker.clone())
+            }
+            TaskPhase::Placed(worker) => StartProgress::Sent(worker.clone()),
+        };
+        let is_unsent = matches!(progress, StartProgress::Unsent(_));
+        Some(NewestRun {
+            step: step.clone(),
+            started: task.run - u32::from(is_unsent),
+            progress,
+        })
+    }
+
+    fn is_unsent(&self, worker: &WorkerId, key: TaskKey, number: u32) -> bool {
+        let entry = self.workers.get(worker);
+        let run = entry.and_then(|entry| entry.runs.get(&key));
+        run.is_some_and(|run| run.run == number && run.phase == RunPhase::Storing)
+    }
+
+    /// Releases the worker on which a task is placed, if it hasn't been told yet.
+    fn withdraw_start(&mut self, key: TaskKey, newest: &NewestRun) {
+        if let StartProgress::Unsent(worker) = &newest.progress
+            && let Some(entry) = self.workers.get_mut(worker)
+        {
+            entry.remove_run(key, newest.started + 1);
+        }
+    }
+
+    /// Makes a run on a worker the newest one of its task.
+    fn expect_run(&mut self, worker: &WorkerId, key: TaskKey, run: u32) {
+        let job = self.jobs.get_mut(&key.job);
+        if let Some(task) = job.and_then(|job| job.task_mut(key)) {
+            task.run = run;
+            task.phase = TaskPhase::Placed(worker.clone());
+        }
+    }
+}
--- a/crates/geraniumshed-core/src/assignment/mod.rs
+++ b/crates/geraniumshed-core/src/assignment/mod.rs
@@ -15,6 +15,7 @@
 mod improvement_log;
 mod interference;
 mod lease_ledger;
+mod listed_run;
 mod model_schedule;
 mod pacing;
 mod placement_pass;
--- a/crates/geraniumshed-core/src/assignment/run_end.rs
+++ b/crates/geraniumshed-core/src/assignment/run_end.rs
@@ -66,21 +66,15 @@
         self.is_placement_due = true;
         self.update_quarantine(now.point, worker, key, outcome);
         let unstored = self.change_tracker.unstored_batch(key.job);
-        let Some(job) = self.jobs.get_mut(&key.job) else {
-            if let RunEndCause::Ended(kind) = outcome {
-                self.report_unexpected_run(worker, key, run, Some(kind));
-            }
+        if !self.is_newest_run(worker, key, run)
+            && !self.settles_task(now, worker, key, run, outcome)
+        {
             return unstored;
-        };
+        }
+        let job = self.jobs.get_mut(&key.job)?;
         let is_final = job.phase.is_final();
         let step = job.request.steps.get(key.step as usize)?.clone();
         let task = job.task_mut(key)?;
-        if task.run != run || task.phase != TaskPhase::Placed(worker.clone()) {
-            if let RunEndCause::Ended(kind) = outcome {
-                self.report_unexpected_run(worker, key, run, Some(kind));
-            }
-            return unstored;
-        }
         if checkpoint.is_some() && step.has_checkpoints {
             task.checkpoint = checkpoint;
         }
@@ -121,6 +115,28 @@
         Some(self.change_tracker.mark_changed(key.job))
     }
 
+    /// Returns whether a run is the newest one of its task, and is placed on the worker.
+    fn is_newest_run(&self, worker: &WorkerId, key: TaskKey, run: u32) -> bool {
+        let task = self.jobs.get(&key.job).and_then(|job| job.task(key));
+        task.is_some_and(|task| task.run == run && task.phase == TaskPhase::Placed(worker.clone()))
+    }
+
+    /// Returns whether the end of a run that is not the newest one of its task affects the task.
+    fn settles_task(
+        &mut self,
+        now: PlannerTime,
+        worker: &WorkerId,
+        key: TaskKey,
+        run: u32,
+        outcome: RunEndCause,
+    ) -> bool {
+        let RunEndCause::Ended(kind) = outcome else {
+            return false;
+        };
+        self.report_unexpected_run(worker, key, run, Some(kind));
+        self.adopt_end(now, worker, key, run, kind)
+    }
+
     /// Counts the loss of a worker under a run of a task, if the worker has crashed, and gives the task
     /// and its job up if it has crashed too many workers.
     pub(super) fn count_crash(
--- a/crates/geraniumshed-core/src/assignment/worker_replies.rs
+++ b/crates/geraniumshed-core/src/assignment/worker_replies.rs
@@ -277,9 +277,12 @@
         }
     }
 
-    /// Stops a run that isn't expected on its worker.
+    /// Continues a task with a run that isn't expected on its worker, or stops the run.
     fn stop_orphan(&mut self, now: TimePoint, worker: &WorkerId, report: &RunReport) {
         self.report_unexpected_run(worker, report.task, report.run, None);
+        if self.adopt_run(now, worker, report) {
+            return;
+        }
         let step = self
             .jobs
             .get(&report.task.job)
--- a/crates/geraniumshed-core/tests/planner/main.rs
+++ b/crates/geraniumshed-core/tests/planner/main.rs
@@ -8,6 +8,7 @@
 mod events;
 mod fixture;
 mod leases;
+mod listed_runs;
 mod load_patterns;
 mod planner_work;
 mod rules;
