Confirm the lead after a stall before anything is started

What callers would see: a task that runs twice. A leader whose process stands still while its placement is stored (a signal, a starved processor, a suspended VM) handles the answer of the store when it runs again, and sends the start with a lease counted from then, however long ago it was replaced. Workers that the successor has called reject it, but not one that has restarted since, which knows no fencing token, nor one that the successor can't reach and whose lease it counts from its takeover. Class: acting on a confirmation that is no longer true.

A leader task that has not run for 0.7 s, less than the lifetime of its membership, now sends no start and extends no lease until a batch that it took afterwards is stored. Either that succeeds, and no successor has fenced it, or it ends as leader.

Evidence: suspended_planner_starts_nothing_until_a_later_batch_is_stored and suspended_planner_extends_no_lease fail if suspend_orders does nothing (2 starts; a later deadline).

--- a/crates/geraniumshed-batch/src/leader/run.rs
+++ b/crates/geraniumshed-batch/src/leader/run.rs
@@ -24,6 +24,9 @@
 use crate::store_monitor::StoreMonitor;
 use crate::telemetry::NodeMetrics;
 
+/// The time for which a process may stand still before a successor may have been elected. It is
+/// shorter than the lifetime of the leader's membership.
+const STALL_LIMIT: Duration = Duration::from_millis(700);
 /// The minimum delay between appends, during which changes can accumulate.
 const APPEND_INTERVAL: Duration = Duration::from_millis(15);
 /// The minimum interval between steps, during which events can accumulate.
@@ -110,6 +113,7 @@
         timer: StepTimer::default(),
         cancels: Vec::new(),
         requests_read: recovered.requests_read,
+        awake_at: ReadMark::now(),
     };
     task.restore(recovered);
     let (sender, end) = oneshot::channel();
@@ -163,6 +167,8 @@
     cancels: Vec<(u64, CancelOutcome, oneshot::Sender<CancelOutcome>)>,
     /// All jobs that were stored before this moment are known.
     requests_read: ReadMark,
+    /// When the task was last known to run.
+    awake_at: ReadMark,
 }
 
 impl<W: WorkerCaller> LeaderTask<W> {
@@ -222,6 +228,7 @@
         first: QueuedEvent,
         events: &mut mpsc::UnboundedReceiver<QueuedEvent>,
     ) -> Option<LeaderEnd> {
+        self.watch_stalls();
         let begun = Instant::now();
         let mut next = Some(first);
         while let Some(queued) = next {
@@ -281,8 +288,20 @@
         true
     }
 
+    /// Suspends starts and extensions of leases if the process has stood still for so long that a
+    /// successor may have been elected.
+    fn watch_stalls(&mut self) {
+        let stalled = self.awake_at.age();
+        self.awake_at = ReadMark::now();
+        if stalled >= STALL_LIMIT {
+            log::warn!(stalled_ms = whole_millis(stalled); "process stood still; confirming that it leads before it orders anything");
+            self.planner.suspend_orders();
+        }
+    }
+
     /// Advances the planner, stores its changes and executes its actions.
     fn step(&mut self) {
+        self.watch_stalls();
         self.has_new_events = false;
         let now = Instant::now();
         if self.next_revisit <= now {
@@ -404,6 +423,7 @@
 
     /// Records a stored batch, and answers the cancellations that it contains.
     fn batch_stored(&mut self, number: u64) {
+        self.watch_stalls();
         self.stored_batch = number;
         self.planner.batch_stored(self.clock.planner_time(), number);
         let (done, waiting): (Vec<_>, Vec<_>) = std::mem::take(&mut self.cancels)
--- a/crates/geraniumshed-core/src/assignment/lease_ledger.rs
+++ b/crates/geraniumshed-core/src/assignment/lease_ledger.rs
@@ -92,6 +92,11 @@
         self.is_due
     }
 
+    /// Makes the next batch contain a snapshot.
+    pub(super) fn request_snapshot(&mut self) {
+        self.is_due = true;
+    }
+
     /// Returns whether the store may hold the lease of a worker.
     pub(super) fn contains(&self, worker: &WorkerId) -> bool {
         let mut unstored = self.unstored.iter();
@@ -250,7 +255,7 @@
     /// silent workers as they are now, if there are any.
     pub fn take_final_batch(&mut self, now: PlannerTime) -> Option<StoreBatch> {
         if !self.silent_workers(now.point).is_empty() {
-            self.lease_ledger.is_due = true;
+            self.lease_ledger.request_snapshot();
         }
         self.take_batch(now)
     }
--- a/crates/geraniumshed-core/src/assignment/mod.rs
+++ b/crates/geraniumshed-core/src/assignment/mod.rs
@@ -17,6 +17,7 @@
 mod lease_ledger;
 mod listed_run;
 mod model_schedule;
+mod order_permit;
 mod pacing;
 mod placement_pass;
 mod placement_query;
--- a/crates/geraniumshed-core/src/assignment/planner.rs
+++ b/crates/geraniumshed-core/src/assignment/planner.rs
@@ -17,6 +17,7 @@
 use super::interference::{InterferenceModel, InterferenceSnapshot};
 use super::lease_ledger::LeaseLedger;
 use super::model_schedule::ModelSchedule;
+use super::order_permit::OrderPermit;
 use super::planner_work::PlannerWork;
 use super::rank::allowed_time;
 use super::settings::PlannerSettings;
@@ -74,6 +75,8 @@
     pub(super) compared_workers: Cell<u64>,
     /// Whether calls to workers ask for the prolonged lease.
     pub(super) is_prolonging_leases: bool,
+    /// Whether this planner may start tasks and extend leases.
+    pub(super) order_permit: OrderPermit,
     /// Whether this planner is handing over to a successor.
     pub(super) is_handing_over: bool,
     /// The workers that are held for long-running tasks that found no room or are evacuated.
@@ -125,6 +128,7 @@
             work: PlannerWork::default(),
             compared_workers: Cell::new(0),
             is_prolonging_leases: false,
+            order_permit: OrderPermit::default(),
             is_handing_over: false,
             held_workers: BTreeMap::new(),
             is_placement_due: false,
@@ -236,7 +240,10 @@
 
     /// Returns whether there are changes to store.
     pub fn has_changes(&self) -> bool {
-        self.change_tracker.has_changes() || self.lease_ledger.is_due() || self.wait_ledger.is_due()
+        self.change_tracker.has_changes()
+            || self.lease_ledger.is_due()
+            || self.wait_ledger.is_due()
+            || self.needs_confirmation()
     }
 
     /// Returns whether a renewal carried the newest fencing token that this planner used for a
@@ -253,6 +260,10 @@
         }
         let batch = self.change_tracker.take_batch();
         let number = batch.number;
+        if self.needs_confirmation() {
+            self.lease_ledger.request_snapshot();
+            self.begin_confirmation(number);
+        }
         let progress = batch.changed.into_iter().filter_map(|id| {
             let stored = match self.jobs.get(&id) {
                 Some(job) => job.stored(),
@@ -277,8 +288,14 @@
 
     /// Handles the confirmation that all batches up to the given number are stored.
     pub fn batch_stored(&mut self, now: PlannerTime, number: u64) {
-        for start in self.change_tracker.mark_stored(number) {
-            self.send_start(now, start);
+        let starts = self.change_tracker.mark_stored(number);
+        self.end_confirmation(number);
+        for start in starts {
+            if self.may_order() {
+                self.send_start(now, start);
+            } else {
+                self.change_tracker.defer_start(start);
+            }
         }
         for worker in self.workers.values_mut() {
             worker.ends_stored(number, now.point);
--- a/crates/geraniumshed-core/src/assignment/renewals.rs
+++ b/crates/geraniumshed-core/src/assignment/renewals.rs
@@ -67,6 +67,7 @@
     /// Sends the renewals that are due.
     pub(super) fn send_renewals(&mut self, now: TimePoint) {
         let lease = self.lease_length();
+        let may_extend = self.may_order();
         for (id, entry) in &mut self.workers {
             let is_due = entry.renewal.is_none() && entry.next_renewal_at <= now;
             if !is_due || !entry.has_address() {
@@ -85,7 +86,7 @@
             };
             // Calls whose replies are lost would extend the lease of a silent worker again and
             // again.
-            let deadline = if entry.unanswered_calls > 0 {
+            let deadline = if entry.unanswered_calls > 0 || !may_extend {
                 None
             } else {
                 entry.extend_lease(now, lease)
--- a/crates/geraniumshed-core/tests/planner/rules.rs
+++ b/crates/geraniumshed-core/tests/planner/rules.rs
@@ -40,6 +40,41 @@
     assert_eq!(cluster.starts.len(), 2);
 }
 
+// Guards against starts of a planner whose process stood still while a successor took over: the worker
+// may have restarted since, and then knows no later fencing token.
+#[test]
+fn suspended_planner_starts_nothing_until_a_later_batch_is_stored() {
+    let mut cluster = Cluster::with_workers(2);
+    cluster.is_store_up = false;
+    cluster.submit(1, vec![step(2)]);
+    cluster.advance(Duration::from_millis(100));
+    cluster.planner.suspend_orders();
+    let number_after_placements = 10;
+    cluster
+        .planner
+        .batch_stored(cluster.planner_time(), number_after_placements);
+    cluster.carry_out_actions();
+    cluster.advance(Duration::from_secs(1));
+    assert_eq!(cluster.starts, []);
+    cluster.is_store_up = true;
+    cluster.advance(Duration::from_millis(100));
+    assert_eq!(cluster.starts.len(), 2);
+}
+
+// Guards against leases that a planner extends after its successor has begun to count them.
+#[test]
+fn suspended_planner_extends_no_lease() {
+    let mut cluster = Cluster::with_workers(1);
+    cluster.submit(1, vec![step(2)]);
+    cluster.advance(Duration::from_millis(300));
+    cluster.is_store_up = false;
+    cluster.planner.suspend_orders();
+    cluster.advance(Duration::from_millis(50));
+    let deadline = cluster.workers[&worker(0)].deadline;
+    cluster.advance(Duration::from_secs(3));
+    assert_eq!(cluster.workers[&worker(0)].deadline, deadline);
+}
+
 #[test]
 fn end_is_acknowledged_and_reported_only_once_stored() {
     let mut cluster = Cluster::with_workers(2);
