Give each process of the node tests a loopback address of its own

Seen: stopping_leader_answers_calls_through_its_successor failed once beside another run of the same tests, as nodes listen on fixed ports. Two runs of the test binary at once failed 2 of 2 times with AddrInUse before; with an address derived from the process id, two runs at once pass, 2 of 2 times.

--- a/crates/geraniumshed-batch/tests/nodes/support/mod.rs
+++ b/crates/geraniumshed-batch/tests/nodes/support/mod.rs
@@ -4,7 +4,7 @@
 mod worker;
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -132,7 +132,7 @@
             identity: MemberIdentity {
                 name: format!("d-{index}").into(),
                 incarnation: u64::from(index) + 1,
-                address: SocketAddr::from(([127, 0, 0, 1], first_port + index)),
+                address: SocketAddr::from((own_loopback(), first_port + index)),
             },
             processors,
             first_rank: u32::from(index),
@@ -245,6 +245,12 @@
     }
 }
 
+/// Returns a loopback address of this process, so that test processes don't share ports.
+fn own_loopback() -> Ipv4Addr {
+    let [.., high, middle, low] = std::process::id().to_be_bytes();
+    Ipv4Addr::new(127, 1 + high % 254, middle, low)
+}
+
 fn size(processors: u32) -> ResourceSize {
     ResourceSize {
         processors: ProcessorShare(processors),
