Search orders of takeovers, crashes and late calls for tasks that run twice

A model of the store (epochs, appends one by one) and of workers (a token per process, leases on their own clocks, numbered ends) runs real planners as leaders, without a network. It takes fixed orders of steps, all merges of short sequences and random walks, and checks the runs on the workers: no task runs twice at once, and none is started again after its success was acknowledged.

Guards against orders of takeovers, late calls, appends, crashes and cancellations that break the rule.

--- /dev/null
+++ b/crates/geraniumshed-core/tests/start_rights/leader.rs
@@ -0,0 +1,214 @@
+//! A leader: a planner with the state of its writer.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use geraniumshed_core::assignment::{JobPlanner, PlannerSettings, PlannerTime, StoreBatch};
+use geraniumshed_core::job::{QueueName, QueuePolicy, TaskKey, WorkerId};
+use geraniumshed_core::leadership::LeaderTerm;
+use geraniumshed_core::worker::{
+    RenewReply, SentRenewal, StartReply, WorkerFailure, WorkerListing,
+};
+use geraniumshed_model::prelude::TimePoint;
+
+use crate::store::{AppendResult, StoreModel};
+use crate::worker::LONGEST_LEASE;
+
+/// The time that a leader that resigns waits for its last changes to be stored.
+pub const FINAL_BATCH_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// What a leader gets to know.
+#[derive(Debug, Clone)]
+pub enum LeaderInput {
+    Start(WorkerId, TaskKey, u32, Result<StartReply, WorkerFailure>),
+    Stop(WorkerId, Result<(), WorkerFailure>),
+    Renew(WorkerId, SentRenewal, RenewOutcome),
+    Appended(u64, AppendResult),
+    Listed(Vec<WorkerListing>),
+}
+
+/// The outcome of a renewal.
+#[derive(Debug, Clone)]
+pub enum RenewOutcome {
+    Answered(RenewReply),
+    OtherWorker,
+    Fenced,
+    Failed,
+}
+
+/// The phase of a leader.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LeaderPhase {
+    Claimed,
+    Fenced,
+    Leading,
+    Resigning,
+    Ended,
+}
+
+/// A leader.
+#[derive(Debug)]
+pub struct Leader {
+    pub term: LeaderTerm,
+    pub planner: JobPlanner,
+    pub phase: LeaderPhase,
+    pub is_frozen: bool,
+    /// What arrived while the leader was frozen.
+    pub inbox: VecDeque<LeaderInput>,
+    /// The batch that isn't known to be stored yet.
+    pub in_flight: Option<StoreBatch>,
+    pub sequence: u64,
+    /// The time from which stored leases are counted.
+    counted_from: TimePoint,
+    /// When the leader before asked this one to lead, if it did.
+    pub requested_at: Option<TimePoint>,
+    pub listed: Vec<WorkerListing>,
+    pub resigned_at: TimePoint,
+    /// Whether the store refuses to delete requests for this leader.
+    pub is_refused_deletions: bool,
+    has_final_batch: bool,
+}
+
+impl Leader {
+    /// Creates a leader whose claim is stored.
+    pub fn new(term: LeaderTerm, job_retention: Duration) -> Self {
+        let settings = PlannerSettings {
+            longest_lease: LONGEST_LEASE,
+            job_retention,
+            ..PlannerSettings::default()
+        };
+        let mut planner = JobPlanner::new(settings, term.first_token());
+        let policy = QueuePolicy {
+            service: "s".into(),
+            priority: 0,
+            attempt_limit: 3,
+            stretch: 2.0,
+            latency_objective: Duration::from_millis(500),
+            advice: None,
+        };
+        planner.replace_queues(BTreeMap::from([(QueueName::from("q"), policy)]));
+        Self {
+            term,
+            planner,
+            phase: LeaderPhase::Claimed,
+            is_frozen: false,
+            inbox: VecDeque::new(),
+            in_flight: None,
+            sequence: 0,
+            counted_from: TimePoint::default(),
+            requested_at: None,
+            listed: Vec::new(),
+            resigned_at: TimePoint::default(),
+            is_refused_deletions: false,
+            has_final_batch: false,
+        }
+    }
+
+    /// Returns whether the leader plans and sends calls.
+    pub fn is_leading(&self) -> bool {
+        self.phase == LeaderPhase::Leading && !self.is_frozen
+    }
+
+    /// Fences earlier leaders.
+    pub fn fence(&mut self, store: &mut StoreModel, now: TimePoint) {
+        self.phase = match store.fence(self.term) {
+            AppendResult::Stored => LeaderPhase::Fenced,
+            AppendResult::Fenced => LeaderPhase::Ended,
+        };
+        self.counted_from = self.requested_at.unwrap_or(now);
+    }
+
+    /// Reads the stored state and begins to lead.
+    pub fn read(&mut self, store: &StoreModel, now: PlannerTime) {
+        let leases = store.leases.clone();
+        let leases = leases.filter(|(term, _)| term.precedes(self.term));
+        let leases = leases.map(|(_, snapshot)| snapshot);
+        self.planner.restore_leases(now, self.counted_from, leases);
+        for (id, request) in &store.requests {
+            match store.jobs.get(id) {
+                Some(stored) => {
+                    let stored = stored.clone();
+                    self.planner.restore(now, *id, request.clone(), stored);
+                }
+                None => self.planner.submit(*id, request.clone()),
+            }
+        }
+        for (id, crashes) in &store.crashes {
+            self.planner.restore_crashes(*id, crashes.clone());
+        }
+        self.planner.restore_waits(now, store.waits.clone());
+        self.planner
+            .restore_interference(store.interference.clone());
+        self.phase = LeaderPhase::Leading;
+    }
+
+    /// Passes an input to the planner.
+    pub fn handle(&mut self, now: PlannerTime, input: LeaderInput) {
+        match input {
+            LeaderInput::Appended(number, result) => self.handle_append(now, number, result),
+            _ if self.phase != LeaderPhase::Leading => {}
+            LeaderInput::Start(worker, task, run, reply) => {
+                self.planner.start_answered(now, &worker, task, run, reply);
+            }
+            LeaderInput::Stop(worker, reply) => self.planner.stop_answered(now, &worker, reply),
+            LeaderInput::Listed(listings) => {
+                self.listed.clone_from(&listings);
+                self.planner.replace_workers(now, listings);
+            }
+            LeaderInput::Renew(worker, sent, outcome) => match outcome {
+                RenewOutcome::Answered(reply) => {
+                    self.planner.renewal_answered(now, &worker, sent, reply);
+                }
+                RenewOutcome::OtherWorker => self.planner.renewal_failed(now, &worker, sent, true),
+                RenewOutcome::Fenced if self.planner.is_newest_token(&worker, sent) => {
+                    self.phase = LeaderPhase::Ended;
+                }
+                RenewOutcome::Fenced | RenewOutcome::Failed => {
+                    self.planner.renewal_failed(now, &worker, sent, false);
+                }
+            },
+        }
+    }
+
+    /// Begins to resign.
+    pub fn resign(&mut self, now: PlannerTime) {
+        self.planner.hand_over(now);
+        self.phase = LeaderPhase::Resigning;
+        self.resigned_at = now.point;
+    }
+
+    /// Ends a leader that resigns, once its last batch is stored or takes too long, and returns the
+    /// batch to send.
+    pub fn take_resigning_batch(&mut self, now: PlannerTime) -> Option<StoreBatch> {
+        let is_late = now.point.since(self.resigned_at) > FINAL_BATCH_TIMEOUT;
+        if self.in_flight.is_some() && !is_late {
+            return None;
+        }
+        let batch = if self.has_final_batch || is_late {
+            None
+        } else {
+            self.planner.take_final_batch(now)
+        };
+        self.has_final_batch = true;
+        if batch.is_none() {
+            self.phase = LeaderPhase::Ended;
+        }
+        batch
+    }
+
+    fn handle_append(&mut self, now: PlannerTime, number: u64, result: AppendResult) {
+        if self
+            .in_flight
+            .as_ref()
+            .is_none_or(|batch| batch.number != number)
+            || self.phase == LeaderPhase::Ended
+        {
+            return;
+        }
+        self.in_flight = None;
+        match result {
+            AppendResult::Stored => self.planner.batch_stored(now, number),
+            AppendResult::Fenced => self.phase = LeaderPhase::Ended,
+        }
+    }
+}
