Decide in the planner whether a stall may have cost the lead

The limit was a decision in the driver of the leader task; the model of takeovers could not take it into account. The planner now gets the time for which its process did not run. In the model, a thawed leader passes it as the leader task does: both cases of suspended_leader_starts_nothing_after_a_takeover pass and leave the known failures.

--- a/crates/geraniumshed-batch/src/leader/run.rs
+++ b/crates/geraniumshed-batch/src/leader/run.rs
@@ -24,9 +24,6 @@
 use crate::store_monitor::StoreMonitor;
 use crate::telemetry::NodeMetrics;
 
-/// The time for which a process may stand still before a successor may have been elected. It is
-/// shorter than the lifetime of the leader's membership.
-const STALL_LIMIT: Duration = Duration::from_millis(700);
 /// The minimum delay between appends, during which changes can accumulate.
 const APPEND_INTERVAL: Duration = Duration::from_millis(15);
 /// The minimum interval between steps, during which events can accumulate.
@@ -293,9 +290,8 @@
     fn watch_stalls(&mut self) {
         let stalled = self.awake_at.age();
         self.awake_at = ReadMark::now();
-        if stalled >= STALL_LIMIT {
+        if self.planner.process_stalled(stalled) {
             log::warn!(stalled_ms = whole_millis(stalled); "process stood still; confirming that it leads before it orders anything");
-            self.planner.suspend_orders();
         }
     }
 
--- a/crates/geraniumshed-core/src/assignment/order_permit.rs
+++ b/crates/geraniumshed-core/src/assignment/order_permit.rs
@@ -3,8 +3,14 @@
 //! Workers reject the orders of a planner that has been replaced only once its successor has called
 //! them. A planner whose process has stood still for long enough to be replaced has to find out first.
 
+use std::time::Duration;
+
 use super::planner::JobPlanner;
 
+/// The time for which a process may stand still before a successor may have been elected. It is
+/// shorter than the lifetime of a leader's membership.
+const STALL_LIMIT: Duration = Duration::from_millis(700);
+
 /// Whether the planner may start tasks and extend leases.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub(super) enum OrderPermit {
@@ -24,6 +30,16 @@
         self.order_permit = OrderPermit::Suspended;
     }
 
+    /// Handles that the planner's process has not run for some time, and returns whether it may have been
+    /// replaced meanwhile, so that orders are suspended.
+    pub fn process_stalled(&mut self, stalled: Duration) -> bool {
+        let may_be_replaced = stalled >= STALL_LIMIT;
+        if may_be_replaced {
+            self.suspend_orders();
+        }
+        may_be_replaced
+    }
+
     /// Returns whether the planner may start tasks and extend leases.
     pub(super) fn may_order(&self) -> bool {
         self.order_permit == OrderPermit::Granted
--- a/crates/geraniumshed-core/tests/start_rights/leader.rs
+++ b/crates/geraniumshed-core/tests/start_rights/leader.rs
@@ -53,6 +53,8 @@
     pub planner: JobPlanner,
     pub phase: LeaderPhase,
     pub is_frozen: bool,
+    /// When the leader was last frozen.
+    pub frozen_at: TimePoint,
     /// What arrived while the leader was frozen.
     pub inbox: VecDeque<LeaderInput>,
     /// The batch that isn't known to be stored yet.
@@ -92,6 +94,7 @@
             planner,
             phase: LeaderPhase::Claimed,
             is_frozen: false,
+            frozen_at: TimePoint::default(),
             inbox: VecDeque::new(),
             in_flight: None,
             sequence: 0,
--- a/crates/geraniumshed-core/tests/start_rights/world/leaders.rs
+++ b/crates/geraniumshed-core/tests/start_rights/world/leaders.rs
@@ -9,10 +9,12 @@
 
 impl World {
     pub(super) fn thaw(&mut self, leader: usize) -> Option<()> {
+        let now = self.now;
         let one = self.living(leader)?;
         if !std::mem::replace(&mut one.is_frozen, false) {
             return None;
         }
+        one.planner.process_stalled(now.since(one.frozen_at));
         for input in std::mem::take(&mut one.inbox) {
             self.pass_input(leader, input);
         }
--- a/crates/geraniumshed-core/tests/start_rights/world/steps.rs
+++ b/crates/geraniumshed-core/tests/start_rights/world/steps.rs
@@ -94,9 +94,13 @@
     }
 
     fn freeze(&mut self, leader: usize) -> Option<()> {
+        let now = self.now;
         let one = self.living(leader)?;
-        let was_frozen = std::mem::replace(&mut one.is_frozen, true);
-        (!was_frozen).then_some(())
+        if std::mem::replace(&mut one.is_frozen, true) {
+            return None;
+        }
+        one.frozen_at = now;
+        Some(())
     }
 
     fn resign(&mut self, leader: usize) -> Option<()> {
