Acknowledge ends only to the process that has listed them

What callers would see: a task that is started again after it has ended done. Cause: each renewal repeated the number of the newest stored end. A worker that is back under the same id counts its ends from 1, so the number of its earlier process made it drop ends that nobody had read; a renewal that was sent to the earlier process could do so even later, since a restart raised the token only if runs were kept. Class: an identifier that outlives the process that gave it out.

A renewal now acknowledges only ends that the worker's last answer listed, and none while calls are unanswered; each restart raises the token, so that renewals from before it are rejected.

--- a/crates/geraniumshed-core/src/assignment/renewals.rs
+++ b/crates/geraniumshed-core/src/assignment/renewals.rs
@@ -101,7 +101,7 @@
                 address: entry.listing.address,
                 token: entry.token,
                 body: RenewRequest {
-                    last_stored_end: entry.stored_end,
+                    last_stored_end: entry.acknowledged_end(),
                     deadline,
                     wait,
                 },
--- a/crates/geraniumshed-core/src/assignment/worker_replies.rs
+++ b/crates/geraniumshed-core/src/assignment/worker_replies.rs
@@ -115,6 +115,7 @@
             entry.renewal = None;
             entry.next_renewal_at = now.point;
             entry.read_at = now.point;
+            entry.listed_end = reply.last_end();
         }
         let has_restarted = entry.incarnation.is_some()
             && reply.incarnation.is_some()
@@ -218,9 +219,9 @@
         if let Some(entry) = self.workers.get_mut(worker) {
             entry.trial = entry.trial.filter(|trial| entry.runs.contains_key(trial));
         }
-        if has_kept {
-            self.force_renewal(worker);
-        }
+        // Renewals that were sent to the earlier process acknowledge its ends, and must not reach the new
+        // one.
+        self.force_renewal(worker);
     }
 
     /// Processes the reported ends of runs that weren't processed before.
--- a/crates/geraniumshed-core/src/worker/entry.rs
+++ b/crates/geraniumshed-core/src/worker/entry.rs
@@ -72,6 +72,8 @@
     remaining: OnceCell<BTreeMap<SmolStr, f64>>,
     /// The number of the newest run end whose effect is stored.
     pub stored_end: u64,
+    /// The number of the newest run end in the worker's last answer, or 0 if it had none.
+    pub listed_end: u64,
     /// The number of the newest run end that was processed.
     pub processed_end: u64,
     /// Processed run ends that aren't stored yet: the number of the batch that stores each one,
@@ -130,6 +132,7 @@
             headroom: BTreeMap::new(),
             remaining: OnceCell::new(),
             stored_end: 0,
+            listed_end: 0,
             processed_end: 0,
             storing_ends: VecDeque::new(),
             read_at: TimePoint::default(),
@@ -211,6 +214,17 @@
         self.remaining.get_or_init(compute)
     }
 
+    /// Returns the number up to which the worker may drop ends of runs.
+    ///
+    /// Only what its last answer listed is acknowledged, and only while it answers: a process that has
+    /// started anew numbers its ends from 1 again, and would drop some that nobody has read.
+    pub fn acknowledged_end(&self) -> u64 {
+        if self.unanswered_calls > 0 {
+            return 0;
+        }
+        self.stored_end.min(self.listed_end)
+    }
+
     /// Adds a run and replaces an older run of the same task.
     pub fn add_run(&mut self, task: TaskKey, run: RunEntry) {
         self.reserved = self.reserved.plus(&run.reserved);
@@ -286,6 +300,7 @@
         self.clock = None;
         self.deadline = WorkerTime::default();
         self.stored_end = 0;
+        self.listed_end = 0;
         self.processed_end = 0;
         self.storing_ends.clear();
         self.quarantine = WorkerQuarantine::default();
--- a/crates/geraniumshed-core/src/worker/message.rs
+++ b/crates/geraniumshed-core/src/worker/message.rs
@@ -151,6 +151,12 @@
         let mut reports = self.running.iter();
         reports.any(|one| one.task == task && one.run == run)
     }
+
+    /// Returns the number of the newest end in the answer, or 0 if there is none.
+    pub fn last_end(&self) -> u64 {
+        let numbers = self.ended.iter().map(|end| end.number);
+        numbers.max().unwrap_or(0)
+    }
 }
 
 /// A run in progress, as its worker reports it.
