Delete the progress of an old job only after its request

What callers would see: an old job runs again, minutes after it has ended. Cause: the progress of a forgotten job was deleted first, and its request in a second call whose failure was only logged. The next leader finds a request without progress and takes it for a new job.

The request is deleted first, again after each batch until that succeeds, and the progress with the batch that follows. A leader that finds the progress of an ended job without its request keeps it until the retention is over, so that a late copy of the request does not run either.

--- a/crates/geraniumshed-batch/src/leader/takeover.rs
+++ b/crates/geraniumshed-batch/src/leader/takeover.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use geraniumshed_core::assignment::{InterferenceSnapshot, LeaseSnapshot, WaitSnapshot};
-use geraniumshed_core::job::{JobId, JobPhase, JobRequest, StoredJob, TaskCrashes};
+use geraniumshed_core::job::{JobId, JobRequest, StoredJob, TaskCrashes};
 use geraniumshed_core::leadership::{LeaderRecord, LeaderTerm, MemberIdentity};
 use geraniumshed_model::prelude::{LogOffset, TimePoint, whole_millis};
 use tokio::time::Instant;
@@ -57,8 +57,8 @@
 pub(crate) struct RecoveredState {
     /// All jobs, with their progress if any is stored.
     pub(crate) jobs: Vec<(JobId, JobRequest, Option<StoredJob>)>,
-    /// The jobs that were cancelled before their requests were stored, with the time of the
-    /// cancellation in milliseconds of Unix time.
+    /// The jobs that have ended and have no request: those that were cancelled before it was stored, and
+    /// old ones whose request is deleted already. With the time of the end in milliseconds of Unix time.
     pub(crate) withdrawn: BTreeMap<JobId, u64>,
     /// The jobs with an active cancellation on any node.
     pub(crate) cancelled: BTreeSet<JobId>,
@@ -154,7 +154,8 @@
         .collect();
     let mut withdrawn = BTreeMap::new();
     for (id, stored) in stored_jobs {
-        if stored.phase == JobPhase::Cancelled {
+        // The request of a job that has ended may be deleted already.
+        if stored.phase.is_final() {
             withdrawn.insert(id, stored.ended_unix_ms);
         } else {
             log::error!(job:% = id; "store has the progress of a job without its request");
--- a/crates/geraniumshed-batch/src/leader/writer.rs
+++ b/crates/geraniumshed-batch/src/leader/writer.rs
@@ -1,8 +1,10 @@
 //! Stores the planner's changes, one batch at a time.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use geraniumshed_core::assignment::{StoreBatch, StoreChange};
+use geraniumshed_core::job::JobId;
 use geraniumshed_core::leadership::LeaderTerm;
 use geraniumshed_model::prelude::LogOffset;
 use tokio::sync::mpsc;
@@ -44,6 +46,10 @@
     watch: DependencyWatch,
     /// The end of the topic after the last batch that the store has confirmed.
     stored_end: LogOffset,
+    /// The jobs that the planner has forgotten and whose requests aren't known to be deleted.
+    forgotten: BTreeSet<JobId>,
+    /// The jobs whose requests are deleted and whose progress the next batch deletes.
+    deleted: BTreeSet<JobId>,
 }
 
 /// When the batch that the store has not confirmed yet was first sent, if there is one.
@@ -74,6 +80,8 @@
             metrics: context.metrics.clone(),
             watch: DependencyWatch::new("store, for progress"),
             stored_end: LogOffset(0),
+            forgotten: BTreeSet::new(),
+            deleted: BTreeSet::new(),
         };
         tokio::spawn(writer.run(batches));
         (sender, unanswered_since)
@@ -83,13 +91,18 @@
     async fn run(mut self, mut batches: mpsc::UnboundedReceiver<StoreBatch>) {
         while let Some(batch) = batches.recv().await {
             let number = batch.number;
-            let forgotten = forgotten_requests(&batch);
+            let is_forget = |change: &StoreChange| matches!(change, StoreChange::Forget(_));
+            let (forgets, changes): (Vec<_>, Vec<_>) =
+                batch.changes.into_iter().partition(is_forget);
+            self.forgotten
+                .extend(forgets.iter().filter_map(forgotten_job));
+            let batch = StoreBatch { number, changes };
             if !self.store_progress(batch).await {
                 self.handle.send(LeaderEvent::Deposed);
                 break;
             }
             self.handle.send(LeaderEvent::BatchStored(number));
-            self.delete_requests(forgotten).await;
+            self.delete_requests().await;
         }
         log::info!(term:% = self.term, stored_end:% = self.stored_end; "storing no more progress in this term");
     }
@@ -97,9 +110,12 @@
     /// Stores a batch, retrying until the store answers, and returns whether this leader may still
     /// write.
     async fn store_progress(&mut self, batch: StoreBatch) -> bool {
+        let deleted = std::mem::take(&mut self.deleted);
+        let deletions = deleted.into_iter().map(StoreChange::Forget);
         let records: Vec<KeyedRecord> = batch
             .changes
             .into_iter()
+            .chain(deletions)
             .map(|change| progress_record(self.term, change))
             .collect();
         self.mark.sequence += 1;
@@ -138,17 +154,27 @@
         true
     }
 
-    /// Deletes the requests of forgotten jobs. If this fails, the next leader deletes them.
-    async fn delete_requests(&self, records: Vec<KeyedRecord>) {
-        if records.is_empty() {
+    /// Deletes the requests of forgotten jobs, or tries again after the next batch.
+    ///
+    /// Their progress is deleted afterwards: a request without progress is that of a new job.
+    async fn delete_requests(&mut self) {
+        if self.forgotten.is_empty() {
             return;
         }
+        let deletion = |id: &JobId| KeyedRecord {
+            key: job_key(*id),
+            value: bytes::Bytes::new(),
+        };
+        let records = self.forgotten.iter().map(deletion).collect();
         let appended = self
             .store
             .append(REQUESTS, records, AppendCondition::None, DELETE_TIMEOUT)
             .await;
-        if let Err(error) = appended {
-            log::warn!(error:% = error; "could not delete the requests of old jobs");
+        match appended {
+            Ok(_) => self.deleted.append(&mut self.forgotten),
+            Err(error) => {
+                log::warn!(jobs = self.forgotten.len(), error:% = error; "could not delete the requests of old jobs");
+            }
         }
     }
 }
@@ -187,21 +213,14 @@
     }
 }
 
-/// Returns the records that delete the requests of forgotten jobs.
-fn forgotten_requests(batch: &StoreBatch) -> Vec<KeyedRecord> {
-    batch
-        .changes
-        .iter()
-        .filter_map(|change| match change {
-            StoreChange::Forget(id) => Some(KeyedRecord {
-                key: job_key(*id),
-                value: bytes::Bytes::new(),
-            }),
-            StoreChange::Progress(..)
-            | StoreChange::Interference(_)
-            | StoreChange::Leases(_)
-            | StoreChange::Waits(_)
-            | StoreChange::Crashes(..) => None,
-        })
-        .collect()
+/// Returns the job that a change removes, if it does.
+fn forgotten_job(change: &StoreChange) -> Option<JobId> {
+    match change {
+        StoreChange::Forget(id) => Some(*id),
+        StoreChange::Progress(..)
+        | StoreChange::Interference(_)
+        | StoreChange::Leases(_)
+        | StoreChange::Waits(_)
+        | StoreChange::Crashes(..) => None,
+    }
 }
--- a/crates/geraniumshed-batch/tests/nodes/leadership.rs
+++ b/crates/geraniumshed-batch/tests/nodes/leadership.rs
@@ -82,6 +82,26 @@
     assert_eq!(site.started_runs(), [1, 1, 1]);
 }
 
+// Guards against an old job that runs again, because its request could not be deleted and its progress
+// was: the next leader takes it for a new job.
+#[tokio::test]
+async fn job_whose_request_outlives_its_retention_is_not_run_again() {
+    let site = Site::new();
+    site.forget_jobs_without_requests();
+    let nodes = site.spawn_nodes(2, 21_680).await;
+    let leader = settled_leader(&nodes).await;
+    let id = JobId(160);
+    let service = nodes[1 - leader].service();
+    service.submit(id, &job(1), deadline()).await;
+    wait_for(async || site.start_count() == 1).await;
+    let unknown = CallOutcome::Unknown;
+    wait_for(async || service.status(id, deadline()).await == unknown).await;
+    nodes[leader].begin_stop();
+    wait_for(async || nodes[1 - leader].is_leading()).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert_eq!(site.started_runs(), [1]);
+}
+
 // A leader that resigns orders what it has placed. Otherwise, the capacity stays reserved until the
 // successor has found out that the runs don't exist.
 #[tokio::test]
--- a/crates/geraniumshed-batch/tests/nodes/support/mod.rs
+++ b/crates/geraniumshed-batch/tests/nodes/support/mod.rs
@@ -62,6 +62,10 @@
     /// How old what is read of each topic is.
     read_ages: BTreeMap<TopicName, Duration>,
     progress_delay: Duration,
+    /// How long nodes that are spawned from now on keep ended jobs, if not for the default time.
+    job_retention: Option<Duration>,
+    /// Whether the store refuses to delete requests.
+    is_keeping_requests: bool,
     /// The keys of the last append of progress, which may still be in flight.
     progress_keys: Vec<SmolStr>,
     started_runs: Vec<u32>,
@@ -136,7 +140,7 @@
             },
             processors,
             first_rank: u32::from(index),
-            planner: PlannerSettings::default(),
+            planner: self.planner_settings(),
         };
         let store = NodeStore {
             site: self.clone(),
@@ -147,6 +151,15 @@
             .unwrap()
     }
 
+    fn planner_settings(&self) -> PlannerSettings {
+        let defaults = PlannerSettings::default();
+        let job_retention = self.lock().job_retention;
+        PlannerSettings {
+            job_retention: job_retention.unwrap_or(defaults.job_retention),
+            ..defaults
+        }
+    }
+
     /// Makes the store refuse the calls of these nodes, and only of these.
     pub fn refuse(&self, nodes: impl IntoIterator<Item = usize>) {
         self.lock().refused = nodes.into_iter().collect();
@@ -168,6 +181,14 @@
         self.lock().read_ages = ages.collect();
     }
 
+    /// Makes nodes that are spawned from now on forget ended jobs at their next clean-up, and the store
+    /// refuse to delete their requests.
+    pub fn forget_jobs_without_requests(&self) {
+        let mut state = self.lock();
+        state.job_retention = Some(Duration::ZERO);
+        state.is_keeping_requests = true;
+    }
+
     /// Delays each append of progress.
     pub fn delay_progress(&self, delay: Duration) {
         self.lock().progress_delay = delay;
--- a/crates/geraniumshed-batch/tests/nodes/support/store.rs
+++ b/crates/geraniumshed-batch/tests/nodes/support/store.rs
@@ -9,7 +9,7 @@
 use geraniumshed_batch::store::{
     AppendCondition, KeyedRecord, NewestPage, ReadBatch, StoreClient, StoreError, TopicName,
 };
-use geraniumshed_batch::topic::PROGRESS;
+use geraniumshed_batch::topic::{PROGRESS, REQUESTS};
 use geraniumshed_core::job::{QueueName, QueuePolicy};
 use geraniumshed_core::site::{ConfigVersion, RouteEntry, RouteKey, SiteConfig};
 use geraniumshed_core::worker::{WorkerChange, WorkerListing};
@@ -74,6 +74,10 @@
             let delay = self.site.begin_progress(&records);
             tokio::time::sleep(delay).await;
         }
+        let is_deletion = records.iter().any(|record| record.value.is_empty());
+        if topic == REQUESTS && is_deletion && self.access()?.is_keeping_requests {
+            return Err(StoreError::Refused);
+        }
         self.topic(topic, |state| {
             let end = state.records.len() as u64;
             match condition {
--- a/crates/geraniumshed-core/tests/start_rights/leader.rs
+++ b/crates/geraniumshed-core/tests/start_rights/leader.rs
@@ -3,7 +3,9 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
-use geraniumshed_core::assignment::{JobPlanner, PlannerSettings, PlannerTime, StoreBatch};
+use geraniumshed_core::assignment::{
+    JobPlanner, PlannerSettings, PlannerTime, StoreBatch, StoreChange,
+};
 use geraniumshed_core::job::{QueueName, QueuePolicy, TaskKey, WorkerId};
 use geraniumshed_core::leadership::LeaderTerm;
 use geraniumshed_core::worker::{
@@ -13,6 +15,7 @@
 
 use crate::store::{AppendResult, StoreModel};
 use crate::worker::LONGEST_LEASE;
+use crate::world::JOB;
 
 /// The time that a leader that resigns waits for its last changes to be stored.
 pub const FINAL_BATCH_TIMEOUT: Duration = Duration::from_millis(250);
@@ -69,6 +72,16 @@
     /// Whether the store refuses to delete requests for this leader.
     pub is_refused_deletions: bool,
     has_final_batch: bool,
+    /// How far the removal of the job has come.
+    removal: JobRemoval,
+}
+
+/// How far the removal of a forgotten job has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum JobRemoval {
+    NotForgotten,
+    Forgotten,
+    RequestDeleted,
 }
 
 impl Leader {
@@ -104,7 +117,31 @@
             resigned_at: TimePoint::default(),
             is_refused_deletions: false,
             has_final_batch: false,
+            removal: JobRemoval::NotForgotten,
+        }
+    }
+
+    /// Deletes the progress of a forgotten job only once its request is deleted, as the writer of
+    /// batches does.
+    pub fn replace_forgets(&mut self, batch: &mut StoreBatch) {
+        let count = batch.changes.len();
+        let is_kept = |change: &StoreChange| !matches!(change, StoreChange::Forget(_));
+        batch.changes.retain(is_kept);
+        if batch.changes.len() < count {
+            self.removal = JobRemoval::Forgotten;
+        }
+        if self.removal == JobRemoval::RequestDeleted {
+            batch.changes.push(StoreChange::Forget(JOB));
+        }
+    }
+
+    /// Returns whether the request of a forgotten job has to be deleted now.
+    pub fn delete_request(&mut self) -> bool {
+        let is_due = self.removal == JobRemoval::Forgotten;
+        if is_due {
+            self.removal = JobRemoval::RequestDeleted;
         }
+        is_due
     }
 
     /// Returns whether the leader plans and sends calls.
@@ -136,6 +173,10 @@
                 None => self.planner.submit(*id, request.clone()),
             }
         }
+        let unrequested = store.jobs.iter();
+        for (id, stored) in unrequested.filter(|(id, _)| !store.requests.contains_key(id)) {
+            self.planner.restore_withdrawn(*id, stored.ended_unix_ms);
+        }
         for (id, crashes) in &store.crashes {
             self.planner.restore_crashes(*id, crashes.clone());
         }
--- a/crates/geraniumshed-core/tests/start_rights/world/appends.rs
+++ b/crates/geraniumshed-core/tests/start_rights/world/appends.rs
@@ -1,7 +1,5 @@
 //! The appends of leaders to the store.
 
-use geraniumshed_core::assignment::StoreChange;
-
 use super::{APPEND_TIMEOUT, JOB, PendingAppend, World};
 use crate::leader::{LeaderInput, LeaderPhase};
 use crate::store::{AppendResult, SentAppend};
@@ -13,10 +11,12 @@
     }
 
     pub(super) fn send_append(&mut self, leader: usize) {
-        let one = &self.leaders[leader];
-        let Some(batch) = one.in_flight.clone() else {
+        let one = &mut self.leaders[leader];
+        let Some(mut batch) = one.in_flight.clone() else {
             return;
         };
+        one.replace_forgets(&mut batch);
+        let one = &self.leaders[leader];
         let is_admitted = self.assumptions.checks_epoch_on_arrival && self.store.admits(one.term);
         self.appends.push(PendingAppend {
             leader,
@@ -43,11 +43,9 @@
             "append {number} of leader {}: {result:?}",
             pending.leader
         ));
-        let changes = &pending.append.batch.changes;
-        let forgets = changes.contains(&StoreChange::Forget(JOB));
-        let leader = &self.leaders[pending.leader];
+        let leader = &mut self.leaders[pending.leader];
         let is_active = leader.phase != LeaderPhase::Ended && !leader.is_refused_deletions;
-        if forgets && is_active && is_answered && result == AppendResult::Stored {
+        if is_active && is_answered && result == AppendResult::Stored && leader.delete_request() {
             self.store.requests.remove(&JOB);
         }
         if is_answered || result == AppendResult::Fenced {
