Name the cause of the order with the stored lease that is too short

The order was listed as an effect of a replaced leader that extends leases. Its log shows another cause, and it breaks the rule with a killed leader as well: a start order for an earlier process carries a deadline on another clock, so that the new process grants the longest lease, while the leader stores a shorter one of the worker, which has gone silent. It is replaced by two orders with a killed leader, which check the same.

--- a/crates/geraniumshed-core/tests/start_rights/orders.rs
+++ b/crates/geraniumshed-core/tests/start_rights/orders.rs
@@ -87,13 +87,25 @@
     Tick, Unlist(0), Claim, Crash(1), Pass, Pass, Pass, Pass, Pass, Pass, Return(1, NewId), Pass,
     Pass,
 ])]
-#[case::restarted_worker(&[
-    Crash(0), Return(0, SameId), Tick, Tick, Claim, Unlist(0), Pass, Pass, Pass, Pass, Pass, Pass,
-])]
 fn replaced_leader_extends_no_leases(#[case] steps: &[Step]) {
     assert_none(replay(Assumptions::BOUND_CALLS, 1, LONG_RETENTION, steps));
 }
 
+// Guards against a stored lease that is too short: a start order for an earlier process of the worker
+// carries a deadline on another clock, so that the new process grants the longest lease.
+#[rstest]
+#[case::worker_whose_registration_was_removed(&[
+    Crash(0), Return(0, SameId), Tick, Tick, Kill(0), Unlist(0), Claim, Pass, Pass, Pass, Pass, Pass,
+    Pass,
+])]
+#[case::worker_cut_off_from_the_successor(&[
+    Crash(0), Return(0, SameId), Tick, Tick, Kill(0), Claim, Cut(1, 0), Pass, Pass, Pass, Pass, Pass,
+    Pass,
+])]
+fn lease_of_a_worker_that_has_restarted_unnoticed_is_waited_for(#[case] steps: &[Step]) {
+    assert_none(replay(Assumptions::BOUND_CALLS, 1, LONG_RETENTION, steps));
+}
+
 // Guards against a start order of a killed leader, or a copy of one, that reaches a later process of
 // the worker, which knows no fencing token.
 #[rstest]
