Keep the highest fencing token of removed workers

What callers would see: a takeover for no reason. A worker that was lost and is registered again gets an entry with the first token of the term, although it has seen a raised one of the same leader, which then ends as if it were replaced. New entries now begin with the highest token of all removed workers.

Evidence: leader_is_not_deposed_by_its_own_calls failed before, passes, and leaves the known failures.

--- a/crates/geraniumshed-core/src/assignment/planner.rs
+++ b/crates/geraniumshed-core/src/assignment/planner.rs
@@ -38,6 +38,7 @@
 #[derive(Debug)]
 pub struct JobPlanner {
     pub(super) settings: PlannerSettings,
+    /// The fencing token of the first call to a worker.
     pub(super) first_token: FenceToken,
     pub(super) queues: QueueTable,
     pub(super) jobs: BTreeMap<JobId, JobEntry>,
--- a/crates/geraniumshed-core/src/assignment/supervision.rs
+++ b/crates/geraniumshed-core/src/assignment/supervision.rs
@@ -42,6 +42,7 @@
             return;
         };
         let is_listed = entry.is_listed;
+        let token = entry.token;
         let runs = entry.runs.iter().map(|(key, run)| (*key, run.clone()));
         let runs: Vec<(TaskKey, RunEntry)> = runs.collect();
         self.assess_runs(now.point, worker);
@@ -51,6 +52,8 @@
             self.force_renewal(worker);
         } else {
             self.workers.remove(worker);
+            // The worker rejects lower tokens if it is registered again.
+            self.first_token = self.first_token.max(token);
         }
     }
 
