--- a/crates/geraniumshed-core/src/assignment/pacing.rs
+++ b/crates/geraniumshed-core/src/assignment/pacing.rs
@@ -310,7 +310,8 @@
 
 /// Returns whether a run has enough remaining work to be worth a move, and wasn't moved too often.
 fn may_move(run: &RunEntry) -> bool {
-    let remaining = run.estimate * FULL_PERCENT.saturating_sub(run.percent) / FULL_PERCENT;
+    let remaining_percent = FULL_PERCENT.saturating_sub(run.percent);
+    let remaining = run.estimate.saturating_mul(remaining_percent) / FULL_PERCENT;
     run.run <= MOVED_RUN_LIMIT && remaining >= MIN_MOVE_WORK
 }
 
--- a/crates/geraniumshed-core/src/assignment/step_placement.rs
+++ b/crates/geraniumshed-core/src/assignment/step_placement.rs
@@ -382,7 +382,8 @@
         } else {
             WAIT_LIMIT_MS
         };
-        if now.unix_ms >= job.request.submitted_unix_ms + wait_limit_ms {
+        let submitted_unix_ms = job.request.submitted_unix_ms;
+        if now.unix_ms >= submitted_unix_ms.saturating_add(wait_limit_ms) {
             return 0.0;
         }
         let slack = allowed_time(job, policy).saturating_sub(job.longest_chain());
--- a/crates/geraniumshed-core/src/job/chain.rs
+++ b/crates/geraniumshed-core/src/job/chain.rs
@@ -11,7 +11,7 @@
     for (index, step) in steps.iter().enumerate().rev() {
         let chain = chains[index];
         for before in predecessors(step, index) {
-            chains[before] = chains[before].max(steps[before].estimate + chain);
+            chains[before] = chains[before].max(steps[before].estimate.saturating_add(chain));
         }
     }
     chains
--- a/crates/geraniumshed-core/tests/planner/main.rs
+++ b/crates/geraniumshed-core/tests/planner/main.rs
@@ -9,6 +9,7 @@
 mod fixture;
 mod leases;
 mod load_patterns;
+mod odd_jobs;
 mod planner_work;
 mod rules;
 mod silent_workers;
