Begin a bounded number of occurrences at once

A repeating job whose occurrences are due in the past, such as one without an interval or with a start in 1970 and a count of millions, made the leader begin all of them in one step, until its memory was used up. The request is stored, so each successor would end in the same way.

A job now begins further occurrences only while less than 20,000 of its steps and tasks are in progress, which is the largest number of tasks of one occurrence. It begins the others as these end, since it stays among the jobs with occurrences to begin.

Before, the 3 new cases failed: 1,000,000 occurrences were begun at once.

--- a/crates/geraniumshed-core/src/job/entry.rs
+++ b/crates/geraniumshed-core/src/job/entry.rs
@@ -13,6 +13,10 @@
 use super::stored::{StoredJob, StoredOccurrence, StoredTask, TaskStage};
 use super::task::{TaskEntry, TaskPhase};
 
+/// The number of steps and tasks in progress up to which a job begins further occurrences, so that a
+/// schedule with any number of occurrences in the past uses a bounded amount of memory.
+const MAX_SIZE_IN_PROGRESS: usize = 20_000;
+
 /// The state of a job as reported to clients.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum JobPhase {
@@ -53,6 +57,11 @@
         }
     }
 
+    /// Returns the number of steps and tasks.
+    fn size(&self) -> usize {
+        self.steps.iter().map(|tasks| 1 + tasks.len()).sum()
+    }
+
     /// Returns whether all tasks of a step have succeeded.
     pub fn is_step_done(&self, step: usize) -> bool {
         self.steps
@@ -176,14 +185,22 @@
     }
 
     /// Starts the occurrences that are due and returns whether there were any.
+    ///
+    /// While many tasks are in progress, the next occurrence is only started once others have ended.
     pub fn begin_due(&mut self, now_unix_ms: u64) -> bool {
         if self.phase.is_final() {
             return false;
         }
         let mut next = self.next_occurrence();
         let first = next;
-        while next < self.occurrence_count() && self.due_unix_ms(next) <= now_unix_ms {
-            self.occurrences.push(Occurrence::new(next, &self.request));
+        let mut size: usize = self.occurrences.iter().map(Occurrence::size).sum();
+        let is_due = |job: &Self, number| {
+            number < job.occurrence_count() && job.due_unix_ms(number) <= now_unix_ms
+        };
+        while is_due(self, next) && (self.occurrences.is_empty() || size < MAX_SIZE_IN_PROGRESS) {
+            let occurrence = Occurrence::new(next, &self.request);
+            size += occurrence.size();
+            self.occurrences.push(occurrence);
             next += 1;
         }
         next > first
@@ -200,7 +217,7 @@
         let begun = self
             .occurrences
             .iter()
-            .map(|occurrence| occurrence.number + 1)
+            .map(|occurrence| occurrence.number.saturating_add(1))
             .max();
         begun.unwrap_or(0).max(self.ended_occurrences)
     }
@@ -209,7 +226,7 @@
     pub fn end_done(&mut self) -> bool {
         while self.occurrences.first().is_some_and(Occurrence::is_done) {
             let ended = self.occurrences.remove(0);
-            self.ended_occurrences = ended.number + 1;
+            self.ended_occurrences = ended.number.saturating_add(1);
         }
         self.ended_occurrences >= self.occurrence_count()
     }
--- a/crates/geraniumshed-core/tests/planner/odd_jobs.rs
+++ b/crates/geraniumshed-core/tests/planner/odd_jobs.rs
@@ -2,12 +2,17 @@
 
 use std::time::Duration;
 
-use geraniumshed_core::job::{JobPhase, QueueName, QueuePolicy, StepRequest};
+use geraniumshed_core::job::{
+    JobEntry, JobId, JobPhase, JobRequest, QueueName, QueuePolicy, RepeatPlan, StepRequest,
+};
 use rstest::rstest;
 
 use crate::builders::step;
 use crate::fixture::Cluster;
 
+/// The number of tasks in progress up to which a repeating job begins further occurrences.
+const MAX_TASKS_IN_PROGRESS: usize = 20_000;
+
 /// Guards against a job whose estimates overflow a sum. Its request is stored, so that it would end
 /// each leader that reads it.
 #[rstest]
@@ -57,3 +62,35 @@
     cluster.advance(Duration::from_secs(3));
     assert_eq!(cluster.phase(job), Some(JobPhase::Completed));
 }
+
+/// Guards against a schedule with so many occurrences in the past that their tasks exhaust memory.
+#[rstest]
+#[case::no_interval(0, 0, 3)]
+#[case::long_past(0, 1, 3)]
+#[case::empty_step(0, 1, 0)]
+fn occurrences_in_the_past_begin_in_bounded_numbers(
+    #[case] first_unix_ms: u64,
+    #[case] interval_ms: u64,
+    #[case] task_count: u32,
+) {
+    let request = JobRequest {
+        queue: "q".into(),
+        payload: "p".into(),
+        steps: vec![step(task_count)],
+        repeat: Some(RepeatPlan {
+            first_unix_ms,
+            interval: Duration::from_millis(interval_ms),
+            count: 1_000_000,
+        }),
+        submitted_unix_ms: 1_700_000_000_000,
+    };
+    let mut job = JobEntry::new(JobId(1), request);
+    assert!(job.begin_due(1_700_000_000_000));
+    let task_count = job.occurrences.iter().flat_map(|one| &one.steps).flatten();
+    assert!(task_count.count() <= MAX_TASKS_IN_PROGRESS);
+    assert!(job.occurrences.len() <= MAX_TASKS_IN_PROGRESS);
+    assert!(!job.begin_due(1_700_000_000_000));
+    assert!(job.next_due_unix_ms().is_some());
+    job.occurrences.remove(0);
+    assert!(job.begin_due(1_700_000_000_000));
+}
