End the reading of pages that don't advance

A page of the newest records whose last key isn't UTF-8 is followed by the page after the decoded key, which is another one and may sort before it. The same page then came again and again without delay, and its records filled the memory.

A last key that comes a second time now ends the reading. The keys of workers and of the scheduler are ASCII and sort before any other, so what was read is complete if the key isn't; otherwise the read fails.

--- a/crates/geraniumshed-batch/src/store.rs
+++ b/crates/geraniumshed-batch/src/store.rs
@@ -1,5 +1,6 @@
 //! The interface to the platform's store, which keeps all persistent state in topics.
 
+use std::collections::BTreeSet;
 use std::fmt::{self, Debug, Display, Formatter};
 use std::time::Duration;
 
@@ -256,6 +257,7 @@
 {
     let mut records = Vec::new();
     let mut after = None;
+    let mut last_keys = BTreeSet::new();
     let mut end = None;
     loop {
         let page = read_page_twice(&mut read_page, after.take()).await?;
@@ -264,9 +266,21 @@
         let first_end = *end.get_or_insert(page.end);
         after = page.records.last().map(|(_, record)| record.key.clone());
         records.extend(page.records.into_iter().map(|(_, record)| record));
-        if !page.has_more || after.is_none() {
+        let Some(last) = after.clone().filter(|_| page.has_more) else {
             return Ok((records, first_end));
+        };
+        let is_own = last.is_ascii();
+        if last_keys.insert(last) {
+            continue;
+        }
+        if is_own {
+            let reason = SmolStr::new_static("the pages of records don't advance");
+            return Err(StoreError::Invalid(reason));
         }
+        // A key that isn't UTF-8 changes when it is decoded, so no page can start after it. All keys of
+        // workers and of the scheduler are ASCII and come before.
+        log::warn!(after:? = after; "the remaining records have invalid keys; ignoring them");
+        return Ok((records, first_end));
     }
 }
 
--- a/crates/geraniumshed-batch/tests/pages.rs
+++ b/crates/geraniumshed-batch/tests/pages.rs
@@ -98,3 +98,32 @@
     assert_eq!(result, Err(error));
     assert_eq!(source.borrow().reads, reads);
 }
+
+/// Guards against an endless read of a page that ends with a key that isn't UTF-8: the store takes the
+/// key as it was decoded for another one, and returns the same page again.
+#[rstest]
+#[case::decoded_key("k\u{fffd}", Ok(2))]
+#[case::own_key("k", Err(StoreError::Invalid("the pages of records don't advance".into())))]
+#[tokio::test(start_paused = true)]
+async fn page_that_comes_again_ends_the_reading(
+    #[case] key: &str,
+    #[case] expected: Result<usize, StoreError>,
+) {
+    let reads = RefCell::new(0);
+    let result = read_pages(|_| {
+        *reads.borrow_mut() += 1;
+        assert!(*reads.borrow() < 10, "the page is read again and again");
+        let record = KeyedRecord {
+            key: key.into(),
+            value: Bytes::from_static(b"v"),
+        };
+        let page = NewestPage {
+            records: vec![(LogOffset(1), record)],
+            end: LogOffset(2),
+            has_more: true,
+        };
+        async { Ok(page) }
+    });
+    let count = result.await.map(|(records, _)| records.len());
+    assert_eq!(count, expected);
+}
