Saturate the bounds on a worker's clock and the counts of crashes

A worker's answer with a clock near the largest number, or with one that is far behind the deadline before, overflowed the bounds on its clock. In a build with overflow checks the leader ended, and in one without, a lease counted as expired too early, so that a task could run twice. The counts of crashes from a stored record had the same fault.

Both saturate now: such a lease counts as long.

--- a/crates/geraniumshed-core/src/job/crash.rs
+++ b/crates/geraniumshed-core/src/job/crash.rs
@@ -63,8 +63,8 @@
 impl CrashHistory {
     /// Counts a crash under a run of the task.
     pub fn record(&mut self, evidence: CrashEvidence) {
-        self.total += u32::from(evidence.counts());
-        self.score += evidence.score();
+        self.total = self.total.saturating_add(u32::from(evidence.counts()));
+        self.score = self.score.saturating_add(evidence.score());
         if evidence == CrashEvidence::Shared {
             // However often it comes, a common cause outside of the job remains as likely.
             self.score = self.score.max(TRIAL_SCORE);
--- a/crates/geraniumshed-core/src/worker/clock.rs
+++ b/crates/geraniumshed-core/src/worker/clock.rs
@@ -15,7 +15,7 @@
     /// Returns the point in time after a span.
     #[must_use]
     pub fn plus(self, span: Duration) -> Self {
-        Self(self.0 + whole_millis(span))
+        Self(self.0.saturating_add(whole_millis(span)))
     }
 }
 
@@ -38,14 +38,14 @@
     pub fn earliest(&self, now: TimePoint) -> WorkerTime {
         let elapsed = whole_millis(now.since(self.read_at));
         let drift = elapsed * DRIFT_PER_MILLE / 1000;
-        WorkerTime(self.reading.0 + elapsed - drift)
+        WorkerTime(self.reading.0.saturating_add(elapsed - drift))
     }
 
     /// Returns the time by which the worker's clock has certainly reached a point, even if it runs
     /// slow.
     pub fn passed_at(&self, point: WorkerTime) -> TimePoint {
         let remaining = point.0.saturating_sub(self.reading.0);
-        let slowest = remaining * 1000 / (1000 - DRIFT_PER_MILLE) + 1;
+        let slowest = remaining.saturating_mul(1000) / (1000 - DRIFT_PER_MILLE) + 1;
         self.read_at + Duration::from_millis(slowest)
     }
 }
