Reject stored jobs with too many tasks

A stored request whose record another writer or another release has written may name any number of tasks, such as 4 billion. Each leader that read it would allocate all of them and end, one after the other.

The limit that holds for clients' jobs now holds for stored ones too, and is part of the core. Random records and records with odd lengths decode without a panic, which new tests pin.

--- a/crates/geraniumshed-batch/src/wire/request.rs
+++ b/crates/geraniumshed-batch/src/wire/request.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use geraniumshed_core::job::{JobRequest, QueueName, RepeatPlan, StepRequest};
+use geraniumshed_core::job::{JobRequest, MAX_JOB_TASKS, QueueName, RepeatPlan, StepRequest};
 use geraniumshed_model::prelude::{
     AcceleratorCount, MemorySize, ProcessorShare, ResourceSize, whole_millis,
 };
@@ -78,6 +78,10 @@
         if wire.steps.is_empty() {
             return Err(WireDecodeError::Invalid("the job has no steps"));
         }
+        let tasks = wire.steps.iter().map(|step| u64::from(step.task_count));
+        if tasks.sum::<u64>() > MAX_JOB_TASKS {
+            return Err(WireDecodeError::Invalid("the job has too many tasks"));
+        }
         Ok(Self {
             queue: QueueName(wire.queue),
             payload: wire.payload,
--- a/crates/geraniumshed-batch/tests/wire.rs
+++ b/crates/geraniumshed-batch/tests/wire.rs
@@ -4,14 +4,18 @@
 
 use geraniumshed_batch::topic::{crashes_key, job_key, parse_crashes_key, parse_job_key};
 use geraniumshed_batch::wire::{
-    ConfigUpdateWire, JobCrashesWire, StoredJobWire, WaitSnapshotWire, WireDecodeError, decode,
-    encode,
+    ConfigUpdateWire, InterferenceWire, JobCrashesWire, JobRequestWire, LeaseSnapshotWire,
+    MemberWire, StoredJobWire, WaitSnapshotWire, WireDecodeError, decode, encode,
+};
+use geraniumshed_core::assignment::{
+    IdleRun, InterferenceSnapshot, LeaseSnapshot, StepWait, WaitSnapshot, WorkerHold,
 };
-use geraniumshed_core::assignment::{IdleRun, StepWait, WaitSnapshot, WorkerHold};
 use geraniumshed_core::job::{
-    AdvicePolicy, CrashEvidence, CrashHistory, JobId, JobPhase, QueuePolicy, RunSuspicion,
-    StoredJob, StoredOccurrence, StoredTask, TaskCrashes, TaskKey, TaskStage,
+    AdvicePolicy, CrashEvidence, CrashHistory, JobEntry, JobId, JobPhase, JobRequest, QueuePolicy,
+    RunSuspicion, StepRequest, StoredJob, StoredOccurrence, StoredTask, TaskCrashes, TaskKey,
+    TaskStage,
 };
+use geraniumshed_core::leadership::MemberIdentity;
 use geraniumshed_core::site::{ConfigUpdate, ConfigVersion, RouteEntry, RouteKey};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -166,3 +170,76 @@
         }
     }
 }
+
+/// Decodes bytes as each kind of record, and converts what can be decoded.
+fn decode_as_all(bytes: &[u8]) {
+    if let Ok(wire) = decode::<JobRequestWire>(bytes)
+        && let Ok(request) = JobRequest::try_from(wire)
+    {
+        JobEntry::new(JobId(1), request).begin_due(0);
+    }
+    drop(decode::<StoredJobWire>(bytes).map(StoredJob::from));
+    drop(decode::<JobCrashesWire>(bytes).map(|wire| wire.into_crashes(JobId(1))));
+    drop(decode::<WaitSnapshotWire>(bytes).map(WaitSnapshot::from));
+    drop(decode::<InterferenceWire>(bytes).map(InterferenceSnapshot::from));
+    drop(decode::<LeaseSnapshotWire>(bytes).map(LeaseSnapshot::from));
+    drop(decode::<MemberWire>(bytes).map(MemberIdentity::from));
+    if let Ok(wire) = decode::<ConfigUpdateWire>(bytes) {
+        drop(ConfigUpdate::try_from(wire));
+    }
+}
+
+/// Guards against a record of another writer that ends each leader that reads it.
+#[test]
+fn random_records_do_not_panic() {
+    let mut random = SmallRng::seed_from_u64(2);
+    for _ in 0..20_000 {
+        let length = random.random_range(0..64);
+        let mut bytes: Vec<u8> = (0..length).map(|_| random.random()).collect();
+        if let Some(version) = bytes.first_mut() {
+            *version = 1;
+        }
+        decode_as_all(&bytes);
+    }
+}
+
+/// A length that is larger than the record is rejected, without memory for as many elements.
+#[rstest]
+#[case::largest_length(&[1, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0x01])]
+#[case::large_length(&[1, 0xff, 0xff, 0xff, 0xff, 0x0f])]
+#[case::lengths(&[1, 0x7f, 0x7f, 0x7f, 0x7f, 0x7f, 0x7f, 0x7f, 0x7f, 0x7f, 0x7f])]
+#[case::empty(&[])]
+#[case::other_version(&[9, 0, 0])]
+fn records_with_odd_lengths_do_not_panic(#[case] bytes: &[u8]) {
+    decode_as_all(bytes);
+    decode_as_all(&[&[1, 0, 0, 0, 0], bytes].concat());
+}
+
+fn request(steps: Vec<StepRequest>) -> JobRequest {
+    JobRequest {
+        queue: "q".into(),
+        payload: "p".into(),
+        steps,
+        repeat: None,
+        submitted_unix_ms: 5,
+    }
+}
+
+/// Guards against a stored job whose tasks use up the memory of each leader that reads it.
+#[rstest]
+#[case::most(&[20_000], true)]
+#[case::one_more(&[20_001], false)]
+#[case::largest(&[u32::MAX], false)]
+#[case::sum(&[15_000, 15_000], false)]
+#[case::sum_beyond_type(&[u32::MAX, u32::MAX], false)]
+fn stored_jobs_have_a_bounded_number_of_tasks(#[case] counts: &[u32], #[case] is_valid: bool) {
+    let step = |count: &u32| StepRequest {
+        task_count: *count,
+        ..StepRequest::default()
+    };
+    let stored = encode(&JobRequestWire::from(&request(
+        counts.iter().map(step).collect(),
+    )));
+    let wire: JobRequestWire = decode(&stored).unwrap();
+    assert_eq!(JobRequest::try_from(wire).is_ok(), is_valid);
+}
--- a/crates/geraniumshed-core/src/job/request.rs
+++ b/crates/geraniumshed-core/src/job/request.rs
@@ -7,6 +7,9 @@
 
 use super::id::QueueName;
 
+/// The maximum number of tasks of a job, which bounds the memory that it takes.
+pub const MAX_JOB_TASKS: u64 = 20_000;
+
 /// A job as its client submitted it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct JobRequest {
