Leave out stored interference that is out of range

A stored latency, slope or weight that isn't finite would have stayed in the learned interference and made every later estimate of it not a number, in this leader and, since it is stored again, in all later ones. A slope beyond the range of the stored type becomes infinite when it is stored.

What isn't finite or in range is now logged and left out when it is read, so that it is learned again.

--- a/crates/geraniumshed-batch/src/wire/interference.rs
+++ b/crates/geraniumshed-batch/src/wire/interference.rs
@@ -27,15 +27,37 @@
     }
 }
 
+/// Leaves out what isn't finite or in range: it can't have been learned, and all that is learned later
+/// would depend on it.
 impl From<InterferenceWire> for InterferenceSnapshot {
     fn from(wire: InterferenceWire) -> Self {
-        let served = wire.served.into_iter().map(ServedImageRecord::from);
+        let served = wire.served.into_iter().filter(ServedWire::is_valid);
         Self {
-            served: served.collect(),
+            served: served.map(ServedImageRecord::from).collect(),
         }
     }
 }
 
+impl ServedWire {
+    fn is_valid(&self) -> bool {
+        let is_tail = self.lowest_tail.is_finite() && self.lowest_tail > 0.0;
+        let is_valid = is_tail && self.peak.is_finite();
+        if !is_valid {
+            log::warn!(image:% = self.image, lowest_tail = self.lowest_tail, peak = self.peak; "stored interference is out of range; learning it again");
+        }
+        is_valid
+    }
+}
+
+/// Returns whether a stored slope and its weight can have been learned.
+fn is_valid_slope((image, slope, weight): &(SmolStr, f32, f32)) -> bool {
+    let is_valid = slope.is_finite() && weight.is_finite() && *weight >= 0.0;
+    if !is_valid {
+        log::warn!(image:% = image, slope = slope, weight = weight; "stored slope is out of range; learning it again");
+    }
+    is_valid
+}
+
 impl From<ServedImageRecord> for ServedWire {
     #[expect(
         clippy::cast_possible_truncation,
@@ -59,11 +81,12 @@
             slope: f64::from(slope),
             weight: f64::from(weight),
         };
+        let slopes = wire.slopes.into_iter().filter(is_valid_slope);
         Self {
             image: wire.image,
             lowest_tail: wire.lowest_tail,
             peak: wire.peak,
-            slopes: wire.slopes.into_iter().map(slope).collect(),
+            slopes: slopes.map(slope).collect(),
         }
     }
 }
--- a/crates/geraniumshed-batch/tests/wire.rs
+++ b/crates/geraniumshed-batch/tests/wire.rs
@@ -8,7 +8,8 @@
     MemberWire, StoredJobWire, WaitSnapshotWire, WireDecodeError, decode, encode,
 };
 use geraniumshed_core::assignment::{
-    IdleRun, InterferenceSnapshot, LeaseSnapshot, StepWait, WaitSnapshot, WorkerHold,
+    IdleRun, InterferenceSnapshot, LeaseSnapshot, ServedImageRecord, SlopeRecord, StepWait,
+    WaitSnapshot, WorkerHold,
 };
 use geraniumshed_core::job::{
     AdvicePolicy, CrashEvidence, CrashHistory, JobEntry, JobId, JobPhase, JobRequest, QueuePolicy,
@@ -243,3 +244,53 @@
     let wire: JobRequestWire = decode(&stored).unwrap();
     assert_eq!(JobRequest::try_from(wire).is_ok(), is_valid);
 }
+
+/// What isn't finite can't have been learned, and would spoil all that is learned later.
+#[rstest]
+#[case::tail(ServedImageRecord { lowest_tail: f64::NAN, ..served("odd") })]
+#[case::infinite_tail(ServedImageRecord { lowest_tail: f64::INFINITY, ..served("odd") })]
+#[case::negative_tail(ServedImageRecord { lowest_tail: -1.0, ..served("odd") })]
+#[case::peak(ServedImageRecord { peak: f64::NAN, ..served("odd") })]
+#[case::infinite_peak(ServedImageRecord { peak: f64::INFINITY, ..served("odd") })]
+fn learned_interference_that_is_not_finite_is_left_out(#[case] odd: ServedImageRecord) {
+    let snapshot = InterferenceSnapshot {
+        served: vec![odd, served("good")],
+    };
+    let stored = encode(&InterferenceWire::from(snapshot));
+    let read: InterferenceWire = decode(&stored).unwrap();
+    let read = InterferenceSnapshot::from(read);
+    assert_eq!(read.served, [served("good")]);
+}
+
+#[rstest]
+#[case::slope(f64::NAN, 1.0)]
+#[case::slope_beyond_type(1e300, 1.0)]
+#[case::weight(1.0, f64::INFINITY)]
+#[case::negative_weight(1.0, -1.0)]
+fn learned_slopes_that_are_not_finite_are_left_out(#[case] slope: f64, #[case] weight: f64) {
+    let mut odd = served("odd");
+    odd.slopes.push(SlopeRecord {
+        image: "bad".into(),
+        slope,
+        weight,
+    });
+    let snapshot = InterferenceSnapshot { served: vec![odd] };
+    let stored = encode(&InterferenceWire::from(snapshot));
+    let read: InterferenceWire = decode(&stored).unwrap();
+    let read = InterferenceSnapshot::from(read);
+    assert_eq!(read.served, [served("odd")]);
+}
+
+fn served(image: &str) -> ServedImageRecord {
+    let slope = SlopeRecord {
+        image: "b".into(),
+        slope: 0.5,
+        weight: 2.0,
+    };
+    ServedImageRecord {
+        image: image.into(),
+        lowest_tail: 10.0,
+        peak: 2.0,
+        slopes: vec![slope],
+    }
+}
