Test decoders with damaged input, and nodes with odd bytes of peers

Damaged and random input of each format of the platform decodes without a panic, and bytes that no node sends end no node and no call between nodes.

--- a/crates/geraniumshed-batch/tests/nodes/main.rs
+++ b/crates/geraniumshed-batch/tests/nodes/main.rs
@@ -5,4 +5,5 @@
 mod config;
 mod leadership;
 mod odd_jobs;
+mod odd_peers;
 mod support;
