Saturate the number of a task's next run

A stored task with the largest run number, as another writer may have left it, ended each leader that placed it, in a build with overflow checks.

The number saturates now, so that the worker rejects such a run and only this task is affected.

Before, 1 of the 2 new cases failed with "attempt to add with overflow".

--- a/crates/geraniumshed-core/src/assignment/starting.rs
+++ b/crates/geraniumshed-core/src/assignment/starting.rs
@@ -21,7 +21,7 @@
         worker: &WorkerId,
     ) {
         let task = self.jobs.get(&key.job).and_then(|job| job.task(key));
-        let run = task.map_or(1, |task| task.run + 1);
+        let run = task.map_or(1, |task| task.run.saturating_add(1));
         self.reserve(now, step, key, worker, run);
         self.commit_placement(key, worker, run);
     }
--- a/crates/geraniumshed-core/tests/planner/odd_jobs.rs
+++ b/crates/geraniumshed-core/tests/planner/odd_jobs.rs
@@ -4,6 +4,7 @@
 
 use geraniumshed_core::job::{
     JobEntry, JobId, JobPhase, JobRequest, QueueName, QueuePolicy, RepeatPlan, StepRequest,
+    StoredJob, StoredOccurrence, StoredTask, TaskStage,
 };
 use rstest::rstest;
 
@@ -94,3 +95,39 @@
     job.occurrences.remove(0);
     assert!(job.begin_due(1_700_000_000_000));
 }
+
+/// Guards against a stored task whose number of runs or failures has no successor.
+#[rstest]
+#[case::runs(u32::MAX, 0)]
+#[case::failures(0, u32::MAX)]
+fn counts_of_a_stored_task_out_of_range_end_no_planner(#[case] run: u32, #[case] failures: u32) {
+    let mut cluster = Cluster::with_workers(2);
+    let odd = cluster.submit(1, vec![step(1)]);
+    let stored = StoredJob {
+        phase: JobPhase::Running,
+        ended_unix_ms: 0,
+        occurrences: vec![StoredOccurrence {
+            number: 0,
+            tasks: vec![StoredTask {
+                stage: TaskStage::Waiting,
+                run,
+                failures,
+                checkpoint: None,
+            }],
+        }],
+        ended_occurrences: 0,
+    };
+    let request = JobRequest {
+        queue: "q".into(),
+        payload: "p".into(),
+        steps: vec![step(1)],
+        repeat: None,
+        submitted_unix_ms: cluster.planner_time().unix_ms,
+    };
+    cluster
+        .planner
+        .restore(cluster.planner_time(), odd, request, stored);
+    let ordinary = cluster.submit(2, vec![step(4)]);
+    cluster.advance(Duration::from_secs(5));
+    assert_eq!(cluster.phase(ordinary), Some(JobPhase::Completed));
+}
