--- a/crates/geraniumshed-batch/src/store.rs
+++ b/crates/geraniumshed-batch/src/store.rs
@@ -1,6 +1,6 @@
 //! The interface to the platform's store, which keeps all persistent state in topics.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::{self, Debug, Display, Formatter};
 use std::time::Duration;
 
@@ -307,6 +307,7 @@
 {
     let mut records = Vec::new();
     let mut after = None;
+    let mut last_keys = BTreeSet::new();
     let mut end = None;
     loop {
         let page = read_page_twice(&mut read_page, after.take()).await?;
@@ -316,9 +317,21 @@
         end = Some(lowest_end);
         after = page.records.last().map(|(_, record)| record.key.clone());
         records.extend(page.records.into_iter().map(|(_, record)| record));
-        if !page.has_more || after.is_none() {
+        let Some(last) = after.clone().filter(|_| page.has_more) else {
             return Ok((records, lowest_end));
+        };
+        let is_own = last.is_ascii();
+        if last_keys.insert(last) {
+            continue;
+        }
+        if is_own {
+            let reason = SmolStr::new_static("the pages of records don't advance");
+            return Err(StoreError::Invalid(reason));
         }
+        // A key that isn't UTF-8 changes when it is decoded, so no page can start after it. All keys of
+        // workers and of the scheduler are ASCII and come before.
+        log::warn!(after:? = after; "the remaining records have invalid keys; ignoring them");
+        return Ok((records, lowest_end));
     }
 }
 
--- a/crates/geraniumshed-batch/tests/nodes/main.rs
+++ b/crates/geraniumshed-batch/tests/nodes/main.rs
@@ -4,4 +4,6 @@
 mod cancellations;
 mod config;
 mod leadership;
+mod odd_jobs;
+mod odd_peers;
 mod support;
--- a/crates/geraniumshed-core/tests/planner/main.rs
+++ b/crates/geraniumshed-core/tests/planner/main.rs
@@ -10,6 +10,7 @@
 mod leases;
 mod listed_runs;
 mod load_patterns;
+mod odd_jobs;
 mod planner_work;
 mod rules;
 mod silent_workers;
