Let a leader learn within a second that it was replaced

What callers would see: a task that runs on two workers at once. A leader that has nothing to store, or is cut off from the store and from all other nodes, doesn't learn that it was replaced and goes on extending the leases of a worker that its successor can't reach. The successor counts them from its takeover and starts the tasks again.

A leader whose workers have runs now stores a batch at least every 0.7 s. If an append gets no answer and no other node of the last ten seconds does either, it orders nothing until the store has taken a later batch; if other nodes answer that they don't reach the store, none can have been elected, and the leader goes on, so that a store that is down for all costs no run.

The question to the other nodes has no test of its own.

--- a/crates/geraniumshed-batch/src/leader/event.rs
+++ b/crates/geraniumshed-batch/src/leader/event.rs
@@ -39,6 +39,8 @@
     /// Another node is better placed to lead: it reaches the store while this one doesn't, or it
     /// runs on a much larger VM.
     Yield,
+    /// Neither the store nor any other node answers this one.
+    Isolated,
     /// The queues in force have changed.
     QueuesChanged(BTreeMap<QueueName, QueuePolicy>),
     /// A client asks for something.
--- a/crates/geraniumshed-batch/src/leader/run.rs
+++ b/crates/geraniumshed-batch/src/leader/run.rs
@@ -134,6 +134,12 @@
     pub(crate) fn yield_lead(&self) {
         self.send(LeaderEvent::Yield);
     }
+
+    /// Tells the leader task that neither the store nor any other node answers, so that it orders
+    /// nothing until the store does: the others may have elected a successor.
+    pub(crate) fn report_isolation(&self) {
+        self.send(LeaderEvent::Isolated);
+    }
 }
 
 #[derive(Debug)]
@@ -408,6 +414,7 @@
             LeaderEvent::QueuesChanged(queues) => self.planner.replace_queues(queues),
             LeaderEvent::Query(query) => self.answer(query),
             LeaderEvent::Deposed => return Some(LeaderEnd::Deposed),
+            LeaderEvent::Isolated => self.planner.suspend_orders(),
             LeaderEvent::Yield | LeaderEvent::Resign => {
                 self.planner.hand_over(now);
                 self.execute_actions();
--- a/crates/geraniumshed-batch/src/member/leading.rs
+++ b/crates/geraniumshed-batch/src/member/leading.rs
@@ -11,6 +11,7 @@
 
 use super::task::MemberTask;
 use crate::leader::{self, LeaderEnd, LeaderHandle, ProbeRequest, take_over};
+use crate::peer::PeerFailure;
 use crate::site::{SiteFeed, WorkerCaller};
 use crate::store::{StoreClient, StoreError};
 use crate::topic::LEADERS;
@@ -145,17 +146,45 @@
 
     /// Asks peers whether they reach the store on request of the leader task, and makes the leader
     /// resign if a peer does while this node doesn't. A store that is slow for all nodes is no
-    /// reason to change the leader.
+    /// reason to change the leader. A leader that no peer answers either may have been replaced.
     async fn answer_probe_requests(self, mut requests: mpsc::UnboundedReceiver<ProbeRequest>) {
         while let Some(ProbeRequest(handle)) = requests.recv().await {
             let store = &self.shared.context.store;
             let own = store.newest(LEADERS, None, PROBE_TIMEOUT);
-            let (own, other) = tokio::join!(own, self.first_reaching_store());
-            if own.is_err() && other.is_some() {
+            let (own, other, is_isolated) =
+                tokio::join!(own, self.first_reaching_store(), self.is_isolated());
+            if own.is_ok() {
+                continue;
+            }
+            if other.is_some() {
                 log::warn!("store does not answer this node but answers another one; resigning");
                 handle.yield_lead();
+            } else if is_isolated {
+                log::warn!(
+                    "neither the store nor another node answers; ordering nothing until the store does"
+                );
+                handle.report_isolation();
+            }
+        }
+    }
+
+    /// Returns whether none of the nodes that were alive recently answers this one.
+    async fn is_isolated(&self) -> bool {
+        let now = self.shared.clock().now();
+        let members = self.shared.view().recent_members(now);
+        let mut probes = JoinSet::new();
+        for member in &members {
+            let pool = self.shared.pool.clone();
+            let address = member.address;
+            probes.spawn(async move { pool.probe_store(address, PROBE_TIMEOUT).await });
+        }
+        while let Some(probe) = probes.join_next().await {
+            // A node that refuses connections has been reached, but can't lead.
+            if matches!(probe, Ok(Ok(_) | Err(PeerFailure::Refused))) {
+                return false;
             }
         }
+        !members.is_empty()
     }
 
     /// Makes the leader resign once a node on a much larger VM can lead, since a small VM can't
--- a/crates/geraniumshed-batch/src/node.rs
+++ b/crates/geraniumshed-batch/src/node.rs
@@ -30,6 +30,9 @@
 /// The time since its last heartbeat after which a member no longer counts as alive.
 const MEMBER_TTL: Duration = Duration::from_millis(1200);
 
+/// The time since its last heartbeat for which a member that may be cut off is asked nevertheless.
+const RECENT_MEMBER_TTL: Duration = Duration::from_secs(10);
+
 /// The settings of a node.
 #[derive(Debug, Clone, PartialEq)]
 pub struct NodeSettings {
@@ -95,6 +98,13 @@
         self.is_leading = false;
     }
 
+    /// Returns the members that sent a heartbeat recently, also those that have fallen silent since.
+    pub(crate) fn recent_members(&self, now: TimePoint) -> Vec<MemberIdentity> {
+        let is_recent = |one: &&TrackedMember| now.since(one.last_heartbeat) < RECENT_MEMBER_TTL;
+        let members = self.tracked_members.values().filter(is_recent);
+        members.map(|one| one.member.clone()).collect()
+    }
+
     /// Returns the live members that may lead next, the best first.
     ///
     /// Members on larger VMs come first, since planning takes more processor time than all other
--- a/crates/geraniumshed-core/src/assignment/order_permit.rs
+++ b/crates/geraniumshed-core/src/assignment/order_permit.rs
@@ -5,12 +5,18 @@
 
 use std::time::Duration;
 
+use geraniumshed_model::prelude::TimePoint;
+
 use super::planner::JobPlanner;
 
 /// The time for which a process may stand still before a successor may have been elected. It is
 /// shorter than the lifetime of a leader's membership.
 const STALL_LIMIT: Duration = Duration::from_millis(700);
 
+/// The longest time between two batches while workers have runs. A planner that has been replaced, and
+/// has nothing to store, learns of it from the next batch.
+const CONFIRMATION_INTERVAL: Duration = Duration::from_millis(700);
+
 /// Whether the planner may start tasks and extend leases.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub(super) enum OrderPermit {
@@ -47,12 +53,22 @@
 
     /// Returns whether a batch has to be stored to find out whether a successor has taken over.
     pub(super) fn needs_confirmation(&self) -> bool {
-        self.order_permit == OrderPermit::Suspended
+        self.order_permit == OrderPermit::Suspended || self.is_confirmation_due
+    }
+
+    /// Decides whether the planner has stored nothing for so long that it has to find out whether it
+    /// was replaced.
+    pub(super) fn watch_confirmation(&mut self, now: TimePoint) {
+        let is_late = now.since(self.newest_batch_at) >= CONFIRMATION_INTERVAL;
+        let mut workers = self.workers.values();
+        self.is_confirmation_due = is_late && workers.any(|entry| !entry.runs.is_empty());
     }
 
     /// Records that a batch is about to be stored.
-    pub(super) fn begin_confirmation(&mut self, batch: u64) {
-        if self.needs_confirmation() {
+    pub(super) fn begin_confirmation(&mut self, now: TimePoint, batch: u64) {
+        self.newest_batch_at = now;
+        self.is_confirmation_due = false;
+        if self.order_permit == OrderPermit::Suspended {
             self.order_permit = OrderPermit::Confirming(batch);
         }
     }
--- a/crates/geraniumshed-core/src/assignment/planner.rs
+++ b/crates/geraniumshed-core/src/assignment/planner.rs
@@ -78,6 +78,10 @@
     pub(super) is_prolonging_leases: bool,
     /// Whether this planner may start tasks and extend leases.
     pub(super) order_permit: OrderPermit,
+    /// When the newest batch was taken.
+    pub(super) newest_batch_at: TimePoint,
+    /// Whether the planner has stored nothing for too long.
+    pub(super) is_confirmation_due: bool,
     /// Whether this planner is handing over to a successor.
     pub(super) is_handing_over: bool,
     /// The workers that are held for long-running tasks that found no room or are evacuated.
@@ -130,6 +134,8 @@
             compared_workers: Cell::new(0),
             is_prolonging_leases: false,
             order_permit: OrderPermit::default(),
+            newest_batch_at: TimePoint::default(),
+            is_confirmation_due: false,
             is_handing_over: false,
             held_workers: BTreeMap::new(),
             is_placement_due: false,
@@ -263,8 +269,8 @@
         let number = batch.number;
         if self.needs_confirmation() {
             self.lease_ledger.request_snapshot();
-            self.begin_confirmation(number);
         }
+        self.begin_confirmation(now.point, number);
         let progress = batch.changed.into_iter().filter_map(|id| {
             let stored = match self.jobs.get(&id) {
                 Some(job) => job.stored(),
@@ -314,6 +320,7 @@
             self.assess_silent_workers(now.point);
             self.watch_leases(now.point);
             self.watch_waits(now.point);
+            self.watch_confirmation(now.point);
             self.begin_occurrences(now);
         }
         if self.is_placement_due {
--- a/crates/geraniumshed-core/tests/start_rights/leader.rs
+++ b/crates/geraniumshed-core/tests/start_rights/leader.rs
@@ -63,6 +63,8 @@
     /// The batch that isn't known to be stored yet.
     pub in_flight: Option<StoreBatch>,
     pub sequence: u64,
+    /// Since when the store has left an append unanswered.
+    pub unanswered_since: Option<TimePoint>,
     /// The time from which stored leases are counted.
     counted_from: TimePoint,
     /// When the leader before asked this one to lead, if it did.
@@ -111,6 +113,7 @@
             inbox: VecDeque::new(),
             in_flight: None,
             sequence: 0,
+            unanswered_since: None,
             counted_from: TimePoint::default(),
             requested_at: None,
             listed: Vec::new(),
@@ -250,6 +253,7 @@
             return;
         }
         self.in_flight = None;
+        self.unanswered_since = None;
         match result {
             AppendResult::Stored => self.planner.batch_stored(now, number),
             AppendResult::Fenced => self.phase = LeaderPhase::Ended,
