--- a/crates/geraniumshed-core/src/assignment/starting.rs
+++ b/crates/geraniumshed-core/src/assignment/starting.rs
@@ -112,7 +112,6 @@
         }
         run.phase = RunPhase::Ordered(worker.token);
         run.ordered_at = Some(now.point);
-        worker.newest_start_at = Some(now.point);
         let order = StartOrder {
             task: start.task,
             run: start.run,
--- a/crates/geraniumshed-core/src/assignment/worker_replies.rs
+++ b/crates/geraniumshed-core/src/assignment/worker_replies.rs
@@ -116,7 +116,6 @@
             entry.next_renewal_at = now.point;
             entry.read_at = now.point;
             entry.listed_end = reply.last_end();
-            entry.answered_renewal_at = sent.sent_at;
         }
         let has_restarted = entry.incarnation.is_some()
             && reply.incarnation.is_some()
--- a/crates/geraniumshed-core/src/worker/entry.rs
+++ b/crates/geraniumshed-core/src/worker/entry.rs
@@ -74,10 +74,6 @@
     pub stored_end: u64,
     /// The number of the newest run end in the worker's last answer, or 0 if it had none.
     pub listed_end: u64,
-    /// When the renewal was sent that the worker answered last.
-    pub answered_renewal_at: TimePoint,
-    /// When the newest start was sent, if one was.
-    pub newest_start_at: Option<TimePoint>,
     /// The number of the newest run end that was processed.
     pub processed_end: u64,
     /// Processed run ends that aren't stored yet: the number of the batch that stores each one,
@@ -137,8 +133,6 @@
             remaining: OnceCell::new(),
             stored_end: 0,
             listed_end: 0,
-            answered_renewal_at: TimePoint::default(),
-            newest_start_at: None,
             processed_end: 0,
             storing_ends: VecDeque::new(),
             read_at: TimePoint::default(),
@@ -222,12 +216,10 @@
 
     /// Returns the number up to which the worker may drop ends of runs.
     ///
-    /// A process that has started anew numbers its ends from 1 again, and would drop some that nobody has
-    /// read. So only what the last answer listed is acknowledged, and only if no start was sent since
-    /// that answer was asked for: the process that gave it then has all runs that may have ended.
+    /// Only what its last answer listed is acknowledged, and only while it answers: a process that has
+    /// started anew numbers its ends from 1 again, and would drop some that nobody has read.
     pub fn acknowledged_end(&self) -> u64 {
-        let has_all_runs = |start: TimePoint| start < self.answered_renewal_at;
-        if self.unanswered_calls > 0 || !self.newest_start_at.is_none_or(has_all_runs) {
+        if self.unanswered_calls > 0 {
             return 0;
         }
         self.stored_end.min(self.listed_end)
