Read the requests of started jobs instead of marking their topic

A new leader now appends nothing there: it reads on until it has the request of each job that has progress and has not ended, since those were stored before the progress was. An ended job whose request is shown later keeps its phase, and its status is answered meanwhile. A stall during the takeover counts from the moment before the read.

--- a/crates/geraniumshed-batch/src/leader/run.rs
+++ b/crates/geraniumshed-batch/src/leader/run.rs
@@ -110,7 +110,8 @@
         timer: StepTimer::default(),
         cancels: Vec::new(),
         requests_read: recovered.requests_read,
-        awake_at: ReadMark::now(),
+        // A successor may have been elected during a slow takeover.
+        awake_at: recovered.requests_read,
     };
     task.restore(recovered);
     let (sender, end) = oneshot::channel();
@@ -178,7 +179,7 @@
     /// Restores the recovered state in the planner.
     fn restore(&mut self, recovered: RecoveredState) {
         let now = self.clock.planner_time();
-        log::info!(jobs = recovered.jobs.len(), withdrawn = recovered.withdrawn.len(); "leading with the jobs from the store");
+        log::info!(jobs = recovered.jobs.len(), ended_without_request = recovered.ended_without_request.len(); "leading with the jobs from the store");
         self.planner
             .restore_leases(now, recovered.leases_counted_from, recovered.leases);
         for (id, request, stored) in recovered.jobs {
@@ -192,8 +193,8 @@
         }
         self.planner.restore_waits(now, recovered.waits);
         self.planner.restore_interference(recovered.interference);
-        for (id, cancelled_unix_ms) in recovered.withdrawn {
-            self.planner.restore_withdrawn(id, cancelled_unix_ms);
+        for (id, stored) in recovered.ended_without_request {
+            self.planner.restore_ended(id, stored);
         }
         for id in recovered.cancelled {
             let outcome = self.planner.cancel(now, id);
--- a/crates/geraniumshed-batch/src/leader/takeover.rs
+++ b/crates/geraniumshed-batch/src/leader/takeover.rs
@@ -7,12 +7,14 @@
 use geraniumshed_core::job::{JobId, JobRequest, StoredJob, TaskCrashes};
 use geraniumshed_core::leadership::{LeaderRecord, LeaderTerm, MemberIdentity};
 use geraniumshed_model::prelude::{LogOffset, TimePoint, whole_millis};
+use smol_str::SmolStr;
 use tokio::time::Instant;
 
 use crate::clock::{NodeClock, ReadMark};
 use crate::node::LeadRequest;
 use crate::store::{
-    AppendCondition, KeyedRecord, StoreClient, StoreError, TopicName, WriterMark, read_newest_up_to,
+    AppendCondition, KeyedRecord, StoreClient, StoreError, WriterMark, read_missing, read_newest,
+    read_newest_up_to,
 };
 use crate::topic::{
     INTERFERENCE_KEY, LEADER_KEY, LEADERS, LEASES_KEY, PROGRESS, REQUESTS, TAKEOVER_KEY, WAITS_KEY,
@@ -57,9 +59,9 @@
 pub(crate) struct RecoveredState {
     /// All jobs, with their progress if any is stored.
     pub(crate) jobs: Vec<(JobId, JobRequest, Option<StoredJob>)>,
-    /// The jobs that have ended and have no request: those that were cancelled before it was stored, and
-    /// old ones whose request is deleted already. With the time of the end in milliseconds of Unix time.
-    pub(crate) withdrawn: BTreeMap<JobId, u64>,
+    /// The ended jobs without a request: those that were cancelled before it was stored, and those whose
+    /// request is deleted already or is not shown yet.
+    pub(crate) ended_without_request: Vec<(JobId, StoredJob)>,
     /// The jobs with an active cancellation on any node.
     pub(crate) cancelled: BTreeSet<JobId>,
     /// The interference between images that earlier leaders learned.
@@ -78,22 +80,6 @@
     pub(crate) requests_read: ReadMark,
 }
 
-/// Appends the record of a takeover to a topic, and returns the end of the topic after it.
-async fn mark_takeover<S: StoreClient>(
-    store: &S,
-    topic: TopicName,
-    term: LeaderTerm,
-    condition: AppendCondition,
-) -> Result<LogOffset, StoreError> {
-    let record = KeyedRecord {
-        key: TAKEOVER_KEY,
-        value: encode(&term.0),
-    };
-    store
-        .append(topic, vec![record], condition, APPEND_TIMEOUT)
-        .await
-}
-
 /// Fences earlier leaders, so that they can no longer write, and reads the state that they stored.
 ///
 /// What was stored about leases is counted from the request of the leader before to become the
@@ -114,18 +100,27 @@
         sequence: 0,
     };
     let started = Instant::now();
-    let progress_end = mark_takeover(store, PROGRESS, term, AppendCondition::Writer(mark)).await?;
+    let record = KeyedRecord {
+        key: TAKEOVER_KEY,
+        value: encode(&term.0),
+    };
+    let condition = AppendCondition::Writer(mark);
+    let progress_end = store
+        .append(PROGRESS, vec![record], condition, APPEND_TIMEOUT)
+        .await?;
     let requested_at = request.filter(|one| one.term.precedes(term));
     let leases_counted_from = requested_at.map_or_else(|| clock.now(), |one| one.at);
     let fenced_ms = whole_millis(started.elapsed());
-    // Earlier leaders can no longer store progress, so the requests up to this record include that of
-    // each job with progress, unless it was cancelled before its request was stored.
-    let requests_end = mark_takeover(store, REQUESTS, term, AppendCondition::None).await?;
     let requests_read = ReadMark::now();
     let ((progress, next_progress), (requests, next_request)) = tokio::try_join!(
         read_newest_up_to(store, PROGRESS, progress_end),
-        read_newest_up_to(store, REQUESTS, requests_end)
+        read_newest(store, REQUESTS)
     )?;
+    // Earlier leaders can no longer store progress. The request of each job with progress was stored
+    // before that, unless the job was cancelled first.
+    let started_jobs = progress.iter().filter_map(started_job).collect();
+    let (requests, next_request) =
+        read_missing(store, REQUESTS, requests, next_request, started_jobs).await?;
     let read_ms = whole_millis(started.elapsed());
     log::info!(
         term:% = term,
@@ -152,18 +147,17 @@
             (id, request, stored)
         })
         .collect();
-    let mut withdrawn = BTreeMap::new();
+    let mut ended_without_request = Vec::new();
     for (id, stored) in stored_jobs {
-        // The request of a job that has ended may be deleted already.
         if stored.phase.is_final() {
-            withdrawn.insert(id, stored.ended_unix_ms);
+            ended_without_request.push((id, stored));
         } else {
             log::error!(job:% = id; "store has the progress of a job without its request");
         }
     }
     Ok(RecoveredState {
         jobs,
-        withdrawn,
+        ended_without_request,
         cancelled: BTreeSet::new(),
         interference: interference.unwrap_or_default(),
         leases_counted_from,
@@ -175,6 +169,12 @@
     })
 }
 
+/// Returns the key of a record of progress if it is that of a job that hasn't ended.
+fn started_job(record: &KeyedRecord) -> Option<SmolStr> {
+    let (_, stored) = decode_stored_job(record)?;
+    (!stored.phase.is_final()).then(|| record.key.clone())
+}
+
 /// Decodes a stored request. One that can't be decoded is logged and skipped.
 pub(super) fn decode_request(record: &KeyedRecord) -> Option<(JobId, JobRequest)> {
     let id = parse_job_key(&record.key)?;
--- a/crates/geraniumshed-batch/src/store.rs
+++ b/crates/geraniumshed-batch/src/store.rs
@@ -253,7 +253,7 @@
 /// Reads the newest records of all keys of a topic that ends at a known offset or later, and the offset
 /// from which to read on.
 ///
-/// The pages may be outdated. The records that they lack are read one after the other, in their order.
+/// The pages may be outdated. The records that they lack are read in their order.
 ///
 /// # Errors
 ///
@@ -264,29 +264,50 @@
     topic: TopicName,
     known_end: LogOffset,
 ) -> Result<(Vec<KeyedRecord>, LogOffset), StoreError> {
-    let (records, mut next) = read_newest(store, topic).await?;
-    let mut newest: BTreeMap<SmolStr, KeyedRecord> = BTreeMap::new();
-    newest.extend(
-        records
-            .into_iter()
-            .map(|record| (record.key.clone(), record)),
-    );
+    let (records, next) = read_newest(store, topic).await?;
+    catch_up(store, topic, records, next, |_, next| next >= known_end).await
+}
+
+/// Reads on from an offset until there are records of all given keys.
+///
+/// # Errors
+///
+/// Returns why the records could not be read, or [`StoreError::Outdated`] if the store doesn't show
+/// them in time.
+pub async fn read_missing<S: StoreClient>(
+    store: &S,
+    topic: TopicName,
+    records: Vec<KeyedRecord>,
+    next: LogOffset,
+    keys: BTreeSet<SmolStr>,
+) -> Result<(Vec<KeyedRecord>, LogOffset), StoreError> {
+    let has_all = |newest: &BTreeMap<SmolStr, KeyedRecord>, _| {
+        keys.iter().all(|key| newest.contains_key(key))
+    };
+    catch_up(store, topic, records, next, has_all).await
+}
+
+/// Adds the records from an offset on to the newest ones of each key until they are complete.
+async fn catch_up<S: StoreClient>(
+    store: &S,
+    topic: TopicName,
+    records: Vec<KeyedRecord>,
+    mut next: LogOffset,
+    is_complete: impl Fn(&BTreeMap<SmolStr, KeyedRecord>, LogOffset) -> bool,
+) -> Result<(Vec<KeyedRecord>, LogOffset), StoreError> {
+    let with_key = |record: KeyedRecord| (record.key.clone(), record);
+    let mut newest: BTreeMap<SmolStr, KeyedRecord> = records.into_iter().map(with_key).collect();
     let deadline = Instant::now() + CATCH_UP_TIMEOUT;
-    if next < known_end {
-        log::warn!(topic:% = topic, shown_end:% = next, known_end:% = known_end; "store shows an outdated topic; reading on");
+    if !is_complete(&newest, next) {
+        log::warn!(topic:% = topic, shown_end:% = next; "store shows an outdated topic; reading on");
     }
-    while next < known_end {
-        let batch = store.read(topic, next, CATCH_UP_WAIT).await?;
-        if batch.next == next && Instant::now() >= deadline {
+    while !is_complete(&newest, next) {
+        if Instant::now() >= deadline {
             return Err(StoreError::Outdated(next));
         }
+        let batch = store.read(topic, next, CATCH_UP_WAIT).await?;
         next = batch.next;
-        newest.extend(
-            batch
-                .records
-                .into_iter()
-                .map(|record| (record.key.clone(), record)),
-        );
+        newest.extend(batch.records.into_iter().map(with_key));
     }
     newest.retain(|_, record| !record.value.is_empty());
     Ok((newest.into_values().collect(), next))
--- a/crates/geraniumshed-batch/src/topic.rs
+++ b/crates/geraniumshed-batch/src/topic.rs
@@ -27,8 +27,8 @@
 /// without progress.
 pub const WAITS_KEY: SmolStr = SmolStr::new_static("waits");
 
-/// The key of the record that a new leader appends to [`PROGRESS`] and [`REQUESTS`] before it reads them.
-/// What it reads has to include this record.
+/// The key of the record that a new leader appends to [`PROGRESS`] before it reads the topic. What it reads
+/// has to include this record.
 pub const TAKEOVER_KEY: SmolStr = SmolStr::new_static("takeover");
 
 /// What follows the job ID in the key of the record in [`PROGRESS`] that holds the crashes under a job's
--- a/crates/geraniumshed-core/src/assignment/planner.rs
+++ b/crates/geraniumshed-core/src/assignment/planner.rs
@@ -42,9 +42,9 @@
     pub(super) first_token: FenceToken,
     pub(super) queues: QueueTable,
     pub(super) jobs: BTreeMap<JobId, JobEntry>,
-    /// The jobs that were cancelled before they arrived, with the time of the cancellation in
-    /// milliseconds of Unix time.
-    withdrawn: BTreeMap<JobId, u64>,
+    /// The ended jobs whose requests haven't arrived: those that were cancelled before, and those of
+    /// earlier planners whose requests are deleted or are not shown yet.
+    ended_without_request: BTreeMap<JobId, StoredJob>,
     /// The jobs that haven't ended.
     pub(super) open_jobs: BTreeSet<JobId>,
     /// The open jobs that may have tasks to place.
@@ -112,7 +112,7 @@
             first_token,
             queues: QueueTable::default(),
             jobs: BTreeMap::new(),
-            withdrawn: BTreeMap::new(),
+            ended_without_request: BTreeMap::new(),
             open_jobs: BTreeSet::new(),
             jobs_to_place: BTreeSet::new(),
             jobs_to_begin: BTreeSet::new(),
@@ -170,13 +170,11 @@
         if self.jobs.contains_key(&id) {
             return;
         }
-        let mut job = JobEntry::new(id, request);
-        if let Some(cancelled_unix_ms) = self.withdrawn.remove(&id) {
-            job.phase = JobPhase::Cancelled;
-            job.ended_unix_ms = cancelled_unix_ms;
-            self.jobs.insert(id, job);
+        if let Some(stored) = self.ended_without_request.remove(&id) {
+            self.jobs.insert(id, JobEntry::restore(id, request, stored));
             return;
         }
+        let job = JobEntry::new(id, request);
         self.jobs.insert(id, job);
         self.open_job(id);
     }
@@ -186,9 +184,9 @@
         self.interference = InterferenceModel::restore(snapshot);
     }
 
-    /// Restores the cancellation of a job that hasn't arrived yet.
-    pub fn restore_withdrawn(&mut self, id: JobId, cancelled_unix_ms: u64) {
-        self.withdrawn.insert(id, cancelled_unix_ms);
+    /// Restores an ended job whose request hasn't arrived.
+    pub fn restore_ended(&mut self, id: JobId, stored: StoredJob) {
+        self.ended_without_request.insert(id, stored);
     }
 
     /// Cancels a job.
@@ -197,8 +195,8 @@
     /// not have arrived yet.
     pub fn cancel(&mut self, now: PlannerTime, id: JobId) -> CancelOutcome {
         let Some(job) = self.jobs.get(&id) else {
-            if let Entry::Vacant(entry) = self.withdrawn.entry(id) {
-                entry.insert(now.unix_ms);
+            if let Entry::Vacant(entry) = self.ended_without_request.entry(id) {
+                entry.insert(StoredJob::cancelled(now.unix_ms));
                 self.change_tracker.mark_changed(id);
             }
             return match self.change_tracker.unstored_batch(id) {
@@ -219,7 +217,7 @@
     /// Returns the status of a job that clients may see.
     pub fn status(&self, id: JobId) -> JobStatus {
         let Some(job) = self.jobs.get(&id) else {
-            return JobStatus::Unknown;
+            return self.status_without_request(id);
         };
         // Reports an end only once it is stored, so that no later planner can undo it.
         if job.phase.is_final() && self.change_tracker.unstored_batch(id).is_some() {
@@ -228,6 +226,15 @@
         JobStatus::Known(job.phase)
     }
 
+    /// Returns the status of a job whose request hasn't arrived. One that was cancelled before is as
+    /// unknown as one that never existed.
+    fn status_without_request(&self, id: JobId) -> JobStatus {
+        match self.ended_without_request.get(&id) {
+            Some(stored) if stored.phase != JobPhase::Cancelled => JobStatus::Known(stored.phase),
+            Some(_) | None => JobStatus::Unknown,
+        }
+    }
+
     /// Returns the number of jobs in a queue that have no started task.
     pub fn pending_count(&self, queue: &QueueName) -> usize {
         self.open_jobs
@@ -274,7 +281,7 @@
         let progress = batch.changed.into_iter().filter_map(|id| {
             let stored = match self.jobs.get(&id) {
                 Some(job) => job.stored(),
-                None => StoredJob::cancelled(*self.withdrawn.get(&id)?),
+                None => self.ended_without_request.get(&id)?.clone(),
             };
             Some(StoreChange::Progress(id, stored))
         });
@@ -426,14 +433,15 @@
             |ended_unix_ms: u64| ended_unix_ms.saturating_add(job_retention) < now.unix_ms;
         let jobs = self.jobs.values();
         let ended = jobs.filter(|job| job.phase.is_final() && is_expired(job.ended_unix_ms));
-        let withdrawn = self.withdrawn.iter().filter(|(_, at)| is_expired(**at));
+        let without_request = self.ended_without_request.iter();
+        let without_request = without_request.filter(|(_, job)| is_expired(job.ended_unix_ms));
         let expired: Vec<JobId> = ended
             .map(|job| job.id)
-            .chain(withdrawn.map(|(id, _)| *id))
+            .chain(without_request.map(|(id, _)| *id))
             .collect();
         for id in expired {
             self.jobs.remove(&id);
-            self.withdrawn.remove(&id);
+            self.ended_without_request.remove(&id);
             self.change_tracker.mark_forgotten(id);
         }
     }
--- a/crates/geraniumshed-core/tests/start_rights/leader.rs
+++ b/crates/geraniumshed-core/tests/start_rights/leader.rs
@@ -178,7 +178,7 @@
         }
         let unrequested = store.jobs.iter();
         for (id, stored) in unrequested.filter(|(id, _)| !store.requests.contains_key(id)) {
-            self.planner.restore_withdrawn(*id, stored.ended_unix_ms);
+            self.planner.restore_ended(*id, stored.clone());
         }
         for (id, crashes) in &store.crashes {
             self.planner.restore_crashes(*id, crashes.clone());
