Keep runs whose ends a worker's new process lists

Found by the model of takeovers and by the soak of processes: a worker that is back under its id has carried out a start and ended the run before its leader knows of the restart. The answer that shows the restart lists the end; the run counted as lost with the old process, as a crash under its task. Runs whose ends are listed are kept until the ends are processed. No end is acknowledged while the registration names a later process, and unexpected runs are handled only from the newest list: an overtaken one may show runs that have ended.

--- a/crates/geraniumshed-core/src/assignment/worker_replies.rs
+++ b/crates/geraniumshed-core/src/assignment/worker_replies.rs
@@ -146,7 +146,7 @@
             self.is_placement_due = true;
         }
         self.process_ends(now, worker, &reply);
-        self.process_reports(now.point, worker, &reply.running);
+        self.process_reports(now.point, worker, &reply.running, is_latest);
         self.settle_trial(now.point, worker);
         if is_latest {
             self.drop_missing_runs(now, worker, sent, &reply);
@@ -250,8 +250,15 @@
         }
     }
 
-    /// Processes the reported runs: updates those that are expected and stops all others.
-    fn process_reports(&mut self, now: TimePoint, worker: &WorkerId, running: &[RunReport]) {
+    /// Processes the reported runs: updates those that are expected, and continues or stops all others,
+    /// unless the list may be older than what is known.
+    fn process_reports(
+        &mut self,
+        now: TimePoint,
+        worker: &WorkerId,
+        running: &[RunReport],
+        is_latest: bool,
+    ) {
         let Some(entry) = self.workers.get_mut(worker) else {
             return;
         };
@@ -261,6 +268,9 @@
                 unwanted.push(report);
             }
         }
+        if !is_latest {
+            return;
+        }
         for report in unwanted {
             self.stop_unwanted(now, worker, report);
         }
@@ -274,12 +284,12 @@
         if run.is_some_and(|run| run.run == report.run) {
             self.stop_run(now, worker, report.task);
         } else {
-            self.stop_orphan(now, worker, report);
+            self.handle_unexpected(now, worker, report);
         }
     }
 
     /// Continues a task with a run that isn't expected on its worker, or stops the run.
-    fn stop_orphan(&mut self, now: TimePoint, worker: &WorkerId, report: &RunReport) {
+    fn handle_unexpected(&mut self, now: TimePoint, worker: &WorkerId, report: &RunReport) {
         self.report_unexpected_run(worker, report.task, report.run, None);
         if self.adopt_run(now, worker, report) {
             return;
@@ -388,6 +398,7 @@
     reply: &RenewReply,
 ) -> bool {
     reply.lists(key, run.run)
+        || reply.lists_end(key, run.run)
         || match run.phase {
             RunPhase::Storing => false,
             RunPhase::Ordered(_) | RunPhase::Unsettled(_) => true,
--- a/crates/geraniumshed-core/src/worker/entry.rs
+++ b/crates/geraniumshed-core/src/worker/entry.rs
@@ -216,10 +216,12 @@
 
     /// Returns the number up to which the worker may drop ends of runs.
     ///
-    /// Only what its last answer listed is acknowledged, and only while it answers: a process that has
-    /// started anew numbers its ends from 1 again, and would drop some that nobody has read.
+    /// Only what its last answer listed is acknowledged, and only while nothing speaks for a later
+    /// process, which numbers its ends from 1 again and would drop some that nobody has read.
     pub fn acknowledged_end(&self) -> u64 {
-        if self.unanswered_calls > 0 {
+        let registered = self.listing.incarnation;
+        let has_restarted = registered.is_some() && registered > self.incarnation;
+        if self.unanswered_calls > 0 || has_restarted {
             return 0;
         }
         self.stored_end.min(self.listed_end)
--- a/crates/geraniumshed-core/src/worker/message.rs
+++ b/crates/geraniumshed-core/src/worker/message.rs
@@ -152,6 +152,12 @@
         reports.any(|one| one.task == task && one.run == run)
     }
 
+    /// Returns whether the worker reports the end of a run of a task.
+    pub fn lists_end(&self, task: TaskKey, run: u32) -> bool {
+        let mut ends = self.ended.iter();
+        ends.any(|one| one.task == task && one.run == run)
+    }
+
     /// Returns the number of the newest end in the answer, or 0 if there is none.
     pub fn last_end(&self) -> u64 {
         let numbers = self.ended.iter().map(|end| end.number);
