Apply the successful end of a gang's member that was given up

Found in review: members of gangs were left out when listed ends were applied, so the end of a member that had been given up was acknowledged and ignored. If the others were done, the gang waited for ever; otherwise it ran again. Only runs in progress, and ends without success, of gang members are left out now. A job whose run is continued counts as running.

successful_end_of_a_gang_that_the_store_lacks_is_applied fails without the change (4 starts of 2 tasks).

--- a/crates/geraniumshed-core/src/assignment/listed_run.rs
+++ b/crates/geraniumshed-core/src/assignment/listed_run.rs
@@ -9,7 +9,7 @@
 use super::action::PlannerTime;
 use super::planner::JobPlanner;
 use super::starting::run_entry;
-use crate::job::{StepRequest, TaskKey, TaskPhase, WorkerId};
+use crate::job::{JobPhase, StepRequest, TaskKey, TaskPhase, WorkerId};
 use crate::worker::{EndKind, RunPhase, RunReport};
 
 /// What is known of the newest run of a task that may continue with a run that a worker lists.
@@ -45,7 +45,9 @@
         let Some(newest) = self.newest_run(key) else {
             return false;
         };
-        if matches!(newest.progress, StartProgress::Sent(_)) || report.run < newest.started {
+        // The members of a gang only run together.
+        let is_sent = matches!(newest.progress, StartProgress::Sent(_));
+        if newest.step.is_gang || is_sent || report.run < newest.started {
             return false;
         }
         self.withdraw_start(key, &newest);
@@ -80,9 +82,9 @@
         match &newest.progress {
             StartProgress::Sent(_) if !has_succeeded => return false,
             StartProgress::Sent(other) => self.stop_run(now.point, other, key),
-            // The end of a run that is known was counted when the run was given up.
             StartProgress::Waiting | StartProgress::Unsent(_) => {
-                if !has_succeeded && run <= newest.started {
+                let is_new = run > newest.started && !newest.step.is_gang;
+                if !has_succeeded && !is_new {
                     return false;
                 }
                 self.withdraw_start(key, &newest);
@@ -92,17 +94,14 @@
         true
     }
 
-    /// Returns what is known of the newest run of a task, unless the task has succeeded, its job has
-    /// ended, or it belongs to a gang, whose members only run together.
+    /// Returns what is known of the newest run of a task, unless the task has succeeded or its job has
+    /// ended.
     fn newest_run(&self, key: TaskKey) -> Option<NewestRun> {
         let job = self
             .jobs
             .get(&key.job)
             .filter(|job| !job.phase.is_final())?;
         let step = job.request.steps.get(key.step as usize)?;
-        if step.is_gang {
-            return None;
-        }
         let task = job.task(key)?;
         let progress = match &task.phase {
             TaskPhase::Done => return None,
@@ -137,8 +136,13 @@
 
     /// Makes a run on a worker the newest one of its task.
     fn expect_run(&mut self, worker: &WorkerId, key: TaskKey, run: u32) {
-        let job = self.jobs.get_mut(&key.job);
-        if let Some(task) = job.and_then(|job| job.task_mut(key)) {
+        let Some(job) = self.jobs.get_mut(&key.job) else {
+            return;
+        };
+        if job.phase == JobPhase::Queued {
+            job.phase = JobPhase::Running;
+        }
+        if let Some(task) = job.task_mut(key) {
             task.run = run;
             task.phase = TaskPhase::Placed(worker.clone());
         }
--- a/crates/geraniumshed-core/tests/planner/listed_runs.rs
+++ b/crates/geraniumshed-core/tests/planner/listed_runs.rs
@@ -68,3 +68,18 @@
     assert_eq!(cluster.starts_of(task(id, 0, 0)).len(), 3);
     assert_eq!(cluster.phase(id), Some(JobPhase::Failed));
 }
+
+// Guards against a gang that never completes or runs again, because the successful end of a member was
+// given up, and is ignored when its worker lists it.
+#[test]
+fn successful_end_of_a_gang_that_the_store_lacks_is_applied() {
+    let mut cluster = Cluster::with_workers(4);
+    let gang = StepRequest {
+        is_gang: true,
+        ..step(2)
+    };
+    let id = lose_progress(&mut cluster, gang, ENDED);
+    cluster.advance(ENDED);
+    assert_eq!(cluster.starts.len(), 2);
+    assert_eq!(cluster.phase(id), Some(JobPhase::Completed));
+}
