--- a/crates/geraniumshed-batch/src/leader/writer.rs
+++ b/crates/geraniumshed-batch/src/leader/writer.rs
@@ -27,6 +27,8 @@
 
 /// The timeout for deleting requests.
 const DELETE_TIMEOUT: Duration = Duration::from_millis(500);
+/// The delay before a deletion of requests that failed is tried again.
+const DELETE_RETRY_DELAY: Duration = Duration::from_secs(5);
 /// The delay before a refused or unanswered append is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(60);
 
@@ -48,6 +50,8 @@
     stored_end: LogOffset,
     /// The jobs that the planner has forgotten and whose requests aren't known to be deleted.
     forgotten: BTreeSet<JobId>,
+    /// The earliest time of the next deletion of requests.
+    next_deletion: Instant,
     /// The jobs whose requests are deleted and whose progress the next batch deletes.
     deleted: BTreeSet<JobId>,
 }
@@ -81,6 +85,7 @@
             watch: DependencyWatch::new("store, for progress"),
             stored_end: LogOffset(0),
             forgotten: BTreeSet::new(),
+            next_deletion: Instant::now(),
             deleted: BTreeSet::new(),
         };
         tokio::spawn(writer.run(batches));
@@ -154,11 +159,11 @@
         true
     }
 
-    /// Deletes the requests of forgotten jobs, or tries again after the next batch.
+    /// Deletes the requests of forgotten jobs, or tries again after a later batch.
     ///
     /// Their progress is deleted afterwards: a request without progress is that of a new job.
     async fn delete_requests(&mut self) {
-        if self.forgotten.is_empty() {
+        if self.forgotten.is_empty() || Instant::now() < self.next_deletion {
             return;
         }
         let deletion = |id: &JobId| KeyedRecord {
@@ -173,6 +178,7 @@
         match appended {
             Ok(_) => self.deleted.append(&mut self.forgotten),
             Err(error) => {
+                self.next_deletion = Instant::now() + DELETE_RETRY_DELAY;
                 log::warn!(jobs = self.forgotten.len(), error:% = error; "could not delete the requests of old jobs");
             }
         }
