Keep leases through an outage of the whole store after a stall

If the other nodes don't reach the store either, none can have taken over, so leases are extended again; starts still wait. A planner that is slow all the time gets its confirmation, as a further stall does not begin it anew.

planner_extends_leases_after_a_stall_while_the_store_is_down_for_all fails without the change (0 of 2 runs are left).

--- a/crates/geraniumshed-batch/src/leader/event.rs
+++ b/crates/geraniumshed-batch/src/leader/event.rs
@@ -41,6 +41,8 @@
     Yield,
     /// Neither the store nor any other node answers this one.
     Isolated,
+    /// The store answers neither this node nor the others that were asked.
+    StoreDown,
     /// The queues in force have changed.
     QueuesChanged(BTreeMap<QueueName, QueuePolicy>),
     /// A client asks for something.
--- a/crates/geraniumshed-batch/src/leader/run.rs
+++ b/crates/geraniumshed-batch/src/leader/run.rs
@@ -141,6 +141,12 @@
     pub(crate) fn report_isolation(&self) {
         self.send(LeaderEvent::Isolated);
     }
+
+    /// Tells the leader task that the store doesn't answer the other nodes either, so that none of them
+    /// can have been elected.
+    pub(crate) fn report_store_down(&self) {
+        self.send(LeaderEvent::StoreDown);
+    }
 }
 
 #[derive(Debug)]
@@ -416,6 +422,7 @@
             LeaderEvent::Query(query) => self.answer(query),
             LeaderEvent::Deposed => return Some(LeaderEnd::Deposed),
             LeaderEvent::Isolated => self.planner.suspend_orders(),
+            LeaderEvent::StoreDown => self.planner.resume_leases(),
             LeaderEvent::Yield | LeaderEvent::Resign => {
                 self.planner.hand_over(now);
                 self.execute_actions();
--- a/crates/geraniumshed-batch/src/member/leading.rs
+++ b/crates/geraniumshed-batch/src/member/leading.rs
@@ -164,6 +164,8 @@
                     "neither the store nor another node answers; ordering nothing until the store does"
                 );
                 handle.report_isolation();
+            } else {
+                handle.report_store_down();
             }
         }
     }
--- a/crates/geraniumshed-core/src/assignment/order_permit.rs
+++ b/crates/geraniumshed-core/src/assignment/order_permit.rs
@@ -17,7 +17,7 @@
 /// has nothing to store, learns of it from the next batch.
 const CONFIRMATION_INTERVAL: Duration = Duration::from_millis(700);
 
-/// Whether the planner may start tasks and extend leases.
+/// Whether the planner may start tasks.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub(super) enum OrderPermit {
     /// It may.
@@ -32,8 +32,19 @@
 impl JobPlanner {
     /// Sends no starts and extends no leases until a later batch is stored, which proves that no
     /// successor has taken over.
+    ///
+    /// A confirmation that is under way goes on, so that a planner that is slow all the time gets one.
     pub fn suspend_orders(&mut self) {
-        self.order_permit = OrderPermit::Suspended;
+        self.may_extend_leases = false;
+        if self.order_permit == OrderPermit::Granted {
+            self.order_permit = OrderPermit::Suspended;
+        }
+    }
+
+    /// Allows leases to be extended, although starts may be suspended, since the store answers no node,
+    /// so that none can have taken over.
+    pub fn resume_leases(&mut self) {
+        self.may_extend_leases = true;
     }
 
     /// Handles that the planner's process has not run for some time, and returns whether it may have been
@@ -46,7 +57,7 @@
         may_be_replaced
     }
 
-    /// Returns whether the planner may start tasks and extend leases.
+    /// Returns whether the planner may start tasks.
     pub(super) fn may_order(&self) -> bool {
         self.order_permit == OrderPermit::Granted
     }
@@ -79,6 +90,7 @@
             && batch <= stored_batch
         {
             self.order_permit = OrderPermit::Granted;
+            self.may_extend_leases = true;
         }
     }
 }
--- a/crates/geraniumshed-core/src/assignment/planner.rs
+++ b/crates/geraniumshed-core/src/assignment/planner.rs
@@ -76,8 +76,10 @@
     pub(super) compared_workers: Cell<u64>,
     /// Whether calls to workers ask for the prolonged lease.
     pub(super) is_prolonging_leases: bool,
-    /// Whether this planner may start tasks and extend leases.
+    /// Whether this planner may start tasks.
     pub(super) order_permit: OrderPermit,
+    /// Whether this planner may extend leases.
+    pub(super) may_extend_leases: bool,
     /// When the newest batch was taken.
     pub(super) newest_batch_at: TimePoint,
     /// Whether the planner has stored nothing for too long.
@@ -134,6 +136,7 @@
             compared_workers: Cell::new(0),
             is_prolonging_leases: false,
             order_permit: OrderPermit::default(),
+            may_extend_leases: true,
             newest_batch_at: TimePoint::default(),
             is_confirmation_due: false,
             is_handing_over: false,
--- a/crates/geraniumshed-core/tests/planner/rules.rs
+++ b/crates/geraniumshed-core/tests/planner/rules.rs
@@ -75,6 +75,25 @@
     assert_eq!(cluster.workers[&worker(0)].deadline, deadline);
 }
 
+// Guards against runs that are lost because their leader stood still for a moment while the store answers
+// no node.
+#[test]
+fn planner_extends_leases_after_a_stall_while_the_store_is_down_for_all() {
+    let mut cluster = Cluster::with_workers(1);
+    let long_running = StepRequest {
+        is_long_running: true,
+        ..step(2)
+    };
+    cluster.submit(1, vec![long_running]);
+    cluster.advance(Duration::from_millis(300));
+    cluster.is_store_up = false;
+    cluster.planner.suspend_orders();
+    cluster.advance(Duration::from_secs(2));
+    cluster.planner.resume_leases();
+    cluster.advance(Duration::from_secs(10));
+    assert_eq!(cluster.running_on(&worker(0)), 2);
+}
+
 #[test]
 fn end_is_acknowledged_and_reported_only_once_stored() {
     let mut cluster = Cluster::with_workers(2);
