--- /dev/null
+++ b/crates/geraniumshed/tests/soak.rs
@@ -0,0 +1,41 @@
+//! Daemon processes keep the rules under a short seeded series of faults.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use geraniumshed_soak::faults::FaultKind;
+use geraniumshed_soak::run::{RunSettings, run};
+use geraniumshed_soak::store::EpochCheck;
+
+/// Guards against violations that show only with processes, signals and real clocks.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn daemon_processes_keep_the_rules_under_faults() {
+    let settings = RunSettings {
+        program: PathBuf::from(env!("CARGO_BIN_EXE_geraniumshed")),
+        seed: 1,
+        time: Duration::from_secs(20),
+        workers: 8,
+        daemons: 3,
+        cpu_share: 0.2,
+        intensity: 1.0,
+        faults: vec![
+            FaultKind::Kill,
+            FaultKind::Freeze,
+            FaultKind::Crash,
+            FaultKind::Path,
+            FaultKind::StoreLoss,
+        ],
+        epoch_check: EpochCheck::WhenExecuted,
+        delivers_to_next_life: false,
+        directory: PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("soak"),
+    };
+    let report = run(&settings).await.unwrap();
+    let (_, accepted, runs) = report.counts;
+    assert!(accepted > 0 && runs > 0, "nothing ran: {report:?}");
+    assert_eq!(report.own_ends, Vec::<String>::new());
+    assert!(
+        report.violations.is_empty(),
+        "{}",
+        report.violations.join("\n")
+    );
+}
