--- a/crates/geraniumshed/tests/soak.rs
+++ b/crates/geraniumshed/tests/soak.rs
@@ -27,6 +27,7 @@
         ],
         epoch_check: EpochCheck::WhenExecuted,
         delivers_to_next_life: false,
+        forgets_later_ends: false,
         directory: PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("soak"),
     };
     let report = run(&settings).await.unwrap();
