--- a/crates/geraniumshed/tests/soak.rs
+++ b/crates/geraniumshed/tests/soak.rs
@@ -6,6 +6,7 @@
 use geraniumshed_soak::faults::FaultKind;
 use geraniumshed_soak::run::{RunSettings, run};
 use geraniumshed_soak::store::EpochCheck;
+use geraniumshed_soak::worker::EndForgetting;
 
 /// Guards against violations that show only with processes, signals and real clocks.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -27,7 +28,7 @@
         ],
         epoch_check: EpochCheck::WhenExecuted,
         delivers_to_next_life: false,
-        forgets_later_ends: false,
+        forgetting: EndForgetting::AtArrival,
         directory: PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("soak"),
     };
     let report = run(&settings).await.unwrap();
