Add tests of ends on a worker whose restart isn't known yet

The worker had restarted under its id in 0.4 s; the renewal that found the restart named the newest end of the earlier process, so the new process forgot its own first ends. Without earlier ends, the run counts as lost with the earlier process although the same reply lists its end. Change: a planner test for each. Both fail on this code.

--- a/crates/geraniumshed-core/tests/planner/silent_workers.rs
+++ b/crates/geraniumshed-core/tests/planner/silent_workers.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use geraniumshed_core::job::{JobId, JobPhase, StepRequest, WorkerId};
+use geraniumshed_core::worker::EndKind;
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
@@ -251,6 +252,50 @@
     assert_eq!(cluster.starts.len(), 4);
 }
 
+/// Guards against a second run of a task that a restarted worker started and ended before its restart
+/// was known: the renewal that found the restart acknowledged the ends of the earlier process, and with
+/// them the end of the run, which has the number of one of them. Without such ends, the run was given up
+/// as one of the earlier process, although its end was in the same reply.
+#[rstest]
+#[case::after_ends_of_the_earlier_process(4)]
+#[case::without_earlier_ends(0)]
+fn end_on_a_worker_whose_restart_is_not_known_yet_counts(#[case] earlier_ends: u32) {
+    let mut cluster = Cluster::with_workers(1);
+    if earlier_ends > 0 {
+        let earlier = cluster.submit(1, vec![step(earlier_ends)]);
+        cluster.advance(Duration::from_secs(3));
+        assert_eq!(cluster.phase(earlier), Some(JobPhase::Completed));
+    }
+    cluster
+        .workers
+        .get_mut(&worker(0))
+        .unwrap()
+        .fault
+        .holds_renewals = true;
+    cluster.advance(Duration::from_millis(1_500));
+    cluster.workers.get_mut(&worker(0)).unwrap().restart();
+    let id = cluster.submit(2, vec![step(2)]);
+    cluster.advance(Duration::from_millis(300));
+    assert_eq!(cluster.running_on(&worker(0)), 2);
+    let one = cluster.workers.get_mut(&worker(0)).unwrap();
+    for index in 0..2 {
+        one.end(task(id, 0, index), EndKind::Done);
+    }
+    // The renewal that the earlier process held back gets no reply.
+    one.fault.loses_replies = true;
+    while cluster.has_held_renewals() {
+        cluster.advance(STEP);
+    }
+    let one = cluster.workers.get_mut(&worker(0)).unwrap();
+    one.fault.loses_replies = false;
+    advance_checked(&mut cluster, Duration::from_secs(5));
+    assert_eq!(cluster.phase(id), Some(JobPhase::Completed));
+    assert_eq!(cluster.restarted_after_end(), []);
+    for index in 0..2 {
+        assert_eq!(cluster.starts_of(task(id, 0, index)).len(), 1);
+    }
+}
+
 fn set_draining(cluster: &mut Cluster, worker: &WorkerId, is_draining: bool) {
     let one = cluster.workers.get_mut(worker).unwrap();
     one.listing.is_draining = is_draining;
