--- a/crates/geraniumshed-core/src/assignment/listed_run.rs
+++ b/crates/geraniumshed-core/src/assignment/listed_run.rs
@@ -33,14 +33,47 @@
 }
 
 impl JobPlanner {
+    /// Stops a reported run that isn't the current run of its task on the worker, or whose job has
+    /// ended.
+    pub(super) fn stop_unwanted(&mut self, now: TimePoint, worker: &WorkerId, report: &RunReport) {
+        let entry = self.workers.get(worker);
+        let run = entry.and_then(|entry| entry.runs.get(&report.task));
+        if run.is_some_and(|run| run.run == report.run) {
+            self.stop_run(now, worker, report.task);
+        } else {
+            self.handle_unexpected(now, worker, report);
+        }
+    }
+
+    /// Continues a task with a run that isn't expected on its worker, or stops the run.
+    fn handle_unexpected(&mut self, now: TimePoint, worker: &WorkerId, report: &RunReport) {
+        self.report_unexpected_run(worker, report.task, report.run, None);
+        if self.adopt_run(now, worker, report) {
+            return;
+        }
+        let step = self
+            .jobs
+            .get(&report.task.job)
+            .and_then(|job| job.request.steps.get(report.task.step as usize))
+            .cloned()
+            .unwrap_or_default();
+        let Some(entry) = self.workers.get_mut(worker) else {
+            return;
+        };
+        if entry.runs.contains_key(&report.task) {
+            // Another run of the task was started there, which replaces the reported one.
+            return;
+        }
+        entry.add_run(
+            report.task,
+            run_entry(&step, report.run, RunPhase::Running(now), now),
+        );
+        self.stop_run(now, worker, report.task);
+    }
+
     /// Continues a task with a run that its worker lists, if no newer run can have been started.
     /// Returns whether it does.
-    pub(super) fn adopt_run(
-        &mut self,
-        now: TimePoint,
-        worker: &WorkerId,
-        report: &RunReport,
-    ) -> bool {
+    fn adopt_run(&mut self, now: TimePoint, worker: &WorkerId, report: &RunReport) -> bool {
         let key = report.task;
         let Some(newest) = self.newest_run(key) else {
             return false;
--- a/crates/geraniumshed-core/src/assignment/mod.rs
+++ b/crates/geraniumshed-core/src/assignment/mod.rs
@@ -40,6 +40,7 @@
 mod worker_hold;
 mod worker_loss;
 mod worker_replies;
+mod worker_restart;
 mod worker_search;
 
 pub use action::{CancelOutcome, JobStatus, PlannerAction, PlannerTime, StoreBatch, StoreChange};
--- a/crates/geraniumshed-core/src/assignment/run_end.rs
+++ b/crates/geraniumshed-core/src/assignment/run_end.rs
@@ -67,7 +67,7 @@
         self.update_quarantine(now.point, worker, key, outcome);
         let unstored = self.change_tracker.unstored_batch(key.job);
         if !self.is_newest_run(worker, key, run)
-            && !self.settles_task(now, worker, key, run, outcome)
+            && !self.apply_unexpected_end(now, worker, key, run, outcome)
         {
             return unstored;
         }
@@ -121,8 +121,9 @@
         task.is_some_and(|task| task.run == run && task.phase == TaskPhase::Placed(worker.clone()))
     }
 
-    /// Returns whether the end of a run that is not the newest one of its task affects the task.
-    fn settles_task(
+    /// Makes a run that has ended the newest one of its task, if its end settles the task. Returns whether
+    /// it does.
+    fn apply_unexpected_end(
         &mut self,
         now: PlannerTime,
         worker: &WorkerId,
--- a/crates/geraniumshed-core/src/assignment/worker_replies.rs
+++ b/crates/geraniumshed-core/src/assignment/worker_replies.rs
@@ -5,11 +5,9 @@
 use geraniumshed_model::prelude::TimePoint;
 
 use super::action::{PlannerAction, PlannerTime};
-use super::event::PlannerEvent;
 use super::pacing::{pace_worker, recent_share};
 use super::planner::JobPlanner;
 use super::run_end::RunEndCause;
-use super::starting::run_entry;
 use super::supervision::WHOLE_PERCENT;
 use super::worker_loss::LossCause;
 use crate::job::{JobEntry, JobId, TaskKey, WorkerId};
@@ -184,46 +182,6 @@
         }
     }
 
-    /// Handles the restart of a worker, which loses the runs of the earlier process.
-    ///
-    /// Runs that were ordered before the restart was known may be runs of the new process. They are kept
-    /// until a renewal with a higher token shows whether they exist.
-    fn handle_worker_restart(
-        &mut self,
-        now: PlannerTime,
-        worker: &WorkerId,
-        sent: SentRenewal,
-        reply: &RenewReply,
-    ) {
-        self.assess_runs(now.point, worker);
-        let Some(entry) = self.workers.get_mut(worker) else {
-            return;
-        };
-        let runs = entry.begin_incarnation(reply.incarnation.unwrap_or_default());
-        entry.up_since = now.point;
-        let may_be_new =
-            |(key, run): &(TaskKey, RunEntry)| may_be_of_new_process(*key, run, sent, reply);
-        let (kept, lost): (Vec<_>, Vec<_>) = runs.into_iter().partition(may_be_new);
-        let has_kept = !kept.is_empty();
-        // What was found about the runs that are kept still holds if they don't exist.
-        entry.is_assessed = has_kept;
-        for (key, mut run) in kept {
-            if let RunPhase::Running(_) = run.phase {
-                run.phase = RunPhase::Unsettled(entry.token);
-            }
-            entry.add_run(key, run);
-        }
-        self.emit(PlannerEvent::WorkerRestarted(worker.clone()));
-        self.lose_runs(now, worker, LossCause::Restarted, &lost);
-        self.prove_losses_by_restart(now, worker);
-        if let Some(entry) = self.workers.get_mut(worker) {
-            entry.trial = entry.trial.filter(|trial| entry.runs.contains_key(trial));
-        }
-        // Renewals that were sent to the earlier process acknowledge its ends, and must not reach the new
-        // one.
-        self.force_renewal(worker);
-    }
-
     /// Processes the reported ends of runs that weren't processed before.
     fn process_ends(&mut self, now: PlannerTime, worker: &WorkerId, reply: &RenewReply) {
         for end in &reply.ended {
@@ -276,44 +234,6 @@
         }
     }
 
-    /// Stops a reported run that isn't the current run of its task on the worker, or whose job has
-    /// ended.
-    fn stop_unwanted(&mut self, now: TimePoint, worker: &WorkerId, report: &RunReport) {
-        let entry = self.workers.get(worker);
-        let run = entry.and_then(|entry| entry.runs.get(&report.task));
-        if run.is_some_and(|run| run.run == report.run) {
-            self.stop_run(now, worker, report.task);
-        } else {
-            self.handle_unexpected(now, worker, report);
-        }
-    }
-
-    /// Continues a task with a run that isn't expected on its worker, or stops the run.
-    fn handle_unexpected(&mut self, now: TimePoint, worker: &WorkerId, report: &RunReport) {
-        self.report_unexpected_run(worker, report.task, report.run, None);
-        if self.adopt_run(now, worker, report) {
-            return;
-        }
-        let step = self
-            .jobs
-            .get(&report.task.job)
-            .and_then(|job| job.request.steps.get(report.task.step as usize))
-            .cloned()
-            .unwrap_or_default();
-        let Some(entry) = self.workers.get_mut(worker) else {
-            return;
-        };
-        if entry.runs.contains_key(&report.task) {
-            // Another run of the task was started there, which replaces the reported one.
-            return;
-        }
-        entry.add_run(
-            report.task,
-            run_entry(&step, report.run, RunPhase::Running(now), now),
-        );
-        self.stop_run(now, worker, report.task);
-    }
-
     /// Gives up runs that are missing in the worker's reply to a renewal, if the renewal was sent
     /// late enough to show them.
     fn drop_missing_runs(
@@ -390,22 +310,6 @@
     }
 }
 
-/// Returns whether a run may have been started by a worker's new process, which answered a renewal.
-fn may_be_of_new_process(
-    key: TaskKey,
-    run: &RunEntry,
-    sent: SentRenewal,
-    reply: &RenewReply,
-) -> bool {
-    reply.lists(key, run.run)
-        || reply.lists_end(key, run.run)
-        || match run.phase {
-            RunPhase::Storing => false,
-            RunPhase::Ordered(_) | RunPhase::Unsettled(_) => true,
-            RunPhase::Running(since) => since >= sent.sent_at,
-        }
-}
-
 /// Updates a run by its worker's report. Returns whether it is the current run of its task there and
 /// its job hasn't ended.
 fn update_run(
--- /dev/null
+++ b/crates/geraniumshed-core/src/assignment/worker_restart.rs
@@ -0,0 +1,66 @@
+//! Handling of workers that are back as a new process under the same id.
+
+use super::action::PlannerTime;
+use super::event::PlannerEvent;
+use super::planner::JobPlanner;
+use super::worker_loss::LossCause;
+use crate::job::{TaskKey, WorkerId};
+use crate::worker::{RenewReply, RunEntry, RunPhase, SentRenewal};
+
+impl JobPlanner {
+    /// Handles the restart of a worker, which loses the runs of the earlier process.
+    ///
+    /// Runs that were ordered before the restart was known may be runs of the new process. They are kept
+    /// until a renewal with a higher token shows whether they exist.
+    pub(super) fn handle_worker_restart(
+        &mut self,
+        now: PlannerTime,
+        worker: &WorkerId,
+        sent: SentRenewal,
+        reply: &RenewReply,
+    ) {
+        self.assess_runs(now.point, worker);
+        let Some(entry) = self.workers.get_mut(worker) else {
+            return;
+        };
+        let runs = entry.begin_incarnation(reply.incarnation.unwrap_or_default());
+        entry.up_since = now.point;
+        let may_be_new =
+            |(key, run): &(TaskKey, RunEntry)| may_be_of_new_process(*key, run, sent, reply);
+        let (kept, lost): (Vec<_>, Vec<_>) = runs.into_iter().partition(may_be_new);
+        let has_kept = !kept.is_empty();
+        // What was found about the runs that are kept still holds if they don't exist.
+        entry.is_assessed = has_kept;
+        for (key, mut run) in kept {
+            if let RunPhase::Running(_) = run.phase {
+                run.phase = RunPhase::Unsettled(entry.token);
+            }
+            entry.add_run(key, run);
+        }
+        self.emit(PlannerEvent::WorkerRestarted(worker.clone()));
+        self.lose_runs(now, worker, LossCause::Restarted, &lost);
+        self.prove_losses_by_restart(now, worker);
+        if let Some(entry) = self.workers.get_mut(worker) {
+            entry.trial = entry.trial.filter(|trial| entry.runs.contains_key(trial));
+        }
+        // Renewals that were sent to the earlier process acknowledge its ends, and must not reach the new
+        // one.
+        self.force_renewal(worker);
+    }
+}
+
+/// Returns whether a run may have been started by a worker's new process, which answered a renewal.
+fn may_be_of_new_process(
+    key: TaskKey,
+    run: &RunEntry,
+    sent: SentRenewal,
+    reply: &RenewReply,
+) -> bool {
+    reply.lists(key, run.run)
+        || reply.lists_end(key, run.run)
+        || match run.phase {
+            RunPhase::Storing => false,
+            RunPhase::Ordered(_) | RunPhase::Unsettled(_) => true,
+            RunPhase::Running(since) => since >= sent.sent_at,
+        }
+}
