Lead although the request of a started job is not shown

Found on reading the change to takeovers once more: a new leader waits for the request of each job that has progress. If the store has lost one, no node would ever lead again.

--- a/crates/geraniumshed-batch/src/store.rs
+++ b/crates/geraniumshed-batch/src/store.rs
@@ -265,15 +265,19 @@
     known_end: LogOffset,
 ) -> Result<(Vec<KeyedRecord>, LogOffset), StoreError> {
     let (records, next) = read_newest(store, topic).await?;
-    catch_up(store, topic, records, next, |_, next| next >= known_end).await
+    let caught_up = catch_up(store, topic, records, next, |_, next| next >= known_end).await?;
+    if !caught_up.is_complete {
+        return Err(StoreError::Outdated(caught_up.next));
+    }
+    Ok((caught_up.records, caught_up.next))
 }
 
-/// Reads on from an offset until there are records of all given keys.
+/// Reads on from an offset until there are records of all given keys, or the store has not shown them
+/// in time.
 ///
 /// # Errors
 ///
-/// Returns why the records could not be read, or [`StoreError::Outdated`] if the store doesn't show
-/// them in time.
+/// Returns why the records could not be read.
 pub async fn read_missing<S: StoreClient>(
     store: &S,
     topic: TopicName,
@@ -284,33 +288,48 @@
     let has_all = |newest: &BTreeMap<SmolStr, KeyedRecord>, _| {
         keys.iter().all(|key| newest.contains_key(key))
     };
-    catch_up(store, topic, records, next, has_all).await
+    let caught_up = catch_up(store, topic, records, next, has_all).await?;
+    if !caught_up.is_complete {
+        log::error!(topic:% = topic, shown_end:% = caught_up.next; "store does not show records that it must have");
+    }
+    Ok((caught_up.records, caught_up.next))
+}
+
+/// The newest records of each key up to an offset.
+#[derive(Debug)]
+struct CaughtUp {
+    records: Vec<KeyedRecord>,
+    next: LogOffset,
+    is_complete: bool,
 }
 
-/// Adds the records from an offset on to the newest ones of each key until they are complete.
+/// Adds the records from an offset on to the newest ones of each key until they are complete, or the
+/// time is up.
 async fn catch_up<S: StoreClient>(
     store: &S,
     topic: TopicName,
     records: Vec<KeyedRecord>,
     mut next: LogOffset,
     is_complete: impl Fn(&BTreeMap<SmolStr, KeyedRecord>, LogOffset) -> bool,
-) -> Result<(Vec<KeyedRecord>, LogOffset), StoreError> {
+) -> Result<CaughtUp, StoreError> {
     let with_key = |record: KeyedRecord| (record.key.clone(), record);
     let mut newest: BTreeMap<SmolStr, KeyedRecord> = records.into_iter().map(with_key).collect();
     let deadline = Instant::now() + CATCH_UP_TIMEOUT;
     if !is_complete(&newest, next) {
         log::warn!(topic:% = topic, shown_end:% = next; "store shows an outdated topic; reading on");
     }
-    while !is_complete(&newest, next) {
-        if Instant::now() >= deadline {
-            return Err(StoreError::Outdated(next));
-        }
+    while !is_complete(&newest, next) && Instant::now() < deadline {
         let batch = store.read(topic, next, CATCH_UP_WAIT).await?;
         next = batch.next;
         newest.extend(batch.records.into_iter().map(with_key));
     }
+    let is_complete = is_complete(&newest, next);
     newest.retain(|_, record| !record.value.is_empty());
-    Ok((newest.into_values().collect(), next))
+    Ok(CaughtUp {
+        records: newest.into_values().collect(),
+        next,
+        is_complete,
+    })
 }
 
 /// Reads pages of the newest records until there are no more, and the offset from which to read on.
--- a/crates/geraniumshed-batch/tests/nodes/leadership.rs
+++ b/crates/geraniumshed-batch/tests/nodes/leadership.rs
@@ -5,13 +5,14 @@
 use bytes::Bytes;
 use geraniumshed_batch::store::TopicName;
 use geraniumshed_batch::topic::{PROGRESS, REQUESTS, WAITS_KEY};
-use geraniumshed_batch::wire::LeaseSnapshotWire;
+use geraniumshed_batch::wire::{LeaseSnapshotWire, StoredJobWire, encode};
 use geraniumshed_batch::{BatchNode, CallOutcome};
 use geraniumshed_core::assignment::LeaseSnapshot;
-use geraniumshed_core::job::{JobId, JobPhase, JobRequest, StepRequest};
+use geraniumshed_core::job::{JobId, JobPhase, JobRequest, StepRequest, StoredJob};
 use geraniumshed_core::leadership::LeaderTerm;
 use geraniumshed_model::prelude::ProcessorShare;
 use rstest::rstest;
+use smol_str::ToSmolStr;
 
 use crate::support::{Site, deadline, job, settled_leader, wait_for};
 
@@ -82,6 +83,23 @@
     assert_eq!(site.started_runs(), [1, 1, 1]);
 }
 
+// Guards against a cluster that never gets a leader again, because the store has lost a request.
+#[tokio::test]
+async fn node_leads_although_a_started_job_has_no_request() {
+    let site = Site::new();
+    let started = StoredJob {
+        phase: JobPhase::Running,
+        ..StoredJob::cancelled(0)
+    };
+    let id = JobId(170);
+    site.put_progress(id.to_smolstr(), encode(&StoredJobWire::from(started)));
+    let nodes = site.spawn_nodes(1, 21_700).await;
+    let other = JobId(171);
+    let service = nodes[0].service();
+    service.submit(other, &job(1), deadline()).await;
+    wait_for(async || site.start_count() == 1).await;
+}
+
 // Guards against an old job that runs again, because its request could not be deleted and its progress
 // was: the next leader takes it for a new job.
 #[tokio::test]
