Decode stored progress once in a takeover

Found on reading the change again: the progress of each job was decoded a second time to find the jobs that have begun, and all records were copied into a map although nearly always no record is missing. A takeover decodes each record once, and collects records by key only if the store shows an outdated topic. No behavior changes; the tests of the crate pass.

--- a/crates/geraniumshed-batch/src/leader/takeover.rs
+++ b/crates/geraniumshed-batch/src/leader/takeover.rs
@@ -7,7 +7,6 @@
 use geraniumshed_core::job::{JobId, JobRequest, StoredJob, TaskCrashes};
 use geraniumshed_core::leadership::{LeaderRecord, LeaderTerm, MemberIdentity};
 use geraniumshed_model::prelude::{LogOffset, TimePoint, whole_millis};
-use smol_str::SmolStr;
 use tokio::time::Instant;
 
 use crate::clock::{NodeClock, ReadMark};
@@ -18,7 +17,7 @@
 };
 use crate::topic::{
     INTERFERENCE_KEY, LEADER_KEY, LEADERS, LEASES_KEY, PROGRESS, REQUESTS, TAKEOVER_KEY, WAITS_KEY,
-    parse_crashes_key, parse_job_key,
+    job_key, parse_crashes_key, parse_job_key,
 };
 use crate::wire::{
     InterferenceWire, JobCrashesWire, JobRequestWire, LeaseSnapshotWire, MemberWire, StoredJobWire,
@@ -118,9 +117,12 @@
     )?;
     // Earlier leaders can no longer store progress. The request of each job with progress was stored
     // before that, unless the job was cancelled first.
-    let started_jobs = progress.iter().filter_map(started_job).collect();
+    let mut stored_jobs: BTreeMap<JobId, StoredJob> =
+        progress.iter().filter_map(decode_stored_job).collect();
+    let started_jobs = stored_jobs.iter().filter(|(_, job)| !job.phase.is_final());
+    let started_keys = started_jobs.map(|(id, _)| job_key(*id)).collect();
     let (requests, next_request) =
-        read_missing(store, REQUESTS, requests, next_request, started_jobs).await?;
+        read_missing(store, REQUESTS, requests, next_request, started_keys).await?;
     let read_ms = whole_millis(started.elapsed());
     log::info!(
         term:% = term,
@@ -137,8 +139,6 @@
     let leases = find(&LEASES_KEY).and_then(|record| decode_leases(record, term));
     let waits = find(&WAITS_KEY).map(decode_waits);
     let crashes = progress.iter().filter_map(decode_crashes).collect();
-    let mut stored_jobs: BTreeMap<JobId, StoredJob> =
-        progress.iter().filter_map(decode_stored_job).collect();
     let jobs = requests
         .iter()
         .filter_map(decode_request)
@@ -169,12 +169,6 @@
     })
 }
 
-/// Returns the key of a record of progress if it is that of a job that hasn't ended.
-fn started_job(record: &KeyedRecord) -> Option<SmolStr> {
-    let (_, stored) = decode_stored_job(record)?;
-    (!stored.phase.is_final()).then(|| record.key.clone())
-}
-
 /// Decodes a stored request. One that can't be decoded is logged and skipped.
 pub(super) fn decode_request(record: &KeyedRecord) -> Option<(JobId, JobRequest)> {
     let id = parse_job_key(&record.key)?;
--- a/crates/geraniumshed-batch/src/store.rs
+++ b/crates/geraniumshed-batch/src/store.rs
@@ -265,6 +265,9 @@
     known_end: LogOffset,
 ) -> Result<(Vec<KeyedRecord>, LogOffset), StoreError> {
     let (records, next) = read_newest(store, topic).await?;
+    if next >= known_end {
+        return Ok((records, next));
+    }
     let caught_up = catch_up(store, topic, records, next, |_, next| next >= known_end).await?;
     if !caught_up.is_complete {
         return Err(StoreError::Outdated(caught_up.next));
@@ -283,8 +286,14 @@
     topic: TopicName,
     records: Vec<KeyedRecord>,
     next: LogOffset,
-    keys: BTreeSet<SmolStr>,
+    mut keys: BTreeSet<SmolStr>,
 ) -> Result<(Vec<KeyedRecord>, LogOffset), StoreError> {
+    for record in &records {
+        keys.remove(&record.key);
+    }
+    if keys.is_empty() {
+        return Ok((records, next));
+    }
     let has_all = |newest: &BTreeMap<SmolStr, KeyedRecord>, _| {
         keys.iter().all(|key| newest.contains_key(key))
     };
@@ -315,9 +324,7 @@
     let with_key = |record: KeyedRecord| (record.key.clone(), record);
     let mut newest: BTreeMap<SmolStr, KeyedRecord> = records.into_iter().map(with_key).collect();
     let deadline = Instant::now() + CATCH_UP_TIMEOUT;
-    if !is_complete(&newest, next) {
-        log::warn!(topic:% = topic, shown_end:% = next; "store shows an outdated topic; reading on");
-    }
+    log::warn!(topic:% = topic, shown_end:% = next; "store shows an outdated topic; reading on");
     while !is_complete(&newest, next) && Instant::now() < deadline {
         let batch = store.read(topic, next, CATCH_UP_WAIT).await?;
         next = batch.next;
