Sort forgotten jobs out of a batch in one place

Found on reading the change again: the writer matched the same change in two ways, once to split a batch and once for the job in it, and records that delete a key were written out in three places. No behavior changes.

--- a/crates/geraniumshed-batch/src/leader/writer.rs
+++ b/crates/geraniumshed-batch/src/leader/writer.rs
@@ -96,11 +96,7 @@
     async fn run(mut self, mut batches: mpsc::UnboundedReceiver<StoreBatch>) {
         while let Some(batch) = batches.recv().await {
             let number = batch.number;
-            let is_forget = |change: &StoreChange| matches!(change, StoreChange::Forget(_));
-            let (forgets, changes): (Vec<_>, Vec<_>) =
-                batch.changes.into_iter().partition(is_forget);
-            self.forgotten
-                .extend(forgets.iter().filter_map(forgotten_job));
+            let changes = self.take_forgotten(batch.changes);
             let batch = StoreBatch { number, changes };
             if !self.store_progress(batch).await {
                 self.handle.send(LeaderEvent::Deposed);
@@ -112,6 +108,24 @@
         log::info!(term:% = self.term, stored_end:% = self.stored_end; "storing no more progress in this term");
     }
 
+    /// Takes the jobs that are forgotten out of a batch's changes, and returns the others.
+    fn take_forgotten(&mut self, changes: Vec<StoreChange>) -> Vec<StoreChange> {
+        let mut others = Vec::with_capacity(changes.len());
+        for change in changes {
+            match change {
+                StoreChange::Forget(id) => {
+                    self.forgotten.insert(id);
+                }
+                StoreChange::Progress(..)
+                | StoreChange::Interference(_)
+                | StoreChange::Leases(_)
+                | StoreChange::Waits(_)
+                | StoreChange::Crashes(..) => others.push(change),
+            }
+        }
+        others
+    }
+
     /// Stores a batch, retrying until the store answers, and returns whether this leader may still
     /// write.
     async fn store_progress(&mut self, batch: StoreBatch) -> bool {
@@ -166,11 +180,8 @@
         if self.forgotten.is_empty() || Instant::now() < self.next_deletion {
             return;
         }
-        let deletion = |id: &JobId| KeyedRecord {
-            key: job_key(*id),
-            value: bytes::Bytes::new(),
-        };
-        let records = self.forgotten.iter().map(deletion).collect();
+        let keys = self.forgotten.iter().map(|id| job_key(*id));
+        let records = keys.map(KeyedRecord::deletion).collect();
         let appended = self
             .store
             .append(REQUESTS, records, AppendCondition::None, DELETE_TIMEOUT)
@@ -192,10 +203,7 @@
             key: job_key(id),
             value: encode(&StoredJobWire::from(stored)),
         },
-        StoreChange::Forget(id) => KeyedRecord {
-            key: job_key(id),
-            value: bytes::Bytes::new(),
-        },
+        StoreChange::Forget(id) => KeyedRecord::deletion(job_key(id)),
         StoreChange::Interference(snapshot) => KeyedRecord {
             key: INTERFERENCE_KEY,
             value: encode(&InterferenceWire::from(snapshot)),
@@ -208,25 +216,12 @@
             key: WAITS_KEY,
             value: encode(&WaitSnapshotWire::from(snapshot)),
         },
-        StoreChange::Crashes(id, crashes) if crashes.is_empty() => KeyedRecord {
-            key: crashes_key(id),
-            value: bytes::Bytes::new(),
-        },
+        StoreChange::Crashes(id, crashes) if crashes.is_empty() => {
+            KeyedRecord::deletion(crashes_key(id))
+        }
         StoreChange::Crashes(id, crashes) => KeyedRecord {
             key: crashes_key(id),
             value: encode(&JobCrashesWire::from(crashes)),
         },
     }
 }
-
-/// Returns the job that a change removes, if it does.
-fn forgotten_job(change: &StoreChange) -> Option<JobId> {
-    match change {
-        StoreChange::Forget(id) => Some(*id),
-        StoreChange::Progress(..)
-        | StoreChange::Interference(_)
-        | StoreChange::Leases(_)
-        | StoreChange::Waits(_)
-        | StoreChange::Crashes(..) => None,
-    }
-}
--- a/crates/geraniumshed-batch/src/store.rs
+++ b/crates/geraniumshed-batch/src/store.rs
@@ -28,6 +28,14 @@
     pub value: Bytes,
 }
 
+impl KeyedRecord {
+    /// Creates the record that deletes a key.
+    pub fn deletion(key: SmolStr) -> Self {
+        let value = Bytes::new();
+        Self { key, value }
+    }
+}
+
 /// The condition under which an append takes effect.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum AppendCondition {
