Ask the other nodes once whether they reach the store

Found on reading the change again: two functions with a loop of their own asked the same nodes at the same time, so that the best successors were asked twice. One set of probes now tells both whether a successor reaches the store and whether any node answers; the decisions are the same. The tests of the crate pass.

--- a/crates/geraniumshed-batch/src/member/leading.rs
+++ b/crates/geraniumshed-batch/src/member/leading.rs
@@ -39,6 +39,17 @@
 /// The number of takeover attempts before the node gives up its claim.
 const TAKEOVER_ATTEMPTS: u32 = 5;
 
+/// What the other nodes tell of the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum PeerContact {
+    /// One of the best successors reaches the store.
+    ReachesStore,
+    /// Nodes answer or are known to be down, or there are none, but no successor reaches the store.
+    Answering,
+    /// None of the nodes that were alive recently answers.
+    Isolated,
+}
+
 impl<S: StoreClient, F: SiteFeed, W: WorkerCaller> MemberTask<S, F, W> {
     /// Leads until a later leader takes over, or until the leader task resigns.
     pub(super) async fn lead(&self, term: LeaderTerm) {
@@ -151,42 +162,68 @@
         while let Some(ProbeRequest(handle)) = requests.recv().await {
             let store = &self.shared.context.store;
             let own = store.newest(LEADERS, None, PROBE_TIMEOUT);
-            let (own, other, is_isolated) =
-                tokio::join!(own, self.first_reaching_store(), self.is_isolated());
+            let (own, contact) = tokio::join!(own, self.probe_peers());
             if own.is_ok() {
                 continue;
             }
-            if other.is_some() {
-                log::warn!("store does not answer this node but answers another one; resigning");
-                handle.yield_lead();
-            } else if is_isolated {
-                log::warn!(
-                    "neither the store nor another node answers; ordering nothing until the store does"
-                );
-                handle.report_isolation();
-            } else {
-                handle.report_store_down();
+            match contact {
+                PeerContact::ReachesStore => {
+                    log::warn!(
+                        "store does not answer this node but answers another one; resigning"
+                    );
+                    handle.yield_lead();
+                }
+                PeerContact::Answering => handle.report_store_down(),
+                PeerContact::Isolated => {
+                    log::warn!(
+                        "neither the store nor another node answers; ordering nothing until the store does"
+                    );
+                    handle.report_isolation();
+                }
             }
         }
     }
 
-    /// Returns whether none of the nodes that were alive recently answers this one.
-    async fn is_isolated(&self) -> bool {
+    /// Asks all nodes that were alive recently whether they reach the store. Only the best successors
+    /// count as reaching it.
+    async fn probe_peers(&self) -> PeerContact {
         let now = self.shared.clock().now();
         let members = self.shared.view().recent_members(now);
-        let mut probes = JoinSet::new();
-        for member in &members {
-            let pool = self.shared.pool.clone();
-            let address = member.address;
-            probes.spawn(async move { pool.probe_store(address, PROBE_TIMEOUT).await });
-        }
+        let mut candidates = self.successors();
+        candidates.truncate(PROBED_PEERS);
+        let mut contact = if members.is_empty() {
+            PeerContact::Answering
+        } else {
+            PeerContact::Isolated
+        };
+        let mut probes = self.spawn_probes(members);
         while let Some(probe) = probes.join_next().await {
-            // A node that refuses connections has been reached, but can't lead.
-            if matches!(probe, Ok(Ok(_) | Err(PeerFailure::Refused))) {
-                return false;
+            match probe {
+                Ok((member, Ok(true))) if candidates.contains(&member) => {
+                    return PeerContact::ReachesStore;
+                }
+                // A node that refuses connections has been reached, but can't lead.
+                Ok((_, Ok(_) | Err(PeerFailure::Refused))) => contact = PeerContact::Answering,
+                Ok((_, Err(PeerFailure::NotSent | PeerFailure::Unanswered))) | Err(_) => {}
             }
         }
-        !members.is_empty()
+        contact
+    }
+
+    /// Asks nodes whether they reach the store.
+    fn spawn_probes(
+        &self,
+        members: impl IntoIterator<Item = MemberIdentity>,
+    ) -> JoinSet<(MemberIdentity, Result<bool, PeerFailure>)> {
+        let mut probes = JoinSet::new();
+        for member in members {
+            let pool = self.shared.pool.clone();
+            probes.spawn(async move {
+                let reaches = pool.probe_store(member.address, PROBE_TIMEOUT).await;
+                (member, reaches)
+            });
+        }
+        probes
     }
 
     /// Makes the leader resign once a node on a much larger VM can lead, since a small VM can't
@@ -224,16 +261,9 @@
 
     /// Returns the first of the best successors to confirm that it reaches the store.
     async fn first_reaching_store(&self) -> Option<MemberIdentity> {
-        let mut probes = JoinSet::new();
-        for member in self.successors().into_iter().take(PROBED_PEERS) {
-            let pool = self.shared.pool.clone();
-            probes.spawn(async move {
-                let reaches = pool.probe_store(member.address, PROBE_TIMEOUT).await;
-                (reaches == Ok(true)).then_some(member)
-            });
-        }
+        let mut probes = self.spawn_probes(self.successors().into_iter().take(PROBED_PEERS));
         while let Some(probe) = probes.join_next().await {
-            if let Ok(Some(member)) = probe {
+            if let Ok((member, Ok(true))) = probe {
                 return Some(member);
             }
         }
