Keep what decides about orders in one type

Found on reading the change again: whether the planner may start tasks and extend leases was spread over four fields of the planner, changed in three files. They form OrderPermit now, as the leases form LeaseLedger.

--- a/crates/geraniumshed-core/src/assignment/order_permit.rs
+++ b/crates/geraniumshed-core/src/assignment/order_permit.rs
@@ -17,11 +17,22 @@
 /// has nothing to store, learns of it from the next batch.
 const CONFIRMATION_INTERVAL: Duration = Duration::from_millis(700);
 
+/// Tracks whether the planner may start tasks and extend leases.
+#[derive(Debug)]
+pub(super) struct OrderPermit {
+    starts: StartPermit,
+    /// Whether the planner may extend leases.
+    may_extend_leases: bool,
+    /// When the newest batch was taken.
+    newest_batch_at: TimePoint,
+    /// Whether the planner has stored nothing for too long.
+    is_batch_overdue: bool,
+}
+
 /// Whether the planner may start tasks.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub(super) enum OrderPermit {
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum StartPermit {
     /// It may.
-    #[default]
     Granted,
     /// It may not until the store has accepted a batch that was taken from now on.
     Suspended,
@@ -29,22 +40,70 @@
     Confirming(u64),
 }
 
+impl Default for OrderPermit {
+    fn default() -> Self {
+        Self {
+            starts: StartPermit::Granted,
+            may_extend_leases: true,
+            newest_batch_at: TimePoint::default(),
+            is_batch_overdue: false,
+        }
+    }
+}
+
+impl OrderPermit {
+    /// Returns whether the planner may start tasks.
+    pub(super) fn may_start(&self) -> bool {
+        self.starts == StartPermit::Granted
+    }
+
+    /// Returns whether the planner may extend leases.
+    pub(super) fn may_extend_leases(&self) -> bool {
+        self.may_extend_leases
+    }
+
+    /// Returns whether a batch has to be stored to find out whether a successor has taken over.
+    pub(super) fn needs_batch(&self) -> bool {
+        self.starts == StartPermit::Suspended || self.is_batch_overdue
+    }
+
+    /// Records that a batch is about to be stored.
+    pub(super) fn batch_taken(&mut self, now: TimePoint, number: u64) {
+        self.newest_batch_at = now;
+        self.is_batch_overdue = false;
+        if self.starts == StartPermit::Suspended {
+            self.starts = StartPermit::Confirming(number);
+        }
+    }
+
+    /// Records that all batches up to a number are stored.
+    pub(super) fn batch_stored(&mut self, number: u64) {
+        if let StartPermit::Confirming(batch) = self.starts
+            && batch <= number
+        {
+            self.starts = StartPermit::Granted;
+            self.may_extend_leases = true;
+        }
+    }
+}
+
 impl JobPlanner {
     /// Sends no starts and extends no leases until a later batch is stored, which proves that no
     /// successor has taken over.
     ///
     /// A confirmation that is under way goes on, so that a planner that is slow all the time gets one.
     pub fn suspend_orders(&mut self) {
-        self.may_extend_leases = false;
-        if self.order_permit == OrderPermit::Granted {
-            self.order_permit = OrderPermit::Suspended;
+        let permit = &mut self.order_permit;
+        permit.may_extend_leases = false;
+        if permit.may_start() {
+            permit.starts = StartPermit::Suspended;
         }
     }
 
     /// Allows leases to be extended, although starts may be suspended, since the store answers no node,
     /// so that none can have taken over.
     pub fn resume_leases(&mut self) {
-        self.may_extend_leases = true;
+        self.order_permit.may_extend_leases = true;
     }
 
     /// Handles that the planner's process has not run for some time, and returns whether it may have been
@@ -57,40 +116,11 @@
         may_be_replaced
     }
 
-    /// Returns whether the planner may start tasks.
-    pub(super) fn may_order(&self) -> bool {
-        self.order_permit == OrderPermit::Granted
-    }
-
-    /// Returns whether a batch has to be stored to find out whether a successor has taken over.
-    pub(super) fn needs_confirmation(&self) -> bool {
-        self.order_permit == OrderPermit::Suspended || self.is_confirmation_due
-    }
-
     /// Decides whether the planner has stored nothing for so long that it has to find out whether it
     /// was replaced.
-    pub(super) fn watch_confirmation(&mut self, now: TimePoint) {
-        let is_late = now.since(self.newest_batch_at) >= CONFIRMATION_INTERVAL;
+    pub(super) fn watch_batches(&mut self, now: TimePoint) {
+        let is_late = now.since(self.order_permit.newest_batch_at) >= CONFIRMATION_INTERVAL;
         let mut workers = self.workers.values();
-        self.is_confirmation_due = is_late && workers.any(|entry| !entry.runs.is_empty());
-    }
-
-    /// Records that a batch is about to be stored.
-    pub(super) fn begin_confirmation(&mut self, now: TimePoint, batch: u64) {
-        self.newest_batch_at = now;
-        self.is_confirmation_due = false;
-        if self.order_permit == OrderPermit::Suspended {
-            self.order_permit = OrderPermit::Confirming(batch);
-        }
-    }
-
-    /// Records that a batch is stored.
-    pub(super) fn end_confirmation(&mut self, stored_batch: u64) {
-        if let OrderPermit::Confirming(batch) = self.order_permit
-            && batch <= stored_batch
-        {
-            self.order_permit = OrderPermit::Granted;
-            self.may_extend_leases = true;
-        }
+        self.order_permit.is_batch_overdue = is_late && workers.any(|entry| !entry.runs.is_empty());
     }
 }
--- a/crates/geraniumshed-core/src/assignment/planner.rs
+++ b/crates/geraniumshed-core/src/assignment/planner.rs
@@ -76,14 +76,7 @@
     pub(super) compared_workers: Cell<u64>,
     /// Whether calls to workers ask for the prolonged lease.
     pub(super) is_prolonging_leases: bool,
-    /// Whether this planner may start tasks.
     pub(super) order_permit: OrderPermit,
-    /// Whether this planner may extend leases.
-    pub(super) may_extend_leases: bool,
-    /// When the newest batch was taken.
-    pub(super) newest_batch_at: TimePoint,
-    /// Whether the planner has stored nothing for too long.
-    pub(super) is_confirmation_due: bool,
     /// Whether this planner is handing over to a successor.
     pub(super) is_handing_over: bool,
     /// The workers that are held for long-running tasks that found no room or are evacuated.
@@ -136,9 +129,6 @@
             compared_workers: Cell::new(0),
             is_prolonging_leases: false,
             order_permit: OrderPermit::default(),
-            may_extend_leases: true,
-            newest_batch_at: TimePoint::default(),
-            is_confirmation_due: false,
             is_handing_over: false,
             held_workers: BTreeMap::new(),
             is_placement_due: false,
@@ -260,7 +250,7 @@
         self.change_tracker.has_changes()
             || self.lease_ledger.is_due()
             || self.wait_ledger.is_due()
-            || self.needs_confirmation()
+            || self.order_permit.needs_batch()
     }
 
     /// Returns whether a renewal carried the newest fencing token that this planner used for a
@@ -277,10 +267,10 @@
         }
         let batch = self.change_tracker.take_batch();
         let number = batch.number;
-        if self.needs_confirmation() {
+        if self.order_permit.needs_batch() {
             self.lease_ledger.request_snapshot();
         }
-        self.begin_confirmation(now.point, number);
+        self.order_permit.batch_taken(now.point, number);
         let progress = batch.changed.into_iter().filter_map(|id| {
             let stored = match self.jobs.get(&id) {
                 Some(job) => job.stored(),
@@ -306,9 +296,9 @@
     /// Handles the confirmation that all batches up to the given number are stored.
     pub fn batch_stored(&mut self, now: PlannerTime, number: u64) {
         let starts = self.change_tracker.mark_stored(number);
-        self.end_confirmation(number);
+        self.order_permit.batch_stored(number);
         for start in starts {
-            if self.may_order() {
+            if self.order_permit.may_start() {
                 self.send_start(now, start);
             } else {
                 self.change_tracker.defer_start(start);
@@ -330,7 +320,7 @@
             self.assess_silent_workers(now.point);
             self.watch_leases(now.point);
             self.watch_waits(now.point);
-            self.watch_confirmation(now.point);
+            self.watch_batches(now.point);
             self.begin_occurrences(now);
         }
         if self.is_placement_due {
--- a/crates/geraniumshed-core/src/assignment/renewals.rs
+++ b/crates/geraniumshed-core/src/assignment/renewals.rs
@@ -67,7 +67,7 @@
     /// Sends the renewals that are due.
     pub(super) fn send_renewals(&mut self, now: TimePoint) {
         let lease = self.lease_length();
-        let may_extend = self.may_extend_leases;
+        let may_extend = self.order_permit.may_extend_leases();
         for (id, entry) in &mut self.workers {
             let is_due = entry.renewal.is_none() && entry.next_renewal_at <= now;
             if !is_due || !entry.has_address() {
