--- a/crates/geraniumshed-batch/src/telemetry/metrics.rs
+++ b/crates/geraniumshed-batch/src/telemetry/metrics.rs
@@ -117,6 +117,7 @@
     pub(crate) crashing_tasks: Counter,
     /// The runs that ended without success.
     pub(crate) lost_runs: Family<ReasonLabels, Counter>,
+    /// The runs and ends that workers listed although they weren't those of the newest known runs.
     pub(crate) unexpected_runs: Counter,
     /// The time for which the runs of lost workers waited to be given up.
     pub(crate) worker_loss_seconds: Histogram,
--- a/crates/geraniumshed-core/src/assignment/listed_run.rs
+++ b/crates/geraniumshed-core/src/assignment/listed_run.rs
@@ -33,9 +33,14 @@
 }
 
 impl JobPlanner {
-    /// Stops a reported run that isn't the current run of its task on the worker, or whose job has
-    /// ended.
-    pub(super) fn stop_unwanted(&mut self, now: TimePoint, worker: &WorkerId, report: &RunReport) {
+    /// Stops a reported run whose job has ended. One that isn't the current run of its task on the worker
+    /// is stopped too, unless the task continues with it.
+    pub(super) fn settle_unwanted(
+        &mut self,
+        now: TimePoint,
+        worker: &WorkerId,
+        report: &RunReport,
+    ) {
         let entry = self.workers.get(worker);
         let run = entry.and_then(|entry| entry.runs.get(&report.task));
         if run.is_some_and(|run| run.run == report.run) {
--- a/crates/geraniumshed-core/src/assignment/worker_replies.rs
+++ b/crates/geraniumshed-core/src/assignment/worker_replies.rs
@@ -230,7 +230,7 @@
             return;
         }
         for report in unwanted {
-            self.stop_unwanted(now, worker, report);
+            self.settle_unwanted(now, worker, report);
         }
     }
 
--- a/crates/geraniumshed-core/src/assignment/worker_restart.rs
+++ b/crates/geraniumshed-core/src/assignment/worker_restart.rs
@@ -28,9 +28,8 @@
         let may_be_new =
             |(key, run): &(TaskKey, RunEntry)| may_be_of_new_process(*key, run, sent, reply);
         let (kept, lost): (Vec<_>, Vec<_>) = runs.into_iter().partition(may_be_new);
-        let has_kept = !kept.is_empty();
         // What was found about the runs that are kept still holds if they don't exist.
-        entry.is_assessed = has_kept;
+        entry.is_assessed = !kept.is_empty();
         for (key, mut run) in kept {
             if let RunPhase::Running(_) = run.phase {
                 run.phase = RunPhase::Unsettled(entry.token);
