--- a/crates/geraniumshed-core/tests/start_rights/search.rs
+++ b/crates/geraniumshed-core/tests/start_rights/search.rs
@@ -19,6 +19,15 @@
     pub log: Vec<String>,
 }
 
+/// Returns the violation in a world, with the steps that were taken there.
+fn found_violation(world: World, steps: Vec<Step>) -> Option<FoundViolation> {
+    Some(FoundViolation {
+        violation: world.checker.violation?,
+        steps,
+        log: world.log,
+    })
+}
+
 /// The time for which jobs are kept, unless a test needs a short one.
 pub const LONG_RETENTION: Duration = Duration::from_mins(4);
 
@@ -35,12 +44,8 @@
         if world.take(*step) {
             taken.push(*step);
         }
-        if let Some(violation) = world.checker.violation.clone() {
-            return Some(FoundViolation {
-                violation,
-                steps: taken,
-                log: world.log,
-            });
+        if world.checker.violation.is_some() {
+            return found_violation(world, taken);
         }
     }
     None
@@ -105,12 +110,8 @@
         }
         crashes += usize::from(matches!(step, Step::Crash(_)));
         taken.push(step);
-        if let Some(violation) = world.checker.violation.clone() {
-            return Some(FoundViolation {
-                violation,
-                steps: taken,
-                log: world.log,
-            });
+        if world.checker.violation.is_some() {
+            return found_violation(world, taken);
         }
     }
     None
