--- a/crates/geraniumshed-batch/src/leader/run.rs
+++ b/crates/geraniumshed-batch/src/leader/run.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use geraniumshed_core::assignment::{
-    CancelOutcome, JobPlanner, JobStatus, PlannerSettings, StoreBatch,
+    CancelOutcome, JobPlanner, JobStatus, PlannerAction, PlannerSettings, StoreBatch,
 };
 use geraniumshed_core::job::{JobId, QueueName, QueuePolicy};
 use geraniumshed_core::leadership::LeaderTerm;
@@ -15,6 +15,7 @@
 use super::actions::execute_action;
 use super::event::{LeaderEvent, LeaderHandle, LeaderQuery, QueuedEvent};
 use super::polling::{poll_requests, poll_workers};
+use super::start_delays::StartDelayLog;
 use super::step_timer::{StepPart, StepTimer};
 use super::takeover::RecoveredState;
 use super::writer::{BatchWriter, UnansweredSince};
@@ -108,6 +109,7 @@
         next_step: Instant::now(),
         has_new_events: false,
         timer: StepTimer::default(),
+        delays: StartDelayLog::default(),
         cancels: Vec::new(),
         requests_read: recovered.requests_read,
         // A successor may have been elected during a slow takeover.
@@ -173,6 +175,8 @@
     has_new_events: bool,
     /// Measures what the steps take.
     timer: StepTimer,
+    /// Summarizes how long starts take.
+    delays: StartDelayLog,
     /// The cancellations that are answered once the batch with the given number is stored.
     cancels: Vec<(u64, CancelOutcome, oneshot::Sender<CancelOutcome>)>,
     /// All jobs that were stored before this moment are known.
@@ -340,11 +344,15 @@
         self.timer.record_part(StepPart::Order, collected.elapsed());
         self.timer
             .finish_step(now, self.planner.work(), &self.metrics);
+        self.delays.log_due(now);
         self.probe_stalled_store(now);
     }
 
     fn execute_actions(&mut self) {
         for action in self.planner.take_actions() {
+            if let PlannerAction::Event(event) = &action {
+                self.delays.record(event);
+            }
             execute_action(&self.caller, &self.handle, &self.metrics, action);
         }
     }
--- a/crates/geraniumshed-batch/src/telemetry/events.rs
+++ b/crates/geraniumshed-batch/src/telemetry/events.rs
@@ -31,6 +31,8 @@
                 "tasks wait, since no worker takes them"
             );
         }
+        // These are too many for a line each.
+        PlannerEvent::RunStarted(_) | PlannerEvent::RenewalSent(_) => {}
         PlannerEvent::RunLost(lost) => log_lost_run(lost),
         PlannerEvent::RunUnexpected(unexpected) => log_unexpected_run(unexpected),
         PlannerEvent::JobEnded(summary) => log_job_end(summary),
@@ -77,6 +79,7 @@
         step = placement.step,
         placed = placement.placed,
         waiting = placement.waiting,
+        ready_ms = whole_millis(placement.ready_for),
         age_ms = whole_millis(placement.age),
         slack_ms = placement.slack_ms;
         "tasks got workers"
--- a/crates/geraniumshed-batch/src/telemetry/metrics.rs
+++ b/crates/geraniumshed-batch/src/telemetry/metrics.rs
@@ -14,7 +14,7 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
-use crate::leader::StepPart;
+use crate::leader::{StartStage, StepPart};
 use crate::service::CallOutcome;
 use crate::store::StoreError;
 
@@ -83,6 +83,15 @@
     pub outcome: &'static str,
 }
 
+/// The labels of a stage of a run's start.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct StageLabels {
+    /// The stage.
+    pub stage: &'static str,
+    /// The priority of the job's queue.
+    pub priority: u32,
+}
+
 /// The labels of a part of the leader's steps.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct PartLabels {
@@ -127,6 +136,8 @@
     pub(crate) job_seconds: Histogram,
     /// The time from the submission of a job to its first placement.
     pub(crate) wait_seconds: Histogram,
+    start_seconds: Family<StageLabels, Histogram, fn() -> Histogram>,
+    renewal_gap_seconds: Histogram,
     step_seconds: Family<PartLabels, Histogram, fn() -> Histogram>,
     queue_seconds: Histogram,
     planner_work: Family<WorkLabels, Counter>,
@@ -174,6 +185,8 @@
             ended_jobs: Family::default(),
             job_seconds: Histogram::new(JOB_BOUNDS),
             wait_seconds: latency(),
+            start_seconds: Family::new_with_constructor(latency),
+            renewal_gap_seconds: latency(),
             step_seconds: Family::new_with_constructor(latency),
             queue_seconds: latency(),
             planner_work: Family::default(),
@@ -217,6 +230,13 @@
             let labels = PartLabels { part: part.name() };
             drop(self.step_seconds.get_or_create(&labels));
         }
+        for stage in StartStage::ALL {
+            let labels = StageLabels {
+                stage: stage.name(),
+                priority: 0,
+            };
+            drop(self.start_seconds.get_or_create(&labels));
+        }
         self.record_work(&PlannerWork::default());
         drop(self.config_read_seconds.get_or_create(&read));
     }
@@ -256,6 +276,16 @@
             "The time from handing a job in to its first placement",
             self.wait_seconds.clone(),
         );
+        registry.register(
+            "start_seconds",
+            "The time that a stage of a run's start takes",
+            self.start_seconds.clone(),
+        );
+        registry.register(
+            "renewal_gap_seconds",
+            "The time for which a worker with runs has no open renewal",
+            self.renewal_gap_seconds.clone(),
+        );
         registry.register(
             "step_seconds",
             "The time that a part of a leader's step takes",
@@ -368,6 +398,15 @@
         seconds.observe(taken.as_secs_f64());
     }
 
+    fn record_stage(&self, stage: StartStage, priority: u32, taken: Duration) {
+        let labels = StageLabels {
+            stage: stage.name(),
+            priority,
+        };
+        let seconds = self.start_seconds.get_or_create(&labels);
+        seconds.observe(taken.as_secs_f64());
+    }
+
     /// Records the longest time that an event was queued before a leader's step.
     pub(crate) fn record_queue_time(&self, queued: Duration) {
         self.queue_seconds.observe(queued.as_secs_f64());
@@ -394,6 +433,15 @@
         match event {
             PlannerEvent::StepPlaced(placement) => {
                 self.placements.inc_by(placement.placed as u64);
+                let (priority, ready_for) = (placement.priority, placement.ready_for);
+                self.record_stage(StartStage::Placed, priority, ready_for);
+            }
+            PlannerEvent::RunStarted(delay) => {
+                self.record_stage(StartStage::Stored, delay.priority, delay.stored);
+                self.record_stage(StartStage::Confirmed, delay.priority, delay.confirmed);
+            }
+            PlannerEvent::RenewalSent(gap) => {
+                self.renewal_gap_seconds.observe(gap.as_secs_f64());
             }
             PlannerEvent::StepWaiting(..) => {
                 self.waiting_steps.inc();
--- a/crates/geraniumshed-core/src/assignment/event.rs
+++ b/crates/geraniumshed-core/src/assignment/event.rs
@@ -16,6 +16,11 @@
     /// Tasks of a step began to wait because no worker can take them. Counts the workers by the
     /// reason why they can't.
     StepWaiting(PlacementSummary, BTreeMap<PlacementRefusal, u32>),
+    /// A worker confirmed the start of a run.
+    RunStarted(StartDelay),
+    /// A renewal was sent to a worker with runs, this long after the answer to the previous one. Ends
+    /// of runs aren't learned in between.
+    RenewalSent(Duration),
     /// A run ended without success.
     RunLost(LostRun),
     /// A worker lists a run, or the end of a run, that is not the newest run of its task there.
@@ -53,6 +58,10 @@
     pub placed: usize,
     /// The number of tasks that still wait for a worker.
     pub waiting: usize,
+    /// The priority of the job's queue.
+    pub priority: u32,
+    /// The time since the step could first start.
+    pub ready_for: Duration,
     /// The time since the job was submitted.
     pub age: Duration,
     /// The time until the latest start of the step with which the job meets its objective, in
@@ -60,6 +69,17 @@
     pub slack_ms: i64,
 }
 
+/// How long the stages of a run's start took.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StartDelay {
+    /// The priority of the job's queue.
+    pub priority: u32,
+    /// The time from the placement until it was stored and the order was sent.
+    pub stored: Duration,
+    /// The time from then until the worker's confirmation was handled.
+    pub confirmed: Duration,
+}
+
 /// A run that ended without success.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct LostRun {
--- a/crates/geraniumshed-core/src/assignment/renewals.rs
+++ b/crates/geraniumshed-core/src/assignment/renewals.rs
@@ -5,6 +5,7 @@
 use geraniumshed_model::prelude::TimePoint;
 
 use super::action::{PlannerAction, PlannerTime};
+use super::event::PlannerEvent;
 use super::planner::JobPlanner;
 use crate::job::WorkerId;
 use crate::worker::{RenewRequest, RunPhase, SentRenewal, WorkerCall, WorkerEntry};
@@ -96,6 +97,11 @@
                 token: entry.token,
             };
             entry.renewal = Some(sent);
+            if !entry.runs.is_empty() && entry.unanswered_calls == 0 {
+                let gap = now.since(entry.read_at);
+                let event = PlannerEvent::RenewalSent(gap);
+                self.actions.push(PlannerAction::Event(event));
+            }
             let call = WorkerCall {
                 worker: id.clone(),
                 address: entry.listing.address,
--- a/crates/geraniumshed-core/src/assignment/starting.rs
+++ b/crates/geraniumshed-core/src/assignment/starting.rs
@@ -141,6 +141,7 @@
         phase,
         is_reported: false,
         ordered_at: None,
+        placed_at: now,
         reserved: step.reserved_size(),
         processors: step.size.processors,
         image: step.image.clone(),
--- a/crates/geraniumshed-core/src/assignment/step_placement.rs
+++ b/crates/geraniumshed-core/src/assignment/step_placement.rs
@@ -79,7 +79,7 @@
         let mut steps = Vec::new();
         self.work.examined_jobs += self.jobs_to_place.len() as u64;
         self.jobs_to_place.retain(|id| {
-            let Some(job) = self.jobs.get(id) else {
+            let Some(job) = self.jobs.get_mut(id) else {
                 return false;
             };
             // The queue may be part of a configuration that is yet to come.
@@ -96,6 +96,10 @@
                     step,
                 }));
             }
+            for ready in &steps[known..] {
+                job.diagnostics
+                    .record_ready(ready.occurrence, ready.step, now.unix_ms);
+            }
             // Without a step that is ready, tasks may still wait for the end of a retry delay.
             steps.len() > known || job.has_tasks_to_place()
         });
@@ -237,12 +241,18 @@
             false
         };
         let age_ms = now.unix_ms.saturating_sub(job.request.submitted_unix_ms);
+        let ready_unix_ms = job.diagnostics.ready_since(occurrence, step);
+        let ready_ms = now
+            .unix_ms
+            .saturating_sub(ready_unix_ms.unwrap_or(now.unix_ms));
         let summary = PlacementSummary {
             job: id,
             occurrence,
             step,
             placed,
             waiting,
+            priority: rank.priority,
+            ready_for: Duration::from_millis(ready_ms),
             age: Duration::from_millis(age_ms),
             slack_ms: rank.latest_start_unix_ms.cast_signed() - now.unix_ms.cast_signed(),
         };
--- a/crates/geraniumshed-core/src/assignment/worker_replies.rs
+++ b/crates/geraniumshed-core/src/assignment/worker_replies.rs
@@ -5,6 +5,7 @@
 use geraniumshed_model::prelude::TimePoint;
 
 use super::action::{PlannerAction, PlannerTime};
+use super::event::{PlannerEvent, StartDelay};
 use super::pacing::{pace_worker, recent_share};
 use super::planner::JobPlanner;
 use super::run_end::RunEndCause;
@@ -43,6 +44,8 @@
                 current.phase = RunPhase::Running(now.point);
                 current.progressed_at = now.point;
                 let stops = current.is_stopping();
+                let (placed_at, ordered_at) = (current.placed_at, current.ordered_at);
+                self.report_start(now.point, task, placed_at, ordered_at);
                 if stops {
                     self.send_stop(now.point, worker, task);
                 }
@@ -78,6 +81,26 @@
         }
     }
 
+    /// Emits the event about the stages of a run's start.
+    fn report_start(
+        &mut self,
+        now: TimePoint,
+        task: TaskKey,
+        placed_at: TimePoint,
+        ordered_at: Option<TimePoint>,
+    ) {
+        let job = self.jobs.get(&task.job);
+        let policy = job.and_then(|job| self.queues.policy(&job.request.queue));
+        let Some((policy, ordered_at)) = policy.zip(ordered_at) else {
+            return;
+        };
+        self.emit(PlannerEvent::RunStarted(StartDelay {
+            priority: policy.priority,
+            stored: ordered_at.since(placed_at),
+            confirmed: now.since(ordered_at),
+        }));
+    }
+
     /// Handles the reply to the stop of a run.
     pub fn stop_answered(
         &mut self,
--- a/crates/geraniumshed-core/src/job/diagnostics.rs
+++ b/crates/geraniumshed-core/src/job/diagnostics.rs
@@ -12,6 +12,8 @@
     pub first_placed_unix_ms: Option<u64>,
     /// The number of runs that ended without success, by reason.
     pub lost_runs: BTreeMap<&'static str, u32>,
+    /// When each step could first start, by occurrence and index, in milliseconds of Unix time.
+    ready_since: BTreeMap<(u32, u32), u64>,
     /// The steps that are waiting for a worker, by occurrence and index, with the time in
     /// milliseconds of Unix time since when each waits.
     waiting_since: BTreeMap<(u32, u32), u64>,
@@ -28,6 +30,18 @@
         *self.lost_runs.entry(reason).or_default() += 1;
     }
 
+    /// Records that a step can start.
+    pub fn record_ready(&mut self, occurrence: u32, step: u32, unix_ms: u64) {
+        self.ready_since
+            .entry((occurrence, step))
+            .or_insert(unix_ms);
+    }
+
+    /// Returns when a step could first start, in milliseconds of Unix time.
+    pub fn ready_since(&self, occurrence: u32, step: u32) -> Option<u64> {
+        self.ready_since.get(&(occurrence, step)).copied()
+    }
+
     /// Records that tasks of a step wait for a worker and returns whether the wait is new.
     pub fn record_waiting(&mut self, occurrence: u32, step: u32, unix_ms: u64) -> bool {
         let entry = self.waiting_since.entry((occurrence, step));
--- a/crates/geraniumshed-core/src/worker/run.rs
+++ b/crates/geraniumshed-core/src/worker/run.rs
@@ -37,6 +37,8 @@
     pub ordered_at: Option<TimePoint>,
     /// The resources that the run reserves.
     pub reserved: ResourceSize,
+    /// When the run was placed on the worker.
+    pub placed_at: TimePoint,
     /// The processors that the run requests, whether they are reserved or not.
     pub processors: ProcessorShare,
     /// The image that the run executes, if it is known. Runs of the same image are assumed to
