Measure the planner's processor time per start without a network

bench jobs drives the planner over modelled workers and a modelled store, at 3,000 and 10,000 starts a second and 300, 1,100 and 3,000 workers, and reports the processor time per start by part.

--- a/crates/geraniumshed/src/bench/mod.rs
+++ b/crates/geraniumshed/src/bench/mod.rs
@@ -1,6 +1,7 @@
 //! Benchmarks, run by `geraniumshed bench NAME`.
 
 pub mod capacity;
+pub mod jobs;
 pub mod overhead;
 pub mod request;
 pub mod schedule;
@@ -30,6 +31,11 @@
         summary: "placement under hidden interference against baselines (decisions only, no sockets)",
         run: schedule::run_command,
     },
+    BenchEntry {
+        name: "jobs",
+        summary: "processor time of the job planner for each start, by part (no sockets)",
+        run: jobs::run_command,
+    },
     BenchEntry {
         name: "capacity",
         summary: "control-plane cost at small sizes, extrapolated to larger ones (see scripts/capacity.sh)",
