Look only at workers that have changed, and compare a step's tasks with shared candidates

Cause: each task of a step was compared with up to 64 workers of its own, workers without room were looked at again by each search, and each step of the leader looked at all workers for improvements, due renewals, stored ends and evacuations. The table of workers now notes which of them have changed, an index of free capacity skips those without room, and the ordinary tasks of a step share candidates, since a placement changes the score of its own worker alone.

planner_work::placements_compare_few_workers_however_many_there_are and workers_without_room_are_not_compared fail on the code before.

--- a/crates/geraniumshed-core/src/assignment/evacuation.rs
+++ b/crates/geraniumshed-core/src/assignment/evacuation.rs
@@ -36,7 +36,9 @@
     /// Returns the runs that have to leave their workers, in the order of their ranks.
     pub(super) fn due_evacuations(&self, now: PlannerTime) -> VecDeque<DueEvacuation> {
         let mut due = Vec::new();
-        for worker in self.workers.values().filter(|one| one.can_be_evacuated()) {
+        let leaving = self.worker_index.leaving();
+        let leaving = leaving.filter_map(|id| self.workers.get(id));
+        for worker in leaving.filter(|one| one.can_be_evacuated()) {
             let runs = worker.runs.iter().filter(|(_, run)| is_evacuable(run));
             due.extend(runs.filter_map(|(key, _)| self.due_evacuation(now, *key, worker.id())));
         }
--- a/crates/geraniumshed-core/src/assignment/placement_query.rs
+++ b/crates/geraniumshed-core/src/assignment/placement_query.rs
@@ -17,8 +17,6 @@
 use crate::job::{ServiceName, StepRequest, TaskKey, WorkerId};
 use crate::worker::WorkerEntry;
 
-/// The fraction of its processors that a run with a latency target is assumed to use.
-const SERVED_UTILIZATION: f64 = 0.5;
 /// The score, in thousandths of a processor, for a worker in the preferred rack.
 const RACK_BONUS: f64 = 64_000.0;
 /// The penalty, in thousandths of a processor, for each run of the same step on a worker.
@@ -41,6 +39,8 @@
 const NEW_WORKER_TIME: Duration = Duration::from_secs(10);
 /// The number of suitable workers that are compared for most tasks.
 const CANDIDATE_LIMIT: usize = 64;
+/// The same for each task of a step, if that is more.
+const CANDIDATES_PER_TASK: usize = 4;
 /// The lower bound of the headroom, as a pressure, when a run's share of it is computed.
 const MIN_HEADROOM: f64 = 0.02;
 /// The score, in thousandths of a processor, for each best-effort image that can't run beside the
@@ -141,23 +141,28 @@
         workers: impl Iterator<Item = &'w WorkerEntry>,
     ) -> Option<WorkerId> {
         let best = workers
-            .filter(|worker| self.is_allowed(worker) && self.has_permission(worker))
-            .take(self.candidate_limit())
-            .map(|worker| (self.score(worker), worker))
+            .filter_map(|worker| Some((self.rate(worker)?, worker)))
+            .take(self.candidate_limit(1))
             .max_by(|(one, _), (other, _)| one.total_cmp(other));
         best.map(|(_, worker)| worker.id().clone())
     }
 
-    /// Returns the number of suitable workers that are compared.
+    /// Returns the worker's score for the task if it can take the task. Higher is better.
+    pub(super) fn rate(&self, worker: &WorkerEntry) -> Option<f64> {
+        let can_take = self.is_allowed(worker) && self.has_permission(worker);
+        can_take.then(|| self.score(worker))
+    }
+
+    /// Returns the number of suitable workers that are compared for a number of tasks.
     ///
     /// All are compared where the search must find the best worker, to keep images or racks
     /// together.
-    fn candidate_limit(&self) -> usize {
+    pub(super) fn candidate_limit(&self, task_count: usize) -> usize {
         let has_locality_preference = self.step.data_rack.is_some() || self.step.wants_one_rack;
         if has_locality_preference || self.step.latency_target.is_some() {
             usize::MAX
         } else {
-            CANDIDATE_LIMIT
+            CANDIDATE_LIMIT.max(task_count.saturating_mul(CANDIDATES_PER_TASK))
         }
     }
 
@@ -407,12 +412,17 @@
 }
 
 /// Returns the number of processors that a worker's runs are expected to leave idle, in
-/// thousandths.
-pub(super) fn idle_processors(worker: &WorkerEntry) -> f64 {
+/// thousandths. A run with a latency target is assumed to use half of what it requests.
+fn idle_processors(worker: &WorkerEntry) -> f64 {
+    idle_half_units(worker) as f64 / 2.0
+}
+
+/// Returns the same in units of half a thousandth, which is exact since a run with a latency target
+/// counts as half of what it requests.
+pub(super) fn idle_half_units(worker: &WorkerEntry) -> i64 {
     let load = &worker.load;
-    let used = whole_processors(load.served_sum) * SERVED_UTILIZATION
-        + whole_processors(load.best_effort_sum + load.other);
-    f64::from(worker.listing.capacity.processors.0) - used * 1000.0
+    let used = load.served_sum + 2 * (load.best_effort_sum + load.other);
+    i64::from(worker.listing.capacity.processors.0) * 2 - used.cast_signed()
 }
 
 /// Converts thousandths of a processor to processors.
--- a/crates/geraniumshed-core/src/assignment/planner.rs
+++ b/crates/geraniumshed-core/src/assignment/planner.rs
@@ -20,16 +20,18 @@
 use super::order_permit::OrderPermit;
 use super::planner_work::PlannerWork;
 use super::rank::allowed_time;
+use super::renewal_queue::RenewalQueue;
 use super::settings::PlannerSettings;
 use super::silence_log::SilenceLog;
 use super::start_window::StartWindow;
 use super::unproved_loss::UnprovedLosses;
 use super::wait_ledger::WaitLedger;
+use super::worker_index::WorkerIndex;
 use crate::job::{
     JobEntry, JobId, JobPhase, JobRequest, QueueName, QueuePolicy, QueueTable, StepKey, StoredJob,
     TaskKey, TaskPhase, WorkerId,
 };
-use crate::worker::{FenceToken, SentRenewal, WorkerEntry};
+use crate::worker::{FenceToken, SentRenewal, WorkerTable};
 
 /// Starts, stops and paces all tasks.
 ///
@@ -51,9 +53,11 @@
     pub(super) jobs_to_place: BTreeSet<JobId>,
     /// The open jobs with occurrences that haven't begun.
     pub(super) jobs_to_begin: BTreeSet<JobId>,
-    pub(super) workers: BTreeMap<WorkerId, WorkerEntry>,
-    /// The ids of the workers that were known when the newest placement pass began.
-    pub(super) worker_ids: Vec<WorkerId>,
+    pub(super) workers: WorkerTable,
+    pub(super) worker_index: WorkerIndex,
+    pub(super) renewal_queue: RenewalQueue,
+    /// The workers with ends that wait to be stored.
+    pub(super) storing_workers: BTreeSet<WorkerId>,
     pub(super) improvement_log: ImprovementLog,
     /// The newest search that failed for each step with waiting tasks.
     pub(super) failed_searches: BTreeMap<StepKey, FailedSearch>,
@@ -111,8 +115,10 @@
             open_jobs: BTreeSet::new(),
             jobs_to_place: BTreeSet::new(),
             jobs_to_begin: BTreeSet::new(),
-            workers: BTreeMap::new(),
-            worker_ids: Vec::new(),
+            workers: WorkerTable::default(),
+            worker_index: WorkerIndex::default(),
+            renewal_queue: RenewalQueue::default(),
+            storing_workers: BTreeSet::new(),
             improvement_log: ImprovementLog::default(),
             failed_searches: BTreeMap::new(),
             has_listing: false,
@@ -304,9 +310,7 @@
                 self.change_tracker.defer_start(start);
             }
         }
-        for worker in self.workers.values_mut() {
-            worker.ends_stored(number, now.point);
-        }
+        self.ends_stored(now.point, number);
         self.lease_snapshots_stored(number);
     }
 
--- a/crates/geraniumshed-core/src/assignment/registry.rs
+++ b/crates/geraniumshed-core/src/assignment/registry.rs
@@ -15,8 +15,8 @@
     /// Replaces the list of registered workers. Workers that are missing in it get no new tasks.
     pub fn replace_workers(&mut self, now: PlannerTime, listings: Vec<WorkerListing>) {
         let listed: BTreeSet<WorkerId> = listings.iter().map(|one| one.id.clone()).collect();
-        for (id, entry) in &mut self.workers {
-            entry.is_listed = listed.contains(id);
+        for entry in self.workers.values_mut() {
+            entry.is_listed = listed.contains(entry.id());
         }
         for listing in listings {
             self.upsert_worker(now, listing);
@@ -58,7 +58,7 @@
         entry.contact.known_since = now.point;
         entry.up_since = now.point;
         entry.has_stored_lease = self.lease_ledger.contains(entry.id());
-        self.workers.insert(entry.id().clone(), entry);
+        self.workers.insert(entry);
         self.is_placement_due = true;
     }
 
@@ -76,10 +76,9 @@
         };
         let lease_expires_at = self.restored_lease_end(now, id);
         let token = self.first_token;
-        let entry = self
-            .workers
-            .entry(id.clone())
-            .or_insert_with(|| unregistered_worker(id.clone(), now, token, lease_expires_at));
+        let entry = self.workers.get_or_insert_with(id, || {
+            unregistered_worker(id.clone(), now, token, lease_expires_at)
+        });
         let phase = RunPhase::Unsettled(FenceToken(token.0.saturating_sub(1)));
         entry.add_run(key, run_entry(step, task.run, phase, now));
     }
--- a/crates/geraniumshed-core/src/assignment/renewals.rs
+++ b/crates/geraniumshed-core/src/assignment/renewals.rs
@@ -69,11 +69,11 @@
     pub(super) fn send_renewals(&mut self, now: TimePoint) {
         let lease = self.lease_length();
         let may_extend = self.order_permit.may_extend_leases();
-        for (id, entry) in &mut self.workers {
-            let is_due = entry.renewal.is_none() && entry.next_renewal_at <= now;
-            if !is_due || !entry.has_address() {
+        self.sync_workers(now);
+        for id in self.renewal_queue.due(now) {
+            let Some(entry) = self.workers.get_mut(&id) else {
                 continue;
-            }
+            };
             let is_immediate = entry.unanswered_calls > 0
                 || !entry.is_adopted
                 || entry.has_unsettled()
@@ -103,7 +103,7 @@
                 self.actions.push(PlannerAction::Event(event));
             }
             let call = WorkerCall {
-                worker: id.clone(),
+                worker: id,
                 address: entry.listing.address,
                 token: entry.token,
                 body: RenewRequest {
@@ -124,6 +124,12 @@
         self.listing.address.port() != 0
     }
 
+    /// Returns when the next renewal is due, unless one is in progress or the worker can't be called.
+    pub(super) fn due_renewal(&self) -> Option<TimePoint> {
+        let can_renew = self.renewal.is_none() && self.has_address();
+        can_renew.then_some(self.next_renewal_at)
+    }
+
     /// Makes a renewal due at a time, although the worker may still hold back an earlier one, because
     /// a best-effort run has come beside runs with a latency target.
     pub(super) fn read_tails_soon(&mut self, due: TimePoint) {
--- a/crates/geraniumshed-core/src/assignment/step_placement.rs
+++ b/crates/geraniumshed-core/src/assignment/step_placement.rs
@@ -11,12 +11,11 @@
 use super::action::PlannerTime;
 use super::event::{PlacementSummary, PlannerEvent};
 use super::gang::GangOutcome;
-use super::improvement_log::SearchScope;
 use super::placement_pass::PlacementPass;
-use super::placement_query::{PlacementQuery, StepPermission, idle_processors};
+use super::placement_query::{PlacementQuery, StepPermission};
 use super::planner::JobPlanner;
 use super::rank::{ReadyStep, allowed_time, ready_indices, startable_keys, step_rank};
-use crate::job::{JobEntry, QueuePolicy, ServiceName, StepRequest, TaskKey, TaskPhase, WorkerId};
+use crate::job::{JobEntry, QueuePolicy, StepRequest, TaskKey, TaskPhase, WorkerId};
 
 /// The job age up to which best-effort tasks wait for a worker where they cause little
 /// interference, in milliseconds.
@@ -50,9 +49,10 @@
     ///
     /// Within a priority, evacuations go before waiting tasks, since the workers exit soon.
     pub(super) fn place_tasks(&mut self, now: PlannerTime) {
+        self.sync_workers(now.point);
+        self.sync_resting_workers(now.point);
         self.release_stale_holds(now);
         self.work.passes += 1;
-        self.note_workers(now.point);
         let mut steps = self.ready_steps(now);
         self.work.ready_steps += steps.len() as u64;
         steps.sort_unstable();
@@ -65,6 +65,7 @@
             {
                 self.evacuate(now, &due, &mut pass);
             }
+            self.sync_workers(now.point);
             self.place_step(now, step, &mut pass);
         }
         self.is_window_full = pass.is_exhausted();
@@ -175,8 +176,7 @@
         let service = &policy.service;
         // Advice is given per step, so a failed query of another step says nothing about this one.
         let mut has_failed = policy.advice.is_none() && pass.has_failed(service, step, min_speed);
-        let mut rack = self.step_rack(step, startable.ready);
-        let scope = self.search_scope(now.point, startable);
+        let mut search = self.open_search(now.point, startable);
         let mut placed = 0;
         for (position, key) in startable.keys.iter().copied().enumerate() {
             // All tasks of a step have the same requirements in the end, but for those that have a
@@ -190,23 +190,17 @@
                 continue;
             }
             self.work.searches += 1;
-            let scope = if has_held_worker {
-                SearchScope::All
-            } else {
-                scope
-            };
-            let chosen = self.choose_in_scope(now.point, startable, key, rack.as_ref(), scope);
-            if let Some(worker) = chosen {
+            if let Some(worker) = self.find_worker(now.point, startable, key, &mut search) {
                 self.place_task(now.point, step, key, &worker);
+                self.note_placed(now.point, startable, key, &mut search);
                 placed += 1;
-                rack = rack.or_else(|| self.step_rack(step, startable.ready));
                 continue;
             }
             self.try_hold_worker(now, startable, key);
             if !has_held_worker {
                 if policy.advice.is_none() {
                     pass.record_failure(service, step, min_speed);
-                    self.record_failed_search(now.point, startable, scope);
+                    self.record_failed_search(now.point, startable, search.scope);
                 }
                 self.request_permission(now.point, startable, position);
                 has_failed = true;
@@ -386,7 +380,7 @@
             return 0.0;
         }
         let service = &policy.service;
-        let is_idle = pass.is_mostly_idle(service, || self.is_mostly_idle(service));
+        let is_idle = pass.is_mostly_idle(service, || self.worker_index.is_mostly_idle(service));
         let wait_limit_ms = if is_idle {
             IDLE_WAIT_LIMIT_MS
         } else {
@@ -403,18 +397,6 @@
         MIN_SPEED + (1.0 - MIN_SPEED) * fraction
     }
 
-    /// Returns whether less than half of the processors of a service's workers are in use.
-    fn is_mostly_idle(&self, service: &ServiceName) -> bool {
-        let workers = self.workers.values();
-        let service_workers =
-            workers.filter(|one| one.is_listed && one.listing.service == *service);
-        let (idle, capacity) = service_workers.fold((0.0, 0.0), |(idle, capacity), one| {
-            let worker_processors = f64::from(one.listing.capacity.processors.0);
-            (idle + idle_processors(one), capacity + worker_processors)
-        });
-        idle * 2.0 > capacity
-    }
-
     /// Returns the rack of a step's placed tasks, if the step asks for a single rack.
     pub(super) fn step_rack(&self, step: &StepRequest, ready: ReadyStep) -> Option<SmolStr> {
         if !step.wants_one_rack {
--- a/crates/geraniumshed-core/src/assignment/worker_replies.rs
+++ b/crates/geraniumshed-core/src/assignment/worker_replies.rs
@@ -205,6 +205,18 @@
         }
     }
 
+    /// Marks the ends whose batches are stored as ready to be acknowledged.
+    pub(super) fn ends_stored(&mut self, now: TimePoint, number: u64) {
+        let workers = &mut self.workers;
+        self.storing_workers.retain(|id| {
+            let Some(entry) = workers.get_mut(id) else {
+                return false;
+            };
+            entry.ends_stored(number, now);
+            !entry.storing_ends.is_empty()
+        });
+    }
+
     /// Processes the reported ends of runs that weren't processed before.
     fn process_ends(&mut self, now: PlannerTime, worker: &WorkerId, reply: &RenewReply) {
         for end in &reply.ended {
@@ -228,6 +240,9 @@
                 return;
             };
             entry.end_processed(end.number, batch);
+            if !entry.storing_ends.is_empty() {
+                self.storing_workers.insert(worker.clone());
+            }
         }
     }
 
@@ -325,6 +340,9 @@
                 body,
             }));
         }
+        if !plan.moves.is_empty() {
+            self.sync_workers(now);
+        }
         for key in plan.moves {
             if self.has_faster_worker(now, key, worker) {
                 self.stop_run(now, worker, key);
@@ -383,7 +401,7 @@
 
     /// Marks the ends whose batches are stored as ready to be acknowledged, and makes the next
     /// renewal due, which acknowledges them.
-    pub(super) fn ends_stored(&mut self, number: u64, now: TimePoint) {
+    fn ends_stored(&mut self, number: u64, now: TimePoint) {
         while let Some((batch, end)) = self.storing_ends.front().copied() {
             if batch > number {
                 return;
--- a/crates/geraniumshed-core/src/assignment/worker_search.rs
+++ b/crates/geraniumshed-core/src/assignment/worker_search.rs
@@ -13,25 +13,42 @@
 use crate::job::{StepKey, TaskKey, WorkerId};
 use crate::worker::WorkerEntry;
 
-/// The distance between the workers at which the searches for two consecutive tasks of a step
-/// begin.
+/// The distance between the workers at which the searches for two consecutive tasks or steps begin.
 const START_STRIDE: u64 = 37;
 /// The interval, for each worker, between two searches among all workers for a step of which a search
 /// has failed. Tail latencies and the speed that a step needs change without any worker improving.
 const SEARCH_INTERVAL_PER_WORKER: Duration = Duration::from_micros(500);
 
 impl JobPlanner {
-    /// Notes the ids of the workers and which of them have improved, before a placement pass.
-    pub(super) fn note_workers(&mut self, now: TimePoint) {
-        self.worker_ids.clear();
-        self.worker_ids.extend(self.workers.keys().cloned());
-        for (id, worker) in &mut self.workers {
-            if worker.take_improvement(now) {
-                self.improvement_log.record(id);
-            }
+    /// Updates what is derived from the workers that may have changed: the index, the log of
+    /// improvements, and when renewals are due.
+    pub(super) fn sync_workers(&mut self, now: TimePoint) {
+        for id in self.workers.take_changed() {
+            self.sync_worker(now, &id);
         }
     }
 
+    /// Does the same for the workers that take tasks again because time has passed.
+    pub(super) fn sync_resting_workers(&mut self, now: TimePoint) {
+        let resting: Vec<WorkerId> = self.worker_index.resting().cloned().collect();
+        for id in resting {
+            self.sync_worker(now, &id);
+        }
+    }
+
+    fn sync_worker(&mut self, now: TimePoint, id: &WorkerId) {
+        let Some(entry) = self.workers.settle(id) else {
+            self.worker_index.remove(id);
+            self.renewal_queue.set(id, None);
+            return;
+        };
+        if entry.take_improvement(now) {
+            self.improvement_log.record(id);
+        }
+        self.worker_index.update(entry, now);
+        self.renewal_queue.set(id, entry.due_renewal());
+    }
+
     /// Returns the workers among which a search for a step has to look.
     pub(super) fn search_scope(
         &self,
@@ -104,29 +121,39 @@
     }
 
     fn choose_by(&self, query: &PlacementQuery<'_>, scope: SearchScope) -> Option<WorkerId> {
-        let count = |_: &&WorkerEntry| self.compared_workers.update(|count| count + 1);
-        match scope {
-            SearchScope::All => query.choose(self.rotated_workers(query.task).inspect(count)),
-            SearchScope::Improved { since, .. } => {
-                let ids = self.improvement_log.since(since);
-                let workers = ids.filter_map(|id| self.workers.get(id));
-                query.choose(workers.inspect(count))
-            }
-        }
+        query.choose(self.workers_in(query, scope))
+    }
+
+    /// Returns the workers in a scope that may have room for a task. Among all workers, they begin at a
+    /// position that depends on the task, so that tasks spread over the workers.
+    pub(super) fn workers_in<'a>(
+        &'a self,
+        query: &PlacementQuery<'_>,
+        scope: SearchScope,
+    ) -> impl Iterator<Item = &'a WorkerEntry> + use<'a> {
+        let (improved, all) = match scope {
+            SearchScope::All => (None, Some(self.workers_with_room(query))),
+            SearchScope::Improved { since, .. } => (Some(self.improvement_log.since(since)), None),
+        };
+        let ids = improved.into_iter().flatten();
+        let ids = ids.chain(all.into_iter().flatten());
+        ids.filter_map(|id| self.workers.get(id)).inspect(|_| {
+            self.compared_workers.update(|count| count + 1);
+        })
     }
 
-    /// Returns all workers, beginning at a position that depends on the task, so that tasks spread
-    /// over the workers.
-    fn rotated_workers(&self, key: TaskKey) -> impl Iterator<Item = &WorkerEntry> {
-        let count = self.worker_ids.len().max(1);
-        let first = (u64::from(key.index) * START_STRIDE).wrapping_add(key.job.0);
-        let first = usize::try_from(first % count as u64).unwrap_or_default();
-        // Without ids, the empty one precedes all workers.
-        let first = self.worker_ids.get(first).cloned();
-        let first = first.unwrap_or_else(|| WorkerId(SmolStr::default()));
-        let tail = self.workers.range(first.clone()..);
-        let head = self.workers.range(..first);
-        tail.chain(head).map(|(_, worker)| worker)
+    fn workers_with_room<'a>(
+        &'a self,
+        query: &PlacementQuery<'_>,
+    ) -> impl Iterator<Item = &'a WorkerId> + use<'a> {
+        let task = query.task;
+        let number = u64::from(task.index) + u64::from(task.step);
+        let rotation = (number * START_STRIDE).wrapping_add(task.job.0);
+        let with_room = self
+            .worker_index
+            .with_room(query.service, query.step, rotation);
+        // A held worker takes no tasks but the one that it is held for.
+        self.held_workers.get(&task).into_iter().chain(with_room)
     }
 }
 
--- a/crates/geraniumshed-core/src/worker/entry.rs
+++ b/crates/geraniumshed-core/src/worker/entry.rs
@@ -109,6 +109,8 @@
     pub up_since: TimePoint,
     /// When the worker was heard and went silent.
     pub contact: WorkerContact,
+    /// Whether the table of workers has noted that the worker may have changed.
+    pub(super) has_noted_change: bool,
 }
 
 impl WorkerEntry {
@@ -150,6 +152,7 @@
             is_assessed: false,
             up_since: TimePoint::default(),
             contact: WorkerContact::default(),
+            has_noted_change: false,
         }
     }
 
--- a/crates/geraniumshed-core/src/worker/mod.rs
+++ b/crates/geraniumshed-core/src/worker/mod.rs
@@ -8,6 +8,7 @@
 mod message;
 mod quarantine;
 mod run;
+mod table;
 
 pub use clock::{WorkerClock, WorkerTime};
 pub use contact::{WorkerContact, WorkerStanding};
@@ -20,3 +21,4 @@
 };
 pub use quarantine::WorkerQuarantine;
 pub use run::{FULL_PERCENT, RunEntry, RunPhase};
+pub use table::WorkerTable;
--- a/crates/geraniumshed-core/tests/planner/planner_work.rs
+++ b/crates/geraniumshed-core/tests/planner/planner_work.rs
@@ -209,3 +209,42 @@
     cluster.advance(Duration::from_secs(1));
     assert_eq!(cluster.starts.len(), 3_000);
 }
+
+/// Pattern: wide steps on many workers. All tasks of a step were compared with workers of their own, so
+/// that placing took most of a leader's processor time and one class was served too little (incident
+/// 008).
+#[rstest]
+#[case::hundred(100)]
+#[case::four_hundred(400)]
+fn placements_compare_few_workers_however_many_there_are(#[case] workers: usize) {
+    let mut cluster = Cluster::with_workers(workers);
+    for number in 0..10 {
+        cluster.submit(1 + number, vec![best_effort(40)]);
+    }
+    let work = work_while_advancing(&mut cluster, COUNTED);
+    assert_eq!(work.placed_tasks, 400);
+    let limit = work.placed_tasks * 8;
+    let compared = work.compared_workers;
+    assert!(compared <= limit, "{compared} workers for 400 tasks");
+}
+
+/// Pattern: nearly all workers are full, and a stream of narrow jobs fits on the others. Each search
+/// compared all workers that have no room (incident 008).
+#[test]
+fn workers_without_room_are_not_compared() {
+    let mut cluster = Cluster::with_workers(300);
+    let whole = StepRequest {
+        size: size(32_000, 100),
+        estimate: Duration::from_mins(1),
+        ..step(290)
+    };
+    cluster.submit(1, vec![whole]);
+    cluster.advance(Duration::from_millis(500));
+    let mut compared = 0;
+    for number in 0..40 {
+        cluster.submit(100 + number, vec![step(2)]);
+        compared += work_while_advancing(&mut cluster, 2 * STEP).compared_workers;
+    }
+    assert_eq!(cluster.starts.len(), 290 + 80);
+    assert!(compared <= 40 * 10, "{compared} workers for 40 steps");
+}
