Let other nodes call workers on behalf of the leader

Cause: beside planning, one VM made all calls to 1,100 workers, which took a third to half of its processor time, and each hop of a start (store, order, answer) waited behind them. With 500 workers or more, the leader now passes its calls in batches to couriers, nodes on VMs at least as large as its own.

Tests: couriers::*, among them that a courier which stood still starts nothing, and that jobs run on when all couriers are killed.

--- a/crates/geraniumshed-batch/src/handler.rs
+++ b/crates/geraniumshed-batch/src/handler.rs
@@ -17,8 +17,9 @@
 use crate::store::{StoreClient, StoreError};
 use crate::topic::LEADERS;
 use crate::wire::{
-    ConfigQueryWire, ConfigReplyWire, HeartbeatReplyWire, HeartbeatWire, JobAnswerWire,
-    JobCallWire, LeaderWire, MemberWire, NodePeer,
+    ConfigQueryWire, ConfigReplyWire, CourierReplyBatchWire, CourierRequestWire,
+    HeartbeatReplyWire, HeartbeatWire, JobAnswerWire, JobCallWire, LeaderWire, MemberWire,
+    NodePeer,
 };
 
 /// The time within which a forwarded call has to be answered.
@@ -132,6 +133,15 @@
         store.newest(LEADERS, None, PROBE_TIMEOUT).await.is_ok()
     }
 
+    async fn call_workers(self, _: Context, request: CourierRequestWire) -> CourierReplyBatchWire {
+        let shared = self.shared();
+        let (caller, clock) = (&shared.context.caller, shared.clock());
+        shared
+            .courier_sessions
+            .exchange(caller, clock, request)
+            .await
+    }
+
     async fn become_leader(self, _: Context, term: u64) {
         let shared = self.shared();
         let is_known = shared
--- /dev/null
+++ b/crates/geraniumshed-batch/src/leader/dispatch.rs
@@ -0,0 +1,67 @@
+//! Passes the planner's calls to workers to couriers, or makes them.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use geraniumshed_core::assignment::PlannerAction;
+use geraniumshed_core::worker::WorkerCall;
+
+use super::actions::{CallOrigin, advise, deliver_reply, worker_call};
+use super::event::LeaderHandle;
+use super::start_delays::StartDelayLog;
+use crate::courier::{CourierLink, CourierOrder, CourierRoster, LinkCall, carry_out};
+use crate::site::WorkerCaller;
+use crate::telemetry::{NodeMetrics, log_event};
+
+/// Executes the planner's actions.
+#[derive(Debug)]
+pub(super) struct ActionDispatcher<W> {
+    pub(super) caller: W,
+    pub(super) handle: LeaderHandle,
+    pub(super) couriers: CourierRoster,
+    pub(super) metrics: NodeMetrics,
+    /// Summarizes how long starts take.
+    pub(super) delays: StartDelayLog,
+}
+
+impl<W: WorkerCaller> ActionDispatcher<W> {
+    /// Executes actions. Calls run in the background, and their answers come back as events.
+    pub(super) fn execute(&mut self, actions: Vec<PlannerAction>) {
+        let mut batches: BTreeMap<SocketAddr, (CourierLink, Vec<LinkCall>)> = BTreeMap::new();
+        for action in actions {
+            match worker_call(action) {
+                Ok((call, origin)) => match self.couriers.courier_of(call.address) {
+                    Some(link) => {
+                        let courier = link.member().address;
+                        let batch = batches.entry(courier).or_insert((link, Vec::new()));
+                        batch.1.push((call, origin));
+                    }
+                    None => self.call(call, origin),
+                },
+                Err(PlannerAction::Event(event)) => {
+                    self.delays.record(&event);
+                    self.metrics.record_event(&event);
+                    log_event(&event);
+                }
+                Err(PlannerAction::Advise(request)) => {
+                    tokio::spawn(advise(self.caller.clone(), self.handle.clone(), request));
+                }
+                Err(action) => log::error!(action:? = action; "action is not carried out"),
+            }
+        }
+        for (link, calls) in batches.into_values() {
+            for (call, origin) in link.send(calls) {
+                self.call(call, origin);
+            }
+        }
+    }
+
+    /// Makes a call.
+    fn call(&self, call: WorkerCall<CourierOrder>, origin: CallOrigin) {
+        let (caller, handle) = (self.caller.clone(), self.handle.clone());
+        tokio::spawn(async move {
+            let reply = carry_out(caller, call).await;
+            deliver_reply(&handle, origin, reply);
+        });
+    }
+}
--- a/crates/geraniumshed-batch/src/leader/mod.rs
+++ b/crates/geraniumshed-batch/src/leader/mod.rs
@@ -1,6 +1,7 @@
 //! The leader task runs the planner, stores its changes and executes its actions.
 
 mod actions;
+mod dispatch;
 mod event;
 mod polling;
 mod run;
@@ -9,6 +10,7 @@
 mod takeover;
 mod writer;
 
+pub(crate) use actions::{CallOrigin, deliver_reply};
 pub use event::LeaderHandle;
 pub(crate) use event::LeaderQuery;
 pub(crate) use run::{LeaderContext, LeaderEnd, ProbeRequest, run};
--- a/crates/geraniumshed-batch/src/leader/run.rs
+++ b/crates/geraniumshed-batch/src/leader/run.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use geraniumshed_core::assignment::{
-    CancelOutcome, JobPlanner, JobStatus, PlannerAction, PlannerSettings, StoreBatch,
+    CancelOutcome, JobPlanner, JobStatus, PlannerSettings, StoreBatch,
 };
 use geraniumshed_core::job::{JobId, QueueName, QueuePolicy};
 use geraniumshed_core::leadership::LeaderTerm;
@@ -12,7 +12,7 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, sleep_until, timeout_at};
 
-use super::actions::execute_action;
+use super::dispatch::ActionDispatcher;
 use super::event::{LeaderEvent, LeaderHandle, LeaderQuery, QueuedEvent};
 use super::polling::{poll_requests, poll_workers};
 use super::start_delays::StartDelayLog;
@@ -20,6 +20,7 @@
 use super::takeover::RecoveredState;
 use super::writer::{BatchWriter, UnansweredSince};
 use crate::clock::{NodeClock, ReadMark};
+use crate::courier::CourierRoster;
 use crate::site::{RenewOutcome, SiteFeed, WorkerCaller};
 use crate::store::StoreClient;
 use crate::store_monitor::StoreMonitor;
@@ -59,6 +60,8 @@
     pub(crate) metrics: NodeMetrics,
     /// The planner's settings.
     pub(crate) settings: PlannerSettings,
+    /// The nodes that call workers for this one while it leads.
+    pub(crate) couriers: CourierRoster,
 }
 
 /// The reason why the leader task has ended.
@@ -91,8 +94,15 @@
     tokio::spawn(poll_workers(context.feed.clone(), handle.clone()));
     let mut planner = JobPlanner::new(context.settings.clone(), term.first_token());
     planner.replace_queues(queues);
-    let mut task = LeaderTask {
+    let dispatcher = ActionDispatcher {
         caller: context.caller,
+        handle: handle.clone(),
+        couriers: context.couriers,
+        metrics: context.metrics.clone(),
+        delays: StartDelayLog::default(),
+    };
+    let mut task = LeaderTask {
+        dispatcher,
         clock: context.clock,
         metrics: context.metrics,
         progress_monitor: context.progress_monitor,
@@ -109,7 +119,6 @@
         next_step: Instant::now(),
         has_new_events: false,
         timer: StepTimer::default(),
-        delays: StartDelayLog::default(),
         cancels: Vec::new(),
         requests_read: recovered.requests_read,
         // A successor may have been elected during a slow takeover.
@@ -153,7 +162,7 @@
 
 #[derive(Debug)]
 struct LeaderTask<W> {
-    caller: W,
+    dispatcher: ActionDispatcher<W>,
     clock: NodeClock,
     metrics: NodeMetrics,
     progress_monitor: StoreMonitor,
@@ -175,8 +184,6 @@
     has_new_events: bool,
     /// Measures what the steps take.
     timer: StepTimer,
-    /// Summarizes how long starts take.
-    delays: StartDelayLog,
     /// The cancellations that are answered once the batch with the given number is stored.
     cancels: Vec<(u64, CancelOutcome, oneshot::Sender<CancelOutcome>)>,
     /// All jobs that were stored before this moment are known.
@@ -344,17 +351,13 @@
         self.timer.record_part(StepPart::Order, collected.elapsed());
         self.timer
             .finish_step(now, self.planner.work(), &self.metrics);
-        self.delays.log_due(now);
+        self.dispatcher.delays.log_due(now);
         self.probe_stalled_store(now);
     }
 
     fn execute_actions(&mut self) {
-        for action in self.planner.take_actions() {
-            if let PlannerAction::Event(event) = &action {
-                self.delays.record(event);
-            }
-            execute_action(&self.caller, &self.handle, &self.metrics, action);
-        }
+        let actions = self.planner.take_actions();
+        self.dispatcher.execute(actions);
     }
 
     /// Returns when the next step is due without any event.
@@ -400,7 +403,11 @@
                 }
             }
             LeaderEvent::RequestsRead(mark) => self.requests_read = mark,
-            LeaderEvent::WorkersListed(listings) => self.planner.replace_workers(now, listings),
+            LeaderEvent::WorkersListed(listings) => {
+                self.planner.replace_workers(now, listings);
+                let count = self.planner.worker_count();
+                self.dispatcher.couriers.set_worker_count(count);
+            }
             LeaderEvent::WorkersChanged(changes) => self.planner.update_workers(now, changes),
             LeaderEvent::StartAnswered(worker, task, run, reply) => {
                 self.planner.start_answered(now, &worker, task, run, reply);
--- a/crates/geraniumshed-batch/src/lib.rs
+++ b/crates/geraniumshed-batch/src/lib.rs
@@ -7,6 +7,7 @@
 mod cancel;
 pub mod clock;
 mod config;
+pub mod courier;
 mod handler;
 mod intake;
 pub mod leader;
@@ -22,6 +23,6 @@
 pub mod topic;
 pub mod wire;
 
-pub use node::{BatchNode, NodeSettings};
+pub use node::{BatchNode, DEFAULT_COURIER_DENSITY, NodeSettings};
 pub use service::{CallOutcome, JobService};
 pub use telemetry::NodeMetrics;
--- a/crates/geraniumshed-batch/src/member/leading.rs
+++ b/crates/geraniumshed-batch/src/member/leading.rs
@@ -76,7 +76,11 @@
         self.shared.view().handle = Some(handle.clone());
         let probing = tokio::spawn(self.clone().answer_probe_requests(probe_requests));
         let yielding = tokio::spawn(self.clone().yield_to_larger(handle.clone()));
+        let couriers = tokio::spawn(self.clone().keep_couriers(handle.clone()));
         let reason = end.await.unwrap_or(LeaderEnd::Resigned);
+        couriers.abort();
+        self.shared.context.couriers.clear();
+        self.shared.metrics().couriers.set(0);
         membership.abort();
         probing.abort();
         yielding.abort();
--- a/crates/geraniumshed-batch/src/member/mod.rs
+++ b/crates/geraniumshed-batch/src/member/mod.rs
@@ -1,5 +1,6 @@
 //! Takes part in leader elections, and supervises the leader task while this node leads.
 
+mod couriers;
 mod leading;
 mod task;
 
--- a/crates/geraniumshed-batch/src/node.rs
+++ b/crates/geraniumshed-batch/src/node.rs
@@ -16,6 +16,7 @@
 use crate::cancel::ActiveCancels;
 use crate::clock::NodeClock;
 use crate::config::{ConfigState, follow_config};
+use crate::courier::{CourierRoster, CourierSessions};
 use crate::handler::PeerHandler;
 use crate::intake::RequestWriter;
 use crate::leader::{LeaderContext, LeaderHandle};
@@ -33,6 +34,9 @@
 /// The time since its last heartbeat for which a member that may be cut off is asked nevertheless.
 const RECENT_MEMBER_TTL: Duration = Duration::from_secs(10);
 
+/// The default number of couriers for a thousand workers.
+pub const DEFAULT_COURIER_DENSITY: usize = 4;
+
 /// The settings of a node.
 #[derive(Debug, Clone, PartialEq)]
 pub struct NodeSettings {
@@ -45,6 +49,8 @@
     pub first_rank: u32,
     /// The planner's settings.
     pub planner: PlannerSettings,
+    /// The number of nodes, for a thousand workers, that call workers on behalf of the leader.
+    pub courier_density: usize,
 }
 
 /// A member that sends heartbeats to this process.
@@ -128,6 +134,10 @@
     pub(crate) pool: PeerPool,
     /// Connections for configurations, which would hold up heartbeats on a narrow link.
     pub(crate) config_pool: PeerPool,
+    /// Connections to couriers.
+    pub(crate) courier_pool: PeerPool,
+    /// The sessions of leaders with this node as their courier.
+    pub(crate) courier_sessions: CourierSessions,
     pub(crate) intake: RequestWriter,
     pub(crate) active_cancels: ActiveCancels,
     view: Mutex<MemberView>,
@@ -188,6 +198,7 @@
             progress_monitor: StoreMonitor::new(clock),
             metrics: NodeMetrics::open(),
             settings: settings.planner.clone(),
+            couriers: CourierRoster::open(settings.courier_density),
         };
         let address = settings.identity.address;
         let intake = RequestWriter::spawn(
@@ -200,6 +211,8 @@
             context,
             pool: PeerPool::default(),
             config_pool: PeerPool::default(),
+            courier_pool: PeerPool::default(),
+            courier_sessions: CourierSessions::default(),
             intake,
             active_cancels: ActiveCancels::default(),
             view: Mutex::default(),
--- a/crates/geraniumshed-batch/src/peer/client.rs
+++ b/crates/geraniumshed-batch/src/peer/client.rs
@@ -18,8 +18,8 @@
 use super::stream::frame_codec;
 use crate::net::prepare_stream;
 use crate::wire::{
-    ConfigQueryWire, ConfigReplyWire, HeartbeatReplyWire, HeartbeatWire, JobAnswerWire,
-    JobCallWire, NodePeerClient,
+    ConfigQueryWire, ConfigReplyWire, CourierReplyBatchWire, CourierRequestWire,
+    HeartbeatReplyWire, HeartbeatWire, JobAnswerWire, JobCallWire, NodePeerClient,
 };
 
 /// The timeout for opening a connection.
@@ -160,6 +160,23 @@
         .await
     }
 
+    /// Passes calls to workers to a courier.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is no answer.
+    pub async fn call_workers(
+        &self,
+        address: SocketAddr,
+        request: CourierRequestWire,
+        limit: Duration,
+    ) -> Result<CourierReplyBatchWire, PeerFailure> {
+        self.request(address, limit, async |client, context| {
+            client.call_workers(context, request).await
+        })
+        .await
+    }
+
     /// Makes a call. Drops the connection if there is no answer, so that the next call opens a new
     /// one.
     async fn request<T>(
--- a/crates/geraniumshed-batch/src/telemetry/metrics.rs
+++ b/crates/geraniumshed-batch/src/telemetry/metrics.rs
@@ -141,6 +141,8 @@
     step_seconds: Family<PartLabels, Histogram, fn() -> Histogram>,
     queue_seconds: Histogram,
     planner_work: Family<WorkLabels, Counter>,
+    /// The nodes that call workers for this one.
+    pub(crate) couriers: Gauge,
     /// 1 while this process leads.
     pub(crate) leading: Gauge,
     /// The version of the configuration in force.
@@ -190,6 +192,7 @@
             step_seconds: Family::new_with_constructor(latency),
             queue_seconds: latency(),
             planner_work: Family::default(),
+            couriers: Gauge::default(),
             leading: Gauge::default(),
             config_version: Gauge::default(),
             config_reads: Family::default(),
@@ -301,6 +304,11 @@
             "The work of the planner",
             self.planner_work.clone(),
         );
+        registry.register(
+            "couriers",
+            "The nodes that call workers for this one while it leads",
+            self.couriers.clone(),
+        );
         registry.register("leading", "1 while the process leads", self.leading.clone());
         registry.register(
             "config_version",
--- a/crates/geraniumshed-batch/src/wire/mod.rs
+++ b/crates/geraniumshed-batch/src/wire/mod.rs
@@ -5,6 +5,7 @@
 mod call;
 mod codec;
 mod config;
+mod courier;
 mod crash;
 mod interference;
 mod leader;
@@ -17,6 +18,7 @@
 pub use call::{JobAnswerWire, JobCallWire, JobPhaseWire};
 pub use codec::{WireDecodeError, decode, encode};
 pub use config::ConfigUpdateWire;
+pub use courier::{CourierCallWire, CourierReplyBatchWire, CourierReplyWire, CourierRequestWire};
 pub use crash::JobCrashesWire;
 pub use interference::InterferenceWire;
 pub use leader::{LeaderWire, MemberWire};
--- a/crates/geraniumshed-batch/src/wire/peer.rs
+++ b/crates/geraniumshed-batch/src/wire/peer.rs
@@ -4,6 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::call::{JobAnswerWire, JobCallWire};
+use super::courier::{CourierReplyBatchWire, CourierRequestWire};
 use super::leader::{LeaderWire, MemberWire};
 
 /// A heartbeat, which members send to the leader, or to any peer to find the leader.
@@ -84,4 +85,8 @@
 
     /// Asks the callee to become the leader, since the leader of this term has resigned.
     async fn become_leader(term: u64);
+
+    /// Makes calls to workers for the leader, and returns the answers that are known by then or within a
+    /// short time.
+    async fn call_workers(request: CourierRequestWire) -> CourierReplyBatchWire;
 }
--- a/crates/geraniumshed-batch/tests/nodes/main.rs
+++ b/crates/geraniumshed-batch/tests/nodes/main.rs
@@ -3,6 +3,7 @@
 mod calls;
 mod cancellations;
 mod config;
+mod couriers;
 mod leadership;
 mod odd_jobs;
 mod odd_peers;
--- a/crates/geraniumshed-batch/tests/nodes/support/mod.rs
+++ b/crates/geraniumshed-batch/tests/nodes/support/mod.rs
@@ -12,7 +12,7 @@
 use geraniumshed_batch::store::{KeyedRecord, TopicName};
 use geraniumshed_batch::topic::{LEASES_KEY, PROGRESS, WAITS_KEY};
 use geraniumshed_batch::wire::{LeaseSnapshotWire, WaitSnapshotWire, decode};
-use geraniumshed_batch::{BatchNode, NodeSettings};
+use geraniumshed_batch::{BatchNode, DEFAULT_COURIER_DENSITY, NodeSettings};
 use geraniumshed_core::assignment::{PlannerSettings, WaitSnapshot};
 use geraniumshed_core::job::{JobRequest, StepRequest};
 use geraniumshed_core::leadership::MemberIdentity;
@@ -64,6 +64,9 @@
     progress_delay: Duration,
     /// How long nodes that are spawned from now on keep ended jobs, if not for the default time.
     job_retention: Option<Duration>,
+    /// The number of couriers for a thousand workers of nodes that are spawned from now on, if not the
+    /// default.
+    courier_density: Option<usize>,
     /// Whether the store refuses to delete requests.
     is_keeping_requests: bool,
     /// The keys of the last append of progress, which may still be in flight.
@@ -141,6 +144,10 @@
             processors,
             first_rank: u32::from(index),
             planner: self.planner_settings(),
+            courier_density: self
+                .lock()
+                .courier_density
+                .unwrap_or(DEFAULT_COURIER_DENSITY),
         };
         let store = NodeStore {
             site: self.clone(),
@@ -189,6 +196,11 @@
         state.is_keeping_requests = true;
     }
 
+    /// Makes nodes that are spawned from now on use a number of couriers for the only worker.
+    pub fn use_couriers(&self, count: usize) {
+        self.lock().courier_density = Some(count * 1000);
+    }
+
     /// Delays each append of progress.
     pub fn delay_progress(&self, delay: Duration) {
         self.lock().progress_delay = delay;
--- a/crates/geraniumshed-core/src/assignment/planner.rs
+++ b/crates/geraniumshed-core/src/assignment/planner.rs
@@ -243,6 +243,11 @@
             .count()
     }
 
+    /// Returns the number of known workers.
+    pub fn worker_count(&self) -> usize {
+        self.workers.len()
+    }
+
     /// Returns the work that the planner has done so far.
     pub fn work(&self) -> PlannerWork {
         PlannerWork {
--- a/crates/geraniumshed-core/src/worker/message.rs
+++ b/crates/geraniumshed-core/src/worker/message.rs
@@ -34,6 +34,29 @@
     pub body: T,
 }
 
+impl<T> WorkerCall<T> {
+    /// Returns the call with another order or request.
+    pub fn with_body<U>(self, body: U) -> WorkerCall<U> {
+        WorkerCall {
+            worker: self.worker,
+            address: self.address,
+            token: self.token,
+            body,
+        }
+    }
+
+    /// Returns the call without its order or request, and that.
+    pub fn split(self) -> (WorkerCall<()>, T) {
+        let call = WorkerCall {
+            worker: self.worker,
+            address: self.address,
+            token: self.token,
+            body: (),
+        };
+        (call, self.body)
+    }
+}
+
 /// The order to start a task.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct StartOrder {
