--- a/crates/geraniumshed-core/src/assignment/pacing.rs
+++ b/crates/geraniumshed-core/src/assignment/pacing.rs
@@ -64,6 +64,47 @@
     predicted: f64,
 }
 
+/// What the runs of a served image on a worker have in common.
+#[derive(Debug, Clone, Copy, Default)]
+struct ServedRuns {
+    /// The number of runs with a reading.
+    count: u32,
+    /// The pressure that the best-effort load beside them adds.
+    added_pressure: f64,
+}
+
+/// The served images of a worker, which has runs of a few.
+#[derive(Debug, Default)]
+struct ServedImages(Vec<(SmolStr, ServedRuns)>);
+
+impl ServedImages {
+    /// Counts a run of an image. The pressure that is added to the image is computed for the first one.
+    fn count(&mut self, image: &SmolStr, added_pressure: impl FnOnce() -> f64) -> ServedRuns {
+        let known = self.0.iter().position(|(known, _)| known == image);
+        let position = known.unwrap_or_else(|| {
+            let runs = ServedRuns {
+                count: 0,
+                added_pressure: added_pressure(),
+            };
+            self.0.push((image.clone(), runs));
+            self.0.len() - 1
+        });
+        let (_, runs) = &mut self.0[position];
+        runs.count += 1;
+        *runs
+    }
+
+    /// Returns what is known of an image that was counted.
+    fn get(&self, image: &SmolStr) -> ServedRuns {
+        let known = self.0.iter().find(|(known, _)| known == image);
+        let unknown = ServedRuns {
+            count: 1,
+            added_pressure: 0.0,
+        };
+        known.map_or(unknown, |(_, runs)| *runs)
+    }
+}
+
 /// Updates the model with the newest tail latencies of a worker, and plans the changes on it.
 pub(super) fn pace_worker(
     worker: &mut WorkerEntry,
@@ -180,19 +221,21 @@
     let weight = window_fraction(span);
     let decay = (-span.as_secs_f64() / AVERAGE_TIME_CONSTANT.as_secs_f64()).exp();
     let change = load_change(load, &worker.smoothed_load);
-    let mut counts: BTreeMap<SmolStr, u32> = BTreeMap::new();
+    let mut images = ServedImages::default();
     for reading in tail_readings(worker, now) {
-        *counts.entry(reading.image).or_default() += 1;
+        images.count(&reading.image, || {
+            model.added_pressure(&reading.image, load)
+        });
     }
     for run in worker.runs.values_mut() {
         let Some(reading) = tail_reading(run, now) else {
             continue;
         };
         // The load of an image's runs varies in step, so all of them together count as one.
-        let count = counts.get(&reading.image).copied().unwrap_or(1);
-        let weight = weight / f64::from(count);
+        let served = images.get(&reading.image);
+        let weight = weight / f64::from(served.count);
         let pressure = model.observe_tail(&reading.image, reading.tail);
-        let own = pressure - model.added_pressure(&reading.image, load);
+        let own = pressure - served.added_pressure;
         model.observe_own_pressure(&reading.image, own, weight);
         let smoothed = run.smoothed_pressure.unwrap_or(pressure);
         if run.smoothed_pressure.is_some() {
@@ -230,11 +273,13 @@
     now: TimePoint,
 ) -> Vec<PressureHeadroom> {
     let mut headrooms: Vec<PressureHeadroom> = Vec::new();
+    let mut images = ServedImages::default();
     for run in worker.runs.values() {
         let Some(reading) = tail_reading(run, now) else {
             continue;
         };
-        let added_pressure = model.added_pressure(&reading.image, load);
+        let added = || model.added_pressure(&reading.image, load);
+        let added_pressure = images.count(&reading.image, added).added_pressure;
         let own = (model.pressure(&reading.image, reading.tail) - added_pressure).max(0.0);
         let limit = model.pressure(&reading.image, reading.target) - PRESSURE_MARGIN;
         let headroom = PressureHeadroom {
@@ -293,13 +338,18 @@
     let image = run.image.clone().unwrap_or_default();
     let pressure =
         |headroom: &PressureHeadroom| model.slope(&headroom.image, &image) * run.whole_processors();
-    let fraction = |headroom: &PressureHeadroom| match pressure(headroom) {
-        pressure if pressure <= NEGLIGIBLE_PRESSURE => 1.0,
-        pressure => (headroom.available / pressure).clamp(0.0, 1.0),
+    let pressures: Vec<f64> = headrooms.iter().map(pressure).collect();
+    let fraction = |(headroom, pressure): (&PressureHeadroom, &f64)| {
+        if *pressure <= NEGLIGIBLE_PRESSURE {
+            1.0
+        } else {
+            (headroom.available / pressure).clamp(0.0, 1.0)
+        }
     };
-    let fraction = headrooms.iter().map(fraction).fold(1.0, f64::min);
-    for headroom in headrooms.iter_mut() {
-        headroom.available -= fraction * pressure(headroom);
+    let fractions = headrooms.iter().zip(&pressures).map(fraction);
+    let fraction = fractions.fold(1.0, f64::min);
+    for (headroom, pressure) in headrooms.iter_mut().zip(&pressures) {
+        headroom.available -= fraction * pressure;
     }
     // Rounds down to multiples of ten percent, which are fine enough.
     let tens = (1..=10)
