--- a/crates/geraniumshed-batch/src/leader/actions.rs
+++ b/crates/geraniumshed-batch/src/leader/actions.rs
@@ -1,6 +1,6 @@
 //! The planner's actions as calls to workers, and the delivery of their answers.
 
-use geraniumshed_core::assignment::PlannerAction;
+use geraniumshed_core::assignment::{PlannerAction, PlannerEvent};
 use geraniumshed_core::job::{TaskKey, WorkerId};
 use geraniumshed_core::worker::{
     AdviceRequest, PaceOrder, SentRenewal, StartReply, WorkerCall, WorkerFailure,
@@ -23,36 +23,43 @@
     Renew(WorkerId, SentRenewal),
 }
 
-/// An action as the call to a worker that it is.
-///
-/// # Errors
-///
-/// Returns the action if it is none.
-pub(super) fn worker_call(
-    action: PlannerAction,
-) -> Result<(WorkerCall<CourierOrder>, CallOrigin), PlannerAction> {
-    match action {
-        PlannerAction::Start(call) => {
-            let (call, order) = call.split();
-            let origin = CallOrigin::Start(call.worker.clone(), order.task, order.run);
-            Ok((call.with_body(CourierOrder::Start(order)), origin))
-        }
-        PlannerAction::Stop(call) => {
-            let (call, order) = call.split();
-            let origin = CallOrigin::Stop(call.worker.clone());
-            Ok((call.with_body(CourierOrder::Stop(order)), origin))
-        }
-        PlannerAction::Pace(call) => {
-            let (call, order) = call.split();
-            let origin = CallOrigin::Pace(call.worker.clone(), order);
-            Ok((call.with_body(CourierOrder::Pace(order)), origin))
-        }
-        PlannerAction::Renew(call, sent) => {
-            let (call, request) = call.split();
-            let origin = CallOrigin::Renew(call.worker.clone(), sent);
-            Ok((call.with_body(CourierOrder::Renew(request)), origin))
+/// An action of the planner, by how it is executed.
+#[derive(Debug, Clone, PartialEq)]
+pub(super) enum LeaderAction {
+    /// A call to a worker.
+    Call(WorkerCall<CourierOrder>, CallOrigin),
+    /// A request for advice.
+    Advise(AdviceRequest),
+    /// An event for logs and metrics.
+    Event(PlannerEvent),
+}
+
+impl From<PlannerAction> for LeaderAction {
+    fn from(action: PlannerAction) -> Self {
+        match action {
+            PlannerAction::Start(call) => {
+                let (call, order) = call.split();
+                let origin = CallOrigin::Start(call.worker.clone(), order.task, order.run);
+                Self::Call(call.with_body(CourierOrder::Start(order)), origin)
+            }
+            PlannerAction::Stop(call) => {
+                let (call, order) = call.split();
+                let origin = CallOrigin::Stop(call.worker.clone());
+                Self::Call(call.with_body(CourierOrder::Stop(order)), origin)
+            }
+            PlannerAction::Pace(call) => {
+                let (call, order) = call.split();
+                let origin = CallOrigin::Pace(call.worker.clone(), order);
+                Self::Call(call.with_body(CourierOrder::Pace(order)), origin)
+            }
+            PlannerAction::Renew(call, sent) => {
+                let (call, request) = call.split();
+                let origin = CallOrigin::Renew(call.worker.clone(), sent);
+                Self::Call(call.with_body(CourierOrder::Renew(request)), origin)
+            }
+            PlannerAction::Advise(request) => Self::Advise(request),
+            PlannerAction::Event(event) => Self::Event(event),
         }
-        PlannerAction::Advise(_) | PlannerAction::Event(_) => Err(action),
     }
 }
 
--- a/crates/geraniumshed-batch/src/leader/dispatch.rs
+++ b/crates/geraniumshed-batch/src/leader/dispatch.rs
@@ -6,7 +6,7 @@
 use geraniumshed_core::assignment::PlannerAction;
 use geraniumshed_core::worker::WorkerCall;
 
-use super::actions::{CallOrigin, advise, deliver_reply, worker_call};
+use super::actions::{CallOrigin, LeaderAction, advise, deliver_reply};
 use super::event::LeaderHandle;
 use super::start_delays::StartDelayLog;
 use crate::courier::{CourierLink, CourierOrder, CourierRoster, LinkCall, carry_out};
@@ -29,24 +29,23 @@
     pub(super) fn execute(&mut self, actions: Vec<PlannerAction>) {
         let mut batches: BTreeMap<SocketAddr, (CourierLink, Vec<LinkCall>)> = BTreeMap::new();
         for action in actions {
-            match worker_call(action) {
-                Ok((call, origin)) => match self.couriers.courier_of(call.address) {
+            match LeaderAction::from(action) {
+                LeaderAction::Call(call, origin) => match self.couriers.courier_of(call.address) {
                     Some(link) => {
                         let courier = link.member().address;
-                        let batch = batches.entry(courier).or_insert((link, Vec::new()));
-                        batch.1.push((call, origin));
+                        let (_, calls) = batches.entry(courier).or_insert((link, Vec::new()));
+                        calls.push((call, origin));
                     }
                     None => self.call(call, origin),
                 },
-                Err(PlannerAction::Event(event)) => {
+                LeaderAction::Event(event) => {
                     self.delays.record(&event);
                     self.metrics.record_event(&event);
                     log_event(&event);
                 }
-                Err(PlannerAction::Advise(request)) => {
+                LeaderAction::Advise(request) => {
                     tokio::spawn(advise(self.caller.clone(), self.handle.clone(), request));
                 }
-                Err(action) => log::error!(action:? = action; "action is not carried out"),
             }
         }
         for (link, calls) in batches.into_values() {
--- a/crates/geraniumshed-batch/tests/nodes/couriers.rs
+++ b/crates/geraniumshed-batch/tests/nodes/couriers.rs
@@ -3,11 +3,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use geraniumshed_batch::CallOutcome;
 use geraniumshed_batch::clock::unix_millis;
 use geraniumshed_batch::courier::{CourierOrder, CourierReply};
 use geraniumshed_batch::peer::PeerPool;
 use geraniumshed_batch::wire::{CourierCallWire, CourierRequestWire};
-use geraniumshed_batch::CallOutcome;
 use geraniumshed_core::job::{JobId, JobPhase, TaskKey, WorkerId};
 use geraniumshed_core::worker::{
     FenceToken, StartOrder, StartReply, WorkerCall, WorkerFailure, WorkerTime,
