--- a/crates/geraniumshed-core/src/assignment/planner.rs
+++ b/crates/geraniumshed-core/src/assignment/planner.rs
@@ -12,6 +12,7 @@
 };
 use super::advice::AdviceTable;
 use super::change_tracker::ChangeTracker;
+use super::crash_log::CrashLog;
 use super::event::{JobSummary, PlannerEvent};
 use super::improvement_log::{FailedSearch, ImprovementLog};
 use super::interference::{InterferenceModel, InterferenceSnapshot};
@@ -71,6 +72,7 @@
     pub(super) wait_ledger: WaitLedger,
     pub(super) silence_log: SilenceLog,
     pub(super) unproved_losses: UnprovedLosses,
+    pub(super) crash_log: CrashLog,
     pub(super) interference: InterferenceModel,
     pub(super) advice: AdviceTable,
     pub(super) actions: Vec<PlannerAction>,
@@ -128,6 +130,7 @@
             wait_ledger: WaitLedger::default(),
             silence_log: SilenceLog::default(),
             unproved_losses: UnprovedLosses::default(),
+            crash_log: CrashLog::default(),
             interference: InterferenceModel::default(),
             advice: AdviceTable::default(),
             actions: Vec::new(),
@@ -322,6 +325,7 @@
     /// Does all work that is due at the given time, and places tasks if anything has changed.
     pub fn advance(&mut self, now: PlannerTime) {
         self.model_schedule.begin(now.point);
+        self.crash_log.begin(now.point);
         if self.next_watch <= now.point {
             self.next_watch = now.point + WATCH_INTERVAL;
             self.release_expired_workers(now);
