--- a/crates/geraniumshed-core/src/assignment/mod.rs
+++ b/crates/geraniumshed-core/src/assignment/mod.rs
@@ -9,7 +9,6 @@
 mod change_tracker;
 mod crash_assessment;
 mod crash_ledger;
-mod crash_log;
 mod evacuation;
 mod event;
 mod gang;
--- a/crates/geraniumshed-core/src/assignment/planner.rs
+++ b/crates/geraniumshed-core/src/assignment/planner.rs
@@ -12,7 +12,6 @@
 };
 use super::advice::AdviceTable;
 use super::change_tracker::ChangeTracker;
-use super::crash_log::CrashLog;
 use super::event::{JobSummary, PlannerEvent};
 use super::improvement_log::{FailedSearch, ImprovementLog};
 use super::interference::{InterferenceModel, InterferenceSnapshot};
@@ -72,7 +71,6 @@
     pub(super) wait_ledger: WaitLedger,
     pub(super) silence_log: SilenceLog,
     pub(super) unproved_losses: UnprovedLosses,
-    pub(super) crash_log: CrashLog,
     pub(super) interference: InterferenceModel,
     pub(super) advice: AdviceTable,
     pub(super) actions: Vec<PlannerAction>,
@@ -130,7 +128,6 @@
             wait_ledger: WaitLedger::default(),
             silence_log: SilenceLog::default(),
             unproved_losses: UnprovedLosses::default(),
-            crash_log: CrashLog::default(),
             interference: InterferenceModel::default(),
             advice: AdviceTable::default(),
             actions: Vec::new(),
@@ -325,7 +322,6 @@
     /// Does all work that is due at the given time, and places tasks if anything has changed.
     pub fn advance(&mut self, now: PlannerTime) {
         self.model_schedule.begin(now.point);
-        self.crash_log.begin(now.point);
         if self.next_watch <= now.point {
             self.next_watch = now.point + WATCH_INTERVAL;
             self.release_expired_workers(now);
--- a/crates/geraniumshed-core/src/assignment/worker_loss.rs
+++ b/crates/geraniumshed-core/src/assignment/worker_loss.rs
@@ -3,8 +3,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use geraniumshed_model::prelude::TimePoint;
-
 use super::action::PlannerTime;
 use super::planner::JobPlanner;
 use super::run_end::RunEndCause;
@@ -81,14 +79,6 @@
 }
 
 impl JobPlanner {
-    /// Counts the crash of a worker, unless the task on trial there may have caused it.
-    pub(super) fn note_crash(&mut self, now: TimePoint, worker: &WorkerId) {
-        let entry = self.workers.get(worker);
-        if entry.is_none_or(|entry| entry.trial.is_none()) {
-            self.crash_log.record(now);
-        }
-    }
-
     /// Gives up runs that are lost with their worker.
     pub(super) fn lose_runs(
         &mut self,
--- a/crates/geraniumshed-core/src/assignment/worker_replies.rs
+++ b/crates/geraniumshed-core/src/assignment/worker_replies.rs
@@ -199,7 +199,6 @@
         if is_other_worker {
             // Another worker replies at this address, so this one is gone for good.
             entry.is_listed = false;
-            self.note_crash(now.point, worker);
             self.release_worker(now, worker, LossCause::Replaced);
         } else {
             self.report_silence(now.point, worker);
--- a/crates/geraniumshed-core/src/job/crash.rs
+++ b/crates/geraniumshed-core/src/job/crash.rs
@@ -28,26 +28,13 @@
     AtStart,
 }
 
-/// How often workers crash by themselves, as far as is known.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum CrashRate {
-    /// A crash hardly ever follows a start by chance.
-    Rare,
-    /// It does at times, or the rate isn't known.
-    Occasional,
-    /// It does often.
-    Frequent,
-}
-
 impl CrashEvidence {
-    /// Returns what the evidence adds to the score of a task. A crash right at a start says less the more
-    /// often workers crash by themselves, and less if nothing shows that the task has run.
-    fn score(self, rate: CrashRate, is_confirmed: bool) -> u32 {
-        match (self, rate) {
-            (Self::None | Self::Shared | Self::Possible, _) => 0,
-            (Self::Likely, _) | (Self::AtStart, CrashRate::Frequent) => 1,
-            (Self::AtStart, CrashRate::Rare) if is_confirmed => 3,
-            (Self::AtStart, CrashRate::Rare | CrashRate::Occasional) => 2,
+    /// Returns what the evidence adds to the score of a task.
+    fn score(self) -> u32 {
+        match self {
+            Self::None | Self::Shared | Self::Possible => 0,
+            Self::Likely => 1,
+            Self::AtStart => 3,
         }
     }
 
@@ -75,10 +62,9 @@
 
 impl CrashHistory {
     /// Counts a crash under a run of the task.
-    pub fn record(&mut self, evidence: CrashEvidence, rate: CrashRate, is_confirmed: bool) {
+    pub fn record(&mut self, evidence: CrashEvidence) {
         self.total = self.total.saturating_add(u32::from(evidence.counts()));
-        let score = evidence.score(rate, is_confirmed);
-        self.score = self.score.saturating_add(score);
+        self.score = self.score.saturating_add(evidence.score());
         if evidence == CrashEvidence::Shared {
             // However often it comes, a common cause outside of the job remains as likely.
             self.score = self.score.max(TRIAL_SCORE);
--- a/crates/geraniumshed-core/src/job/mod.rs
+++ b/crates/geraniumshed-core/src/job/mod.rs
@@ -14,7 +14,7 @@
 mod task;
 
 pub use chain::chains_from;
-pub use crash::{CrashEvidence, CrashHistory, CrashRate, RunSuspicion, TaskCrashes};
+pub use crash::{CrashEvidence, CrashHistory, RunSuspicion, TaskCrashes};
 pub use diagnostics::JobDiagnostics;
 pub use entry::{JobEntry, JobPhase, Occurrence};
 pub use id::{JobId, QueueName, ServiceName, StepKey, TaskKey, WorkerId};
--- a/crates/geraniumshed-core/tests/worker_clock.rs
+++ b/crates/geraniumshed-core/tests/worker_clock.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use geraniumshed_core::job::{CrashEvidence, CrashHistory, CrashRate};
+use geraniumshed_core::job::{CrashEvidence, CrashHistory};
 use geraniumshed_core::worker::{WorkerClock, WorkerTime};
 use geraniumshed_model::prelude::TimePoint;
 use proptest::prelude::*;
@@ -49,7 +49,7 @@
         total: u32::MAX,
         score: u32::MAX,
     };
-    history.record(CrashEvidence::AtStart, CrashRate::Rare, true);
+    history.record(CrashEvidence::AtStart);
     assert_eq!(history.total, u32::MAX);
     assert!(history.is_at_limit(true));
 }
