Let a crash at a start that was never confirmed count for less

Cause: two crashes of workers right at starts of a task that were never confirmed gave the task up, and its job with it, although nothing shows that the task has run.

two_crashes_at_unconfirmed_starts_give_no_task_up fails on the code before in all four cases.

--- a/crates/geraniumshed-core/src/assignment/run_end.rs
+++ b/crates/geraniumshed-core/src/assignment/run_end.rs
@@ -8,7 +8,7 @@
 use super::action::PlannerTime;
 use super::event::{LostRun, PlannerEvent, TaskTrial};
 use super::planner::JobPlanner;
-use super::worker_loss::{LossCause, WorkerRunLoss};
+use super::worker_loss::{LossCause, RunStart, WorkerRunLoss};
 use crate::job::{CrashEvidence, JobId, JobPhase, TaskKey, TaskPhase, WorkerId};
 use crate::worker::EndKind;
 
@@ -158,7 +158,8 @@
         if !loss.is_crash || loss.evidence == CrashEvidence::None {
             return;
         }
-        task.crashes.record(loss.evidence);
+        let is_confirmed = loss.start == RunStart::Confirmed;
+        task.crashes.record(loss.evidence, is_confirmed);
         task.avoid(worker.clone());
         self.change_tracker.mark_crashes_changed(key.job);
         let crashes = task.crashes;
--- a/crates/geraniumshed-core/tests/planner/crashing_tasks.rs
+++ b/crates/geraniumshed-core/tests/planner/crashing_tasks.rs
@@ -6,7 +6,7 @@
 use rstest::rstest;
 
 use crate::builders::{size, step, task};
-use crate::fixture::{Cluster, WorkerReturn};
+use crate::fixture::{Cluster, STEP, WorkerReturn};
 
 /// The number of starts of a task that crashes workers: three after which it must be limited, and two
 /// more that it may have then.
@@ -123,6 +123,30 @@
     assert_given_up_alone(&cluster, key, &neighbours);
 }
 
+/// Two workers that crashed by themselves right after starts that they never confirmed gave the task up with
+/// its job (issue 39).
+#[rstest]
+fn two_crashes_at_unconfirmed_starts_give_no_task_up(
+    #[values(WorkerReturn::SameId, WorkerReturn::NewId)] worker_return: WorkerReturn,
+    #[values(false, true)] has_takeover: bool,
+) {
+    let (mut cluster, _) = busy_cluster(worker_return);
+    cluster.advance(Duration::from_secs(12));
+    let key = submit_crashing_task(&mut cluster, StepKind::Plain, Duration::ZERO);
+    let limit = cluster.now + OBSERVATION_TIME;
+    while cluster.crashes.crash_count < 2 && cluster.now < limit {
+        cluster.advance(STEP);
+    }
+    cluster.crashes.crashing_tasks.clear();
+    if has_takeover {
+        cluster.advance(Duration::from_millis(100));
+        cluster.replace_planner();
+    }
+    cluster.advance(Duration::from_secs(30));
+    assert_eq!(cluster.crashes.crash_count, 2);
+    assert_completed(&cluster, &[key.job]);
+}
+
 /// The count of crashes was lost with the leader, or a crash between two leaders wasn't counted.
 #[rstest]
 fn crashes_are_counted_across_takeovers(
