--- a/crates/geraniumshed-core/src/assignment/crash_assessment.rs
+++ b/crates/geraniumshed-core/src/assignment/crash_assessment.rs
@@ -110,11 +110,10 @@
         }
     }
 
-    /// Returns the workers that don't answer and have never answered this planner. One without runs was lost
-    /// for another reason than a task.
+    /// Returns the workers with runs that don't answer and have never answered this planner.
     fn unheard_workers(&self) -> impl Iterator<Item = &WorkerEntry> {
         let workers = self.workers.values();
-        workers.filter(|one| !one.was_heard() && one.is_unreachable())
+        workers.filter(|one| !one.was_heard() && one.is_silent_with_runs())
     }
 
     /// Records what speaks against a run, unless an earlier planner, which knew more, has done so.
@@ -160,10 +159,10 @@
         self.contact.heard_at.is_some()
     }
 
-    /// Returns whether the worker doesn't answer, or has runs and no address.
-    fn is_unreachable(&self) -> bool {
-        let has_failed = self.contact.silent_since.is_some() || self.unanswered_calls > 0;
-        has_failed || !self.has_address() && !self.runs.is_empty()
+    /// Returns whether the worker has runs and doesn't answer or has no address.
+    fn is_silent_with_runs(&self) -> bool {
+        let is_silent = self.contact.silent_since.is_some() || !self.has_address();
+        is_silent && !self.runs.is_empty()
     }
 
     /// Returns what speaks against a run if the worker crashed at the given time.
