--- a/crates/geraniumshed-core/src/assignment/run_end.rs
+++ b/crates/geraniumshed-core/src/assignment/run_end.rs
@@ -8,7 +8,7 @@
 use super::action::PlannerTime;
 use super::event::{LostRun, PlannerEvent, TaskTrial};
 use super::planner::JobPlanner;
-use super::worker_loss::{LossCause, RunStart, WorkerRunLoss};
+use super::worker_loss::{LossCause, WorkerRunLoss};
 use crate::job::{CrashEvidence, JobId, JobPhase, TaskKey, TaskPhase, WorkerId};
 use crate::worker::EndKind;
 
@@ -158,8 +158,7 @@
         if !loss.is_crash || loss.evidence == CrashEvidence::None {
             return;
         }
-        let is_confirmed = loss.start == RunStart::Confirmed;
-        task.crashes.record(loss.evidence, is_confirmed);
+        task.crashes.record(loss.evidence);
         task.avoid(worker.clone());
         self.change_tracker.mark_crashes_changed(key.job);
         let crashes = task.crashes;
--- a/crates/geraniumshed-core/src/job/crash.rs
+++ b/crates/geraniumshed-core/src/job/crash.rs
@@ -29,14 +29,12 @@
 }
 
 impl CrashEvidence {
-    /// Returns what the evidence adds to the score of a task. A crash right at a start says less if nothing
-    /// shows that the task has run.
-    fn score(self, is_confirmed: bool) -> u32 {
+    /// Returns what the evidence adds to the score of a task.
+    fn score(self) -> u32 {
         match self {
             Self::None | Self::Shared | Self::Possible => 0,
             Self::Likely => 1,
-            Self::AtStart if is_confirmed => 3,
-            Self::AtStart => 2,
+            Self::AtStart => 3,
         }
     }
 
@@ -64,9 +62,9 @@
 
 impl CrashHistory {
     /// Counts a crash under a run of the task.
-    pub fn record(&mut self, evidence: CrashEvidence, is_confirmed: bool) {
+    pub fn record(&mut self, evidence: CrashEvidence) {
         self.total = self.total.saturating_add(u32::from(evidence.counts()));
-        self.score = self.score.saturating_add(evidence.score(is_confirmed));
+        self.score = self.score.saturating_add(evidence.score());
         if evidence == CrashEvidence::Shared {
             // However often it comes, a common cause outside of the job remains as likely.
             self.score = self.score.max(TRIAL_SCORE);
--- a/crates/geraniumshed-core/tests/worker_clock.rs
+++ b/crates/geraniumshed-core/tests/worker_clock.rs
@@ -49,7 +49,7 @@
         total: u32::MAX,
         score: u32::MAX,
     };
-    history.record(CrashEvidence::AtStart, true);
+    history.record(CrashEvidence::AtStart);
     assert_eq!(history.total, u32::MAX);
     assert!(history.is_at_limit(true));
 }
