Derive the reply of a failed call from where its answer goes

The link to a courier kept a copy of each order only to tell which kind of reply a failure is, and the leader had a second way to report a failure. The origin of a call tells both.

--- a/crates/geraniumshed-batch/src/courier/link.rs
+++ b/crates/geraniumshed-batch/src/courier/link.rs
@@ -109,7 +109,6 @@
 /// A call that was passed to the courier and isn't answered yet.
 #[derive(Debug)]
 struct PendingCall {
-    order: CourierOrder,
     origin: CallOrigin,
     address: SocketAddr,
     deadline: Instant,
@@ -199,7 +198,6 @@
                 }
             };
             let pending = PendingCall {
-                order: call.body.clone(),
                 origin,
                 address: call.address,
                 deadline: now + wait + CALL_TIMEOUT,
@@ -254,7 +252,7 @@
 
     fn fail(&self, pending: PendingCall, failure: WorkerFailure) {
         self.roster.call_directly(pending.address);
-        let reply = pending.order.failed(failure);
+        let reply = pending.origin.failed(failure);
         deliver_reply(&self.handle, pending.origin, reply);
     }
 }
--- a/crates/geraniumshed-batch/src/leader/actions.rs
+++ b/crates/geraniumshed-batch/src/leader/actions.rs
@@ -23,6 +23,17 @@
     Renew(WorkerId, SentRenewal),
 }
 
+impl CallOrigin {
+    /// Returns the reply of a call without an answer.
+    pub(crate) fn failed(&self, failure: WorkerFailure) -> CourierReply {
+        match self {
+            Self::Start(..) => CourierReply::Started(Err(failure)),
+            Self::Stop(_) | Self::Pace(..) => CourierReply::Done(Err(failure)),
+            Self::Renew(..) => CourierReply::Renewed(RenewOutcome::Failed(failure)),
+        }
+    }
+}
+
 /// An action of the planner, by how it is executed.
 #[derive(Debug, Clone, PartialEq)]
 pub(super) enum LeaderAction {
@@ -92,27 +103,12 @@
         }
         (origin, reply) => {
             log::error!(origin:? = origin, reply:? = reply; "courier answered another kind of call");
-            deliver_failure(handle, origin);
+            let reply = origin.failed(WorkerFailure::Unanswered);
+            deliver_reply(handle, origin, reply);
         }
     }
 }
 
-/// Tells the leader task that a call has no usable answer.
-fn deliver_failure(handle: &LeaderHandle, origin: CallOrigin) {
-    let failure = WorkerFailure::Unanswered;
-    let event = match origin {
-        CallOrigin::Start(worker, task, run) => {
-            LeaderEvent::StartAnswered(worker, task, run, Err(failure))
-        }
-        CallOrigin::Stop(worker) => LeaderEvent::StopAnswered(worker, Err(failure)),
-        CallOrigin::Renew(worker, sent) => {
-            LeaderEvent::RenewAnswered(worker, sent, RenewOutcome::Failed(failure))
-        }
-        CallOrigin::Pace(..) => return,
-    };
-    handle.send(event);
-}
-
 /// Requests advice, and delivers it to the leader task.
 pub(super) async fn advise<W: WorkerCaller>(
     caller: W,
