Show a task that runs again after 600 ends in an outage of the store

Cause: a worker lists 500 ends at a time, and a run beyond them counts as missing, so its task is started again. Change: a case of the review with stand-ins of its own.

--- /dev/null
+++ b/review/standin/src/cases.rs
@@ -0,0 +1,311 @@
+//! The cases.
+
+use std::io;
+use std::path::Path;
+use std::thread::{self, sleep};
+use std::time::Duration;
+
+use crate::fleet::StepWork;
+use crate::world::{Queue, Trouble, Verdict, World, done_tasks, starts_after_done, workers};
+
+/// The time after the end of the traffic by which jobs have to run (`finish_s`).
+const FINISH: Duration = Duration::from_secs(14);
+/// The time for which a job with nothing running breaks the rule LOST.
+const IDLE: Duration = Duration::from_secs(3);
+/// The number of daemons of the site.
+const DAEMONS: usize = 7;
+
+const BOOK: Queue = Queue {
+    name: "book",
+    priority: 0,
+    attempts: 4,
+};
+const SHIFTPLAN: Queue = Queue {
+    name: "shiftplan",
+    priority: 2,
+    attempts: 4,
+};
+
+/// Plays a case.
+pub fn play(case: &str, program: &Path, folder: &Path, trouble: &Trouble) -> io::Result<Verdict> {
+    match case {
+        "unlisted-ends" => unlisted_ends(program, folder, trouble),
+        "removed-route" => removed_route(program, folder, trouble),
+        "gang-end" => gang_end(program, folder, trouble),
+        "pending" => pending(program, folder, trouble),
+        _ => Err(io::Error::other("there is no such case")),
+    }
+}
+
+/// Many small tasks of one worker end while the store is down.
+fn unlisted_ends(program: &Path, folder: &Path, trouble: &Trouble) -> io::Result<Verdict> {
+    const TASKS: usize = 600;
+    const DOWN_TIME: Duration = Duration::from_millis(4500);
+    let mut fleet = workers(0, 11, "a");
+    fleet.extend(workers(11, 1, "b"));
+    let world = World::start(program, folder, &[BOOK, SHIFTPLAN], fleet, DAEMONS)?;
+    let id = "5c0e7a21d94b36f8";
+    let body = format!(
+        r#"{{"spec":"many small tasks","steps":[{{"count":{TASKS},"cpu":50,"memMb":200,"estimateMs":3000,"requires":"b"}}]}}"#
+    );
+    let step = StepWork {
+        count: TASKS as u64,
+        cpu: 50,
+        mem_mb: 200,
+        work: Duration::from_secs(4),
+        ..StepWork::default()
+    };
+    if !world.submit("shiftplan", id, &body, vec![step]) {
+        return Err(io::Error::other("the job was not accepted"));
+    }
+    let have_all_started = world.wait_for(Duration::from_secs(4), |world| {
+        world.fleet.runs(id).len() >= TASKS
+    });
+    world
+        .record
+        .say(format!("all tasks have started: {have_all_started}"));
+    if trouble.has("platform_down") {
+        world.record.say("the store is down");
+        world.store.set_down(true);
+        sleep(DOWN_TIME);
+        world.store.set_down(false);
+        world.record.say("the store is up");
+    }
+    let is_done = world.wait_until_done(Duration::from_secs(30), id, TASKS);
+    sleep(Duration::from_secs(10));
+    let runs = world.fleet.runs(id);
+    let repeated = starts_after_done(&runs);
+    world.record.say(format!(
+        "all tasks done: {is_done}; {} runs; {} starts after an end `done` that was taken note of",
+        runs.len(),
+        repeated.len()
+    ));
+    for (first, second) in repeated.iter().take(5) {
+        world.record.say(format!(
+            "TWICE: {} run {} {:?}, taken note of {:?}, then run {} started {:?}",
+            first.task, first.run, first.ended, first.noted, second.run, second.started
+        ));
+    }
+    Ok(verdict(!repeated.is_empty()))
+}
+
+/// A route is removed while a job of its queue runs, and the leader is killed.
+fn removed_route(program: &Path, folder: &Path, trouble: &Trouble) -> io::Result<Verdict> {
+    let world = World::start(
+        program,
+        folder,
+        &[BOOK, SHIFTPLAN],
+        workers(0, 12, "a"),
+        DAEMONS,
+    )?;
+    let id = "5c0e7a21d94b36f8";
+    let body = r#"{"spec":"two steps","steps":[{"count":4,"cpu":2000,"memMb":4600,"estimateMs":5000},{"count":4,"cpu":2000,"memMb":4600,"estimateMs":2000,"after":[0]}]}"#;
+    let step = |work| StepWork {
+        count: 4,
+        cpu: 2000,
+        mem_mb: 4600,
+        work: Duration::from_secs(work),
+        ..StepWork::default()
+    };
+    if !world.submit("shiftplan", id, body, vec![step(6), step(2)]) {
+        return Err(io::Error::other("the job was not accepted"));
+    }
+    sleep(Duration::from_secs(1));
+    if trouble.has("config_change") {
+        world.publish(5, &[BOOK]);
+    }
+    sleep(Duration::from_secs(2));
+    if trouble.has("node_kill") {
+        let leader = world.store.last_writer().unwrap_or_default();
+        world.daemons.kill(leader);
+    }
+    let first = format!("{id}.0.0.");
+    if !world.wait_until_done(Duration::from_secs(30), &first, 4) {
+        return Err(io::Error::other("the first step did not end"));
+    }
+    world
+        .record
+        .say("the first step is done; the turn of the second one has come");
+    // Traffic on the other route shows that the system serves.
+    let other = "00000000000000aa";
+    let other_body =
+        r#"{"spec":"another","steps":[{"count":4,"cpu":2000,"memMb":4600,"estimateMs":1000}]}"#;
+    let is_accepted = world.submit("book", other, other_body, vec![step(1)]);
+    let is_other_done = world.wait_until_done(Duration::from_secs(10), other, 4);
+    world.record.say(format!(
+        "a later job on the other route: accepted {is_accepted}, done {is_other_done}"
+    ));
+    let is_done = world.wait_until_done(FINISH + IDLE, id, 8);
+    let begun = world.fleet.runs(&format!("{id}.0.1.")).len();
+    world.record.say(format!(
+        "second step: {begun} runs begun, done {is_done}; processors in use {} of 384000",
+        world.fleet.used_cpu()
+    ));
+    Ok(verdict(begun == 0))
+}
+
+/// A worker is cut off and crashes behind the cut after its gang has ended.
+fn gang_end(program: &Path, folder: &Path, trouble: &Trouble) -> io::Result<Verdict> {
+    let world = World::start(
+        program,
+        folder,
+        &[BOOK, SHIFTPLAN],
+        workers(0, 12, "a"),
+        DAEMONS,
+    )?;
+    let id = "5c0e7a21d94b36f8";
+    let body = r#"{"spec":"a gang","steps":[{"count":2,"cpu":3500,"memMb":6400,"estimateMs":3000,"gang":true,"antiAffinity":1},{"count":2,"cpu":3500,"memMb":6400,"estimateMs":1000,"after":[0]}]}"#;
+    let step = |work, is_gang| StepWork {
+        count: 2,
+        cpu: 3500,
+        mem_mb: 6400,
+        work: Duration::from_secs(work),
+        is_gang,
+        ..StepWork::default()
+    };
+    if !world.submit("shiftplan", id, body, vec![step(3, true), step(1, false)]) {
+        return Err(io::Error::other("the job was not accepted"));
+    }
+    let has_begun = world.wait_for(Duration::from_secs(5), |world| {
+        world.fleet.runs(id).len() == 2
+    });
+    if !has_begun {
+        return Err(io::Error::other("the gang did not begin"));
+    }
+    sleep(Duration::from_secs(1));
+    let worker = world.fleet.runs(id)[1].worker;
+    if trouble.has("node_cut") {
+        world
+            .record
+            .say(format!("worker {worker} is cut off from all daemons"));
+        world.fleet.set_cut(worker, true);
+    }
+    let is_gang_done = world.wait_until_done(Duration::from_secs(20), id, 2);
+    world
+        .record
+        .say(format!("the gang is done: {is_gang_done}"));
+    if trouble.has("node_cut") {
+        sleep(Duration::from_millis(300));
+        world.fleet.crash(worker);
+        world
+            .record
+            .say(format!("worker {worker} crashes behind the cut"));
+        sleep(Duration::from_millis(700));
+        world.fleet.restart(worker);
+        world.record.say(format!("worker {worker} starts again"));
+        sleep(Duration::from_millis(1500));
+        world.fleet.set_cut(worker, false);
+        world.record.say("the cut heals");
+    }
+    let is_done = world.wait_until_done(FINISH + IDLE, id, 4);
+    let runs = world.fleet.runs(id);
+    let noted = runs
+        .iter()
+        .filter(|run| run.ended.is_some_and(|(_, how)| how == "done") && run.noted.is_some());
+    world.record.say(format!(
+        "all tasks done: {is_done}; {} runs, {} tasks done, {} such ends taken note of; state {}",
+        runs.len(),
+        done_tasks(&runs),
+        noted.count(),
+        world.state("shiftplan", id)
+    ));
+    let begun = world.fleet.runs(&format!("{id}.0.1.")).len();
+    Ok(verdict(begun == 0))
+}
+
+/// The only worker with room rejects starts as unhealthy, and a queue is asked for its pending jobs.
+fn pending(program: &Path, folder: &Path, trouble: &Trouble) -> io::Result<Verdict> {
+    const VISIBLE: Duration = Duration::from_secs(5);
+    const JOBS: u64 = 1;
+    let world = World::start(
+        program,
+        folder,
+        &[BOOK, SHIFTPLAN],
+        workers(0, 12, "a"),
+        DAEMONS,
+    )?;
+    let long = StepWork {
+        count: 11,
+        cpu: 30_000,
+        mem_mb: 4600,
+        work: Duration::from_secs(40),
+        ..StepWork::default()
+    };
+    let filler = "00000000000000ff";
+    let body = r#"{"spec":"fills the service","steps":[{"count":11,"cpu":30000,"memMb":4600,"estimateMs":40000}]}"#;
+    if !world.submit("book", filler, body, vec![long]) {
+        return Err(io::Error::other("the first job was not accepted"));
+    }
+    if !world.wait_for(Duration::from_secs(5), |world| {
+        world.fleet.runs(filler).len() == 11
+    }) {
+        return Err(io::Error::other("the first job did not begin"));
+    }
+    let runs = world.fleet.runs(filler);
+    let free = (0..12).find(|worker| runs.iter().all(|run| run.worker != *worker));
+    let free = free.unwrap_or_default();
+    let blocker = "00000000000000ee";
+    if trouble.has("srv_grey") {
+        world.fleet.set_unhealthy(free, true);
+        world
+            .record
+            .say(format!("worker {free} rejects starts with 503"));
+    } else {
+        // The same room is taken by a job.
+        let body = r#"{"spec":"the rest","steps":[{"count":1,"cpu":30000,"memMb":4600,"estimateMs":40000}]}"#;
+        world.submit("book", blocker, body, vec![StepWork { count: 1, ..long }]);
+        world.wait_for(Duration::from_secs(5), |world| {
+            !world.fleet.runs(blocker).is_empty()
+        });
+    }
+    let waiting = StepWork {
+        count: 2,
+        cpu: 3500,
+        mem_mb: 6400,
+        work: Duration::from_secs(1),
+        ..StepWork::default()
+    };
+    let ids: Vec<String> = (0..JOBS)
+        .map(|number| format!("{:016x}", 0xb00 + number))
+        .collect();
+    // The jobs come at once.
+    let body =
+        r#"{"spec":"waits","steps":[{"count":2,"cpu":3500,"memMb":6400,"estimateMs":1000}]}"#;
+    let are_accepted = thread::scope(|scope| {
+        let mut calls = Vec::new();
+        for id in &ids {
+            let world = &world;
+            calls.push(scope.spawn(move || world.submit("shiftplan", id, body, vec![waiting])));
+        }
+        calls.into_iter().all(|call| call.join().unwrap_or(false))
+    });
+    if !are_accepted {
+        return Err(io::Error::other("the jobs were not accepted"));
+    }
+    sleep(VISIBLE + Duration::from_millis(500));
+    let mut is_broken = false;
+    for daemon in 0..DAEMONS {
+        let answer = world.call(daemon, "GET", "/shiftplan/", "");
+        let unbegun = ids
+            .iter()
+            .filter(|id| world.fleet.runs(id).is_empty())
+            .count();
+        world.record.say(format!(
+            "daemon {daemon}: {answer:?}, {unbegun} jobs accepted over 5 s ago have not begun"
+        ));
+        if let Some((200, body)) = answer {
+            let body = crate::json::Json::parse(body.as_bytes());
+            let told = body.and_then(|body| body.number("pending")).unwrap_or(0);
+            is_broken |= told * 2 < unbegun as u64;
+        }
+    }
+    Ok(verdict(is_broken))
+}
+
+fn verdict(is_broken: bool) -> Verdict {
+    if is_broken {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    }
+}
