Show a task that runs twice after a worker was born again and cut off

Cause: the leader counts the lease of a start on the clock of a process that is gone, and the new process takes the longest lease.

--- a/review/standin/src/cases.rs
+++ b/review/standin/src/cases.rs
@@ -32,6 +32,7 @@
         "unlisted-ends" => unlisted_ends(program, folder, trouble),
         "removed-route" => removed_route(program, folder, trouble),
         "gang-end" => gang_end(program, folder, trouble),
+        "reborn-and-cut" => reborn_and_cut(program, folder, trouble),
         "crashed-twice" => crashed_twice(program, folder, trouble),
         _ => Err(io::Error::other("there is no such case")),
     }
@@ -186,7 +187,7 @@
         .say(format!("the gang is done: {is_gang_done}"));
     if trouble.has("node_cut") {
         sleep(Duration::from_millis(300));
-        world.fleet.crash(worker);
+        world.fleet.crash(worker, false);
         world
             .record
             .say(format!("worker {worker} crashes behind the cut"));
@@ -250,7 +251,7 @@
             world.record.say(format!(
                 "worker {worker} crashes 10 ms after it has started run {number}"
             ));
-            world.fleet.crash(worker);
+            world.fleet.crash(worker, false);
             sleep(DOWN_TIME);
             world.fleet.restart(worker);
             world.record.say(format!("worker {worker} starts again"));
@@ -270,6 +271,69 @@
     Ok(verdict(state == "failed"))
 }
 
+/// A worker crashes and is back at once, starts a task, and is cut off before it was asked for its runs.
+fn reborn_and_cut(program: &Path, folder: &Path, trouble: &Trouble) -> io::Result<Verdict> {
+    const CUT_TIME: Duration = Duration::from_millis(5500);
+    let mut fleet = workers(0, 11, "a");
+    fleet.extend(workers(11, 1, "b"));
+    fleet.extend(workers(12, 1, "b"));
+    let world = World::start(program, folder, &[BOOK, SHIFTPLAN], fleet, DAEMONS)?;
+    let id = "5c0e7a21d94b36f8";
+    let body = r#"{"spec":"two tasks","steps":[{"count":2,"cpu":3500,"memMb":6400,"estimateMs":8000,"requires":"b"}]}"#;
+    let step = StepWork {
+        count: 2,
+        cpu: 3500,
+        mem_mb: 6400,
+        work: Duration::from_secs(8),
+        ..StepWork::default()
+    };
+    let worker = 11;
+    if trouble.has("srv_crash") {
+        world.fleet.wait_for_hold(worker);
+        world.fleet.crash(worker, true);
+        world.record.say(format!("worker {worker} crashes"));
+        sleep(Duration::from_millis(900));
+        world.fleet.restart(worker);
+        world.record.say(format!("worker {worker} starts again"));
+    }
+    if !world.submit("shiftplan", id, body, vec![step]) {
+        return Err(io::Error::other("the job was not accepted"));
+    }
+    let has_begun = world.wait_for(Duration::from_secs(5), |world| {
+        world.fleet.runs(id).len() == 2
+    });
+    let on_worker = world.fleet.runs(id).iter().any(|run| run.worker == worker);
+    world.record.say(format!(
+        "both tasks have begun: {has_begun}, one of them on worker {worker}: {on_worker}"
+    ));
+    if trouble.has("node_cut") {
+        sleep(Duration::from_millis(200));
+        world.fleet.set_cut(worker, true);
+        world
+            .record
+            .say(format!("worker {worker} is cut off from all daemons"));
+        sleep(CUT_TIME);
+        world.fleet.set_cut(worker, false);
+        world.record.say("the cut heals");
+    }
+    world.wait_until_done(Duration::from_secs(30), id, 2);
+    let runs = world.fleet.runs(id);
+    let mut is_broken = false;
+    for first in &runs {
+        world.record.say(format!(
+            "{} run {} on worker {}: {:?} to {:?}",
+            first.task, first.run, first.worker, first.started, first.ended
+        ));
+        let overlaps = runs.iter().any(|second| {
+            second.task == first.task
+                && second.run > first.run
+                && first.ended.is_none_or(|(at, _)| at > second.started)
+        });
+        is_broken |= overlaps;
+    }
+    Ok(verdict(is_broken))
+}
+
 fn verdict(is_broken: bool) -> Verdict {
     if is_broken {
         Verdict::Broken
--- a/review/standin/src/fleet.rs
+++ b/review/standin/src/fleet.rs
@@ -94,6 +94,10 @@
     address: SocketAddr,
     life: Option<Life>,
     is_cut: bool,
+    /// The number of holds received.
+    holds: u64,
+    /// Whether the connections of earlier lives stay open without a byte, instead of being closed.
+    is_dark: bool,
 }
 
 #[derive(Debug, Default)]
@@ -170,9 +174,16 @@
                 address,
                 life: Some(Life::new()),
                 is_cut: false,
+                holds: 0,
+                is_dark: false,
             });
             let own = fleet.clone();
-            http::serve(listener, move |request| own.answer(index, &request));
+            let opened = fleet.clone();
+            http::serve_by(
+                listener,
+                move || opened.born_ms(index),
+                move |born_ms, request| own.answer_of(index, *born_ms, &request),
+            );
         }
         let own = fleet.clone();
         spawn(move || own.keep_registered());
@@ -219,10 +230,21 @@
         self.shared.1.notify_all();
     }
 
-    /// Crashes a worker with all that it runs and knows.
-    pub fn crash(&self, worker: usize) {
+    /// Waits until a worker has just received a hold.
+    pub fn wait_for_hold(&self, worker: usize) {
+        let mut state = self.lock();
+        let before = state.workers[worker].holds;
+        while state.workers[worker].holds == before {
+            let waited = self.shared.1.wait_timeout(state, TICK);
+            state = waited.unwrap_or_else(PoisonError::into_inner).0;
+        }
+    }
+
+    /// Crashes a worker with all that it runs and knows. A dark crash closes no connection.
+    pub fn crash(&self, worker: usize, is_dark: bool) {
         let now = self.record.now();
         let mut state = self.lock();
+        state.workers[worker].is_dark = is_dark;
         let life = state.workers[worker].life.take();
         for run in life.into_iter().flat_map(|life| life.runs) {
             state.history[run.index].ended = Some((now, "crashed"));
@@ -235,9 +257,21 @@
         self.shared.1.notify_all();
     }
 
-    /// Starts a worker again under its id.
+    /// Starts a worker again under its id, which registers itself at once.
     pub fn restart(&self, worker: usize) {
-        self.lock().workers[worker].life = Some(Life::new());
+        let mut state = self.lock();
+        state.workers[worker].life = Some(Life::new());
+        let entry = &state.workers[worker];
+        let id = entry.kind.id.clone();
+        let registration = entry
+            .life
+            .as_ref()
+            .map(|life| self.registration(entry, life, 1));
+        drop(state);
+        if let Some(registration) = registration {
+            self.store
+                .publish("keyed.servers", &id, registration.to_string().as_bytes());
+        }
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -293,6 +327,25 @@
         ])
     }
 
+    /// Returns when the present life of a worker began.
+    fn born_ms(&self, worker: usize) -> u64 {
+        let state = self.lock();
+        let life = state.workers[worker].life.as_ref();
+        life.map_or(0, |life| life.born_ms)
+    }
+
+    /// Answers on a connection that the life with the given birth has accepted.
+    fn answer_of(&self, worker: usize, born_ms: u64, request: &Request) -> Answer {
+        if self.born_ms(worker) == born_ms {
+            return self.answer(worker, request);
+        }
+        if self.lock().workers[worker].is_dark {
+            Answer::Silence
+        } else {
+            Answer::Close
+        }
+    }
+
     fn answer(&self, worker: usize, request: &Request) -> Answer {
         let body = Json::parse(&request.body).unwrap_or(Json::Null);
         let mut state = self.lock();
@@ -410,6 +463,7 @@
         let until = Instant::now() + Duration::from_millis(wait);
         let last_seen = body.number("lastSeen").unwrap_or(0);
         let mut state = self.lock();
+        state.workers[worker].holds += 1;
         let Some(life) = state.workers[worker].life.as_mut() else {
             return Answer::Close;
         };
@@ -426,7 +480,11 @@
             let entry = &state.workers[worker];
             let life = entry.life.as_ref().filter(|life| life.born_ms == born_ms);
             let Some(life) = life else {
-                return Answer::Close;
+                return if entry.is_dark {
+                    Answer::Silence
+                } else {
+                    Answer::Close
+                };
             };
             if entry.is_cut {
                 return Answer::Silence;
--- a/review/standin/src/http.rs
+++ b/review/standin/src/http.rs
@@ -41,12 +41,23 @@
 pub fn serve<H>(listener: TcpListener, handler: H)
 where
     H: Fn(Request) -> Answer + Send + Sync + 'static,
+{
+    serve_by(listener, || (), move |(), request| handler(request));
+}
+
+/// Does the same, and passes what `open` returned when a connection was accepted with its requests.
+pub fn serve_by<O, T, H>(listener: TcpListener, open: O, handler: H)
+where
+    O: Fn() -> T + Send + 'static,
+    T: Send + 'static,
+    H: Fn(&T, Request) -> Answer + Send + Sync + 'static,
 {
     let handler = Arc::new(handler);
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
             let handler = Arc::clone(&handler);
-            thread::spawn(move || serve_connection(stream, &*handler));
+            let opened = open();
+            thread::spawn(move || serve_connection(stream, &|request| handler(&opened, request)));
         }
     });
 }
