Count the lease of a run by the process that has confirmed it

A worker that had restarted under its id started a task and was cut off; the task was started elsewhere while the first run went on.

Cause: a start order carries a deadline on the clock of the known process. A later process shortens it, but only to the longest lease of the platform, so its run outlasts the lease that the leader has counted. The leader learned of a restart from the answer to a renewal alone: neither the answer to the start nor the registration, which both name the new process, counted. And without any of them, the order's answer being lost, it had no bound at all.

Change: a run counts as one of the known process only once that has confirmed it: by an answer to the start that names it or whose clock can be no other, or by its list. Any other run that was ordered is given up when the longest lease has expired, counted from the last call that could have extended it. An answer to a start, or a registration, that shows a later process leads to a renewal at once; until that is answered, the worker gets no orders, no acknowledgement and no deadline, and the longer lease is stored for a successor. A log line, 'worker has a later process', names the sign and what remains of the leases.

Why it works: what is known of a lease is now used only for runs of the process that it is known of; for all others the bound holds for any process.

Measured: run_of_a_later_process_is_given_up_after_its_own_lease, 3 cases, failed on (RunsAtOnce in all three) and passes. Tests of geraniumshed-core, -batch and platform: pass.

--- a/crates/geraniumshed-batch/src/courier/order.rs
+++ b/crates/geraniumshed-batch/src/courier/order.rs
@@ -1,7 +1,7 @@
 //! The orders that couriers carry out.
 
 use geraniumshed_core::worker::{
-    PaceOrder, RenewRequest, StartOrder, StartReply, StopOrder, WorkerCall, WorkerFailure,
+    PaceOrder, RenewRequest, StartAnswer, StartOrder, StopOrder, WorkerCall, WorkerFailure,
 };
 
 use crate::site::{RenewOutcome, WorkerCaller};
@@ -23,7 +23,7 @@
 #[derive(Debug, Clone, PartialEq)]
 pub enum CourierReply {
     /// The answer to the start of a task.
-    Started(Result<StartReply, WorkerFailure>),
+    Started(Result<StartAnswer, WorkerFailure>),
     /// The answer to the stop of a run, or to a change of its speed.
     Done(Result<(), WorkerFailure>),
     /// The answer to the renewal of a lease.
--- a/crates/geraniumshed-batch/src/leader/actions.rs
+++ b/crates/geraniumshed-batch/src/leader/actions.rs
@@ -78,7 +78,7 @@
 pub(crate) fn deliver_reply(handle: &LeaderHandle, origin: CallOrigin, reply: CourierReply) {
     match (origin, reply) {
         (CallOrigin::Start(worker, task, run), CourierReply::Started(reply)) => {
-            if !matches!(reply, Ok(StartReply::Started)) {
+            if !reply.is_ok_and(|answer| answer.reply == StartReply::Started) {
                 log::info!(
                     job:% = task.job, task:% = task, run = run, worker:% = worker, reply:? = reply;
                     "worker did not confirm the start of a task"
--- a/crates/geraniumshed-batch/src/leader/event.rs
+++ b/crates/geraniumshed-batch/src/leader/event.rs
@@ -5,7 +5,8 @@
 use geraniumshed_core::assignment::{CancelOutcome, JobStatus};
 use geraniumshed_core::job::{JobId, JobRequest, QueueName, QueuePolicy, TaskKey, WorkerId};
 use geraniumshed_core::worker::{
-    AdviceReply, AdviceRequest, SentRenewal, StartReply, WorkerChange, WorkerFailure, WorkerListing,
+    AdviceReply, AdviceRequest, SentRenewal, StartAnswer, WorkerChange, WorkerFailure,
+    WorkerListing,
 };
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
@@ -25,7 +26,7 @@
     /// Registrations of workers have changed.
     WorkersChanged(Vec<WorkerChange>),
     /// The order to start a task was answered.
-    StartAnswered(WorkerId, TaskKey, u32, Result<StartReply, WorkerFailure>),
+    StartAnswered(WorkerId, TaskKey, u32, Result<StartAnswer, WorkerFailure>),
     /// The order to stop a run was answered.
     StopAnswered(WorkerId, Result<(), WorkerFailure>),
     /// A renewal was answered.
--- a/crates/geraniumshed-batch/src/leader/start_delays.rs
+++ b/crates/geraniumshed-batch/src/leader/start_delays.rs
@@ -74,6 +74,7 @@
             | PlannerEvent::WorkerDeparting(_)
             | PlannerEvent::WorkerLost(_)
             | PlannerEvent::WorkerRestarted(_)
+            | PlannerEvent::RestartSeen(_)
             | PlannerEvent::TrialBegun(_)
             | PlannerEvent::TaskGivenUp(_) => {}
         }
--- a/crates/geraniumshed-batch/src/site.rs
+++ b/crates/geraniumshed-batch/src/site.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use geraniumshed_core::site::SiteConfig;
 use geraniumshed_core::worker::{
-    AdviceReply, AdviceRequest, PaceOrder, RenewReply, RenewRequest, StartOrder, StartReply,
+    AdviceReply, AdviceRequest, PaceOrder, RenewReply, RenewRequest, StartAnswer, StartOrder,
     StopOrder, WorkerCall, WorkerChange, WorkerFailure, WorkerListing,
 };
 use geraniumshed_model::prelude::LogOffset;
@@ -33,7 +33,7 @@
     fn start(
         &self,
         call: WorkerCall<StartOrder>,
-    ) -> impl Future<Output = Result<StartReply, WorkerFailure>> + Send;
+    ) -> impl Future<Output = Result<StartAnswer, WorkerFailure>> + Send;
 
     /// Stops a run.
     fn stop(
--- a/crates/geraniumshed-batch/src/telemetry/events.rs
+++ b/crates/geraniumshed-batch/src/telemetry/events.rs
@@ -5,7 +5,7 @@
 
 use geraniumshed_core::assignment::{
     AnsweringWorker, DepartingWorker, JobSummary, LostRun, LostWorker, PlacementSummary,
-    PlannerEvent, RunStart, SilentWorker, TaskTrial, UnexpectedRun,
+    PlannerEvent, RestartSign, RestartedWorker, RunStart, SilentWorker, TaskTrial, UnexpectedRun,
 };
 use geraniumshed_core::job::CrashEvidence;
 use geraniumshed_core::worker::{EndKind, WorkerStanding};
@@ -46,6 +46,7 @@
         PlannerEvent::WorkerRestarted(worker) => {
             log::info!(worker:% = worker; "worker has restarted and lost its runs");
         }
+        PlannerEvent::RestartSeen(restarted) => log_restart_sign(restarted),
         PlannerEvent::TrialBegun(trial) => log_trial(
             Level::Info,
             trial,
@@ -175,6 +176,24 @@
     );
 }
 
+fn log_restart_sign(restarted: &RestartedWorker) {
+    log::info!(
+        worker:% = restarted.worker,
+        sign = sign_name(restarted.sign),
+        runs = restarted.runs,
+        lease_remaining_ms = whole_millis(restarted.lease_remaining);
+        "worker has a later process; asking it for its runs"
+    );
+}
+
+/// Returns the name of how a restart was seen, in logs.
+fn sign_name(sign: RestartSign) -> &'static str {
+    match sign {
+        RestartSign::Registration => "registration",
+        RestartSign::StartAnswer => "start answer",
+    }
+}
+
 fn log_departing_worker(departing: &DepartingWorker) {
     log::info!(
         worker:% = departing.worker,
--- a/crates/geraniumshed-batch/src/telemetry/metrics.rs
+++ b/crates/geraniumshed-batch/src/telemetry/metrics.rs
@@ -469,7 +469,8 @@
             | PlannerEvent::WorkerSilent(_)
             | PlannerEvent::WorkerAnswering(_)
             | PlannerEvent::WorkerDeparting(_)
-            | PlannerEvent::WorkerRestarted(_) => {}
+            | PlannerEvent::WorkerRestarted(_)
+            | PlannerEvent::RestartSeen(_) => {}
             PlannerEvent::TrialBegun(_) => {
                 self.trial_runs.inc();
             }
--- a/crates/geraniumshed-batch/src/wire/courier.rs
+++ b/crates/geraniumshed-batch/src/wire/courier.rs
@@ -5,8 +5,9 @@
 
 use geraniumshed_core::job::{JobId, TaskKey, WorkerId};
 use geraniumshed_core::worker::{
-    EndKind, FenceToken, PaceOrder, RenewReply, RenewRequest, RunEnd, RunReport, StartOrder,
-    StartReply, StopOrder, WorkerCall, WorkerFailure, WorkerIncarnation, WorkerTime,
+    EndKind, FenceToken, PaceOrder, ProcessReading, RenewReply, RenewRequest, RunEnd, RunReport,
+    StartAnswer, StartOrder, StartReply, StopOrder, WorkerCall, WorkerFailure, WorkerIncarnation,
+    WorkerTime,
 };
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
@@ -73,13 +74,23 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum CourierReplyWire {
     /// The answer to the start of a task.
-    Started(Result<StartReplyWire, FailureWire>),
+    Started(Result<StartAnswerWire, FailureWire>),
     /// The answer to the stop of a run, or to a change of its speed.
     Done(Result<(), FailureWire>),
     /// The answer to the renewal of a lease.
     Renewed(RenewOutcomeWire),
 }
 
+/// A worker's answer to the order to start a task.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StartAnswerWire {
+    reply: StartReplyWire,
+    /// The reading of the worker's clock, in milliseconds.
+    clock_ms: Option<u64>,
+    /// The start time of the worker's process, in milliseconds of Unix time.
+    incarnation: Option<u64>,
+}
+
 /// A worker's reply to the order to start a task.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StartReplyWire {
@@ -394,6 +405,29 @@
     }
 }
 
+impl From<StartAnswer> for StartAnswerWire {
+    fn from(answer: StartAnswer) -> Self {
+        let process = answer.process;
+        Self {
+            reply: answer.reply.into(),
+            clock_ms: process.clock.map(|clock| clock.0),
+            incarnation: process.incarnation.map(|incarnation| incarnation.0),
+        }
+    }
+}
+
+impl From<StartAnswerWire> for StartAnswer {
+    fn from(wire: StartAnswerWire) -> Self {
+        Self {
+            reply: wire.reply.into(),
+            process: ProcessReading {
+                clock: wire.clock_ms.map(WorkerTime),
+                incarnation: wire.incarnation.map(WorkerIncarnation),
+            },
+        }
+    }
+}
+
 impl From<StartReply> for StartReplyWire {
     fn from(reply: StartReply) -> Self {
         match reply {
--- a/crates/geraniumshed-batch/tests/nodes/couriers.rs
+++ b/crates/geraniumshed-batch/tests/nodes/couriers.rs
@@ -88,7 +88,7 @@
     }
     assert_eq!(
         replies,
-        [(3, CourierReply::Started(Ok(StartReply::Started)))]
+        [(3, CourierReply::Started(Ok(StartReply::Started.into())))]
     );
     assert_eq!(site.start_count(), 1);
 }
--- a/crates/geraniumshed-batch/tests/nodes/support/worker.rs
+++ b/crates/geraniumshed-batch/tests/nodes/support/worker.rs
@@ -6,8 +6,8 @@
 use geraniumshed_batch::site::{RenewOutcome, WorkerCaller};
 use geraniumshed_core::job::WorkerId;
 use geraniumshed_core::worker::{
-    AdviceReply, AdviceRequest, EndKind, PaceOrder, RenewReply, RenewRequest, RunEnd, StartOrder,
-    StartReply, StopOrder, WorkerCall, WorkerFailure, WorkerIncarnation, WorkerListing,
+    AdviceReply, AdviceRequest, EndKind, PaceOrder, RenewReply, RenewRequest, RunEnd, StartAnswer,
+    StartOrder, StartReply, StopOrder, WorkerCall, WorkerFailure, WorkerIncarnation, WorkerListing,
 };
 use smol_str::SmolStr;
 
@@ -29,7 +29,7 @@
 
 /// The only worker, whose runs end as soon as they start.
 impl WorkerCaller for Site {
-    async fn start(&self, call: WorkerCall<StartOrder>) -> Result<StartReply, WorkerFailure> {
+    async fn start(&self, call: WorkerCall<StartOrder>) -> Result<StartAnswer, WorkerFailure> {
         let mut state = self.lock();
         state.starts += 1;
         state.started_runs.push(call.body.run);
@@ -45,7 +45,7 @@
             checkpoint: None,
         };
         state.ended.push(end);
-        Ok(StartReply::Started)
+        Ok(StartReply::Started.into())
     }
 
     async fn stop(&self, _: WorkerCall<StopOrder>) -> Result<(), WorkerFailure> {
--- a/crates/geraniumshed-core/src/assignment/event.rs
+++ b/crates/geraniumshed-core/src/assignment/event.rs
@@ -39,6 +39,8 @@
     WorkerLost(LostWorker),
     /// A worker restarted and lost its runs.
     WorkerRestarted(WorkerId),
+    /// A worker was seen to have a later process than the known one.
+    RestartSeen(RestartedWorker),
     /// A run was placed as a trial, since workers crashed under earlier runs of its task.
     TrialBegun(TaskTrial),
     /// A task is given up with its job, since workers crash under its runs.
@@ -80,6 +82,28 @@
     pub confirmed: Duration,
 }
 
+/// How a worker was seen to have a later process than the known one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RestartSign {
+    /// Its registration names the process.
+    Registration,
+    /// The process has confirmed a start.
+    StartAnswer,
+}
+
+/// A worker that was seen to have a later process than the known one.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RestartedWorker {
+    /// The worker.
+    pub worker: WorkerId,
+    /// How that was seen.
+    pub sign: RestartSign,
+    /// The number of runs that may be those of either process.
+    pub runs: usize,
+    /// The time until the leases of both processes have certainly expired.
+    pub lease_remaining: Duration,
+}
+
 /// A run that ended without success.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct LostRun {
--- a/crates/geraniumshed-core/src/assignment/lease_ledger.rs
+++ b/crates/geraniumshed-core/src/assignment/lease_ledger.rs
@@ -22,6 +22,8 @@
 const SILENCE_LIMIT: Duration = Duration::from_millis(1100);
 /// The margin by which a lease of an earlier planner may outlast its length plus clock drift.
 const LEASE_MARGIN: Duration = Duration::from_millis(300);
+/// The time within which a call reaches a worker, as long as its sender waits for the answer.
+const DELIVERY_TIME: Duration = Duration::from_secs(1);
 
 /// The leases of the silent workers that may still have runs, and limits of all leases.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -177,6 +179,15 @@
         let end = now + longest_duration(self.settings.longest_lease);
         if let Some(entry) = self.workers.get_mut(worker) {
             entry.lease_expires_at = end;
+        }
+        self.note_long_lease(now, worker);
+    }
+
+    /// Notes that a process of a worker may have just been granted the longest lease, and stores that
+    /// for a successor.
+    pub(super) fn note_long_lease(&mut self, now: TimePoint, worker: &WorkerId) {
+        let end = now + longest_duration(self.settings.longest_lease);
+        if let Some(entry) = self.workers.get_mut(worker) {
             entry.long_lease_until = end;
         }
         if end > now + longest_duration(self.longest_requested_lease()) {
@@ -184,6 +195,12 @@
         }
     }
 
+    /// Returns when the lease has expired that a call which is sent now grants a process that isn't
+    /// known.
+    pub(super) fn longest_lease_end(&self, now: TimePoint) -> TimePoint {
+        now + DELIVERY_TIME + longest_duration(self.settings.longest_lease)
+    }
+
     /// Returns whether a worker's process may be so new that a call for an earlier one has granted
     /// it the longest lease.
     pub(super) fn is_new_process(&self, reading: WorkerTime) -> bool {
@@ -236,7 +253,7 @@
             entry.has_stored_lease = true;
             silent.push(WorkerLease {
                 worker: worker.clone(),
-                remaining: entry.lease_expires_at.since(now),
+                remaining: entry.last_run_expires_at().since(now),
             });
         }
         self.lease_ledger.unstored.push_back((batch, workers));
--- a/crates/geraniumshed-core/src/assignment/listed_run.rs
+++ b/crates/geraniumshed-core/src/assignment/listed_run.rs
@@ -69,10 +69,9 @@
             // Another run of the task was started there, which replaces the reported one.
             return;
         }
-        entry.add_run(
-            report.task,
-            run_entry(&step, report.run, RunPhase::Running(now), now),
-        );
+        let mut run = run_entry(&step, report.run, RunPhase::Running(now), now);
+        run.is_in_known_process = true;
+        entry.add_run(report.task, run);
         self.stop_run(now, worker, report.task);
     }
 
@@ -94,6 +93,7 @@
             let phase = RunPhase::Running(now);
             let mut run = run_entry(&newest.step, report.run, phase, now);
             run.is_reported = true;
+            run.is_in_known_process = true;
             // An earlier planner may have slowed it.
             run.is_pace_known = !newest.step.is_best_effort;
             run.record_progress(report.percent, now);
--- a/crates/geraniumshed-core/src/assignment/mod.rs
+++ b/crates/geraniumshed-core/src/assignment/mod.rs
@@ -50,7 +50,7 @@
 pub use action::{CancelOutcome, JobStatus, PlannerAction, PlannerTime, StoreBatch, StoreChange};
 pub use event::{
     AnsweringWorker, DepartingWorker, JobSummary, LostRun, LostWorker, PlacementSummary,
-    PlannerEvent, SilentWorker, StartDelay, TaskTrial, UnexpectedRun,
+    PlannerEvent, RestartSign, RestartedWorker, SilentWorker, StartDelay, TaskTrial, UnexpectedRun,
 };
 pub use interference::{
     InterferenceModel, InterferenceSnapshot, LoadShare, ServedImageRecord, SlopeRecord,
--- a/crates/geraniumshed-core/src/assignment/registry.rs
+++ b/crates/geraniumshed-core/src/assignment/registry.rs
@@ -6,6 +6,7 @@
 use geraniumshed_model::prelude::{ResourceSize, TimePoint};
 
 use super::action::PlannerTime;
+use super::event::RestartSign;
 use super::planner::JobPlanner;
 use super::starting::run_entry;
 use crate::job::{JobEntry, ServiceName, TaskKey, TaskPhase, WorkerId};
@@ -50,7 +51,12 @@
         let lease_expires_at = self.inherited_lease_end(now.point);
         if let Some(entry) = self.workers.get_mut(&listing.id) {
             entry.is_listed = true;
+            let id = listing.id.clone();
+            let names_another = entry.listing.incarnation != listing.incarnation;
             self.is_placement_due |= entry.update_listing(listing);
+            if names_another && entry.is_registered_as_later() {
+                self.expect_restart(now.point, &id, RestartSign::Registration);
+            }
             return;
         }
         self.prove_losses_by_address(now, listing.address);
--- a/crates/geraniumshed-core/src/assignment/renewals.rs
+++ b/crates/geraniumshed-core/src/assignment/renewals.rs
@@ -68,6 +68,7 @@
     /// Sends the renewals that are due.
     pub(super) fn send_renewals(&mut self, now: TimePoint) {
         let lease = self.lease_length();
+        let longest_lease_end = self.longest_lease_end(now);
         let may_extend = self.order_permit.may_extend_leases();
         self.sync_workers(now);
         for id in self.renewal_queue.due(now) {
@@ -77,6 +78,7 @@
             let is_immediate = entry.unanswered_calls > 0
                 || !entry.is_adopted
                 || entry.has_unsettled()
+                || entry.later_process_seen_at.is_some()
                 || self.is_handing_over;
             let wait = if is_immediate {
                 Duration::ZERO
@@ -90,7 +92,7 @@
             let deadline = if entry.unanswered_calls > 0 || !may_extend {
                 None
             } else {
-                entry.extend_lease(now, lease)
+                entry.extend_lease(now, lease, longest_lease_end)
             };
             let sent = SentRenewal {
                 sent_at: now,
--- a/crates/geraniumshed-core/src/assignment/starting.rs
+++ b/crates/geraniumshed-core/src/assignment/starting.rs
@@ -81,6 +81,7 @@
             StepPermission::Anywhere
         );
         let lease = self.lease_length();
+        let longest_lease_end = self.longest_lease_end(now.point);
         let Some(worker) = self.workers.get_mut(&start.worker) else {
             return;
         };
@@ -88,7 +89,7 @@
         let ticket =
             advice.and_then(|advice| advice.ticket(&start.worker, worker.incarnation, now.point));
         let ticket = ticket.cloned();
-        let deadline = worker.extend_lease(now.point, lease);
+        let deadline = worker.extend_lease(now.point, lease, longest_lease_end);
         let Some(run) = worker.runs.get_mut(&start.task) else {
             return;
         };
@@ -140,6 +141,7 @@
         run,
         phase,
         is_reported: false,
+        is_in_known_process: false,
         ordered_at: None,
         placed_at: now,
         reserved: step.reserved_size(),
--- a/crates/geraniumshed-core/src/assignment/supervision.rs
+++ b/crates/geraniumshed-core/src/assignment/supervision.rs
@@ -15,16 +15,26 @@
 /// The progress that a long-running task reports once it is ready, in percent.
 pub(super) const WHOLE_PERCENT: u32 = 100;
 
+impl WorkerEntry {
+    /// Returns whether the lease of any run has expired, or that of the worker if it has no runs and
+    /// isn't registered.
+    fn has_expired(&self, now: TimePoint) -> bool {
+        if self.runs.is_empty() {
+            return !self.is_listed && self.lease_expires_at < now;
+        }
+        let mut runs = self.runs.values();
+        runs.any(|run| self.run_expires_at(run) < now)
+    }
+}
+
 impl JobPlanner {
     /// Gives up the runs of workers whose leases have expired.
     pub(super) fn release_expired_workers(&mut self, now: PlannerTime) {
-        let is_expired = |entry: &WorkerEntry| {
-            entry.lease_expires_at < now.point && (entry.unanswered_calls > 0 || !entry.is_listed)
-        };
+        let is_silent = |entry: &WorkerEntry| entry.unanswered_calls > 0 || !entry.is_listed;
         let expired: Vec<WorkerId> = self
             .workers
             .values()
-            .filter(|entry| is_expired(entry) && (!entry.runs.is_empty() || !entry.is_listed))
+            .filter(|entry| is_silent(entry) && entry.has_expired(now.point))
             .map(|entry| entry.id().clone())
             .collect();
         // A release takes the runs of a worker, by which others are told to be silent as well.
@@ -36,19 +46,26 @@
         }
     }
 
-    /// Gives up all runs of a worker, and removes the worker if it is no longer registered.
+    /// Gives up the runs of a worker, or those whose leases have expired if that is the cause. Removes
+    /// the worker if it is no longer registered and has no runs left.
     pub(super) fn release_worker(&mut self, now: PlannerTime, worker: &WorkerId, cause: LossCause) {
         let Some(entry) = self.workers.get(worker) else {
             return;
         };
         let is_listed = entry.is_listed;
         let token = entry.token;
-        let runs = entry.runs.iter().map(|(key, run)| (*key, run.clone()));
-        let runs: Vec<(TaskKey, RunEntry)> = runs.collect();
+        let is_lost = |run: &RunEntry| match cause {
+            LossCause::Restarted | LossCause::Replaced => true,
+            LossCause::LeaseExpired => entry.run_expires_at(run) < now.point,
+        };
+        let lost = entry.runs.iter().filter(|(_, run)| is_lost(run));
+        let lost = lost.map(|(key, run)| (*key, run.clone()));
+        let runs: Vec<(TaskKey, RunEntry)> = lost.collect();
+        let keeps_runs = runs.len() < entry.runs.len();
         self.assess_runs(now.point, worker);
         self.report_loss(now.point, worker, cause.name());
         self.lose_runs(now, worker, cause, &runs);
-        if is_listed {
+        if is_listed || keeps_runs {
             self.force_renewal(worker);
         } else {
             self.workers.remove(worker);
--- a/crates/geraniumshed-core/src/assignment/worker_events.rs
+++ b/crates/geraniumshed-core/src/assignment/worker_events.rs
@@ -38,7 +38,7 @@
             worker: worker.clone(),
             runs: entry.runs.len(),
             last_heard: entry.last_heard(now),
-            lease_remaining: entry.lease_expires_at.since(now),
+            lease_remaining: entry.last_run_expires_at().since(now),
             is_lease_inherited: !entry.is_adopted,
         };
         self.emit(PlannerEvent::WorkerSilent(silent));
@@ -80,7 +80,7 @@
             worker: worker.clone(),
             standing,
             runs: entry.runs.len(),
-            lease_remaining: entry.lease_expires_at.since(now),
+            lease_remaining: entry.last_run_expires_at().since(now),
             is_lease_inherited: !entry.is_adopted,
         };
         self.emit(PlannerEvent::WorkerDeparting(departing));
--- a/crates/geraniumshed-core/src/assignment/worker_replies.rs
+++ b/crates/geraniumshed-core/src/assignment/worker_replies.rs
@@ -5,7 +5,7 @@
 use geraniumshed_model::prelude::TimePoint;
 
 use super::action::{PlannerAction, PlannerTime};
-use super::event::{PlannerEvent, StartDelay};
+use super::event::{PlannerEvent, RestartSign, StartDelay};
 use super::pacing::{pace_worker, recent_share};
 use super::planner::JobPlanner;
 use super::run_end::RunEndCause;
@@ -13,8 +13,8 @@
 use super::worker_loss::LossCause;
 use crate::job::{JobEntry, JobId, TaskKey, WorkerId};
 use crate::worker::{
-    RenewReply, RunEntry, RunPhase, RunReport, SentRenewal, StartReply, WorkerCall, WorkerEntry,
-    WorkerFailure,
+    ProcessMatch, RenewReply, RunEntry, RunPhase, RunReport, SentRenewal, StartAnswer, StartReply,
+    WorkerCall, WorkerEntry, WorkerFailure,
 };
 
 impl JobPlanner {
@@ -25,7 +25,7 @@
         worker: &WorkerId,
         task: TaskKey,
         run: u32,
-        reply: Result<StartReply, WorkerFailure>,
+        answer: Result<StartAnswer, WorkerFailure>,
     ) {
         self.start_window.record_answered(now.point);
         self.is_placement_due |= self.is_window_full;
@@ -39,29 +39,24 @@
             RunPhase::Ordered(token) if current.run == run => token,
             _ => return,
         };
-        match reply {
-            Ok(StartReply::Started) => {
-                current.phase = RunPhase::Running(now.point);
-                current.progressed_at = now.point;
-                let stops = current.is_stopping();
-                let (placed_at, ordered_at) = (current.placed_at, current.ordered_at);
-                self.report_start(now.point, task, placed_at, ordered_at);
-                if stops {
-                    self.send_stop(now.point, worker, task);
-                }
+        let ordered_at = current.ordered_at.unwrap_or(now.point);
+        match answer.map(|answer| (answer.reply, answer.process)) {
+            Ok((StartReply::Started, process)) => {
+                let matched = self.match_started(now.point, worker, ordered_at, process);
+                self.confirm_start(now.point, worker, task, matched);
             }
-            Ok(StartReply::NoRoom | StartReply::Late | StartReply::Rejected) => {
+            Ok((StartReply::NoRoom | StartReply::Late | StartReply::Rejected, _)) => {
                 self.drop_run(now, worker, task, run, "refused");
             }
-            Ok(StartReply::NoTicket) => {
+            Ok((StartReply::NoTicket, _)) => {
                 self.advice.drop_ticket(task.into(), worker);
                 self.drop_run(now, worker, task, run, "ticket refused");
             }
-            Ok(StartReply::Unhealthy) => {
+            Ok((StartReply::Unhealthy, _)) => {
                 entry.quarantine.start(now.point);
                 self.drop_run(now, worker, task, run, "unhealthy");
             }
-            Ok(StartReply::Fenced | StartReply::Outdated | StartReply::OtherLife) => {
+            Ok((StartReply::Fenced | StartReply::Outdated | StartReply::OtherLife, _)) => {
                 // The worker's list of runs will show whether the run exists.
                 current.phase = RunPhase::Unsettled(token);
                 self.force_renewal(worker);
@@ -81,6 +76,33 @@
         }
     }
 
+    /// Handles that a worker has confirmed the start of a task. If a later process than the known one
+    /// has, its list of runs settles the start.
+    fn confirm_start(
+        &mut self,
+        now: TimePoint,
+        worker: &WorkerId,
+        task: TaskKey,
+        matched: ProcessMatch,
+    ) {
+        let entry = self.workers.get_mut(worker);
+        let Some(run) = entry.and_then(|entry| entry.runs.get_mut(&task)) else {
+            return;
+        };
+        if matched == ProcessMatch::Later {
+            return;
+        }
+        run.phase = RunPhase::Running(now);
+        run.is_in_known_process = matched == ProcessMatch::Known;
+        run.progressed_at = now;
+        let stops = run.is_stopping();
+        let (placed_at, ordered_at) = (run.placed_at, run.ordered_at);
+        self.report_start(now, task, placed_at, ordered_at);
+        if stops {
+            self.send_stop(now, worker, task);
+        }
+    }
+
     /// Emits the event about the stages of a run's start.
     fn report_start(
         &mut self,
@@ -137,6 +159,10 @@
             entry.next_renewal_at = now.point;
             entry.read_at = now.point;
             entry.listed_end = reply.last_end();
+            // The process that answers now is the newest one, whatever was seen before the call.
+            entry.later_process_seen_at = entry
+                .later_process_seen_at
+                .filter(|seen_at| *seen_at > sent.sent_at);
         }
         let has_restarted = entry.incarnation.is_some()
             && reply.incarnation.is_some()
@@ -151,8 +177,15 @@
         let Some(entry) = self.workers.get_mut(worker) else {
             return;
         };
+        let was_unknown = entry.incarnation.is_none();
         entry.incarnation = reply.incarnation.or(entry.incarnation);
         entry.unanswered_calls = 0;
+        if was_unknown && entry.is_registered_as_later() {
+            self.expect_restart(now.point, worker, RestartSign::Registration);
+        }
+        let Some(entry) = self.workers.get_mut(worker) else {
+            return;
+        };
         if entry.clock.is_none() && is_new_process {
             self.assume_longest_lease(now.point, worker);
         }
@@ -364,6 +397,7 @@
         return false;
     };
     run.is_reported = true;
+    run.is_in_known_process = true;
     if !matches!(run.phase, RunPhase::Running(_)) {
         run.phase = RunPhase::Running(now);
         run.progressed_at = now;
--- a/crates/geraniumshed-core/src/assignment/worker_restart.rs
+++ b/crates/geraniumshed-core/src/assignment/worker_restart.rs
@@ -1,13 +1,56 @@
 //! Handling of workers that are back as a new process under the same id.
 
+use geraniumshed_model::prelude::TimePoint;
+
 use super::action::PlannerTime;
-use super::event::PlannerEvent;
+use super::event::{PlannerEvent, RestartSign, RestartedWorker};
 use super::planner::JobPlanner;
 use super::worker_loss::LossCause;
 use crate::job::{TaskKey, WorkerId};
-use crate::worker::{RenewReply, RunEntry, RunPhase, SentRenewal};
+use crate::worker::{ProcessMatch, ProcessReading, RenewReply, RunEntry, RunPhase, SentRenewal};
 
 impl JobPlanner {
+    /// Returns which process of a worker has confirmed a start, and prepares for the news that it has
+    /// restarted unless that is the known one.
+    pub(super) fn match_started(
+        &mut self,
+        now: TimePoint,
+        worker: &WorkerId,
+        ordered_at: TimePoint,
+        process: ProcessReading,
+    ) -> ProcessMatch {
+        let Some(entry) = self.workers.get(worker) else {
+            return ProcessMatch::Unclear;
+        };
+        let matched = entry.match_process(process, ordered_at, now);
+        match matched {
+            ProcessMatch::Known => {}
+            ProcessMatch::Later => self.expect_restart(now, worker, RestartSign::StartAnswer),
+            ProcessMatch::Unclear => self.note_long_lease(now, worker),
+        }
+        matched
+    }
+
+    /// Handles a sign that a worker has a later process than the known one. It gets no orders until it
+    /// has answered a renewal, which shows the runs of that process.
+    pub(super) fn expect_restart(&mut self, now: TimePoint, worker: &WorkerId, sign: RestartSign) {
+        let Some(entry) = self.workers.get_mut(worker) else {
+            return;
+        };
+        if entry.later_process_seen_at.is_none() {
+            entry.later_process_seen_at = Some(now);
+            let restarted = RestartedWorker {
+                worker: worker.clone(),
+                sign,
+                runs: entry.runs.len(),
+                lease_remaining: entry.last_run_expires_at().since(now),
+            };
+            self.emit(PlannerEvent::RestartSeen(restarted));
+        }
+        self.note_long_lease(now, worker);
+        self.force_renewal(worker);
+    }
+
     /// Handles the restart of a worker, which loses the runs of the earlier process.
     ///
     /// Runs that were ordered before the restart was known may be runs of the new process. They are kept
@@ -31,6 +74,7 @@
         // What was found about the runs that are kept still holds if they don't exist.
         entry.is_assessed = !kept.is_empty();
         for (key, mut run) in kept {
+            run.is_in_known_process = false;
             if let RunPhase::Running(_) = run.phase {
                 run.phase = RunPhase::Unsettled(entry.token);
             }
--- a/crates/geraniumshed-core/src/worker/clock.rs
+++ b/crates/geraniumshed-core/src/worker/clock.rs
@@ -19,17 +19,32 @@
     }
 }
 
-/// The newest reading of a worker's clock, with the time at which it arrived.
+/// The newest reading of a worker's clock, with the times at which it was asked for and arrived.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct WorkerClock {
     reading: WorkerTime,
+    asked_at: TimePoint,
     read_at: TimePoint,
 }
 
 impl WorkerClock {
-    /// Creates a clock from a reading that arrived at the given time.
-    pub fn new(reading: WorkerTime, read_at: TimePoint) -> Self {
-        Self { reading, read_at }
+    /// Creates a clock from a reading that was asked for and arrived at the given times.
+    pub fn new(reading: WorkerTime, asked_at: TimePoint, read_at: TimePoint) -> Self {
+        Self {
+            reading,
+            asked_at,
+            read_at,
+        }
+    }
+
+    /// Returns when the reading was asked for.
+    pub fn asked_at(&self) -> TimePoint {
+        self.asked_at
+    }
+
+    /// Returns when the reading arrived.
+    pub fn read_at(&self) -> TimePoint {
+        self.read_at
     }
 
     /// Returns a lower bound of what the worker's clock shows now.
--- a/crates/geraniumshed-core/src/worker/entry.rs
+++ b/crates/geraniumshed-core/src/worker/entry.rs
@@ -53,6 +53,12 @@
     pub lease_expires_at: TimePoint,
     /// The time until which the worker may have a lease that is longer than requested.
     pub long_lease_until: TimePoint,
+    /// The time by which the lease has expired that calls may have extended in a later process, whose
+    /// clock the deadlines in them don't fit.
+    pub later_lease_expires_at: TimePoint,
+    /// When the worker was seen to have a later process than the known one, until that has answered a
+    /// renewal.
+    pub later_process_seen_at: Option<TimePoint>,
     /// Whether the store may hold the lease for a successor, so that it must not be extended.
     pub has_stored_lease: bool,
     /// The runs that may be executing on the worker.
@@ -127,6 +133,8 @@
             deadline: WorkerTime::default(),
             lease_expires_at,
             long_lease_until: TimePoint::default(),
+            later_lease_expires_at: TimePoint::default(),
+            later_process_seen_at: None,
             has_stored_lease: false,
             runs: BTreeMap::new(),
             reserved: ResourceSize::default(),
@@ -156,6 +164,11 @@
         }
     }
 
+    /// Returns whether the registration names a later process than the known one.
+    pub fn is_registered_as_later(&self) -> bool {
+        self.incarnation.is_some() && self.listing.incarnation > self.incarnation
+    }
+
     /// Replaces the registration, and returns whether the worker's capacity has grown.
     pub fn update_listing(&mut self, listing: WorkerListing) -> bool {
         let has_grown = !listing.capacity.fits(&self.listing.capacity);
@@ -174,6 +187,7 @@
         self.is_listed
             && self.is_adopted
             && self.unanswered_calls == 0
+            && self.later_process_seen_at.is_none()
             && !self.has_stored_lease
             && !self.listing.is_draining
             && self.quarantine.allows_task(now)
@@ -222,9 +236,7 @@
     /// Only what its last answer listed is acknowledged, and only while nothing speaks for a later
     /// process, which numbers its ends from 1 again and would drop some that nobody has read.
     pub fn acknowledged_end(&self) -> u64 {
-        let registered = self.listing.incarnation;
-        let has_restarted = registered.is_some() && registered > self.incarnation;
-        if self.unanswered_calls > 0 || has_restarted {
+        if self.unanswered_calls > 0 || self.later_process_seen_at.is_some() {
             return 0;
         }
         self.stored_end.min(self.listed_end)
@@ -259,19 +271,43 @@
         Some(run)
     }
 
-    /// Extends the lease and returns the new deadline, or `None` while the worker's clock is
-    /// unknown or a successor may rely on the stored lease.
-    pub fn extend_lease(&mut self, now: TimePoint, length: Duration) -> Option<WorkerTime> {
-        if self.has_stored_lease {
+    /// Extends the lease and returns the new deadline, or `None` while the clock of the worker's
+    /// process is unknown or a successor may rely on the stored lease.
+    ///
+    /// A call that reaches a later process extends its lease until `longest_end`, whatever the deadline.
+    pub fn extend_lease(
+        &mut self,
+        now: TimePoint,
+        length: Duration,
+        longest_end: TimePoint,
+    ) -> Option<WorkerTime> {
+        if self.has_stored_lease || self.later_process_seen_at.is_some() {
             return None;
         }
         let clock = self.clock?;
         let deadline = clock.earliest(now).plus(length);
         self.deadline = self.deadline.max(deadline);
         self.lease_expires_at = self.lease_expires_at.max(clock.passed_at(deadline));
+        self.later_lease_expires_at = self.later_lease_expires_at.max(longest_end);
         Some(deadline)
     }
 
+    /// Returns when the lease has expired under which a run may be active.
+    pub fn run_expires_at(&self, run: &RunEntry) -> TimePoint {
+        let may_be_later = run.ordered_at.is_some() && !run.is_in_known_process;
+        if may_be_later {
+            self.lease_expires_at.max(self.later_lease_expires_at)
+        } else {
+            self.lease_expires_at
+        }
+    }
+
+    /// Returns when the leases of all runs have expired.
+    pub fn last_run_expires_at(&self) -> TimePoint {
+        let ends = self.runs.values().map(|run| self.run_expires_at(run));
+        ends.fold(self.lease_expires_at, TimePoint::max)
+    }
+
     /// Records a reading of the worker's clock.
     ///
     /// Until the first reading, it is only known when the leases of earlier schedulers have expired.
@@ -281,7 +317,7 @@
             let remaining = self.lease_expires_at.since(sent_at);
             self.deadline = reading.plus(remaining);
         }
-        let clock = WorkerClock::new(reading, now);
+        let clock = WorkerClock::new(reading, sent_at, now);
         self.clock = Some(clock);
         self.lease_expires_at = clock.passed_at(self.deadline);
     }
@@ -302,6 +338,7 @@
         incarnation: WorkerIncarnation,
     ) -> Vec<(TaskKey, RunEntry)> {
         self.incarnation = Some(incarnation);
+        self.later_process_seen_at = None;
         self.clock = None;
         self.deadline = WorkerTime::default();
         self.stored_end = 0;
--- a/crates/geraniumshed-core/src/worker/message.rs
+++ b/crates/geraniumshed-core/src/worker/message.rs
@@ -8,6 +8,7 @@
 
 use super::clock::WorkerTime;
 use super::listing::WorkerIncarnation;
+use super::process::ProcessReading;
 use crate::job::{StepKey, TaskKey, WorkerId};
 
 /// A fencing token. A worker refuses orders with a lower token than the highest one that it has
@@ -146,6 +147,24 @@
     Rejected,
 }
 
+/// The worker's answer to the order to start a task.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StartAnswer {
+    /// The reply.
+    pub reply: StartReply,
+    /// The process that has answered.
+    pub process: ProcessReading,
+}
+
+impl From<StartReply> for StartAnswer {
+    fn from(reply: StartReply) -> Self {
+        Self {
+            reply,
+            process: ProcessReading::default(),
+        }
+    }
+}
+
 /// The reason why a call to a worker got no answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum WorkerFailure {
--- a/crates/geraniumshed-core/src/worker/mod.rs
+++ b/crates/geraniumshed-core/src/worker/mod.rs
@@ -6,6 +6,7 @@
 mod listing;
 mod load;
 mod message;
+mod process;
 mod quarantine;
 mod run;
 mod table;
@@ -17,8 +18,9 @@
 pub use load::{ServedLoad, WorkerLoad};
 pub use message::{
     AdviceReply, AdviceRequest, EndKind, FenceToken, PaceOrder, RenewReply, RenewRequest, RunEnd,
-    RunReport, StartOrder, StartReply, StopOrder, WorkerCall, WorkerFailure,
+    RunReport, StartAnswer, StartOrder, StartReply, StopOrder, WorkerCall, WorkerFailure,
 };
+pub use process::{ProcessMatch, ProcessReading};
 pub use quarantine::WorkerQuarantine;
 pub use run::{FULL_PERCENT, RunEntry, RunPhase};
 pub use table::WorkerTable;
--- a/crates/geraniumshed-core/src/worker/run.rs
+++ b/crates/geraniumshed-core/src/worker/run.rs
@@ -33,6 +33,9 @@
     pub phase: RunPhase,
     /// Whether a renewal has reported the run to this planner.
     pub is_reported: bool,
+    /// Whether the known process of the worker has confirmed the run. Until then, it may be one of a
+    /// later process.
+    pub is_in_known_process: bool,
     /// When this planner sent the start order, or `None` for a run of an earlier planner.
     pub ordered_at: Option<TimePoint>,
     /// The resources that the run reserves.
--- a/crates/geraniumshed-core/tests/start_rights/leader.rs
+++ b/crates/geraniumshed-core/tests/start_rights/leader.rs
@@ -9,7 +9,7 @@
 use geraniumshed_core::job::{QueueName, QueuePolicy, TaskKey, WorkerId};
 use geraniumshed_core::leadership::LeaderTerm;
 use geraniumshed_core::worker::{
-    RenewReply, SentRenewal, StartReply, WorkerFailure, WorkerListing,
+    RenewReply, SentRenewal, StartAnswer, WorkerFailure, WorkerListing,
 };
 use geraniumshed_model::prelude::TimePoint;
 
@@ -23,7 +23,7 @@
 /// What a leader gets to know.
 #[derive(Debug, Clone)]
 pub enum LeaderInput {
-    Start(WorkerId, TaskKey, u32, Result<StartReply, WorkerFailure>),
+    Start(WorkerId, TaskKey, u32, Result<StartAnswer, WorkerFailure>),
     Stop(WorkerId, Result<(), WorkerFailure>),
     Renew(WorkerId, SentRenewal, RenewOutcome),
     Appended(u64, AppendResult),
--- a/crates/geraniumshed-core/tests/start_rights/orders.rs
+++ b/crates/geraniumshed-core/tests/start_rights/orders.rs
@@ -106,6 +106,25 @@
     assert_none(replay(Assumptions::BOUND_CALLS, 1, LONG_RETENTION, steps));
 }
 
+// Guards against a run that is given up too early since its lease was counted on the clock of a process
+// that is gone: the worker has restarted unnoticed, starts the task, and is cut off.
+#[rstest]
+#[case::start_is_answered(&[
+    Store(0), Answer(0), Crash(0), Return(0, SameId), Hold(Newest(0, Renew, 0)),
+    Deliver(Newest(0, Start, 0)), Answer(0), Cut(0, 0), Pass, Pass, Pass, Pass, Pass, Pass, Pass, Pass,
+])]
+#[case::start_is_not_answered(&[
+    Crash(0), Return(0, SameId), Store(0), Answer(0), DeliverUnanswered(Newest(0, Start, 0)),
+    Cut(0, 0), Pass, Pass, Pass, Pass, Pass, Pass, Pass, Pass,
+])]
+#[case::late_crash(&[
+    Store(0), Answer(0), Crash(0), Return(0, SameId), DeliverUnanswered(Newest(0, Start, 0)),
+    Cut(0, 0), Pass, Pass, Pass, Pass, Pass, Pass, Pass, Pass,
+])]
+fn run_of_a_later_process_is_given_up_after_its_own_lease(#[case] steps: &[Step]) {
+    assert_none(replay(Assumptions::PROTOCOL, 1, LONG_RETENTION, steps));
+}
+
 // Guards against a start order of a killed leader, or a copy of one, that reaches a later process of
 // the worker, which knows no fencing token.
 #[rstest]
--- a/crates/geraniumshed-core/tests/start_rights/world/calls.rs
+++ b/crates/geraniumshed-core/tests/start_rights/world/calls.rs
@@ -2,7 +2,7 @@
 
 use geraniumshed_core::assignment::PlannerAction;
 use geraniumshed_core::job::TaskKey;
-use geraniumshed_core::worker::{EndKind, StartReply, WorkerCall, WorkerFailure};
+use geraniumshed_core::worker::{EndKind, StartAnswer, StartReply, WorkerCall, WorkerFailure};
 
 use super::{CALL_TIMEOUT, CallBody, SentAnswer, SentCall, World, with_body, worker_number};
 use crate::checker::ProcessId;
@@ -61,6 +61,10 @@
             CallBody::Start(order) => {
                 let (task, run) = (order.task, order.run);
                 let (reply, is_new) = process.start(call.token, &order, now);
+                let answer = StartAnswer {
+                    reply,
+                    process: process.reading(now),
+                };
                 self.log(format!(
                     "{id:?} {task} run {run}: {reply:?} on {process_id:?}"
                 ));
@@ -68,7 +72,7 @@
                     let active = self.active_run(task, process_id, run);
                     self.checker.record_start(task, run, process_id, active);
                 }
-                LeaderInput::Start(worker, task, run, Ok(reply))
+                LeaderInput::Start(worker, task, run, Ok(answer))
             }
             CallBody::Stop(order) => {
                 process.stop(call.token, order.task, order.run);
@@ -221,7 +225,7 @@
     let worker = sent.call.worker.clone();
     match &sent.call.body {
         CallBody::Start(order) => {
-            let reply = Ok(StartReply::OtherLife);
+            let reply = Ok(StartReply::OtherLife.into());
             LeaderInput::Start(worker, order.task, order.run, reply)
         }
         CallBody::Stop(_) => LeaderInput::Stop(worker, Ok(())),
--- a/crates/geraniumshed-core/tests/worker_clock.rs
+++ b/crates/geraniumshed-core/tests/worker_clock.rs
@@ -19,7 +19,7 @@
     /// reading, and a later point is reached no earlier.
     #[test]
     fn bounds_of_any_reading_hold(reading: u64, read_at: u64, point: u64, later in 0..=u64::MAX) {
-        let clock = WorkerClock::new(WorkerTime(reading), TimePoint(read_at));
+        let clock = WorkerClock::new(WorkerTime(reading), TimePoint(read_at), TimePoint(read_at));
         prop_assert!(clock.earliest(TimePoint(later)) >= WorkerTime(reading));
         let passed = clock.passed_at(WorkerTime(point));
         prop_assert!(passed >= TimePoint(read_at));
@@ -33,7 +33,7 @@
 #[case::far_ahead(0, u64::MAX)]
 #[case::product_overflows(0, u64::MAX / 1000 + 1)]
 fn a_reading_out_of_range_ends_no_planner(#[case] reading: u64, #[case] point: u64) {
-    let clock = WorkerClock::new(WorkerTime(reading), TimePoint(5));
+    let clock = WorkerClock::new(WorkerTime(reading), TimePoint(5), TimePoint(5));
     let later = TimePoint(1_000_000);
     let extended = clock.earliest(later).plus(Duration::from_secs(1));
     assert!(extended > WorkerTime(0));
--- a/crates/geraniumshed-core/tests/worker_load.rs
+++ b/crates/geraniumshed-core/tests/worker_load.rs
@@ -19,6 +19,7 @@
         run: 1,
         phase: RunPhase::Running(TimePoint::default()),
         is_reported: false,
+        is_in_known_process: false,
         ordered_at: None,
         placed_at: TimePoint::default(),
         reserved: ResourceSize::default(),
--- a/crates/geraniumshed/src/bench/jobs/model.rs
+++ b/crates/geraniumshed/src/bench/jobs/model.rs
@@ -208,7 +208,13 @@
                     let now = self.time();
                     let planner = &mut self.planner;
                     self.times.time(PlannerPart::Start, || {
-                        planner.start_answered(now, &worker, task, run, Ok(StartReply::Started));
+                        planner.start_answered(
+                            now,
+                            &worker,
+                            task,
+                            run,
+                            Ok(StartReply::Started.into()),
+                        );
                     });
                 }
                 ModelEvent::RenewalDue(worker, sent) => self.answer_renewal(&worker, sent),
