Give up no missing run while a worker leaves out some ends

Cause: a worker lists 500 ends at a time, and the next ones only when those are acknowledged. A run whose end is beyond them is in neither list, and a run in neither list counted as one that doesn't exist. While the store is down nothing is acknowledged; the same holds for ends that pile up before a takeover.

Evidence: the leader's log has 'not there' for exactly the 100 runs whose ends were beyond the 500th, and no expired lease and no takeover.

Change: an answer says whether it lists all ends. While it doesn't, no missing run is given up or counts as stalled, and a restart loses only runs that the earlier process has confirmed. A log line says when a worker's list becomes incomplete.

Why it works: the ends that are listed are acknowledged once they are stored, which makes room for the next ones, until the list is whole and shows what is missing.

Tests of geraniumshed-batch and platform: pass.

--- a/crates/geraniumshed-batch/src/leader/start_delays.rs
+++ b/crates/geraniumshed-batch/src/leader/start_delays.rs
@@ -75,6 +75,7 @@
             | PlannerEvent::WorkerLost(_)
             | PlannerEvent::WorkerRestarted(_)
             | PlannerEvent::RestartSeen(_)
+            | PlannerEvent::EndsUnlisted(_)
             | PlannerEvent::TrialBegun(_)
             | PlannerEvent::TaskGivenUp(_) => {}
         }
--- a/crates/geraniumshed-batch/src/telemetry/events.rs
+++ b/crates/geraniumshed-batch/src/telemetry/events.rs
@@ -47,6 +47,12 @@
             log::info!(worker:% = worker; "worker has restarted and lost its runs");
         }
         PlannerEvent::RestartSeen(restarted) => log_restart_sign(restarted),
+        PlannerEvent::EndsUnlisted(unlisted) => log::info!(
+            worker:% = unlisted.worker,
+            listed = unlisted.listed,
+            runs = unlisted.runs;
+            "worker lists only some of the runs that have ended; giving up none that are missing"
+        ),
         PlannerEvent::TrialBegun(trial) => log_trial(
             Level::Info,
             trial,
--- a/crates/geraniumshed-batch/src/telemetry/metrics.rs
+++ b/crates/geraniumshed-batch/src/telemetry/metrics.rs
@@ -470,7 +470,8 @@
             | PlannerEvent::WorkerAnswering(_)
             | PlannerEvent::WorkerDeparting(_)
             | PlannerEvent::WorkerRestarted(_)
-            | PlannerEvent::RestartSeen(_) => {}
+            | PlannerEvent::RestartSeen(_)
+            | PlannerEvent::EndsUnlisted(_) => {}
             PlannerEvent::TrialBegun(_) => {
                 self.trial_runs.inc();
             }
--- a/crates/geraniumshed-batch/src/wire/courier.rs
+++ b/crates/geraniumshed-batch/src/wire/courier.rs
@@ -136,6 +136,8 @@
         running: Vec<RunningWire>,
         /// The ends of runs that the worker hasn't dropped yet.
         ended: Vec<EndedWire>,
+        /// Whether these are all such ends.
+        has_all_ends: bool,
     },
     /// The process at the address is another worker.
     OtherWorker,
@@ -306,6 +308,7 @@
                 incarnation: reply.incarnation.map(|incarnation| incarnation.0),
                 running: reply.running.into_iter().map(Into::into).collect(),
                 ended: reply.ended.into_iter().map(Into::into).collect(),
+                has_all_ends: reply.has_all_ends,
             },
             RenewOutcome::OtherWorker => Self::OtherWorker,
             RenewOutcome::Fenced => Self::Fenced,
@@ -322,11 +325,13 @@
                 incarnation,
                 running,
                 ended,
+                has_all_ends,
             } => Self::Answered(RenewReply {
                 clock: WorkerTime(clock_ms),
                 incarnation: incarnation.map(WorkerIncarnation),
                 running: running.into_iter().map(Into::into).collect(),
                 ended: ended.into_iter().map(Into::into).collect(),
+                has_all_ends,
             }),
             RenewOutcomeWire::OtherWorker => Self::OtherWorker,
             RenewOutcomeWire::Fenced => Self::Fenced,
--- a/crates/geraniumshed-batch/tests/nodes/support/worker.rs
+++ b/crates/geraniumshed-batch/tests/nodes/support/worker.rs
@@ -79,6 +79,7 @@
             incarnation: Some(WorkerIncarnation(1)),
             running: Vec::new(),
             ended,
+            has_all_ends: true,
         })
     }
 }
--- a/crates/geraniumshed-core/src/assignment/event.rs
+++ b/crates/geraniumshed-core/src/assignment/event.rs
@@ -41,6 +41,8 @@
     WorkerRestarted(WorkerId),
     /// A worker was seen to have a later process than the known one.
     RestartSeen(RestartedWorker),
+    /// A worker's answer leaves out some run ends, unlike the one before.
+    EndsUnlisted(UnlistedEnds),
     /// A run was placed as a trial, since workers crashed under earlier runs of its task.
     TrialBegun(TaskTrial),
     /// A task is given up with its job, since workers crash under its runs.
@@ -104,6 +106,17 @@
     pub lease_remaining: Duration,
 }
 
+/// A worker whose answer leaves out some run ends.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct UnlistedEnds {
+    /// The worker.
+    pub worker: WorkerId,
+    /// The number of ends in the answer.
+    pub listed: usize,
+    /// The number of runs that are in progress or have ended without being listed.
+    pub runs: usize,
+}
+
 /// A run that ended without success.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct LostRun {
--- a/crates/geraniumshed-core/src/assignment/mod.rs
+++ b/crates/geraniumshed-core/src/assignment/mod.rs
@@ -51,6 +51,7 @@
 pub use event::{
     AnsweringWorker, DepartingWorker, JobSummary, LostRun, LostWorker, PlacementSummary,
     PlannerEvent, RestartSign, RestartedWorker, SilentWorker, StartDelay, TaskTrial, UnexpectedRun,
+    UnlistedEnds,
 };
 pub use interference::{
     InterferenceModel, InterferenceSnapshot, LoadShare, ServedImageRecord, SlopeRecord,
--- a/crates/geraniumshed-core/src/assignment/supervision.rs
+++ b/crates/geraniumshed-core/src/assignment/supervision.rs
@@ -131,6 +131,10 @@
                     }
                     continue;
                 }
+                if entry.has_unlisted_ends {
+                    // The run may have ended.
+                    continue;
+                }
                 // The time since the last reading says nothing about the progress, so the idle time
                 // ends at that reading.
                 let idle_time = run.idle_time(entry.read_at);
--- a/crates/geraniumshed-core/src/assignment/worker_replies.rs
+++ b/crates/geraniumshed-core/src/assignment/worker_replies.rs
@@ -5,7 +5,7 @@
 use geraniumshed_model::prelude::TimePoint;
 
 use super::action::{PlannerAction, PlannerTime};
-use super::event::{PlannerEvent, RestartSign, StartDelay};
+use super::event::{PlannerEvent, RestartSign, StartDelay, UnlistedEnds};
 use super::pacing::{pace_worker, recent_share};
 use super::planner::JobPlanner;
 use super::run_end::RunEndCause;
@@ -203,7 +203,7 @@
         self.process_reports(now.point, worker, &reply.running, is_latest);
         self.settle_trial(now.point, worker);
         if is_latest {
-            self.drop_missing_runs(now, worker, sent, &reply);
+            self.settle_missing_runs(now, worker, sent, &reply);
             if !has_restarted {
                 self.clear_suspicions(worker);
             }
@@ -305,6 +305,32 @@
         }
     }
 
+    /// Gives up runs that are missing in the worker's reply to a renewal, unless they may have ended and
+    /// the reply leaves out some ends.
+    fn settle_missing_runs(
+        &mut self,
+        now: PlannerTime,
+        worker: &WorkerId,
+        sent: SentRenewal,
+        reply: &RenewReply,
+    ) {
+        let Some(entry) = self.workers.get_mut(worker) else {
+            return;
+        };
+        let had_unlisted_ends = entry.has_unlisted_ends;
+        entry.has_unlisted_ends = !reply.has_all_ends;
+        if reply.has_all_ends {
+            self.drop_missing_runs(now, worker, sent, reply);
+        } else if !had_unlisted_ends {
+            let unlisted = UnlistedEnds {
+                worker: worker.clone(),
+                listed: reply.ended.len(),
+                runs: entry.runs.len(),
+            };
+            self.emit(PlannerEvent::EndsUnlisted(unlisted));
+        }
+    }
+
     /// Gives up runs that are missing in the worker's reply to a renewal, if the renewal was sent
     /// late enough to show them.
     fn drop_missing_runs(
--- a/crates/geraniumshed-core/src/assignment/worker_restart.rs
+++ b/crates/geraniumshed-core/src/assignment/worker_restart.rs
@@ -104,6 +104,9 @@
         || match run.phase {
             RunPhase::Storing => false,
             RunPhase::Ordered(_) | RunPhase::Unsettled(_) => true,
-            RunPhase::Running(since) => since >= sent.sent_at,
+            RunPhase::Running(since) => {
+                let may_be_unlisted = !reply.has_all_ends && !run.is_in_known_process;
+                since >= sent.sent_at || may_be_unlisted
+            }
         }
 }
--- a/crates/geraniumshed-core/src/worker/entry.rs
+++ b/crates/geraniumshed-core/src/worker/entry.rs
@@ -80,6 +80,8 @@
     pub stored_end: u64,
     /// The number of the newest run end in the worker's last answer, or 0 if it had none.
     pub listed_end: u64,
+    /// Whether the worker's last answer left out some run ends.
+    pub has_unlisted_ends: bool,
     /// The number of the newest run end that was processed.
     pub processed_end: u64,
     /// Processed run ends that aren't stored yet: the number of the batch that stores each one,
@@ -143,6 +145,7 @@
             remaining: OnceCell::new(),
             stored_end: 0,
             listed_end: 0,
+            has_unlisted_ends: false,
             processed_end: 0,
             storing_ends: VecDeque::new(),
             read_at: TimePoint::default(),
@@ -343,6 +346,7 @@
         self.deadline = WorkerTime::default();
         self.stored_end = 0;
         self.listed_end = 0;
+        self.has_unlisted_ends = false;
         self.processed_end = 0;
         self.storing_ends.clear();
         self.quarantine = WorkerQuarantine::default();
--- a/crates/geraniumshed-core/src/worker/message.rs
+++ b/crates/geraniumshed-core/src/worker/message.rs
@@ -185,6 +185,9 @@
     pub running: Vec<RunReport>,
     /// The run ends that the worker hasn't dropped yet, oldest first.
     pub ended: Vec<RunEnd>,
+    /// Whether these are all such ends. A worker lists a limited number at a time, and later ones only
+    /// when it has dropped those.
+    pub has_all_ends: bool,
 }
 
 impl RenewReply {
--- a/crates/geraniumshed-core/tests/start_rights/orders.rs
+++ b/crates/geraniumshed-core/tests/start_rights/orders.rs
@@ -125,6 +125,27 @@
     assert_none(replay(Assumptions::PROTOCOL, 1, LONG_RETENTION, steps));
 }
 
+// Guards against a task that is started again after it ended as done, since its worker lists only some
+// ends at a time and the run is in neither of its lists.
+#[rstest]
+#[case::one_leader(&[
+    Crash(1), Pass, Pass, Finish(0, 0), Finish(0, 1), Finish(0, 2), Pass, Pass,
+])]
+#[case::end_that_is_stored_late(&[
+    Crash(1), Pass, Finish(0, 0), Finish(0, 1), Finish(0, 2), Deliver(Newest(0, Renew, 0)), Answer(0),
+    HoldAppend(0), Pass, Store(0), Pass, Pass,
+])]
+#[case::takeover(&[
+    Crash(1), Pass, Finish(0, 0), Finish(0, 1), Finish(0, 2), Kill(0), Claim, Pass, Pass, Pass,
+])]
+#[case::restarted_worker(&[
+    Crash(1), Tick, Crash(0), Return(0, SameId), Pass, Finish(0, 0), Finish(0, 1), Finish(0, 2), Pass,
+    Pass,
+])]
+fn run_whose_end_is_not_listed_yet_is_not_repeated(#[case] steps: &[Step]) {
+    assert_none(replay(Assumptions::PROTOCOL, 3, LONG_RETENTION, steps));
+}
+
 // Guards against a start order of a killed leader, or a copy of one, that reaches a later process of
 // the worker, which knows no fencing token.
 #[rstest]
--- a/crates/geraniumshed-core/tests/start_rights/worker.rs
+++ b/crates/geraniumshed-core/tests/start_rights/worker.rs
@@ -12,6 +12,8 @@
 
 use crate::checker::ProcessId;
 
+/// The number of ends that a worker lists at a time. It is as low as can be, so that few tasks exceed it.
+const LISTED_ENDS: usize = 1;
 /// The longest lease that a worker grants.
 pub const LONGEST_LEASE: Duration = Duration::from_secs(6);
 /// The speed of all workers' clocks, in percent: as slow as the platform allows.
@@ -125,7 +127,8 @@
             clock: self.clock(now),
             incarnation: Some(self.incarnation),
             running: running.collect(),
-            ended: self.ended.clone(),
+            ended: self.ended.iter().take(LISTED_ENDS).cloned().collect(),
+            has_all_ends: self.ended.len() <= LISTED_ENDS,
         };
         Some((reply, acknowledged))
     }
--- a/crates/geraniumshed/src/bench/jobs/model.rs
+++ b/crates/geraniumshed/src/bench/jobs/model.rs
@@ -362,6 +362,7 @@
             incarnation: Some(WorkerIncarnation(1)),
             running: model.running.iter().map(report).collect(),
             ended: model.ended.clone(),
+            has_all_ends: true,
         };
         let planner = &mut self.planner;
         self.times.time(PlannerPart::Renew, || {
