Send no call that was decided on before the process stood still

What callers saw: nothing that is traced to this; found by reading, for the runs of two leaders at once that the users saw on real machines.

Cause: a leader that stood still orders nothing until it has confirmed that it leads, but calls that it had already decided on went out when it went on: one that waited for its task, for a permit or for its connection was sent as soon as that was there, since a timeout looks at what it waits for first. A worker that the next leader has called rejects such a start; one that has restarted meanwhile, or was out of the next leader's reach, does not.

--- a/crates/geraniumshed-batch/src/courier/mod.rs
+++ b/crates/geraniumshed-batch/src/courier/mod.rs
@@ -11,7 +11,7 @@
 mod session;
 
 pub(crate) use link::{CourierLink, LinkCall};
-pub(crate) use order::carry_out;
+pub(crate) use order::carry_out_in_time;
 pub use order::{CourierOrder, CourierReply};
 pub(crate) use roster::CourierRoster;
 pub(crate) use session::CourierSessions;
--- a/crates/geraniumshed-batch/src/courier/order.rs
+++ b/crates/geraniumshed-batch/src/courier/order.rs
@@ -1,9 +1,12 @@
 //! The orders that couriers carry out.
 
+use std::time::Duration;
+
 use geraniumshed_core::worker::{
     PaceOrder, RenewRequest, StartAnswer, StartOrder, StopOrder, WorkerCall, WorkerFailure,
 };
 
+use crate::clock::ReadMark;
 use crate::site::{RenewOutcome, WorkerCaller};
 
 /// What a courier asks of a worker.
@@ -52,11 +55,17 @@
     }
 }
 
-/// Carries out a call.
-pub(crate) async fn carry_out<W: WorkerCaller>(
+/// Carries out a call, unless that is late: if the process has stood still since the call was decided on,
+/// another leader may have taken over.
+pub(crate) async fn carry_out_in_time<W: WorkerCaller>(
     caller: W,
     call: WorkerCall<CourierOrder>,
+    decided: ReadMark,
+    limit: Duration,
 ) -> CourierReply {
+    if decided.age() >= limit {
+        return call.body.failed(WorkerFailure::NotSent);
+    }
     let (call, order) = call.split();
     match order {
         CourierOrder::Start(order) => {
--- a/crates/geraniumshed-batch/src/courier/session.rs
+++ b/crates/geraniumshed-batch/src/courier/session.rs
@@ -8,7 +8,7 @@
 use tokio::sync::Notify;
 use tokio::time::{Instant, timeout_at};
 
-use super::order::{CourierOrder, CourierReply, carry_out};
+use super::order::{CourierOrder, CourierReply, carry_out_in_time};
 use crate::clock::{NodeClock, ReadMark, unix_millis};
 use crate::site::WorkerCaller;
 use crate::wire::{CourierReplyBatchWire, CourierRequestWire};
@@ -121,11 +121,7 @@
         call: WorkerCall<CourierOrder>,
         arrived: ReadMark,
     ) {
-        let reply = if arrived.age() < STALE_DELAY {
-            carry_out(caller, call).await
-        } else {
-            call.body.failed(WorkerFailure::NotSent)
-        };
+        let reply = carry_out_in_time(caller, call, arrived, STALE_DELAY).await;
         self.add_reply(number, reply);
     }
 
--- a/crates/geraniumshed-batch/src/leader/dispatch.rs
+++ b/crates/geraniumshed-batch/src/leader/dispatch.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use geraniumshed_core::assignment::PlannerAction;
 use geraniumshed_core::worker::WorkerCall;
@@ -9,10 +10,15 @@
 use super::actions::{CallOrigin, LeaderAction, advise, deliver_reply};
 use super::event::LeaderHandle;
 use super::start_delays::StartDelayLog;
-use crate::courier::{CourierLink, CourierOrder, CourierRoster, LinkCall, carry_out};
+use crate::clock::ReadMark;
+use crate::courier::{CourierLink, CourierOrder, CourierRoster, LinkCall, carry_out_in_time};
 use crate::site::WorkerCaller;
 use crate::telemetry::{NodeMetrics, log_event};
 
+/// The delay from the decision on a call from which on it isn't made. It is shorter than the lifetime of a
+/// leader's membership.
+const MAX_CALL_DELAY: Duration = Duration::from_millis(700);
+
 /// Executes the planner's actions.
 #[derive(Debug)]
 pub(super) struct ActionDispatcher<W> {
@@ -55,11 +61,12 @@
         }
     }
 
-    /// Makes a call.
+    /// Makes a call, unless the process stands still before it is made.
     fn call(&self, call: WorkerCall<CourierOrder>, origin: CallOrigin) {
         let (caller, handle) = (self.caller.clone(), self.handle.clone());
+        let decided = ReadMark::now();
         tokio::spawn(async move {
-            let reply = carry_out(caller, call).await;
+            let reply = carry_out_in_time(caller, call, decided, MAX_CALL_DELAY).await;
             deliver_reply(&handle, origin, reply);
         });
     }
