Take a gang as done with the first successful end of a member

Cause: the end of one member marked that member alone as done. The other one's run was lost with its worker, so it waited, while a gang is placed only if all of its members wait: some done and others waiting was a state without a way out. The members of a gang succeed together, so one such end stands for all.

Evidence: gang_is_done_although_the_end_of_a_member_is_lost, 12 cases (gangs of 2 and 5, the worker back under its id, under a new one, or never, with and without a takeover).

Change: a successful end marks all members as done, in memory and in the same stored record, and stops later runs of them. Progress that an earlier release has stored for some members alone is completed when it is restored.

Why it works: some members done and others not is no longer a state that is reached or restored.

--- a/crates/geraniumshed-core/src/assignment/run_end.rs
+++ b/crates/geraniumshed-core/src/assignment/run_end.rs
@@ -94,9 +94,14 @@
             self.change_tracker.mark_crashes_changed(key.job);
         }
         let failures = task.failures;
+        let is_gang_done = step.is_gang && task.is_done();
         if is_final {
             return unstored;
         }
+        if is_gang_done {
+            self.finish_gang(now.point, key, run);
+        }
+        let job = self.jobs.get_mut(&key.job)?;
         self.jobs_to_place.insert(key.job);
         if let Some(reason) = outcome.loss_reason() {
             job.diagnostics.record_lost_run(reason);
@@ -115,6 +120,15 @@
         Some(self.change_tracker.mark_changed(key.job))
     }
 
+    /// Marks all members of a gang as done, which succeed together, and stops later runs of them.
+    fn finish_gang(&mut self, now: TimePoint, key: TaskKey, run: u32) {
+        let job = self.jobs.get_mut(&key.job);
+        let repeated = job.map(|job| job.finish_gang(key, run));
+        for (member, worker) in repeated.unwrap_or_default() {
+            self.stop_run(now, &worker, member);
+        }
+    }
+
     /// Returns whether a run is the newest one of its task, and is placed on the worker.
     fn is_newest_run(&self, worker: &WorkerId, key: TaskKey, run: u32) -> bool {
         let task = self.jobs.get(&key.job).and_then(|job| job.task(key));
--- a/crates/geraniumshed-core/src/job/entry.rs
+++ b/crates/geraniumshed-core/src/job/entry.rs
@@ -8,7 +8,7 @@
 use super::chain::chains_from;
 use super::crash::{CrashHistory, TaskCrashes};
 use super::diagnostics::JobDiagnostics;
-use super::id::{JobId, TaskKey};
+use super::id::{JobId, TaskKey, WorkerId};
 use super::request::{JobRequest, StepRequest};
 use super::stored::{StoredJob, StoredOccurrence, StoredTask, TaskStage};
 use super::task::{TaskEntry, TaskPhase};
@@ -249,6 +249,24 @@
             .get_mut(key.index as usize)
     }
 
+    /// Marks all members of a gang as done after the success of a run. Returns those that are placed as
+    /// another run, with their workers.
+    pub fn finish_gang(&mut self, key: TaskKey, run: u32) -> Vec<(TaskKey, WorkerId)> {
+        let mut occurrences = self.occurrences.iter_mut();
+        let occurrence = occurrences.find(|occurrence| occurrence.number == key.occurrence);
+        let members = occurrence.and_then(|one| one.steps.get_mut(key.step as usize));
+        let mut repeated = Vec::new();
+        for (index, member) in (0..).zip(members.into_iter().flatten()) {
+            let phase = std::mem::replace(&mut member.phase, TaskPhase::Done);
+            if let TaskPhase::Placed(worker) = phase
+                && member.run != run
+            {
+                repeated.push((TaskKey { index, ..key }, worker));
+            }
+        }
+        repeated
+    }
+
     /// Returns an occurrence in progress.
     pub fn occurrence(&self, number: u32) -> Option<&Occurrence> {
         self.occurrences
@@ -341,5 +359,17 @@
         task.failures = stored.failures;
         task.checkpoint = stored.checkpoint;
     }
+    for (step, tasks) in request.steps.iter().zip(&mut occurrence.steps) {
+        restore_gang(step, tasks);
+    }
     occurrence
 }
+
+/// Marks all members of a gang as done if one is. Earlier releases stored that of each member alone.
+fn restore_gang(step: &StepRequest, members: &mut [TaskEntry]) {
+    if step.is_gang && members.iter().any(TaskEntry::is_done) {
+        for member in members {
+            member.phase = TaskPhase::Done;
+        }
+    }
+}
--- a/crates/geraniumshed-core/tests/planner/main.rs
+++ b/crates/geraniumshed-core/tests/planner/main.rs
@@ -7,6 +7,7 @@
 mod draining;
 mod events;
 mod fixture;
+mod gangs;
 mod leases;
 mod listed_runs;
 mod load_patterns;
