Let workers of the soak serve connections that were opened while they were gone

Cause: a call whose sender has given up may be carried out seconds later. On machines whose address stays in place, the process that is back reads what arrived while there was none; no stand-in of ours did that.

--- a/crates/geraniumshed/tests/soak.rs
+++ b/crates/geraniumshed/tests/soak.rs
@@ -28,6 +28,7 @@
         ],
         epoch_check: EpochCheck::WhenExecuted,
         delivers_to_next_life: false,
+        serves_backlog: true,
         forgetting: EndForgetting::AtArrival,
         directory: PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("soak"),
     };
