Store the policies of queues that have open jobs

Cause: a leader keeps the policies of removed queues in memory, for jobs that refer to them. Its successor knows the queues of the configuration in force alone, so a job of a removed queue has no policy and is never placed.

Evidence: job_of_a_removed_queue_is_finished with one and three takeovers; with no takeover it held before.

Change: the leader stores the policy of each queue with open jobs in a record of its own, with the batch that stores the first placement of such a job, and again when it changes; a new leader restores them below those in force. The record goes when the queue is removed and its last job has ended.

Why it works: what a job needs from its queue is in the store before any of its tasks starts, so any later leader has it, whatever configuration is in force. A job that no leader has stored anything of, because it was accepted and the leader was lost before its next batch, still waits if its route is removed in that time.

--- a/crates/geraniumshed-batch/src/leader/run.rs
+++ b/crates/geraniumshed-batch/src/leader/run.rs
@@ -199,6 +199,7 @@
         log::info!(jobs = recovered.jobs.len(), ended_without_request = recovered.ended_without_request.len(); "leading with the jobs from the store");
         self.planner
             .restore_leases(now, recovered.leases_counted_from, recovered.leases);
+        self.planner.restore_queues(recovered.queues);
         for (id, request, stored) in recovered.jobs {
             match stored {
                 Some(stored) => self.planner.restore(now, id, request, stored),
--- a/crates/geraniumshed-batch/src/leader/takeover.rs
+++ b/crates/geraniumshed-batch/src/leader/takeover.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use geraniumshed_core::assignment::{InterferenceSnapshot, LeaseSnapshot, WaitSnapshot};
-use geraniumshed_core::job::{JobId, JobRequest, StoredJob, TaskCrashes};
+use geraniumshed_core::job::{JobId, JobRequest, QueueName, QueuePolicy, StoredJob, TaskCrashes};
 use geraniumshed_core::leadership::{LeaderRecord, LeaderTerm, MemberIdentity};
 use geraniumshed_model::prelude::{LogOffset, TimePoint, whole_millis};
 use tokio::time::Instant;
@@ -17,11 +17,11 @@
 };
 use crate::topic::{
     INTERFERENCE_KEY, LEADER_KEY, LEADERS, LEASES_KEY, PROGRESS, REQUESTS, TAKEOVER_KEY, WAITS_KEY,
-    job_key, parse_crashes_key, parse_job_key,
+    job_key, parse_crashes_key, parse_job_key, parse_queue_key,
 };
 use crate::wire::{
-    InterferenceWire, JobCrashesWire, JobRequestWire, LeaseSnapshotWire, MemberWire, StoredJobWire,
-    WaitSnapshotWire, decode, encode,
+    InterferenceWire, JobCrashesWire, JobRequestWire, LeaseSnapshotWire, MemberWire,
+    QueuePolicyWire, StoredJobWire, WaitSnapshotWire, decode, encode,
 };
 
 /// The timeout for an append during the takeover.
@@ -73,6 +73,8 @@
     pub(crate) waits: WaitSnapshot,
     /// The crashes under the tasks of each job.
     pub(crate) crashes: Vec<(JobId, Vec<TaskCrashes>)>,
+    /// The policies of the queues that had open jobs.
+    pub(crate) queues: BTreeMap<QueueName, QueuePolicy>,
     /// The offset from which to read further requests.
     pub(crate) next_request: LogOffset,
     /// A moment before the requests were read.
@@ -139,6 +141,7 @@
     let leases = find(&LEASES_KEY).and_then(|record| decode_leases(record, term));
     let waits = find(&WAITS_KEY).map(decode_waits);
     let crashes = progress.iter().filter_map(decode_crashes).collect();
+    let queues = progress.iter().filter_map(decode_queue).collect();
     let jobs = requests
         .iter()
         .filter_map(decode_request)
@@ -164,6 +167,7 @@
         leases,
         waits: waits.unwrap_or_default(),
         crashes,
+        queues,
         next_request,
         requests_read,
     })
@@ -237,6 +241,19 @@
     }
 }
 
+/// Decodes the policy of a queue. If it can't be decoded, its jobs wait until a configuration names the
+/// queue.
+fn decode_queue(record: &KeyedRecord) -> Option<(QueueName, QueuePolicy)> {
+    let queue = parse_queue_key(&record.key)?;
+    match decode::<QueuePolicyWire>(&record.value) {
+        Ok(wire) => Some((queue, wire.into())),
+        Err(error) => {
+            log::error!(queue:% = queue, error:% = error; "could not decode the stored policy of a queue");
+            None
+        }
+    }
+}
+
 /// Decodes the stored progress of a job. Progress that can't be decoded is logged and skipped.
 fn decode_stored_job(record: &KeyedRecord) -> Option<(JobId, StoredJob)> {
     let id = parse_job_key(&record.key)?;
--- a/crates/geraniumshed-batch/src/leader/writer.rs
+++ b/crates/geraniumshed-batch/src/leader/writer.rs
@@ -19,10 +19,11 @@
 use crate::store_monitor::StoreMonitor;
 use crate::telemetry::{DependencyWatch, NodeMetrics};
 use crate::topic::{
-    INTERFERENCE_KEY, LEASES_KEY, PROGRESS, REQUESTS, WAITS_KEY, crashes_key, job_key,
+    INTERFERENCE_KEY, LEASES_KEY, PROGRESS, REQUESTS, WAITS_KEY, crashes_key, job_key, queue_key,
 };
 use crate::wire::{
-    InterferenceWire, JobCrashesWire, LeaseSnapshotWire, StoredJobWire, WaitSnapshotWire, encode,
+    InterferenceWire, JobCrashesWire, LeaseSnapshotWire, QueuePolicyWire, StoredJobWire,
+    WaitSnapshotWire, encode,
 };
 
 /// The timeout for deleting requests.
@@ -120,7 +121,8 @@
                 | StoreChange::Interference(_)
                 | StoreChange::Leases(_)
                 | StoreChange::Waits(_)
-                | StoreChange::Crashes(..) => others.push(change),
+                | StoreChange::Crashes(..)
+                | StoreChange::Queue(..) => others.push(change),
             }
         }
         others
@@ -223,5 +225,10 @@
             key: crashes_key(id),
             value: encode(&JobCrashesWire::from(crashes)),
         },
+        StoreChange::Queue(queue, None) => KeyedRecord::deletion(queue_key(&queue)),
+        StoreChange::Queue(queue, Some(policy)) => KeyedRecord {
+            key: queue_key(&queue),
+            value: encode(&QueuePolicyWire::from(policy)),
+        },
     }
 }
--- a/crates/geraniumshed-batch/src/topic.rs
+++ b/crates/geraniumshed-batch/src/topic.rs
@@ -1,6 +1,6 @@
 //! The topics of the store and the keys of their records.
 
-use geraniumshed_core::job::JobId;
+use geraniumshed_core::job::{JobId, QueueName};
 use smol_str::{SmolStr, ToSmolStr, format_smolstr};
 
 use crate::store::TopicName;
@@ -8,8 +8,8 @@
 /// The submitted jobs, by job ID. Every node appends to it; the leader removes old jobs.
 pub const REQUESTS: TopicName = TopicName("keyed.geraniumshed.requests");
 /// The progress of jobs, by job ID, the crashes under their tasks, learned interference, the leases of
-/// silent workers, and the waits of long-running tasks with the runs without progress. Only the leader
-/// appends to it.
+/// silent workers, the waits of long-running tasks with the runs without progress, and the policies of
+/// queues with open jobs. Only the leader appends to it.
 pub const PROGRESS: TopicName = TopicName("keyed.geraniumshed.progress");
 /// The claims to lead. The newest one names the leader, and the offset after it is the term.
 pub const LEADERS: TopicName = TopicName("keyed.geraniumshed.leaders");
@@ -31,6 +31,9 @@
 /// has to include this record.
 pub const TAKEOVER_KEY: SmolStr = SmolStr::new_static("takeover");
 
+/// What precedes the name of a queue in the key of the record in [`PROGRESS`] that holds its policy.
+const QUEUE_PREFIX: &str = "queue/";
+
 /// What follows the job ID in the key of the record in [`PROGRESS`] that holds the crashes under a job's
 /// tasks.
 const CRASHES_SUFFIX: &str = ".crashes";
@@ -54,3 +57,13 @@
 pub fn parse_crashes_key(key: &str) -> Option<JobId> {
     key.strip_suffix(CRASHES_SUFFIX).and_then(parse_job_key)
 }
+
+/// Returns the key of the record of a queue's policy.
+pub fn queue_key(queue: &QueueName) -> SmolStr {
+    format_smolstr!("{QUEUE_PREFIX}{queue}")
+}
+
+/// Returns the queue of a record of a policy with this key, or `None` for keys of other records.
+pub fn parse_queue_key(key: &str) -> Option<QueueName> {
+    key.strip_prefix(QUEUE_PREFIX).map(QueueName::from)
+}
--- a/crates/geraniumshed-batch/src/wire/mod.rs
+++ b/crates/geraniumshed-batch/src/wire/mod.rs
@@ -11,6 +11,7 @@
 mod leader;
 mod lease;
 mod peer;
+mod queue;
 mod request;
 mod stored_job;
 mod wait;
@@ -26,6 +27,7 @@
 pub use peer::{
     ConfigQueryWire, ConfigReplyWire, HeartbeatReplyWire, HeartbeatWire, NodePeer, NodePeerClient,
 };
+pub use queue::QueuePolicyWire;
 pub use request::JobRequestWire;
 pub use stored_job::StoredJobWire;
 pub use wait::WaitSnapshotWire;
--- a/crates/geraniumshed-core/src/assignment/action.rs
+++ b/crates/geraniumshed-core/src/assignment/action.rs
@@ -6,7 +6,7 @@
 use super::interference::InterferenceSnapshot;
 use super::lease_ledger::LeaseSnapshot;
 use super::wait_ledger::WaitSnapshot;
-use crate::job::{JobId, JobPhase, StoredJob, TaskCrashes};
+use crate::job::{JobId, JobPhase, QueueName, QueuePolicy, StoredJob, TaskCrashes};
 use crate::worker::{
     AdviceRequest, PaceOrder, RenewRequest, SentRenewal, StartOrder, StopOrder, WorkerCall,
 };
@@ -52,6 +52,8 @@
     Waits(WaitSnapshot),
     /// The crashes under a job's tasks. The record is removed if there are none.
     Crashes(JobId, Vec<TaskCrashes>),
+    /// The policy of a queue with open jobs. The record is removed if there is none.
+    Queue(QueueName, Option<QueuePolicy>),
 }
 
 /// Changes that are stored together.
--- a/crates/geraniumshed-core/src/assignment/planner.rs
+++ b/crates/geraniumshed-core/src/assignment/planner.rs
@@ -152,6 +152,12 @@
         self.is_placement_due = true;
     }
 
+    /// Restores the policies of queues that earlier planners stored, since a configuration in force may
+    /// have removed them.
+    pub fn restore_queues(&mut self, stored: BTreeMap<QueueName, QueuePolicy>) {
+        self.queues.restore(stored);
+    }
+
     /// Restores a job that an earlier planner left in the store.
     pub fn restore(&mut self, now: PlannerTime, id: JobId, request: JobRequest, stored: StoredJob) {
         let job = JobEntry::restore(id, request, stored);
@@ -159,7 +165,7 @@
             self.restore_run(now.point, &job, key);
         }
         if !job.phase.is_final() {
-            self.open_job(id);
+            self.open_job(id, &job.request.queue);
         }
         self.jobs.insert(id, job);
     }
@@ -174,8 +180,8 @@
             return;
         }
         let job = JobEntry::new(id, request);
+        self.open_job(id, &job.request.queue);
         self.jobs.insert(id, job);
-        self.open_job(id);
     }
 
     /// Restores the interference model of an earlier planner.
@@ -261,6 +267,7 @@
         self.change_tracker.has_changes()
             || self.lease_ledger.is_due()
             || self.wait_ledger.is_due()
+            || self.queues.has_changes()
             || self.order_permit.needs_batch()
     }
 
@@ -301,6 +308,8 @@
         changes.extend(leases.map(StoreChange::Leases));
         let waits = self.take_wait_snapshot();
         changes.extend(waits.map(StoreChange::Waits));
+        let queues = self.queues.take_changes().into_iter();
+        changes.extend(queues.map(|(queue, policy)| StoreChange::Queue(queue, policy)));
         Some(StoreBatch { number, changes })
     }
 
@@ -366,7 +375,9 @@
         if job.has_stored_crashes {
             self.change_tracker.mark_crashes_changed(id);
         }
-        self.open_jobs.remove(&id);
+        if self.open_jobs.remove(&id) {
+            self.queues.job_closed(&job.request.queue);
+        }
         self.jobs_to_place.remove(&id);
         self.jobs_to_begin.remove(&id);
         self.failed_searches.retain(|step, _| step.job != id);
@@ -407,7 +418,8 @@
     }
 
     /// Adds a job to those that haven't ended.
-    fn open_job(&mut self, id: JobId) {
+    fn open_job(&mut self, id: JobId, queue: &QueueName) {
+        self.queues.job_opened(queue);
         self.open_jobs.insert(id);
         self.jobs_to_place.insert(id);
         self.jobs_to_begin.insert(id);
--- a/crates/geraniumshed-core/src/job/queue.rs
+++ b/crates/geraniumshed-core/src/job/queue.rs
@@ -32,11 +32,23 @@
     pub worker_time: Duration,
 }
 
+/// The longest name of a queue whose policy is stored, in bytes. The keys of the store are limited.
+const MAX_STORED_NAME_BYTES: usize = 200;
+
 /// The queues of the newest configuration and, for jobs that still refer to them, removed ones.
+///
+/// The policies of queues with open jobs are stored, since a later leader may know only a configuration
+/// that has removed them.
 #[derive(Debug, Clone, Default)]
 pub struct QueueTable {
     current: BTreeMap<QueueName, QueuePolicy>,
     earlier: BTreeMap<QueueName, QueuePolicy>,
+    /// The number of open jobs of each queue that has any.
+    open_jobs: BTreeMap<QueueName, usize>,
+    /// The policies that the store holds once all changes that were taken are stored.
+    stored: BTreeMap<QueueName, QueuePolicy>,
+    /// Whether there are changes to store.
+    is_due: bool,
 }
 
 impl QueueTable {
@@ -44,10 +56,84 @@
     pub fn replace(&mut self, queues: BTreeMap<QueueName, QueuePolicy>) {
         let replaced = std::mem::replace(&mut self.current, queues);
         self.earlier.extend(replaced);
+        self.update_due();
+    }
+
+    /// Restores the policies that earlier leaders stored.
+    pub fn restore(&mut self, stored: BTreeMap<QueueName, QueuePolicy>) {
+        self.earlier.extend(stored.clone());
+        self.stored = stored;
+        self.update_due();
     }
 
     /// Returns the policy of a queue, including one that a later configuration removed.
     pub fn policy(&self, queue: &QueueName) -> Option<&QueuePolicy> {
         self.current.get(queue).or_else(|| self.earlier.get(queue))
     }
+
+    /// Records that a job of a queue is open.
+    pub fn job_opened(&mut self, queue: &QueueName) {
+        let count = self.open_jobs.entry(queue.clone()).or_default();
+        *count += 1;
+        if *count == 1 {
+            self.update_due();
+        }
+    }
+
+    /// Records that a job of a queue has ended.
+    pub fn job_closed(&mut self, queue: &QueueName) {
+        let Some(count) = self.open_jobs.get_mut(queue) else {
+            return;
+        };
+        *count -= 1;
+        if *count == 0 {
+            self.open_jobs.remove(queue);
+            self.update_due();
+        }
+    }
+
+    /// Returns whether there are policies to store or to remove.
+    pub fn has_changes(&self) -> bool {
+        self.is_due
+    }
+
+    /// Takes the policies to store, or to remove if there is none.
+    pub fn take_changes(&mut self) -> Vec<(QueueName, Option<QueuePolicy>)> {
+        if !self.is_due {
+            return Vec::new();
+        }
+        self.is_due = false;
+        let changes = self.changes();
+        for (queue, policy) in &changes {
+            match policy {
+                Some(policy) => self.stored.insert(queue.clone(), policy.clone()),
+                None => self.stored.remove(queue),
+            };
+        }
+        changes
+    }
+
+    fn update_due(&mut self) {
+        self.is_due = !self.changes().is_empty();
+    }
+
+    /// Returns the policies of queues with open jobs that aren't stored as they are now, and the stored
+    /// queues that are removed and have no open job.
+    fn changes(&self) -> Vec<(QueueName, Option<QueuePolicy>)> {
+        let storable = self
+            .open_jobs
+            .keys()
+            .filter(|queue| queue.0.len() <= MAX_STORED_NAME_BYTES);
+        let new = storable.filter_map(|queue| {
+            let policy = self.policy(queue)?;
+            let is_stored = self.stored.get(queue) == Some(policy);
+            (!is_stored).then(|| (queue.clone(), Some(policy.clone())))
+        });
+        let is_unused = |queue: &&QueueName| {
+            !self.open_jobs.contains_key(*queue) && !self.current.contains_key(*queue)
+        };
+        let unused = self.stored.keys().filter(is_unused);
+        new.chain(unused.map(|queue| (queue.clone(), None)))
+            .collect()
+    }
 }
--- a/crates/geraniumshed-core/tests/planner/main.rs
+++ b/crates/geraniumshed-core/tests/planner/main.rs
@@ -13,6 +13,7 @@
 mod load_patterns;
 mod odd_jobs;
 mod planner_work;
+mod removed_queues;
 mod rules;
 mod silent_workers;
 mod simulation;
--- a/crates/geraniumshed-core/tests/start_rights/store.rs
+++ b/crates/geraniumshed-core/tests/start_rights/store.rs
@@ -88,6 +88,8 @@
             StoreChange::Crashes(id, crashes) if crashes.is_empty() => {
                 self.crashes.remove(&id);
             }
+            // The queues of the model never change.
+            StoreChange::Queue(..) => {}
             StoreChange::Crashes(id, crashes) => {
                 self.crashes.insert(id, crashes);
             }
