Keep one serialized form of a task's key

Cause: the calls of couriers and the waits of long-running tasks each had a copy of it, and the leases need a third.

Change: both use wire/task.rs. The encoding is unchanged.

--- a/crates/geraniumshed-batch/src/wire/courier.rs
+++ b/crates/geraniumshed-batch/src/wire/courier.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use geraniumshed_core::job::{JobId, TaskKey, WorkerId};
+use geraniumshed_core::job::WorkerId;
 use geraniumshed_core::worker::{
     EndKind, FenceToken, PaceOrder, ProcessReading, RenewReply, RenewRequest, RunEnd, RunReport,
     StartAnswer, StartOrder, StartReply, StopOrder, WorkerCall, WorkerFailure, WorkerIncarnation,
@@ -12,6 +12,7 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
+use super::task::TaskKeyWire;
 use crate::courier::{CourierOrder, CourierReply};
 use crate::site::RenewOutcome;
 
@@ -47,7 +48,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 enum OrderWire {
     Start {
-        task: TaskWire,
+        task: TaskKeyWire,
         run: u32,
         payload: SmolStr,
         deadline_ms: u64,
@@ -55,11 +56,11 @@
         ticket: Option<SmolStr>,
     },
     Stop {
-        task: TaskWire,
+        task: TaskKeyWire,
         run: u32,
     },
     Pace {
-        task: TaskWire,
+        task: TaskKeyWire,
         run: u32,
         percent: u32,
     },
@@ -150,7 +151,7 @@
 /// A run in progress.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RunningWire {
-    task: TaskWire,
+    task: TaskKeyWire,
     run: u32,
     checkpoint: Option<SmolStr>,
     percent: u32,
@@ -161,20 +162,12 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndedWire {
     number: u64,
-    task: TaskWire,
+    task: TaskKeyWire,
     run: u32,
     kind: EndKindWire,
     checkpoint: Option<SmolStr>,
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-struct TaskWire {
-    job: u64,
-    occurrence: u32,
-    step: u32,
-    index: u32,
-}
-
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 enum EndKindWire {
     Done,
@@ -388,28 +381,6 @@
     }
 }
 
-impl From<TaskKey> for TaskWire {
-    fn from(task: TaskKey) -> Self {
-        Self {
-            job: task.job.0,
-            occurrence: task.occurrence,
-            step: task.step,
-            index: task.index,
-        }
-    }
-}
-
-impl From<TaskWire> for TaskKey {
-    fn from(wire: TaskWire) -> Self {
-        Self {
-            job: JobId(wire.job),
-            occurrence: wire.occurrence,
-            step: wire.step,
-            index: wire.index,
-        }
-    }
-}
-
 impl From<StartAnswer> for StartAnswerWire {
     fn from(answer: StartAnswer) -> Self {
         let process = answer.process;
--- a/crates/geraniumshed-batch/src/wire/mod.rs
+++ b/crates/geraniumshed-batch/src/wire/mod.rs
@@ -14,6 +14,7 @@
 mod queue;
 mod request;
 mod stored_job;
+mod task;
 mod wait;
 
 pub use call::{JobAnswerWire, JobCallWire, JobPhaseWire};
--- a/crates/geraniumshed-batch/src/wire/wait.rs
+++ b/crates/geraniumshed-batch/src/wire/wait.rs
@@ -3,11 +3,13 @@
 use std::time::Duration;
 
 use geraniumshed_core::assignment::{IdleRun, StepWait, WaitSnapshot, WorkerHold};
-use geraniumshed_core::job::{JobId, TaskKey, WorkerId};
+use geraniumshed_core::job::{JobId, WorkerId};
 use geraniumshed_model::prelude::whole_millis;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
+use super::task::TaskKeyWire;
+
 /// The waits of long-running tasks, the workers held for them and the runs without progress, as they
 /// are stored.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -34,14 +36,6 @@
     since_unix_ms: u64,
 }
 
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-struct TaskKeyWire {
-    job: u64,
-    occurrence: u32,
-    step: u32,
-    index: u32,
-}
-
 impl From<WaitSnapshot> for WaitSnapshotWire {
     fn from(snapshot: WaitSnapshot) -> Self {
         let hold = |one: WorkerHold| (one.worker.0, TaskKeyWire::from(one.task));
@@ -114,25 +108,3 @@
         }
     }
 }
-
-impl From<TaskKey> for TaskKeyWire {
-    fn from(key: TaskKey) -> Self {
-        Self {
-            job: key.job.0,
-            occurrence: key.occurrence,
-            step: key.step,
-            index: key.index,
-        }
-    }
-}
-
-impl From<TaskKeyWire> for TaskKey {
-    fn from(wire: TaskKeyWire) -> Self {
-        Self {
-            job: JobId(wire.job),
-            occurrence: wire.occurrence,
-            step: wire.step,
-            index: wire.index,
-        }
-    }
-}
