Wait for the longest lease only for unconfirmed runs, across takeovers too

Cause: a leader stored the latest end of all leases on a silent worker, so one run that was not confirmed held all of them back for its successor, for 11 s where workers grant 10 s. And a start whose answer came after a newer reading of the clock counted as unclear, which the platform's answers, with a clock and without the start time of the process, often are; each noted a long lease.

Change: what is stored of a silent worker is the lease of its known process and, apart, its unconfirmed runs with theirs. A process that shows more time than has passed since the known one was asked is the known one, whatever was read in between.

--- a/crates/geraniumshed-batch/src/wire/lease.rs
+++ b/crates/geraniumshed-batch/src/wire/lease.rs
@@ -2,13 +2,15 @@
 
 use std::time::Duration;
 
-use geraniumshed_core::assignment::{LeaseSnapshot, WorkerLease};
+use geraniumshed_core::assignment::{LeaseSnapshot, UnconfirmedRun, WorkerLease};
 use geraniumshed_core::job::WorkerId;
 use geraniumshed_core::leadership::LeaderTerm;
 use geraniumshed_model::prelude::whole_millis;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
+use super::task::TaskKeyWire;
+
 /// What is known about leases, as it is stored.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeaseSnapshotWire {
@@ -22,18 +24,23 @@
     silent: Vec<(SmolStr, u64)>,
     /// The same for the workers with leases that may be longer than requested.
     long: Vec<(SmolStr, u64)>,
+    /// Each run on a silent worker that its known process hasn't confirmed, and the time until the lease of
+    /// any process has expired, in milliseconds.
+    unconfirmed: Vec<(TaskKeyWire, u64)>,
 }
 
 impl LeaseSnapshotWire {
     /// Creates the stored form of a snapshot that the leader of a term took.
     pub fn new(term: LeaderTerm, snapshot: LeaseSnapshot) -> Self {
         let lease = |one: WorkerLease| (one.worker.0, ceil_millis(one.remaining));
+        let run = |one: UnconfirmedRun| (one.task.into(), ceil_millis(one.remaining));
         Self {
             term: term.0,
             requested_ms: ceil_millis(snapshot.requested),
             inherited_ms: ceil_millis(snapshot.inherited),
             silent: snapshot.silent.into_iter().map(lease).collect(),
             long: snapshot.long.into_iter().map(lease).collect(),
+            unconfirmed: snapshot.unconfirmed.into_iter().map(run).collect(),
         }
     }
 
@@ -49,11 +56,16 @@
             worker: WorkerId(worker),
             remaining: Duration::from_millis(remaining_ms),
         };
+        let run = |(task, remaining_ms): (TaskKeyWire, u64)| UnconfirmedRun {
+            task: task.into(),
+            remaining: Duration::from_millis(remaining_ms),
+        };
         Self {
             requested: Duration::from_millis(wire.requested_ms),
             inherited: Duration::from_millis(wire.inherited_ms),
             silent: wire.silent.into_iter().map(lease).collect(),
             long: wire.long.into_iter().map(lease).collect(),
+            unconfirmed: wire.unconfirmed.into_iter().map(run).collect(),
         }
     }
 }
--- a/crates/geraniumshed-core/src/assignment/lease_ledger.rs
+++ b/crates/geraniumshed-core/src/assignment/lease_ledger.rs
@@ -12,7 +12,7 @@
 
 use super::action::{PlannerTime, StoreBatch};
 use super::planner::JobPlanner;
-use crate::job::WorkerId;
+use crate::job::{TaskKey, WorkerId};
 use crate::worker::{WorkerEntry, WorkerTime};
 
 /// The minimum interval between two writes of the leases of silent workers.
@@ -36,6 +36,17 @@
     pub silent: Vec<WorkerLease>,
     /// The leases of new processes of workers, which may be longer than requested.
     pub long: Vec<WorkerLease>,
+    /// The runs on silent workers that may be those of a later process.
+    pub unconfirmed: Vec<UnconfirmedRun>,
+}
+
+/// A run that the known process of its worker hasn't confirmed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct UnconfirmedRun {
+    /// The task.
+    pub task: TaskKey,
+    /// The time until the lease of any process has certainly expired, counted from the snapshot.
+    pub remaining: Duration,
 }
 
 /// The lease of a worker.
@@ -61,6 +72,8 @@
     inherited: BTreeMap<WorkerId, TimePoint>,
     /// When the longer leases expire that an earlier planner has stored.
     inherited_long: BTreeMap<WorkerId, TimePoint>,
+    /// When the leases of unconfirmed runs expire that an earlier planner has stored.
+    inherited_unconfirmed: BTreeMap<TaskKey, TimePoint>,
     /// The time until the leases of earlier planners expire in the newest snapshot, if there is one.
     newest_inherited: Option<Duration>,
     /// The workers in the newest snapshot that is certainly stored.
@@ -81,6 +94,7 @@
             inherited_until: None,
             inherited: BTreeMap::new(),
             inherited_long: BTreeMap::new(),
+            inherited_unconfirmed: BTreeMap::new(),
             newest_inherited: None,
             stored: BTreeSet::new(),
             unstored: VecDeque::new(),
@@ -148,6 +162,9 @@
             let end = |lease: WorkerLease| (lease.worker, counted_from + lease.remaining);
             self.lease_ledger.inherited = snapshot.silent.into_iter().map(end).collect();
             self.lease_ledger.inherited_long = snapshot.long.into_iter().map(end).collect();
+            let run_end = |run: UnconfirmedRun| (run.task, counted_from + run.remaining);
+            let unconfirmed = snapshot.unconfirmed.into_iter().map(run_end);
+            self.lease_ledger.inherited_unconfirmed = unconfirmed.collect();
         }
         let requested = now.point + longest_duration(self.lease_ledger.inherited_request);
         self.lease_ledger.inherited_until = Some(until.max(requested));
@@ -171,6 +188,13 @@
         long.map_or(latest, |end| latest.max(*end))
     }
 
+    /// Returns when the lease has expired under which a run may be active that an earlier planner stored as
+    /// unconfirmed.
+    pub(super) fn unconfirmed_run_end(&self, task: TaskKey) -> Option<TimePoint> {
+        let ends = &self.lease_ledger.inherited_unconfirmed;
+        ends.get(&task).copied()
+    }
+
     /// Assumes that a worker has just been granted the longest lease, because its process is new.
     ///
     /// A call that was meant for an earlier process carries a deadline on another clock. The worker
@@ -246,6 +270,7 @@
         let inherited = self.inherited_remaining(now);
         let workers = self.silent_workers(now);
         let mut silent = Vec::new();
+        let mut unconfirmed = Vec::new();
         for worker in &workers {
             let Some(entry) = self.workers.get_mut(worker) else {
                 continue;
@@ -253,8 +278,15 @@
             entry.has_stored_lease = true;
             silent.push(WorkerLease {
                 worker: worker.clone(),
-                remaining: entry.last_run_expires_at().since(now),
+                remaining: entry.lease_expires_at.since(now),
             });
+            let longer = entry
+                .unconfirmed_runs()
+                .map(|(task, expires_at)| UnconfirmedRun {
+                    task,
+                    remaining: expires_at.since(now),
+                });
+            unconfirmed.extend(longer);
         }
         self.lease_ledger.unstored.push_back((batch, workers));
         self.lease_ledger.newest_inherited = Some(inherited);
@@ -265,6 +297,7 @@
             inherited,
             silent,
             long: self.long_leases(now),
+            unconfirmed,
         })
     }
 
--- a/crates/geraniumshed-core/src/assignment/mod.rs
+++ b/crates/geraniumshed-core/src/assignment/mod.rs
@@ -56,7 +56,7 @@
 pub use interference::{
     InterferenceModel, InterferenceSnapshot, LoadShare, ServedImageRecord, SlopeRecord,
 };
-pub use lease_ledger::{LeaseSnapshot, WorkerLease};
+pub use lease_ledger::{LeaseSnapshot, UnconfirmedRun, WorkerLease};
 pub use placement_query::PlacementRefusal;
 pub use planner::JobPlanner;
 pub use planner_work::PlannerWork;
--- a/crates/geraniumshed-core/src/assignment/registry.rs
+++ b/crates/geraniumshed-core/src/assignment/registry.rs
@@ -81,12 +81,15 @@
             return;
         };
         let lease_expires_at = self.restored_lease_end(now, id);
+        let unconfirmed_until = self.unconfirmed_run_end(key);
         let token = self.first_token;
         let entry = self.workers.get_or_insert_with(id, || {
             unregistered_worker(id.clone(), now, token, lease_expires_at)
         });
         let phase = RunPhase::Unsettled(FenceToken(token.0.saturating_sub(1)));
-        entry.add_run(key, run_entry(step, task.run, phase, now));
+        let mut run = run_entry(step, task.run, phase, now);
+        run.unconfirmed_until = unconfirmed_until;
+        entry.add_run(key, run);
     }
 }
 
--- a/crates/geraniumshed-core/src/assignment/starting.rs
+++ b/crates/geraniumshed-core/src/assignment/starting.rs
@@ -142,6 +142,7 @@
         phase,
         is_reported: false,
         is_in_known_process: false,
+        unconfirmed_until: None,
         ordered_at: None,
         placed_at: now,
         reserved: step.reserved_size(),
--- a/crates/geraniumshed-core/src/worker/entry.rs
+++ b/crates/geraniumshed-core/src/worker/entry.rs
@@ -297,12 +297,22 @@
 
     /// Returns when the lease has expired under which a run may be active.
     pub fn run_expires_at(&self, run: &RunEntry) -> TimePoint {
-        let may_be_later = run.ordered_at.is_some() && !run.is_in_known_process;
-        if may_be_later {
-            self.lease_expires_at.max(self.later_lease_expires_at)
-        } else {
-            self.lease_expires_at
-        }
+        let later_end = match run.ordered_at {
+            _ if run.is_in_known_process => None,
+            Some(_) => Some(self.later_lease_expires_at),
+            None => run.unconfirmed_until,
+        };
+        self.lease_expires_at.max(later_end.unwrap_or_default())
+    }
+
+    /// Returns the runs that may be active for longer than the known process's lease, with the time by which
+    /// that has expired.
+    pub fn unconfirmed_runs(&self) -> impl Iterator<Item = (TaskKey, TimePoint)> + '_ {
+        let ends = self
+            .runs
+            .iter()
+            .map(|(task, run)| (*task, self.run_expires_at(run)));
+        ends.filter(|(_, end)| *end > self.lease_expires_at)
     }
 
     /// Returns when the leases of all runs have expired.
--- a/crates/geraniumshed-core/src/worker/process.rs
+++ b/crates/geraniumshed-core/src/worker/process.rs
@@ -33,8 +33,8 @@
     /// Returns which process has answered a call that was sent at a given time.
     ///
     /// An answer without the start time of its process is judged by the clock, which is reset when a
-    /// process starts: a later process shows less time than the known one, and no more time than has
-    /// passed since the known one was last asked for its clock.
+    /// process starts. A process that shows more time than has passed since the known one was last asked
+    /// for its clock was up then, and one that shows less than the known one must is another.
     pub fn match_process(
         &self,
         reading: ProcessReading,
@@ -51,14 +51,12 @@
         let (Some(shown), Some(clock)) = (reading.clock, self.clock) else {
             return ProcessMatch::Unclear;
         };
-        if sent_at < clock.read_at() {
-            return ProcessMatch::Unclear;
-        }
         let since_asked = WorkerTime::default().plus(now.since(clock.asked_at()));
-        if shown < clock.earliest(sent_at) {
-            ProcessMatch::Later
-        } else if shown > since_asked {
+        let is_later_reading = sent_at >= clock.read_at();
+        if shown > since_asked {
             ProcessMatch::Known
+        } else if is_later_reading && shown < clock.earliest(sent_at) {
+            ProcessMatch::Later
         } else {
             ProcessMatch::Unclear
         }
--- a/crates/geraniumshed-core/src/worker/run.rs
+++ b/crates/geraniumshed-core/src/worker/run.rs
@@ -36,6 +36,9 @@
     /// Whether the known process of the worker has confirmed the run. Until then, it may be one of a
     /// later process.
     pub is_in_known_process: bool,
+    /// When the lease of any process has expired under which the run may be active, if an earlier planner
+    /// stored the run as unconfirmed.
+    pub unconfirmed_until: Option<TimePoint>,
     /// When this planner sent the start order, or `None` for a run of an earlier planner.
     pub ordered_at: Option<TimePoint>,
     /// The resources that the run reserves.
--- a/crates/geraniumshed-core/tests/planner/leases.rs
+++ b/crates/geraniumshed-core/tests/planner/leases.rs
@@ -2,10 +2,11 @@
 
 use std::time::Duration;
 
+use geraniumshed_core::assignment::PlannerSettings;
 use geraniumshed_core::job::{JobPhase, StepRequest};
 use rstest::rstest;
 
-use crate::builders::{step, task};
+use crate::builders::{size, step, task};
 use crate::fixture::Cluster;
 
 /// Submits a job of one long task, and returns the worker that runs it.
@@ -197,3 +198,29 @@
         worker.fault.holds_renewals = true;
     }
 }
+
+// Guards against a long-running task that stays away for too long after a takeover, since another run on its
+// silent worker was never confirmed and may have a longer lease.
+#[test]
+fn confirmed_run_beside_an_unconfirmed_one_waits_for_its_own_lease() {
+    let settings = PlannerSettings {
+        longest_lease: Duration::from_secs(20),
+        ..PlannerSettings::default()
+    };
+    let mut cluster = Cluster::with_settings(1, settings);
+    let lasting = StepRequest {
+        is_long_running: true,
+        ..step(1)
+    };
+    let id = cluster.submit(1, vec![lasting]);
+    // The leases of earlier leaders have expired, so that the stored limit is that of this one.
+    cluster.advance(Duration::from_secs(30));
+    let lost = cluster.starts[0].worker.clone();
+    cluster.workers.get_mut(&lost).unwrap().fault.is_silent = true;
+    cluster.submit(2, vec![step(1)]);
+    cluster.advance(Duration::from_secs(2));
+    cluster.add_worker(1, size(32_000, 128));
+    cluster.replace_planner();
+    cluster.advance(Duration::from_secs(7));
+    assert_eq!(cluster.starts_of(task(id, 0, 0)).len(), 2);
+}
--- a/crates/geraniumshed-core/tests/worker_load.rs
+++ b/crates/geraniumshed-core/tests/worker_load.rs
@@ -20,6 +20,7 @@
         phase: RunPhase::Running(TimePoint::default()),
         is_reported: false,
         is_in_known_process: false,
+        unconfirmed_until: None,
         ordered_at: None,
         placed_at: TimePoint::default(),
         reserved: ResourceSize::default(),
