Show a late start of a restarted worker that runs beside the next run

What callers saw: the users' runs on real machines, two leaders' runs of a task at once, and a start after an end that was taken note of.

Cause: a worker restarts unnoticed, receives starts whose deadlines fit the clock of its earlier process, and is cut off. It carries them out seconds later, as the platform allows; by then the next leader has given the runs up by the lease that its predecessor had counted.

The wait for unconfirmed starts covers orders that are carried out within a second; a longer one holds back long-running tasks of workers that are gone, and is left open.

--- a/crates/geraniumshed-core/tests/start_rights/orders.rs
+++ b/crates/geraniumshed-core/tests/start_rights/orders.rs
@@ -125,6 +125,21 @@
     assert_none(replay(Assumptions::PROTOCOL, 1, LONG_RETENTION, steps));
 }
 
+// Guards against a start that a later process of a cut-off worker carries out seconds after it was sent: its
+// deadline fits an earlier process's clock, so that the run begins late and has the longest lease.
+#[rstest]
+#[case::one_leader(&[
+    Crash(0), Return(0, SameId), Store(0), Answer(0), Hold(Newest(0, Start, 0)), Cut(0, 0), Pass, Pass,
+    Pass, Deliver(Late(0, Start, 0)), Pass, Pass, Pass, Pass, Pass,
+])]
+#[case::takeover(&[
+    Crash(0), Return(0, SameId), Store(0), Answer(0), Hold(Newest(0, Start, 0)), Cut(0, 0), Pass, Pass,
+    Kill(0), Claim, Cut(1, 0), Pass, Deliver(Late(0, Start, 0)), Pass, Pass, Pass, Pass, Pass,
+])]
+fn late_run_of_a_later_process_is_waited_for(#[case] steps: &[Step]) {
+    assert_none(replay(Assumptions::PROTOCOL, 1, LONG_RETENTION, steps));
+}
+
 // Guards against a task that is started again after it ended as done, since its worker lists only some
 // ends at a time and the run is in neither of its lists.
 #[rstest]
