Log what each given-up run rests on

Change: "worker is given up" has the address, process and token of the worker and the time of the last call that could extend its lease; "worker's answer lacks runs" names the process, clock and token of the answer; a leader logs the leases that it inherits, each worker's first answer, and when leases go on without the store. Measured: not yet; at most one line for each worker and takeover is added.

--- a/crates/geraniumshed-batch/src/leader/run.rs
+++ b/crates/geraniumshed-batch/src/leader/run.rs
@@ -438,7 +438,10 @@
             LeaderEvent::Query(query) => self.answer(query),
             LeaderEvent::Deposed => return Some(LeaderEnd::Deposed),
             LeaderEvent::Isolated => self.planner.suspend_orders(),
-            LeaderEvent::StoreDown => self.planner.resume_leases(),
+            LeaderEvent::StoreDown => {
+                log::warn!("no node reaches the store; leases are extended without it");
+                self.planner.resume_leases();
+            }
             LeaderEvent::Yield | LeaderEvent::Resign => {
                 self.planner.hand_over(now);
                 self.execute_actions();
--- a/crates/geraniumshed-batch/src/leader/start_delays.rs
+++ b/crates/geraniumshed-batch/src/leader/start_delays.rs
@@ -76,6 +76,8 @@
             | PlannerEvent::WorkerRestarted(_)
             | PlannerEvent::RestartSeen(_)
             | PlannerEvent::EndsUnlisted(_)
+            | PlannerEvent::RunsMissing(_)
+            | PlannerEvent::WorkerAdopted(_)
             | PlannerEvent::TrialBegun(_)
             | PlannerEvent::TaskGivenUp(_) => {}
         }
--- a/crates/geraniumshed-batch/src/leader/takeover.rs
+++ b/crates/geraniumshed-batch/src/leader/takeover.rs
@@ -139,6 +139,11 @@
     let find = |key: &str| progress.iter().find(|record| record.key == key);
     let interference = find(&INTERFERENCE_KEY).map(decode_interference);
     let leases = find(&LEASES_KEY).and_then(|record| decode_leases(record, term));
+    log_leases(
+        term,
+        clock.now().since(leases_counted_from),
+        leases.as_ref(),
+    );
     let waits = find(&WAITS_KEY).map(decode_waits);
     let crashes = progress.iter().filter_map(decode_crashes).collect();
     let queues = progress.iter().filter_map(decode_queue).collect();
@@ -173,6 +178,28 @@
     })
 }
 
+/// Logs what a leader inherits about leases: a line for all, and one for each silent worker.
+fn log_leases(term: LeaderTerm, counted: Duration, leases: Option<&LeaseSnapshot>) {
+    let counted_ms = whole_millis(counted);
+    let Some(leases) = leases else {
+        log::info!(term:% = term, counted_ms; "no leases are stored by the leader before");
+        return;
+    };
+    log::info!(
+        term:% = term,
+        counted_ms,
+        requested_ms = whole_millis(leases.requested),
+        inherited_ms = whole_millis(leases.inherited),
+        silent = leases.silent.len(),
+        long = leases.long.len(),
+        unconfirmed = leases.unconfirmed.len();
+        "inherited the leases of the leader before"
+    );
+    for lease in &leases.silent {
+        log::info!(worker:% = lease.worker, remaining_ms = whole_millis(lease.remaining); "inherited the lease of a silent worker");
+    }
+}
+
 /// Decodes a stored request. One that can't be decoded is logged and skipped.
 pub(super) fn decode_request(record: &KeyedRecord) -> Option<(JobId, JobRequest)> {
     let id = parse_job_key(&record.key)?;
--- a/crates/geraniumshed-batch/src/telemetry/events.rs
+++ b/crates/geraniumshed-batch/src/telemetry/events.rs
@@ -4,8 +4,9 @@
 use std::fmt::Display;
 
 use geraniumshed_core::assignment::{
-    AnsweringWorker, DepartingWorker, JobSummary, LostRun, LostWorker, PlacementSummary,
-    PlannerEvent, RestartSign, RestartedWorker, RunStart, SilentWorker, TaskTrial, UnexpectedRun,
+    AdoptedWorker, AnsweringWorker, DepartingWorker, JobSummary, LostRun, LostWorker, MissingRuns,
+    PlacementSummary, PlannerEvent, RestartSign, RestartedWorker, RunStart, SilentWorker,
+    TaskTrial, UnexpectedRun,
 };
 use geraniumshed_core::job::CrashEvidence;
 use geraniumshed_core::worker::{EndKind, WorkerStanding};
@@ -53,6 +54,8 @@
             runs = unlisted.runs;
             "worker lists only some of the runs that have ended; giving up none that are missing"
         ),
+        PlannerEvent::RunsMissing(missing) => log_missing_runs(missing),
+        PlannerEvent::WorkerAdopted(adopted) => log_adopted_worker(adopted),
         PlannerEvent::TrialBegun(trial) => log_trial(
             Level::Info,
             trial,
@@ -219,11 +222,40 @@
         runs = lost.runs,
         last_heard_ms = lost.last_heard.map(whole_millis),
         known_ms = whole_millis(lost.known),
-        lease_inherited = lost.is_lease_inherited;
+        lease_inherited = lost.is_lease_inherited,
+        address:% = lost.address,
+        process = lost.process.map(|process| process.0),
+        token:% = lost.token,
+        last_extension_ms = lost.last_extension.map(whole_millis);
         "worker is given up"
     );
 }
 
+fn log_missing_runs(missing: &MissingRuns) {
+    log::info!(
+        worker:% = missing.worker,
+        process = missing.process.map(|process| process.0),
+        clock_ms = missing.clock.0,
+        token:% = missing.token,
+        asked_ms = whole_millis(missing.asked),
+        listed = missing.listed,
+        missing = missing.missing;
+        "worker's answer lacks runs; giving them up"
+    );
+}
+
+fn log_adopted_worker(adopted: &AdoptedWorker) {
+    log::info!(
+        worker:% = adopted.worker,
+        process = adopted.process.map(|process| process.0),
+        token:% = adopted.token,
+        expected = adopted.expected,
+        running = adopted.running,
+        ended = adopted.ended;
+        "worker has answered this leader for the first time"
+    );
+}
+
 /// Returns the name of a standing in logs.
 fn standing_name(standing: WorkerStanding) -> &'static str {
     match standing {
--- a/crates/geraniumshed-batch/src/telemetry/metrics.rs
+++ b/crates/geraniumshed-batch/src/telemetry/metrics.rs
@@ -471,7 +471,9 @@
             | PlannerEvent::WorkerDeparting(_)
             | PlannerEvent::WorkerRestarted(_)
             | PlannerEvent::RestartSeen(_)
-            | PlannerEvent::EndsUnlisted(_) => {}
+            | PlannerEvent::EndsUnlisted(_)
+            | PlannerEvent::RunsMissing(_)
+            | PlannerEvent::WorkerAdopted(_) => {}
             PlannerEvent::TrialBegun(_) => {
                 self.trial_runs.inc();
             }
--- a/crates/geraniumshed-core/src/assignment/event.rs
+++ b/crates/geraniumshed-core/src/assignment/event.rs
@@ -1,12 +1,13 @@
 //! Events about the planner's decisions, for logs and metrics.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use super::placement_query::PlacementRefusal;
 use super::worker_loss::WorkerRunLoss;
 use crate::job::{CrashHistory, JobId, JobPhase, QueueName, TaskKey, WorkerId};
-use crate::worker::{EndKind, WorkerStanding};
+use crate::worker::{EndKind, FenceToken, WorkerIncarnation, WorkerStanding, WorkerTime};
 
 /// A decision of the planner, with the inputs that led to it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -43,6 +44,10 @@
     RestartSeen(RestartedWorker),
     /// A worker's answer leaves out some run ends, unlike the one before.
     EndsUnlisted(UnlistedEnds),
+    /// A worker's answer lacks runs that it has to show, so that they are given up.
+    RunsMissing(MissingRuns),
+    /// A worker has answered this planner for the first time.
+    WorkerAdopted(AdoptedWorker),
     /// A run was placed as a trial, since workers crashed under earlier runs of its task.
     TrialBegun(TaskTrial),
     /// A task is given up with its job, since workers crash under its runs.
@@ -117,6 +122,42 @@
     pub runs: usize,
 }
 
+/// A worker's answer that lacks runs.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct MissingRuns {
+    /// The worker.
+    pub worker: WorkerId,
+    /// The process that has answered.
+    pub process: Option<WorkerIncarnation>,
+    /// What its clock showed.
+    pub clock: WorkerTime,
+    /// The fencing token of the renewal.
+    pub token: FenceToken,
+    /// The time since the renewal was sent.
+    pub asked: Duration,
+    /// The number of runs and of ends in the answer.
+    pub listed: usize,
+    /// The number of runs that are missing.
+    pub missing: usize,
+}
+
+/// A worker that has answered a planner for the first time.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AdoptedWorker {
+    /// The worker.
+    pub worker: WorkerId,
+    /// The process that has answered.
+    pub process: Option<WorkerIncarnation>,
+    /// The fencing token of the call.
+    pub token: FenceToken,
+    /// The number of runs that were expected.
+    pub expected: usize,
+    /// The number of runs in the answer.
+    pub running: usize,
+    /// The number of ends in the answer.
+    pub ended: usize,
+}
+
 /// A run that ended without success.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct LostRun {
@@ -222,6 +263,14 @@
     pub known: Duration,
     /// Whether the end of its lease was the one assumed at the takeover.
     pub is_lease_inherited: bool,
+    /// The address at which it was called.
+    pub address: SocketAddr,
+    /// The known process, if it has answered this planner.
+    pub process: Option<WorkerIncarnation>,
+    /// The fencing token of the newest call.
+    pub token: FenceToken,
+    /// The time since the last call that could extend its lease, or `None` if this planner made none.
+    pub last_extension: Option<Duration>,
 }
 
 impl LostWorker {
--- a/crates/geraniumshed-core/src/assignment/mod.rs
+++ b/crates/geraniumshed-core/src/assignment/mod.rs
@@ -49,9 +49,9 @@
 
 pub use action::{CancelOutcome, JobStatus, PlannerAction, PlannerTime, StoreBatch, StoreChange};
 pub use event::{
-    AnsweringWorker, DepartingWorker, JobSummary, LostRun, LostWorker, PlacementSummary,
-    PlannerEvent, RestartSign, RestartedWorker, SilentWorker, StartDelay, TaskTrial, UnexpectedRun,
-    UnlistedEnds,
+    AdoptedWorker, AnsweringWorker, DepartingWorker, JobSummary, LostRun, LostWorker, MissingRuns,
+    PlacementSummary, PlannerEvent, RestartSign, RestartedWorker, SilentWorker, StartDelay,
+    TaskTrial, UnexpectedRun, UnlistedEnds,
 };
 pub use interference::{
     InterferenceModel, InterferenceSnapshot, LoadShare, ServedImageRecord, SlopeRecord,
--- a/crates/geraniumshed-core/src/assignment/worker_events.rs
+++ b/crates/geraniumshed-core/src/assignment/worker_events.rs
@@ -137,6 +137,10 @@
             last_heard: entry.last_heard(now),
             known: now.since(entry.contact.known_since),
             is_lease_inherited: !entry.is_adopted,
+            address: entry.listing.address,
+            process: entry.incarnation,
+            token: entry.token,
+            last_extension: entry.contact.extended_at.map(|at| now.since(at)),
         };
         self.emit(PlannerEvent::WorkerLost(lost));
     }
--- a/crates/geraniumshed-core/src/assignment/worker_replies.rs
+++ b/crates/geraniumshed-core/src/assignment/worker_replies.rs
@@ -5,7 +5,9 @@
 use geraniumshed_model::prelude::TimePoint;
 
 use super::action::{PlannerAction, PlannerTime};
-use super::event::{PlannerEvent, RestartSign, StartDelay, UnlistedEnds};
+use super::event::{
+    AdoptedWorker, MissingRuns, PlannerEvent, RestartSign, StartDelay, UnlistedEnds,
+};
 use super::pacing::{pace_worker, recent_share};
 use super::planner::JobPlanner;
 use super::run_end::RunEndCause;
@@ -198,6 +200,15 @@
         if !entry.is_adopted {
             entry.is_adopted = true;
             self.is_placement_due = true;
+            let adopted = AdoptedWorker {
+                worker: worker.clone(),
+                process: reply.incarnation,
+                token: sent.token,
+                expected: entry.runs.len(),
+                running: reply.running.len(),
+                ended: reply.ended.len(),
+            };
+            self.emit(PlannerEvent::WorkerAdopted(adopted));
         }
         self.process_ends(now, worker, &reply);
         self.process_reports(now.point, worker, &reply.running, is_latest);
@@ -352,13 +363,26 @@
         let runs = entry.runs.iter();
         let missing =
             runs.filter(|(key, run)| is_missing(run.phase) && !reply.lists(**key, run.run));
-        let missing = missing.map(|(key, run)| (*key, run.clone()));
+        let missing: Vec<_> = missing.map(|(key, run)| (*key, run.clone())).collect();
+        if missing.is_empty() {
+            return;
+        }
         // A run that was started by an earlier process of the worker is lost with it.
         let up_since = entry.up_since;
         let is_lost = |(_, run): &(TaskKey, RunEntry)| {
             run.ordered_at.map_or(is_new_process, |at| at < up_since)
         };
-        let (lost, missing): (Vec<_>, Vec<_>) = missing.partition(is_lost);
+        let missing_runs = MissingRuns {
+            worker: worker.clone(),
+            process: reply.incarnation,
+            clock: reply.clock,
+            token: sent.token,
+            asked: now.point.since(sent.sent_at),
+            listed: reply.running.len() + reply.ended.len(),
+            missing: missing.len(),
+        };
+        let (lost, missing): (Vec<_>, Vec<_>) = missing.into_iter().partition(is_lost);
+        self.emit(PlannerEvent::RunsMissing(missing_runs));
         self.lose_runs(now, worker, LossCause::Restarted, &lost);
         for (key, run) in missing {
             // Another start on this worker would likely be lost too.
--- a/crates/geraniumshed-core/src/worker/contact.rs
+++ b/crates/geraniumshed-core/src/worker/contact.rs
@@ -25,6 +25,8 @@
     pub heard_at: Option<TimePoint>,
     /// When the worker was reported as silent, if it hasn't answered since.
     pub silent_since: Option<TimePoint>,
+    /// When the last call was sent that could extend the worker's lease.
+    pub extended_at: Option<TimePoint>,
     /// The standing that was last reported.
     pub standing: WorkerStanding,
 }
--- a/crates/geraniumshed-core/src/worker/entry.rs
+++ b/crates/geraniumshed-core/src/worker/entry.rs
@@ -292,6 +292,7 @@
         self.deadline = self.deadline.max(deadline);
         self.lease_expires_at = self.lease_expires_at.max(clock.passed_at(deadline));
         self.later_lease_expires_at = self.later_lease_expires_at.max(longest_end);
+        self.contact.extended_at = Some(now);
         Some(deadline)
     }
 
