Show that a leader extends leases although a silent node may have replaced it

A leader whose appends are unanswered asks all nodes that were alive recently whether they reach the store. One that answers no, or refuses the connection, is taken for the news that the store is down for all, although the others are silent and may be on the store's side of a partition. After 10 s of silence no node counts as alive recently, which is taken for the same news.

The test stops the processes of some nodes, refuses all nodes at the store, and asks when the worker's lease was last extended.

--- a/crates/geraniumshed-batch/tests/nodes/main.rs
+++ b/crates/geraniumshed-batch/tests/nodes/main.rs
@@ -5,6 +5,7 @@
 mod config;
 mod couriers;
 mod leadership;
+mod leases;
 mod odd_jobs;
 mod odd_peers;
 mod support;
--- a/crates/geraniumshed-batch/tests/nodes/support/mod.rs
+++ b/crates/geraniumshed-batch/tests/nodes/support/mod.rs
@@ -16,7 +16,7 @@
 use geraniumshed_core::assignment::{PlannerSettings, WaitSnapshot};
 use geraniumshed_core::job::{JobRequest, StepRequest};
 use geraniumshed_core::leadership::MemberIdentity;
-use geraniumshed_core::worker::{RunEnd, WorkerTime};
+use geraniumshed_core::worker::{RunEnd, RunReport, WorkerTime};
 use geraniumshed_model::prelude::{AcceleratorCount, MemorySize, ProcessorShare, ResourceSize};
 use smol_str::SmolStr;
 use tokio::runtime::{Builder, Runtime};
@@ -75,6 +75,11 @@
     starts: usize,
     ended: Vec<RunEnd>,
     next_end: u64,
+    /// Whether runs go on without an end.
+    is_keeping_runs: bool,
+    running: Vec<RunReport>,
+    /// When a call last extended the worker's lease.
+    extended_at: Option<Instant>,
 }
 
 /// The in-memory platform. Clones share its state.
@@ -237,6 +242,17 @@
         self.lock().is_worker_failing = true;
     }
 
+    /// Makes the runs that are started from now on go on without an end.
+    pub fn keep_runs(&self) {
+        self.lock().is_keeping_runs = true;
+    }
+
+    /// Returns the time since a call last extended the worker's lease.
+    pub fn lease_age(&self) -> Duration {
+        let extended_at = self.lock().extended_at;
+        extended_at.map_or(Duration::MAX, |at| at.elapsed())
+    }
+
     /// Returns the newest record of silent workers' leases.
     pub fn stored_leases(&self) -> Option<LeaseSnapshotWire> {
         let value = self.newest_progress(&LEASES_KEY)?;
--- a/crates/geraniumshed-batch/tests/nodes/support/worker.rs
+++ b/crates/geraniumshed-batch/tests/nodes/support/worker.rs
@@ -6,10 +6,12 @@
 use geraniumshed_batch::site::{RenewOutcome, WorkerCaller};
 use geraniumshed_core::job::WorkerId;
 use geraniumshed_core::worker::{
-    AdviceReply, AdviceRequest, EndKind, PaceOrder, RenewReply, RenewRequest, RunEnd, StartAnswer,
-    StartOrder, StartReply, StopOrder, WorkerCall, WorkerFailure, WorkerIncarnation, WorkerListing,
+    AdviceReply, AdviceRequest, EndKind, PaceOrder, RenewReply, RenewRequest, RunEnd, RunReport,
+    StartAnswer, StartOrder, StartReply, StopOrder, WorkerCall, WorkerFailure, WorkerIncarnation,
+    WorkerListing,
 };
 use smol_str::SmolStr;
+use tokio::time::Instant;
 
 use super::{Site, size};
 
@@ -27,7 +29,7 @@
     }
 }
 
-/// The only worker, whose runs end as soon as they start.
+/// The only worker, whose runs end as soon as they start, unless they are kept.
 impl WorkerCaller for Site {
     async fn start(&self, call: WorkerCall<StartOrder>) -> Result<StartAnswer, WorkerFailure> {
         let mut state = self.lock();
@@ -36,6 +38,16 @@
         if state.is_worker_failing {
             return Err(WorkerFailure::Unanswered);
         }
+        if state.is_keeping_runs {
+            state.running.push(RunReport {
+                task: call.body.task,
+                run: call.body.run,
+                checkpoint: None,
+                percent: 0,
+                tail_latency: Duration::ZERO,
+            });
+            return Ok(StartReply::Started.into());
+        }
         state.next_end += 1;
         let end = RunEnd {
             number: state.next_end,
@@ -70,14 +82,23 @@
         if state.is_worker_failing && state.starts > 0 {
             return RenewOutcome::Failed(WorkerFailure::Unanswered);
         }
+        if call.body.deadline.is_some() {
+            state.extended_at = Some(Instant::now());
+        }
         let seen = call.body.last_stored_end;
         state.ended.retain(|end| end.number > seen);
         let ended = state.ended.clone();
+        let mut running = state.running.clone();
         drop(state);
+        // All runs progress, so that none counts as stalled.
+        let percent = u32::try_from(self.clock().0 / 1000 % 100).unwrap();
+        for run in &mut running {
+            run.percent = percent;
+        }
         RenewOutcome::Answered(RenewReply {
             clock: self.clock(),
             incarnation: Some(WorkerIncarnation(1)),
-            running: Vec::new(),
+            running,
             ended,
             has_all_ends: true,
         })
