Show that a replaced leader prolongs leases beyond what its successor waits for

With the monitor of the daemons in it, the case partition of replaced_leader_extends_no_leases fails: the leader is cut off from the store together with a worker, and extends its lease by 6 s until the probe of the other nodes has ended, 1.6 s after the append; the successor counts 6.4 s from its takeover, gives the runs up and starts them again. Two further cases show it with a claim 0.7 s after the cut and with a leader that resigns.

--- a/crates/geraniumshed-core/tests/start_rights/leader.rs
+++ b/crates/geraniumshed-core/tests/start_rights/leader.rs
@@ -6,6 +6,7 @@
 use geraniumshed_core::assignment::{
     JobPlanner, PlannerSettings, PlannerTime, StoreBatch, StoreChange,
 };
+use geraniumshed_core::intake::AppendMonitor;
 use geraniumshed_core::job::{QueueName, QueuePolicy, TaskKey, WorkerId};
 use geraniumshed_core::leadership::LeaderTerm;
 use geraniumshed_core::worker::{
@@ -65,6 +66,8 @@
     pub sequence: u64,
     /// Since when the store has left an append unanswered.
     pub unanswered_since: Option<TimePoint>,
+    /// Whether the store is slow, so that leases are prolonged.
+    pub monitor: AppendMonitor,
     /// The time from which stored leases are counted.
     counted_from: TimePoint,
     /// When the leader before asked this one to lead, if it did.
@@ -114,6 +117,7 @@
             in_flight: None,
             sequence: 0,
             unanswered_since: None,
+            monitor: AppendMonitor::default(),
             counted_from: TimePoint::default(),
             requested_at: None,
             listed: Vec::new(),
@@ -254,6 +258,8 @@
         }
         self.in_flight = None;
         self.unanswered_since = None;
+        let is_stored = result == AppendResult::Stored;
+        self.monitor.append_answered(now.point, is_stored);
         match result {
             AppendResult::Stored => self.planner.batch_stored(now, number),
             AppendResult::Fenced => self.phase = LeaderPhase::Ended,
--- a/crates/geraniumshed-core/tests/start_rights/orders.rs
+++ b/crates/geraniumshed-core/tests/start_rights/orders.rs
@@ -87,6 +87,15 @@
     Tick, Unlist(0), Claim, Crash(1), Pass, Pass, Pass, Pass, Pass, Pass, Return(1, NewId), Pass,
     Pass,
 ])]
+// The store's group names a leader until a second after the last renewal that reached the store.
+#[case::partition_before_the_claim(&[
+    Tick, CutStore(0), Cut(0, 1), Tick, Tick, Tick, Tick, Tick, Tick, Tick, Claim, Cut(1, 0), Pass, Pass, Pass,
+    Pass, Pass, Pass, Pass, Pass,
+])]
+#[case::resignation_after_the_takeover(&[
+    Tick, CutStore(0), Cut(0, 1), Tick, Tick, Tick, Tick, Tick, Tick, Tick, Claim, Cut(1, 0), Tick, Tick, Tick,
+    Tick, Tick, Tick, Tick, Resign(0), Pass, Pass, Pass, Pass, Pass, Pass, Pass,
+])]
 fn replaced_leader_extends_no_leases(#[case] steps: &[Step]) {
     assert_none(replay(Assumptions::BOUND_CALLS, 1, LONG_RETENTION, steps));
 }
--- a/crates/geraniumshed-core/tests/start_rights/world/appends.rs
+++ b/crates/geraniumshed-core/tests/start_rights/world/appends.rs
@@ -17,6 +17,7 @@
         };
         one.replace_forgets(&mut batch);
         one.unanswered_since.get_or_insert(self.now);
+        one.monitor.append_sent(self.now);
         let one = &self.leaders[leader];
         let is_admitted = self.assumptions.checks_epoch_on_arrival && self.store.admits(one.term);
         self.appends.push(PendingAppend {
--- a/crates/geraniumshed-core/tests/start_rights/world/leaders.rs
+++ b/crates/geraniumshed-core/tests/start_rights/world/leaders.rs
@@ -1,7 +1,5 @@
 //! The leaders and their takeovers.
 
-use std::time::Duration;
-
 use geraniumshed_core::leadership::LeaderTerm;
 use geraniumshed_core::worker::WorkerListing;
 use geraniumshed_model::prelude::TimePoint;
@@ -9,9 +7,6 @@
 use super::{World, listing};
 use crate::leader::{Leader, LeaderInput, LeaderPhase};
 
-/// The time without an answer to an append from which on leases are prolonged.
-const SLOW_APPEND: Duration = Duration::from_millis(150);
-
 impl World {
     pub(super) fn thaw(&mut self, leader: usize) -> Option<()> {
         let now = self.now;
@@ -52,10 +47,7 @@
             return;
         }
         one.planner.request_placement();
-        let is_overdue = one
-            .unanswered_since
-            .is_some_and(|since| now.point.since(since) >= SLOW_APPEND);
-        one.planner.prolong_leases(is_overdue);
+        one.planner.prolong_leases(one.monitor.is_slow(now.point));
         one.planner.advance(now);
         let batch = if one.in_flight.is_none() {
             one.planner.take_batch(now)
