Extend no lease beyond what a successor waits for

Cause: a leader went on extending leases, by 6 s while its appends were unanswered, until a probe of the other nodes had ended, up to 2.3 s after it lost the store. A successor counts the longest requested lease from its takeover, which may come 1 s after that loss. If it doesn't reach a worker that its predecessor still reaches, it gives up runs that go on. A leader that resigns extended all leases in the same way. Change: no lease that a planner asks for ends later than the longest requested one counted from the newest moment at which it is known to have led: when its newest stored batch was taken, when it fenced earlier leaders, or when all nodes were without the store. Any takeover comes later, so a successor's wait always covers it, whatever stands still, is cut or comes late in between. Evidence: replaced_leader_extends_no_leases, cases 1, 3 and 4, and the new lease_ends_before_a_successor_that_is_not_known_gives_it_up (3) failed before and pass. Three tests of outages of the store now pass the reports of the other nodes on, as the leader task gets them; their assertions are unchanged.

--- a/crates/geraniumshed-batch/src/leader/event.rs
+++ b/crates/geraniumshed-batch/src/leader/event.rs
@@ -8,6 +8,7 @@
     AdviceReply, AdviceRequest, SentRenewal, StartAnswer, WorkerChange, WorkerFailure,
     WorkerListing,
 };
+use geraniumshed_model::prelude::TimePoint;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
 
@@ -42,8 +43,8 @@
     Yield,
     /// Neither the store nor any other node answers this one.
     Isolated,
-    /// The store answers neither this node nor the others that were asked.
-    StoreDown,
+    /// The store answered neither this node nor the others that were asked at this time.
+    StoreDown(TimePoint),
     /// The queues in force have changed.
     QueuesChanged(BTreeMap<QueueName, QueuePolicy>),
     /// A client asks for something.
--- a/crates/geraniumshed-batch/src/leader/run.rs
+++ b/crates/geraniumshed-batch/src/leader/run.rs
@@ -8,7 +8,7 @@
 };
 use geraniumshed_core::job::{JobId, QueueName, QueuePolicy};
 use geraniumshed_core::leadership::LeaderTerm;
-use geraniumshed_model::prelude::whole_millis;
+use geraniumshed_model::prelude::{TimePoint, whole_millis};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, sleep_until, timeout_at};
 
@@ -153,10 +153,10 @@
         self.send(LeaderEvent::Isolated);
     }
 
-    /// Tells the leader task that the store doesn't answer the other nodes either, so that none of them
-    /// can have been elected.
-    pub(crate) fn report_store_down(&self) {
-        self.send(LeaderEvent::StoreDown);
+    /// Tells the leader task that the store answered no other node either at a time, so that none of them
+    /// can have been elected by then.
+    pub(crate) fn report_store_down(&self, at: TimePoint) {
+        self.send(LeaderEvent::StoreDown(at));
     }
 }
 
@@ -196,6 +196,7 @@
     /// Restores the recovered state in the planner.
     fn restore(&mut self, recovered: RecoveredState) {
         let now = self.clock.planner_time();
+        self.planner.confirm_lead(recovered.led_at);
         log::info!(jobs = recovered.jobs.len(), ended_without_request = recovered.ended_without_request.len(); "leading with the jobs from the store");
         self.planner
             .restore_leases(now, recovered.leases_counted_from, recovered.leases);
@@ -383,10 +384,10 @@
         if now.duration_since(last) < STORE_PROBE_DELAY {
             return;
         }
+        let request = ProbeRequest(self.handle.clone());
         self.probed_at = Some(now);
         let waited_ms = whole_millis(now.duration_since(since));
         log::warn!(waited_ms; "store leaves an append unanswered; asking other nodes");
-        let request = ProbeRequest(self.handle.clone());
         if self.probe_requests.send(request).is_err() {
             log::debug!(
                 "dropped a probe request, since the node no longer supervises the leader task"
@@ -438,9 +439,9 @@
             LeaderEvent::Query(query) => self.answer(query),
             LeaderEvent::Deposed => return Some(LeaderEnd::Deposed),
             LeaderEvent::Isolated => self.planner.suspend_orders(),
-            LeaderEvent::StoreDown => {
+            LeaderEvent::StoreDown(at) => {
                 log::warn!("no node reaches the store; leases are extended without it");
-                self.planner.resume_leases();
+                self.planner.resume_leases(at);
             }
             LeaderEvent::Yield | LeaderEvent::Resign => {
                 self.planner.hand_over(now);
--- a/crates/geraniumshed-batch/src/leader/takeover.rs
+++ b/crates/geraniumshed-batch/src/leader/takeover.rs
@@ -65,6 +65,8 @@
     pub(crate) cancelled: BTreeSet<JobId>,
     /// The interference between images that earlier leaders learned.
     pub(crate) interference: InterferenceSnapshot,
+    /// A time before this leader fenced the earlier ones.
+    pub(crate) led_at: TimePoint,
     /// A time after the leader before took the snapshot of leases.
     pub(crate) leases_counted_from: TimePoint,
     /// What the leader before stored about leases.
@@ -101,6 +103,7 @@
         sequence: 0,
     };
     let started = Instant::now();
+    let led_at = clock.now();
     let record = KeyedRecord {
         key: TAKEOVER_KEY,
         value: encode(&term.0),
@@ -168,6 +171,7 @@
         ended_without_request,
         cancelled: BTreeSet::new(),
         interference: interference.unwrap_or_default(),
+        led_at,
         leases_counted_from,
         leases,
         waits: waits.unwrap_or_default(),
--- a/crates/geraniumshed-batch/src/member/leading.rs
+++ b/crates/geraniumshed-batch/src/member/leading.rs
@@ -164,6 +164,7 @@
     /// reason to change the leader. A leader that no peer answers either may have been replaced.
     async fn answer_probe_requests(self, mut requests: mpsc::UnboundedReceiver<ProbeRequest>) {
         while let Some(ProbeRequest(handle)) = requests.recv().await {
+            let asked_at = self.shared.clock().now();
             let store = &self.shared.context.store;
             let own = store.newest(LEADERS, None, PROBE_TIMEOUT);
             let (own, contact) = tokio::join!(own, self.probe_peers());
@@ -177,7 +178,7 @@
                     );
                     handle.yield_lead();
                 }
-                PeerContact::Answering => handle.report_store_down(),
+                PeerContact::Answering => handle.report_store_down(asked_at),
                 PeerContact::Isolated => {
                     log::warn!(
                         "neither the store nor another node answers; ordering nothing until the store does"
--- a/crates/geraniumshed-core/src/assignment/order_permit.rs
+++ b/crates/geraniumshed-core/src/assignment/order_permit.rs
@@ -2,7 +2,11 @@
 //!
 //! Workers reject the orders of a planner that has been replaced only once its successor has called
 //! them. A planner whose process has stood still for long enough to be replaced has to find out first.
+//!
+//! A successor that doesn't reach a worker counts its lease from the takeover on. So no lease ends later than
+//! the longest requested one that begins when the planner is known to have led: any takeover comes after that.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use geraniumshed_model::prelude::TimePoint;
@@ -27,6 +31,10 @@
     newest_batch_at: TimePoint,
     /// Whether the planner has stored nothing for too long.
     is_batch_overdue: bool,
+    /// The latest time at which no successor can have taken over, as far as is known.
+    led_at: TimePoint,
+    /// The batches that aren't stored yet, with the times at which they were taken.
+    unstored: VecDeque<(u64, TimePoint)>,
 }
 
 /// Whether the planner may start tasks.
@@ -47,6 +55,8 @@
             may_extend_leases: true,
             newest_batch_at: TimePoint::default(),
             is_batch_overdue: false,
+            led_at: TimePoint::default(),
+            unstored: VecDeque::new(),
         }
     }
 }
@@ -57,9 +67,22 @@
         self.starts == StartPermit::Granted
     }
 
-    /// Returns whether the planner may extend leases.
-    pub(super) fn may_extend_leases(&self) -> bool {
-        self.may_extend_leases
+    /// Returns for how long a lease of the given length may last that is extended now, or `None` if none
+    /// may be extended.
+    pub(super) fn limit_lease(
+        &self,
+        now: TimePoint,
+        length: Duration,
+        longest: Duration,
+    ) -> Option<Duration> {
+        let remaining = (self.led_at + longest).since(now);
+        let limited = length.min(remaining);
+        (self.may_extend_leases && !limited.is_zero()).then_some(limited)
+    }
+
+    /// Records that no successor can have taken over by a given time.
+    fn confirm(&mut self, led_at: TimePoint) {
+        self.led_at = self.led_at.max(led_at);
     }
 
     /// Returns whether a batch has to be stored to find out whether a successor has taken over.
@@ -70,6 +93,7 @@
     /// Records that a batch is about to be stored.
     pub(super) fn batch_taken(&mut self, now: TimePoint, number: u64) {
         self.newest_batch_at = now;
+        self.unstored.push_back((number, now));
         self.is_batch_overdue = false;
         if self.starts == StartPermit::Suspended {
             self.starts = StartPermit::Confirming(number);
@@ -78,6 +102,9 @@
 
     /// Records that all batches up to a number are stored.
     pub(super) fn batch_stored(&mut self, number: u64) {
+        while let Some((_, taken_at)) = self.unstored.pop_front_if(|(batch, _)| *batch <= number) {
+            self.confirm(taken_at);
+        }
         if let StartPermit::Confirming(batch) = self.starts
             && batch <= number
         {
@@ -100,10 +127,17 @@
         }
     }
 
-    /// Allows leases to be extended, although starts may be suspended, since the store answers no node,
-    /// so that none can have taken over.
-    pub fn resume_leases(&mut self) {
+    /// Records that no successor can have taken over by a given time: the planner's own claim was stored
+    /// after it.
+    pub fn confirm_lead(&mut self, led_at: TimePoint) {
+        self.order_permit.confirm(led_at);
+    }
+
+    /// Allows leases to be extended, although starts may be suspended, since the store answered no node at
+    /// a given time, so that none can have taken over by then.
+    pub fn resume_leases(&mut self, led_at: TimePoint) {
         self.order_permit.may_extend_leases = true;
+        self.order_permit.confirm(led_at);
     }
 
     /// Handles that the planner's process has not run for some time, and returns whether it may have been
--- a/crates/geraniumshed-core/src/assignment/renewals.rs
+++ b/crates/geraniumshed-core/src/assignment/renewals.rs
@@ -28,13 +28,15 @@
         self.send_renewals(now.point);
     }
 
-    /// Returns the length of the lease that calls to workers ask for.
-    pub(super) fn lease_length(&self) -> Duration {
-        if self.is_prolonging_leases {
-            self.longest_requested_lease()
+    /// Returns the length of the lease that calls to workers ask for now, or `None` if they may extend none.
+    pub(super) fn lease_length(&self, now: TimePoint) -> Option<Duration> {
+        let longest = self.longest_requested_lease();
+        let length = if self.is_prolonging_leases {
+            longest
         } else {
             self.settings.lease
-        }
+        };
+        self.order_permit.limit_lease(now, length, longest)
     }
 
     /// Returns the longest lease that any call of this planner asks for.
@@ -67,9 +69,8 @@
 
     /// Sends the renewals that are due.
     pub(super) fn send_renewals(&mut self, now: TimePoint) {
-        let lease = self.lease_length();
+        let lease = self.lease_length(now);
         let longest_lease_end = self.longest_lease_end(now);
-        let may_extend = self.order_permit.may_extend_leases();
         self.sync_workers(now);
         for id in self.renewal_queue.due(now) {
             let Some(entry) = self.workers.get_mut(&id) else {
@@ -89,11 +90,9 @@
             };
             // Calls whose replies are lost would extend the lease of a silent worker again and
             // again.
-            let deadline = if entry.unanswered_calls > 0 || !may_extend {
-                None
-            } else {
-                entry.extend_lease(now, lease, longest_lease_end)
-            };
+            let extension = lease.filter(|_| entry.unanswered_calls == 0);
+            let deadline =
+                extension.and_then(|length| entry.extend_lease(now, length, longest_lease_end));
             let sent = SentRenewal {
                 sent_at: now,
                 token: entry.token,
--- a/crates/geraniumshed-core/src/assignment/starting.rs
+++ b/crates/geraniumshed-core/src/assignment/starting.rs
@@ -80,7 +80,7 @@
             self.permission(job, start.task.into()),
             StepPermission::Anywhere
         );
-        let lease = self.lease_length();
+        let lease = self.lease_length(now.point);
         let longest_lease_end = self.longest_lease_end(now.point);
         let Some(worker) = self.workers.get_mut(&start.worker) else {
             return;
@@ -89,7 +89,8 @@
         let ticket =
             advice.and_then(|advice| advice.ticket(&start.worker, worker.incarnation, now.point));
         let ticket = ticket.cloned();
-        let deadline = worker.extend_lease(now.point, lease, longest_lease_end);
+        let deadline =
+            lease.and_then(|length| worker.extend_lease(now.point, length, longest_lease_end));
         let Some(run) = worker.runs.get_mut(&start.task) else {
             return;
         };
--- a/crates/geraniumshed-core/tests/planner/leases.rs
+++ b/crates/geraniumshed-core/tests/planner/leases.rs
@@ -79,6 +79,7 @@
     cluster.submit(2, vec![step(8)]);
     cluster.advance(Duration::from_millis(500));
     cluster.is_store_up = false;
+    cluster.is_outage_confirmed = true;
     cluster.advance(Duration::from_secs(15));
     cluster.is_store_up = true;
     cluster.advance(Duration::from_secs(18));
@@ -92,6 +93,7 @@
     let mut cluster = Cluster::with_workers(2);
     submit_long_task(&mut cluster);
     cluster.is_store_up = false;
+    cluster.is_outage_confirmed = true;
     cluster.advance(Duration::from_secs(20));
     cluster.is_store_up = true;
     cluster.advance(Duration::from_secs(45));
@@ -100,6 +102,35 @@
     assert_eq!(cluster.phase(id), Some(JobPhase::Completed));
 }
 
+// Guards against leases that a leader extends although a successor may have taken over: the store doesn't answer
+// it, and nothing shows that it answers no other node. A successor that doesn't reach the worker gives the runs up
+// when the longest requested lease has expired that began before the takeover.
+#[rstest]
+#[case::usual_leases(false, false)]
+#[case::prolonged_leases(true, false)]
+#[case::hand_over(false, true)]
+fn lease_ends_before_a_successor_that_is_not_known_gives_it_up(
+    #[case] is_prolonging: bool,
+    #[case] hands_over: bool,
+) {
+    let mut cluster = Cluster::with_workers(1);
+    let worker = submit_long_task(&mut cluster);
+    cluster.advance(Duration::from_secs(2));
+    cluster.is_store_up = false;
+    cluster.planner.prolong_leases(is_prolonging);
+    cluster.advance(Duration::from_millis(2_500));
+    if hands_over {
+        cluster.planner.hand_over(cluster.planner_time());
+        cluster.carry_out_actions();
+    }
+    cluster.advance(Duration::from_millis(1_500));
+    assert_eq!(cluster.running_on(&worker), 1, "the lease ended too soon");
+    let longest = PlannerSettings::default().prolonged_lease;
+    let waited = Duration::from_secs(4);
+    cluster.advance(longest.saturating_sub(waited) + Duration::from_millis(100));
+    assert_eq!(cluster.running_on(&worker), 0);
+}
+
 /// With a slow store, a takeover takes longer than the length of a usual lease.
 #[rstest]
 #[case::planned_stop(true, false)]
--- a/crates/geraniumshed-core/tests/planner/rules.rs
+++ b/crates/geraniumshed-core/tests/planner/rules.rs
@@ -89,7 +89,7 @@
     cluster.is_store_up = false;
     cluster.planner.suspend_orders();
     cluster.advance(Duration::from_secs(2));
-    cluster.planner.resume_leases();
+    cluster.is_outage_confirmed = true;
     cluster.advance(Duration::from_secs(10));
     assert_eq!(cluster.running_on(&worker(0)), 2);
 }
--- a/crates/geraniumshed-core/tests/start_rights/leader.rs
+++ b/crates/geraniumshed-core/tests/start_rights/leader.rs
@@ -163,6 +163,7 @@
             AppendResult::Fenced => LeaderPhase::Ended,
         };
         self.counted_from = self.requested_at.unwrap_or(now);
+        self.planner.confirm_lead(now);
     }
 
     /// Reads the stored state and begins to lead.
