Take the store for down only if all members say so

Cause: a leader whose appends are unanswered goes on extending leases once it takes the store for down. One member that answers no, refuses the connection, or reaches the store without being one of the three best successors was enough, and so was the silence of all for 10 s, after which none counted as alive recently. The members that are silent may have elected a successor. A member that leads a later term and lost the store since answered no as well. Change: judge_outage, without I/O. A leader goes on without the store only if every member that was alive before the outage answers that it doesn't reach the store and knows no later leader, or refuses connections; what that proves is counted from the moment of the question. A member that reaches the store makes it resign, whatever its rank. An isolated leader needs no report any more, since its leases end by themselves.

--- a/crates/geraniumshed-batch/src/leader/event.rs
+++ b/crates/geraniumshed-batch/src/leader/event.rs
@@ -41,9 +41,7 @@
     /// Another node is better placed to lead: it reaches the store while this one doesn't, or it
     /// runs on a much larger VM.
     Yield,
-    /// Neither the store nor any other node answers this one.
-    Isolated,
-    /// The store answered neither this node nor the others that were asked at this time.
+    /// The store answered no node at this time.
     StoreDown(TimePoint),
     /// The queues in force have changed.
     QueuesChanged(BTreeMap<QueueName, QueuePolicy>),
--- a/crates/geraniumshed-batch/src/leader/run.rs
+++ b/crates/geraniumshed-batch/src/leader/run.rs
@@ -139,7 +139,12 @@
 ///
 /// The receiver calls [`LeaderHandle::yield_lead`] on the handle if one does.
 #[derive(Debug, Clone)]
-pub(crate) struct ProbeRequest(pub(crate) LeaderHandle);
+pub(crate) struct ProbeRequest {
+    /// The handle of the leader task that asks.
+    pub(crate) handle: LeaderHandle,
+    /// Whether the store has answered since the request before.
+    pub(crate) is_first: bool,
+}
 
 impl LeaderHandle {
     /// Asks the leader task to resign, since another node is better placed to lead.
@@ -147,12 +152,6 @@
         self.send(LeaderEvent::Yield);
     }
 
-    /// Tells the leader task that neither the store nor any other node answers, so that it orders
-    /// nothing until the store does: the others may have elected a successor.
-    pub(crate) fn report_isolation(&self) {
-        self.send(LeaderEvent::Isolated);
-    }
-
     /// Tells the leader task that the store answered no other node either at a time, so that none of them
     /// can have been elected by then.
     pub(crate) fn report_store_down(&self, at: TimePoint) {
@@ -384,7 +383,10 @@
         if now.duration_since(last) < STORE_PROBE_DELAY {
             return;
         }
-        let request = ProbeRequest(self.handle.clone());
+        let request = ProbeRequest {
+            handle: self.handle.clone(),
+            is_first: self.probed_at.is_none(),
+        };
         self.probed_at = Some(now);
         let waited_ms = whole_millis(now.duration_since(since));
         log::warn!(waited_ms; "store leaves an append unanswered; asking other nodes");
@@ -438,7 +440,6 @@
             LeaderEvent::QueuesChanged(queues) => self.planner.replace_queues(queues),
             LeaderEvent::Query(query) => self.answer(query),
             LeaderEvent::Deposed => return Some(LeaderEnd::Deposed),
-            LeaderEvent::Isolated => self.planner.suspend_orders(),
             LeaderEvent::StoreDown(at) => {
                 log::warn!("no node reaches the store; leases are extended without it");
                 self.planner.resume_leases(at);
--- a/crates/geraniumshed-batch/src/member/leading.rs
+++ b/crates/geraniumshed-batch/src/member/leading.rs
@@ -1,16 +1,20 @@
 //! Leads while this node is elected: takes over, supervises the leader task and hands over.
 
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use geraniumshed_core::job::JobId;
-use geraniumshed_core::leadership::{LeaderTerm, MemberIdentity};
+use geraniumshed_core::leadership::{
+    LeaderRecord, LeaderTerm, MemberAnswer, MemberIdentity, OutageVerdict, judge_outage,
+};
 use smol_str::{SmolStr, ToSmolStr};
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
 
 use super::task::MemberTask;
 use crate::leader::{self, LeaderEnd, LeaderHandle, ProbeRequest, take_over};
+use crate::node::RECENT_MEMBER_TTL;
 use crate::peer::PeerFailure;
 use crate::site::{SiteFeed, WorkerCaller};
 use crate::store::{StoreClient, StoreError};
@@ -39,17 +43,6 @@
 /// The number of takeover attempts before the node gives up its claim.
 const TAKEOVER_ATTEMPTS: u32 = 5;
 
-/// What the other nodes tell of the store.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum PeerContact {
-    /// One of the best successors reaches the store.
-    ReachesStore,
-    /// Nodes answer or are known to be down, or there are none, but no successor reaches the store.
-    Answering,
-    /// None of the nodes that were alive recently answers.
-    Isolated,
-}
-
 impl<S: StoreClient, F: SiteFeed, W: WorkerCaller> MemberTask<S, F, W> {
     /// Leads until a later leader takes over, or until the leader task resigns.
     pub(super) async fn lead(&self, term: LeaderTerm) {
@@ -74,7 +67,7 @@
             probe_sender,
         );
         self.shared.view().handle = Some(handle.clone());
-        let probing = tokio::spawn(self.clone().answer_probe_requests(probe_requests));
+        let probing = tokio::spawn(self.clone().answer_probe_requests(term, probe_requests));
         let yielding = tokio::spawn(self.clone().yield_to_larger(handle.clone()));
         let couriers = tokio::spawn(self.clone().keep_couriers(handle.clone()));
         let reason = end.await.unwrap_or(LeaderEnd::Resigned);
@@ -161,58 +154,89 @@
 
     /// Asks peers whether they reach the store on request of the leader task, and makes the leader
     /// resign if a peer does while this node doesn't. A store that is slow for all nodes is no
-    /// reason to change the leader. A leader that no peer answers either may have been replaced.
-    async fn answer_probe_requests(self, mut requests: mpsc::UnboundedReceiver<ProbeRequest>) {
-        while let Some(ProbeRequest(handle)) = requests.recv().await {
+    /// reason to change the leader.
+    async fn answer_probe_requests(
+        self,
+        term: LeaderTerm,
+        mut requests: mpsc::UnboundedReceiver<ProbeRequest>,
+    ) {
+        let begun_at = self.shared.clock().now();
+        let inherited = self.other_members();
+        // A member that fell silent during the outage may have been elected.
+        let mut members = BTreeSet::new();
+        while let Some(ProbeRequest { handle, is_first }) = requests.recv().await {
             let asked_at = self.shared.clock().now();
+            if is_first {
+                members.clear();
+            }
+            members.extend(self.shared.view().recent_members(asked_at));
+            if asked_at.since(begun_at) < RECENT_MEMBER_TTL {
+                members.extend(inherited.iter().cloned());
+            }
             let store = &self.shared.context.store;
             let own = store.newest(LEADERS, None, PROBE_TIMEOUT);
-            let (own, contact) = tokio::join!(own, self.probe_peers());
+            let (own, verdict) = tokio::join!(own, self.probe_members(term, &members));
             if own.is_ok() {
                 continue;
             }
-            match contact {
-                PeerContact::ReachesStore => {
+            match verdict {
+                OutageVerdict::Replaceable => {
                     log::warn!(
                         "store does not answer this node but answers another one; resigning"
                     );
                     handle.yield_lead();
                 }
-                PeerContact::Answering => handle.report_store_down(asked_at),
-                PeerContact::Isolated => {
-                    log::warn!(
-                        "neither the store nor another node answers; ordering nothing until the store does"
-                    );
-                    handle.report_isolation();
-                }
+                OutageVerdict::DownForAll => handle.report_store_down(asked_at),
+                OutageVerdict::Unclear => log::warn!(
+                    members = members.len();
+                    "store does not answer this node, and some nodes don't tell whether it answers them"
+                ),
             }
         }
     }
 
-    /// Asks all nodes that were alive recently whether they reach the store. Only the best successors
-    /// count as reaching it.
-    async fn probe_peers(&self) -> PeerContact {
-        let now = self.shared.clock().now();
-        let members = self.shared.view().recent_members(now);
-        let mut candidates = self.successors();
-        candidates.truncate(PROBED_PEERS);
-        let mut contact = if members.is_empty() {
-            PeerContact::Answering
-        } else {
-            PeerContact::Isolated
-        };
-        let mut probes = self.spawn_probes(members);
+    /// Asks members whether they reach the store and which leader they know.
+    async fn probe_members(
+        &self,
+        term: LeaderTerm,
+        members: &BTreeSet<MemberIdentity>,
+    ) -> OutageVerdict {
+        let addresses: BTreeSet<SocketAddr> = members.iter().map(|one| one.address).collect();
+        let mut probes = JoinSet::new();
+        for address in addresses {
+            let task = self.clone();
+            probes.spawn(async move { task.probe_member(address).await });
+        }
+        let mut answers = Vec::new();
         while let Some(probe) = probes.join_next().await {
             match probe {
-                Ok((member, Ok(true))) if candidates.contains(&member) => {
-                    return PeerContact::ReachesStore;
+                Ok(MemberAnswer::ReachesStore) => return OutageVerdict::Replaceable,
+                Ok(answer) => answers.push(answer),
+                Err(error) => {
+                    log::error!(error:% = error; "probe of a node failed");
+                    answers.push(MemberAnswer::Silent);
                 }
-                // A node that refuses connections has been reached, but can't lead.
-                Ok((_, Ok(_) | Err(PeerFailure::Refused))) => contact = PeerContact::Answering,
-                Ok((_, Err(PeerFailure::NotSent | PeerFailure::Unanswered))) | Err(_) => {}
             }
         }
-        contact
+        judge_outage(term, answers)
+    }
+
+    /// Asks a member whether it reaches the store and which leader it knows.
+    async fn probe_member(&self, address: SocketAddr) -> MemberAnswer {
+        let pool = &self.shared.pool;
+        let (reaches, heartbeat) = tokio::join!(
+            pool.probe_store(address, PROBE_TIMEOUT),
+            pool.heartbeat(address, self.own_heartbeat(), PROBE_TIMEOUT)
+        );
+        match (reaches, heartbeat) {
+            (Ok(true), _) => MemberAnswer::ReachesStore,
+            (Ok(false), Ok(reply)) => {
+                let known = reply.leader.map(LeaderRecord::from);
+                MemberAnswer::NoStore(known.map(|record| record.term))
+            }
+            (Err(PeerFailure::Refused), _) | (_, Err(PeerFailure::Refused)) => MemberAnswer::Down,
+            (Ok(false), Err(_)) | (Err(_), _) => MemberAnswer::Silent,
+        }
     }
 
     /// Asks nodes whether they reach the store.
--- a/crates/geraniumshed-batch/src/member/task.rs
+++ b/crates/geraniumshed-batch/src/member/task.rs
@@ -190,7 +190,7 @@
         }
     }
 
-    fn own_heartbeat(&self) -> HeartbeatWire {
+    pub(super) fn own_heartbeat(&self) -> HeartbeatWire {
         HeartbeatWire {
             member: MemberWire::from(self.shared.settings.identity.clone()),
             config_version: self.shared.config.version().0,
--- a/crates/geraniumshed-core/src/leadership/mod.rs
+++ b/crates/geraniumshed-core/src/leadership/mod.rs
@@ -2,6 +2,8 @@
 
 mod election;
 mod record;
+mod store_outage;
 
 pub use election::{BeatVerdict, ElectionAction, LeaderElection};
 pub use record::{LeaderRecord, LeaderTerm, MemberIdentity};
+pub use store_outage::{MemberAnswer, OutageVerdict, judge_outage};
