Prove by heartbeats that no successor has taken over

Cause: a leader went on without the store only if every member said within 0.7 s that its own read of the store had failed. While the store hangs, such a read takes 1 s, so no member ever said so, and all leases ended 6 s after the last stored batch; the same where only the topic of progress was out of reach. A report that was on its way while the process was suspended resumed leases although it was older than the suspension. Change: what counts is whether each member answers a heartbeat and knows no later leader. A successor knows of its own term before it recovers any state, and waits for the longest lease from then on. Whether the store answers a member decides only whether the leader resigns. A report from before the last suspension is ignored. A leader that once had followers and has heard of none for 10 s proves nothing.

--- a/crates/geraniumshed-batch/src/leader/event.rs
+++ b/crates/geraniumshed-batch/src/leader/event.rs
@@ -41,8 +41,8 @@
     /// Another node is better placed to lead: it reaches the store while this one doesn't, or it
     /// runs on a much larger VM.
     Yield,
-    /// The store answered no node at this time.
-    StoreDown(TimePoint),
+    /// No successor had taken over at this time.
+    Unreplaced(TimePoint),
     /// The queues in force have changed.
     QueuesChanged(BTreeMap<QueueName, QueuePolicy>),
     /// A client asks for something.
--- a/crates/geraniumshed-batch/src/leader/run.rs
+++ b/crates/geraniumshed-batch/src/leader/run.rs
@@ -152,10 +152,9 @@
         self.send(LeaderEvent::Yield);
     }
 
-    /// Tells the leader task that the store answered no other node either at a time, so that none of them
-    /// can have been elected by then.
-    pub(crate) fn report_store_down(&self, at: TimePoint) {
-        self.send(LeaderEvent::StoreDown(at));
+    /// Tells the leader task that no successor had taken over at a time, although nothing can be stored.
+    pub(crate) fn report_unreplaced(&self, at: TimePoint) {
+        self.send(LeaderEvent::Unreplaced(at));
     }
 }
 
@@ -315,7 +314,7 @@
     fn watch_stalls(&mut self) {
         let stalled = self.awake_at.age();
         self.awake_at = ReadMark::now();
-        if self.planner.process_stalled(stalled) {
+        if self.planner.process_stalled(self.clock.now(), stalled) {
             log::warn!(stalled_ms = whole_millis(stalled); "process stood still; confirming that it leads before it orders anything");
         }
     }
@@ -440,8 +439,8 @@
             LeaderEvent::QueuesChanged(queues) => self.planner.replace_queues(queues),
             LeaderEvent::Query(query) => self.answer(query),
             LeaderEvent::Deposed => return Some(LeaderEnd::Deposed),
-            LeaderEvent::StoreDown(at) => {
-                log::warn!("no node reaches the store; leases are extended without it");
+            LeaderEvent::Unreplaced(at) => {
+                log::warn!("nothing can be stored, and no other node leads; leases are extended");
                 self.planner.resume_leases(at);
             }
             LeaderEvent::Yield | LeaderEvent::Resign => {
--- a/crates/geraniumshed-batch/src/member/leading.rs
+++ b/crates/geraniumshed-batch/src/member/leading.rs
@@ -152,9 +152,8 @@
         }
     }
 
-    /// Asks peers whether they reach the store on request of the leader task, and makes the leader
-    /// resign if a peer does while this node doesn't. A store that is slow for all nodes is no
-    /// reason to change the leader.
+    /// Asks the other members about the store on request of the leader task. Makes the leader resign if one
+    /// reaches the store while this node doesn't, and tells it if none can have taken over.
     async fn answer_probe_requests(
         self,
         term: LeaderTerm,
@@ -176,25 +175,26 @@
             let store = &self.shared.context.store;
             let own = store.newest(LEADERS, None, PROBE_TIMEOUT);
             let (own, verdict) = tokio::join!(own, self.probe_members(term, &members));
-            if own.is_ok() {
-                continue;
-            }
-            match verdict {
-                OutageVerdict::Replaceable => {
-                    log::warn!(
-                        "store does not answer this node but answers another one; resigning"
-                    );
-                    handle.yield_lead();
-                }
-                OutageVerdict::DownForAll => handle.report_store_down(asked_at),
-                OutageVerdict::Unclear => log::warn!(
+            if own.is_err() && verdict.is_replaceable {
+                log::warn!("store does not answer this node but answers another one; resigning");
+                handle.yield_lead();
+            } else if verdict.is_unreplaced && self.knows_all(&members) {
+                handle.report_unreplaced(asked_at);
+            } else {
+                log::warn!(
                     members = members.len();
-                    "store does not answer this node, and some nodes don't tell whether it answers them"
-                ),
+                    "progress can't be stored, and some nodes don't tell whether they lead"
+                );
             }
         }
     }
 
+    /// Returns whether the members are all that there may be. A node that has lost contact with all others for
+    /// longer than members are remembered knows none.
+    fn knows_all(&self, members: &BTreeSet<MemberIdentity>) -> bool {
+        !members.is_empty() || self.shared.view().tracked_members.is_empty()
+    }
+
     /// Asks members whether they reach the store and which leader they know.
     async fn probe_members(
         &self,
@@ -209,14 +209,11 @@
         }
         let mut answers = Vec::new();
         while let Some(probe) = probes.join_next().await {
-            match probe {
-                Ok(MemberAnswer::ReachesStore) => return OutageVerdict::Replaceable,
-                Ok(answer) => answers.push(answer),
-                Err(error) => {
-                    log::error!(error:% = error; "probe of a node failed");
-                    answers.push(MemberAnswer::Silent);
-                }
-            }
+            let answer = probe.unwrap_or_else(|error| {
+                log::error!(error:% = error; "probe of a node failed");
+                MemberAnswer::Silent
+            });
+            answers.push(answer);
         }
         judge_outage(term, answers)
     }
@@ -228,14 +225,14 @@
             pool.probe_store(address, PROBE_TIMEOUT),
             pool.heartbeat(address, self.own_heartbeat(), PROBE_TIMEOUT)
         );
-        match (reaches, heartbeat) {
-            (Ok(true), _) => MemberAnswer::ReachesStore,
-            (Ok(false), Ok(reply)) => {
-                let known = reply.leader.map(LeaderRecord::from);
-                MemberAnswer::NoStore(known.map(|record| record.term))
-            }
-            (Err(PeerFailure::Refused), _) | (_, Err(PeerFailure::Refused)) => MemberAnswer::Down,
-            (Ok(false), Err(_)) | (Err(_), _) => MemberAnswer::Silent,
+        match heartbeat {
+            Ok(reply) => MemberAnswer::Alive {
+                known: reply.leader.map(|leader| LeaderRecord::from(leader).term),
+                // A member that waits for the store itself answers too late.
+                reaches_store: reaches.unwrap_or(false),
+            },
+            Err(PeerFailure::Refused) => MemberAnswer::Down,
+            Err(PeerFailure::NotSent | PeerFailure::Unanswered) => MemberAnswer::Silent,
         }
     }
 
--- a/crates/geraniumshed-core/src/assignment/order_permit.rs
+++ b/crates/geraniumshed-core/src/assignment/order_permit.rs
@@ -27,6 +27,8 @@
     starts: StartPermit,
     /// Whether the planner may extend leases.
     may_extend_leases: bool,
+    /// When orders were last suspended.
+    suspended_at: TimePoint,
     /// When the newest batch was taken.
     newest_batch_at: TimePoint,
     /// Whether the planner has stored nothing for too long.
@@ -53,6 +55,7 @@
         Self {
             starts: StartPermit::Granted,
             may_extend_leases: true,
+            suspended_at: TimePoint::default(),
             newest_batch_at: TimePoint::default(),
             is_batch_overdue: false,
             led_at: TimePoint::default(),
@@ -119,9 +122,10 @@
     /// successor has taken over.
     ///
     /// A confirmation that is under way goes on, so that a planner that is slow all the time gets one.
-    pub fn suspend_orders(&mut self) {
+    pub fn suspend_orders(&mut self, now: TimePoint) {
         let permit = &mut self.order_permit;
         permit.may_extend_leases = false;
+        permit.suspended_at = now;
         if permit.may_start() {
             permit.starts = StartPermit::Suspended;
         }
@@ -133,19 +137,21 @@
         self.order_permit.confirm(led_at);
     }
 
-    /// Allows leases to be extended, although starts may be suspended, since the store answered no node at
-    /// a given time, so that none can have taken over by then.
+    /// Allows leases to be extended, although starts may be suspended, since no successor had taken over by
+    /// a given time. A time before the planner was suspended proves nothing.
     pub fn resume_leases(&mut self, led_at: TimePoint) {
-        self.order_permit.may_extend_leases = true;
-        self.order_permit.confirm(led_at);
+        if led_at > self.order_permit.suspended_at {
+            self.order_permit.may_extend_leases = true;
+            self.order_permit.confirm(led_at);
+        }
     }
 
     /// Handles that the planner's process has not run for some time, and returns whether it may have been
     /// replaced meanwhile, so that orders are suspended.
-    pub fn process_stalled(&mut self, stalled: Duration) -> bool {
+    pub fn process_stalled(&mut self, now: TimePoint, stalled: Duration) -> bool {
         let may_be_replaced = stalled >= STALL_LIMIT;
         if may_be_replaced {
-            self.suspend_orders();
+            self.suspend_orders(now);
         }
         may_be_replaced
     }
--- a/crates/geraniumshed-core/src/leadership/store_outage.rs
+++ b/crates/geraniumshed-core/src/leadership/store_outage.rs
@@ -1,46 +1,55 @@
 //! What a leader that the store doesn't answer may conclude from the answers of the other members.
 //!
-//! A successor needs the store to be elected. If no member has reached it, none was elected, and the leader
-//! may go on. A member that doesn't answer may be the successor.
+//! A successor knows of its own term before it recovers any state. If no member knows a later leader, none had
+//! recovered the state when it was asked. A member that doesn't answer may be the successor.
 
 use super::record::LeaderTerm;
 
-/// What a member says when it is asked whether it reaches the store.
+/// What a member says when the leader asks it about the store and about leaders.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum MemberAnswer {
-    /// It reaches the store.
-    ReachesStore,
-    /// It doesn't, and knows this leader as the newest one, or an earlier one, or none.
-    NoStore(Option<LeaderTerm>),
+    /// It answers.
+    Alive {
+        /// The term of the newest leader that it knows.
+        known: Option<LeaderTerm>,
+        /// Whether the store answers it.
+        reaches_store: bool,
+    },
     /// No process listens at its address.
     Down,
     /// No answer came.
     Silent,
 }
 
-/// What the answers of all members show.
+/// What the answers of all other members show.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum OutageVerdict {
-    /// A member reaches the store and can lead instead.
-    Replaceable,
-    /// No member reaches the store, so that none can have been elected.
-    DownForAll,
-    /// A member that reaches the store may have been elected.
-    Unclear,
+pub struct OutageVerdict {
+    /// Whether a member reaches the store and can lead instead.
+    pub is_replaceable: bool,
+    /// Whether no successor had taken over when the members were asked.
+    pub is_unreplaced: bool,
 }
 
-/// Judges a store that doesn't answer the leader of a term, by the answers of all other members.
+/// Judges the position of the leader of a term by the answers of all other members.
 pub fn judge_outage(
     term: LeaderTerm,
     answers: impl IntoIterator<Item = MemberAnswer>,
 ) -> OutageVerdict {
-    let mut verdict = OutageVerdict::DownForAll;
+    let mut verdict = OutageVerdict {
+        is_replaceable: false,
+        is_unreplaced: true,
+    };
     for answer in answers {
         match answer {
-            MemberAnswer::ReachesStore => return OutageVerdict::Replaceable,
-            MemberAnswer::NoStore(Some(known)) if known > term => verdict = OutageVerdict::Unclear,
-            MemberAnswer::NoStore(_) | MemberAnswer::Down => {}
-            MemberAnswer::Silent => verdict = OutageVerdict::Unclear,
+            MemberAnswer::Alive {
+                known,
+                reaches_store,
+            } => {
+                verdict.is_replaceable |= reaches_store;
+                verdict.is_unreplaced &= known <= Some(term);
+            }
+            MemberAnswer::Down => {}
+            MemberAnswer::Silent => verdict.is_unreplaced = false,
         }
     }
     verdict
--- a/crates/geraniumshed-core/tests/planner/rules.rs
+++ b/crates/geraniumshed-core/tests/planner/rules.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use geraniumshed_core::assignment::CancelOutcome;
+use geraniumshed_core::assignment::{CancelOutcome, PlannerSettings};
 use geraniumshed_core::job::{JobId, JobPhase, StepRequest};
 use geraniumshed_core::worker::{WorkerChange, WorkerListing};
 use rstest::rstest;
@@ -48,7 +48,7 @@
     cluster.is_store_up = false;
     cluster.submit(1, vec![step(2)]);
     cluster.advance(Duration::from_millis(100));
-    cluster.planner.suspend_orders();
+    cluster.planner.suspend_orders(cluster.now);
     let number_after_placements = 10;
     cluster
         .planner
@@ -68,13 +68,29 @@
     cluster.submit(1, vec![step(2)]);
     cluster.advance(Duration::from_millis(300));
     cluster.is_store_up = false;
-    cluster.planner.suspend_orders();
+    cluster.planner.suspend_orders(cluster.now);
     cluster.advance(Duration::from_millis(50));
     let deadline = cluster.workers[&worker(0)].deadline;
     cluster.advance(Duration::from_secs(3));
     assert_eq!(cluster.workers[&worker(0)].deadline, deadline);
 }
 
+// Guards against a report that was on its way while the process stood still: a successor may have taken over
+// meanwhile.
+#[test]
+fn report_from_before_a_stall_resumes_no_leases() {
+    let mut cluster = Cluster::with_workers(1);
+    cluster.submit(1, vec![step(2)]);
+    cluster.advance(Duration::from_millis(300));
+    cluster.is_store_up = false;
+    let asked_at = cluster.now;
+    cluster.planner.suspend_orders(cluster.now);
+    cluster.planner.resume_leases(asked_at);
+    let deadline = cluster.workers[&worker(0)].deadline;
+    cluster.advance(Duration::from_secs(2));
+    assert_eq!(cluster.workers[&worker(0)].deadline, deadline);
+}
+
 // Guards against runs that are lost because their leader stood still for a moment while the store answers
 // no node.
 #[test]
@@ -87,13 +103,35 @@
     cluster.submit(1, vec![long_running]);
     cluster.advance(Duration::from_millis(300));
     cluster.is_store_up = false;
-    cluster.planner.suspend_orders();
+    cluster.planner.suspend_orders(cluster.now);
     cluster.advance(Duration::from_secs(2));
     cluster.is_outage_confirmed = true;
     cluster.advance(Duration::from_secs(10));
     assert_eq!(cluster.running_on(&worker(0)), 2);
 }
 
+// Guards against a start with a lease that a successor doesn't wait for, since the store's answer came late:
+// a successor may have taken over since the placement was stored.
+#[test]
+fn late_answer_of_the_store_grants_no_lease_beyond_the_wait_of_a_successor() {
+    let mut cluster = Cluster::with_workers(1);
+    cluster.advance(Duration::from_millis(300));
+    cluster.is_store_up = false;
+    cluster.submit(1, vec![step(2)]);
+    cluster.advance(Duration::from_millis(100));
+    let taken_at = cluster.now;
+    let number = cluster.unstored_batches[0].0;
+    cluster.advance(Duration::from_secs(4));
+    cluster.planner.batch_stored(cluster.planner_time(), number);
+    cluster.carry_out_actions();
+    assert_eq!(cluster.starts.len(), 2);
+    let one = &cluster.workers[&worker(0)];
+    let remaining = one.deadline.since(one.clock(cluster.now));
+    let longest = PlannerSettings::default().prolonged_lease;
+    let limit = longest.saturating_sub(cluster.now.since(taken_at));
+    assert!(remaining <= limit, "{remaining:?} of {limit:?} remain");
+}
+
 #[test]
 fn end_is_acknowledged_and_reported_only_once_stored() {
     let mut cluster = Cluster::with_workers(2);
--- a/crates/geraniumshed-core/tests/start_rights/world/leaders.rs
+++ b/crates/geraniumshed-core/tests/start_rights/world/leaders.rs
@@ -14,7 +14,7 @@
         if !std::mem::replace(&mut one.is_frozen, false) {
             return None;
         }
-        one.planner.process_stalled(now.since(one.frozen_at));
+        one.planner.process_stalled(now, now.since(one.frozen_at));
         for input in std::mem::take(&mut one.inbox) {
             self.pass_input(leader, input);
         }
--- a/crates/geraniumshed-core/tests/store_outage.rs
+++ b/crates/geraniumshed-core/tests/store_outage.rs
@@ -1,26 +1,55 @@
 //! What a leader that the store doesn't answer may conclude from the answers of the other members.
 
-use geraniumshed_core::leadership::MemberAnswer::{Down, NoStore, ReachesStore, Silent};
-use geraniumshed_core::leadership::OutageVerdict::{DownForAll, Replaceable, Unclear};
-use geraniumshed_core::leadership::{LeaderTerm, MemberAnswer, OutageVerdict, judge_outage};
+use geraniumshed_core::leadership::MemberAnswer::{Down, Silent};
+use geraniumshed_core::leadership::{LeaderTerm, MemberAnswer, judge_outage};
 use rstest::rstest;
 
 const OWN: LeaderTerm = LeaderTerm(4);
 
-// Guards against a leader that takes the store for down, although a member may have been elected that it doesn't
+/// Returns the answer of a member that the store doesn't answer.
+const fn without_store(known: Option<u64>) -> MemberAnswer {
+    let known = match known {
+        Some(term) => Some(LeaderTerm(term)),
+        None => None,
+    };
+    MemberAnswer::Alive {
+        known,
+        reaches_store: false,
+    }
+}
+
+const FOLLOWER: MemberAnswer = without_store(Some(4));
+const STORE_READER: MemberAnswer = MemberAnswer::Alive {
+    known: Some(OWN),
+    reaches_store: true,
+};
+
+// Guards against a leader that goes on without the store, although a member may have been elected that it doesn't
 // reach, or that has lost the store since: it would extend leases that its successor counts as shorter.
 #[rstest]
-#[case::no_other_member(&[], DownForAll)]
-#[case::none_reaches_the_store(&[NoStore(Some(OWN)), NoStore(Some(LeaderTerm(3))), NoStore(None)], DownForAll)]
-#[case::one_is_down(&[Down, NoStore(Some(OWN))], DownForAll)]
-#[case::one_is_silent(&[NoStore(Some(OWN)), Silent, NoStore(Some(OWN))], Unclear)]
-#[case::one_is_silent_and_one_down(&[Silent, Down], Unclear)]
-#[case::all_are_silent(&[Silent, Silent], Unclear)]
-#[case::one_knows_a_later_leader(&[NoStore(Some(LeaderTerm(5))), NoStore(Some(OWN))], Unclear)]
-#[case::one_reaches_the_store(&[Silent, NoStore(Some(LeaderTerm(5))), ReachesStore], Replaceable)]
-fn outage_is_judged_by_all_members(
+#[case::no_other_member(&[], true)]
+#[case::all_follow(&[FOLLOWER, without_store(Some(3)), without_store(None)], true)]
+#[case::one_is_down(&[Down, FOLLOWER], true)]
+#[case::one_reaches_the_store(&[FOLLOWER, STORE_READER], true)]
+#[case::one_is_silent(&[FOLLOWER, Silent, FOLLOWER], false)]
+#[case::one_is_silent_and_one_down(&[Silent, Down], false)]
+#[case::all_are_silent(&[Silent, Silent], false)]
+#[case::one_knows_a_later_leader(&[without_store(Some(5)), FOLLOWER], false)]
+fn leader_is_unreplaced_only_if_all_members_say_so(
+    #[case] answers: &[MemberAnswer],
+    #[case] expected: bool,
+) {
+    let verdict = judge_outage(OWN, answers.iter().copied());
+    assert_eq!(verdict.is_unreplaced, expected);
+}
+
+#[rstest]
+#[case::none(&[FOLLOWER, Down, Silent], false)]
+#[case::one(&[FOLLOWER, Silent, STORE_READER], true)]
+fn leader_is_replaceable_by_a_member_that_reaches_the_store(
     #[case] answers: &[MemberAnswer],
-    #[case] expected: OutageVerdict,
+    #[case] expected: bool,
 ) {
-    assert_eq!(judge_outage(OWN, answers.iter().copied()), expected);
+    let verdict = judge_outage(OWN, answers.iter().copied());
+    assert_eq!(verdict.is_replaceable, expected);
 }
