--- a/crates/geraniumshed-batch/tests/nodes/leases.rs
+++ b/crates/geraniumshed-batch/tests/nodes/leases.rs
@@ -84,6 +84,27 @@
 /// Returns how long the worker's lease has not been extended a while after no node reaches the store
 /// anymore.
 async fn lease_age_after(fates: [NodeFate; 2], wait: Duration, first_port: u16) -> Duration {
+    lease_age_in(StoreOutage::Refuses, fates, wait, first_port).await
+}
+
+/// How the store fails.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum StoreOutage {
+    /// It refuses all calls.
+    Refuses,
+    /// It answers no call.
+    IsSilent,
+    /// It refuses appends of progress, and carries out all else.
+    RefusesProgress,
+}
+
+/// Returns how long the worker's lease has not been extended a while after the store has failed.
+async fn lease_age_in(
+    outage: StoreOutage,
+    fates: [NodeFate; 2],
+    wait: Duration,
+    first_port: u16,
+) -> Duration {
     let site = Site::new();
     site.keep_runs();
     let mut processes = Processes::spawn(&site, first_port).await;
@@ -93,7 +114,11 @@
     service.submit(JobId(200), &job(1), deadline()).await;
     wait_for(async || site.start_count() == 1).await;
     tokio::time::sleep(SETTLE_TIME).await;
-    site.refuse(0..3);
+    match outage {
+        StoreOutage::Refuses => site.refuse(0..3),
+        StoreOutage::IsSilent => site.silence(),
+        StoreOutage::RefusesProgress => site.refuse_progress(),
+    }
     for (distance, fate) in (1..).zip(fates) {
         let other = (leader + distance) % 3;
         match fate {
@@ -139,3 +164,21 @@
     let age = lease_age_after(fates, Duration::from_secs(wait_s), first_port).await;
     assert!(age < EXTENSION_LIMIT, "extended {age:?} ago");
 }
+
+// Guards against leases that expire during an outage in which no node can replace the leader: the store
+// answers no call at all, or takes no progress.
+#[rstest]
+#[case::silent_store(StoreOutage::IsSilent, NodeFate::Answers, 22_060)]
+#[case::silent_store_other_is_dead(StoreOutage::IsSilent, NodeFate::IsDead, 22_080)]
+#[case::progress_refused(StoreOutage::RefusesProgress, NodeFate::Answers, 22_070)]
+#[tokio::test]
+async fn leader_extends_leases_while_no_node_can_replace_it(
+    #[case] outage: StoreOutage,
+    #[case] other: NodeFate,
+    #[case] first_port: u16,
+) {
+    let fates = [NodeFate::Answers, other];
+    let wait = Duration::from_secs(9);
+    let age = lease_age_in(outage, fates, wait, first_port).await;
+    assert!(age < EXTENSION_LIMIT, "extended {age:?} ago");
+}
--- a/crates/geraniumshed-batch/tests/nodes/support/mod.rs
+++ b/crates/geraniumshed-batch/tests/nodes/support/mod.rs
@@ -55,6 +55,10 @@
     topics: BTreeMap<TopicName, TopicState>,
     members: Vec<SmolStr>,
     refused: BTreeSet<usize>,
+    /// Whether the store answers no call.
+    is_silent: bool,
+    /// Whether the store refuses appends of progress.
+    is_refusing_progress: bool,
     config_version: u64,
     is_worker_hidden: bool,
     is_worker_failing: bool,
@@ -177,6 +181,16 @@
         self.lock().refused = nodes.into_iter().collect();
     }
 
+    /// Makes the store answer no call of any node.
+    pub fn silence(&self) {
+        self.lock().is_silent = true;
+    }
+
+    /// Makes the store refuse appends of progress, and no other calls.
+    pub fn refuse_progress(&self) {
+        self.lock().is_refusing_progress = true;
+    }
+
     /// Publishes a configuration with the given version.
     pub fn publish(&self, version: u64) {
         self.lock().config_version = version;
--- a/crates/geraniumshed-batch/tests/nodes/support/store.rs
+++ b/crates/geraniumshed-batch/tests/nodes/support/store.rs
@@ -42,6 +42,16 @@
         Ok(state)
     }
 
+    /// Waits for the timeout if the store answers no call.
+    async fn await_answer(&self, timeout: Duration) -> Result<(), StoreError> {
+        let is_silent = self.site.lock().is_silent;
+        if is_silent {
+            tokio::time::sleep(timeout).await;
+            return Err(StoreError::Unanswered);
+        }
+        Ok(())
+    }
+
     fn topic<T>(
         &self,
         topic: TopicName,
@@ -73,8 +83,12 @@
         topic: TopicName,
         records: Vec<KeyedRecord>,
         condition: AppendCondition,
-        _: Duration,
+        timeout: Duration,
     ) -> Result<LogOffset, StoreError> {
+        self.await_answer(timeout).await?;
+        if topic == PROGRESS && self.site.lock().is_refusing_progress {
+            return Err(StoreError::Refused);
+        }
         if topic == PROGRESS {
             let delay = self.site.begin_progress(&records);
             tokio::time::sleep(delay).await;
@@ -115,6 +129,7 @@
         _: Option<SmolStr>,
         timeout: Duration,
     ) -> Result<NewestPage, StoreError> {
+        self.await_answer(timeout).await?;
         if topic == PROGRESS {
             let delay = self.site.lock().takeover_delay;
             tokio::time::sleep(delay.min(timeout)).await;
