Take neither a refused connection nor a restart for news that nobody leads

Found in the review. Cause: a member whose address refused connections counted as one that can't lead, although a way that is cut may refuse them as well: a leader cut off in this way went on extending leases. And a leader that had heard of its successor from one member went on once that member had restarted. Change: a refusal counts as silence. A leader that hears of a later term ends its leadership. Cost: a store that is out for more than 6 s while a member is dead and not yet restarted ends the leases of all workers.

--- a/crates/geraniumshed-batch/src/leader/run.rs
+++ b/crates/geraniumshed-batch/src/leader/run.rs
@@ -152,6 +152,11 @@
         self.send(LeaderEvent::Yield);
     }
 
+    /// Tells the leader task that a later leader has been elected.
+    pub(crate) fn report_replaced(&self) {
+        self.send(LeaderEvent::Deposed);
+    }
+
     /// Tells the leader task that no successor had taken over at a time, although nothing can be stored.
     pub(crate) fn report_unreplaced(&self, at: TimePoint) {
         self.send(LeaderEvent::Unreplaced(at));
--- a/crates/geraniumshed-batch/src/member/leading.rs
+++ b/crates/geraniumshed-batch/src/member/leading.rs
@@ -175,7 +175,10 @@
             let store = &self.shared.context.store;
             let own = store.newest(LEADERS, None, PROBE_TIMEOUT);
             let (own, verdict) = tokio::join!(own, self.probe_members(term, &members));
-            if own.is_err() && verdict.is_replaceable {
+            if verdict.is_replaced {
+                log::warn!(term:% = term; "another node knows a later leader; ending leadership");
+                handle.report_replaced();
+            } else if own.is_err() && verdict.is_replaceable {
                 log::warn!("store does not answer this node but answers another one; resigning");
                 handle.yield_lead();
             } else if verdict.is_unreplaced && self.knows_all(&members) {
@@ -231,8 +234,9 @@
                 // A member that waits for the store itself answers too late.
                 reaches_store: reaches.unwrap_or(false),
             },
-            Err(PeerFailure::Refused) => MemberAnswer::Down,
-            Err(PeerFailure::NotSent | PeerFailure::Unanswered) => MemberAnswer::Silent,
+            Err(PeerFailure::Refused | PeerFailure::NotSent | PeerFailure::Unanswered) => {
+                MemberAnswer::Silent
+            }
         }
     }
 
--- a/crates/geraniumshed-core/src/leadership/store_outage.rs
+++ b/crates/geraniumshed-core/src/leadership/store_outage.rs
@@ -1,7 +1,8 @@
 //! What a leader that the store doesn't answer may conclude from the answers of the other members.
 //!
 //! A successor knows of its own term before it recovers any state. If no member knows a later leader, none had
-//! recovered the state when it was asked. A member that doesn't answer may be the successor.
+//! recovered the state when it was asked. A member that doesn't answer may be the successor, also one whose
+//! address refuses connections: a way that is cut may refuse them as well.
 
 use super::record::LeaderTerm;
 
@@ -15,8 +16,6 @@
         /// Whether the store answers it.
         reaches_store: bool,
     },
-    /// No process listens at its address.
-    Down,
     /// No answer came.
     Silent,
 }
@@ -24,6 +23,8 @@
 /// What the answers of all other members show.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct OutageVerdict {
+    /// Whether a later leader has been elected.
+    pub is_replaced: bool,
     /// Whether a member reaches the store and can lead instead.
     pub is_replaceable: bool,
     /// Whether no successor had taken over when the members were asked.
@@ -36,6 +37,7 @@
     answers: impl IntoIterator<Item = MemberAnswer>,
 ) -> OutageVerdict {
     let mut verdict = OutageVerdict {
+        is_replaced: false,
         is_replaceable: false,
         is_unreplaced: true,
     };
@@ -46,11 +48,11 @@
                 reaches_store,
             } => {
                 verdict.is_replaceable |= reaches_store;
-                verdict.is_unreplaced &= known <= Some(term);
+                verdict.is_replaced |= known > Some(term);
             }
-            MemberAnswer::Down => {}
             MemberAnswer::Silent => verdict.is_unreplaced = false,
         }
     }
+    verdict.is_unreplaced &= !verdict.is_replaced;
     verdict
 }
