Count a lease as over only once its worker has ended the runs

What callers saw: two runs of a task at once for some milliseconds, all those of one worker together, the first ones by an earlier leader's order. Cause: an own lease counted as over 1 ms after the worker's clock had certainly reached the deadline, and the next runs started 13 to 20 ms later. A worker's timer that fires later than that ends the runs beside the next ones, and a renewal that comes in between may even extend the lease of runs that were given up. Change: 300 ms more, the margin that leases of earlier leaders had already, also in what is stored for a successor. Long-running tasks of lost workers start that much later. Test: run_is_given_up_only_once_its_worker_has_ended_it failed before.

--- a/crates/geraniumshed-core/src/worker/entry.rs
+++ b/crates/geraniumshed-core/src/worker/entry.rs
@@ -17,6 +17,9 @@
 use crate::assignment::LoadShare;
 use crate::job::{TaskKey, WorkerId};
 
+/// The time within which a worker has ended all runs once its lease has expired, since its timers fire late.
+const LAPSE_TIME: Duration = Duration::from_millis(300);
+
 /// A lease renewal that was sent and isn't answered yet.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct SentRenewal {
@@ -49,7 +52,7 @@
     /// The latest lease deadline that any order or renewal carried, or that an earlier scheduler's
     /// may have carried.
     pub deadline: WorkerTime,
-    /// The time by which the worker's lease has certainly expired.
+    /// The time by which the worker's lease has certainly expired, and its runs have ended.
     pub lease_expires_at: TimePoint,
     /// The time until which the worker may have a lease that is longer than requested.
     pub long_lease_until: TimePoint,
@@ -290,7 +293,7 @@
         let clock = self.clock?;
         let deadline = clock.earliest(now).plus(length);
         self.deadline = self.deadline.max(deadline);
-        self.lease_expires_at = self.lease_expires_at.max(clock.passed_at(deadline));
+        self.lease_expires_at = self.lease_expires_at.max(lapsed_at(clock, deadline));
         self.later_lease_expires_at = self.later_lease_expires_at.max(longest_end);
         self.contact.extended_at = Some(now);
         Some(deadline)
@@ -333,7 +336,7 @@
         }
         let clock = WorkerClock::new(reading, sent_at, now);
         self.clock = Some(clock);
-        self.lease_expires_at = clock.passed_at(self.deadline);
+        self.lease_expires_at = lapsed_at(clock, self.deadline);
     }
 
     /// Raises the fencing token, so that the worker refuses orders that are still in flight.
@@ -375,3 +378,8 @@
         !self.load.served.is_empty() && !self.load.best_effort.is_empty()
     }
 }
+
+/// Returns the time by which a worker has certainly ended all runs whose lease has the given deadline.
+fn lapsed_at(clock: WorkerClock, deadline: WorkerTime) -> TimePoint {
+    clock.passed_at(deadline) + LAPSE_TIME
+}
--- a/crates/geraniumshed-core/tests/planner/leases.rs
+++ b/crates/geraniumshed-core/tests/planner/leases.rs
@@ -37,6 +37,24 @@
     );
 }
 
+// Guards against a second run beside the last moments of the first one: a worker's timer fires late, and its
+// clock runs slow.
+#[test]
+fn run_is_given_up_only_once_its_worker_has_ended_it() {
+    let mut cluster = Cluster::with_workers(2);
+    let silent = submit_long_task(&mut cluster);
+    let one = cluster.workers.get_mut(&silent).unwrap();
+    one.clock_percent = 98;
+    one.fault.lapse_delay = Duration::from_millis(250);
+    cluster.advance(Duration::from_secs(2));
+    cluster.workers.get_mut(&silent).unwrap().fault.is_silent = true;
+    cluster.advance(Duration::from_secs(8));
+    assert_eq!(cluster.starts.len(), 2);
+    let one = &cluster.workers[&silent];
+    let ended_at = one.deadline + one.fault.lapse_delay;
+    assert!(one.clock(cluster.starts[1].at) > ended_at);
+}
+
 #[test]
 fn unanswered_renewals_extend_lease_only_once() {
     // Guards against a fault in which each unanswered renewal extended the lease of a worker that
--- a/crates/geraniumshed-core/tests/planner/simulation.rs
+++ b/crates/geraniumshed-core/tests/planner/simulation.rs
@@ -30,6 +30,8 @@
     pub stalls_best_effort: bool,
     /// Runs end this long after the order to stop them.
     pub stop_delay: Duration,
+    /// Runs end this long after the lease has expired.
+    pub lapse_delay: Duration,
 }
 
 /// A run on a simulated worker.
