--- a/crates/geraniumshed-batch/tests/nodes/leases.rs
+++ b/crates/geraniumshed-batch/tests/nodes/leases.rs
@@ -181,3 +181,25 @@
     let age = lease_age_in(outage, fates, wait, first_port).await;
     assert!(age < EXTENSION_LIMIT, "extended {age:?} ago");
 }
+
+// Guards against a leader that forgets a member which fell silent well before the store did: it may have been
+// elected since.
+#[tokio::test]
+async fn leader_without_a_member_that_fell_silent_long_ago_extends_no_leases() {
+    let site = Site::new();
+    site.keep_runs();
+    let mut processes = Processes::spawn(&site, 22_090).await;
+    wait_for(async || processes.leader().is_some()).await;
+    let leader = processes.leader().unwrap();
+    let service = processes.node(leader).service();
+    service.submit(JobId(200), &job(1), deadline()).await;
+    wait_for(async || site.start_count() == 1).await;
+    tokio::time::sleep(SETTLE_TIME).await;
+    processes.freeze((leader + 1) % 3);
+    tokio::time::sleep(Duration::from_secs(12)).await;
+    site.refuse(0..3);
+    tokio::time::sleep(Duration::from_secs(9)).await;
+    let age = site.lease_age();
+    processes.end();
+    assert!(age > EXTENSION_LIMIT, "extended {age:?} ago");
+}
