Show that a member that is back counts in an outage of the store

A member is killed as the store begins to refuse all calls, and its next process comes back 2 s later: the leader extends leases again.

--- a/crates/geraniumshed-batch/tests/nodes/leases.rs
+++ b/crates/geraniumshed-batch/tests/nodes/leases.rs
@@ -203,3 +203,29 @@
     processes.end();
     assert!(age > EXTENSION_LIMIT, "extended {age:?} ago");
 }
+
+// Guards against leases that expire during an outage of the store since a member was killed meanwhile,
+// although its next process answers that it knows no later leader.
+#[tokio::test]
+async fn leader_extends_leases_once_a_dead_member_is_back() {
+    const FIRST_PORT: u16 = 22_100;
+    let site = Site::new();
+    site.keep_runs();
+    let mut processes = Processes::spawn(&site, FIRST_PORT).await;
+    wait_for(async || processes.leader().is_some()).await;
+    let leader = processes.leader().unwrap();
+    let service = processes.node(leader).service();
+    service.submit(JobId(200), &job(1), deadline()).await;
+    wait_for(async || site.start_count() == 1).await;
+    tokio::time::sleep(SETTLE_TIME).await;
+    site.refuse(0..3);
+    let other = (leader + 1) % 3;
+    processes.kill(other);
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let index = u16::try_from(other).unwrap();
+    processes.all[other] = Some(site.spawn_process(index, FIRST_PORT).await);
+    tokio::time::sleep(Duration::from_secs(7)).await;
+    let age = site.lease_age();
+    processes.end();
+    assert!(age < EXTENSION_LIMIT, "extended {age:?} ago");
+}
--- a/crates/geraniumshed-batch/tests/nodes/support/mod.rs
+++ b/crates/geraniumshed-batch/tests/nodes/support/mod.rs
@@ -138,6 +138,19 @@
         processes
     }
 
+    /// Spawns a node in its own runtime like [`Self::spawn_processes`], and doesn't wait until it is ready.
+    pub async fn spawn_process(&self, index: u16, first_port: u16) -> (Runtime, Node) {
+        let runtime = Builder::new_multi_thread()
+            .worker_threads(1)
+            .enable_all()
+            .build()
+            .unwrap();
+        let site = self.clone();
+        let spawned = runtime.spawn(async move { site.spawn_node(index, first_port).await });
+        let node = spawned.await.unwrap();
+        (runtime, node)
+    }
+
     async fn spawn_node(&self, index: u16, first_port: u16) -> Node {
         self.spawn_node_on(index, first_port, ProcessorShare(100))
             .await
