Ask members about a successor for a minute after their last heartbeat

Found in the review. Cause: a member that had sent no heartbeat for 10 s was no longer asked whether it leads. If it had been cut off from the leader alone, and the leader then lost the store, the other members proved that none had taken over, and leases went on. Change: members are asked for a minute. Cost: an outage of the store within a minute after a VM has gone dark ends leases after 6 s. A member that is cut off for longer than a minute isn't asked: open.

--- a/crates/geraniumshed-batch/src/member/leading.rs
+++ b/crates/geraniumshed-batch/src/member/leading.rs
@@ -178,10 +178,9 @@
             if verdict.is_replaced {
                 log::warn!(term:% = term; "another node knows a later leader; ending leadership");
                 handle.report_replaced();
-            } else if own.is_err() && verdict.is_replaceable {
-                log::warn!("store does not answer this node but answers another one; resigning");
-                handle.yield_lead();
-            } else if verdict.is_unreplaced && self.knows_all(&members) {
+                continue;
+            }
+            if verdict.is_unreplaced && self.knows_all(&members) {
                 handle.report_unreplaced(asked_at);
             } else {
                 log::warn!(
@@ -189,6 +188,11 @@
                     "progress can't be stored, and some nodes don't tell whether they lead"
                 );
             }
+            // The last leases of a leader that resigns build on the report.
+            if own.is_err() && verdict.is_replaceable {
+                log::warn!("store does not answer this node but answers another one; resigning");
+                handle.yield_lead();
+            }
         }
     }
 
--- a/crates/geraniumshed-batch/src/node.rs
+++ b/crates/geraniumshed-batch/src/node.rs
@@ -32,7 +32,7 @@
 const MEMBER_TTL: Duration = Duration::from_millis(1200);
 
 /// The time since its last heartbeat for which a member that may be cut off is asked nevertheless.
-pub(crate) const RECENT_MEMBER_TTL: Duration = Duration::from_secs(10);
+pub(crate) const RECENT_MEMBER_TTL: Duration = Duration::from_mins(1);
 
 /// The default number of couriers for a thousand workers.
 pub const DEFAULT_COURIER_DENSITY: usize = 4;
