Give no runs up because of an outdated address

All runs of a worker were given up and started again while they went on: a registration may be shown as it was seconds ago, with an address that the worker had in an earlier life and that another worker has now. Its answer, that the call is for another worker, was taken for the proof that the known worker is gone.

It is a proof only if the known process has answered this leader, and the registration isn't of an earlier process. Otherwise the worker counts as silent and unregistered, and its lease is waited for.

--- a/crates/geraniumshed-core/src/assignment/worker_replies.rs
+++ b/crates/geraniumshed-core/src/assignment/worker_replies.rs
@@ -240,9 +240,10 @@
         entry.renewal = None;
         entry.unanswered_calls += 1;
         entry.next_renewal_at = now.point + self.settings.renewal_retry;
-        if is_other_worker {
-            // Another worker replies at this address, so this one is gone for good.
-            entry.is_listed = false;
+        // Another worker replies at this address, so this one is gone, unless the address is outdated.
+        let is_gone = is_other_worker && entry.has_known_address();
+        entry.is_listed &= !is_other_worker;
+        if is_gone {
             self.release_worker(now, worker, LossCause::Replaced);
         } else {
             self.report_silence(now.point, worker);
--- a/crates/geraniumshed-core/src/worker/entry.rs
+++ b/crates/geraniumshed-core/src/worker/entry.rs
@@ -175,6 +175,13 @@
         self.incarnation.is_some() && self.listing.incarnation > self.incarnation
     }
 
+    /// Returns whether the registered address is that of the known process, or of a later one.
+    ///
+    /// A registration may be outdated, and name an address that the worker had in an earlier life.
+    pub fn has_known_address(&self) -> bool {
+        self.is_adopted && self.listing.incarnation >= self.incarnation
+    }
+
     /// Replaces the registration, and returns whether the worker's capacity has grown.
     pub fn update_listing(&mut self, listing: WorkerListing) -> bool {
         let has_grown = !listing.capacity.fits(&self.listing.capacity);
--- a/crates/geraniumshed-core/tests/planner/takeover.rs
+++ b/crates/geraniumshed-core/tests/planner/takeover.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use geraniumshed_core::job::{JobPhase, StepRequest, WorkerId};
+use geraniumshed_core::worker::{WorkerIncarnation, WorkerListing};
 use rstest::rstest;
 
 use crate::builders::{settings_with_longest_lease, size, step, task, worker};
@@ -364,3 +365,43 @@
     let gap = cluster.starts[2].at.since(handed_over_at);
     assert!(gap < Duration::from_millis(500), "started after {gap:?}");
 }
+
+/// Returns the registration that a worker had in an earlier life, at an address that another one has now.
+fn outdated_listing(cluster: &Cluster, id: &WorkerId) -> WorkerListing {
+    let mut others = cluster.workers.values().filter(|one| one.listing.id != *id);
+    WorkerListing {
+        address: others.next().unwrap().listing.address,
+        incarnation: Some(WorkerIncarnation(0)),
+        ..cluster.workers[id].listing.clone()
+    }
+}
+
+// Guards against runs that are given up since another worker answers at an address that theirs had in an earlier
+// life: registrations may be shown as they were seconds ago.
+#[rstest]
+#[case::takeover(true)]
+#[case::one_planner(false)]
+fn another_worker_at_an_outdated_address_proves_no_loss(#[case] is_replaced: bool) {
+    let mut cluster = Cluster::with_workers(2);
+    let long = StepRequest {
+        estimate: Duration::from_mins(1),
+        ..step(1)
+    };
+    cluster.submit(1, vec![long]);
+    cluster.advance(Duration::from_millis(300));
+    let id = cluster.starts[0].worker.clone();
+    let outdated = outdated_listing(&cluster, &id);
+    let now = cluster.planner_time();
+    if is_replaced {
+        cluster.replace_planner_before_listing();
+    }
+    let listings = cluster.workers.values().map(|one| one.listing.clone());
+    let others = listings.filter(|one| one.id != id);
+    let shown = others.chain([outdated]).collect();
+    cluster.planner.replace_workers(now, shown);
+    cluster.advance(Duration::from_secs(3));
+    cluster.replace_workers();
+    cluster.advance(Duration::from_secs(3));
+    assert_eq!(cluster.duplicated, []);
+    assert_eq!(cluster.starts.len(), 1);
+}
