Prove nothing without knowing the other members

Cause: a leader that had been elected right after its restart knew a single member, and took the answer of that one for the answer of all. A node that it had never heard of was elected behind the partition, while it went on extending leases. Change: a leader goes on without the store only if it followed the leader right before it, and then asks that one and all members that it knew; or if it has stored progress for 10 s, in which each member that reaches it has sent heartbeats. Open: a member that reaches the store, but not this leader, for all of the 10 s, or that the leader before had not heard for 1.2 s.

--- a/crates/geraniumshed-batch/src/leader/run.rs
+++ b/crates/geraniumshed-batch/src/leader/run.rs
@@ -144,6 +144,8 @@
     pub(crate) handle: LeaderHandle,
     /// Whether the store has answered since the request before.
     pub(crate) is_first: bool,
+    /// Since when an append is unanswered.
+    pub(crate) unanswered_since: Instant,
 }
 
 impl LeaderHandle {
@@ -390,6 +392,7 @@
         let request = ProbeRequest {
             handle: self.handle.clone(),
             is_first: self.probed_at.is_none(),
+            unanswered_since: since,
         };
         self.probed_at = Some(now);
         let waited_ms = whole_millis(now.duration_since(since));
--- a/crates/geraniumshed-batch/src/member/leading.rs
+++ b/crates/geraniumshed-batch/src/member/leading.rs
@@ -11,6 +11,7 @@
 use smol_str::{SmolStr, ToSmolStr};
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
+use tokio::time::Instant;
 
 use super::task::MemberTask;
 use crate::leader::{self, LeaderEnd, LeaderHandle, ProbeRequest, take_over};
@@ -29,6 +30,8 @@
 const PROBE_TIMEOUT: Duration = Duration::from_millis(700);
 /// The number of successors that are asked whether they reach the store.
 const PROBED_PEERS: usize = 3;
+/// The time after which a leader that stores progress has got heartbeats from all members that it reaches.
+const MEETING_TIME: Duration = Duration::from_secs(10);
 /// The timeout for the answer of a peer that is asked to become the leader.
 const BECOME_LEADER_TIMEOUT: Duration = Duration::from_millis(300);
 /// The delay before a failed takeover is retried.
@@ -159,19 +162,26 @@
         term: LeaderTerm,
         mut requests: mpsc::UnboundedReceiver<ProbeRequest>,
     ) {
-        let begun_at = self.shared.clock().now();
-        let inherited = self.other_members();
+        let begun_at = Instant::now();
+        let inherited = self.members_of_predecessor(term);
         // A member that fell silent during the outage may have been elected.
         let mut members = BTreeSet::new();
-        while let Some(ProbeRequest { handle, is_first }) = requests.recv().await {
+        while let Some(ProbeRequest {
+            handle,
+            is_first,
+            unanswered_since,
+        }) = requests.recv().await
+        {
             let asked_at = self.shared.clock().now();
             if is_first {
                 members.clear();
             }
             members.extend(self.shared.view().recent_members(asked_at));
-            if asked_at.since(begun_at) < RECENT_MEMBER_TTL {
-                members.extend(inherited.iter().cloned());
+            if begun_at.elapsed() < RECENT_MEMBER_TTL {
+                members.extend(inherited.iter().flatten().cloned());
             }
+            let has_met_all = unanswered_since.duration_since(begun_at) >= MEETING_TIME;
+            let knows_all = (has_met_all && self.is_in_contact(&members)) || inherited.is_some();
             let store = &self.shared.context.store;
             let own = store.newest(LEADERS, None, PROBE_TIMEOUT);
             let (own, verdict) = tokio::join!(own, self.probe_members(term, &members));
@@ -180,7 +190,7 @@
                 handle.report_replaced();
                 continue;
             }
-            if verdict.is_unreplaced && self.knows_all(&members) {
+            if verdict.is_unreplaced && knows_all {
                 handle.report_unreplaced(asked_at);
             } else {
                 log::warn!(
@@ -196,9 +206,16 @@
         }
     }
 
-    /// Returns whether the members are all that there may be. A node that has lost contact with all others for
-    /// longer than members are remembered knows none.
-    fn knows_all(&self, members: &BTreeSet<MemberIdentity>) -> bool {
+    /// Returns the leader right before a term and the members that it knew, if this node followed it.
+    fn members_of_predecessor(&self, term: LeaderTerm) -> Option<Vec<MemberIdentity>> {
+        let followed = self.shared.view().followed.clone();
+        let predecessor = followed.filter(|one| one.term.precedes(term));
+        predecessor.map(|one| one.members)
+    }
+
+    /// Returns whether some member was heard recently, or there never was one. A node that has lost contact with
+    /// all others for longer than members are remembered knows none.
+    fn is_in_contact(&self, members: &BTreeSet<MemberIdentity>) -> bool {
         !members.is_empty() || self.shared.view().tracked_members.is_empty()
     }
 
--- a/crates/geraniumshed-batch/src/node.rs
+++ b/crates/geraniumshed-batch/src/node.rs
@@ -72,6 +72,15 @@
     pub(crate) at: TimePoint,
 }
 
+/// A leader that has answered a heartbeat of this process.
+#[derive(Debug, Clone)]
+pub(crate) struct FollowedLeader {
+    /// The term of the leader.
+    pub(crate) term: LeaderTerm,
+    /// The leader and the live members that it knew.
+    pub(crate) members: Vec<MemberIdentity>,
+}
+
 /// What this process knows about the leader and the other members.
 #[derive(Debug, Default)]
 pub(crate) struct MemberView {
@@ -85,6 +94,8 @@
     pub(crate) tracked_members: BTreeMap<SocketAddr, TrackedMember>,
     /// The live members that the leader knows.
     pub(crate) peers: Vec<MemberIdentity>,
+    /// The leader that this process followed last.
+    pub(crate) followed: Option<FollowedLeader>,
     /// This node's rank among the candidates to succeed the leader, if the leader has told it.
     pub(crate) rank: Option<u32>,
     /// The newest request to become the leader.
