Play long-running jobs and the limits of a site in the soak

Cause: almost all runs of the soak last less than three seconds, so a worker whose lease is counted too short has no runs left when it is given up, and nothing runs twice.

--- a/crates/geraniumshed/tests/soak.rs
+++ b/crates/geraniumshed/tests/soak.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use geraniumshed_soak::faults::FaultKind;
+use geraniumshed_soak::limits::SiteLimits;
 use geraniumshed_soak::run::{RunSettings, run};
 use geraniumshed_soak::store::EpochCheck;
 use geraniumshed_soak::worker::EndForgetting;
@@ -17,6 +18,8 @@
         time: Duration::from_secs(20),
         workers: 8,
         daemons: 3,
+        limits: SiteLimits::default(),
+        standing_jobs: 0,
         cpu_share: 0.2,
         intensity: 1.0,
         faults: vec![
