--- a/crates/geraniumshed/tests/soak.rs
+++ b/crates/geraniumshed/tests/soak.rs
@@ -18,8 +18,11 @@
         time: Duration::from_secs(20),
         workers: 8,
         daemons: 3,
-        limits: SiteLimits::default(),
-        standing_jobs: 0,
+        limits: SiteLimits {
+            lapse_delay: Duration::from_millis(50),
+            ..SiteLimits::default()
+        },
+        standing_jobs: 2,
         cpu_share: 0.2,
         intensity: 1.0,
         faults: vec![
