Remember the members that earlier leaders have named

Found by random faults in the model: a new leader asked the members that the leader right before it knew, but not those that only leaders before that one had known.

--- a/crates/geraniumshed-batch/src/member/leading.rs
+++ b/crates/geraniumshed-batch/src/member/leading.rs
@@ -163,7 +163,7 @@
         mut requests: mpsc::UnboundedReceiver<ProbeRequest>,
     ) {
         let begun_at = Instant::now();
-        let inherited = self.members_of_predecessor(term);
+        let (named, followed_predecessor) = self.named_members(term);
         // A member that fell silent during the outage may have been elected.
         let mut members = BTreeSet::new();
         while let Some(ProbeRequest {
@@ -178,10 +178,10 @@
             }
             members.extend(self.shared.view().recent_members(asked_at));
             if begun_at.elapsed() < RECENT_MEMBER_TTL {
-                members.extend(inherited.iter().flatten().cloned());
+                members.extend(named.iter().cloned());
             }
             let has_met_all = unanswered_since.duration_since(begun_at) >= MEETING_TIME;
-            let knows_all = (has_met_all && self.is_in_contact(&members)) || inherited.is_some();
+            let knows_all = (has_met_all && self.is_in_contact(&members)) || followed_predecessor;
             let store = &self.shared.context.store;
             let own = store.newest(LEADERS, None, PROBE_TIMEOUT);
             let (own, verdict) = tokio::join!(own, self.probe_members(term, &members));
@@ -206,11 +206,15 @@
         }
     }
 
-    /// Returns the leader right before a term and the members that it knew, if this node followed it.
-    fn members_of_predecessor(&self, term: LeaderTerm) -> Option<Vec<MemberIdentity>> {
-        let followed = self.shared.view().followed.clone();
-        let predecessor = followed.filter(|one| one.term.precedes(term));
-        predecessor.map(|one| one.members)
+    /// Returns the earlier leaders that this node followed with the members that they knew, and whether it
+    /// followed the leader right before a term.
+    fn named_members(&self, term: LeaderTerm) -> (Vec<MemberIdentity>, bool) {
+        let own = self.shared.settings.identity.address;
+        let view = self.shared.view();
+        let named = view.named_members.keys().cloned();
+        let others = named.filter(|member| member.address != own).collect();
+        let followed = view.followed_term;
+        (others, followed.is_some_and(|before| before.precedes(term)))
     }
 
     /// Returns whether some member was heard recently, or there never was one. A node that has lost contact with
--- a/crates/geraniumshed-batch/src/member/task.rs
+++ b/crates/geraniumshed-batch/src/member/task.rs
@@ -11,7 +11,7 @@
 
 use super::leading::member_name;
 use crate::leader::claim;
-use crate::node::{FollowedLeader, NodeShared};
+use crate::node::NodeShared;
 use crate::peer::PeerFailure;
 use crate::site::{SiteFeed, WorkerCaller};
 use crate::store::{StoreClient, StoreError};
@@ -180,14 +180,8 @@
             if reply.is_store_slow {
                 self.shared.intake.monitor().leader_reported_slow();
             }
-            let peers: Vec<MemberIdentity> =
-                reply.peers.into_iter().map(MemberIdentity::from).collect();
-            let leader = record.member.clone();
-            self.shared.view().followed = Some(FollowedLeader {
-                term: record.term,
-                members: peers.iter().cloned().chain([leader]).collect(),
-            });
-            self.shared.view().peers = peers;
+            let peers = reply.peers.into_iter().map(MemberIdentity::from).collect();
+            self.shared.view().follow(clock.now(), &record, peers);
             self.shared.view().rank = rank;
             let announced = ConfigVersion(reply.config_version);
             self.shared
--- a/crates/geraniumshed-batch/src/node.rs
+++ b/crates/geraniumshed-batch/src/node.rs
@@ -72,15 +72,6 @@
     pub(crate) at: TimePoint,
 }
 
-/// A leader that has answered a heartbeat of this process.
-#[derive(Debug, Clone)]
-pub(crate) struct FollowedLeader {
-    /// The term of the leader.
-    pub(crate) term: LeaderTerm,
-    /// The leader and the live members that it knew.
-    pub(crate) members: Vec<MemberIdentity>,
-}
-
 /// What this process knows about the leader and the other members.
 #[derive(Debug, Default)]
 pub(crate) struct MemberView {
@@ -94,8 +85,11 @@
     pub(crate) tracked_members: BTreeMap<SocketAddr, TrackedMember>,
     /// The live members that the leader knows.
     pub(crate) peers: Vec<MemberIdentity>,
-    /// The leader that this process followed last.
-    pub(crate) followed: Option<FollowedLeader>,
+    /// The term of the leader that this process followed last.
+    pub(crate) followed_term: Option<LeaderTerm>,
+    /// The leaders that this process followed and the live members that they knew, with the times at which
+    /// they were last named.
+    pub(crate) named_members: BTreeMap<MemberIdentity, TimePoint>,
     /// This node's rank among the candidates to succeed the leader, if the leader has told it.
     pub(crate) rank: Option<u32>,
     /// The newest request to become the leader.
@@ -122,6 +116,22 @@
         members.map(|one| one.member.clone()).collect()
     }
 
+    /// Records a leader that has answered a heartbeat, and the live members that it knows.
+    pub(crate) fn follow(
+        &mut self,
+        now: TimePoint,
+        leader: &LeaderRecord,
+        peers: Vec<MemberIdentity>,
+    ) {
+        self.followed_term = Some(leader.term);
+        let named = peers.iter().chain([&leader.member]);
+        let named = named.map(|member| (member.clone(), now));
+        self.named_members.extend(named);
+        self.named_members
+            .retain(|_, named_at| now.since(*named_at) < RECENT_MEMBER_TTL);
+        self.peers = peers;
+    }
+
     /// Returns the live members that may lead next, the best first.
     ///
     /// Members on larger VMs come first, since planning takes more processor time than all other
