--- a/crates/geraniumshed-batch/src/member/mod.rs
+++ b/crates/geraniumshed-batch/src/member/mod.rs
@@ -2,6 +2,7 @@
 
 mod couriers;
 mod leading;
+mod outage;
 mod task;
 
 pub(crate) use task::MemberTask;
--- a/crates/geraniumshed-batch/tests/nodes/leases.rs
+++ b/crates/geraniumshed-batch/tests/nodes/leases.rs
@@ -70,6 +70,20 @@
     }
 }
 
+/// Spawns three processes that have met, one of which leads and runs a task.
+async fn spawn_with_run(first_port: u16) -> (Site, Processes, usize) {
+    let site = Site::new();
+    site.keep_runs();
+    let processes = Processes::spawn(&site, first_port).await;
+    wait_for(async || processes.leader().is_some()).await;
+    let leader = processes.leader().unwrap();
+    let service = processes.node(leader).service();
+    service.submit(JobId(200), &job(1), deadline()).await;
+    wait_for(async || site.start_count() == 1).await;
+    tokio::time::sleep(SETTLE_TIME).await;
+    (site, processes, leader)
+}
+
 /// What becomes of another node.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum NodeFate {
@@ -105,15 +119,7 @@
     wait: Duration,
     first_port: u16,
 ) -> Duration {
-    let site = Site::new();
-    site.keep_runs();
-    let mut processes = Processes::spawn(&site, first_port).await;
-    wait_for(async || processes.leader().is_some()).await;
-    let leader = processes.leader().unwrap();
-    let service = processes.node(leader).service();
-    service.submit(JobId(200), &job(1), deadline()).await;
-    wait_for(async || site.start_count() == 1).await;
-    tokio::time::sleep(SETTLE_TIME).await;
+    let (site, mut processes, leader) = spawn_with_run(first_port).await;
     match outage {
         StoreOutage::Refuses => site.refuse(0..3),
         StoreOutage::IsSilent => site.silence(),
@@ -186,15 +192,7 @@
 // elected since.
 #[tokio::test]
 async fn leader_without_a_member_that_fell_silent_long_ago_extends_no_leases() {
-    let site = Site::new();
-    site.keep_runs();
-    let mut processes = Processes::spawn(&site, 22_090).await;
-    wait_for(async || processes.leader().is_some()).await;
-    let leader = processes.leader().unwrap();
-    let service = processes.node(leader).service();
-    service.submit(JobId(200), &job(1), deadline()).await;
-    wait_for(async || site.start_count() == 1).await;
-    tokio::time::sleep(SETTLE_TIME).await;
+    let (site, mut processes, leader) = spawn_with_run(22_090).await;
     processes.freeze((leader + 1) % 3);
     tokio::time::sleep(Duration::from_secs(12)).await;
     site.refuse(0..3);
@@ -209,15 +207,7 @@
 #[tokio::test]
 async fn leader_extends_leases_once_a_dead_member_is_back() {
     const FIRST_PORT: u16 = 22_100;
-    let site = Site::new();
-    site.keep_runs();
-    let mut processes = Processes::spawn(&site, FIRST_PORT).await;
-    wait_for(async || processes.leader().is_some()).await;
-    let leader = processes.leader().unwrap();
-    let service = processes.node(leader).service();
-    service.submit(JobId(200), &job(1), deadline()).await;
-    wait_for(async || site.start_count() == 1).await;
-    tokio::time::sleep(SETTLE_TIME).await;
+    let (site, mut processes, leader) = spawn_with_run(FIRST_PORT).await;
     site.refuse(0..3);
     let other = (leader + 1) % 3;
     processes.kill(other);
--- a/crates/geraniumshed-batch/tests/nodes/support/mod.rs
+++ b/crates/geraniumshed-batch/tests/nodes/support/mod.rs
@@ -125,14 +125,7 @@
     pub async fn spawn_processes(&self, count: u16, first_port: u16) -> Vec<(Runtime, Node)> {
         let mut processes = Vec::new();
         for index in 0..count {
-            let runtime = Builder::new_multi_thread()
-                .worker_threads(1)
-                .enable_all()
-                .build()
-                .unwrap();
-            let site = self.clone();
-            let spawned = runtime.spawn(async move { site.spawn_node(index, first_port).await });
-            processes.push((runtime, spawned.await.unwrap()));
+            processes.push(self.spawn_process(index, first_port).await);
         }
         wait_for(async || processes.iter().all(|(_, node)| node.service().is_ready())).await;
         processes
