Simulate nodes, the store and workers under random faults

Change: a simulation on a clock of its own with the real election and planner, which draws faults from a seed (cuts in one or both directions, stalls, jitter, late calls and appends, freezes, starvation, kills, resignations, removed registrations) and shrinks those that break the rule. A test plays 100 seeds, a search by hand any number.

--- /dev/null
+++ b/crates/geraniumshed-core/tests/start_rights/faults.rs
@@ -0,0 +1,126 @@
+//! Faults of nodes, the store and paths between them that keep the rule.
+
+use std::time::Duration;
+
+use rstest::rstest;
+
+use crate::simulation::fault::FaultKind::{
+    Cut, CutOneWay, Freeze, Jitter, LateAppends, Stall, Starve, Unlist,
+};
+use crate::simulation::fault::Place::{Machine, Node, Store};
+use crate::simulation::fault::{Fault, fault};
+use crate::simulation::random::{FaultRange, draw_faults, shrink};
+use crate::simulation::{Setup, simulate, trace};
+
+/// Fails with what led to a violation.
+fn assert_kept(setup: &Setup, faults: &[Fault]) {
+    if let Some(found) = simulate(setup, faults, true) {
+        panic!("{:?}\n{}", found.violation, found.log.join("\n"));
+    }
+}
+
+// Guards against a replaced leader that goes on extending the lease of a worker which its successor
+// doesn't reach: the successor gives the worker up while the runs there continue.
+#[rstest]
+#[case::starved_leader_with_a_slow_store(&[
+    fault(12_000, 1_000, Cut(Node(0), Node(1))),
+    fault(13_000, 16_000, Jitter(Store, Node(0), 1_098)),
+    fault(13_300, 500, LateAppends(3_649)),
+    fault(16_000, 4_000, Starve(0, 476)),
+    fault(16_000, 12_000, Stall(Node(1), Machine(0))),
+])]
+#[case::worker_whose_registration_was_removed(&[
+    fault(16_500, 8_000, CutOneWay(Node(0), Node(1))),
+    fault(17_000, 1_000, Freeze(0)),
+    fault(17_000, 13_000, Freeze(1)),
+    fault(27_800, 838, Freeze(0)),
+    fault(28_000, 12_000, Unlist(2)),
+    fault(28_677, 12_000, Cut(Node(0), Store)),
+])]
+#[case::partition_with_a_node_and_a_worker(&[
+    fault(10_000, 30_000, Cut(Node(0), Node(1))),
+    fault(10_000, 30_000, Cut(Node(0), Store)),
+    fault(10_000, 30_000, Cut(Node(2), Store)),
+    fault(10_000, 30_000, Cut(Node(1), Machine(0))),
+    fault(10_000, 30_000, Cut(Node(0), Machine(1))),
+    fault(10_000, 30_000, Cut(Node(0), Machine(2))),
+    fault(10_000, 30_000, Cut(Node(0), Machine(3))),
+])]
+#[case::partition_with_a_worker(&[
+    fault(10_000, 30_000, Cut(Node(0), Node(1))),
+    fault(10_000, 30_000, Cut(Node(0), Node(2))),
+    fault(10_000, 30_000, Cut(Node(0), Store)),
+    fault(10_000, 30_000, Cut(Node(1), Machine(0))),
+    fault(10_000, 30_000, Cut(Node(0), Machine(1))),
+    fault(10_000, 30_000, Cut(Node(0), Machine(2))),
+    fault(10_000, 30_000, Cut(Node(0), Machine(3))),
+])]
+fn replaced_leader_extends_no_lease_that_is_counted(#[case] faults: &[Fault]) {
+    assert_kept(&Setup::default(), faults);
+}
+
+/// The number of seeds that the test of random faults plays.
+const SEEDS: u64 = 100;
+
+// Guards against faults in any order that break the rule, without restarts of workers.
+#[rstest]
+#[case::leases_of_6_s(6)]
+#[case::leases_of_10_s(10)]
+fn random_faults_keep_the_rule(#[case] longest_lease_s: u64) {
+    let setup = Setup {
+        longest_lease: Duration::from_secs(longest_lease_s),
+        ..Setup::default()
+    };
+    let range = FaultRange {
+        has_crashes: false,
+        limit: 8,
+    };
+    for seed in 0..SEEDS {
+        let faults = draw_faults(&setup, range, seed);
+        if simulate(&setup, &faults, false).is_some() {
+            let (faults, found) = shrink(&setup, &faults).unwrap();
+            let log = found.log.join("\n");
+            panic!("seed {seed}, {faults:?}: {:?}\n{log}", found.violation);
+        }
+    }
+}
+
+/// Searches for a violation from the seeds that the environment names. Started by hand.
+#[test]
+#[ignore = "takes minutes"]
+fn search() {
+    let number = |name: &str, default: u64| {
+        let value = std::env::var(name).ok();
+        value
+            .and_then(|value| value.parse().ok())
+            .unwrap_or(default)
+    };
+    let (first, count) = (number("FIRST", 0), number("COUNT", 1000));
+    let setup = Setup {
+        longest_lease: Duration::from_millis(number("LEASE", 6_000)),
+        ..Setup::default()
+    };
+    let range = FaultRange {
+        has_crashes: number("CRASHES", 0) > 0,
+        limit: usize::try_from(number("LIMIT", 8)).unwrap(),
+    };
+    let begun = std::time::Instant::now();
+    let mut found = 0;
+    for seed in first..first + count {
+        let faults = draw_faults(&setup, range, seed);
+        if number("TRACE", 0) > 0 {
+            println!("{faults:?}\n{}", trace(&setup, &faults).join("\n"));
+        }
+        if simulate(&setup, &faults, false).is_none() {
+            continue;
+        }
+        found += 1;
+        let (faults, violation) = shrink(&setup, &faults).unwrap();
+        println!("== seed {seed}: {:?}", violation.violation);
+        println!("{faults:?}");
+        if number("LOG", 0) > 0 {
+            println!("{}", violation.log.join("\n"));
+        }
+    }
+    println!("{count} seeds, {found} violations, {:?}", begun.elapsed());
+}
--- a/crates/geraniumshed-core/tests/start_rights/leader.rs
+++ b/crates/geraniumshed-core/tests/start_rights/leader.rs
@@ -97,6 +97,11 @@
             job_retention,
             ..PlannerSettings::default()
         };
+        Self::with_settings(term, settings)
+    }
+
+    /// Creates a leader with the given settings.
+    pub fn with_settings(term: LeaderTerm, settings: PlannerSettings) -> Self {
         let mut planner = JobPlanner::new(settings, term.first_token());
         let policy = QueuePolicy {
             service: "s".into(),
@@ -162,6 +167,11 @@
             AppendResult::Stored => LeaderPhase::Fenced,
             AppendResult::Fenced => LeaderPhase::Ended,
         };
+        self.fenced(now);
+    }
+
+    /// Records that the store has confirmed that earlier leaders are fenced.
+    pub fn fenced(&mut self, now: TimePoint) {
         self.counted_from = self.requested_at.unwrap_or(now);
         self.planner.confirm_lead(now);
     }
--- a/crates/geraniumshed-core/tests/start_rights/main.rs
+++ b/crates/geraniumshed-core/tests/start_rights/main.rs
@@ -4,9 +4,11 @@
 //! of the platform's protocol. Each test checks the runs on the workers, not the planners' own view.
 
 mod checker;
+mod faults;
 mod leader;
 mod orders;
 mod search;
+mod simulation;
 mod step;
 mod store;
 mod worker;
--- a/crates/geraniumshed-core/tests/start_rights/worker.rs
+++ b/crates/geraniumshed-core/tests/start_rights/worker.rs
@@ -1,9 +1,9 @@
 //! A model of a worker: fencing tokens, leases and numbered ends, which each process has anew.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use geraniumshed_core::job::{TaskKey, WorkerId};
+use geraniumshed_core::job::{JobId, TaskKey, WorkerId};
 use geraniumshed_core::worker::{
     EndKind, FenceToken, ProcessReading, RenewReply, RenewRequest, RunEnd, RunReport, StartOrder,
     StartReply, WorkerIncarnation, WorkerTime,
@@ -16,8 +16,8 @@
 const LISTED_ENDS: usize = 1;
 /// The longest lease that a worker grants.
 pub const LONGEST_LEASE: Duration = Duration::from_secs(6);
-/// The speed of all workers' clocks, in percent: as slow as the platform allows.
-const CLOCK_PERCENT: u64 = 98;
+/// The speed of a worker's clock that is as slow as the platform allows, in percent.
+const SLOWEST_CLOCK_PERCENT: u64 = 98;
 
 /// A process of a worker.
 #[derive(Debug, Clone)]
@@ -25,6 +25,12 @@
     pub id: WorkerId,
     pub incarnation: WorkerIncarnation,
     started_at: TimePoint,
+    /// The longest lease that the worker grants.
+    pub longest_lease: Duration,
+    /// The speed of the worker's clock, in percent.
+    pub clock_percent: u64,
+    /// The jobs whose runs are at work from their start on.
+    pub long_running: BTreeSet<JobId>,
     /// What the clock showed at the start of the process.
     first_reading: u64,
     pub token: FenceToken,
@@ -43,6 +49,9 @@
             id,
             incarnation: WorkerIncarnation(incarnation),
             started_at: now,
+            longest_lease: LONGEST_LEASE,
+            clock_percent: SLOWEST_CLOCK_PERCENT,
+            long_running: BTreeSet::new(),
             first_reading,
             token: FenceToken(0),
             deadline: WorkerTime(0),
@@ -114,23 +123,31 @@
             .into_iter()
             .partition(|end| end.number <= seen);
         self.ended = kept;
+        Some((self.report(now), acknowledged))
+    }
+
+    /// Returns the lists of runs and ends.
+    pub fn report(&self, now: TimePoint) -> RenewReply {
         // A run whose progress stands still would be stopped.
         let percent = u32::try_from(self.clock(now).0 % 99).unwrap_or_default();
         let running = self.runs.iter().map(|(task, run)| RunReport {
             task: *task,
             run: *run,
             checkpoint: None,
-            percent,
+            percent: if self.long_running.contains(&task.job) {
+                100
+            } else {
+                percent
+            },
             tail_latency: Duration::ZERO,
         });
-        let reply = RenewReply {
+        RenewReply {
             clock: self.clock(now),
             incarnation: Some(self.incarnation),
             running: running.collect(),
             ended: self.ended.iter().take(LISTED_ENDS).cloned().collect(),
             has_all_ends: self.ended.len() <= LISTED_ENDS,
-        };
-        Some((reply, acknowledged))
+        }
     }
 
     /// Ends a run.
@@ -172,11 +189,11 @@
     fn clock(&self, now: TimePoint) -> WorkerTime {
         let elapsed = now.since(self.started_at).as_millis();
         let elapsed = u64::try_from(elapsed).unwrap_or_default();
-        WorkerTime(self.first_reading + elapsed * CLOCK_PERCENT / 100)
+        WorkerTime(self.first_reading + elapsed * self.clock_percent / 100)
     }
 
     fn extend_lease(&mut self, deadline: WorkerTime, now: TimePoint) {
-        let longest = self.clock(now).plus(LONGEST_LEASE);
+        let longest = self.clock(now).plus(self.longest_lease);
         self.deadline = self.deadline.max(deadline.min(longest));
     }
 
