Draw partitions of nodes and workers in the simulation

Cause: the random faults cut single paths, and rarely kept a replaced leader together with the workers that its successor doesn't reach. Change: a kind of fault that cuts some nodes and workers off from all else, drawn at random as well, and the case of a leader that is cut off before all nodes have sent it heartbeats.

--- a/crates/geraniumshed-core/tests/start_rights/faults.rs
+++ b/crates/geraniumshed-core/tests/start_rights/faults.rs
@@ -5,10 +5,10 @@
 use rstest::rstest;
 
 use crate::simulation::fault::FaultKind::{
-    Cut, CutOneWay, Freeze, Jitter, LateAppends, Stall, Starve, Unlist,
+    Cut, CutOneWay, Freeze, Jitter, Kill, LateAppends, Partition, Stall, Starve, Unlist,
 };
-use crate::simulation::fault::Place::{self, Machine, Node, Store};
-use crate::simulation::fault::{Fault, fault};
+use crate::simulation::fault::Place::{Machine, Node, Store};
+use crate::simulation::fault::{Fault, PlaceSet, fault};
 use crate::simulation::random::{FaultRange, draw_faults, shrink};
 use crate::simulation::{Setup, simulate, trace};
 
@@ -38,48 +38,28 @@
     fault(28_677, 12_000, Cut(Node(0), Store)),
 ])]
 #[case::partition_with_a_node_and_a_worker(&[
-    fault(10_000, 30_000, Cut(Node(0), Node(1))),
-    fault(10_000, 30_000, Cut(Node(0), Store)),
-    fault(10_000, 30_000, Cut(Node(2), Store)),
-    fault(10_000, 30_000, Cut(Node(1), Machine(0))),
-    fault(10_000, 30_000, Cut(Node(0), Machine(1))),
-    fault(10_000, 30_000, Cut(Node(0), Machine(2))),
-    fault(10_000, 30_000, Cut(Node(0), Machine(3))),
+    fault(10_000, 30_000, Partition(PlaceSet::new(&[0, 2], &[0]))),
 ])]
 #[case::partition_with_a_worker(&[
-    fault(10_000, 30_000, Cut(Node(0), Node(1))),
-    fault(10_000, 30_000, Cut(Node(0), Node(2))),
-    fault(10_000, 30_000, Cut(Node(0), Store)),
-    fault(10_000, 30_000, Cut(Node(1), Machine(0))),
-    fault(10_000, 30_000, Cut(Node(0), Machine(1))),
-    fault(10_000, 30_000, Cut(Node(0), Machine(2))),
-    fault(10_000, 30_000, Cut(Node(0), Machine(3))),
+    fault(10_000, 30_000, Partition(PlaceSet::new(&[0], &[0]))),
+])]
+#[case::partition_of_a_leader_that_has_not_heard_all_nodes(&[
+    fault(10_000, 500, Kill(1)),
+    fault(10_200, 8_000, Starve(0, 526)),
+    fault(10_900, 4_000, Cut(Node(0), Store)),
+    fault(12_400, 16_000, Partition(PlaceSet::new(&[0, 1], &[0, 1, 2]))),
 ])]
 fn replaced_leader_extends_no_lease_that_is_counted(#[case] faults: &[Fault]) {
     assert_kept(&Setup::default(), faults);
 }
 
-/// Returns the cuts of a partition of some nodes and workers from all others and from the store.
-fn partition(setup: &Setup, at_ms: u64, for_ms: u64, inside: &[Place]) -> Vec<Fault> {
-    let nodes = (0..setup.nodes).map(Node);
-    let machines = (0..setup.machines).map(Machine);
-    let places = nodes.chain(machines).chain([Store]);
-    let outside: Vec<Place> = places.filter(|place| !inside.contains(place)).collect();
-    let pairs = inside
-        .iter()
-        .flat_map(|one| outside.iter().map(move |other| (*one, *other)));
-    pairs
-        .map(|(one, other)| fault(at_ms, for_ms, Cut(one, other)))
-        .collect()
-}
-
 // Guards against the leader of an availability zone that is cut off, and that goes on extending the leases
 // there after it was replaced, while its successor counts until they have expired.
 #[rstest]
-#[case::leader_with_another_node(&[Node(0), Node(1), Machine(0), Machine(1)])]
-#[case::leader_alone(&[Node(0), Machine(0), Machine(1)])]
+#[case::leader_with_another_node(PlaceSet::new(&[0, 1], &[0, 1]))]
+#[case::leader_alone(PlaceSet::new(&[0], &[0, 1]))]
 fn leader_of_a_lost_zone_extends_no_leases(
-    #[case] inside: &[Place],
+    #[case] zone: PlaceSet,
     #[values(8_000, 12_000, 20_000)] for_ms: u64,
 ) {
     let setup = Setup {
@@ -87,7 +67,7 @@
         machines: 6,
         ..Setup::default()
     };
-    assert_kept(&setup, &partition(&setup, 10_000, for_ms, inside));
+    assert_kept(&setup, &[fault(10_000, for_ms, Partition(zone))]);
 }
 
 /// The number of seeds that the test of random faults plays.
--- a/crates/geraniumshed-core/tests/start_rights/simulation/fault.rs
+++ b/crates/geraniumshed-core/tests/start_rights/simulation/fault.rs
@@ -12,11 +12,48 @@
     Store,
 }
 
+/// Some nodes and machines, each as a bit of its number.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PlaceSet {
+    pub nodes: u64,
+    pub machines: u64,
+}
+
+impl PlaceSet {
+    /// Creates the set of the nodes and machines with the given numbers.
+    pub const fn new(nodes: &[u64], machines: &[u64]) -> Self {
+        Self {
+            nodes: bits(nodes),
+            machines: bits(machines),
+        }
+    }
+
+    fn contains(self, place: Place) -> bool {
+        match place {
+            Place::Node(node) => self.nodes >> node & 1 == 1,
+            Place::Machine(machine) => self.machines >> machine & 1 == 1,
+            Place::Store => false,
+        }
+    }
+}
+
+const fn bits(numbers: &[u64]) -> u64 {
+    let mut bits = 0;
+    let mut index = 0;
+    while index < numbers.len() {
+        bits |= 1 << numbers[index];
+        index += 1;
+    }
+    bits
+}
+
 /// What a fault does.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum FaultKind {
     /// Nothing arrives in either direction.
     Cut(Place, Place),
+    /// Nothing passes between some nodes and machines and all other places, nor the store.
+    Partition(PlaceSet),
     /// Nothing arrives in one direction.
     CutOneWay(Place, Place),
     /// What is sent in one direction arrives when the fault ends.
@@ -105,6 +142,9 @@
                 FaultKind::Cut(a, b) if (a, b) == (from, to) || (b, a) == (from, to) => {
                     return Passage::Lost;
                 }
+                FaultKind::Partition(set) if set.contains(from) != set.contains(to) => {
+                    return Passage::Lost;
+                }
                 FaultKind::CutOneWay(a, b) if (a, b) == (from, to) => return Passage::Lost,
                 FaultKind::Stall(a, b) if (a, b) == (from, to) => {
                     arrives_at = arrives_at.max(fault.ends_at(self.start) + PATH_TIME);
--- a/crates/geraniumshed-core/tests/start_rights/simulation/random.rs
+++ b/crates/geraniumshed-core/tests/start_rights/simulation/random.rs
@@ -4,7 +4,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use super::fault::{Fault, FaultKind, Place};
+use super::fault::{Fault, FaultKind, Place, PlaceSet};
 use super::{FoundFault, Setup, simulate};
 
 /// Which faults a search plays.
@@ -63,7 +63,16 @@
     } else {
         (b, a)
     };
+    let own = PlaceSet::new(&[node as u64], &[machine as u64]);
+    let others =
+        random.random_range(0..1 << setup.nodes) & random.random_range(0..1 << setup.nodes);
+    let set = PlaceSet {
+        nodes: own.nodes | others,
+        machines: own.machines | random.random_range(0..1 << setup.machines),
+    };
     let kinds = [
+        FaultKind::Partition(set),
+        FaultKind::Partition(set),
         FaultKind::Cut(a, b),
         FaultKind::Cut(a, b),
         FaultKind::Cut(a, b),
