Search faults of any number of nodes and workers

Cause: the search by hand played three nodes and four workers alone. Change: NODES and MACHINES set their numbers.

--- a/crates/geraniumshed-core/tests/start_rights/faults.rs
+++ b/crates/geraniumshed-core/tests/start_rights/faults.rs
@@ -108,6 +108,8 @@
     };
     let (first, count) = (number("FIRST", 0), number("COUNT", 1000));
     let setup = Setup {
+        nodes: usize::try_from(number("NODES", 3)).unwrap(),
+        machines: usize::try_from(number("MACHINES", 4)).unwrap(),
         longest_lease: Duration::from_millis(number("LEASE", 6_000)),
         ..Setup::default()
     };
