--- a/crates/geraniumshed-core/tests/start_rights/faults.rs
+++ b/crates/geraniumshed-core/tests/start_rights/faults.rs
@@ -98,7 +98,7 @@
 
 /// Searches for a violation from the seeds that the environment names. Started by hand.
 #[test]
-#[ignore = "takes minutes"]
+#[ignore = "a search of any length, which is started by hand"]
 fn search() {
     let number = |name: &str, default: u64| {
         let value = std::env::var(name).ok();
