Ask nodes in the simulation as leaders do now

Change: leaders judge an outage by the newest terms that the other nodes know (judge_outage), ask all nodes heard within a minute and those named by leaders that they followed, and confirm their lead by the time before their own fence. Six cases more, to which the search led: leaders that didn't know a node which was elected again.

--- a/crates/geraniumshed-core/tests/start_rights/faults.rs
+++ b/crates/geraniumshed-core/tests/start_rights/faults.rs
@@ -5,7 +5,7 @@
 use rstest::rstest;
 
 use crate::simulation::fault::FaultKind::{
-    Cut, CutOneWay, Freeze, Jitter, Kill, LateAppends, Partition, Stall, Starve, Unlist,
+    Cut, CutOneWay, Freeze, Jitter, Kill, LateAppends, Partition, Resign, Stall, Starve, Unlist,
 };
 use crate::simulation::fault::Place::{Machine, Node, Store};
 use crate::simulation::fault::{Fault, PlaceSet, fault};
@@ -49,6 +49,36 @@
     fault(10_900, 4_000, Cut(Node(0), Store)),
     fault(12_400, 16_000, Partition(PlaceSet::new(&[0, 1], &[0, 1, 2]))),
 ])]
+#[case::leader_that_knows_a_single_node(&[
+    fault(10_000, 200, Kill(1)),
+    fault(10_200, 8_000, Starve(0, 526)),
+    fault(10_900, 4_000, Cut(Node(0), Store)),
+    fault(12_400, 16_000, Partition(PlaceSet::new(&[0, 1], &[0, 1, 2]))),
+])]
+#[case::predecessor_that_leads_again(&[
+    fault(15_500, 4_000, Resign(0)),
+    fault(15_684, 12_000, Partition(PlaceSet::new(&[1, 2], &[0, 2]))),
+])]
+#[case::restarted_predecessor(&[
+    fault(17_500, 12_000, Kill(0)),
+    fault(28_000, 12_000, Partition(PlaceSet::new(&[1, 2], &[1, 2, 3]))),
+])]
+#[case::second_leader_since_a_node_froze(&[
+    fault(12_598, 4_000, Freeze(0)),
+    fault(14_000, 4_000, Freeze(1)),
+    fault(14_961, 12_000, Partition(PlaceSet::new(&[1, 2], &[1, 2]))),
+])]
+#[case::second_leader_since_a_node_was_killed(&[
+    fault(16_000, 12_000, Kill(0)),
+    fault(18_000, 4_000, Partition(PlaceSet::new(&[1], &[0, 1, 2, 3]))),
+    fault(24_000, 16_000, Partition(PlaceSet::new(&[1, 2], &[0, 3]))),
+])]
+#[case::node_that_was_silent_before_the_takeover(&[
+    fault(4_000, 12_000, Freeze(1)),
+    fault(4_000, 14_000, CutOneWay(Node(1), Store)),
+    fault(6_000, 4_000, Resign(0)),
+    fault(16_000, 12_000, Partition(PlaceSet::new(&[0, 2], &[0, 2]))),
+])]
 fn replaced_leader_extends_no_lease_that_is_counted(#[case] faults: &[Fault]) {
     assert_kept(&Setup::default(), faults);
 }
--- a/crates/geraniumshed-core/tests/start_rights/leader.rs
+++ b/crates/geraniumshed-core/tests/start_rights/leader.rs
@@ -167,13 +167,13 @@
             AppendResult::Stored => LeaderPhase::Fenced,
             AppendResult::Fenced => LeaderPhase::Ended,
         };
-        self.fenced(now);
+        self.fenced(now, now);
     }
 
-    /// Records that the store has confirmed that earlier leaders are fenced.
-    pub fn fenced(&mut self, now: TimePoint) {
+    /// Records that the store has confirmed that earlier leaders are fenced, and when it was asked to.
+    pub fn fenced(&mut self, asked_at: TimePoint, now: TimePoint) {
         self.counted_from = self.requested_at.unwrap_or(now);
-        self.planner.confirm_lead(now);
+        self.planner.confirm_lead(asked_at);
     }
 
     /// Reads the stored state and begins to lead.
--- a/crates/geraniumshed-core/tests/start_rights/simulation/leading.rs
+++ b/crates/geraniumshed-core/tests/start_rights/simulation/leading.rs
@@ -3,17 +3,15 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use geraniumshed_core::assignment::{PlannerSettings, PlannerTime};
-use geraniumshed_core::intake::AppendMonitor;
-use geraniumshed_core::leadership::LeaderTerm;
+use geraniumshed_core::assignment::PlannerSettings;
 use geraniumshed_model::prelude::TimePoint;
 
 use super::fault::Place;
-use super::member::Contact;
+use super::member::ProbeResult;
 use super::store::{StoreAnswer, StoreRequestBody};
 use super::{Event, Simulation};
 use crate::leader::{Leader, LeaderInput, LeaderPhase};
-use crate::store::{AppendResult, SentAppend, StoreModel};
+use crate::store::SentAppend;
 
 /// The minimum delay between appends.
 const APPEND_INTERVAL: Duration = Duration::from_millis(15);
@@ -36,9 +34,15 @@
 #[derive(Debug)]
 pub struct Lead {
     pub leader: Leader,
-    monitor: AppendMonitor,
     /// When the process was last known to run.
     awake_at: TimePoint,
+    pub begun_at: TimePoint,
+    /// The leaders that this node followed and the nodes that they knew.
+    pub named: BTreeSet<usize>,
+    /// Whether this node followed the leader right before.
+    pub has_followed_predecessor: bool,
+    /// The nodes that are asked in the present outage of the store.
+    pub probed: BTreeSet<usize>,
     stepped_at: TimePoint,
     next_append: TimePoint,
     next_revisit: TimePoint,
@@ -55,23 +59,20 @@
 }
 
 impl Lead {
-    /// Restores what earlier leaders stored.
+    /// Begins to lead with a leader that has read what earlier ones stored.
     pub fn open(
-        term: LeaderTerm,
-        settings: PlannerSettings,
-        requested_at: Option<TimePoint>,
-        fenced_at: TimePoint,
-        state: &StoreModel,
-        now: PlannerTime,
+        leader: Leader,
+        named: BTreeSet<usize>,
+        has_followed_predecessor: bool,
+        now: TimePoint,
     ) -> Self {
-        let mut leader = Leader::with_settings(term, settings);
-        leader.requested_at = requested_at;
-        leader.fenced(fenced_at);
-        leader.read(state, now);
         Self {
             leader,
-            monitor: AppendMonitor::default(),
-            awake_at: now.point,
+            awake_at: now,
+            begun_at: now,
+            named,
+            has_followed_predecessor,
+            probed: BTreeSet::new(),
             stepped_at: TimePoint::default(),
             next_append: TimePoint::default(),
             next_revisit: TimePoint::default(),
@@ -89,7 +90,7 @@
     fn watch_stalls(&mut self, now: TimePoint) {
         let stalled = now.since(self.awake_at);
         self.awake_at = now;
-        self.leader.planner.process_stalled(stalled);
+        self.leader.planner.process_stalled(now, stalled);
     }
 }
 
@@ -162,12 +163,13 @@
         lead.planned_at = None;
         lead.stepped_at = now.point;
         lead.watch_stalls(now.point);
+        let is_slow = lead.leader.monitor.is_slow(now.point);
         let planner = &mut lead.leader.planner;
         if lead.next_revisit <= now.point {
             lead.next_revisit = now.point + REVISIT_INTERVAL;
             planner.request_placement();
         }
-        planner.prolong_leases(lead.monitor.is_slow(now.point));
+        planner.prolong_leases(is_slow);
         planner.advance(now);
         let is_free = lead.leader.in_flight.is_none() && lead.next_append <= now.point;
         let batch = if is_free {
@@ -203,7 +205,7 @@
         let Some(batch) = lead.leader.in_flight.clone() else {
             return;
         };
-        lead.monitor.append_sent(now);
+        lead.leader.monitor.append_sent(now);
         lead.append_sent_at = now;
         lead.append_number += 1;
         let number = lead.append_number;
@@ -232,13 +234,11 @@
                 // Later answers to the same append have no effect.
                 lead.append_number += 1;
                 let taken = now.since(lead.append_sent_at);
-                lead.monitor
-                    .append_answered(now, result == AppendResult::Stored);
                 lead.response_time = (lead.response_time * 3 + taken) / 4;
                 self.pass_input(node, LeaderInput::Appended(batch, result));
             }
             StoreAnswer::None => {
-                lead.monitor.append_answered(now, false);
+                lead.leader.monitor.append_answered(now, false);
                 let (_, longest) = APPEND_TIMEOUTS;
                 lead.response_time = (lead.response_time * 3 / 2).min(longest);
                 self.send_append(node);
@@ -260,24 +260,28 @@
         if now.since(last) < STORE_PROBE_DELAY {
             return;
         }
-        lead.probed_at = Some(now);
-        self.probe_peers(node);
+        let is_first = lead.probed_at.replace(now).is_none();
+        self.probe_peers(node, is_first);
     }
 
-    pub(super) fn handle_probe(&mut self, node: usize, contact: Contact) {
+    pub(super) fn handle_probe(&mut self, node: usize, result: ProbeResult) {
         let now = self.now;
-        let Some(lead) = &mut self.nodes[node].lead else {
+        self.log(|| format!("node {node}: {result:?}"));
+        let lead = self.nodes[node].lead.as_mut();
+        let Some(lead) = lead.filter(|lead| lead.leader.term == result.term) else {
             return;
         };
         lead.watch_stalls(now);
-        let term = lead.leader.term;
-        match contact {
-            Contact::OwnStoreAnswers => {}
-            Contact::ReachesStore => self.resign(node),
-            Contact::Answering => lead.leader.planner.resume_leases(),
-            Contact::Isolated => lead.leader.planner.suspend_orders(),
+        let verdict = result.verdict;
+        if verdict.is_replaced {
+            return self.end_lead(node);
+        }
+        if verdict.is_unreplaced && result.knows_all {
+            lead.leader.planner.resume_leases(result.asked_at);
+        }
+        if !result.is_store_reached && verdict.is_replaceable {
+            self.resign(node);
         }
-        self.log(|| format!("node {node}, term {term}: probe of the store gives {contact:?}"));
     }
 
     pub(super) fn resign(&mut self, node: usize) {
@@ -290,7 +294,7 @@
         }
         lead.watch_stalls(now.point);
         lead.leader.resign(now);
-        let is_slow = lead.monitor.is_slow(now.point);
+        let is_slow = lead.leader.monitor.is_slow(now.point);
         self.log(|| format!("node {node} resigns"));
         self.take_actions(node);
         if is_slow {
--- a/crates/geraniumshed-core/tests/start_rights/simulation/member.rs
+++ b/crates/geraniumshed-core/tests/start_rights/simulation/member.rs
@@ -1,10 +1,12 @@
 //! The nodes as members of the election.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use geraniumshed_core::leadership::{
-    BeatVerdict, ElectionAction, LeaderElection, LeaderRecord, LeaderTerm, MemberIdentity,
+    BeatVerdict, ElectionAction, LeaderElection, LeaderRecord, LeaderTerm,
+    MemberAnswer as ProbeAnswer, MemberIdentity, OutageVerdict, judge_outage,
 };
 use geraniumshed_model::prelude::TimePoint;
 
@@ -12,6 +14,7 @@
 use super::leading::Lead;
 use super::store::{StoreAnswer, StoreRequestBody};
 use super::{Event, Simulation};
+use crate::leader::Leader;
 
 /// The time that an exchange on sound paths takes.
 const EXCHANGE_TIME: Duration = Duration::from_millis(2);
@@ -33,24 +36,31 @@
 const MEMBER_LIFETIME: Duration = Duration::from_secs(1);
 /// The time for which a node that sent a heartbeat counts as alive.
 const MEMBER_TTL: Duration = Duration::from_millis(1200);
-/// The time for which a node that sent a heartbeat is asked whether it reaches the store.
-const RECENT_MEMBER_TTL: Duration = Duration::from_secs(10);
+/// The time for which a node that sent a heartbeat is asked in an outage of the store.
+const RECENT_MEMBER_TTL: Duration = Duration::from_mins(1);
+/// The time after which a leader that stores progress has got heartbeats from all nodes that it reaches.
+const MEETING_TIME: Duration = Duration::from_secs(10);
 /// The timeout for the probe of a node.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(700);
 
-/// What the other nodes tell of the store.
+/// What a leader learns about an outage of the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Contact {
-    OwnStoreAnswers,
-    ReachesStore,
-    Answering,
-    Isolated,
+pub struct ProbeResult {
+    pub term: LeaderTerm,
+    pub asked_at: TimePoint,
+    /// Whether the store answers the leader.
+    pub is_store_reached: bool,
+    /// What the other nodes answered.
+    pub verdict: OutageVerdict,
+    /// Whether the leader can know all other nodes.
+    pub knows_all: bool,
 }
 
 /// The outcome of an action of a member.
 #[derive(Debug, Clone)]
 pub enum MemberAnswer {
-    Heartbeat(BeatVerdict, Option<u32>),
+    /// The verdict on the leader, the own rank, and the leader and the live nodes that it knows.
+    Heartbeat(BeatVerdict, Option<u32>, BTreeSet<usize>),
     /// The newest claim, and the number of claims.
     Record(Option<LeaderRecord>, usize),
     IsMember(bool),
@@ -63,6 +73,8 @@
 pub struct Takeover {
     pub term: LeaderTerm,
     attempts: u32,
+    /// When the newest fence was sent.
+    sent_at: TimePoint,
     fenced_at: Option<TimePoint>,
 }
 
@@ -82,6 +94,11 @@
     lead_request: Option<(LeaderTerm, TimePoint)>,
     /// When each other node last sent a heartbeat to this one.
     heard: Vec<Option<TimePoint>>,
+    /// The term of the leader that this node followed last.
+    followed_term: Option<LeaderTerm>,
+    /// The leaders that this node followed and the live nodes that they knew, with the times at which they
+    /// were last named.
+    named: BTreeMap<usize, TimePoint>,
 }
 
 impl Node {
@@ -98,6 +115,8 @@
             lead: None,
             lead_request: None,
             heard: vec![None; 16],
+            followed_term: None,
+            named: BTreeMap::new(),
         }
     }
 
@@ -203,7 +222,7 @@
             std::net::IpAddr::V6(_) => 0,
         });
         if leader == node {
-            let answer = MemberAnswer::Heartbeat(BeatVerdict::NotLeading, None);
+            let answer = MemberAnswer::Heartbeat(BeatVerdict::NotLeading, None, BTreeSet::new());
             let event = Event::MemberAnswer(node, process, operation, answer);
             return self.push_in(EXCHANGE_TIME, event);
         }
@@ -221,7 +240,8 @@
         let rank = heard.iter().position(|one| *one == node);
         let rank = rank.and_then(|rank| u32::try_from(rank).ok());
         let rank = rank.filter(|_| verdict == BeatVerdict::Leading);
-        let answer = MemberAnswer::Heartbeat(verdict, rank);
+        let answer =
+            MemberAnswer::Heartbeat(verdict, rank, heard.into_iter().chain([leader]).collect());
         self.push_in(delay, Event::MemberAnswer(node, process, operation, answer));
     }
 
@@ -255,7 +275,14 @@
             return;
         }
         match answer {
-            MemberAnswer::Heartbeat(verdict, rank) => {
+            MemberAnswer::Heartbeat(verdict, rank, members) => {
+                let term = one.election.known().map(|record| record.term);
+                if verdict == BeatVerdict::Leading {
+                    one.followed_term = term;
+                    one.named.extend(members.into_iter().map(|one| (one, now)));
+                    one.named
+                        .retain(|_, named_at| now.since(*named_at) < RECENT_MEMBER_TTL);
+                }
                 one.election.heartbeat_answered(now, verdict, rank);
             }
             MemberAnswer::Record(record, end) => {
@@ -321,6 +348,7 @@
         one.takeover = Some(Takeover {
             term,
             attempts: 0,
+            sent_at: now,
             fenced_at: None,
         });
         let process = one.process;
@@ -329,6 +357,10 @@
     }
 
     fn fence(&mut self, node: usize, term: LeaderTerm) {
+        let now = self.now;
+        if let Some(takeover) = &mut self.nodes[node].takeover {
+            takeover.sent_at = now;
+        }
         let operation = self.nodes[node].operation;
         let body = StoreRequestBody::Fence(term);
         self.ask_store(node, operation, body, TAKEOVER_APPEND_TIMEOUT);
@@ -370,8 +402,15 @@
         let requested_at = requested_at.map(|(_, at)| at);
         let counted_from = takeover.fenced_at.unwrap_or(now.point);
         let settings = self.planner_settings();
-        let lead = Lead::open(term, settings, requested_at, counted_from, state, now);
-        self.nodes[node].lead = Some(lead);
+        let mut leader = Leader::with_settings(term, settings);
+        leader.requested_at = requested_at;
+        leader.fenced(takeover.sent_at, counted_from);
+        leader.read(state, now);
+        let one = &self.nodes[node];
+        let named = one.named.keys().copied().collect();
+        let followed = one.followed_term;
+        let has_followed = followed.is_some_and(|before| before.precedes(term));
+        self.nodes[node].lead = Some(Lead::open(leader, named, has_followed, now.point));
         let inherited = state.leases.clone();
         self.log(|| format!("node {node} leads in term {term}, leases {inherited:?}"));
         let process = self.nodes[node].process;
@@ -394,35 +433,60 @@
         self.push_in(JOIN_INTERVAL, Event::Join(node, process));
     }
 
-    /// Finds out whether other nodes reach the store, and tells a leader some time later.
-    pub(super) fn probe_peers(&mut self, node: usize) {
+    /// Asks the other nodes about the store and about leaders, and tells the leader some time later.
+    pub(super) fn probe_peers(&mut self, node: usize, is_first: bool) {
         let now = self.now;
-        let own = Place::Node(node);
-        let process = self.nodes[node].process;
-        let recent = self.nodes[node].heard_within(now, RECENT_MEMBER_TTL);
-        let live = self.nodes[node].heard_within(now, MEMBER_TTL);
-        let mut contact = if recent.is_empty() {
-            Contact::Answering
-        } else {
-            Contact::Isolated
+        let one = &mut self.nodes[node];
+        let process = one.process;
+        let recent = one.heard_within(now, RECENT_MEMBER_TTL);
+        let has_heard_any = one.heard.iter().any(Option::is_some);
+        let Some(lead) = &mut one.lead else {
+            return;
         };
-        for peer in recent {
-            let is_awake = self.plan.awake_at(peer, now) <= now;
-            let is_down = !self.nodes[peer].is_up;
-            if !self.plan.reaches(own, Place::Node(peer), now) || !(is_down || is_awake) {
-                continue;
-            }
-            let reaches = !is_down && self.plan.reaches(Place::Node(peer), Place::Store, now);
-            if reaches && live.contains(&peer) {
-                contact = Contact::ReachesStore;
-            } else if contact == Contact::Isolated {
-                contact = Contact::Answering;
-            }
+        let term = lead.leader.term;
+        if is_first {
+            lead.probed.clear();
+        }
+        lead.probed.extend(recent);
+        if now.since(lead.begun_at) < RECENT_MEMBER_TTL {
+            lead.probed.extend(&lead.named);
+        }
+        lead.probed.remove(&node);
+        let unanswered_since = lead.leader.unanswered_since.unwrap_or(now);
+        let has_met_all = unanswered_since.since(lead.begun_at) >= MEETING_TIME;
+        let is_in_contact = !lead.probed.is_empty() || !has_heard_any;
+        let knows_all = (has_met_all && is_in_contact) || lead.has_followed_predecessor;
+        let members = lead.probed.clone();
+        let answers = members.iter().map(|peer| self.probe_answer(node, *peer));
+        let answers: Vec<ProbeAnswer> = answers.collect();
+        let verdict = judge_outage(term, answers);
+        let result = ProbeResult {
+            term,
+            asked_at: now,
+            is_store_reached: self.plan.reaches(Place::Node(node), Place::Store, now),
+            verdict,
+            knows_all,
+        };
+        self.push_in(PROBE_TIMEOUT, Event::Probe(node, process, result));
+    }
+
+    /// Returns what a node answers to a probe. The leader learns of it later, so that the answer may be
+    /// outdated by then.
+    fn probe_answer(&mut self, node: usize, peer: usize) -> ProbeAnswer {
+        let now = self.now;
+        let (own, other) = (Place::Node(node), Place::Node(peer));
+        let awake_at = self.plan.awake_at(peer, now);
+        let is_late = awake_at >= now + PROBE_TIMEOUT;
+        if !self.nodes[peer].is_up || is_late || !self.plan.reaches(own, other, now) {
+            return ProbeAnswer::Silent;
         }
-        if self.plan.reaches(own, Place::Store, now) {
-            contact = Contact::OwnStoreAnswers;
+        let peer_node = &mut self.nodes[peer];
+        peer_node.heard[node] = Some(now);
+        let known = peer_node.election.known();
+        ProbeAnswer::Alive {
+            known: known.map(|record| record.term),
+            reaches_store: self.plan.reaches(other, Place::Store, now),
         }
-        self.push_in(PROBE_TIMEOUT, Event::Probe(node, process, contact));
     }
 
     /// Asks a successor to lead, and ends the membership of a node that has resigned.
--- a/crates/geraniumshed-core/tests/start_rights/simulation/mod.rs
+++ b/crates/geraniumshed-core/tests/start_rights/simulation/mod.rs
@@ -23,7 +23,7 @@
 use self::calls::{MachineCall, ParkedRenewal};
 use self::fault::{Fault, FaultKind, FaultPlan};
 use self::machines::Machine;
-use self::member::{Contact, MemberAnswer, Node};
+use self::member::{MemberAnswer, Node, ProbeResult};
 use self::store::{StoreAnswer, StoreRequest};
 use crate::checker::{RunChecker, Violation};
 use crate::leader::LeaderInput;
@@ -88,7 +88,7 @@
     Poll(usize, u64),
     Listed(usize, u64, Vec<geraniumshed_core::worker::WorkerListing>),
     Step(usize, u64, u64),
-    Probe(usize, u64, Contact),
+    Probe(usize, u64, ProbeResult),
     Resign(usize),
     Kill(usize),
     StoreRequest(StoreRequest),
@@ -274,7 +274,7 @@
                 self.pass_input(node, LeaderInput::Listed(listings));
             }
             Event::Step(node, _, number) => self.step_if_newest(node, number),
-            Event::Probe(node, _, contact) => self.handle_probe(node, contact),
+            Event::Probe(node, _, result) => self.handle_probe(node, result),
             Event::Resign(node) => self.resign(node),
             Event::Kill(node) => self.kill(node),
             Event::StoreRequest(request) => self.carry_out_at_store(request),
