Show a leader that doesn't know of a member which was frozen

A restarted node remembers no members. If the leader that it follows names only live ones, and a frozen one thaws behind a partition, the restarted node, once it leads, goes on without the store although the other one has been elected.

--- a/crates/geraniumshed-core/tests/start_rights/faults.rs
+++ b/crates/geraniumshed-core/tests/start_rights/faults.rs
@@ -79,6 +79,12 @@
     fault(6_000, 4_000, Resign(0)),
     fault(16_000, 12_000, Partition(PlaceSet::new(&[0, 2], &[0, 2]))),
 ])]
+#[case::restarted_node_that_followed_only_the_predecessor(&[
+    fault(6_000, 14_000, Freeze(0)),
+    fault(8_500, 100, Kill(2)),
+    fault(9_500, 100, Resign(1)),
+    fault(15_000, 20_000, Partition(PlaceSet::new(&[1, 2], &[0, 2]))),
+])]
 fn replaced_leader_extends_no_lease_that_is_counted(#[case] faults: &[Fault]) {
     assert_kept(&Setup::default(), faults);
 }
