--- a/crates/geraniumshed-batch/src/member/outage.rs
+++ b/crates/geraniumshed-batch/src/member/outage.rs
@@ -22,6 +22,7 @@
 
 /// The time after which a leader that stores progress has got heartbeats from all members that it reaches.
 const MEETING_TIME: Duration = Duration::from_secs(10);
+
 impl<S: StoreClient, F: SiteFeed, W: WorkerCaller> MemberTask<S, F, W> {
     /// Asks the other members about the store on request of the leader task. Makes the leader resign if one
     /// reaches the store while this node doesn't, and tells it if none can have taken over.
