--- a/review/standin-2/src/daemon.rs
+++ b/review/standin-2/src/daemon.rs
@@ -24,15 +24,6 @@
     child: Option<Child>,
 }
 
-unsafe extern "C" {
-    fn kill(pid: i32, signal: i32) -> i32;
-}
-
-/// The number of SIGSTOP.
-pub const SIGSTOP: i32 = 19;
-/// The number of SIGCONT.
-pub const SIGCONT: i32 = 18;
-
 impl Daemon {
     /// Writes the settings of a daemon, whose process isn't started yet.
     pub fn new(
@@ -58,10 +49,6 @@
         SocketAddr::new(self.ip.into(), FRONT_PORT)
     }
 
-    pub fn ready(&self) -> SocketAddr {
-        SocketAddr::new(self.ip.into(), READY_PORT)
-    }
-
     /// Returns what the processes have logged.
     pub fn log_text(&self) -> String {
         fs::read_to_string(&self.log).unwrap_or_default()
@@ -92,14 +79,6 @@
             let _ = child.wait();
         }
     }
-
-    /// Sends a signal to the process.
-    pub fn signal(&self, signal: i32) {
-        if let Some(child) = &self.child {
-            // SAFETY: the call takes two numbers, and the process is a child that wasn't waited for.
-            unsafe { kill(child.id() as i32, signal) };
-        }
-    }
 }
 
 impl Drop for Daemon {
--- a/review/standin-2/src/http.rs
+++ b/review/standin-2/src/http.rs
@@ -9,7 +9,6 @@
 /// A request that a stand-in has received.
 #[derive(Debug, Clone)]
 pub struct Call {
-    pub method: String,
     /// The path without its query.
     pub path: String,
     query: String,
@@ -96,12 +95,10 @@
             return Ok(());
         }
         let mut words = line.split_whitespace();
-        let method = words.next().unwrap_or_default().to_owned();
-        let target = words.next().unwrap_or_default().to_owned();
+        let target = words.nth(1).unwrap_or_default().to_owned();
         let headers = read_headers(&mut reader)?;
         let (path, query) = target.split_once('?').unwrap_or((&target, ""));
         let mut call = Call {
-            method,
             path: path.to_owned(),
             query: query.to_owned(),
             headers,
--- a/review/standin-2/src/store.rs
+++ b/review/standin-2/src/store.rs
@@ -15,9 +15,9 @@
 /// The time that an answer takes.
 const ANSWER_TIME: Duration = Duration::from_millis(2);
 /// The largest record, in bytes (`recordBytes` of the settings).
-pub const RECORD_BYTES: usize = 262_144;
+const RECORD_BYTES: usize = 262_144;
 /// The largest append, in bytes (`requestBytes` of the settings).
-pub const REQUEST_BYTES: usize = 2_097_152;
+const REQUEST_BYTES: usize = 2_097_152;
 const PAGE_RECORDS: usize = 500;
 const PAGE_BYTES: usize = 1_000_000;
 const REMEMBERED_APPENDS: usize = 5;
--- a/review/standin-2/src/worker.rs
+++ b/review/standin-2/src/worker.rs
@@ -37,10 +37,6 @@
 pub struct Runs(Mutex<Vec<RunSeen>>);
 
 impl Runs {
-    pub fn all(&self) -> Vec<RunSeen> {
-        self.lock().clone()
-    }
-
     /// Returns the runs of the tasks of a job.
     pub fn of_job(&self, job: &str) -> Vec<RunSeen> {
         let runs = self.lock();
@@ -209,7 +205,7 @@
         if state.closed.get(&task).is_some_and(|closed| run <= *closed) {
             return self.reply(409, ",\"reason\":\"old\"");
         }
-        let length = Duration::from_millis(spec.parse().unwrap_or(1000));
+        let length = run_length(&task, &spec);
         let mut runs = self.runs.lock();
         let index = runs.len();
         runs.push(RunSeen {
@@ -328,6 +324,15 @@
     }
 }
 
+/// Returns how long a task works. The spec holds the milliseconds for the tasks of each step, with commas
+/// in between; the last ones hold for all later steps.
+fn run_length(task: &str, spec: &str) -> Duration {
+    let step = task.split('.').nth(2).and_then(|step| step.parse().ok());
+    let lengths: Vec<u64> = spec.split(',').filter_map(|one| one.parse().ok()).collect();
+    let length = lengths.get(step.unwrap_or(0)).or(lengths.last());
+    Duration::from_millis(length.copied().unwrap_or(1000))
+}
+
 impl Active {
     fn percent(&self) -> u128 {
         let whole = self.length.as_millis().max(1);
