--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -6,6 +6,7 @@
 mod daemon;
 mod http;
 mod json;
+mod new_worker;
 mod record;
 mod removed_queue;
 mod rig;
@@ -45,6 +46,7 @@
 fn play(script: &str, path: PathBuf, has_trouble: bool) -> io::Result<Verdict> {
     match script {
         "removed-queue" => removed_queue::play(&path, has_trouble),
+        "new-worker" => new_worker::play(&path, has_trouble),
         "wide-job" => wide_job::play(&path, has_trouble),
         _ => Err(io::Error::other("there is no such script")),
     }
--- a/review/standin-2/src/removed_queue.rs
+++ b/review/standin-2/src/removed_queue.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use crate::Verdict;
-use crate::rig::{Rig, Route};
+use crate::rig::{CUCR_WORKERS, Rig, Route};
 
 const KEPT: Route = Route {
     name: "r-3hwrr6x",
@@ -27,7 +27,7 @@
 const LIMIT: Duration = Duration::from_secs(26);
 
 pub fn play(path: &Path, has_trouble: bool) -> io::Result<Verdict> {
-    let mut rig = Rig::start(path, 3, 4, &[KEPT, REMOVED])?;
+    let mut rig = Rig::start(path, 3, 4, CUCR_WORKERS, &[KEPT, REMOVED])?;
     let first = format!("{}{FIRST_JOB}", KEPT.prefix);
     let is_accepted = rig.submit(&first, BODY, Duration::from_secs(5)).is_some();
     if !is_accepted || !rig.await_done(FIRST_JOB, 2, Duration::from_secs(10)) {
--- a/review/standin-2/src/wide_job.rs
+++ b/review/standin-2/src/wide_job.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use crate::Verdict;
-use crate::rig::{Rig, Route};
+use crate::rig::{CUCR_WORKERS, Rig, Route};
 
 const ROUTE: Route = Route {
     name: "r-3hwrr6x",
@@ -26,7 +26,7 @@
 const LIMIT: Duration = Duration::from_secs(26);
 
 pub fn play(path: &Path, has_trouble: bool) -> io::Result<Verdict> {
-    let rig = Rig::start(path, 3, WORKERS, &[ROUTE])?;
+    let rig = Rig::start(path, 3, WORKERS, CUCR_WORKERS, &[ROUTE])?;
     if has_trouble {
         let target = format!("{}{WIDE_JOB}", ROUTE.prefix);
         if rig
