--- a/crates/geraniumshed-batch/src/leader/start_delays.rs
+++ b/crates/geraniumshed-batch/src/leader/start_delays.rs
@@ -76,6 +76,7 @@
             | PlannerEvent::WorkerRestarted(_)
             | PlannerEvent::RestartSeen(_)
             | PlannerEvent::EndsUnlisted(_)
+            | PlannerEvent::EndsSkipped(_)
             | PlannerEvent::RunsMissing(_)
             | PlannerEvent::WorkerAdopted(_)
             | PlannerEvent::TrialBegun(_)
--- a/crates/geraniumshed-batch/src/telemetry/events.rs
+++ b/crates/geraniumshed-batch/src/telemetry/events.rs
@@ -5,8 +5,8 @@
 
 use geraniumshed_core::assignment::{
     AdoptedWorker, AnsweringWorker, DepartingWorker, JobSummary, LostRun, LostWorker, MissingRuns,
-    PlacementSummary, PlannerEvent, RestartSign, RestartedWorker, RunStart, SilentWorker,
-    TaskTrial, UnexpectedRun,
+    NewProcess, PlacementSummary, PlannerEvent, RestartSign, RestartedWorker, RunStart,
+    SilentWorker, TaskTrial, UnexpectedRun,
 };
 use geraniumshed_core::job::CrashEvidence;
 use geraniumshed_core::worker::{EndKind, WorkerStanding};
@@ -44,9 +44,7 @@
         PlannerEvent::WorkerAnswering(answering) => log_answering_worker(answering),
         PlannerEvent::WorkerDeparting(departing) => log_departing_worker(departing),
         PlannerEvent::WorkerLost(lost) => log_lost_worker(lost),
-        PlannerEvent::WorkerRestarted(worker) => {
-            log::info!(worker:% = worker; "worker has restarted and lost its runs");
-        }
+        PlannerEvent::WorkerRestarted(process) => log_new_process(process),
         PlannerEvent::RestartSeen(restarted) => log_restart_sign(restarted),
         PlannerEvent::EndsUnlisted(unlisted) => log::info!(
             worker:% = unlisted.worker,
@@ -54,6 +52,13 @@
             runs = unlisted.runs;
             "worker lists only some of the runs that have ended; giving up none that are missing"
         ),
+        PlannerEvent::EndsSkipped(skipped) => log::warn!(
+            worker:% = skipped.worker,
+            process = skipped.process.map(|process| process.0),
+            processed = skipped.processed,
+            listed = skipped.listed;
+            "worker has dropped ends of runs before this leader learned of them"
+        ),
         PlannerEvent::RunsMissing(missing) => log_missing_runs(missing),
         PlannerEvent::WorkerAdopted(adopted) => log_adopted_worker(adopted),
         PlannerEvent::TrialBegun(trial) => log_trial(
@@ -195,6 +200,19 @@
     );
 }
 
+fn log_new_process(process: &NewProcess) {
+    log::info!(
+        worker:% = process.worker,
+        process_before = process.before.map(|process| process.0),
+        process = process.process.map(|process| process.0),
+        clock_ms = process.clock.0,
+        token:% = process.token,
+        kept = process.kept,
+        lease_remaining_ms = whole_millis(process.lease_remaining);
+        "worker has restarted and lost its runs"
+    );
+}
+
 /// Returns the name of how a restart was seen, in logs.
 fn sign_name(sign: RestartSign) -> &'static str {
     match sign {
@@ -248,7 +266,9 @@
     log::info!(
         worker:% = adopted.worker,
         process = adopted.process.map(|process| process.0),
+        clock_ms = adopted.clock.0,
         token:% = adopted.token,
+        lease_remaining_ms = whole_millis(adopted.lease_remaining),
         expected = adopted.expected,
         running = adopted.running,
         ended = adopted.ended;
--- a/crates/geraniumshed-batch/src/telemetry/metrics.rs
+++ b/crates/geraniumshed-batch/src/telemetry/metrics.rs
@@ -472,6 +472,7 @@
             | PlannerEvent::WorkerRestarted(_)
             | PlannerEvent::RestartSeen(_)
             | PlannerEvent::EndsUnlisted(_)
+            | PlannerEvent::EndsSkipped(_)
             | PlannerEvent::RunsMissing(_)
             | PlannerEvent::WorkerAdopted(_) => {}
             PlannerEvent::TrialBegun(_) => {
--- a/crates/geraniumshed-core/src/assignment/event.rs
+++ b/crates/geraniumshed-core/src/assignment/event.rs
@@ -39,11 +39,13 @@
     /// A worker's runs were given up because its lease expired or another worker replaced it.
     WorkerLost(LostWorker),
     /// A worker restarted and lost its runs.
-    WorkerRestarted(WorkerId),
+    WorkerRestarted(NewProcess),
     /// A worker was seen to have a later process than the known one.
     RestartSeen(RestartedWorker),
     /// A worker's answer leaves out some run ends, unlike the one before.
     EndsUnlisted(UnlistedEnds),
+    /// A worker's process has dropped run ends that this planner never learned of.
+    EndsSkipped(SkippedEnds),
     /// A worker's answer lacks runs that it has to show, so that they are given up.
     RunsMissing(MissingRuns),
     /// A worker has answered this planner for the first time.
@@ -111,6 +113,38 @@
     pub lease_remaining: Duration,
 }
 
+/// The later process of a worker, which has answered a renewal.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct NewProcess {
+    /// The worker.
+    pub worker: WorkerId,
+    /// The process before, as far as this planner knew it.
+    pub before: Option<WorkerIncarnation>,
+    /// The process that has answered.
+    pub process: Option<WorkerIncarnation>,
+    /// What its clock showed.
+    pub clock: WorkerTime,
+    /// The fencing token of the renewal.
+    pub token: FenceToken,
+    /// The number of runs that may be those of the new process.
+    pub kept: usize,
+    /// The time until the process's lease has certainly expired, as it is counted now.
+    pub lease_remaining: Duration,
+}
+
+/// Run ends that a worker's process has dropped although nobody told this planner of them.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SkippedEnds {
+    /// The worker.
+    pub worker: WorkerId,
+    /// The process that has answered.
+    pub process: Option<WorkerIncarnation>,
+    /// The number of the newest end that was processed.
+    pub processed: u64,
+    /// The number of the first end in the answer.
+    pub listed: u64,
+}
+
 /// A worker whose answer leaves out some run ends.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct UnlistedEnds {
@@ -148,8 +182,12 @@
     pub worker: WorkerId,
     /// The process that has answered.
     pub process: Option<WorkerIncarnation>,
+    /// What its clock showed.
+    pub clock: WorkerTime,
     /// The fencing token of the call.
     pub token: FenceToken,
+    /// The time until its lease has certainly expired, as it is counted now.
+    pub lease_remaining: Duration,
     /// The number of runs that were expected.
     pub expected: usize,
     /// The number of runs in the answer.
--- a/crates/geraniumshed-core/src/assignment/mod.rs
+++ b/crates/geraniumshed-core/src/assignment/mod.rs
@@ -50,8 +50,8 @@
 pub use action::{CancelOutcome, JobStatus, PlannerAction, PlannerTime, StoreBatch, StoreChange};
 pub use event::{
     AdoptedWorker, AnsweringWorker, DepartingWorker, JobSummary, LostRun, LostWorker, MissingRuns,
-    PlacementSummary, PlannerEvent, RestartSign, RestartedWorker, SilentWorker, StartDelay,
-    TaskTrial, UnexpectedRun, UnlistedEnds,
+    NewProcess, PlacementSummary, PlannerEvent, RestartSign, RestartedWorker, SilentWorker,
+    SkippedEnds, StartDelay, TaskTrial, UnexpectedRun, UnlistedEnds,
 };
 pub use interference::{
     InterferenceModel, InterferenceSnapshot, LoadShare, ServedImageRecord, SlopeRecord,
--- a/crates/geraniumshed-core/src/assignment/worker_replies.rs
+++ b/crates/geraniumshed-core/src/assignment/worker_replies.rs
@@ -6,7 +6,8 @@
 
 use super::action::{PlannerAction, PlannerTime};
 use super::event::{
-    AdoptedWorker, MissingRuns, PlannerEvent, RestartSign, StartDelay, UnlistedEnds,
+    AdoptedWorker, MissingRuns, NewProcess, PlannerEvent, RestartSign, SkippedEnds, StartDelay,
+    UnlistedEnds,
 };
 use super::pacing::{pace_worker, recent_share};
 use super::planner::JobPlanner;
@@ -166,9 +167,9 @@
                 .later_process_seen_at
                 .filter(|seen_at| *seen_at > sent.sent_at);
         }
-        let has_restarted = entry.incarnation.is_some()
-            && reply.incarnation.is_some()
-            && entry.incarnation != reply.incarnation;
+        let before = entry.incarnation;
+        let has_restarted =
+            before.is_some() && reply.incarnation.is_some() && before != reply.incarnation;
         if has_restarted {
             self.handle_worker_restart(now, worker, sent, &reply);
         } else if entry.unanswered_calls > 0 {
@@ -197,19 +198,38 @@
         if is_latest {
             entry.read_clock(reply.clock, sent.sent_at, now.point);
         }
+        let lease_remaining = entry.lease_expires_at.since(now.point);
+        if has_restarted {
+            let restarted = NewProcess {
+                worker: worker.clone(),
+                before,
+                process: reply.incarnation,
+                clock: reply.clock,
+                token: sent.token,
+                kept: entry.runs.len(),
+                lease_remaining,
+            };
+            self.emit(PlannerEvent::WorkerRestarted(restarted));
+        }
+        let Some(entry) = self.workers.get_mut(worker) else {
+            return;
+        };
         if !entry.is_adopted {
             entry.is_adopted = true;
             self.is_placement_due = true;
             let adopted = AdoptedWorker {
                 worker: worker.clone(),
                 process: reply.incarnation,
+                clock: reply.clock,
                 token: sent.token,
+                lease_remaining,
                 expected: entry.runs.len(),
                 running: reply.running.len(),
                 ended: reply.ended.len(),
             };
             self.emit(PlannerEvent::WorkerAdopted(adopted));
         }
+        self.report_skipped_ends(worker, has_restarted, &reply);
         self.process_ends(now, worker, &reply);
         self.process_reports(now.point, worker, &reply.running, is_latest);
         self.settle_trial(now.point, worker);
@@ -262,6 +282,26 @@
         });
     }
 
+    /// Reports ends that the process has dropped before this planner learned of them. At its first answer,
+    /// an earlier planner may have acknowledged some, unless the process is new.
+    fn report_skipped_ends(&mut self, worker: &WorkerId, is_new: bool, reply: &RenewReply) {
+        let first = reply.ended.first().map(|end| end.number);
+        let Some((entry, listed)) = self.workers.get(worker).zip(first) else {
+            return;
+        };
+        let processed = entry.processed_end;
+        let is_known = is_new || processed > 0;
+        if is_known && listed > processed + 1 {
+            let skipped = SkippedEnds {
+                worker: worker.clone(),
+                process: reply.incarnation,
+                processed,
+                listed,
+            };
+            self.emit(PlannerEvent::EndsSkipped(skipped));
+        }
+    }
+
     /// Processes the reported ends of runs that weren't processed before.
     fn process_ends(&mut self, now: PlannerTime, worker: &WorkerId, reply: &RenewReply) {
         for end in &reply.ended {
--- a/crates/geraniumshed-core/src/assignment/worker_restart.rs
+++ b/crates/geraniumshed-core/src/assignment/worker_restart.rs
@@ -80,7 +80,6 @@
             }
             entry.add_run(key, run);
         }
-        self.emit(PlannerEvent::WorkerRestarted(worker.clone()));
         self.lose_runs(now, worker, LossCause::Restarted, &lost);
         self.prove_losses_by_restart(now, worker);
         if let Some(entry) = self.workers.get_mut(worker) {
