Show that the lease of a process whose clock doesn't start at zero is counted too short

On the platform the clock of a new process shows any reading, while the model's started at zero. Result: 2 of 8 cases fail with two runs at once: a start that the later process confirms, and a lease that a call for the former one has granted. The cases with clocks that start at zero pass, as before.

--- a/crates/geraniumshed-core/tests/start_rights/orders.rs
+++ b/crates/geraniumshed-core/tests/start_rights/orders.rs
@@ -130,8 +130,16 @@
     Store(0), Answer(0), Crash(0), Return(0, SameId), DeliverUnanswered(Newest(0, Start, 0)),
     Cut(0, 0), Pass, Pass, Pass, Pass, Pass, Pass, Pass, Pass,
 ])]
-fn run_of_a_later_process_is_given_up_after_its_own_lease(#[case] steps: &[Step]) {
-    assert_none(replay(Assumptions::PROTOCOL, 1, LONG_RETENTION, steps));
+#[case::restart_is_known_before_the_cut(&[
+    Store(0), Answer(0), Crash(0), Return(0, SameId), Hold(Newest(0, Renew, 0)),
+    Deliver(Newest(0, Start, 0)), Answer(0), Tick, Tick, Cut(0, 0), Pass, Pass, Pass, Pass, Pass, Pass,
+    Pass, Pass,
+])]
+fn run_of_a_later_process_is_given_up_after_its_own_lease(
+    #[case] steps: &[Step],
+    #[values(Assumptions::PROTOCOL, Assumptions::RUNNING_CLOCKS)] assumptions: Assumptions,
+) {
+    assert_none(replay(assumptions, 1, LONG_RETENTION, steps));
 }
 
 // Guards against a start that a later process of a cut-off worker carries out seconds after it was sent: its
--- a/crates/geraniumshed-core/tests/start_rights/world/machines.rs
+++ b/crates/geraniumshed-core/tests/start_rights/world/machines.rs
@@ -29,7 +29,7 @@
         }
         self.machines[machine].is_listed = true;
         let id = self.machines[machine].worker.clone();
-        let mut process = self.new_process(id, 0);
+        let mut process = self.new_process(id, self.assumptions.later_reading);
         if kind == ReturnKind::SameId && !self.assumptions.forgets_token {
             process.token = self.machines[machine].last_token;
         }
--- a/crates/geraniumshed-core/tests/start_rights/world/mod.rs
+++ b/crates/geraniumshed-core/tests/start_rights/world/mod.rs
@@ -56,6 +56,8 @@
     pub reaches_later_process: bool,
     /// Whether a process that starts under the id of an earlier one has seen no fencing token.
     pub forgets_token: bool,
+    /// What the clock of a process that starts again shows first, in milliseconds.
+    pub later_reading: u64,
 }
 
 impl Assumptions {
@@ -64,18 +66,27 @@
         checks_epoch_on_arrival: false,
         reaches_later_process: true,
         forgets_token: true,
+        later_reading: 0,
+    };
+    /// Like [`Self::PROTOCOL`], with clocks that don't start at zero: a later process shows less than the one
+    /// before it, and more than the longest lease.
+    pub const RUNNING_CLOCKS: Self = Self {
+        later_reading: 40_000,
+        ..Self::PROTOCOL
     };
     /// Like [`Self::PROTOCOL`], but calls are bound to the process that was up when they were sent.
     pub const BOUND_CALLS: Self = Self {
         checks_epoch_on_arrival: false,
         reaches_later_process: false,
         forgets_token: true,
+        later_reading: 0,
     };
     /// Like [`Self::BOUND_CALLS`], with a store that checks the epoch only on arrival.
     pub const EPOCH_ON_ARRIVAL: Self = Self {
         checks_epoch_on_arrival: true,
         reaches_later_process: false,
         forgets_token: true,
+        later_reading: 0,
     };
 }
 
