Count the longest lease for each process that follows a known one

Cause: a deadline that was meant for the former process's clock is only limited to the longest lease by the new process. The leader knows that, but took a process for new only if its clock showed less than that lease. On the platform a new process's clock shows any reading. Change: a process that follows a known one counts as new, and one that a new leader meets counts as new by its start time. Why it works: the first renewal that the process answers has a token above all calls for the former one, so that none of them extends its lease afterwards, and what they granted before ends the longest lease after that answer at the latest. Result: lease_of_a_restarted_worker_is_waited_for failed in 3 of 4 cases with a clock that starts at 12 s before, now that a call for the earlier process arrives in it; all 8 pass. Start times in the models are times now, as on the platform. case_4 of run_of_a_later_process was red only since its restart was not known to the leader, like case_1; with steps that show it, the longer lease at the takeover covers it, with and without this change.

--- a/crates/geraniumshed-core/src/assignment/lease_ledger.rs
+++ b/crates/geraniumshed-core/src/assignment/lease_ledger.rs
@@ -8,12 +8,12 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
-use geraniumshed_model::prelude::TimePoint;
+use geraniumshed_model::prelude::{TimePoint, whole_millis};
 
 use super::action::{PlannerTime, StoreBatch};
 use super::planner::JobPlanner;
 use crate::job::{TaskKey, WorkerId};
-use crate::worker::{WorkerEntry, WorkerTime};
+use crate::worker::{WorkerEntry, WorkerIncarnation};
 
 /// The minimum interval between two writes of the leases of silent workers.
 const STORE_INTERVAL: Duration = Duration::from_millis(100);
@@ -22,6 +22,8 @@
 const SILENCE_LIMIT: Duration = Duration::from_millis(1100);
 /// The margin by which a lease of an earlier planner may outlast its length plus clock drift.
 const LEASE_MARGIN: Duration = Duration::from_millis(300);
+/// The difference that the system clocks of two VMs may have.
+const CLOCK_DIFFERENCE: Duration = Duration::from_secs(3);
 /// The time within which a call reaches a worker, as long as its sender waits for the answer.
 const DELIVERY_TIME: Duration = Duration::from_secs(1);
 
@@ -227,8 +229,18 @@
 
     /// Returns whether a worker's process may be so new that a call for an earlier one has granted
     /// it the longest lease.
-    pub(super) fn is_new_process(&self, reading: WorkerTime) -> bool {
-        reading < WorkerTime::default().plus(longest_duration(self.settings.longest_lease))
+    ///
+    /// Its clock doesn't tell, since that may show anything when a process starts.
+    pub(super) fn is_new_process(
+        &self,
+        now: PlannerTime,
+        process: Option<WorkerIncarnation>,
+    ) -> bool {
+        let Some(process) = process else {
+            return true;
+        };
+        let new_for = longest_duration(self.settings.longest_lease) + CLOCK_DIFFERENCE;
+        now.unix_ms < process.0.saturating_add(whole_millis(new_for))
     }
 
     /// Decides whether a snapshot has to be stored.
--- a/crates/geraniumshed-core/src/assignment/worker_replies.rs
+++ b/crates/geraniumshed-core/src/assignment/worker_replies.rs
@@ -147,7 +147,7 @@
         sent: SentRenewal,
         reply: RenewReply,
     ) {
-        let is_new_process = self.is_new_process(reply.clock);
+        let is_new_process = self.is_new_process(now, reply.incarnation);
         let Some(entry) = self.workers.get_mut(worker) else {
             return;
         };
@@ -189,7 +189,7 @@
         let Some(entry) = self.workers.get_mut(worker) else {
             return;
         };
-        if entry.clock.is_none() && is_new_process {
+        if entry.clock.is_none() && (entry.has_restarted || is_new_process) {
             self.assume_longest_lease(now.point, worker);
         }
         let Some(entry) = self.workers.get_mut(worker) else {
@@ -392,7 +392,7 @@
         sent: SentRenewal,
         reply: &RenewReply,
     ) {
-        let is_new_process = self.is_new_process(reply.clock);
+        let is_new_process = self.is_new_process(now, reply.incarnation);
         let Some(entry) = self.workers.get(worker) else {
             return;
         };
--- a/crates/geraniumshed-core/src/worker/entry.rs
+++ b/crates/geraniumshed-core/src/worker/entry.rs
@@ -41,6 +41,8 @@
     pub is_listed: bool,
     /// The worker process that the runs belong to, once it is known.
     pub incarnation: Option<WorkerIncarnation>,
+    /// Whether this scheduler knew an earlier process of the worker.
+    pub has_restarted: bool,
     /// The fencing token of new orders.
     pub token: FenceToken,
     /// Whether the worker has answered a renewal with a token of this scheduler.
@@ -131,6 +133,7 @@
             listing,
             is_listed: true,
             incarnation: None,
+            has_restarted: false,
             token,
             is_adopted: false,
             unanswered_calls: 0,
@@ -362,6 +365,7 @@
         incarnation: WorkerIncarnation,
     ) -> Vec<(TaskKey, RunEntry)> {
         self.incarnation = Some(incarnation);
+        self.has_restarted = true;
         self.later_process_seen_at = None;
         self.clock = None;
         self.deadline = WorkerTime::default();
--- a/crates/geraniumshed-core/tests/planner/silent_workers.rs
+++ b/crates/geraniumshed-core/tests/planner/silent_workers.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use geraniumshed_core::job::{JobId, JobPhase, StepRequest, WorkerId};
-use geraniumshed_core::worker::EndKind;
+use geraniumshed_core::worker::{EndKind, WorkerTime};
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
@@ -188,7 +188,7 @@
 
 /// Guards against a second run of a task while a restarted worker has the longest lease: a renewal
 /// that was sent before the restart is known carries a deadline on the clock of the earlier process,
-/// which the new one only limits to the longest lease.
+/// which the new one only limits to the longest lease. The clock of the new process may show anything.
 #[rstest]
 #[case::six_seconds(6, false)]
 #[case::six_seconds_with_takeover(6, true)]
@@ -197,6 +197,7 @@
 fn lease_of_a_restarted_worker_is_waited_for(
     #[case] longest_lease_s: u64,
     #[case] is_replaced: bool,
+    #[values(0, 12)] first_reading_s: u64,
 ) {
     let settings = settings_with_longest_lease(Duration::from_secs(longest_lease_s));
     let mut cluster = Cluster::with_settings(2, settings);
@@ -206,9 +207,14 @@
     // Only the restarted worker takes the task.
     let (silent, other) = (worker(0), worker(1));
     set_draining(&mut cluster, &other, true);
-    let now = cluster.now;
+    let now = cluster.planner_time();
     let restarted = cluster.workers.get_mut(&silent).unwrap();
+    let deadline = WorkerTime(restarted.deadline.0 / 1000);
     restarted.restart_with_clock(now);
+    restarted.first_reading = Duration::from_secs(first_reading_s);
+    // A call that was meant for the earlier process arrives.
+    let longest_lease = Duration::from_secs(longest_lease_s);
+    restarted.extend_lease(deadline, now.point, longest_lease);
     cluster.advance(Duration::from_millis(50));
     let long_running = StepRequest {
         is_long_running: true,
--- a/crates/geraniumshed-core/tests/planner/simulation.rs
+++ b/crates/geraniumshed-core/tests/planner/simulation.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
+use geraniumshed_core::assignment::PlannerTime;
 use geraniumshed_core::job::{JobId, JobRequest, StepRequest, TaskKey};
 use geraniumshed_core::worker::{
     EndKind, FenceToken, RunEnd, RunReport, StartOrder, WorkerIncarnation, WorkerListing,
@@ -64,8 +65,10 @@
     pub earlier_capacities: Vec<(TimePoint, ResourceSize)>,
     /// The speed of the worker's clock, in percent.
     pub clock_percent: u64,
-    /// When the worker's clock showed 0.
+    /// When the worker's clock showed its first reading.
     pub clock_started_at: TimePoint,
+    /// What the worker's clock showed first.
+    pub first_reading: Duration,
     pub token: FenceToken,
     pub deadline: TimePoint,
     pub runs: BTreeMap<TaskKey, SimulatedRun>,
@@ -85,6 +88,7 @@
             earlier_capacities: Vec::new(),
             clock_percent: 100,
             clock_started_at: TimePoint::default(),
+            first_reading: Duration::ZERO,
             token: FenceToken(0),
             deadline: TimePoint::default(),
             runs: BTreeMap::new(),
@@ -105,14 +109,21 @@
     }
 
     /// Restarts the worker like [`Self::restart`], with a clock that starts anew.
-    pub fn restart_with_clock(&mut self, now: TimePoint) {
+    pub fn restart_with_clock(&mut self, now: PlannerTime) {
         self.restart();
-        self.clock_started_at = now;
+        self.begin_at(now);
+    }
+
+    /// Sets when the worker's process has started.
+    pub fn begin_at(&mut self, now: PlannerTime) {
+        self.clock_started_at = now.point;
+        self.incarnation = WorkerIncarnation(now.unix_ms);
     }
 
     /// Returns the time on the worker's clock.
     pub fn clock(&self, now: TimePoint) -> TimePoint {
-        TimePoint((now.0 - self.clock_started_at.0) * self.clock_percent / 100)
+        let elapsed = (now.0 - self.clock_started_at.0) * self.clock_percent / 100;
+        TimePoint(elapsed) + self.first_reading
     }
 
     /// Extends the lease up to a time on the worker's clock, but grants at most the longest lease.
--- a/crates/geraniumshed-core/tests/start_rights/orders.rs
+++ b/crates/geraniumshed-core/tests/start_rights/orders.rs
@@ -131,8 +131,8 @@
     Cut(0, 0), Pass, Pass, Pass, Pass, Pass, Pass, Pass, Pass,
 ])]
 #[case::restart_is_known_before_the_cut(&[
-    Store(0), Answer(0), Crash(0), Return(0, SameId), Hold(Newest(0, Renew, 0)),
-    Deliver(Newest(0, Start, 0)), Answer(0), Tick, Tick, Cut(0, 0), Pass, Pass, Pass, Pass, Pass, Pass,
+    Store(0), Answer(0), Crash(0), Return(0, SameId), Deliver(Newest(0, Start, 0)), Answer(0),
+    Deliver(Newest(0, Renew, 0)), Answer(0), Tick, Tick, Cut(0, 0), Pass, Pass, Pass, Pass, Pass, Pass,
     Pass, Pass,
 ])]
 fn run_of_a_later_process_is_given_up_after_its_own_lease(
--- a/crates/geraniumshed-core/tests/start_rights/simulation/machines.rs
+++ b/crates/geraniumshed-core/tests/start_rights/simulation/machines.rs
@@ -6,12 +6,15 @@
 use geraniumshed_core::worker::{EndKind, WorkerIncarnation, WorkerListing};
 use geraniumshed_model::prelude::TimePoint;
 
-use super::{Event, JobKind, Simulation, job_id, size};
+use super::{Event, JobKind, START_UNIX_MS, Simulation, job_id, size};
 use crate::checker::ProcessId;
 use crate::worker::WorkerProcess;
 
 /// What the clocks of the first processes show.
 const FIRST_READING: u64 = 100_000;
+/// What the clocks of later processes may show at their start, in milliseconds: less than those of the first
+/// processes, and more.
+const LATER_READINGS: [u64; 3] = [0, 40_000, 7_000_000];
 /// The interval between checks of a gang.
 const GANG_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// The time within which all members of a gang have to start.
@@ -21,12 +24,12 @@
 #[derive(Debug, Clone, Default)]
 pub struct Machine {
     pub process: Option<WorkerProcess>,
-    /// The number of processes so far.
-    pub process_count: u64,
+    /// The newest process so far, by its start time in milliseconds of Unix time.
+    pub newest_process: u64,
 }
 
 impl Machine {
-    /// Returns the number of the process that is up, or 0.
+    /// Returns the start time of the process that is up, in milliseconds of Unix time, or 0.
     pub fn incarnation(&self) -> u64 {
         self.process.as_ref().map_or(0, |one| one.incarnation.0)
     }
@@ -34,13 +37,18 @@
 
 impl Simulation {
     pub(super) fn start_process(&mut self, machine: usize) {
-        let first_reading = match self.machines[machine].process_count {
-            0 => FIRST_READING,
-            _ => 0,
+        let before = self.machines[machine].newest_process;
+        let (started_unix_ms, first_reading) = match before {
+            0 => (START_UNIX_MS, FIRST_READING),
+            _ => {
+                let started = (before + 1).max(self.planner_time().unix_ms);
+                let kind = usize::try_from(started).unwrap_or_default() % LATER_READINGS.len();
+                (started, LATER_READINGS[kind])
+            }
         };
-        self.machines[machine].process_count += 1;
-        let count = self.machines[machine].process_count;
-        let mut process = WorkerProcess::new(worker_id(machine), count, self.now, first_reading);
+        self.machines[machine].newest_process = started_unix_ms;
+        let id = worker_id(machine);
+        let mut process = WorkerProcess::new(id, started_unix_ms, self.now, first_reading);
         process.longest_lease = self.setup.longest_lease;
         process.clock_percent = [98, 100, 99][machine % 3];
         let kinds = self.setup.jobs.iter().enumerate();
@@ -62,7 +70,7 @@
             service: "s".into(),
             address: format!("10.0.0.{}:80", machine + 1).parse().unwrap(),
             zone: "z".into(),
-            incarnation: Some(WorkerIncarnation(self.machines[machine].process_count)),
+            incarnation: Some(WorkerIncarnation(self.machines[machine].newest_process)),
             capacity: size(8_000, 16),
             labels: Vec::new(),
             rack: None,
--- a/crates/geraniumshed-core/tests/start_rights/world/machines.rs
+++ b/crates/geraniumshed-core/tests/start_rights/world/machines.rs
@@ -68,8 +68,8 @@
         WorkerId(format!("w{number}").into())
     }
 
-    pub(super) fn new_process(&mut self, id: WorkerId, first_reading: u64) -> WorkerProcess {
-        self.incarnation_count += 1;
-        WorkerProcess::new(id, self.incarnation_count, self.now, first_reading)
+    pub(super) fn new_process(&self, id: WorkerId, first_reading: u64) -> WorkerProcess {
+        let started_unix_ms = self.planner_time().unix_ms;
+        WorkerProcess::new(id, started_unix_ms, self.now, first_reading)
     }
 }
--- a/crates/geraniumshed-core/tests/start_rights/world/mod.rs
+++ b/crates/geraniumshed-core/tests/start_rights/world/mod.rs
@@ -39,8 +39,7 @@
 const APPEND_TIMEOUT: Duration = Duration::from_millis(500);
 /// The system time at the start of a test, in milliseconds of Unix time.
 const START_UNIX_MS: u64 = 1_700_000_000_000;
-/// What the clocks of the first processes show at the start of a test, which is later than any lease
-/// that calls for an earlier process could have granted.
+/// What the clocks of the first processes show at the start of a test.
 const FIRST_READING: u64 = 100_000;
 /// The limit of deliveries within a tick.
 const MAX_ROUNDS: usize = 12;
@@ -174,7 +173,6 @@
     pub leaders: Vec<Leader>,
     machines: Vec<Machine>,
     worker_count: usize,
-    incarnation_count: u64,
     calls: Vec<SentCall>,
     answers: Vec<SentAnswer>,
     appends: Vec<PendingAppend>,
@@ -198,7 +196,6 @@
             leaders: Vec::new(),
             machines: Vec::new(),
             worker_count: 0,
-            incarnation_count: 0,
             calls: Vec::new(),
             answers: Vec::new(),
             appends: Vec::new(),
@@ -210,11 +207,12 @@
         };
         for _ in 0..2 {
             let worker = world.next_worker();
-            let process = Some(world.new_process(worker.clone(), FIRST_READING));
+            let process =
+                WorkerProcess::new(worker.clone(), START_UNIX_MS, world.now, FIRST_READING);
             world.machines.push(Machine {
                 worker,
                 is_listed: true,
-                process,
+                process: Some(process),
                 last_token: FenceToken(0),
             });
         }
