Let workers of a zone crash, return and be cut off in the soak

Change: the kind `recut` plays rounds that overlap: workers of one zone crash silently, are back under their ids after 0.2 to 1.2 s, and are cut off from all daemons 0.5 to 3 s later for 4 to 12 s; at times the leader is killed shortly before, and at times the cut ends before the longest lease does. Jobs of tasks of 8 to 15 s are part of all runs, and the longest lease is 10 s in half of the seeds unless `--lease-ms` is given.

--- a/crates/geraniumshed/tests/soak.rs
+++ b/crates/geraniumshed/tests/soak.rs
@@ -1,4 +1,4 @@
-//! Daemon processes keep the rules under a short seeded series of faults.
+//! Daemon processes keep the rules under short seeded series of faults.
 
 use std::path::PathBuf;
 use std::time::Duration;
@@ -8,17 +8,27 @@
 use geraniumshed_soak::run::{RunSettings, run};
 use geraniumshed_soak::store::EpochCheck;
 use geraniumshed_soak::worker::EndForgetting;
+use rstest::rstest;
+use tokio::sync::Mutex;
+
+/// Lets one run at a time have the addresses of the daemons.
+static ADDRESSES: Mutex<()> = Mutex::const_new(());
 
 /// Guards against violations that show only with processes, signals and real clocks.
+#[rstest]
+#[case::ordinary_leases(1)]
+#[case::long_leases(56002)]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn daemon_processes_keep_the_rules_under_faults() {
+async fn daemon_processes_keep_the_rules_under_faults(#[case] seed: u64) {
+    let _addresses = ADDRESSES.lock().await;
     let settings = RunSettings {
         program: PathBuf::from(env!("CARGO_BIN_EXE_geraniumshed")),
-        seed: 1,
+        seed,
         time: Duration::from_secs(20),
         workers: 8,
         daemons: 3,
         limits: SiteLimits {
+            longest_lease: SiteLimits::longest_lease_of(seed),
             lapse_delay: Duration::from_millis(50),
             ..SiteLimits::default()
         },
@@ -31,12 +41,13 @@
             FaultKind::Crash,
             FaultKind::Path,
             FaultKind::StoreLoss,
+            FaultKind::Recut,
         ],
         epoch_check: EpochCheck::WhenExecuted,
         delivers_to_next_life: false,
         serves_backlog: true,
         forgetting: EndForgetting::AtArrival,
-        directory: PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("soak"),
+        directory: PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{seed}")),
     };
     let report = run(&settings).await.unwrap();
     let (_, accepted, runs) = report.counts;
