--- a/crates/geraniumshed-core/tests/planner/main.rs
+++ b/crates/geraniumshed-core/tests/planner/main.rs
@@ -12,6 +12,7 @@
 mod listed_runs;
 mod load_patterns;
 mod odd_jobs;
+mod pending_jobs;
 mod planner_work;
 mod removed_queues;
 mod rules;
--- a/crates/geraniumshed-core/tests/planner/simulation.rs
+++ b/crates/geraniumshed-core/tests/planner/simulation.rs
@@ -26,6 +26,8 @@
     pub loses_replies: bool,
     /// The worker doesn't reply to starts and carries them out after this delay.
     pub start_delay: Option<Duration>,
+    /// The worker has no room for any start.
+    pub refuses_starts: bool,
     /// All tasks on the worker fail.
     pub fails: bool,
     /// The tasks on the worker make no progress.
