Count a job as started only when a worker has begun a task

Cause: a job became running with its first placement, before any start was sent, and stayed so when the placement was withdrawn, refused, unanswered or lost with its worker, also across a takeover. Change: a job starts when a worker confirms a start, or lists a run or the end of one. Its first start is stored with the next batch and causes none by itself. A job that has started once remains so.

--- a/crates/geraniumshed-core/src/assignment/change_tracker.rs
+++ b/crates/geraniumshed-core/src/assignment/change_tracker.rs
@@ -37,6 +37,8 @@
     open_batch: u64,
     stored_batch: u64,
     changed: BTreeSet<JobId>,
+    /// The jobs whose changes are stored with the open batch, but don't cause it.
+    noted: BTreeSet<JobId>,
     forgotten: BTreeSet<JobId>,
     /// The jobs with changes of the crashes under their tasks.
     crashes_changed: BTreeSet<JobId>,
@@ -51,6 +53,7 @@
             open_batch: 1,
             stored_batch: 0,
             changed: BTreeSet::new(),
+            noted: BTreeSet::new(),
             forgotten: BTreeSet::new(),
             crashes_changed: BTreeSet::new(),
             deferred_starts: VecDeque::new(),
@@ -67,9 +70,15 @@
         self.open_batch
     }
 
+    /// Marks a job as changed in a way that need not be stored for its own sake. The next batch stores it.
+    pub(super) fn note_changed(&mut self, job: JobId) {
+        self.noted.insert(job);
+    }
+
     /// Marks a job as to be removed from the store.
     pub(super) fn mark_forgotten(&mut self, job: JobId) {
         self.changed.remove(&job);
+        self.noted.remove(&job);
         self.forgotten.insert(job);
     }
 
@@ -102,6 +111,7 @@
     pub(super) fn take_batch(&mut self) -> ClosedBatch {
         let number = self.open_batch;
         self.open_batch += 1;
+        self.changed.append(&mut self.noted);
         ClosedBatch {
             number,
             changed: std::mem::take(&mut self.changed),
--- a/crates/geraniumshed-core/src/assignment/listed_run.rs
+++ b/crates/geraniumshed-core/src/assignment/listed_run.rs
@@ -9,7 +9,7 @@
 use super::action::PlannerTime;
 use super::planner::JobPlanner;
 use super::starting::run_entry;
-use crate::job::{JobPhase, StepRequest, TaskKey, TaskPhase, WorkerId};
+use crate::job::{StepRequest, TaskKey, TaskPhase, WorkerId};
 use crate::worker::{EndKind, RunPhase, RunReport};
 
 /// What is known of the newest run of a task that may continue with a run that a worker lists.
@@ -177,9 +177,6 @@
         let Some(job) = self.jobs.get_mut(&key.job) else {
             return;
         };
-        if job.phase == JobPhase::Queued {
-            job.phase = JobPhase::Running;
-        }
         if let Some(task) = job.task_mut(key) {
             task.run = run;
             task.phase = TaskPhase::Placed(worker.clone());
--- a/crates/geraniumshed-core/src/assignment/mod.rs
+++ b/crates/geraniumshed-core/src/assignment/mod.rs
@@ -14,6 +14,7 @@
 mod gang;
 mod improvement_log;
 mod interference;
+mod job_start;
 mod lease_ledger;
 mod listed_run;
 mod model_schedule;
--- a/crates/geraniumshed-core/src/assignment/planner.rs
+++ b/crates/geraniumshed-core/src/assignment/planner.rs
@@ -240,7 +240,7 @@
         }
     }
 
-    /// Returns the number of jobs in a queue that have no started task.
+    /// Returns the number of jobs in a queue of which no task is known to have started.
     pub fn pending_count(&self, queue: &QueueName) -> usize {
         self.open_jobs
             .iter()
--- a/crates/geraniumshed-core/src/assignment/starting.rs
+++ b/crates/geraniumshed-core/src/assignment/starting.rs
@@ -8,7 +8,7 @@
 use super::change_tracker::DeferredStart;
 use super::placement_query::StepPermission;
 use super::planner::JobPlanner;
-use crate::job::{JobPhase, StepRequest, TaskKey, TaskPhase, WorkerId};
+use crate::job::{StepRequest, TaskKey, TaskPhase, WorkerId};
 use crate::worker::{FULL_PERCENT, RunEntry, RunPhase, StartOrder, WorkerCall};
 
 impl JobPlanner {
@@ -55,9 +55,6 @@
             return;
         };
         self.work.placed_tasks += 1;
-        if job.phase == JobPhase::Queued {
-            job.phase = JobPhase::Running;
-        }
         if let Some(task) = job.task_mut(key) {
             task.run = run;
             task.phase = TaskPhase::Placed(worker.clone());
--- a/crates/geraniumshed-core/src/assignment/worker_replies.rs
+++ b/crates/geraniumshed-core/src/assignment/worker_replies.rs
@@ -31,6 +31,9 @@
         answer: Result<StartAnswer, WorkerFailure>,
     ) {
         self.start_window.record_answered(now.point);
+        if matches!(&answer, Ok(answer) if answer.reply == StartReply::Started) {
+            self.record_job_start(task.job);
+        }
         self.is_placement_due |= self.is_window_full;
         let Some(entry) = self.workers.get_mut(worker) else {
             return;
@@ -304,6 +307,7 @@
     /// Processes the reported ends of runs that weren't processed before.
     fn process_ends(&mut self, now: PlannerTime, worker: &WorkerId, reply: &RenewReply) {
         for end in &reply.ended {
+            self.record_job_start(end.task.job);
             let Some(entry) = self.workers.get_mut(worker) else {
                 return;
             };
@@ -339,6 +343,7 @@
         running: &[RunReport],
         is_latest: bool,
     ) {
+        self.record_listed_starts(worker, running);
         let Some(entry) = self.workers.get_mut(worker) else {
             return;
         };
--- a/crates/geraniumshed-core/src/job/entry.rs
+++ b/crates/geraniumshed-core/src/job/entry.rs
@@ -20,9 +20,9 @@
 /// The state of a job as reported to clients.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum JobPhase {
-    /// No task has started yet.
+    /// No task is known to have started, although some may be placed on workers.
     Queued,
-    /// A task has started.
+    /// A worker has begun a task.
     Running,
     /// All tasks have succeeded.
     Completed,
