Log how many pending jobs a client was told

Cause: the line about a client's question for the pending jobs of a queue has no number, so a wrong one can only be found by whoever asked.

--- a/crates/geraniumshed-batch/src/service.rs
+++ b/crates/geraniumshed-batch/src/service.rs
@@ -248,7 +248,8 @@
             queue:% = queue,
             config_version = self.shared.config.version().0,
             taken_ms = whole_millis(taken),
-            outcome = outcome_name(outcome);
+            outcome = outcome_name(outcome),
+            pending = counted_jobs(outcome);
             "client asked for the pending jobs of a queue"
         );
         outcome
@@ -331,6 +332,14 @@
     }
 }
 
+/// Returns the number of jobs that an outcome tells.
+fn counted_jobs(outcome: CallOutcome) -> Option<u64> {
+    match outcome {
+        CallOutcome::Pending(count) => Some(count),
+        _ => None,
+    }
+}
+
 /// Runs a second attempt to store a job if the first one fails, or in parallel if it takes longer
 /// than the delay.
 async fn hedge(
