--- a/crates/geraniumshed-core/tests/planner/silent_workers.rs
+++ b/crates/geraniumshed-core/tests/planner/silent_workers.rs
@@ -307,3 +307,43 @@
     one.listing.is_draining = is_draining;
     cluster.replace_workers();
 }
+
+/// Guards against a restarted worker that never starts anything again. Its restart was known from the answer
+/// to an earlier renewal than the newest one, which leaves its clock unknown. Each placement of a best-effort
+/// run beside one with a latency target then replaced the renewal that would have read the clock, and the
+/// start was dropped, since no deadline can be given without the clock.
+#[test]
+fn restarted_worker_whose_clock_is_unknown_starts_tasks_soon() {
+    let mut cluster = Cluster::with_workers(1);
+    let id = worker(0);
+    cluster.workers.get_mut(&id).unwrap().fault.holds_renewals = true;
+    cluster.advance(Duration::from_secs(12));
+    let sent = cluster.renewal_count;
+    while cluster.renewal_count == sent {
+        cluster.advance(STEP);
+    }
+    // The registration of the new process arrives right before its answer to the renewal that was sent to
+    // the earlier one.
+    cluster.advance(Duration::from_millis(990));
+    let now = cluster.now;
+    let restarted = cluster.workers.get_mut(&id).unwrap();
+    restarted.restart_with_clock(now);
+    restarted.fault.holds_renewals = true;
+    restarted.listing.incarnation = Some(restarted.incarnation);
+    cluster.replace_workers();
+    let serving = StepRequest {
+        is_long_running: true,
+        image: Some("a".into()),
+        latency_target: Some(Duration::from_millis(20)),
+        ..step(1)
+    };
+    let filling = StepRequest {
+        is_best_effort: true,
+        image: Some("b".into()),
+        ..step(1)
+    };
+    cluster.submit(1, vec![serving]);
+    cluster.submit(2, vec![filling]);
+    cluster.advance(Duration::from_secs(2));
+    assert_eq!(cluster.starts.len(), 2);
+}
