Search for other tasks after a trial that found no worker

Cause: callers' tasks wait beside free workers. A trial finds no worker while runs have just started on all of them, but its failed search was noted for its size alone, so the placement pass passed over all tasks of that size or larger, also of other jobs. Change: a failed search of a trial stops only trials from being searched for, in the pass and in its step. Result: trials::unsuspected_task_starts_beside_a_trial_that_finds_no_worker failed in 2 of 2 cases and passes.

--- a/crates/geraniumshed-core/src/assignment/evacuation.rs
+++ b/crates/geraniumshed-core/src/assignment/evacuation.rs
@@ -100,7 +100,8 @@
         let step = request.steps.get(due.task.step as usize)?;
         let min_speed = self.min_speed(now, job, &policy, due.step, pass);
         let needs_advice = policy.advice.is_some();
-        if !needs_advice && pass.has_failed(&policy.service, step, min_speed) {
+        let is_trial = self.needs_trial(due.task);
+        if !needs_advice && pass.has_failed(&policy.service, step, min_speed, is_trial) {
             return None;
         }
         let startable = StartableStep {
@@ -116,7 +117,7 @@
         if target.is_none() && needs_advice {
             self.request_permission(now.point, &startable, 0);
         } else if target.is_none() {
-            pass.record_failure(&policy.service, step, min_speed);
+            pass.record_failure(&policy.service, step, min_speed, is_trial);
         }
         target
     }
--- a/crates/geraniumshed-core/tests/planner/main.rs
+++ b/crates/geraniumshed-core/tests/planner/main.rs
@@ -20,3 +20,4 @@
 mod simulation;
 mod succession;
 mod takeover;
+mod trials;
