Revert "Search for other tasks after a trial that found no worker"

Cause: the change mends the fault that its test shows, but accepted jobs wait for trials longer with it.

--- a/crates/geraniumshed-core/src/assignment/evacuation.rs
+++ b/crates/geraniumshed-core/src/assignment/evacuation.rs
@@ -100,8 +100,7 @@
         let step = request.steps.get(due.task.step as usize)?;
         let min_speed = self.min_speed(now, job, &policy, due.step, pass);
         let needs_advice = policy.advice.is_some();
-        let is_trial = self.needs_trial(due.task);
-        if !needs_advice && pass.has_failed(&policy.service, step, min_speed, is_trial) {
+        if !needs_advice && pass.has_failed(&policy.service, step, min_speed) {
             return None;
         }
         let startable = StartableStep {
@@ -117,7 +116,7 @@
         if target.is_none() && needs_advice {
             self.request_permission(now.point, &startable, 0);
         } else if target.is_none() {
-            pass.record_failure(&policy.service, step, min_speed, is_trial);
+            pass.record_failure(&policy.service, step, min_speed);
         }
         target
     }
--- a/crates/geraniumshed-core/src/assignment/placement_pass.rs
+++ b/crates/geraniumshed-core/src/assignment/placement_pass.rs
@@ -29,8 +29,6 @@
     label: Option<SmolStr>,
     size: ResourceSize,
     min_speed: f64,
-    /// Whether the run would have been a trial, which fewer workers take.
-    is_trial: bool,
 }
 
 impl PlacementPass {
@@ -64,7 +62,6 @@
         service: &ServiceName,
         step: &StepRequest,
         min_speed: f64,
-        is_trial: bool,
     ) {
         // With a limit per worker, the result depends on the step's own tasks and says nothing
         // about other steps.
@@ -76,7 +73,6 @@
                 label: step.required_label.clone(),
                 size: step.size,
                 min_speed,
-                is_trial,
             });
         }
     }
@@ -87,7 +83,6 @@
         service: &ServiceName,
         step: &StepRequest,
         min_speed: f64,
-        is_trial: bool,
     ) -> bool {
         self.failed.iter().any(|failed| {
             failed.service == *service
@@ -96,7 +91,6 @@
                 && failed.label == step.required_label
                 && failed.size.fits(&step.size)
                 && failed.min_speed <= min_speed
-                && (is_trial || !failed.is_trial)
         })
     }
 
--- a/crates/geraniumshed-core/src/assignment/step_placement.rs
+++ b/crates/geraniumshed-core/src/assignment/step_placement.rs
@@ -175,20 +175,14 @@
         let min_speed = startable.min_speed;
         let service = &policy.service;
         // Advice is given per step, so a failed query of another step says nothing about this one.
-        let has_failed_before = |is_trial| {
-            policy.advice.is_none() && pass.has_failed(service, step, min_speed, is_trial)
-        };
-        let mut has_failed = has_failed_before(false);
-        let mut has_failed_trial = has_failed_before(true);
+        let mut has_failed = policy.advice.is_none() && pass.has_failed(service, step, min_speed);
         let mut search = self.open_search(now.point, startable);
         let mut placed = 0;
         for (position, key) in startable.keys.iter().copied().enumerate() {
-            // All tasks of a step have the same requirements in the end, but for trials and those that
-            // have a worker held for them: workers to avoid are taken if there are no others.
+            // All tasks of a step have the same requirements in the end, but for those that have a
+            // worker held for them: workers to avoid are taken if there are no others.
             let has_held_worker = self.has_held_worker(key);
-            let is_trial = self.needs_trial(key);
-            let is_hopeless = has_failed || is_trial && has_failed_trial;
-            if is_hopeless && !has_held_worker {
+            if has_failed && !has_held_worker {
                 self.try_hold_worker(now, startable, key);
                 continue;
             }
@@ -203,19 +197,14 @@
                 continue;
             }
             self.try_hold_worker(now, startable, key);
-            if has_held_worker {
-                continue;
-            }
-            if policy.advice.is_none() {
-                pass.record_failure(service, step, min_speed, is_trial);
-            }
-            // A worker that takes no trial may take the tasks that nobody suspects.
-            if policy.advice.is_none() && !is_trial {
-                self.record_failed_search(now.point, startable, search.scope);
+            if !has_held_worker {
+                if policy.advice.is_none() {
+                    pass.record_failure(service, step, min_speed);
+                    self.record_failed_search(now.point, startable, search.scope);
+                }
+                self.request_permission(now.point, startable, position);
+                has_failed = true;
             }
-            self.request_permission(now.point, startable, position);
-            has_failed_trial = true;
-            has_failed |= !is_trial;
         }
         if !has_failed {
             self.failed_searches.remove(&startable.ready.into());
