--- a/crates/geraniumshed/tests/soak.rs
+++ b/crates/geraniumshed/tests/soak.rs
@@ -11,21 +11,35 @@
 use rstest::rstest;
 use tokio::sync::Mutex;
 
+/// The kinds of faults that are mixed.
+const MIXED: [FaultKind; 6] = [
+    FaultKind::Kill,
+    FaultKind::Freeze,
+    FaultKind::Crash,
+    FaultKind::Path,
+    FaultKind::StoreLoss,
+    FaultKind::Recut,
+];
+
 /// Lets one run at a time have the addresses of the daemons.
 static ADDRESSES: Mutex<()> = Mutex::const_new(());
 
 /// Guards against violations that show only with processes, signals and real clocks.
 #[rstest]
-#[case::ordinary_leases(1)]
-#[case::long_leases(56002)]
+#[case::mixed(1, 8, &MIXED)]
+#[case::calls_for_former_processes(56002, 12, &[FaultKind::Recut])]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn daemon_processes_keep_the_rules_under_faults(#[case] seed: u64) {
+async fn daemon_processes_keep_the_rules_under_faults(
+    #[case] seed: u64,
+    #[case] workers: usize,
+    #[case] faults: &[FaultKind],
+) {
     let _addresses = ADDRESSES.lock().await;
     let settings = RunSettings {
         program: PathBuf::from(env!("CARGO_BIN_EXE_geraniumshed")),
         seed,
         time: Duration::from_secs(20),
-        workers: 8,
+        workers,
         daemons: 3,
         limits: SiteLimits {
             longest_lease: SiteLimits::longest_lease_of(seed),
@@ -35,14 +49,7 @@
         standing_jobs: 2,
         cpu_share: 0.2,
         intensity: 1.0,
-        faults: vec![
-            FaultKind::Kill,
-            FaultKind::Freeze,
-            FaultKind::Crash,
-            FaultKind::Path,
-            FaultKind::StoreLoss,
-            FaultKind::Recut,
-        ],
+        faults: faults.to_vec(),
         epoch_check: EpochCheck::WhenExecuted,
         delivers_to_next_life: false,
         serves_backlog: true,
