Don't replace the renewal that will show a worker's clock

What callers saw: no task starts on a worker that was back as a new process, beside services with a target, for as long as best-effort tasks come. Cause: nothing starts without a deadline, and no deadline is given without the process's clock. The restart had become known by the answer to an earlier renewal, which leaves the clock unknown, and each best-effort run that came beside one with a latency target replaced the renewal that would have shown it. Evidence: restarted_worker_whose_clock_is_unknown_starts_tasks_soon, found while the number of waiting jobs was traced. Change: such a renewal isn't replaced while the clock is unknown.

--- a/crates/geraniumshed-core/src/assignment/renewals.rs
+++ b/crates/geraniumshed-core/src/assignment/renewals.rs
@@ -134,9 +134,11 @@
     }
 
     /// Makes a renewal due at a time, although the worker may still hold back an earlier one, because
-    /// a best-effort run has come beside runs with a latency target.
+    /// a best-effort run has come beside runs with a latency target. A renewal that will show the clock isn't
+    /// replaced, since nothing can be started without that.
     pub(super) fn read_tails_soon(&mut self, due: TimePoint) {
-        if self.unanswered_calls == 0 && self.renewal.take().is_some() {
+        let is_answering = self.unanswered_calls == 0 && self.clock.is_some();
+        if is_answering && self.renewal.take().is_some() {
             self.next_renewal_at = due;
         }
     }
