Place nothing on a worker whose clock is unknown, and ask for it at once

What callers saw: tasks that are placed on a worker again and again, and not started there, for up to seconds after it has restarted. Cause: nothing starts without a deadline, and no deadline is given without the process's clock. A restart that the answer to an earlier renewal shows leaves the clock unknown, while the worker takes tasks; and the renewal that would show the clock may wait for a second, or be replaced for a best-effort run that is placed there. Change: a worker takes tasks only once its clock is known, and the renewal that asks for it isn't held back.

--- a/crates/geraniumshed-core/src/assignment/renewals.rs
+++ b/crates/geraniumshed-core/src/assignment/renewals.rs
@@ -78,6 +78,7 @@
             };
             let is_immediate = entry.unanswered_calls > 0
                 || !entry.is_adopted
+                || entry.clock.is_none()
                 || entry.has_unsettled()
                 || entry.later_process_seen_at.is_some()
                 || self.is_handing_over;
@@ -134,11 +135,9 @@
     }
 
     /// Makes a renewal due at a time, although the worker may still hold back an earlier one, because
-    /// a best-effort run has come beside runs with a latency target. A renewal that will show the clock isn't
-    /// replaced, since nothing can be started without that.
+    /// a best-effort run has come beside runs with a latency target.
     pub(super) fn read_tails_soon(&mut self, due: TimePoint) {
-        let is_answering = self.unanswered_calls == 0 && self.clock.is_some();
-        if is_answering && self.renewal.take().is_some() {
+        if self.unanswered_calls == 0 && self.renewal.take().is_some() {
             self.next_renewal_at = due;
         }
     }
--- a/crates/geraniumshed-core/src/worker/entry.rs
+++ b/crates/geraniumshed-core/src/worker/entry.rs
@@ -203,6 +203,7 @@
         self.is_listed
             && self.is_adopted
             && self.unanswered_calls == 0
+            && self.clock.is_some()
             && self.later_process_seen_at.is_none()
             && !self.has_stored_lease
             && !self.listing.is_draining
