--- a/crates/geraniumshed-core/src/worker/entry.rs
+++ b/crates/geraniumshed-core/src/worker/entry.rs
@@ -253,8 +253,7 @@
     /// Only what its last answer listed is acknowledged, and only while nothing speaks for a later
     /// process, which numbers its ends from 1 again and would drop some that nobody has read.
     pub fn acknowledged_end(&self) -> u64 {
-        let is_process_known = self.incarnation.is_some() && self.later_process_seen_at.is_none();
-        if self.unanswered_calls > 0 || !is_process_known {
+        if self.unanswered_calls > 0 || !self.is_process_known() {
             return 0;
         }
         self.stored_end.min(self.listed_end)
@@ -300,8 +299,7 @@
         longest_end: TimePoint,
     ) -> Option<WorkerTime> {
         // A deadline has to name the process whose clock it is on.
-        let is_process_known = self.incarnation.is_some() && self.later_process_seen_at.is_none();
-        if self.has_stored_lease || !is_process_known {
+        if self.has_stored_lease || !self.is_process_known() {
             return None;
         }
         let clock = self.clock?;
--- a/crates/geraniumshed-core/src/worker/process.rs
+++ b/crates/geraniumshed-core/src/worker/process.rs
@@ -19,6 +19,11 @@
 }
 
 impl WorkerEntry {
+    /// Returns whether the worker's process is known, and nothing speaks for a later one.
+    pub fn is_process_known(&self) -> bool {
+        self.incarnation.is_some() && self.later_process_seen_at.is_none()
+    }
+
     /// Returns which process has given an answer. The worker's clock can't tell, since it may show
     /// anything when a process starts.
     pub fn match_process(&self, answering: Option<WorkerIncarnation>) -> ProcessMatch {
