Start no task in an evacuated availability zone

The planner refuses the zone's workers for each kind of placement (`zone-evacuated`), drops runs there whose starts were about to be sent (whole gangs), and leaves the zone out of the sums that steer holds, trials and waits. After the cancellation the zone's workers count as improved, so that failed searches are repeated at once. Log lines for both, and the metrics evacuated_zones and zone_moves.

--- a/crates/geraniumshed-batch/src/leader/start_delays.rs
+++ b/crates/geraniumshed-batch/src/leader/start_delays.rs
@@ -80,7 +80,9 @@
             | PlannerEvent::RunsMissing(_)
             | PlannerEvent::WorkerAdopted(_)
             | PlannerEvent::TrialBegun(_)
-            | PlannerEvent::TaskGivenUp(_) => {}
+            | PlannerEvent::TaskGivenUp(_)
+            | PlannerEvent::ZoneMoveBegun(_)
+            | PlannerEvent::ZoneUnknown(_) => {}
         }
     }
 
--- a/crates/geraniumshed-batch/src/telemetry/events.rs
+++ b/crates/geraniumshed-batch/src/telemetry/events.rs
@@ -6,7 +6,7 @@
 use geraniumshed_core::assignment::{
     AdoptedWorker, AnsweringWorker, DepartingWorker, JobSummary, LostRun, LostWorker, MissingRuns,
     NewProcess, PlacementSummary, PlannerEvent, RestartSign, RestartedWorker, RunStart,
-    SilentWorker, TaskTrial, UnexpectedRun,
+    SilentWorker, TaskTrial, UnexpectedRun, ZoneMove,
 };
 use geraniumshed_core::job::CrashEvidence;
 use geraniumshed_core::worker::{EndKind, WorkerStanding};
@@ -71,6 +71,10 @@
             trial,
             "task is given up with its job, since it crashes workers",
         ),
+        PlannerEvent::ZoneMoveBegun(moved) => log_zone_move(moved),
+        PlannerEvent::ZoneUnknown(zone) => {
+            log::warn!(zone:% = zone; "evacuated zone has no workers");
+        }
     }
 }
 
@@ -87,6 +91,16 @@
     );
 }
 
+fn log_zone_move(moved: &ZoneMove) {
+    log::info!(
+        job:% = moved.task.job,
+        task:% = moved.task,
+        worker:% = moved.worker,
+        target:% = moved.target;
+        "long-running task moves out of an evacuated zone"
+    );
+}
+
 fn log_placement(placement: &PlacementSummary) {
     log::info!(
         job:% = placement.job,
--- a/crates/geraniumshed-batch/src/telemetry/metrics.rs
+++ b/crates/geraniumshed-batch/src/telemetry/metrics.rs
@@ -145,6 +145,10 @@
     pub(crate) couriers: Gauge,
     /// 1 while this process leads.
     pub(crate) leading: Gauge,
+    /// The availability zones in which no task starts.
+    pub(crate) evacuated_zones: Gauge,
+    /// The long-running runs that were stopped to move out of evacuated zones.
+    zone_moves: Counter,
     /// The version of the configuration in force.
     pub(crate) config_version: Gauge,
     config_reads: Family<ConfigLabels, Counter>,
@@ -194,6 +198,8 @@
             planner_work: Family::default(),
             couriers: Gauge::default(),
             leading: Gauge::default(),
+            evacuated_zones: Gauge::default(),
+            zone_moves: Counter::default(),
             config_version: Gauge::default(),
             config_reads: Family::default(),
             config_read_seconds: Family::new_with_constructor(latency),
@@ -310,6 +316,7 @@
             self.couriers.clone(),
         );
         registry.register("leading", "1 while the process leads", self.leading.clone());
+        self.register_zones(&mut registry);
         registry.register(
             "config_version",
             "The version of the configuration in force",
@@ -338,6 +345,20 @@
         registry
     }
 
+    /// Registers the metrics of evacuated zones.
+    fn register_zones(&self, registry: &mut Registry) {
+        registry.register(
+            "evacuated_zones",
+            "The availability zones in which no task starts, as far as this node knows",
+            self.evacuated_zones.clone(),
+        );
+        registry.register(
+            "zone_moves",
+            "Long-running runs that were stopped to move out of evacuated zones",
+            self.zone_moves.clone(),
+        );
+    }
+
     /// Registers the counters of placements and of the ends of runs.
     fn register_runs(&self, registry: &mut Registry) {
         registry.register(
@@ -474,7 +495,11 @@
             | PlannerEvent::EndsUnlisted(_)
             | PlannerEvent::EndsSkipped(_)
             | PlannerEvent::RunsMissing(_)
-            | PlannerEvent::WorkerAdopted(_) => {}
+            | PlannerEvent::WorkerAdopted(_)
+            | PlannerEvent::ZoneUnknown(_) => {}
+            PlannerEvent::ZoneMoveBegun(_) => {
+                self.zone_moves.inc();
+            }
             PlannerEvent::TrialBegun(_) => {
                 self.trial_runs.inc();
             }
--- a/crates/geraniumshed-core/src/assignment/evacuation.rs
+++ b/crates/geraniumshed-core/src/assignment/evacuation.rs
@@ -27,9 +27,9 @@
     /// The step of the task.
     pub(super) step: ReadyStep,
     /// The task.
-    task: TaskKey,
-    /// The worker that is about to leave.
-    worker: WorkerId,
+    pub(super) task: TaskKey,
+    /// The worker that the run has to leave.
+    pub(super) worker: WorkerId,
 }
 
 impl JobPlanner {
@@ -39,13 +39,22 @@
         let leaving = self.worker_index.leaving();
         let leaving = leaving.filter_map(|id| self.workers.get(id));
         for worker in leaving.filter(|one| one.can_be_evacuated()) {
-            let runs = worker.runs.iter().filter(|(_, run)| is_evacuable(run));
-            due.extend(runs.filter_map(|(key, _)| self.due_evacuation(now, *key, worker.id())));
+            due.extend(self.evacuable_runs(now, worker));
         }
         due.sort_unstable();
         due.into()
     }
 
+    /// Returns the runs of a worker that would have to be stopped to evacuate it.
+    pub(super) fn evacuable_runs<'a>(
+        &'a self,
+        now: PlannerTime,
+        worker: &'a WorkerEntry,
+    ) -> impl Iterator<Item = DueEvacuation> + use<'a> {
+        let runs = worker.runs.iter().filter(|(_, run)| is_evacuable(run));
+        runs.filter_map(move |(key, _)| self.due_evacuation(now, *key, worker.id()))
+    }
+
     fn due_evacuation(
         &self,
         now: PlannerTime,
@@ -70,20 +79,20 @@
     }
 
     /// Stops a run that has to leave its worker if another worker takes its task, and holds that
-    /// worker for the task.
+    /// worker for the task. Returns the worker that takes it.
     pub(super) fn evacuate(
         &mut self,
         now: PlannerTime,
         due: &DueEvacuation,
         pass: &mut PlacementPass,
-    ) {
+    ) -> Option<WorkerId> {
         if !self.may_evacuate(due) {
-            return;
-        }
-        if let Some(target) = self.choose_target(now, due, pass) {
-            self.add_hold(due.task, target);
-            self.stop_run(now.point, &due.worker, due.task);
+            return None;
         }
+        let target = self.choose_target(now, due, pass)?;
+        self.add_hold(due.task, target.clone());
+        self.stop_run(now.point, &due.worker, due.task);
+        Some(target)
     }
 
     /// Returns the worker that takes the task, or requests advice if the queue's policy requires
@@ -162,11 +171,13 @@
         })
     }
 
-    /// Returns whether a task's run is being stopped on a worker that is about to leave and still
-    /// answers, so that its end will be reported.
+    /// Returns whether a task's run is being stopped on a worker that is about to leave, or whose zone
+    /// is evacuated, and that still answers, so that its end will be reported.
     pub(super) fn is_being_evacuated(&self, key: TaskKey) -> bool {
-        self.placement(key)
-            .is_some_and(|(worker, run)| worker.can_be_evacuated() && run.is_stopping())
+        self.placement(key).is_some_and(|(worker, run)| {
+            let has_to_leave = worker.listing.is_draining || self.zones.is_evacuated(worker);
+            has_to_leave && worker.is_answering() && run.is_stopping()
+        })
     }
 
     /// Returns the worker of a placed task, and the task's run there.
@@ -189,7 +200,7 @@
     }
 
     /// Returns whether the worker is registered and has answered the newest call.
-    fn is_answering(&self) -> bool {
+    pub(super) fn is_answering(&self) -> bool {
         self.is_listed && self.is_adopted && self.unanswered_calls == 0
     }
 }
--- a/crates/geraniumshed-core/src/assignment/event.rs
+++ b/crates/geraniumshed-core/src/assignment/event.rs
@@ -4,6 +4,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use smol_str::SmolStr;
+
 use super::placement_query::PlacementRefusal;
 use super::worker_loss::WorkerRunLoss;
 use crate::job::{CrashHistory, JobId, JobPhase, QueueName, TaskKey, WorkerId};
@@ -54,6 +56,21 @@
     TrialBegun(TaskTrial),
     /// A task is given up with its job, since workers crash under its runs.
     TaskGivenUp(TaskTrial),
+    /// A long-running run is stopped in an evacuated zone, and a worker elsewhere is held for its task.
+    ZoneMoveBegun(ZoneMove),
+    /// A zone is evacuated that has no registered worker.
+    ZoneUnknown(SmolStr),
+}
+
+/// The move of a long-running task out of an evacuated zone.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ZoneMove {
+    /// The task.
+    pub task: TaskKey,
+    /// The worker in the evacuated zone.
+    pub worker: WorkerId,
+    /// The worker that is held for the task.
+    pub target: WorkerId,
 }
 
 /// The outcome of placing the startable tasks of a step.
--- a/crates/geraniumshed-core/src/assignment/mod.rs
+++ b/crates/geraniumshed-core/src/assignment/mod.rs
@@ -47,12 +47,13 @@
 mod worker_replies;
 mod worker_restart;
 mod worker_search;
+mod zone_evacuation;
 
 pub use action::{CancelOutcome, JobStatus, PlannerAction, PlannerTime, StoreBatch, StoreChange};
 pub use event::{
     AdoptedWorker, AnsweringWorker, DepartingWorker, JobSummary, LostRun, LostWorker, MissingRuns,
     NewProcess, PlacementSummary, PlannerEvent, RestartSign, RestartedWorker, SilentWorker,
-    SkippedEnds, StartDelay, TaskTrial, UnexpectedRun, UnlistedEnds,
+    SkippedEnds, StartDelay, TaskTrial, UnexpectedRun, UnlistedEnds, ZoneMove,
 };
 pub use interference::{
     InterferenceModel, InterferenceSnapshot, LoadShare, ServedImageRecord, SlopeRecord,
--- a/crates/geraniumshed-core/src/assignment/placement_pass.rs
+++ b/crates/geraniumshed-core/src/assignment/placement_pass.rs
@@ -5,6 +5,7 @@
 use geraniumshed_model::prelude::ResourceSize;
 use smol_str::SmolStr;
 
+use super::rank::ReadyStep;
 use crate::job::{ServiceName, StepRequest};
 
 /// Results that are shared between the steps of one placement pass.
@@ -17,6 +18,8 @@
     remaining_starts: usize,
     /// Whether any startable task was left out for want of starts.
     is_exhausted: bool,
+    /// The steps with startable tasks that found no worker.
+    waiting: Vec<ReadyStep>,
     mostly_idle: BTreeMap<ServiceName, bool>,
 }
 
@@ -56,6 +59,16 @@
         self.is_exhausted
     }
 
+    /// Records that startable tasks of a step found no worker.
+    pub(super) fn record_waiting(&mut self, step: ReadyStep) {
+        self.waiting.push(step);
+    }
+
+    /// Returns the steps with startable tasks that found no worker, in the order of their ranks.
+    pub(super) fn waiting_steps(&self) -> &[ReadyStep] {
+        &self.waiting
+    }
+
     /// Records that no worker was found for a task of a step.
     pub(super) fn record_failure(
         &mut self,
--- a/crates/geraniumshed-core/src/assignment/placement_query.rs
+++ b/crates/geraniumshed-core/src/assignment/placement_query.rs
@@ -14,6 +14,7 @@
 use super::advice::StepAdvice;
 use super::interference::InterferenceModel;
 use super::pacing::NEGLIGIBLE_PRESSURE;
+use super::zone_evacuation::ZoneLedger;
 use crate::job::{ServiceName, StepRequest, TaskKey, WorkerId};
 use crate::worker::WorkerEntry;
 
@@ -60,6 +61,8 @@
 pub enum PlacementRefusal {
     /// It doesn't answer, is draining, or is in quarantine.
     Unavailable,
+    /// Its availability zone is evacuated.
+    ZoneEvacuated,
     /// It is held for a long-running task.
     Held,
     /// A run of a task under which workers have crashed is on trial there, or the task needs a trial and
@@ -84,6 +87,7 @@
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             Self::Unavailable => "unavailable",
+            Self::ZoneEvacuated => "zone-evacuated",
             Self::Held => "held",
             Self::OnTrial => "on-trial",
             Self::NoRoom => "no-room",
@@ -128,6 +132,8 @@
     pub(super) advice: StepPermission<'a>,
     /// The fraction of full speed that a best-effort task needs.
     pub(super) min_speed: f64,
+    /// The evacuated availability zones.
+    pub(super) zones: &'a ZoneLedger,
     /// Whether the run will be a trial.
     pub(super) is_trial: bool,
     /// The time of the query.
@@ -230,6 +236,8 @@
     fn refusal(&self, worker: &WorkerEntry) -> Option<PlacementRefusal> {
         if !worker.takes_tasks(self.now) {
             Some(PlacementRefusal::Unavailable)
+        } else if self.zones.is_evacuated(worker) {
+            Some(PlacementRefusal::ZoneEvacuated)
         } else if worker.held_for.is_some_and(|task| task != self.task) {
             Some(PlacementRefusal::Held)
         } else if worker.trial.is_some() || self.is_trial && self.has_ambiguous_run(worker) {
--- a/crates/geraniumshed-core/src/assignment/planner.rs
+++ b/crates/geraniumshed-core/src/assignment/planner.rs
@@ -27,6 +27,7 @@
 use super::unproved_loss::UnprovedLosses;
 use super::wait_ledger::WaitLedger;
 use super::worker_index::WorkerIndex;
+use super::zone_evacuation::ZoneLedger;
 use crate::job::{
     JobEntry, JobId, JobPhase, JobRequest, QueueName, QueuePolicy, QueueTable, StepKey, StoredJob,
     TaskKey, TaskPhase, WorkerId,
@@ -55,6 +56,8 @@
     pub(super) jobs_to_begin: BTreeSet<JobId>,
     pub(super) workers: WorkerTable,
     pub(super) worker_index: WorkerIndex,
+    /// The evacuated availability zones.
+    pub(super) zones: ZoneLedger,
     pub(super) renewal_queue: RenewalQueue,
     /// The workers with ends that wait to be stored.
     pub(super) storing_workers: BTreeSet<WorkerId>,
@@ -117,6 +120,7 @@
             jobs_to_begin: BTreeSet::new(),
             workers: WorkerTable::default(),
             worker_index: WorkerIndex::default(),
+            zones: ZoneLedger::default(),
             renewal_queue: RenewalQueue::default(),
             storing_workers: BTreeSet::new(),
             improvement_log: ImprovementLog::default(),
@@ -317,7 +321,7 @@
     pub fn batch_stored(&mut self, now: PlannerTime, number: u64) {
         let starts = self.change_tracker.mark_stored(number);
         self.order_permit.batch_stored(number);
-        for start in starts {
+        for start in self.drop_evacuated_starts(now, starts) {
             if self.order_permit.may_start() {
                 self.send_start(now, start);
             } else {
--- a/crates/geraniumshed-core/src/assignment/registry.rs
+++ b/crates/geraniumshed-core/src/assignment/registry.rs
@@ -23,6 +23,7 @@
             self.upsert_worker(now, listing);
         }
         self.has_listing = true;
+        self.report_unknown_zones();
         self.report_departures(now.point);
         self.is_placement_due = true;
     }
--- a/crates/geraniumshed-core/src/assignment/step_placement.rs
+++ b/crates/geraniumshed-core/src/assignment/step_placement.rs
@@ -45,7 +45,7 @@
 
 impl JobPlanner {
     /// Places all tasks that can start now and find a worker, and evacuates workers that are about
-    /// to leave.
+    /// to leave. What capacity remains may go to the long-running tasks in evacuated zones.
     ///
     /// Within a priority, evacuations go before waiting tasks, since the workers exit soon.
     pub(super) fn place_tasks(&mut self, now: PlannerTime) {
@@ -57,6 +57,7 @@
         self.work.ready_steps += steps.len() as u64;
         steps.sort_unstable();
         let mut evacuations = self.due_evacuations(now);
+        let leaving = self.services_of(evacuations.iter());
         let unstored = self.change_tracker.deferred_count();
         let mut pass = PlacementPass::with_starts(self.start_window.available(unstored));
         for step in steps {
@@ -72,6 +73,7 @@
         for due in evacuations {
             self.evacuate(now, &due, &mut pass);
         }
+        self.move_from_evacuated_zones(now, &mut pass, &leaving);
     }
 
     /// Returns the steps with tasks that can start now, and forgets the jobs without tasks to place
@@ -143,6 +145,9 @@
         self.work.pressure_forecasts += u64::from(has_forecast);
         if let Some(placed) = placed {
             pass.use_starts(placed);
+            if placed < startable.keys.len() {
+                pass.record_waiting(ready);
+            }
             self.report_placement(now, &startable, placed);
         }
     }
@@ -313,6 +318,7 @@
             pressures: self.pressures_of(startable),
             advice: self.permission(job, key.into()),
             min_speed: startable.min_speed,
+            zones: &self.zones,
             is_trial: self.needs_trial(key),
             now,
         })
@@ -356,6 +362,7 @@
             pressures: self.pressures_of(startable),
             advice: StepPermission::Anywhere,
             min_speed: 0.0,
+            zones: &self.zones,
             is_trial: false,
             now,
         };
--- a/crates/geraniumshed-core/src/assignment/trial.rs
+++ b/crates/geraniumshed-core/src/assignment/trial.rs
@@ -33,7 +33,8 @@
         }
         let trials = self.workers.values().filter(|one| one.trial.is_some());
         let count = trials.count();
-        count == 0 || count + needed <= self.workers.len().div_ceil(WORKERS_PER_TRIAL)
+        let limit = self.usable_worker_count().div_ceil(WORKERS_PER_TRIAL);
+        count == 0 || count + needed <= limit
     }
 
     /// Ends the trial on a worker if the run has survived it, which clears the task of all crashes.
--- a/crates/geraniumshed-core/src/assignment/worker_hold.rs
+++ b/crates/geraniumshed-core/src/assignment/worker_hold.rs
@@ -75,7 +75,7 @@
     /// Returns whether a worker may be held now for a task that was running already. Such tasks don't
     /// wait for a cluster to have free capacity, since all that they need was theirs.
     fn is_restart_hold_due(&self, now: PlannerTime) -> bool {
-        let limit = self.workers.len() / WORKERS_PER_RESTART_HOLD + 1;
+        let limit = self.usable_worker_count() / WORKERS_PER_RESTART_HOLD + 1;
         self.next_restart_search <= now.point && self.held_workers.len() < limit
     }
 
@@ -107,9 +107,12 @@
     /// be held.
     fn hold_limits(&self, service: &ServiceName) -> (Duration, usize) {
         let workers = self.workers.values();
-        let service_workers = workers.filter(|worker| worker.listing.service == *service);
+        let service_workers = workers.filter(|worker| {
+            worker.listing.service == *service && !self.zones.is_evacuated(worker)
+        });
         if has_scattered_capacity(service_workers) {
-            (SCATTERED_WAIT, self.workers.len() / WORKERS_PER_HOLD + 1)
+            let limit = self.usable_worker_count() / WORKERS_PER_HOLD + 1;
+            (SCATTERED_WAIT, limit)
         } else {
             (FULL_WAIT, 1)
         }
@@ -121,7 +124,7 @@
     }
 
     /// Releases held workers whose task neither waits nor is being evacuated, or that no longer
-    /// take tasks or have become too small for it.
+    /// take tasks, are in an evacuated zone or have become too small for it.
     pub(super) fn release_stale_holds(&mut self, now: PlannerTime) {
         self.adopt_holds();
         let awaits_adoption = self.wait_ledger.awaits_adoption(now.point);
@@ -132,7 +135,9 @@
         };
         let is_needed = |key: &TaskKey| is_waiting(key) || self.is_being_evacuated(*key);
         let takes_tasks = |worker: &WorkerId| match self.workers.get(worker) {
-            Some(entry) if entry.is_adopted => entry.takes_tasks(now.point),
+            Some(entry) if entry.is_adopted => {
+                entry.takes_tasks(now.point) && !self.zones.is_evacuated(entry)
+            }
             Some(_) | None => awaits_adoption,
         };
         let held = self.held_workers.iter();
--- a/crates/geraniumshed-core/src/assignment/worker_index.rs
+++ b/crates/geraniumshed-core/src/assignment/worker_index.rs
@@ -24,6 +24,8 @@
     resting: BTreeSet<WorkerId>,
     /// The workers that are about to leave.
     leaving: BTreeSet<WorkerId>,
+    /// The workers in evacuated zones.
+    evacuated: BTreeSet<WorkerId>,
 }
 
 /// The summary of a worker.
@@ -31,10 +33,10 @@
 struct WorkerSlot {
     /// The number of the worker's service.
     service: u32,
-    /// Whether the worker takes tasks and is neither held nor on trial.
+    /// Whether the worker takes tasks and is neither held nor on trial nor in an evacuated zone.
     is_open: bool,
-    /// Whether the worker is registered.
-    is_listed: bool,
+    /// Whether the worker is registered and not in an evacuated zone.
+    is_counted: bool,
     /// The resources that are free for new tasks.
     free: ResourceSize,
     /// The processors that the runs are expected to leave idle, in units of half a thousandth.
@@ -43,7 +45,7 @@
     capacity: i64,
 }
 
-/// The sums over the registered workers of a service, in units of half a thousandth of a processor.
+/// The sums over the registered workers of a service outside evacuated zones, in units of half a thousandth of a processor.
 #[derive(Debug, Clone, Copy, Default)]
 struct ServiceTotals {
     idle: i64,
@@ -52,14 +54,14 @@
 
 impl WorkerIndex {
     /// Updates the summary of a worker.
-    pub(super) fn update(&mut self, entry: &WorkerEntry, now: TimePoint) {
+    pub(super) fn update(&mut self, entry: &WorkerEntry, is_evacuated: bool, now: TimePoint) {
         let id = entry.id();
         let service = self.service_number(&entry.listing.service);
-        let takes_tasks = entry.takes_tasks(now);
+        let takes_tasks = entry.takes_tasks(now) && !is_evacuated;
         let slot = WorkerSlot {
             service,
             is_open: takes_tasks && entry.held_for.is_none() && entry.trial.is_none(),
-            is_listed: entry.is_listed,
+            is_counted: entry.is_listed && !is_evacuated,
             free: entry.free_size(),
             idle: idle_half_units(entry),
             capacity: i64::from(entry.listing.capacity.processors.0) * 2,
@@ -77,6 +79,7 @@
         self.add(slot);
         set_membership(&mut self.resting, id, entry.quarantine.is_active(now));
         set_membership(&mut self.leaving, id, entry.listing.is_draining);
+        set_membership(&mut self.evacuated, id, is_evacuated);
     }
 
     /// Removes a worker.
@@ -88,6 +91,7 @@
         }
         self.resting.remove(id);
         self.leaving.remove(id);
+        self.evacuated.remove(id);
     }
 
     /// Returns the workers that take no tasks for a time that passes without any other change.
@@ -100,6 +104,16 @@
         self.leaving.iter()
     }
 
+    /// Returns the workers in evacuated zones.
+    pub(super) fn evacuated(&self) -> impl Iterator<Item = &WorkerId> {
+        self.evacuated.iter()
+    }
+
+    /// Returns the number of workers in evacuated zones.
+    pub(super) fn evacuated_count(&self) -> usize {
+        self.evacuated.len()
+    }
+
     /// Returns the workers of a service that may have room for a task of a step, beginning at a position
     /// that depends on `rotation`.
     pub(super) fn with_room<'a>(
@@ -148,7 +162,7 @@
     }
 
     fn add(&mut self, slot: WorkerSlot) {
-        if slot.is_listed {
+        if slot.is_counted {
             let totals = self.totals.entry(slot.service).or_default();
             totals.idle += slot.idle;
             totals.capacity += slot.capacity;
@@ -156,7 +170,7 @@
     }
 
     fn subtract(&mut self, slot: WorkerSlot) {
-        if slot.is_listed {
+        if slot.is_counted {
             let totals = self.totals.entry(slot.service).or_default();
             totals.idle -= slot.idle;
             totals.capacity -= slot.capacity;
--- a/crates/geraniumshed-core/src/assignment/worker_search.rs
+++ b/crates/geraniumshed-core/src/assignment/worker_search.rs
@@ -42,10 +42,11 @@
             self.renewal_queue.set(id, None);
             return;
         };
-        if entry.take_improvement(now) {
+        let is_evacuated = self.zones.is_evacuated(entry);
+        if entry.take_improvement(now, is_evacuated) {
             self.improvement_log.record(id);
         }
-        self.worker_index.update(entry, now);
+        self.worker_index.update(entry, is_evacuated, now);
         self.renewal_queue.set(id, entry.due_renewal());
     }
 
--- a/crates/geraniumshed-core/src/worker/entry.rs
+++ b/crates/geraniumshed-core/src/worker/entry.rs
@@ -211,9 +211,12 @@
     }
 
     /// Returns whether the worker may now take a task that it refused when this was last asked for,
-    /// apart from changes of tail latencies.
-    pub fn take_improvement(&mut self, now: TimePoint) -> bool {
-        let takes_tasks = self.takes_tasks(now) && self.held_for.is_none() && self.trial.is_none();
+    /// apart from changes of tail latencies. `is_evacuated` is whether its zone is evacuated now.
+    pub fn take_improvement(&mut self, now: TimePoint, is_evacuated: bool) -> bool {
+        let takes_tasks = self.takes_tasks(now)
+            && !is_evacuated
+            && self.held_for.is_none()
+            && self.trial.is_none();
         let has_returned = takes_tasks && !self.took_tasks;
         self.took_tasks = takes_tasks;
         let has_freed_capacity = std::mem::take(&mut self.has_freed_capacity);
--- a/crates/geraniumshed-core/tests/planner/main.rs
+++ b/crates/geraniumshed-core/tests/planner/main.rs
@@ -21,3 +21,4 @@
 mod succession;
 mod takeover;
 mod trials;
+mod zones;
