Read evacuated zones with the check of the operators' topic

Cause: no node read the keys evacuate/ZONE. Change: SiteFeed::check_topic replaces config_end. A check that can't be completed has failed. Each node keeps the newest state, logs each change, and passes it to its leader task at once. A new leader checks once while it takes over, at most for 400 ms, before it places anything. explain shows the two log lines. The tests of explain were not run before this commit.

--- a/crates/geraniumshed-batch/src/config/follow.rs
+++ b/crates/geraniumshed-batch/src/config/follow.rs
@@ -5,14 +5,14 @@
 
 use geraniumshed_core::leadership::MemberIdentity;
 use geraniumshed_core::site::{
-    ConfigUpdate, ConfigVersion, FollowAction, FollowRole, PeerAnswer, SiteConfig,
+    ConfigUpdate, ConfigVersion, FollowAction, FollowRole, PeerAnswer, SiteConfig, ZoneEvacuations,
 };
 use geraniumshed_model::prelude::{LogOffset, whole_millis};
 use tokio::time::Instant;
 
 use crate::node::NodeShared;
 use crate::site::{SiteFeed, WorkerCaller};
-use crate::store::StoreClient;
+use crate::store::{StoreClient, StoreError};
 use crate::telemetry::{ConfigRead, ConfigSource, log_decoded};
 use crate::wire::{ConfigQueryWire, ConfigReplyWire, ConfigUpdateWire, decode, encode};
 
@@ -87,12 +87,42 @@
         }
     }
 
-    /// Asks the store where the topic ends.
+    /// Asks the store where the topic ends, and which zones are evacuated.
     async fn check_topic(&self) {
-        let end = self.context.feed.config_end(CHECK_TIMEOUT).await;
+        let end = self.read_evacuations(CHECK_TIMEOUT).await;
         self.config.topic_checked(end);
     }
 
+    /// Reads where the topic ends and which zones are evacuated, within a time, and applies the latter.
+    /// Returns the end of the topic.
+    pub(crate) async fn read_evacuations(&self, limit: Duration) -> Result<LogOffset, StoreError> {
+        let known_to = self.config.evacuations().read_to();
+        let check = self.context.feed.check_topic(known_to, limit).await?;
+        if let Some(evacuations) = check.evacuations {
+            self.apply_evacuations(evacuations);
+        }
+        Ok(check.end)
+    }
+
+    /// Applies a state of the evacuated zones if it is newer than the known one.
+    fn apply_evacuations(&self, evacuations: ZoneEvacuations) {
+        let Some(change) = self.config.replace_evacuations(evacuations.clone()) else {
+            return;
+        };
+        let (offset, count) = (evacuations.read_to(), evacuations.len());
+        for zone in &change.begun {
+            log::warn!(zone:% = zone, offset:% = offset, evacuated = count; "zone evacuation started");
+        }
+        for zone in &change.ended {
+            log::warn!(zone:% = zone, offset:% = offset, evacuated = count; "zone evacuation cancelled");
+        }
+        let gauge = i64::try_from(count).unwrap_or(i64::MAX);
+        self.metrics().evacuated_zones.set(gauge);
+        if let Some(handle) = self.view().handle.clone() {
+            handle.replace_evacuations(evacuations);
+        }
+    }
+
     /// Reads the whole configuration in the store, which has to begin its answer within a time.
     async fn read_store(&self, limit: Duration) {
         let source = ConfigSource::Store;
--- a/crates/geraniumshed-batch/src/config/state.rs
+++ b/crates/geraniumshed-batch/src/config/state.rs
@@ -5,8 +5,8 @@
 
 use geraniumshed_core::leadership::MemberIdentity;
 use geraniumshed_core::site::{
-    ConfigFollower, ConfigHistory, ConfigUpdate, ConfigVersion, FollowAction, FollowRole,
-    PeerAnswer, SiteConfig,
+    ConfigFollower, ConfigHistory, ConfigUpdate, ConfigVersion, EvacuationChange, FollowAction,
+    FollowRole, PeerAnswer, SiteConfig, ZoneEvacuations,
 };
 use geraniumshed_model::prelude::{LogOffset, TimePoint};
 use tokio::sync::{Notify, watch};
@@ -41,6 +41,8 @@
     in_force: watch::Sender<ConfigInForce>,
     history: Mutex<ConfigHistory>,
     follower: Mutex<ConfigFollower>,
+    /// The evacuated zones, as this node last read them.
+    evacuations: Mutex<ZoneEvacuations>,
     /// Logs when the store stops telling where the topic ends.
     store_watch: Mutex<DependencyWatch>,
     /// Notified when there may be something new to do.
@@ -55,6 +57,7 @@
             in_force: watch::Sender::default(),
             history: Mutex::default(),
             follower: Mutex::new(ConfigFollower::new(clock.now())),
+            evacuations: Mutex::default(),
             store_watch: Mutex::new(DependencyWatch::new("store, for configurations")),
             changed: Notify::new(),
         }
@@ -93,6 +96,16 @@
         replaced
     }
 
+    /// Returns the evacuated zones.
+    pub(crate) fn evacuations(&self) -> ZoneEvacuations {
+        self.lock_evacuations().clone()
+    }
+
+    /// Replaces the evacuated zones if the state is newer. Returns the difference, if it is.
+    pub(super) fn replace_evacuations(&self, newer: ZoneEvacuations) -> Option<EvacuationChange> {
+        self.lock_evacuations().replace(newer)
+    }
+
     /// Returns what the node should do next.
     pub(super) fn next_action(&self, role: &FollowRole) -> FollowAction {
         self.follower().next_action(self.clock.now(), role)
@@ -137,7 +150,7 @@
         let known = self.published();
         match &end {
             Ok(end) if *end > known => {
-                log::info!(offset:% = end, known:% = known; "configuration was published");
+                log::info!(offset:% = end, known:% = known; "operators' topic has grown");
             }
             Ok(_) => {}
             Err(error) => log::debug!("could not read the end of the configurations: {error}"),
@@ -203,6 +216,12 @@
         self.follower.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn lock_evacuations(&self) -> MutexGuard<'_, ZoneEvacuations> {
+        self.evacuations
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn history(&self) -> MutexGuard<'_, ConfigHistory> {
         self.history.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/geraniumshed-batch/src/leader/event.rs
+++ b/crates/geraniumshed-batch/src/leader/event.rs
@@ -4,6 +4,7 @@
 
 use geraniumshed_core::assignment::{CancelOutcome, JobStatus};
 use geraniumshed_core::job::{JobId, JobRequest, QueueName, QueuePolicy, TaskKey, WorkerId};
+use geraniumshed_core::site::ZoneEvacuations;
 use geraniumshed_core::worker::{
     AdviceReply, AdviceRequest, SentRenewal, StartAnswer, WorkerChange, WorkerFailure,
     WorkerListing,
@@ -45,6 +46,8 @@
     Unreplaced(TimePoint),
     /// The queues in force have changed.
     QueuesChanged(BTreeMap<QueueName, QueuePolicy>),
+    /// The evacuated zones were read at a later offset.
+    EvacuationsChanged(ZoneEvacuations),
     /// A client asks for something.
     Query(LeaderQuery),
     /// The process is about to stop.
@@ -103,6 +106,13 @@
         }
     }
 
+    /// Replaces the evacuated zones that the planner knows, unless they were read earlier.
+    pub(crate) fn replace_evacuations(&self, evacuations: ZoneEvacuations) {
+        if !self.send(LeaderEvent::EvacuationsChanged(evacuations)) {
+            log::debug!("dropped the evacuated zones, since the leader task has ended");
+        }
+    }
+
     /// Asks the leader task to end, so that a successor is elected.
     pub(crate) fn resign(&self) {
         if !self.send(LeaderEvent::Resign) {
--- a/crates/geraniumshed-batch/src/leader/run.rs
+++ b/crates/geraniumshed-batch/src/leader/run.rs
@@ -8,6 +8,7 @@
 };
 use geraniumshed_core::job::{JobId, QueueName, QueuePolicy};
 use geraniumshed_core::leadership::LeaderTerm;
+use geraniumshed_core::site::ZoneEvacuations;
 use geraniumshed_model::prelude::{TimePoint, whole_millis};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, sleep_until, timeout_at};
@@ -79,6 +80,7 @@
     term: LeaderTerm,
     recovered: RecoveredState,
     queues: BTreeMap<QueueName, QueuePolicy>,
+    evacuations: ZoneEvacuations,
     probe_requests: mpsc::UnboundedSender<ProbeRequest>,
 ) -> (LeaderHandle, oneshot::Receiver<LeaderEnd>)
 where
@@ -94,6 +96,7 @@
     tokio::spawn(poll_workers(context.feed.clone(), handle.clone()));
     let mut planner = JobPlanner::new(context.settings.clone(), term.first_token());
     planner.replace_queues(queues);
+    planner.replace_evacuations(context.clock.planner_time(), evacuations);
     let dispatcher = ActionDispatcher {
         caller: context.caller,
         handle: handle.clone(),
@@ -445,6 +448,9 @@
             }
             LeaderEvent::BatchStored(number) => self.batch_stored(number),
             LeaderEvent::QueuesChanged(queues) => self.planner.replace_queues(queues),
+            LeaderEvent::EvacuationsChanged(evacuations) => {
+                self.planner.replace_evacuations(now, evacuations);
+            }
             LeaderEvent::Query(query) => self.answer(query),
             LeaderEvent::Deposed => return Some(LeaderEnd::Deposed),
             LeaderEvent::Unreplaced(at) => {
--- a/crates/geraniumshed-batch/src/member/leading.rs
+++ b/crates/geraniumshed-batch/src/member/leading.rs
@@ -8,6 +8,7 @@
 use smol_str::{SmolStr, ToSmolStr};
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
+use tokio::time::timeout;
 
 use super::task::MemberTask;
 use crate::leader::{self, LeaderEnd, LeaderHandle, take_over};
@@ -31,6 +32,9 @@
 const TAKEOVER_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// The timeout for the answer of a node that is asked for its active cancellations.
 const ACTIVE_CANCELS_TIMEOUT: Duration = Duration::from_millis(250);
+/// The time within which the store has to tell a new leader which zones are evacuated. Then the state
+/// that the node knows holds.
+const EVACUATIONS_TIMEOUT: Duration = Duration::from_millis(400);
 /// The interval between checks for a node on a larger VM, and the time for which it has to be
 /// alive.
 const YIELD_CHECK_INTERVAL: Duration = Duration::from_millis(1500);
@@ -44,8 +48,11 @@
     pub(super) async fn lead(&self, term: LeaderTerm) {
         // Other nodes check whether the leader is in the group, also during the takeover.
         let membership = tokio::spawn(self.clone().keep_membership());
-        let (recovered, cancelled) =
-            tokio::join!(self.take_over_with_retries(term), self.active_cancels());
+        let (recovered, cancelled, ()) = tokio::join!(
+            self.take_over_with_retries(term),
+            self.active_cancels(),
+            self.update_evacuations(term)
+        );
         let Some(mut recovered) = recovered else {
             membership.abort();
             self.shared.end_leading();
@@ -60,9 +67,12 @@
             term,
             recovered,
             queues,
+            self.shared.config.evacuations(),
             probe_sender,
         );
         self.shared.view().handle = Some(handle.clone());
+        // A check may have ended between the two lines above.
+        handle.replace_evacuations(self.shared.config.evacuations());
         let probing = tokio::spawn(self.clone().answer_probe_requests(term, probe_requests));
         let yielding = tokio::spawn(self.clone().yield_to_larger(handle.clone()));
         let couriers = tokio::spawn(self.clone().keep_couriers(handle.clone()));
@@ -80,6 +90,23 @@
         }
     }
 
+    /// Reads which zones are evacuated before this node places anything, since its last check may be
+    /// older than that of the leader before.
+    async fn update_evacuations(&self, term: LeaderTerm) {
+        let read = self.shared.read_evacuations(EVACUATIONS_TIMEOUT);
+        let read = timeout(EVACUATIONS_TIMEOUT, read).await;
+        let read = read.unwrap_or(Err(StoreError::Unanswered));
+        let known = self.shared.config.evacuations();
+        match read {
+            Ok(_) => {
+                log::info!(term:% = term, offset:% = known.read_to(), evacuated = known.len(); "leading with the evacuated zones");
+            }
+            Err(error) => {
+                log::warn!(term:% = term, offset:% = known.read_to(), evacuated = known.len(), error:% = error; "could not read the evacuated zones; leading with those known before");
+            }
+        }
+    }
+
     /// Takes over from earlier leaders; returns nothing if a later leader has, or if all attempts
     /// fail.
     async fn take_over_with_retries(&self, term: LeaderTerm) -> Option<leader::RecoveredState> {
--- a/crates/geraniumshed-batch/src/site.rs
+++ b/crates/geraniumshed-batch/src/site.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use geraniumshed_core::site::SiteConfig;
+use geraniumshed_core::site::{SiteConfig, ZoneEvacuations};
 use geraniumshed_core::worker::{
     AdviceReply, AdviceRequest, PaceOrder, RenewReply, RenewRequest, StartAnswer, StartOrder,
     StopOrder, WorkerCall, WorkerChange, WorkerFailure, WorkerListing,
@@ -61,6 +61,15 @@
 /// nothing newer.
 pub type PublishedConfig = (Option<Bytes>, LogOffset);
 
+/// What a check of the operators' topic has found.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TopicCheck {
+    /// The offset at which the topic ends.
+    pub end: LogOffset,
+    /// The evacuated zones, if the topic has grown since they were read.
+    pub evacuations: Option<ZoneEvacuations>,
+}
+
 /// Reads the configuration and the registered workers that the platform publishes.
 pub trait SiteFeed: Debug + Clone + Send + Sync + 'static {
     /// Reads the newest configuration, and the offset before which there is nothing newer. The topic
@@ -76,15 +85,18 @@
         limit: Duration,
     ) -> impl Future<Output = Result<PublishedConfig, StoreError>> + Send;
 
-    /// Returns the offset at which the topic of configurations ends, within the given time.
+    /// Returns the offset at which the topic of configurations and evacuations ends, and the evacuated
+    /// zones if that is later than the offset up to which they are known. Each call to the store has to
+    /// be answered within the given time, and all of them within twice that.
     ///
     /// # Errors
     ///
-    /// Returns why there is no usable answer.
-    fn config_end(
+    /// Returns why there is no usable answer to the whole check.
+    fn check_topic(
         &self,
+        evacuations_known_to: LogOffset,
         limit: Duration,
-    ) -> impl Future<Output = Result<LogOffset, StoreError>> + Send;
+    ) -> impl Future<Output = Result<TopicCheck, StoreError>> + Send;
 
     /// Decodes a configuration from the platform's own format; returns nothing if it is invalid.
     fn decode(&self, source: &Bytes) -> Option<SiteConfig>;
--- a/crates/geraniumshed-batch/tests/nodes/main.rs
+++ b/crates/geraniumshed-batch/tests/nodes/main.rs
@@ -9,3 +9,4 @@
 mod odd_jobs;
 mod odd_peers;
 mod support;
+mod zones;
--- a/crates/geraniumshed-batch/tests/nodes/support/mod.rs
+++ b/crates/geraniumshed-batch/tests/nodes/support/mod.rs
@@ -60,6 +60,9 @@
     /// Whether the store refuses appends of progress.
     is_refusing_progress: bool,
     config_version: u64,
+    evacuated_zones: BTreeSet<SmolStr>,
+    /// The number of evacuations and cancellations so far.
+    evacuation_count: u64,
     is_worker_hidden: bool,
     is_worker_failing: bool,
     takeover_delay: Duration,
@@ -202,6 +205,17 @@
         self.lock().config_version = version;
     }
 
+    /// Evacuates a zone, or cancels its evacuation.
+    pub fn evacuate(&self, zone: &str, is_evacuated: bool) {
+        let mut state = self.lock();
+        state.evacuation_count += 1;
+        if is_evacuated {
+            state.evacuated_zones.insert(zone.into());
+        } else {
+            state.evacuated_zones.remove(zone);
+        }
+    }
+
     /// Delays the read of stored progress, and so each takeover.
     pub fn delay_takeover(&self, delay: Duration) {
         self.lock().takeover_delay = delay;
--- a/crates/geraniumshed-batch/tests/nodes/support/store.rs
+++ b/crates/geraniumshed-batch/tests/nodes/support/store.rs
@@ -5,13 +5,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use geraniumshed_batch::site::{PublishedConfig, SiteFeed};
+use geraniumshed_batch::site::{PublishedConfig, SiteFeed, TopicCheck};
 use geraniumshed_batch::store::{
     AppendCondition, KeyedRecord, NewestPage, ReadBatch, StoreClient, StoreError, TopicName,
 };
 use geraniumshed_batch::topic::{PROGRESS, REQUESTS};
 use geraniumshed_core::job::{QueueName, QueuePolicy};
-use geraniumshed_core::site::{ConfigVersion, RouteEntry, RouteKey, SiteConfig};
+use geraniumshed_core::site::{ConfigVersion, RouteEntry, RouteKey, SiteConfig, ZoneEvacuations};
 use geraniumshed_core::worker::{WorkerChange, WorkerListing};
 use geraniumshed_model::prelude::LogOffset;
 use smol_str::SmolStr;
@@ -75,6 +75,12 @@
         // There is always a configuration, since nodes only become ready with one.
         Ok(state.config_version.max(1))
     }
+
+    /// Returns the end of the topic with the configuration and the evacuations.
+    fn topic_end(&self) -> Result<LogOffset, StoreError> {
+        let evacuation_count = self.access()?.evacuation_count;
+        Ok(LogOffset(self.config_version()? + evacuation_count))
+    }
 }
 
 impl StoreClient for NodeStore {
@@ -191,11 +197,22 @@
     async fn config(&self, _: LogOffset, _: Duration) -> Result<PublishedConfig, StoreError> {
         let version = self.config_version()?;
         let source = Bytes::copy_from_slice(&version.to_be_bytes());
-        Ok((Some(source), LogOffset(version)))
+        Ok((Some(source), self.topic_end()?))
     }
 
-    async fn config_end(&self, _: Duration) -> Result<LogOffset, StoreError> {
-        Ok(LogOffset(self.config_version()?))
+    async fn check_topic(
+        &self,
+        evacuations_known_to: LogOffset,
+        _: Duration,
+    ) -> Result<TopicCheck, StoreError> {
+        let end = self.topic_end()?;
+        let zones = self.access()?.evacuated_zones.clone();
+        let evacuations = ZoneEvacuations::new(zones, end);
+        let is_news = end > evacuations_known_to;
+        Ok(TopicCheck {
+            end,
+            evacuations: is_news.then_some(evacuations),
+        })
     }
 
     fn decode(&self, source: &Bytes) -> Option<SiteConfig> {
--- a/crates/geraniumshed/src/explain/timeline.rs
+++ b/crates/geraniumshed/src/explain/timeline.rs
@@ -5,7 +5,7 @@
 use super::line::LogLine;
 
 /// The messages of nodes about themselves or the store, which may concern any job.
-const CLUSTER_MESSAGES: [&str; 9] = [
+const CLUSTER_MESSAGES: [&str; 11] = [
     "started",
     "stopping",
     "stopped",
@@ -15,6 +15,8 @@
     "store leaves an append unanswered; asking other nodes",
     "dependency is lost",
     "dependency is back",
+    "zone evacuation started",
+    "zone evacuation cancelled",
 ];
 
 /// The log lines that concern a job, in order of time.
--- a/crates/geraniumshed/tests/explain.rs
+++ b/crates/geraniumshed/tests/explain.rs
@@ -87,6 +87,7 @@
 #[case::leader(5, "elected to lead", r#""term":"4""#, true)]
 #[case::leader_before(1, "elected to lead", r#""term":"3""#, false)]
 #[case::store(6, "dependency is lost", r#""dependency":"store""#, true)]
+#[case::zone(5, "zone evacuation started", r#""zone":"z""#, true)]
 #[case::store_after(9, "dependency is back", r#""dependency":"store""#, false)]
 fn events_of_workers_and_nodes_during_the_job_are_included(
     #[case] second: u32,
