Refuse jobs at once while the store is silent, and leave them to peers if it refuses one node

Cause: jobs were sent to a store that was known to be silent, or waited behind an append without an answer, until their clients' time was up. Jobs that weren't stored were refused with a delay of 1 s, so that clients used up their retries within the outage. While the store is silent, jobs that were not sent are refused with a delay from the age of the outage; if the leader is served, they go to it. A job whose append was sent stays undecided. An append that the outage has swallowed is given up 200 ms after its end. A node that the store refuses sends jobs to its peers first. CallOutcome::Unavailable carries the delay, and the adapter writes it. The store of the node tests now also leaves the check of the configuration's end unanswered while it is silent.

--- a/crates/geraniumshed-batch/src/config/follow.rs
+++ b/crates/geraniumshed-batch/src/config/follow.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use geraniumshed_core::intake::StoreCall;
 use geraniumshed_core::leadership::MemberIdentity;
 use geraniumshed_core::site::{
     ConfigUpdate, ConfigVersion, FollowAction, FollowRole, PeerAnswer, SiteConfig,
@@ -89,7 +90,12 @@
 
     /// Asks the store where the topic ends.
     async fn check_topic(&self) {
-        let end = self.context.feed.config_end(CHECK_TIMEOUT).await;
+        let checking = self.context.feed.config_end(CHECK_TIMEOUT);
+        let end = self
+            .context
+            .store_health
+            .observe(StoreCall::Read, checking)
+            .await;
         self.config.topic_checked(end);
     }
 
--- a/crates/geraniumshed-batch/src/handler.rs
+++ b/crates/geraniumshed-batch/src/handler.rs
@@ -110,7 +110,7 @@
             Some(CallOutcome::Cancelled) => JobAnswerWire::Cancelled,
             Some(CallOutcome::Unknown) => JobAnswerWire::Unknown,
             Some(CallOutcome::Pending(count)) => JobAnswerWire::Pending(count),
-            Some(CallOutcome::Unavailable) => JobAnswerWire::Unavailable,
+            Some(CallOutcome::Unavailable(_)) => JobAnswerWire::Unavailable,
             Some(CallOutcome::Undecided) | None => JobAnswerWire::Undecided,
         }
     }
--- a/crates/geraniumshed-batch/src/intake.rs
+++ b/crates/geraniumshed-batch/src/intake.rs
@@ -1,13 +1,17 @@
 //! Stores clients' jobs, with one append for all jobs that wait.
 
+use std::future::pending;
 use std::time::Duration;
 
+use geraniumshed_core::intake::{StoreCall, StoreVerdict};
 use geraniumshed_core::job::JobId;
+use geraniumshed_model::prelude::LogOffset;
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep_until};
 
 use crate::clock::NodeClock;
 use crate::store::{AppendCondition, KeyedRecord, ResponseTime, StoreClient, StoreError};
+use crate::store_health::HealthMonitor;
 use crate::store_monitor::StoreMonitor;
 use crate::telemetry::{DependencyWatch, NodeMetrics};
 use crate::topic::{REQUESTS, job_key};
@@ -27,6 +31,10 @@
 /// other nodes, so an earlier retry would only add to the load of a slow store.
 const MIN_APPEND_TIMEOUT: Duration = Duration::from_millis(1500);
 
+/// The time after an outage for which an append that was sent before waits for its answer. Without an answer
+/// by then, its jobs are stored again, and others don't wait behind it.
+const RECOVERY_GRACE: Duration = Duration::from_millis(200);
+
 /// A job that waits to be stored.
 #[derive(Debug)]
 struct WaitingJob {
@@ -42,15 +50,37 @@
 pub(crate) struct RequestWriter {
     sender: mpsc::UnboundedSender<WaitingJob>,
     monitor: StoreMonitor,
+    health: HealthMonitor,
 }
 
 impl RequestWriter {
     /// Spawns the task that appends queued jobs.
-    pub(crate) fn spawn<S: StoreClient>(store: S, clock: NodeClock, metrics: NodeMetrics) -> Self {
+    pub(crate) fn spawn<S: StoreClient>(
+        store: S,
+        clock: NodeClock,
+        metrics: NodeMetrics,
+        health: HealthMonitor,
+    ) -> Self {
         let (sender, jobs) = mpsc::unbounded_channel();
         let monitor = StoreMonitor::new(clock);
-        tokio::spawn(write(store, metrics, monitor.clone(), jobs));
-        Self { sender, monitor }
+        let task = WriterTask {
+            store,
+            metrics,
+            monitor: monitor.clone(),
+            health: health.clone(),
+            watch: DependencyWatch::new("store, for requests"),
+            response_time: ResponseTime::default(),
+            queue: JobQueue {
+                jobs,
+                waiting: Vec::new(),
+            },
+        };
+        tokio::spawn(task.run());
+        Self {
+            sender,
+            monitor,
+            health,
+        }
     }
 
     /// Returns the monitor of the appends that store this node's jobs.
@@ -74,6 +104,11 @@
             log::warn!(job:% = id, size, limit = MAX_RECORD_BYTES; "job is too large for the store");
             return Err(StoreError::Refused);
         }
+        // A store that refuses calls is asked nevertheless: it may serve this node by now, and what it
+        // refuses is certainly not stored.
+        if self.health.verdict() == StoreVerdict::Silent {
+            return Err(StoreError::Refused);
+        }
         if self.sender.send(WaitingJob { record, done }).is_err() {
             return Err(StoreError::Refused);
         }
@@ -81,55 +116,153 @@
     }
 }
 
-/// Appends queued jobs until all senders are dropped.
-async fn write<S: StoreClient>(
-    store: S,
-    metrics: NodeMetrics,
-    monitor: StoreMonitor,
-    mut jobs: mpsc::UnboundedReceiver<WaitingJob>,
-) {
-    let mut watch = DependencyWatch::new("store, for requests");
-    let mut response_time = ResponseTime::default();
-    let mut waiting = Vec::new();
-    while jobs.recv_many(&mut waiting, MAX_BATCH_JOBS).await > 0 {
-        // A caller that no longer waits may have stored its job through another node.
-        waiting.retain(|job: &WaitingJob| !job.done.is_closed());
-        let batches = split_batches(waiting.drain(..));
-        for batch in batches {
-            let records = batch.iter().map(|job| job.record.clone()).collect();
-            let started = Instant::now();
-            monitor.append_sent();
-            let timeout = response_time.timeout().max(MIN_APPEND_TIMEOUT);
-            let appended = store
-                .append(REQUESTS, records, AppendCondition::None, timeout)
-                .await;
-            response_time.record_call(&appended, started.elapsed());
-            metrics.record_append(&appended, started.elapsed());
-            monitor.append_answered(appended.is_ok());
-            watch.record_call(&appended);
-            let result = appended.map(|_| ());
-            for job in batch {
-                if job.done.send(result.clone()).is_err() {
-                    log::debug!("a client disconnected before its job was stored");
+/// The jobs that no append has been sent for yet.
+#[derive(Debug)]
+struct JobQueue {
+    jobs: mpsc::UnboundedReceiver<WaitingJob>,
+    /// The jobs that were taken out of the channel, in reverse order.
+    waiting: Vec<WaitingJob>,
+}
+
+impl JobQueue {
+    /// Waits for jobs, and returns those of the next append; returns nothing once all senders are dropped.
+    async fn next_batch(&mut self) -> Option<Vec<WaitingJob>> {
+        loop {
+            if self.waiting.is_empty() {
+                let count = self.jobs.recv_many(&mut self.waiting, MAX_BATCH_JOBS).await;
+                if count == 0 {
+                    return None;
                 }
+                self.waiting.reverse();
             }
+            // A caller that no longer waits may have stored its job through another node.
+            self.waiting.retain(|job| !job.done.is_closed());
+            let batch = take_batch(&mut self.waiting);
+            if !batch.is_empty() {
+                return Some(batch);
+            }
+        }
+    }
+
+    /// Refuses all jobs, none of which has been sent.
+    fn refuse_all(&mut self) {
+        let waiting = std::mem::take(&mut self.waiting);
+        let queued = std::iter::from_fn(|| self.jobs.try_recv().ok());
+        let jobs: Vec<WaitingJob> = waiting.into_iter().chain(queued).collect();
+        if !jobs.is_empty() {
+            log::info!(jobs = jobs.len(); "jobs that were not sent to the store are refused");
+            finish(jobs, &Err(StoreError::Refused));
         }
     }
 }
 
-/// Splits jobs into batches that the store accepts in one append each.
-fn split_batches(jobs: impl Iterator<Item = WaitingJob>) -> Vec<Vec<WaitingJob>> {
-    let mut batches: Vec<Vec<WaitingJob>> = Vec::new();
+/// Takes jobs off the end that the store accepts in one append.
+fn take_batch(waiting: &mut Vec<WaitingJob>) -> Vec<WaitingJob> {
+    let mut batch = Vec::new();
     let mut size = 0;
-    for job in jobs {
+    while let Some(job) = waiting.pop() {
         size += job.record.value.len();
-        match batches.last_mut() {
-            Some(batch) if size <= MAX_BATCH_BYTES => batch.push(job),
-            Some(_) | None => {
-                size = job.record.value.len();
-                batches.push(vec![job]);
+        if size > MAX_BATCH_BYTES && !batch.is_empty() {
+            waiting.push(job);
+            break;
+        }
+        batch.push(job);
+    }
+    batch
+}
+
+/// Tells the callers of jobs how storing them ended.
+fn finish(jobs: Vec<WaitingJob>, result: &Result<(), StoreError>) {
+    for job in jobs {
+        if job.done.send(result.clone()).is_err() {
+            log::debug!("a client disconnected before its job was stored");
+        }
+    }
+}
+
+/// The async task that appends queued jobs.
+#[derive(Debug)]
+struct WriterTask<S> {
+    store: S,
+    metrics: NodeMetrics,
+    monitor: StoreMonitor,
+    health: HealthMonitor,
+    watch: DependencyWatch,
+    response_time: ResponseTime,
+    queue: JobQueue,
+}
+
+impl<S: StoreClient> WriterTask<S> {
+    /// Appends queued jobs until all senders are dropped.
+    async fn run(mut self) {
+        while let Some(batch) = self.queue.next_batch().await {
+            self.health.resolve_doubt().await;
+            if self.health.verdict() == StoreVerdict::Silent {
+                finish(batch, &Err(StoreError::Refused));
+                self.queue.refuse_all();
+                continue;
+            }
+            let records = batch.iter().map(|job| job.record.clone()).collect();
+            let result = self.append(records).await.map(|_| ());
+            finish(batch, &result);
+        }
+    }
+
+    /// Appends records, and refuses the jobs that wait meanwhile if there is an outage.
+    async fn append(&mut self, records: Vec<KeyedRecord>) -> Result<LogOffset, StoreError> {
+        let started = Instant::now();
+        self.monitor.append_sent();
+        let timeout = self.response_time.timeout().max(MIN_APPEND_TIMEOUT);
+        let (store, health) = (self.store.clone(), self.health.clone());
+        let appending = store.append(REQUESTS, records, AppendCondition::None, timeout);
+        let appending = health.observe(StoreCall::Append, appending);
+        let appended = await_append(appending, &health, &mut self.queue).await;
+        self.response_time.record_call(&appended, started.elapsed());
+        self.metrics.record_append(&appended, started.elapsed());
+        self.monitor.append_answered(appended.is_ok());
+        self.watch.record_call(&appended);
+        appended
+    }
+}
+
+/// Waits for the answer to an append. Refuses the jobs that wait behind it as soon as the store is judged to
+/// be in an outage, and gives the append up some time after the end of one.
+async fn await_append(
+    appending: impl Future<Output = Result<LogOffset, StoreError>>,
+    health: &HealthMonitor,
+    queue: &mut JobQueue,
+) -> Result<LogOffset, StoreError> {
+    tokio::pin!(appending);
+    let mut verdicts = health.subscribe();
+    let mut before = *verdicts.borrow_and_update();
+    let mut given_up_at = None;
+    loop {
+        if before.is_outage() {
+            queue.refuse_all();
+        }
+        let give_up = async {
+            match given_up_at {
+                Some(at) => sleep_until(at).await,
+                None => pending().await,
+            }
+        };
+        tokio::select! {
+            appended = &mut appending => return appended,
+            () = give_up => return Err(StoreError::Unanswered),
+            // A job may have been queued just before the verdict changed.
+            Some(job) = queue.jobs.recv(), if before.is_outage() => {
+                finish(vec![job], &Err(StoreError::Refused));
+            }
+            // The monitor lives as long as this task.
+            _ = verdicts.changed() => {
+                let verdict = *verdicts.borrow_and_update();
+                if verdict.is_outage() {
+                    given_up_at = None;
+                } else if before == StoreVerdict::Silent {
+                    given_up_at = Some(Instant::now() + RECOVERY_GRACE);
+                }
+                before = verdict;
             }
         }
     }
-    batches
 }
--- a/crates/geraniumshed-batch/src/leader/run.rs
+++ b/crates/geraniumshed-batch/src/leader/run.rs
@@ -23,6 +23,7 @@
 use crate::courier::CourierRoster;
 use crate::site::{RenewOutcome, SiteFeed, WorkerCaller};
 use crate::store::StoreClient;
+use crate::store_health::HealthMonitor;
 use crate::store_monitor::StoreMonitor;
 use crate::telemetry::NodeMetrics;
 
@@ -56,6 +57,8 @@
     pub(crate) clock: NodeClock,
     /// Whether the store is slow to store progress.
     pub(crate) progress_monitor: StoreMonitor,
+    /// Whether the store serves this node.
+    pub(crate) store_health: HealthMonitor,
     /// The counters and histograms.
     pub(crate) metrics: NodeMetrics,
     /// The planner's settings.
--- a/crates/geraniumshed-batch/src/leader/writer.rs
+++ b/crates/geraniumshed-batch/src/leader/writer.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use geraniumshed_core::assignment::{StoreBatch, StoreChange};
+use geraniumshed_core::intake::StoreCall;
 use geraniumshed_core::job::JobId;
 use geraniumshed_core::leadership::LeaderTerm;
 use geraniumshed_model::prelude::LogOffset;
@@ -16,6 +17,7 @@
 use crate::store::{
     AppendCondition, KeyedRecord, ResponseTime, StoreClient, StoreError, WriterMark,
 };
+use crate::store_health::HealthMonitor;
 use crate::store_monitor::StoreMonitor;
 use crate::telemetry::{DependencyWatch, NodeMetrics};
 use crate::topic::{
@@ -45,6 +47,7 @@
     /// watch.
     unanswered_sender: tokio::sync::watch::Sender<Option<Instant>>,
     monitor: StoreMonitor,
+    health: HealthMonitor,
     metrics: NodeMetrics,
     watch: DependencyWatch,
     /// The end of the topic after the last batch that the store has confirmed.
@@ -82,6 +85,7 @@
             response_time: ResponseTime::default(),
             unanswered_sender,
             monitor: context.progress_monitor.clone(),
+            health: context.store_health.clone(),
             metrics: context.metrics.clone(),
             watch: DependencyWatch::new("store, for progress"),
             stored_end: LogOffset(0),
@@ -146,10 +150,10 @@
             let started = Instant::now();
             self.monitor.append_sent();
             let timeout = self.response_time.timeout();
-            let appended = self
+            let appending = self
                 .store
-                .append(PROGRESS, records.clone(), condition, timeout)
-                .await;
+                .append(PROGRESS, records.clone(), condition, timeout);
+            let appended = self.health.observe(StoreCall::Append, appending).await;
             self.response_time.record_call(&appended, started.elapsed());
             self.metrics.record_append(&appended, started.elapsed());
             self.monitor.append_answered(appended.is_ok());
--- a/crates/geraniumshed-batch/src/lib.rs
+++ b/crates/geraniumshed-batch/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod service;
 pub mod site;
 pub mod store;
+mod store_health;
 mod store_monitor;
 pub mod telemetry;
 pub mod topic;
--- a/crates/geraniumshed-batch/src/member/task.rs
+++ b/crates/geraniumshed-batch/src/member/task.rs
@@ -177,6 +177,10 @@
         let rank = answer.as_ref().ok().and_then(|reply| reply.rank);
         election.heartbeat_answered(clock.now(), verdict, rank);
         if let (BeatVerdict::Leading, Ok(reply)) = (verdict, answer) {
+            self.shared
+                .context
+                .store_health
+                .leader_reported(reply.is_store_slow);
             if reply.is_store_slow {
                 self.shared.intake.monitor().leader_reported_slow();
             }
--- a/crates/geraniumshed-batch/src/node.rs
+++ b/crates/geraniumshed-batch/src/node.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use geraniumshed_core::assignment::PlannerSettings;
+use geraniumshed_core::intake::StoreVerdict;
 use geraniumshed_core::leadership::{LeaderRecord, LeaderTerm, MemberIdentity};
 use geraniumshed_model::prelude::{ProcessorShare, TimePoint};
 use tokio::sync::Notify;
@@ -25,6 +26,7 @@
 use crate::service::JobService;
 use crate::site::{SiteFeed, WorkerCaller};
 use crate::store::StoreClient;
+use crate::store_health::{HealthMonitor, watch_store};
 use crate::store_monitor::StoreMonitor;
 use crate::telemetry::NodeMetrics;
 
@@ -187,9 +189,11 @@
         self.metrics().leading.set(0);
     }
 
-    /// Returns whether the store is slow to answer the appends of this process.
+    /// Returns whether the store is slow to answer this process, or doesn't answer it.
     pub(crate) fn is_store_slow(&self) -> bool {
-        self.context.progress_monitor.is_slow() || self.intake.monitor().is_slow()
+        self.context.progress_monitor.is_slow()
+            || self.intake.monitor().is_slow()
+            || self.context.store_health.verdict() == StoreVerdict::Silent
     }
 
     pub(crate) fn is_stopping(&self) -> bool {
@@ -211,13 +215,15 @@
     /// Returns the I/O error if the address can't be listened on.
     pub async fn spawn(settings: NodeSettings, store: S, feed: F, caller: W) -> io::Result<Self> {
         let clock = NodeClock::start();
+        let metrics = NodeMetrics::open();
         let context = LeaderContext {
             store,
             feed,
             caller,
             clock,
             progress_monitor: StoreMonitor::new(clock),
-            metrics: NodeMetrics::open(),
+            store_health: HealthMonitor::new(clock, metrics.clone()),
+            metrics,
             settings: settings.planner.clone(),
             couriers: CourierRoster::open(settings.courier_density),
         };
@@ -226,6 +232,7 @@
             context.store.clone(),
             context.clock,
             context.metrics.clone(),
+            context.store_health.clone(),
         );
         let shared = Arc::new(NodeShared {
             settings,
@@ -243,6 +250,7 @@
         });
         PeerServer::bind(address, PeerHandler::new(Arc::clone(&shared))).await?;
         tokio::spawn(follow_config(Arc::clone(&shared)));
+        tokio::spawn(watch_store(Arc::clone(&shared)));
         tokio::spawn(MemberTask::new(Arc::clone(&shared)).run());
         Ok(Self { shared })
     }
--- a/crates/geraniumshed-batch/src/service.rs
+++ b/crates/geraniumshed-batch/src/service.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use geraniumshed_core::assignment::{CancelOutcome, JobStatus};
-use geraniumshed_core::intake::AppendRoute;
+use geraniumshed_core::intake::{AppendRoute, JobRoute, RetryDelay};
 use geraniumshed_core::job::{JobId, JobPhase, JobRequest, QueueName};
 use geraniumshed_core::leadership::MemberIdentity;
 use geraniumshed_core::site::SiteConfig;
@@ -51,8 +51,8 @@
     Unknown,
     /// The number of jobs of a queue of which no task has started.
     Pending(u64),
-    /// The call had no effect; the client may retry.
-    Unavailable,
+    /// The call had no effect; the client may retry after the delay.
+    Unavailable(RetryDelay),
     /// The call may have taken effect.
     Undecided,
 }
@@ -135,6 +135,8 @@
             steps = request.steps.len(),
             config_version = self.shared.config.version().0,
             taken_ms = whole_millis(taken),
+            store:% = self.shared.context.store_health.verdict(),
+            retry_after_s = retry_seconds(outcome),
             outcome = outcome_name(outcome);
             "job was handed in"
         );
@@ -153,7 +155,8 @@
                 Ok(StoreOutcome::Undecided) | Err(_) => may_be_stored = true,
             }
             // Retrying an undecided call is worthwhile, since it may still be accepted.
-            if !may_be_stored && started.elapsed() > REFUSAL_RETRY_TIME {
+            let is_hopeless = self.shared.context.store_health.route() == JobRoute::Nowhere;
+            if !may_be_stored && (is_hopeless || started.elapsed() > REFUSAL_RETRY_TIME) {
                 break;
             }
             sleep(RETRY_DELAY).await;
@@ -161,12 +164,24 @@
         if may_be_stored {
             return CallOutcome::Undecided;
         }
-        CallOutcome::Unavailable
+        self.refuse()
+    }
+
+    /// Refuses a job that is certainly not stored.
+    fn refuse(&self) -> CallOutcome {
+        let health = &self.shared.context.store_health;
+        self.metrics().record_refused_job(health.verdict());
+        CallOutcome::Unavailable(health.retry_delay(rand::random()))
     }
 
     /// Stores a job through the node that the route names, and through others if that fails or
     /// takes long.
     async fn store_hedged(&self, id: JobId, body: &JobRequestWire) -> StoreOutcome {
+        match self.shared.context.store_health.route() {
+            JobRoute::Store => {}
+            JobRoute::Peers => return self.store_by_peers_first(id, body).await,
+            JobRoute::Nowhere => return StoreOutcome::NotStored,
+        }
         if self.shared.intake.monitor().route() == AppendRoute::Leader
             && let Some(outcome) = self.store_by_leader(id, body).await
         {
@@ -177,6 +192,14 @@
         hedge(own, peers, HEDGE_DELAY).await
     }
 
+    /// Stores a job through other nodes, or by this node if it is certain that none of them has stored it.
+    async fn store_by_peers_first(&self, id: JobId, body: &JobRequestWire) -> StoreOutcome {
+        match self.store_by_peers(id, body).await {
+            StoreOutcome::NotStored => self.shared.intake.store(id, body).await.into(),
+            outcome => outcome,
+        }
+    }
+
     /// Stores a job through the leader. Returns nothing if no other node leads, or if it is certain
     /// that the leader hasn't stored the job.
     ///
@@ -204,7 +227,12 @@
     async fn store_by_peers(&self, id: JobId, body: &JobRequestWire) -> StoreOutcome {
         let call = JobCallWire::Submit(id.0, body.clone());
         let mut outcome = StoreOutcome::NotStored;
+        let health = &self.shared.context.store_health;
         for member in self.relays().into_iter().take(RELAY_PEERS) {
+            // A node that doesn't know of the outage yet would hold the job.
+            if health.route() == JobRoute::Nowhere {
+                break;
+            }
             let answer = self
                 .shared
                 .pool
@@ -224,7 +252,7 @@
         let outcome = self.ask_leader(JobCallWire::Status(id.0), deadline).await;
         let taken = started.elapsed();
         self.metrics().record_call(CallKind::Status, outcome, taken);
-        if matches!(outcome, CallOutcome::Unavailable | CallOutcome::Unknown) {
+        if matches!(outcome, CallOutcome::Unavailable(_) | CallOutcome::Unknown) {
             log::info!(
                 job:% = id,
                 leader:? = self.leader_name(),
@@ -298,7 +326,7 @@
             }
             if Instant::now() + RETRY_DELAY >= deadline {
                 log::info!(call:? = call, leader:? = self.leader_name(); "no leader answered in time");
-                return CallOutcome::Unavailable;
+                return CallOutcome::Unavailable(RetryDelay::default());
             }
             sleep(RETRY_DELAY).await;
         }
@@ -332,6 +360,14 @@
     }
 }
 
+/// Returns the delay after which a client should try again, in seconds.
+fn retry_seconds(outcome: CallOutcome) -> Option<u32> {
+    match outcome {
+        CallOutcome::Unavailable(delay) => Some(delay.0),
+        _ => None,
+    }
+}
+
 /// Returns the number of jobs that an outcome tells.
 fn counted_jobs(outcome: CallOutcome) -> Option<u64> {
     match outcome {
--- /dev/null
+++ b/crates/geraniumshed-batch/src/store_health.rs
@@ -0,0 +1,206 @@
+//! Watches whether the store serves this node, and probes it when an answer is overdue.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use geraniumshed_core::intake::{
+    CallTicket, JobRoute, RetryDelay, StoreCall, StoreHealth, StoreReply, StoreVerdict,
+    VerdictChange,
+};
+use geraniumshed_model::prelude::whole_millis;
+use tokio::sync::watch;
+use tokio::time::{sleep, timeout};
+
+use crate::clock::NodeClock;
+use crate::node::NodeShared;
+use crate::site::{SiteFeed, WorkerCaller};
+use crate::store::{StoreClient, StoreError};
+use crate::telemetry::NodeMetrics;
+use crate::topic::LEADERS;
+
+/// The interval between two checks for overdue answers.
+const CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// The timeout of a probe. Shorter ones would miss a store that takes this long.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(750);
+/// The longest time for which a job is held back until it is known whether the store answers.
+const DOUBT_LIMIT: Duration = Duration::from_millis(400);
+
+#[derive(Debug)]
+struct HealthState {
+    clock: NodeClock,
+    metrics: NodeMetrics,
+    health: Mutex<StoreHealth>,
+    verdict: watch::Sender<StoreVerdict>,
+}
+
+/// Watches whether the store serves this node. Clones share the state.
+#[derive(Debug, Clone)]
+pub(crate) struct HealthMonitor {
+    state: Arc<HealthState>,
+}
+
+impl HealthMonitor {
+    /// Creates a monitor that has seen no call yet.
+    pub(crate) fn new(clock: NodeClock, metrics: NodeMetrics) -> Self {
+        let state = HealthState {
+            clock,
+            metrics,
+            health: Mutex::new(StoreHealth::new(clock.now())),
+            verdict: watch::Sender::default(),
+        };
+        Self {
+            state: Arc::new(state),
+        }
+    }
+
+    /// Makes a call to the store, and records how it ends.
+    pub(crate) async fn observe<T>(
+        &self,
+        call: StoreCall,
+        calling: impl Future<Output = Result<T, StoreError>>,
+    ) -> Result<T, StoreError> {
+        let ticket = self.lock().call_sent(self.state.clock.now(), call);
+        let open_call = OpenCall {
+            monitor: self,
+            ticket,
+        };
+        let result = calling.await;
+        let change = self
+            .lock()
+            .call_ended(self.state.clock.now(), ticket, store_reply(&result));
+        drop(open_call);
+        self.publish(change);
+        result
+    }
+
+    /// Records whether the leader reports that the store is slow to answer it.
+    pub(crate) fn leader_reported(&self, is_slow: bool) {
+        self.lock().leader_reported(self.state.clock.now(), is_slow);
+    }
+
+    /// Returns the verdict.
+    pub(crate) fn verdict(&self) -> StoreVerdict {
+        *self.state.verdict.borrow()
+    }
+
+    /// Returns a receiver of the verdicts.
+    pub(crate) fn subscribe(&self) -> watch::Receiver<StoreVerdict> {
+        self.state.verdict.subscribe()
+    }
+
+    /// Returns where a new job is sent.
+    pub(crate) fn route(&self) -> JobRoute {
+        self.lock().route(self.state.clock.now())
+    }
+
+    /// Returns the delay after which a client should try again.
+    pub(crate) fn retry_delay(&self, random: u32) -> RetryDelay {
+        let age = self.lock().outage_age(self.state.clock.now());
+        age.map_or_else(RetryDelay::default, |age| {
+            RetryDelay::during_outage(age, random)
+        })
+    }
+
+    /// Waits until answers that are overdue have come, or until the store is judged.
+    pub(crate) async fn resolve_doubt(&self) {
+        let resolved = async {
+            while self.lock().is_doubtful(self.state.clock.now()) {
+                sleep(CHECK_INTERVAL).await;
+            }
+        };
+        // After the limit, the job is sent as if there were no doubt.
+        drop(timeout(DOUBT_LIMIT, resolved).await);
+    }
+
+    /// Judges what is known by now, and returns whether to send a probe.
+    fn check(&self) -> bool {
+        let now = self.state.clock.now();
+        let (change, is_probe_due) = {
+            let mut health = self.lock();
+            (health.check(now), health.take_probe(now))
+        };
+        self.publish(change);
+        is_probe_due
+    }
+
+    fn publish(&self, change: Option<VerdictChange>) {
+        let Some(change) = change else {
+            return;
+        };
+        // Changes that cross each other on the way here leave the newest verdict.
+        self.state
+            .verdict
+            .send_modify(|verdict| *verdict = self.lock().verdict());
+        self.state.metrics.record_store_verdict(self.verdict());
+        log_change(&change);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, StoreHealth> {
+        let health = &self.state.health;
+        health.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Forgets a call when it is dropped before its end.
+#[derive(Debug)]
+struct OpenCall<'a> {
+    monitor: &'a HealthMonitor,
+    ticket: CallTicket,
+}
+
+impl Drop for OpenCall<'_> {
+    fn drop(&mut self) {
+        self.monitor.lock().call_dropped(self.ticket);
+    }
+}
+
+/// Checks for overdue answers, and probes the store if there are any, until the process ends.
+pub(crate) async fn watch_store<S, F, W>(shared: Arc<NodeShared<S, F, W>>)
+where
+    S: StoreClient,
+    F: SiteFeed,
+    W: WorkerCaller,
+{
+    loop {
+        sleep(CHECK_INTERVAL).await;
+        let health = &shared.context.store_health;
+        if health.check() {
+            let (health, store) = (health.clone(), shared.context.store.clone());
+            tokio::spawn(async move {
+                let probe = store.newest(LEADERS, None, PROBE_TIMEOUT);
+                if let Err(error) = health.observe(StoreCall::Read, probe).await {
+                    log::debug!("probe of the store failed: {error}");
+                }
+            });
+        }
+    }
+}
+
+fn store_reply<T>(result: &Result<T, StoreError>) -> StoreReply {
+    match result {
+        Err(StoreError::Refused) => StoreReply::Refused,
+        Err(StoreError::Unanswered) => StoreReply::Lost,
+        // Any other error is an answer.
+        Ok(_) | Err(_) => StoreReply::Served,
+    }
+}
+
+fn log_change(change: &VerdictChange) {
+    let is_outage = change.from.is_outage() || change.to.is_outage();
+    let level = if is_outage {
+        log::Level::Warn
+    } else {
+        log::Level::Info
+    };
+    log::log!(
+        level,
+        verdict:% = change.to,
+        before:% = change.from,
+        outage_ms = change.outage.map(whole_millis),
+        unanswered = change.evidence.unanswered,
+        refusals = change.evidence.refusals,
+        last_answer_ms = whole_millis(change.evidence.last_answer),
+        leader_slow = change.evidence.leader_slow;
+        "verdict on the store has changed"
+    );
+}
--- a/crates/geraniumshed-batch/src/telemetry/metrics.rs
+++ b/crates/geraniumshed-batch/src/telemetry/metrics.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use geraniumshed_core::assignment::{JobSummary, LostWorker, PlannerEvent, PlannerWork};
+use geraniumshed_core::intake::StoreVerdict;
 use geraniumshed_core::job::JobPhase;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue};
@@ -112,6 +113,9 @@
     registry: Arc<Registry>,
     calls: Family<CallLabels, Counter>,
     call_seconds: Family<CallLabels, Histogram, fn() -> Histogram>,
+    /// How the store serves the node.
+    store_verdict: Gauge,
+    refused_jobs: Family<ReasonLabels, Counter>,
     /// The appends that store jobs and progress.
     pub(crate) appends: Family<OutcomeLabels, Counter>,
     /// The duration of these appends.
@@ -175,6 +179,8 @@
             registry: Arc::new(Registry::default()),
             calls: Family::default(),
             call_seconds: Family::new_with_constructor(latency),
+            store_verdict: Gauge::default(),
+            refused_jobs: Family::default(),
             appends: Family::default(),
             append_seconds: latency(),
             placements: Counter::default(),
@@ -217,6 +223,14 @@
         drop(self.call_seconds.get_or_create(&call));
         let outcome = append_outcome(&Ok(()));
         drop(self.appends.get_or_create(&OutcomeLabels { outcome }));
+        for verdict in [
+            StoreVerdict::Serving,
+            StoreVerdict::Refusing,
+            StoreVerdict::Silent,
+        ] {
+            let reason = refusal_reason(verdict);
+            drop(self.refused_jobs.get_or_create(&ReasonLabels { reason }));
+        }
         let lost = ReasonLabels { reason: "failed" };
         drop(self.lost_runs.get_or_create(&lost));
         let ended = EndLabels {
@@ -252,12 +266,7 @@
             "The time to the answer of a client's call",
             self.call_seconds.clone(),
         );
-        registry.register("appends", "Appends to the store", self.appends.clone());
-        registry.register(
-            "append_seconds",
-            "The time that an append to the store takes",
-            self.append_seconds.clone(),
-        );
+        self.register_store(&mut registry);
         self.register_runs(&mut registry);
         registry.register(
             "worker_loss_seconds",
@@ -338,6 +347,26 @@
         registry
     }
 
+    /// Registers what tells how the store serves the node.
+    fn register_store(&self, registry: &mut Registry) {
+        registry.register(
+            "store_verdict",
+            "How the store serves the node: 0 serving, 1 slow, 2 refusing, 3 silent",
+            self.store_verdict.clone(),
+        );
+        registry.register(
+            "refused_jobs",
+            "Jobs that were refused and are certainly not stored",
+            self.refused_jobs.clone(),
+        );
+        registry.register("appends", "Appends to the store", self.appends.clone());
+        registry.register(
+            "append_seconds",
+            "The time that an append to the store takes",
+            self.append_seconds.clone(),
+        );
+    }
+
     /// Registers the counters of placements and of the ends of runs.
     fn register_runs(&self, registry: &mut Registry) {
         registry.register(
@@ -390,6 +419,23 @@
         seconds.observe(taken.as_secs_f64());
     }
 
+    /// Records how the store serves the node.
+    pub(crate) fn record_store_verdict(&self, verdict: StoreVerdict) {
+        self.store_verdict.set(match verdict {
+            StoreVerdict::Serving => 0,
+            StoreVerdict::Slow => 1,
+            StoreVerdict::Refusing => 2,
+            StoreVerdict::Silent => 3,
+        });
+    }
+
+    /// Counts a job that was refused while the store was judged so.
+    pub(crate) fn record_refused_job(&self, verdict: StoreVerdict) {
+        let reason = refusal_reason(verdict);
+        let labels = ReasonLabels { reason };
+        self.refused_jobs.get_or_create(&labels).inc();
+    }
+
     /// Counts an append.
     pub(crate) fn record_append<T>(&self, result: &Result<T, StoreError>, taken: Duration) {
         let labels = OutcomeLabels {
@@ -523,7 +569,7 @@
         CallOutcome::Cancelled => "cancelled",
         CallOutcome::Unknown => "unknown",
         CallOutcome::Pending(_) => "counted",
-        CallOutcome::Unavailable => "unavailable",
+        CallOutcome::Unavailable(_) => "unavailable",
         CallOutcome::Undecided => "undecided",
     }
 }
@@ -548,6 +594,15 @@
     }
 }
 
+/// Returns the reason why a job is refused, by the verdict on the store.
+fn refusal_reason(verdict: StoreVerdict) -> &'static str {
+    match verdict {
+        StoreVerdict::Serving | StoreVerdict::Slow => "not stored",
+        StoreVerdict::Refusing => "store refuses",
+        StoreVerdict::Silent => "store is silent",
+    }
+}
+
 fn append_outcome<T>(result: &Result<T, StoreError>) -> &'static str {
     match result {
         Ok(_) => "stored",
--- a/crates/geraniumshed-batch/tests/nodes/calls.rs
+++ b/crates/geraniumshed-batch/tests/nodes/calls.rs
@@ -126,7 +126,7 @@
         .service()
         .submit(JobId(30), &job(1), deadline())
         .await;
-    assert_eq!(outcome, CallOutcome::Unavailable);
+    assert!(matches!(outcome, CallOutcome::Unavailable(_)));
     assert!(started.elapsed() < Duration::from_secs(1));
     site.refuse([]);
     tokio::time::sleep(Duration::from_millis(200)).await;
--- a/crates/geraniumshed-batch/tests/nodes/odd_jobs.rs
+++ b/crates/geraniumshed-batch/tests/nodes/odd_jobs.rs
@@ -4,6 +4,7 @@
 
 use futures::future::join_all;
 use geraniumshed_batch::CallOutcome;
+use geraniumshed_core::intake::RetryDelay;
 use geraniumshed_core::job::{JobId, JobPhase, JobRequest, RepeatPlan, StepRequest};
 
 use crate::support::{Site, deadline, job, wait_for};
@@ -33,7 +34,7 @@
     });
     for (is_large, outcome) in join_all(submissions).await {
         let expected = if is_large {
-            CallOutcome::Unavailable
+            CallOutcome::Unavailable(RetryDelay::default())
         } else {
             CallOutcome::Accepted
         };
--- a/crates/geraniumshed-batch/tests/nodes/support/mod.rs
+++ b/crates/geraniumshed-batch/tests/nodes/support/mod.rs
@@ -10,11 +10,11 @@
 
 use bytes::Bytes;
 use geraniumshed_batch::store::{KeyedRecord, TopicName};
-use geraniumshed_batch::topic::{LEASES_KEY, PROGRESS, WAITS_KEY};
+use geraniumshed_batch::topic::{LEASES_KEY, PROGRESS, REQUESTS, WAITS_KEY, job_key};
 use geraniumshed_batch::wire::{LeaseSnapshotWire, WaitSnapshotWire, decode};
 use geraniumshed_batch::{BatchNode, DEFAULT_COURIER_DENSITY, NodeSettings};
 use geraniumshed_core::assignment::{PlannerSettings, WaitSnapshot};
-use geraniumshed_core::job::{JobRequest, StepRequest};
+use geraniumshed_core::job::{JobId, JobRequest, StepRequest};
 use geraniumshed_core::leadership::MemberIdentity;
 use geraniumshed_core::worker::{RunEnd, RunReport, WorkerTime};
 use geraniumshed_model::prelude::{AcceleratorCount, MemorySize, ProcessorShare, ResourceSize};
@@ -33,6 +33,9 @@
 /// The time until heartbeats have informed each node of all others.
 const SETTLE_TIME: Duration = Duration::from_millis(700);
 
+/// A number that is larger than that of the nodes of any test.
+const NODE_LIMIT: usize = 100;
+
 #[derive(Debug, Default)]
 struct TopicState {
     records: Vec<KeyedRecord>,
@@ -55,8 +58,16 @@
     topics: BTreeMap<TopicName, TopicState>,
     members: Vec<SmolStr>,
     refused: BTreeSet<usize>,
-    /// Whether the store answers no call.
-    is_silent: bool,
+    /// The nodes of which the store answers no call.
+    silent: BTreeSet<usize>,
+    /// Whether the store carries out the appends that it doesn't answer.
+    is_appending_silently: bool,
+    /// How long an append of jobs takes.
+    request_delay: Duration,
+    /// How long a read takes.
+    read_delay: Duration,
+    /// The nodes that have tried to append jobs, in order.
+    request_appends: Vec<usize>,
     /// Whether the store refuses appends of progress.
     is_refusing_progress: bool,
     config_version: u64,
@@ -189,7 +200,37 @@
 
     /// Makes the store answer no call of any node.
     pub fn silence(&self) {
-        self.lock().is_silent = true;
+        self.silence_for(0..NODE_LIMIT);
+    }
+
+    /// Makes the store answer no call of these nodes, and all of the others.
+    pub fn silence_for(&self, nodes: impl IntoIterator<Item = usize>) {
+        self.lock().silent = nodes.into_iter().collect();
+    }
+
+    /// Makes the store carry out the appends that it doesn't answer.
+    pub fn append_silently(&self) {
+        self.lock().is_appending_silently = true;
+    }
+
+    /// Makes appends of jobs and of progress, and reads, take longer.
+    pub fn slow_down(&self, appends: Duration, reads: Duration) {
+        let mut state = self.lock();
+        state.request_delay = appends;
+        state.progress_delay = appends;
+        state.read_delay = reads;
+    }
+
+    /// Returns the nodes that have tried to append jobs, in order.
+    pub fn request_appends(&self) -> Vec<usize> {
+        self.lock().request_appends.clone()
+    }
+
+    /// Returns whether a job is stored.
+    pub fn has_request(&self, id: JobId) -> bool {
+        let state = self.lock();
+        let requests = state.topics.get(&REQUESTS);
+        requests.is_some_and(|topic| topic.records.iter().any(|one| one.key == job_key(id)))
     }
 
     /// Makes the store refuse appends of progress, and no other calls.
--- a/crates/geraniumshed-batch/tests/nodes/support/store.rs
+++ b/crates/geraniumshed-batch/tests/nodes/support/store.rs
@@ -44,7 +44,7 @@
 
     /// Waits for the timeout if the store answers no call.
     async fn await_answer(&self, timeout: Duration) -> Result<(), StoreError> {
-        let is_silent = self.site.lock().is_silent;
+        let is_silent = self.is_silent();
         if is_silent {
             tokio::time::sleep(timeout).await;
             return Err(StoreError::Unanswered);
@@ -52,6 +52,10 @@
         Ok(())
     }
 
+    fn is_silent(&self) -> bool {
+        self.site.lock().silent.contains(&self.node)
+    }
+
     fn topic<T>(
         &self,
         topic: TopicName,
@@ -85,6 +89,17 @@
         condition: AppendCondition,
         timeout: Duration,
     ) -> Result<LogOffset, StoreError> {
+        if topic == REQUESTS {
+            self.site.lock().request_appends.push(self.node);
+            if self.is_silent() && self.site.lock().is_appending_silently {
+                self.topic(topic, |state| {
+                    state.records.extend(records.clone());
+                    Ok(())
+                })?;
+            }
+            let delay = self.site.lock().request_delay;
+            tokio::time::sleep(delay).await;
+        }
         self.await_answer(timeout).await?;
         if topic == PROGRESS && self.site.lock().is_refusing_progress {
             return Err(StoreError::Refused);
@@ -130,6 +145,8 @@
         timeout: Duration,
     ) -> Result<NewestPage, StoreError> {
         self.await_answer(timeout).await?;
+        let read_delay = self.site.lock().read_delay;
+        tokio::time::sleep(read_delay).await;
         if topic == PROGRESS {
             let delay = self.site.lock().takeover_delay;
             tokio::time::sleep(delay.min(timeout)).await;
@@ -194,7 +211,8 @@
         Ok((Some(source), LogOffset(version)))
     }
 
-    async fn config_end(&self, _: Duration) -> Result<LogOffset, StoreError> {
+    async fn config_end(&self, limit: Duration) -> Result<LogOffset, StoreError> {
+        self.await_answer(limit).await?;
         Ok(LogOffset(self.config_version()?))
     }
 
