Ask the store before jobs are sent to it, and peers before jobs are refused

Cause: a node that gets a job a second sent it to a store that had fallen silent since its last answer; such a job may be stored, so that its client can't try again. A leader that alone had no answer refused jobs that its peers could store. Change: a writer whose node has had no answer for 200 ms sends a read first and holds its jobs until that is answered or the store is judged. A node to which the store is silent asks the leader, or its first relays if it leads, once a second whether they are served. probe_store answers at once on a node that knows the store to be silent.

--- a/crates/geraniumshed-batch/src/handler.rs
+++ b/crates/geraniumshed-batch/src/handler.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use geraniumshed_core::intake::StoreVerdict;
 use geraniumshed_core::job::JobId;
 use geraniumshed_core::leadership::{LeaderTerm, MemberIdentity};
 use geraniumshed_core::site::ConfigVersion;
@@ -129,6 +130,10 @@
     }
 
     async fn probe_store(self, _: Context) -> bool {
+        // A read would be answered after the caller has given up.
+        if self.shared().context.store_health.verdict() == StoreVerdict::Silent {
+            return false;
+        }
         let store = &self.shared().context.store;
         store.newest(LEADERS, None, PROBE_TIMEOUT).await.is_ok()
     }
--- a/crates/geraniumshed-batch/src/intake.rs
+++ b/crates/geraniumshed-batch/src/intake.rs
@@ -196,7 +196,7 @@
     /// Appends queued jobs until all senders are dropped.
     async fn run(mut self) {
         while let Some(batch) = self.queue.next_batch().await {
-            self.health.resolve_doubt().await;
+            self.health.confirm(&self.store).await;
             if self.health.verdict() == StoreVerdict::Silent {
                 finish(batch, &Err(StoreError::Refused));
                 self.queue.refuse_all();
--- a/crates/geraniumshed-batch/src/service.rs
+++ b/crates/geraniumshed-batch/src/service.rs
@@ -36,7 +36,7 @@
 /// The time before the client's deadline that is reserved for sending the answer.
 pub(crate) const ANSWER_MARGIN: Duration = Duration::from_millis(120);
 /// The number of other nodes that are tried if this node can't store a job in time.
-const RELAY_PEERS: usize = 2;
+pub(crate) const RELAY_PEERS: usize = 2;
 
 /// The outcome of a client's call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/geraniumshed-batch/src/store_health.rs
+++ b/crates/geraniumshed-batch/src/store_health.rs
@@ -8,11 +8,12 @@
     VerdictChange,
 };
 use geraniumshed_model::prelude::whole_millis;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use tokio::time::{sleep, timeout};
 
 use crate::clock::NodeClock;
 use crate::node::NodeShared;
+use crate::service::{JobService, RELAY_PEERS};
 use crate::site::{SiteFeed, WorkerCaller};
 use crate::store::{StoreClient, StoreError};
 use crate::telemetry::NodeMetrics;
@@ -22,8 +23,11 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// The timeout of a probe. Shorter ones would miss a store that takes this long.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(750);
-/// The longest time for which a job is held back until it is known whether the store answers.
-const DOUBT_LIMIT: Duration = Duration::from_millis(400);
+/// The timeout for the answer of a peer that is asked whether the store answers it.
+const PEER_TIMEOUT: Duration = Duration::from_millis(500);
+/// The longest time for which jobs are held back until it is known whether the store answers. A silent store
+/// is known by then, after two probes.
+const DOUBT_LIMIT: Duration = Duration::from_millis(600);
 
 #[derive(Debug)]
 struct HealthState {
@@ -31,6 +35,8 @@
     metrics: NodeMetrics,
     health: Mutex<StoreHealth>,
     verdict: watch::Sender<StoreVerdict>,
+    /// Notified when a call ends.
+    call_ended: Notify,
 }
 
 /// Watches whether the store serves this node. Clones share the state.
@@ -47,6 +53,7 @@
             metrics,
             health: Mutex::new(StoreHealth::new(clock.now())),
             verdict: watch::Sender::default(),
+            call_ended: Notify::new(),
         };
         Self {
             state: Arc::new(state),
@@ -70,6 +77,7 @@
             .call_ended(self.state.clock.now(), ticket, store_reply(&result));
         drop(open_call);
         self.publish(change);
+        self.state.call_ended.notify_waiters();
         result
     }
 
@@ -101,15 +109,46 @@
         })
     }
 
-    /// Waits until answers that are overdue have come, or until the store is judged.
-    pub(crate) async fn resolve_doubt(&self) {
-        let resolved = async {
-            while self.lock().is_doubtful(self.state.clock.now()) {
-                sleep(CHECK_INTERVAL).await;
+    /// Records that the store answers a peer.
+    fn peer_served(&self) {
+        self.lock().peer_served(self.state.clock.now());
+    }
+
+    /// Returns whether peers should be asked now whether the store answers them.
+    fn take_peer_probe(&self) -> bool {
+        self.lock().take_peer_probe(self.state.clock.now())
+    }
+
+    /// Waits until the store has answered lately, or until an outage is known. Sends a probe if there has been
+    /// no other call.
+    pub(crate) async fn confirm<S: StoreClient>(&self, store: &S) {
+        let confirmed = async {
+            loop {
+                let ended = self.state.call_ended.notified();
+                let now = self.state.clock.now();
+                if !self.lock().is_doubtful(now) {
+                    return;
+                }
+                if self.lock().take_confirmation(now) {
+                    self.spawn_probe(store);
+                }
+                // The verdict also changes without the end of a call.
+                drop(timeout(CHECK_INTERVAL, ended).await);
             }
         };
-        // After the limit, the job is sent as if there were no doubt.
-        drop(timeout(DOUBT_LIMIT, resolved).await);
+        // After the limit, jobs are sent as if there were no doubt.
+        drop(timeout(DOUBT_LIMIT, confirmed).await);
+    }
+
+    /// Sends a cheap read, whose end is recorded.
+    fn spawn_probe<S: StoreClient>(&self, store: &S) {
+        let (health, store) = (self.clone(), store.clone());
+        tokio::spawn(async move {
+            let probe = store.newest(LEADERS, None, PROBE_TIMEOUT);
+            if let Err(error) = health.observe(StoreCall::Read, probe).await {
+                log::debug!("probe of the store failed: {error}");
+            }
+        });
     }
 
     /// Judges what is known by now, and returns whether to send a probe.
@@ -165,13 +204,33 @@
         sleep(CHECK_INTERVAL).await;
         let health = &shared.context.store_health;
         if health.check() {
-            let (health, store) = (health.clone(), shared.context.store.clone());
-            tokio::spawn(async move {
-                let probe = store.newest(LEADERS, None, PROBE_TIMEOUT);
-                if let Err(error) = health.observe(StoreCall::Read, probe).await {
-                    log::debug!("probe of the store failed: {error}");
-                }
-            });
+            health.spawn_probe(&shared.context.store);
+        }
+        if health.take_peer_probe() {
+            tokio::spawn(probe_peers(Arc::clone(&shared)));
+        }
+    }
+}
+
+/// Asks the leader, or other nodes if this one leads, whether the store answers them.
+async fn probe_peers<S, F, W>(shared: Arc<NodeShared<S, F, W>>)
+where
+    S: StoreClient,
+    F: SiteFeed,
+    W: WorkerCaller,
+{
+    let service = JobService::new(Arc::clone(&shared));
+    // The leader is the first relay.
+    let count = if shared.view().is_leading {
+        RELAY_PEERS
+    } else {
+        1
+    };
+    for member in service.relays().into_iter().take(count) {
+        let answer = shared.pool.probe_store(member.address, PEER_TIMEOUT).await;
+        if answer == Ok(true) {
+            shared.context.store_health.peer_served();
+            return;
         }
     }
 }
--- a/crates/geraniumshed-batch/tests/nodes/outages.rs
+++ b/crates/geraniumshed-batch/tests/nodes/outages.rs
@@ -88,6 +88,11 @@
     for one in late {
         assert!(one.is_refused() && one.taken <= REFUSAL_LIMIT, "{one:?}");
     }
+    // Each node may have one append in flight when the outage begins, and learns of it by the next one.
+    let undecided = submissions
+        .iter()
+        .filter(|one| one.outcome == CallOutcome::Undecided);
+    assert!(undecided.count() <= nodes.len(), "{submissions:?}");
     for one in submissions.iter().filter(|one| one.is_refused()) {
         assert!(!site.has_request(one.id), "{one:?} is stored");
     }
@@ -95,6 +100,22 @@
     assert!(delays.len() >= 2, "{delays:?}");
 }
 
+/// Guards against each node sending a job to a store that has fallen silent, before it learns of it. Such a
+/// job may be stored, so that its client can't try again.
+#[tokio::test]
+async fn nodes_send_no_job_to_a_store_that_has_not_answered_lately() {
+    let site = Site::new();
+    let nodes = site.spawn_nodes(5, 22_280).await;
+    settled_leader(&nodes).await;
+    site.append_silently();
+    site.silence();
+    sleep(Duration::from_millis(250)).await;
+    for one in submit_steadily(&nodes, 1, 10, Duration::from_millis(20)).await {
+        assert!(one.is_refused() && !site.has_request(one.id), "{one:?}");
+    }
+    assert!(site.request_appends().is_empty());
+}
+
 /// Guards against nodes that go on refusing jobs after the store is back, or store them late behind an
 /// append that was lost.
 #[tokio::test]
@@ -135,17 +156,19 @@
 /// Guards against a node that sends each job to a store that refuses it or doesn't answer, before it asks
 /// another node.
 #[rstest]
-#[case::refusing(22_230, true)]
-#[case::silent(22_240, false)]
+#[case::refusing(22_230, true, 1)]
+#[case::silent(22_240, false, 1)]
+#[case::silent_for_the_leader(22_270, false, 0)]
 #[tokio::test]
 async fn a_node_without_the_store_leaves_jobs_to_others(
     #[case] first_port: u16,
     #[case] is_refused: bool,
+    #[case] after_leader: usize,
 ) {
     let site = Site::new();
     let nodes = site.spawn_nodes(3, first_port).await;
     let leader = settled_leader(&nodes).await;
-    let cut_off = (leader + 1) % nodes.len();
+    let cut_off = (leader + after_leader) % nodes.len();
     if is_refused {
         site.refuse([cut_off]);
     } else {
--- a/crates/geraniumshed-core/src/intake/store_health.rs
+++ b/crates/geraniumshed-core/src/intake/store_health.rs
@@ -24,10 +24,18 @@
 /// The number of refusals in a row that make the store refuse a node. A single one may be due to a full
 /// queue.
 const REFUSED_CALLS: u32 = 2;
+/// The time since the last answer after which a node asks the store again before it sends jobs. A job that
+/// is sent to a store that has fallen silent may be stored, so that its client can't try again. A read takes
+/// some milliseconds, and nodes that send several jobs a second need none.
+const CONFIRMATION_AGE: Duration = Duration::from_millis(200);
 /// The interval between two probes. It bounds how long a verdict outlasts an outage.
 const PROBE_INTERVAL: Duration = Duration::from_millis(250);
 /// The time for which a report of the leader counts: two heartbeats, and the time to answer one.
 const REPORT_TTL: Duration = Duration::from_millis(700);
+/// The interval between two questions to peers whether the store answers them. All nodes ask the leader.
+const PEER_PROBE_INTERVAL: Duration = Duration::from_secs(1);
+/// The time for which the answer of a peer counts: two intervals.
+const PEER_ANSWER_TTL: Duration = Duration::from_secs(2);
 /// The time for which a slow answer counts.
 const SLOW_STATE_DURATION: Duration = Duration::from_millis(1500);
 /// The time between two checks after which the process must have been suspended, so that answers may have
@@ -165,6 +173,9 @@
     slow_at: Option<TimePoint>,
     /// The last report of the leader, and when it came.
     leader_report: Option<(TimePoint, bool)>,
+    /// When a peer last reported that the store answers it.
+    peer_served_at: Option<TimePoint>,
+    peers_probed_at: Option<TimePoint>,
     checked_at: TimePoint,
     probed_at: Option<TimePoint>,
     verdict: StoreVerdict,
@@ -186,6 +197,8 @@
             read_time: Duration::ZERO,
             slow_at: None,
             leader_report: None,
+            peer_served_at: None,
+            peers_probed_at: None,
             checked_at: now,
             probed_at: None,
             verdict: StoreVerdict::default(),
@@ -241,6 +254,24 @@
         self.leader_report = Some((now, is_slow));
     }
 
+    /// Records that the store answers a peer.
+    pub fn peer_served(&mut self, now: TimePoint) {
+        self.peer_served_at = Some(now);
+    }
+
+    /// Returns whether peers should be asked now whether the store answers them, and records that they are.
+    /// The leader's reports don't tell a slow store from a silent one.
+    pub fn take_peer_probe(&mut self, now: TimePoint) -> bool {
+        let is_rested = |at: TimePoint| now.since(at) >= PEER_PROBE_INTERVAL;
+        let is_silent = self.verdict == StoreVerdict::Silent;
+        let is_unknown = self.leader_slow(now) != Some(false);
+        let is_due = is_silent && is_unknown && self.peers_probed_at.is_none_or(is_rested);
+        if is_due {
+            self.peers_probed_at = Some(now);
+        }
+        is_due
+    }
+
     /// Judges what is known by now. Has to be called several times a second. Returns the change of the
     /// verdict, if there is one.
     pub fn check(&mut self, now: TimePoint) -> Option<VerdictChange> {
@@ -262,10 +293,20 @@
         is_due
     }
 
-    /// Returns whether answers are overdue while the verdict isn't known yet. Jobs that are held back until
-    /// then are certainly not stored.
+    /// Returns whether the store hasn't answered lately while no outage is known. Jobs that are held back
+    /// until it answers or is judged are certainly not stored.
     pub fn is_doubtful(&self, now: TimePoint) -> bool {
-        !self.verdict.is_outage() && self.unanswered(now) > 0
+        !self.verdict.is_outage() && now.since(self.heard_at) >= CONFIRMATION_AGE
+    }
+
+    /// Returns whether a probe should be sent now, since a job waits for the answer, and records that it is.
+    /// A read that is under way already serves as one.
+    pub fn take_confirmation(&mut self, now: TimePoint) -> bool {
+        let is_due = self.is_doubtful(now) && self.newest_reads().next().is_none();
+        if is_due {
+            self.probed_at = Some(now);
+        }
+        is_due
     }
 
     /// Returns where a new job is sent.
@@ -273,7 +314,7 @@
         match self.verdict {
             StoreVerdict::Serving | StoreVerdict::Slow => JobRoute::Store,
             StoreVerdict::Refusing => JobRoute::Peers,
-            StoreVerdict::Silent if self.leader_slow(now) == Some(false) => JobRoute::Peers,
+            StoreVerdict::Silent if self.is_peer_served(now) => JobRoute::Peers,
             StoreVerdict::Silent => JobRoute::Nowhere,
         }
     }
@@ -397,13 +438,16 @@
     /// Returns the longest time for which the answer to a read has been missing, of those sent since the
     /// last answer to any call.
     fn read_age(&self, now: TimePoint) -> Duration {
-        let reads = self.newest_pending();
-        let reads = reads.filter(|one| one.call == StoreCall::Read);
-        let reads = reads.map(|one| one.sent_at);
+        let reads = self.newest_reads().map(|one| one.sent_at);
         let oldest = reads.chain(self.lost.first_read_sent_at).min();
         oldest.map_or(Duration::ZERO, |sent_at| now.since(sent_at))
     }
 
+    fn newest_reads(&self) -> impl Iterator<Item = &PendingCall> {
+        self.newest_pending()
+            .filter(|one| one.call == StoreCall::Read)
+    }
+
     /// Returns the calls in flight that were sent since the last answer to any call.
     fn newest_pending(&self) -> impl Iterator<Item = &PendingCall> {
         self.pending
@@ -423,6 +467,12 @@
         self.pending.iter().filter(move |one| one.call == call)
     }
 
+    /// Returns whether the store is known to answer the leader or another node.
+    fn is_peer_served(&self, now: TimePoint) -> bool {
+        let is_recent = |at: TimePoint| now.since(at) < PEER_ANSWER_TTL;
+        self.leader_slow(now) == Some(false) || self.peer_served_at.is_some_and(is_recent)
+    }
+
     fn leader_slow(&self, now: TimePoint) -> Option<bool> {
         let (at, is_slow) = self.leader_report?;
         (now.since(at) < REPORT_TTL).then_some(is_slow)
--- a/crates/geraniumshed-core/tests/store_health.rs
+++ b/crates/geraniumshed-core/tests/store_health.rs
@@ -256,6 +256,42 @@
     assert_eq!(node.health.route(node.now), expected);
 }
 
+/// Guards against a job that is sent to a store which has fallen silent since its last answer. A store that
+/// has just answered isn't asked again.
+#[test]
+fn a_node_asks_the_store_again_before_it_sends_a_job() {
+    let start = TimePoint(1_000_000);
+    let after = |millis| start + Duration::from_millis(millis);
+    let mut health = StoreHealth::new(start);
+    assert!(!health.is_doubtful(after(100)));
+    assert!(!health.take_confirmation(after(100)));
+    assert!(health.is_doubtful(after(900)));
+    assert!(health.take_confirmation(after(900)));
+    let ticket = health.call_sent(after(900), StoreCall::Read);
+    assert!(!health.take_confirmation(after(901)));
+    health.call_ended(after(905), ticket, StoreReply::Served);
+    assert!(!health.is_doubtful(after(910)));
+}
+
+/// Guards against a node that the store doesn't answer and that refuses jobs which its peers could store,
+/// since it leads, or since the store is slow to answer the leader.
+#[rstest]
+#[case::leading(None)]
+#[case::slow_leader(Some(true))]
+fn a_silent_store_that_answers_a_peer_gets_jobs_from_it(#[case] leader_slow: Option<bool>) {
+    let silent = mode(UNANSWERED, UNANSWERED, leader_slow);
+    let mut node = NodeModel::new(Duration::from_millis(300));
+    assert!(!node.health.take_peer_probe(node.now));
+    node.run(silent, Duration::from_secs(2));
+    assert_eq!(node.health.route(node.now), JobRoute::Nowhere);
+    assert!(node.health.take_peer_probe(node.now));
+    assert!(!node.health.take_peer_probe(node.now));
+    node.health.peer_served(node.now);
+    assert_eq!(node.health.route(node.now), JobRoute::Peers);
+    node.run(silent, Duration::from_secs(3));
+    assert_eq!(node.health.route(node.now), JobRoute::Nowhere);
+}
+
 /// Guards against clients that use up their four retries before a store that is silent for some seconds is
 /// back.
 #[rstest]
