Give up an append of progress that an outage has swallowed, too

Cause: only the writer of jobs gave up an append that was sent before the end of an outage; the leader's writer of progress waited for its timeout, which grows to two seconds while no answers come, and no task starts before its placement is stored. Change: HealthMonitor::observe_append gives an append up 200 ms after the end of an outage, for both writers. Result: all tests of the nodes pass. The new test of starts after an outage also passes without this change: it guards the rule, and doesn't show the gain, which wasn't measured.

--- a/crates/geraniumshed-batch/src/intake.rs
+++ b/crates/geraniumshed-batch/src/intake.rs
@@ -1,13 +1,12 @@
 //! Stores clients' jobs, with one append for all jobs that wait.
 
-use std::future::pending;
 use std::time::Duration;
 
-use geraniumshed_core::intake::{StoreCall, StoreVerdict};
+use geraniumshed_core::intake::StoreVerdict;
 use geraniumshed_core::job::JobId;
 use geraniumshed_model::prelude::LogOffset;
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::{Instant, sleep_until};
+use tokio::time::Instant;
 
 use crate::clock::NodeClock;
 use crate::store::{AppendCondition, KeyedRecord, ResponseTime, StoreClient, StoreError};
@@ -31,10 +30,6 @@
 /// other nodes, so an earlier retry would only add to the load of a slow store.
 const MIN_APPEND_TIMEOUT: Duration = Duration::from_millis(1500);
 
-/// The time after an outage for which an append that was sent before waits for its answer. Without an answer
-/// by then, its jobs are stored again, and others don't wait behind it.
-const RECOVERY_GRACE: Duration = Duration::from_millis(200);
-
 /// A job that waits to be stored.
 #[derive(Debug)]
 struct WaitingJob {
@@ -215,7 +210,7 @@
         let timeout = self.response_time.timeout().max(MIN_APPEND_TIMEOUT);
         let (store, health) = (self.store.clone(), self.health.clone());
         let appending = store.append(REQUESTS, records, AppendCondition::None, timeout);
-        let appending = health.observe(StoreCall::Append, appending);
+        let appending = health.observe_append(appending);
         let appended = await_append(appending, &health, &mut self.queue).await;
         self.response_time.record_call(&appended, started.elapsed());
         self.metrics.record_append(&appended, started.elapsed());
@@ -225,8 +220,7 @@
     }
 }
 
-/// Waits for the answer to an append. Refuses the jobs that wait behind it as soon as the store is judged to
-/// be in an outage, and gives the append up some time after the end of one.
+/// Waits for the answer to an append, and refuses the jobs that wait behind it as soon as an outage is known.
 async fn await_append(
     appending: impl Future<Output = Result<LogOffset, StoreError>>,
     health: &HealthMonitor,
@@ -234,35 +228,19 @@
 ) -> Result<LogOffset, StoreError> {
     tokio::pin!(appending);
     let mut verdicts = health.subscribe();
-    let mut before = *verdicts.borrow_and_update();
-    let mut given_up_at = None;
     loop {
-        if before.is_outage() {
+        let is_outage = verdicts.borrow_and_update().is_outage();
+        if is_outage {
             queue.refuse_all();
         }
-        let give_up = async {
-            match given_up_at {
-                Some(at) => sleep_until(at).await,
-                None => pending().await,
-            }
-        };
         tokio::select! {
             appended = &mut appending => return appended,
-            () = give_up => return Err(StoreError::Unanswered),
             // A job may have been queued just before the verdict changed.
-            Some(job) = queue.jobs.recv(), if before.is_outage() => {
+            Some(job) = queue.jobs.recv(), if is_outage => {
                 finish(vec![job], &Err(StoreError::Refused));
             }
             // The monitor lives as long as this task.
-            _ = verdicts.changed() => {
-                let verdict = *verdicts.borrow_and_update();
-                if verdict.is_outage() {
-                    given_up_at = None;
-                } else if before == StoreVerdict::Silent {
-                    given_up_at = Some(Instant::now() + RECOVERY_GRACE);
-                }
-                before = verdict;
-            }
+            _ = verdicts.changed() => {}
         }
     }
 }
--- a/crates/geraniumshed-batch/src/leader/writer.rs
+++ b/crates/geraniumshed-batch/src/leader/writer.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use geraniumshed_core::assignment::{StoreBatch, StoreChange};
-use geraniumshed_core::intake::StoreCall;
 use geraniumshed_core::job::JobId;
 use geraniumshed_core::leadership::LeaderTerm;
 use geraniumshed_model::prelude::LogOffset;
@@ -153,7 +152,7 @@
             let appending = self
                 .store
                 .append(PROGRESS, records.clone(), condition, timeout);
-            let appended = self.health.observe(StoreCall::Append, appending).await;
+            let appended = self.health.observe_append(appending).await;
             self.response_time.record_call(&appended, started.elapsed());
             self.metrics.record_append(&appended, started.elapsed());
             self.monitor.append_answered(appended.is_ok());
--- a/crates/geraniumshed-batch/src/store_health.rs
+++ b/crates/geraniumshed-batch/src/store_health.rs
@@ -23,6 +23,9 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// The timeout of a probe. Shorter ones would miss a store that takes this long.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(750);
+/// The time after an outage for which an append that was sent before waits for its answer. A slow store takes
+/// 120 ms.
+const RECOVERY_GRACE: Duration = Duration::from_millis(200);
 /// The timeout for the answer of a peer that is asked whether the store answers it.
 const PEER_TIMEOUT: Duration = Duration::from_millis(500);
 /// The longest time for which jobs are held back until it is known whether the store answers. A silent store
@@ -81,6 +84,35 @@
         result
     }
 
+    /// Makes an append like [`Self::observe`], and gives it up some time after the end of an outage. Without an
+    /// answer by then, it is lost, and others wouldn't be sent before its timeout.
+    pub(crate) async fn observe_append<T>(
+        &self,
+        appending: impl Future<Output = Result<T, StoreError>>,
+    ) -> Result<T, StoreError> {
+        tokio::select! {
+            result = self.observe(StoreCall::Append, appending) => result,
+            () = self.recovered() => Err(StoreError::Unanswered),
+        }
+    }
+
+    /// Waits for the next outage, and then until some time after its end.
+    async fn recovered(&self) {
+        let mut verdicts = self.subscribe();
+        loop {
+            let silent = |verdict: &StoreVerdict| *verdict == StoreVerdict::Silent;
+            // The sender lives as long as the monitor, so that waiting doesn't fail.
+            drop(verdicts.wait_for(silent).await);
+            drop(verdicts.wait_for(|verdict| !verdict.is_outage()).await);
+            if timeout(RECOVERY_GRACE, verdicts.wait_for(silent))
+                .await
+                .is_err()
+            {
+                return;
+            }
+        }
+    }
+
     /// Records whether the leader reports that the store is slow to answer it.
     pub(crate) fn leader_reported(&self, is_slow: bool) {
         self.lock().leader_reported(self.state.clock.now(), is_slow);
--- a/crates/geraniumshed-batch/tests/nodes/outages.rs
+++ b/crates/geraniumshed-batch/tests/nodes/outages.rs
@@ -134,6 +134,25 @@
     }
 }
 
+/// Guards against tasks that start late after an outage in which the leader could not store their placement.
+#[tokio::test]
+async fn progress_is_stored_soon_after_the_store_is_back() {
+    let site = Site::new();
+    let nodes = site.spawn_nodes(2, 22_290).await;
+    let leader = settled_leader(&nodes).await;
+    let service = nodes[1 - leader].service();
+    // The job is stored, but not its placement.
+    site.silence_for([leader]);
+    let outcome = service.submit(JobId(1), &job(1), deadline()).await;
+    assert_eq!(outcome, CallOutcome::Accepted);
+    site.silence();
+    sleep(Duration::from_millis(4300)).await;
+    assert_eq!(site.start_count(), 0);
+    site.silence_for([]);
+    sleep(RECOVERY_TIME + Duration::from_millis(300)).await;
+    assert_eq!(site.start_count(), 1);
+}
+
 /// Guards against jobs that wait behind an append without an answer until their clients give up, although
 /// they are certainly not stored. The one that was sent may be stored, and is never refused.
 #[tokio::test]
