--- a/crates/geraniumshed-batch/tests/nodes/main.rs
+++ b/crates/geraniumshed-batch/tests/nodes/main.rs
@@ -8,5 +8,6 @@
 mod leases;
 mod odd_jobs;
 mod odd_peers;
+mod outages;
 mod support;
 mod zones;
