Divide capacity by shares and keep a feasible set in time while tasks wait

Cause: with least slack first, nearly all jobs of an overload miss their objective by a little, most of all when runs take longer than estimated. Change: under pressure, capacity is divided among the queues of a priority by start-time fair queueing, jobs that can't be in time at the rate at which work is freed are let late at once (Moore-Hodgson on processor-seconds), and late jobs near the end of their late period claim a quarter of the starts.

--- a/crates/geraniumshed-batch/src/leader/run.rs
+++ b/crates/geraniumshed-batch/src/leader/run.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use geraniumshed_core::assignment::{
-    CancelOutcome, JobPlanner, JobStatus, PlannerSettings, StoreBatch,
+    CancelOutcome, JobPlanner, JobStatus, PlannerSettings, StepClass, StoreBatch,
 };
 use geraniumshed_core::job::{JobId, QueueName, QueuePolicy};
 use geraniumshed_core::leadership::LeaderTerm;
@@ -108,6 +108,7 @@
         progress_monitor: context.progress_monitor,
         handle: handle.clone(),
         planner,
+        backlog: BTreeMap::new(),
         batches,
         unanswered_since,
         probe_requests,
@@ -173,6 +174,8 @@
     progress_monitor: StoreMonitor,
     handle: LeaderHandle,
     planner: JobPlanner,
+    /// The number of waiting steps by priority and class, as it was last published.
+    backlog: BTreeMap<(u32, StepClass), usize>,
     batches: mpsc::UnboundedSender<StoreBatch>,
     unanswered_since: UnansweredSince,
     probe_requests: mpsc::UnboundedSender<ProbeRequest>,
@@ -358,10 +361,20 @@
         self.timer.record_part(StepPart::Order, collected.elapsed());
         self.timer
             .finish_step(now, self.planner.work(), &self.metrics);
+        self.record_backlog();
         self.dispatcher.delays.log_due(now);
         self.probe_stalled_store(now);
     }
 
+    /// Publishes the number of waiting steps if it has changed.
+    fn record_backlog(&mut self) {
+        let counts = self.planner.backlog();
+        if *counts != self.backlog {
+            self.metrics.record_backlog(counts);
+            self.backlog.clone_from(counts);
+        }
+    }
+
     fn execute_actions(&mut self) {
         let actions = self.planner.take_actions();
         self.dispatcher.execute(actions);
--- a/crates/geraniumshed-batch/src/leader/start_delays.rs
+++ b/crates/geraniumshed-batch/src/leader/start_delays.rs
@@ -65,6 +65,8 @@
             }
             PlannerEvent::RenewalSent(gap) => self.renewal_gaps.record(*gap),
             PlannerEvent::StepWaiting(..)
+            | PlannerEvent::PressureBegan(_)
+            | PlannerEvent::PressureEnded(_)
             | PlannerEvent::RunLost(_)
             | PlannerEvent::RunUnexpected(_)
             | PlannerEvent::JobEnded(_)
--- a/crates/geraniumshed-batch/src/node.rs
+++ b/crates/geraniumshed-batch/src/node.rs
@@ -185,6 +185,7 @@
     pub(crate) fn end_leading(&self) {
         self.view().end_leading();
         self.metrics().leading.set(0);
+        self.metrics().record_backlog(&BTreeMap::new());
     }
 
     /// Returns whether the store is slow to answer the appends of this process.
--- a/crates/geraniumshed-batch/src/telemetry/events.rs
+++ b/crates/geraniumshed-batch/src/telemetry/events.rs
@@ -26,12 +26,24 @@
                 occurrence = placement.occurrence,
                 step = placement.step,
                 waiting = placement.waiting,
+                class = placement.class.name(),
                 age_ms = whole_millis(placement.age),
                 slack_ms = placement.slack_ms,
                 refusals:% = refusals;
                 "tasks wait, since no worker takes them"
             );
         }
+        PlannerEvent::PressureBegan(group) => log::info!(
+            service:% = group.service,
+            priority = group.priority;
+            "capacity is divided among queues and jobs, since tasks wait"
+        ),
+        PlannerEvent::PressureEnded(ended) => log::info!(
+            service:% = ended.group.service,
+            priority = ended.group.priority,
+            lasted_ms = whole_millis(ended.lasted);
+            "tasks no longer wait for capacity"
+        ),
         // These are too many for a line each.
         PlannerEvent::RunStarted(_) | PlannerEvent::RenewalSent(_) => {}
         PlannerEvent::RunLost(lost) => log_lost_run(lost),
--- a/crates/geraniumshed-batch/src/telemetry/metrics.rs
+++ b/crates/geraniumshed-batch/src/telemetry/metrics.rs
@@ -1,10 +1,11 @@
 //! Counters and latency histograms of a node.
 
+use std::collections::BTreeMap;
 use std::fmt::{self, Debug, Formatter};
 use std::sync::Arc;
 use std::time::Duration;
 
-use geraniumshed_core::assignment::{JobSummary, LostWorker, PlannerEvent, PlannerWork};
+use geraniumshed_core::assignment::{JobSummary, LostWorker, PlannerEvent, PlannerWork, StepClass};
 use geraniumshed_core::job::JobPhase;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue};
@@ -106,6 +107,15 @@
     pub kind: &'static str,
 }
 
+/// The labels of a number of waiting steps.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct BacklogLabels {
+    /// The priority of the queue.
+    pub priority: u32,
+    /// Whether the job can be in time.
+    pub class: &'static str,
+}
+
 /// Counters and latency histograms of a node. Clones share them.
 #[derive(Clone)]
 pub struct NodeMetrics {
@@ -141,6 +151,7 @@
     step_seconds: Family<PartLabels, Histogram, fn() -> Histogram>,
     queue_seconds: Histogram,
     planner_work: Family<WorkLabels, Counter>,
+    backlog: Family<BacklogLabels, Gauge>,
     /// The nodes that call workers for this one.
     pub(crate) couriers: Gauge,
     /// 1 while this process leads.
@@ -192,6 +203,7 @@
             step_seconds: Family::new_with_constructor(latency),
             queue_seconds: latency(),
             planner_work: Family::default(),
+            backlog: Family::default(),
             couriers: Gauge::default(),
             leading: Gauge::default(),
             config_version: Gauge::default(),
@@ -304,6 +316,11 @@
             "The work of the planner",
             self.planner_work.clone(),
         );
+        registry.register(
+            "backlog",
+            "The steps that wait because no worker takes their tasks",
+            self.backlog.clone(),
+        );
         registry.register(
             "couriers",
             "The nodes that call workers for this one while it leads",
@@ -420,6 +437,20 @@
         self.queue_seconds.observe(queued.as_secs_f64());
     }
 
+    /// Sets the number of steps that wait, by priority and class.
+    pub(crate) fn record_backlog(&self, counts: &BTreeMap<(u32, StepClass), usize>) {
+        // Series that were set before are set to 0 by clearing them.
+        self.backlog.clear();
+        for ((priority, class), count) in counts {
+            let labels = BacklogLabels {
+                priority: *priority,
+                class: class.name(),
+            };
+            let count = i64::try_from(*count).unwrap_or(i64::MAX);
+            self.backlog.get_or_create(&labels).set(count);
+        }
+    }
+
     /// Counts the planner's work.
     pub(crate) fn record_work(&self, done: &PlannerWork) {
         let counts = [
@@ -465,7 +496,9 @@
             }
             PlannerEvent::JobEnded(summary) => self.job_ended(summary),
             PlannerEvent::WorkerLost(lost) => self.worker_lost(lost),
-            PlannerEvent::WorkerQuarantined(_)
+            PlannerEvent::PressureBegan(_)
+            | PlannerEvent::PressureEnded(_)
+            | PlannerEvent::WorkerQuarantined(_)
             | PlannerEvent::WorkerSilent(_)
             | PlannerEvent::WorkerAnswering(_)
             | PlannerEvent::WorkerDeparting(_)
--- a/crates/geraniumshed-core/src/assignment/evacuation.rs
+++ b/crates/geraniumshed-core/src/assignment/evacuation.rs
@@ -58,7 +58,14 @@
         if job.phase.is_final() || step.is_gang {
             return None;
         }
-        let rank = step_rank(job, policy, task.occurrence, task.step, now.unix_ms);
+        let rank = step_rank(
+            job,
+            policy,
+            task.occurrence,
+            task.step,
+            now.unix_ms,
+            &self.backlog,
+        );
         Some(DueEvacuation {
             step: ReadyStep {
                 rank,
--- a/crates/geraniumshed-core/src/assignment/event.rs
+++ b/crates/geraniumshed-core/src/assignment/event.rs
@@ -5,8 +5,11 @@
 use std::time::Duration;
 
 use super::placement_query::PlacementRefusal;
+use super::rank::StepClass;
 use super::worker_loss::WorkerRunLoss;
-use crate::job::{CrashHistory, JobId, JobPhase, QueueName, TaskKey, WorkerId};
+use crate::job::{
+    CrashHistory, JobId, JobPhase, QueueName, QueuePolicy, ServiceName, TaskKey, WorkerId,
+};
 use crate::worker::{EndKind, FenceToken, WorkerIncarnation, WorkerStanding, WorkerTime};
 
 /// A decision of the planner, with the inputs that led to it.
@@ -17,6 +20,10 @@
     /// Tasks of a step began to wait because no worker can take them. Counts the workers by the
     /// reason why they can't.
     StepWaiting(PlacementSummary, BTreeMap<PlacementRefusal, u32>),
+    /// Tasks of a service and a priority wait for capacity, which is divided among them from now on.
+    PressureBegan(PressureGroup),
+    /// Tasks of a service and a priority no longer wait for capacity.
+    PressureEnded(EndedPressure),
     /// A worker confirmed the start of a run.
     RunStarted(StartDelay),
     /// A renewal was sent to a worker with runs, this long after the answer to the previous one. Ends
@@ -71,6 +78,8 @@
     pub waiting: usize,
     /// The priority of the job's queue.
     pub priority: u32,
+    /// The class in which the step was placed.
+    pub class: StepClass,
     /// The time since the step could first start.
     pub ready_for: Duration,
     /// The time since the job was submitted.
@@ -80,6 +89,39 @@
     pub slack_ms: i64,
 }
 
+/// A service and a priority whose tasks compete for the same capacity.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct PressureGroup {
+    /// The priority of the queues.
+    pub priority: u32,
+    /// The service of the queues.
+    pub service: ServiceName,
+}
+
+impl PressureGroup {
+    /// Returns the group of a queue.
+    pub(super) fn of(policy: &QueuePolicy) -> Self {
+        Self {
+            priority: policy.priority,
+            service: policy.service.clone(),
+        }
+    }
+
+    /// Returns whether a queue is part of the group.
+    pub(super) fn is_of(&self, policy: &QueuePolicy) -> bool {
+        self.priority == policy.priority && self.service == policy.service
+    }
+}
+
+/// A wait for capacity that is over.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EndedPressure {
+    /// The service and the priority of the tasks.
+    pub group: PressureGroup,
+    /// How long tasks waited.
+    pub lasted: Duration,
+}
+
 /// How long the stages of a run's start took.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct StartDelay {
--- a/crates/geraniumshed-core/src/assignment/mod.rs
+++ b/crates/geraniumshed-core/src/assignment/mod.rs
@@ -6,11 +6,13 @@
 
 mod action;
 mod advice;
+mod backlog;
 mod change_tracker;
 mod crash_assessment;
 mod crash_ledger;
 mod evacuation;
 mod event;
+mod fair_share;
 mod gang;
 mod improvement_log;
 mod interference;
@@ -24,11 +26,13 @@
 mod placement_query;
 mod planner;
 mod planner_work;
+mod queue_load;
 mod rank;
 mod registry;
 mod renewal_queue;
 mod renewals;
 mod run_end;
+mod run_time;
 mod settings;
 mod silence_log;
 mod start_window;
@@ -37,6 +41,7 @@
 mod step_placement;
 mod step_search;
 mod supervision;
+mod timely_set;
 mod trial;
 mod unproved_loss;
 mod wait_ledger;
@@ -50,9 +55,10 @@
 
 pub use action::{CancelOutcome, JobStatus, PlannerAction, PlannerTime, StoreBatch, StoreChange};
 pub use event::{
-    AdoptedWorker, AnsweringWorker, DepartingWorker, JobSummary, LostRun, LostWorker, MissingRuns,
-    NewProcess, PlacementSummary, PlannerEvent, RestartSign, RestartedWorker, SilentWorker,
-    SkippedEnds, StartDelay, TaskTrial, UnexpectedRun, UnlistedEnds,
+    AdoptedWorker, AnsweringWorker, DepartingWorker, EndedPressure, JobSummary, LostRun,
+    LostWorker, MissingRuns, NewProcess, PlacementSummary, PlannerEvent, PressureGroup,
+    RestartSign, RestartedWorker, SilentWorker, SkippedEnds, StartDelay, TaskTrial, UnexpectedRun,
+    UnlistedEnds,
 };
 pub use interference::{
     InterferenceModel, InterferenceSnapshot, LoadShare, ServedImageRecord, SlopeRecord,
@@ -61,6 +67,7 @@
 pub use placement_query::PlacementRefusal;
 pub use planner::JobPlanner;
 pub use planner_work::PlannerWork;
+pub use rank::StepClass;
 pub use settings::PlannerSettings;
 pub use wait_ledger::{IdleRun, StepWait, WaitSnapshot, WorkerHold};
 pub use worker_loss::{RunStart, WorkerRunLoss};
--- a/crates/geraniumshed-core/src/assignment/placement_pass.rs
+++ b/crates/geraniumshed-core/src/assignment/placement_pass.rs
@@ -1,11 +1,11 @@
 //! Results that are shared between the steps of one placement pass.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use geraniumshed_model::prelude::ResourceSize;
 use smol_str::SmolStr;
 
-use crate::job::{ServiceName, StepRequest};
+use crate::job::{ServiceName, StepKey, StepRequest};
 
 /// Results that are shared between the steps of one placement pass.
 ///
@@ -18,6 +18,8 @@
     /// Whether any startable task was left out for want of starts.
     is_exhausted: bool,
     mostly_idle: BTreeMap<ServiceName, bool>,
+    /// The steps placed in several turns that found no worker for some task.
+    stuck: BTreeSet<StepKey>,
 }
 
 /// The requirements of a query that found no worker.
@@ -51,6 +53,16 @@
         self.remaining_starts = self.remaining_starts.saturating_sub(placed);
     }
 
+    /// Records that a step that is placed in several turns found no worker for some task.
+    pub(super) fn record_stuck(&mut self, step: StepKey) {
+        self.stuck.insert(step);
+    }
+
+    /// Returns whether an earlier turn of a step found no worker for some task.
+    pub(super) fn is_stuck(&self, step: StepKey) -> bool {
+        self.stuck.contains(&step)
+    }
+
     /// Returns whether any startable task was left out for want of starts.
     pub(super) fn is_exhausted(&self) -> bool {
         self.is_exhausted
--- a/crates/geraniumshed-core/src/assignment/planner.rs
+++ b/crates/geraniumshed-core/src/assignment/planner.rs
@@ -11,6 +11,7 @@
     CancelOutcome, JobStatus, PlannerAction, PlannerTime, StoreBatch, StoreChange,
 };
 use super::advice::AdviceTable;
+use super::backlog::Backlog;
 use super::change_tracker::ChangeTracker;
 use super::event::{JobSummary, PlannerEvent};
 use super::improvement_log::{FailedSearch, ImprovementLog};
@@ -55,6 +56,7 @@
     pub(super) jobs_to_begin: BTreeSet<JobId>,
     pub(super) workers: WorkerTable,
     pub(super) worker_index: WorkerIndex,
+    pub(super) backlog: Backlog,
     pub(super) renewal_queue: RenewalQueue,
     /// The workers with ends that wait to be stored.
     pub(super) storing_workers: BTreeSet<WorkerId>,
@@ -117,6 +119,7 @@
             jobs_to_begin: BTreeSet::new(),
             workers: WorkerTable::default(),
             worker_index: WorkerIndex::default(),
+            backlog: Backlog::default(),
             renewal_queue: RenewalQueue::default(),
             storing_workers: BTreeSet::new(),
             improvement_log: ImprovementLog::default(),
--- a/crates/geraniumshed-core/src/assignment/step_placement.rs
+++ b/crates/geraniumshed-core/src/assignment/step_placement.rs
@@ -53,8 +53,10 @@
         self.sync_resting_workers(now.point);
         self.release_stale_holds(now);
         self.work.passes += 1;
-        let mut steps = self.ready_steps(now);
+        self.update_backlog(now);
+        let steps = self.ready_steps(now);
         self.work.ready_steps += steps.len() as u64;
+        let mut steps = self.order_backlog(now, steps);
         steps.sort_unstable();
         let mut evacuations = self.due_evacuations(now);
         let unstored = self.change_tracker.deferred_count();
@@ -69,6 +71,7 @@
             self.place_step(now, step, &mut pass);
         }
         self.is_window_full = pass.is_exhausted();
+        self.finish_backlog_pass(now.point);
         for due in evacuations {
             self.evacuate(now, &due, &mut pass);
         }
@@ -91,10 +94,18 @@
             for occurrence in &job.occurrences {
                 let ready = ready_indices(job, occurrence, now.point);
                 steps.extend(ready.map(|step| ReadyStep {
-                    rank: step_rank(job, policy, occurrence.number, step, now.unix_ms),
+                    rank: step_rank(
+                        job,
+                        policy,
+                        occurrence.number,
+                        step,
+                        now.unix_ms,
+                        &self.backlog,
+                    ),
                     job: *id,
                     occurrence: occurrence.number,
                     step,
+                    max_tasks: u32::MAX,
                 }));
             }
             for ready in &steps[known..] {
@@ -119,8 +130,12 @@
         let Some(step) = request.steps.get(ready.step as usize) else {
             return;
         };
+        if pass.is_stuck(ready.into()) {
+            return;
+        }
         let mut keys = startable_keys(job, ready, now.point);
         if !step.is_gang {
+            keys.truncate(ready.max_tasks as usize);
             keys.truncate(pass.allow_starts(keys.len()));
         }
         if keys.is_empty() {
@@ -143,7 +158,15 @@
         self.work.pressure_forecasts += u64::from(has_forecast);
         if let Some(placed) = placed {
             pass.use_starts(placed);
-            self.report_placement(now, &startable, placed);
+            if placed < startable.keys.len() {
+                pass.record_stuck(ready.into());
+            }
+            self.record_backlog(now, &startable, placed);
+            // The last turn of a step reports its remaining tasks.
+            let has_further_turn = startable.keys.len() == ready.max_tasks as usize;
+            if !has_further_turn || placed < startable.keys.len() {
+                self.report_placement(now, &startable, placed);
+            }
         }
     }
 
@@ -219,6 +242,7 @@
             occurrence,
             step,
             rank,
+            ..
         } = startable.ready;
         let waiting = startable.keys.len() - placed;
         let Some(job) = self.jobs.get_mut(&id) else {
@@ -246,6 +270,7 @@
             placed,
             waiting,
             priority: rank.priority,
+            class: rank.class,
             ready_for: Duration::from_millis(ready_ms),
             age: Duration::from_millis(age_ms),
             slack_ms: rank.latest_start_unix_ms.cast_signed() - now.unix_ms.cast_signed(),
--- a/crates/geraniumshed-core/src/assignment/worker_replies.rs
+++ b/crates/geraniumshed-core/src/assignment/worker_replies.rs
@@ -16,8 +16,8 @@
 use super::worker_loss::LossCause;
 use crate::job::{JobEntry, JobId, TaskKey, WorkerId};
 use crate::worker::{
-    ProcessMatch, RenewReply, RunEntry, RunPhase, RunReport, SentRenewal, StartAnswer, StartReply,
-    WorkerCall, WorkerEntry, WorkerFailure,
+    EndKind, ProcessMatch, RenewReply, RunEntry, RunPhase, RunReport, SentRenewal, StartAnswer,
+    StartReply, WorkerCall, WorkerEntry, WorkerFailure,
 };
 
 impl JobPlanner {
@@ -318,6 +318,12 @@
             }
             entry.processed_end = end.number;
             let removed = entry.remove_run(end.task, end.run);
+            if let Some(run) = removed.as_ref().filter(|_| end.kind == EndKind::Done)
+                && let Some(job) = self.jobs.get(&end.task.job)
+            {
+                self.backlog
+                    .record_run_time(now.point, &job.request.queue, run);
+            }
             if let Some(run) = removed.filter(|run| run.is_best_effort) {
                 entry
                     .ended_loads
--- a/crates/geraniumshed-core/tests/planner/main.rs
+++ b/crates/geraniumshed-core/tests/planner/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the planner with simulated workers and a simulated store, without network or real time.
 
 mod adviser;
+mod backlog;
 mod builders;
 mod capacity;
 mod crashing_tasks;
