--- a/crates/geraniumshed-core/src/assignment/planner.rs
+++ b/crates/geraniumshed-core/src/assignment/planner.rs
@@ -11,6 +11,7 @@
     CancelOutcome, JobStatus, PlannerAction, PlannerTime, StoreBatch, StoreChange,
 };
 use super::advice::AdviceTable;
+use super::backlog::Backlog;
 use super::change_tracker::ChangeTracker;
 use super::event::{JobSummary, PlannerEvent};
 use super::improvement_log::{FailedSearch, ImprovementLog};
@@ -58,6 +59,7 @@
     pub(super) worker_index: WorkerIndex,
     /// The evacuated availability zones.
     pub(super) zones: ZoneLedger,
+    pub(super) backlog: Backlog,
     pub(super) renewal_queue: RenewalQueue,
     /// The workers with ends that wait to be stored.
     pub(super) storing_workers: BTreeSet<WorkerId>,
@@ -121,6 +123,7 @@
             workers: WorkerTable::default(),
             worker_index: WorkerIndex::default(),
             zones: ZoneLedger::default(),
+            backlog: Backlog::default(),
             renewal_queue: RenewalQueue::default(),
             storing_workers: BTreeSet::new(),
             improvement_log: ImprovementLog::default(),
