Avoid workers that run tasks slowly, and move runs that they hold up

Cause: what one task shows of a worker isn't taken into account for the next one, beyond quarantine. While an eighth of the workers is 8 times slow, nearly every step of ten tasks has one there and waits for it.

Change: a track record of each worker holds the speed of its runs relative to their peers and its incidents (failures by different jobs, lapsed leases, unanswered calls), aged within seconds. It is a penalty in the score of a placement, never a refusal. A run that is held up by a worker known to be slow is stopped and placed elsewhere if that is clearly sooner done, at most twice for a task, with a bounded number at a time, and only once enough other workers were found healthy since.

--- a/crates/geraniumshed-batch/src/telemetry/events.rs
+++ b/crates/geraniumshed-batch/src/telemetry/events.rs
@@ -5,7 +5,7 @@
 
 use geraniumshed_core::assignment::{
     AdoptedWorker, AnsweringWorker, DepartingWorker, JobSummary, LostRun, LostWorker, MissingRuns,
-    NewProcess, PlacementSummary, PlannerEvent, RestartSign, RestartedWorker, RunStart,
+    MovedRun, NewProcess, PlacementSummary, PlannerEvent, RestartSign, RestartedWorker, RunStart,
     SilentWorker, TaskTrial, UnexpectedRun,
 };
 use geraniumshed_core::job::CrashEvidence;
@@ -40,6 +40,19 @@
         PlannerEvent::WorkerQuarantined(worker) => {
             log::info!(worker:% = worker; "worker gets no tasks for a while, since it failed some");
         }
+        PlannerEvent::WorkerSlow(slow) => log::info!(
+            worker:% = slow.worker,
+            speed_percent = slow.speed_percent,
+            runs = slow.runs;
+            "worker is slow compared with others; gets tasks only if others have no room"
+        ),
+        PlannerEvent::WorkerUsual(usual) => log::info!(
+            worker:% = usual.worker,
+            slow_ms = whole_millis(usual.slow_for),
+            runs = usual.runs;
+            "worker isn't known to be slow any longer"
+        ),
+        PlannerEvent::RunMoved(moved) => log_moved_run(moved),
         PlannerEvent::WorkerSilent(silent) => log_silent_worker(silent),
         PlannerEvent::WorkerAnswering(answering) => log_answering_worker(answering),
         PlannerEvent::WorkerDeparting(departing) => log_departing_worker(departing),
@@ -101,6 +114,22 @@
     );
 }
 
+fn log_moved_run(moved: &MovedRun) {
+    log::info!(
+        job:% = moved.task.job,
+        task:% = moved.task,
+        run = moved.run,
+        worker:% = moved.worker,
+        target = moved.target.as_ref().map(|target| target.0.as_str()),
+        cause = moved.cause.name(),
+        percent = moved.percent,
+        speed_percent = moved.speed_percent,
+        here_ms = whole_millis(moved.here),
+        elsewhere_ms = whole_millis(moved.elsewhere);
+        "run is stopped to place its task on another worker"
+    );
+}
+
 fn log_lost_run(lost: &LostRun) {
     log::info!(
         job:% = lost.task.job,
--- a/crates/geraniumshed-batch/src/telemetry/metrics.rs
+++ b/crates/geraniumshed-batch/src/telemetry/metrics.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use geraniumshed_core::assignment::{JobSummary, LostWorker, PlannerEvent, PlannerWork};
+use geraniumshed_core::assignment::{JobSummary, LostWorker, MoveCause, PlannerEvent, PlannerWork};
 use geraniumshed_core::job::JobPhase;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue};
@@ -126,6 +126,10 @@
     pub(crate) crashing_tasks: Counter,
     /// The runs that ended without success.
     pub(crate) lost_runs: Family<ReasonLabels, Counter>,
+    /// The runs that were stopped to be placed on other workers.
+    pub(crate) moved_runs: Family<ReasonLabels, Counter>,
+    /// The times that a worker was found to be slow.
+    pub(crate) slow_workers: Counter,
     /// The runs and ends that workers listed although they weren't those of the newest known runs.
     pub(crate) unexpected_runs: Counter,
     /// The time for which the runs of lost workers waited to be given up.
@@ -182,6 +186,8 @@
             trial_runs: Counter::default(),
             crashing_tasks: Counter::default(),
             lost_runs: Family::default(),
+            moved_runs: Family::default(),
+            slow_workers: Counter::default(),
             unexpected_runs: Counter::default(),
             worker_loss_seconds: Histogram::new(LOSS_BOUNDS),
             ended_jobs: Family::default(),
@@ -219,6 +225,12 @@
         drop(self.appends.get_or_create(&OutcomeLabels { outcome }));
         let lost = ReasonLabels { reason: "failed" };
         drop(self.lost_runs.get_or_create(&lost));
+        for cause in [MoveCause::Slow, MoveCause::Leaving] {
+            let labels = ReasonLabels {
+                reason: cause.name(),
+            };
+            drop(self.moved_runs.get_or_create(&labels));
+        }
         let ended = EndLabels {
             phase: phase_name(JobPhase::Completed),
             in_time: "yes",
@@ -365,6 +377,16 @@
             "Runs that ended without success",
             self.lost_runs.clone(),
         );
+        registry.register(
+            "moved_runs",
+            "Runs that were stopped to be placed on other workers",
+            self.moved_runs.clone(),
+        );
+        registry.register(
+            "slow_workers",
+            "Times that a worker was found to be slow",
+            self.slow_workers.clone(),
+        );
         registry.register(
             "unexpected_runs",
             "Runs and ends that workers list, but that are not those of the newest runs of their tasks",
@@ -465,7 +487,17 @@
             }
             PlannerEvent::JobEnded(summary) => self.job_ended(summary),
             PlannerEvent::WorkerLost(lost) => self.worker_lost(lost),
+            PlannerEvent::RunMoved(moved) => {
+                let labels = ReasonLabels {
+                    reason: moved.cause.name(),
+                };
+                self.moved_runs.get_or_create(&labels).inc();
+            }
+            PlannerEvent::WorkerSlow(_) => {
+                self.slow_workers.inc();
+            }
             PlannerEvent::WorkerQuarantined(_)
+            | PlannerEvent::WorkerUsual(_)
             | PlannerEvent::WorkerSilent(_)
             | PlannerEvent::WorkerAnswering(_)
             | PlannerEvent::WorkerDeparting(_)
--- a/crates/geraniumshed-core/src/assignment/event.rs
+++ b/crates/geraniumshed-core/src/assignment/event.rs
@@ -30,6 +30,12 @@
     JobEnded(JobSummary),
     /// A worker is in quarantine and gets no new tasks for a while.
     WorkerQuarantined(WorkerId),
+    /// A worker is slow, and gets new tasks only if others have no capacity.
+    WorkerSlow(SlowWorker),
+    /// A worker isn't known to be slow any longer.
+    WorkerUsual(UsualWorker),
+    /// A run is being stopped, so that its task is placed on another worker.
+    RunMoved(MovedRun),
     /// A worker with runs left a call unanswered for the first time since its last answer.
     WorkerSilent(SilentWorker),
     /// A worker that was silent answered a renewal.
@@ -91,6 +97,70 @@
     pub confirmed: Duration,
 }
 
+/// A worker whose runs are slow compared with their peers.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SlowWorker {
+    /// The worker.
+    pub worker: WorkerId,
+    /// Its speed relative to the peers of its runs, in percent.
+    pub speed_percent: u32,
+    /// The number of its runs.
+    pub runs: usize,
+}
+
+/// A worker that isn't known to be slow any longer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct UsualWorker {
+    /// The worker.
+    pub worker: WorkerId,
+    /// The time for which it counted as slow.
+    pub slow_for: Duration,
+    /// The number of its runs.
+    pub runs: usize,
+}
+
+/// Why a run is moved to another worker.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum MoveCause {
+    /// Its worker is slow.
+    Slow,
+    /// Its worker leaves before the run can end.
+    Leaving,
+}
+
+impl MoveCause {
+    /// Returns the name of the cause in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Slow => "slow",
+            Self::Leaving => "leaving",
+        }
+    }
+}
+
+/// A run that is being stopped, so that its task is placed on another worker.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct MovedRun {
+    /// The task.
+    pub task: TaskKey,
+    /// The number of the run.
+    pub run: u32,
+    /// The worker of the run.
+    pub worker: WorkerId,
+    /// The worker that had room for the task.
+    pub target: Option<WorkerId>,
+    /// Why the run is moved.
+    pub cause: MoveCause,
+    /// The progress of the run, in percent.
+    pub percent: u32,
+    /// The speed of the run relative to its peers, in percent, if it was observed.
+    pub speed_percent: Option<u32>,
+    /// The time that the run would still take.
+    pub here: Duration,
+    /// The time that the task takes elsewhere, with the stop.
+    pub elsewhere: Duration,
+}
+
 /// How a worker was seen to have a later process than the known one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RestartSign {
--- a/crates/geraniumshed-core/src/assignment/mod.rs
+++ b/crates/geraniumshed-core/src/assignment/mod.rs
@@ -20,6 +20,7 @@
 mod model_schedule;
 mod order_permit;
 mod pacing;
+mod peer_speeds;
 mod placement_pass;
 mod placement_query;
 mod planner;
@@ -36,6 +37,7 @@
 mod step_candidates;
 mod step_placement;
 mod step_search;
+mod stragglers;
 mod supervision;
 mod trial;
 mod unproved_loss;
@@ -47,12 +49,14 @@
 mod worker_replies;
 mod worker_restart;
 mod worker_search;
+mod worker_speed;
 
 pub use action::{CancelOutcome, JobStatus, PlannerAction, PlannerTime, StoreBatch, StoreChange};
 pub use event::{
     AdoptedWorker, AnsweringWorker, DepartingWorker, JobSummary, LostRun, LostWorker, MissingRuns,
-    NewProcess, PlacementSummary, PlannerEvent, RestartSign, RestartedWorker, SilentWorker,
-    SkippedEnds, StartDelay, TaskTrial, UnexpectedRun, UnlistedEnds,
+    MoveCause, MovedRun, NewProcess, PlacementSummary, PlannerEvent, RestartSign, RestartedWorker,
+    SilentWorker, SkippedEnds, SlowWorker, StartDelay, TaskTrial, UnexpectedRun, UnlistedEnds,
+    UsualWorker,
 };
 pub use interference::{
     InterferenceModel, InterferenceSnapshot, LoadShare, ServedImageRecord, SlopeRecord,
--- a/crates/geraniumshed-core/src/assignment/pacing.rs
+++ b/crates/geraniumshed-core/src/assignment/pacing.rs
@@ -24,7 +24,7 @@
 /// The change of load, in processors, up to which it is ignored.
 const MIN_LOAD_CHANGE: f64 = 0.01;
 /// The delay until a change of speed takes effect.
-const PACE_DELAY: Duration = Duration::from_millis(100);
+pub(super) const PACE_DELAY: Duration = Duration::from_millis(100);
 /// The time above a target after which all best-effort runs on the worker are suspended.
 const SUSPEND_AFTER: Duration = Duration::from_millis(1300);
 /// The time after a run's start during which its tail latency is ignored, since it is due to the
--- a/crates/geraniumshed-core/src/assignment/placement_query.rs
+++ b/crates/geraniumshed-core/src/assignment/placement_query.rs
@@ -15,7 +15,7 @@
 use super::interference::InterferenceModel;
 use super::pacing::NEGLIGIBLE_PRESSURE;
 use crate::job::{ServiceName, StepRequest, TaskKey, WorkerId};
-use crate::worker::WorkerEntry;
+use crate::worker::{RunEntry, WorkerEntry};
 
 /// The score, in thousandths of a processor, for a worker in the preferred rack.
 const RACK_BONUS: f64 = 64_000.0;
@@ -54,6 +54,10 @@
 /// The penalty, in thousandths of a processor, for a worker that serves another image than that of
 /// a task with a latency target.
 const OTHER_IMAGE_PENALTY: f64 = 120_000.0;
+/// The factor of the penalty for a bad track record for a long-running task.
+const LONG_RUNNING_TRACK_FACTOR: f64 = 2.0;
+/// The same for a best-effort task.
+const BEST_EFFORT_TRACK_FACTOR: f64 = 0.5;
 
 /// Why a worker can't take a task.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -312,7 +316,22 @@
         if self.is_trial {
             score -= self.trial_penalty(worker);
         }
-        score
+        score - self.track_penalty(worker)
+    }
+
+    /// Returns the penalty of a worker for its track record. It is higher for a long-running task, which
+    /// stays there, and lower for best-effort work, which can wait.
+    fn track_penalty(&self, worker: &WorkerEntry) -> f64 {
+        let is_untested = |run: &&RunEntry| !run.is_long_running && run.progress.speed.is_none();
+        let untested = || worker.runs.values().filter(is_untested).count();
+        let factor = if self.step.is_long_running {
+            LONG_RUNNING_TRACK_FACTOR
+        } else if self.step.is_best_effort {
+            BEST_EFFORT_TRACK_FACTOR
+        } else {
+            1.0
+        };
+        worker.track.penalty(self.now, untested) * factor
     }
 
     /// Returns the penalty of a worker for a trial, which takes down with it all other runs if the task
--- a/crates/geraniumshed-core/src/assignment/planner.rs
+++ b/crates/geraniumshed-core/src/assignment/planner.rs
@@ -18,15 +18,18 @@
 use super::lease_ledger::LeaseLedger;
 use super::model_schedule::ModelSchedule;
 use super::order_permit::OrderPermit;
+use super::peer_speeds::PeerSpeeds;
 use super::planner_work::PlannerWork;
 use super::rank::allowed_time;
 use super::renewal_queue::RenewalQueue;
 use super::settings::PlannerSettings;
 use super::silence_log::SilenceLog;
 use super::start_window::StartWindow;
+use super::stragglers::ActiveMove;
 use super::unproved_loss::UnprovedLosses;
 use super::wait_ledger::WaitLedger;
 use super::worker_index::WorkerIndex;
+use super::worker_speed::FleetAssessment;
 use crate::job::{
     JobEntry, JobId, JobPhase, JobRequest, QueueName, QueuePolicy, QueueTable, StepKey, StoredJob,
     TaskKey, TaskPhase, WorkerId,
@@ -72,6 +75,10 @@
     pub(super) silence_log: SilenceLog,
     pub(super) unproved_losses: UnprovedLosses,
     pub(super) interference: InterferenceModel,
+    pub(super) peer_speeds: PeerSpeeds,
+    pub(super) fleet: FleetAssessment,
+    /// The runs that are being stopped to be moved to other workers.
+    pub(super) active_moves: Vec<ActiveMove>,
     pub(super) advice: AdviceTable,
     pub(super) actions: Vec<PlannerAction>,
     /// The work done so far.
@@ -129,6 +136,9 @@
             silence_log: SilenceLog::default(),
             unproved_losses: UnprovedLosses::default(),
             interference: InterferenceModel::default(),
+            peer_speeds: PeerSpeeds::default(),
+            fleet: FleetAssessment::default(),
+            active_moves: Vec::new(),
             advice: AdviceTable::default(),
             actions: Vec::new(),
             work: PlannerWork::default(),
@@ -335,6 +345,7 @@
             self.next_watch = now.point + WATCH_INTERVAL;
             self.release_expired_workers(now);
             self.watch_runs(now);
+            self.assess_fleet(now);
             self.assess_silent_workers(now.point);
             self.watch_leases(now.point);
             self.watch_waits(now.point);
@@ -382,6 +393,7 @@
         self.jobs_to_begin.remove(&id);
         self.failed_searches.retain(|step, _| step.job != id);
         self.advice.forget(id);
+        self.peer_speeds.forget(id);
         self.change_tracker.mark_changed(id);
         let policy = self.queues.policy(&job.request.queue);
         let since_submission = |unix_ms: u64| {
--- a/crates/geraniumshed-core/src/assignment/renewals.rs
+++ b/crates/geraniumshed-core/src/assignment/renewals.rs
@@ -84,7 +84,7 @@
                 || self.is_handing_over;
             let wait = if is_immediate {
                 Duration::ZERO
-            } else if entry.has_interference() || entry.trial.is_some() {
+            } else if entry.has_interference() || entry.trial.is_some() || entry.needs_readings() {
                 self.settings.latency_renewal_wait
             } else {
                 self.settings.renewal_wait
@@ -135,13 +135,18 @@
     }
 
     /// Makes a renewal due at a time, although the worker may still hold back an earlier one, because
-    /// a best-effort run has come beside runs with a latency target.
-    pub(super) fn read_tails_soon(&mut self, due: TimePoint) {
+    /// a run has come whose effects or speed have to be known soon.
+    pub(super) fn read_soon(&mut self, due: TimePoint) {
         if self.unanswered_calls == 0 && self.renewal.take().is_some() {
             self.next_renewal_at = due;
         }
     }
 
+    /// Returns whether the worker's runs have to be observed closely, since it is slow or about to leave.
+    fn needs_readings(&self) -> bool {
+        !self.runs.is_empty() && (self.track.is_slow() || self.listing.is_draining)
+    }
+
     fn has_unsettled(&self) -> bool {
         self.runs
             .values()
--- a/crates/geraniumshed-core/src/assignment/run_end.rs
+++ b/crates/geraniumshed-core/src/assignment/run_end.rs
@@ -224,8 +224,11 @@
 
     /// Records a failed or stalled run of a worker, which may put the worker into quarantine.
     pub(super) fn record_worker_failure(&mut self, now: TimePoint, worker: &WorkerId, job: JobId) {
-        let entry = self.workers.get_mut(worker);
-        if entry.is_some_and(|entry| entry.quarantine.record_failure(job, now)) {
+        let Some(entry) = self.workers.get_mut(worker) else {
+            return;
+        };
+        entry.track.record_failure(now, job);
+        if entry.quarantine.record_failure(job, now) {
             self.emit(PlannerEvent::WorkerQuarantined(worker.clone()));
         }
     }
--- a/crates/geraniumshed-core/src/assignment/starting.rs
+++ b/crates/geraniumshed-core/src/assignment/starting.rs
@@ -9,7 +9,7 @@
 use super::placement_query::StepPermission;
 use super::planner::JobPlanner;
 use crate::job::{StepRequest, TaskKey, TaskPhase, WorkerId};
-use crate::worker::{FULL_PERCENT, RunEntry, RunPhase, StartOrder, WorkerCall};
+use crate::worker::{FULL_PERCENT, RunEntry, RunPhase, RunProgress, StartOrder, WorkerCall};
 
 impl JobPlanner {
     /// Places a task on a worker as its next run.
@@ -41,7 +41,10 @@
             let had_interference = entry.has_interference();
             entry.add_run(key, run_entry(step, run, RunPhase::Storing, now));
             if entry.has_interference() && !had_interference {
-                entry.read_tails_soon(now + reading_wait);
+                entry.read_soon(now + reading_wait);
+            } else if self.fleet.has_slow_workers && step.can_be_moved() {
+                // While some workers are slow, it has to be known soon whether this one is.
+                entry.read_soon(now + reading_wait);
             }
         }
         if is_trial {
@@ -162,5 +165,6 @@
         progressed_at: now,
         earlier_idle_time: Duration::ZERO,
         stop_sent_at: None,
+        progress: RunProgress::default(),
     }
 }
--- a/crates/geraniumshed-core/src/assignment/step_placement.rs
+++ b/crates/geraniumshed-core/src/assignment/step_placement.rs
@@ -263,23 +263,18 @@
         }
     }
 
-    /// Returns whether a run should move because another worker offers it enough speed.
-    pub(super) fn has_faster_worker(
+    /// Returns the worker to which a run should move because it offers enough speed, if there is one.
+    pub(super) fn faster_worker(
         &self,
         now: TimePoint,
         key: TaskKey,
         current: &WorkerId,
-    ) -> bool {
-        let Some(job) = self.jobs.get(&key.job) else {
-            return false;
-        };
-        let policy = self.queues.policy(&job.request.queue);
-        let step = job.request.steps.get(key.step as usize);
-        let (Some(policy), Some(step)) = (policy, step) else {
-            return false;
-        };
+    ) -> Option<WorkerId> {
+        let job = self.jobs.get(&key.job)?;
+        let policy = self.queues.policy(&job.request.queue)?;
+        let step = job.request.steps.get(key.step as usize)?;
         if step.is_gang {
-            return false;
+            return None;
         }
         let startable = StartableStep {
             ready: ReadyStep::unranked(key),
@@ -290,7 +285,7 @@
             pressures: OnceCell::new(),
         };
         let chosen = self.choose_worker(now, &startable, key, None);
-        chosen.is_some_and(|worker| worker != *current)
+        chosen.filter(|worker| worker != current)
     }
 
     /// Creates the query for a worker for a task.
--- a/crates/geraniumshed-core/src/assignment/worker_events.rs
+++ b/crates/geraniumshed-core/src/assignment/worker_events.rs
@@ -18,6 +18,9 @@
         let Some(entry) = self.workers.get_mut(worker) else {
             return;
         };
+        if entry.unanswered_calls == 1 {
+            entry.track.record_lost_contact(now);
+        }
         if entry.unanswered_calls == 1 && entry.contact.heard_at.is_some() {
             let starting = entry.runs.iter().filter(|(_, run)| run.is_starting(now));
             self.silence_log.record(Silence {
--- a/crates/geraniumshed-core/src/assignment/worker_replies.rs
+++ b/crates/geraniumshed-core/src/assignment/worker_replies.rs
@@ -14,10 +14,10 @@
 use super::run_end::RunEndCause;
 use super::supervision::WHOLE_PERCENT;
 use super::worker_loss::LossCause;
-use crate::job::{JobEntry, JobId, TaskKey, WorkerId};
+use crate::job::{JobEntry, JobId, TaskEntry, TaskKey, WorkerId};
 use crate::worker::{
-    ProcessMatch, RenewReply, RunEntry, RunPhase, RunReport, SentRenewal, StartAnswer, StartReply,
-    WorkerCall, WorkerEntry, WorkerFailure,
+    EndKind, ProcessMatch, ProgressMark, RenewReply, RunEntry, RunPhase, RunReport, SentRenewal,
+    StartAnswer, StartReply, WorkerCall, WorkerEntry, WorkerFailure,
 };
 
 impl JobPlanner {
@@ -90,8 +90,11 @@
         task: TaskKey,
         matched: ProcessMatch,
     ) {
-        let entry = self.workers.get_mut(worker);
-        let Some(run) = entry.and_then(|entry| entry.runs.get_mut(&task)) else {
+        let Some(entry) = self.workers.get_mut(worker) else {
+            return;
+        };
+        let entry_clock = entry.clock.map(|clock| clock.earliest(now));
+        let Some(run) = entry.runs.get_mut(&task) else {
             return;
         };
         if matched == ProcessMatch::Later {
@@ -100,6 +103,13 @@
         run.phase = RunPhase::Running(now);
         run.is_in_known_process = matched == ProcessMatch::Known;
         run.progressed_at = now;
+        // A run with a checkpoint begins at a progress that its first report shows.
+        let begins_anew = job_task(&self.jobs, task).is_some_and(|one| one.checkpoint.is_none());
+        run.progress.mark = begins_anew.then_some(ProgressMark {
+            percent: 0,
+            at: now,
+            clock: entry_clock,
+        });
         let stops = run.is_stopping();
         let (placed_at, ordered_at) = (run.placed_at, run.ordered_at);
         self.report_start(now, task, placed_at, ordered_at);
@@ -245,6 +255,8 @@
             self.delay_renewal(now.point, worker);
         }
         self.adjust_pace(now.point, worker);
+        self.observe_runs(now.point, worker, reply.clock);
+        self.move_stragglers(now, worker);
     }
 
     /// Handles a renewal that failed or got an unusable reply.
@@ -318,10 +330,17 @@
             }
             entry.processed_end = end.number;
             let removed = entry.remove_run(end.task, end.run);
-            if let Some(run) = removed.filter(|run| run.is_best_effort) {
+            if let Some(run) = removed.as_ref().filter(|run| run.is_best_effort) {
                 entry
                     .ended_loads
-                    .push((recent_share(&run, now.point), now.point));
+                    .push((recent_share(run, now.point), now.point));
+            }
+            match (end.kind, removed) {
+                (EndKind::Done, Some(run)) => {
+                    self.observe_success(now.point, worker, end.task, &run);
+                }
+                (EndKind::Lapsed, Some(_)) => entry.track.record_lost_contact(now.point),
+                _ => {}
             }
             let outcome = RunEndCause::Ended(end.kind);
             let checkpoint = end.checkpoint.clone();
@@ -475,13 +494,18 @@
             self.sync_workers(now);
         }
         for key in plan.moves {
-            if self.has_faster_worker(now, key, worker) {
+            if self.faster_worker(now, key, worker).is_some() {
                 self.stop_run(now, worker, key);
             }
         }
     }
 }
 
+/// Returns a task of a known job.
+fn job_task(jobs: &BTreeMap<JobId, JobEntry>, task: TaskKey) -> Option<&TaskEntry> {
+    jobs.get(&task.job)?.task(task)
+}
+
 /// Updates a run by its worker's report. Returns whether it is the current run of its task there and
 /// its job hasn't ended.
 fn update_run(
--- a/crates/geraniumshed-core/src/job/request.rs
+++ b/crates/geraniumshed-core/src/job/request.rs
@@ -74,6 +74,12 @@
 }
 
 impl StepRequest {
+    /// Returns whether a task that is held up by its worker may be stopped and placed elsewhere at any
+    /// time.
+    pub fn can_be_moved(&self) -> bool {
+        !self.is_long_running && !self.is_gang && !self.is_best_effort
+    }
+
     /// Returns the resources that one task reserves on its worker. Best-effort tasks reserve no
     /// processor time.
     pub fn reserved_size(&self) -> ResourceSize {
--- a/crates/geraniumshed-core/src/worker/entry.rs
+++ b/crates/geraniumshed-core/src/worker/entry.rs
@@ -14,6 +14,7 @@
 use super::message::FenceToken;
 use super::quarantine::WorkerQuarantine;
 use super::run::{RunEntry, RunPhase};
+use super::track_record::TrackRecord;
 use crate::assignment::LoadShare;
 use crate::job::{TaskKey, WorkerId};
 
@@ -112,6 +113,8 @@
     took_tasks: bool,
     /// Keeps new tasks away from the worker after failures.
     pub quarantine: WorkerQuarantine,
+    /// The observed speed and incidents.
+    pub track: TrackRecord,
     /// The long-running task that the worker is kept free for.
     pub held_for: Option<TaskKey>,
     /// The task on trial. The worker takes no other tasks meanwhile.
@@ -164,6 +167,7 @@
             has_freed_capacity: false,
             took_tasks: false,
             quarantine: WorkerQuarantine::default(),
+            track: TrackRecord::default(),
             held_for: None,
             trial: None,
             is_assessed: false,
@@ -377,6 +381,7 @@
         self.processed_end = 0;
         self.storing_ends.clear();
         self.quarantine = WorkerQuarantine::default();
+        self.track = TrackRecord::default();
         self.is_assessed = false;
         self.reserved = ResourceSize::default();
         self.load = WorkerLoad::default();
--- a/crates/geraniumshed-core/src/worker/mod.rs
+++ b/crates/geraniumshed-core/src/worker/mod.rs
@@ -1,4 +1,5 @@
-//! Workers: their clocks and leases, their runs, and their quarantine after failures.
+//! Workers: their clocks and leases, their runs, their track records, and their quarantine after
+//! failures.
 
 mod clock;
 mod contact;
@@ -7,9 +8,11 @@
 mod load;
 mod message;
 mod process;
+mod progress;
 mod quarantine;
 mod run;
 mod table;
+mod track_record;
 
 pub use clock::{WorkerClock, WorkerTime};
 pub use contact::{WorkerContact, WorkerStanding};
@@ -21,6 +24,8 @@
     RunReport, StartAnswer, StartOrder, StartReply, StopOrder, WorkerCall, WorkerFailure,
 };
 pub use process::ProcessMatch;
+pub use progress::{ProgressMark, RunProgress, RunSpeed};
 pub use quarantine::WorkerQuarantine;
 pub use run::{FULL_PERCENT, RunEntry, RunPhase};
 pub use table::WorkerTable;
+pub use track_record::{RecordCredence, SLOW_SPEED, SpeedChange, TrackRecord};
--- a/crates/geraniumshed-core/src/worker/run.rs
+++ b/crates/geraniumshed-core/src/worker/run.rs
@@ -6,6 +6,7 @@
 use smol_str::SmolStr;
 
 use super::message::FenceToken;
+use super::progress::RunProgress;
 
 /// The full speed, in percent.
 pub const FULL_PERCENT: u32 = 100;
@@ -80,6 +81,8 @@
     pub earlier_idle_time: Duration,
     /// When the last order to stop the run was sent.
     pub stop_sent_at: Option<TimePoint>,
+    /// The observed speed.
+    pub progress: RunProgress,
 }
 
 impl RunEntry {
--- a/crates/geraniumshed-core/tests/planner/main.rs
+++ b/crates/geraniumshed-core/tests/planner/main.rs
@@ -18,6 +18,7 @@
 mod rules;
 mod silent_workers;
 mod simulation;
+mod slow_workers;
 mod succession;
 mod takeover;
 mod trials;
--- a/crates/geraniumshed-core/tests/planner/simulation.rs
+++ b/crates/geraniumshed-core/tests/planner/simulation.rs
@@ -12,6 +12,8 @@
 use geraniumshed_model::prelude::{ResourceSize, TimePoint};
 use smol_str::SmolStr;
 
+use crate::fixture::STEP;
+
 /// The system time at the start of a test, when the first processes start, in milliseconds of Unix time.
 pub const START_UNIX_MS: u64 = 1_700_000_000_000;
 
@@ -34,6 +36,10 @@
     pub stalls: bool,
     /// The best-effort tasks on the worker make no progress.
     pub stalls_best_effort: bool,
+    /// The factor by which the tasks on the worker take longer, or 0 for none.
+    pub slowness: u32,
+    /// The worker holds renewals back until a run ends, or for as long as it may.
+    pub polls: bool,
     /// Runs end this long after the order to stop them.
     pub stop_delay: Duration,
     /// Runs end this long after the lease has expired.
@@ -46,11 +52,18 @@
     pub run: u32,
     pub started_at: TimePoint,
     pub length: Duration,
+    /// The time that the run has lost because it was slowed down.
+    pub lost: Duration,
     /// The pressure on the run in each time step of the measurement window of tail latencies.
     pub pressures: VecDeque<f64>,
 }
 
 impl SimulatedRun {
+    /// Returns the time that the run would have taken at full speed for what it has done.
+    pub fn done(&self, now: TimePoint) -> Duration {
+        now.since(self.started_at).saturating_sub(self.lost)
+    }
+
     /// Returns the tail latency that the run reports.
     fn tail(&self) -> Duration {
         let count = self.pressures.len().max(1);
@@ -157,6 +170,15 @@
         }
     }
 
+    /// Takes the worker's slowness into account for a time step.
+    pub fn slow_down(&mut self) {
+        if self.fault.slowness > 0 {
+            for run in self.runs.values_mut() {
+                run.lost += STEP.saturating_sub(STEP / self.fault.slowness);
+            }
+        }
+    }
+
     /// Ends a run, if the worker has it.
     pub fn end(&mut self, task: TaskKey, kind: EndKind) {
         let Some(run) = self.runs.remove(&task) else {
@@ -193,7 +215,7 @@
     /// Returns the reports of a worker's runs.
     pub fn reports(&self, worker: &SimulatedWorker, now: TimePoint) -> Vec<RunReport> {
         let report = |(task, run): (&TaskKey, &SimulatedRun)| {
-            let done = now.since(run.started_at).as_millis() * 100 / run.length.as_millis().max(1);
+            let done = run.done(now).as_millis() * 100 / run.length.as_millis().max(1);
             let fault = worker.fault;
             let is_best_effort = self.step(task).is_best_effort;
             let percent = if fault.stalls || fault.stalls_best_effort && is_best_effort {
--- a/crates/geraniumshed-core/tests/worker_load.rs
+++ b/crates/geraniumshed-core/tests/worker_load.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use geraniumshed_core::worker::{RunEntry, RunPhase, WorkerLoad};
+use geraniumshed_core::worker::{RunEntry, RunPhase, RunProgress, WorkerLoad};
 use geraniumshed_model::prelude::{ProcessorShare, ResourceSize, TimePoint};
 use rstest::rstest;
 
@@ -41,6 +41,7 @@
         progressed_at: TimePoint::default(),
         earlier_idle_time: Duration::ZERO,
         stop_sent_at: None,
+        progress: RunProgress::default(),
     }
 }
 
