Move short runs from workers that leave before the runs can end

Cause: a worker that leaves exits with all its runs and reports no ends. Long-running tasks are moved away before; all other tasks wait until the lease of the gone worker has expired.

Change: a run that can't end before its worker leaves is stopped and placed elsewhere. When the worker leaves is told by the registration (remainingMs, if there), or learned from the exits of earlier workers. Without either, 2 s are assumed, and only runs with checkpoints are moved, since a worker that drains may as well stay until its runs have ended.

Measured, in the planner's simulation: a run of 5 s, 1 s old, on a worker that leaves in 2 s runs elsewhere before the exit; one that ends in time is left alone.

--- a/crates/geraniumshed-batch/tests/nodes/support/worker.rs
+++ b/crates/geraniumshed-batch/tests/nodes/support/worker.rs
@@ -26,6 +26,7 @@
         labels: Vec::new(),
         rack: None,
         is_draining: false,
+        leaves_in: None,
     }
 }
 
--- a/crates/geraniumshed-core/src/assignment/evacuation.rs
+++ b/crates/geraniumshed-core/src/assignment/evacuation.rs
@@ -184,7 +184,7 @@
 
 impl WorkerEntry {
     /// Returns whether the worker is about to leave and answers calls.
-    fn can_be_evacuated(&self) -> bool {
+    pub(super) fn can_be_evacuated(&self) -> bool {
         self.listing.is_draining && self.is_answering()
     }
 
--- a/crates/geraniumshed-core/src/assignment/mod.rs
+++ b/crates/geraniumshed-core/src/assignment/mod.rs
@@ -9,6 +9,7 @@
 mod change_tracker;
 mod crash_assessment;
 mod crash_ledger;
+mod departing_runs;
 mod evacuation;
 mod event;
 mod gang;
--- a/crates/geraniumshed-core/src/assignment/planner.rs
+++ b/crates/geraniumshed-core/src/assignment/planner.rs
@@ -12,6 +12,7 @@
 };
 use super::advice::AdviceTable;
 use super::change_tracker::ChangeTracker;
+use super::departing_runs::NoticeHabit;
 use super::event::{JobSummary, PlannerEvent};
 use super::improvement_log::{FailedSearch, ImprovementLog};
 use super::interference::{InterferenceModel, InterferenceSnapshot};
@@ -77,6 +78,7 @@
     pub(super) interference: InterferenceModel,
     pub(super) peer_speeds: PeerSpeeds,
     pub(super) fleet: FleetAssessment,
+    pub(super) notice_habit: NoticeHabit,
     /// The runs that are being stopped to be moved to other workers.
     pub(super) active_moves: Vec<ActiveMove>,
     pub(super) advice: AdviceTable,
@@ -138,6 +140,7 @@
             interference: InterferenceModel::default(),
             peer_speeds: PeerSpeeds::default(),
             fleet: FleetAssessment::default(),
+            notice_habit: NoticeHabit::default(),
             active_moves: Vec::new(),
             advice: AdviceTable::default(),
             actions: Vec::new(),
@@ -346,6 +349,7 @@
             self.release_expired_workers(now);
             self.watch_runs(now);
             self.assess_fleet(now);
+            self.move_departing_runs(now);
             self.assess_silent_workers(now.point);
             self.watch_leases(now.point);
             self.watch_waits(now.point);
--- a/crates/geraniumshed-core/src/assignment/registry.rs
+++ b/crates/geraniumshed-core/src/assignment/registry.rs
@@ -20,7 +20,9 @@
             entry.is_listed = listed.contains(entry.id());
         }
         for listing in listings {
+            let id = listing.id.clone();
             self.upsert_worker(now, listing);
+            self.update_notice(now.point, &id);
         }
         self.has_listing = true;
         self.report_departures(now.point);
@@ -34,9 +36,11 @@
                 WorkerChange::Listed(listing) => {
                     let id = listing.id.clone();
                     self.upsert_worker(now, listing);
+                    self.update_notice(now.point, &id);
                     self.report_departure(now.point, &id);
                 }
                 WorkerChange::Gone(id) => {
+                    self.learn_notice(now.point, &id);
                     if let Some(entry) = self.workers.get_mut(&id) {
                         entry.is_listed = false;
                     }
@@ -110,6 +114,7 @@
         labels: Vec::new(),
         rack: None,
         is_draining: false,
+        leaves_in: None,
     };
     let mut entry = WorkerEntry::new(listing, token, lease_expires_at);
     entry.is_listed = false;
--- a/crates/geraniumshed-core/src/assignment/worker_events.rs
+++ b/crates/geraniumshed-core/src/assignment/worker_events.rs
@@ -20,7 +20,11 @@
         };
         if entry.unanswered_calls == 1 {
             entry.track.record_lost_contact(now);
+            self.learn_notice(now, worker);
         }
+        let Some(entry) = self.workers.get_mut(worker) else {
+            return;
+        };
         if entry.unanswered_calls == 1 && entry.contact.heard_at.is_some() {
             let starting = entry.runs.iter().filter(|(_, run)| run.is_starting(now));
             self.silence_log.record(Silence {
--- a/crates/geraniumshed-core/src/worker/entry.rs
+++ b/crates/geraniumshed-core/src/worker/entry.rs
@@ -123,6 +123,10 @@
     pub is_assessed: bool,
     /// When the worker's process became known.
     pub up_since: TimePoint,
+    /// When the worker was first seen to be about to leave.
+    pub notice_at: Option<TimePoint>,
+    /// When the worker leaves, as far as is known.
+    pub leaves_at: Option<TimePoint>,
     /// When the worker was heard and went silent.
     pub contact: WorkerContact,
     /// Whether the table of workers has noted that the worker may have changed.
@@ -172,6 +176,8 @@
             trial: None,
             is_assessed: false,
             up_since: TimePoint::default(),
+            notice_at: None,
+            leaves_at: None,
             contact: WorkerContact::default(),
             has_noted_change: false,
         }
--- a/crates/geraniumshed-core/src/worker/listing.rs
+++ b/crates/geraniumshed-core/src/worker/listing.rs
@@ -1,6 +1,7 @@
 //! Workers as they register themselves with the platform.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use geraniumshed_model::prelude::ResourceSize;
 use smol_str::SmolStr;
@@ -43,4 +44,6 @@
     pub rack: Option<SmolStr>,
     /// Whether the worker is about to shut down and should get no new tasks.
     pub is_draining: bool,
+    /// The time until the worker exits, if it is about to shut down and has told.
+    pub leaves_in: Option<Duration>,
 }
--- a/crates/geraniumshed-core/src/worker/run.rs
+++ b/crates/geraniumshed-core/src/worker/run.rs
@@ -91,6 +91,14 @@
         self.stop_sent_at.is_some()
     }
 
+    /// Returns when the worker confirmed the run, if it has.
+    pub fn started_at(&self) -> Option<TimePoint> {
+        match self.phase {
+            RunPhase::Running(since) => Some(since),
+            RunPhase::Storing | RunPhase::Ordered(_) | RunPhase::Unsettled(_) => None,
+        }
+    }
+
     /// Returns the number of processors that the run requests, as a fraction.
     pub fn whole_processors(&self) -> f64 {
         f64::from(self.processors.0) / 1000.0
--- a/crates/geraniumshed-core/tests/planner/slow_workers.rs
+++ b/crates/geraniumshed-core/tests/planner/slow_workers.rs
@@ -3,10 +3,12 @@
 use std::time::Duration;
 
 use geraniumshed_core::assignment::{MovedRun, PlannerEvent};
-use geraniumshed_core::job::{JobId, StepRequest};
+use geraniumshed_core::job::{JobId, JobPhase, StepRequest, WorkerId};
+use geraniumshed_core::worker::WorkerChange;
 use geraniumshed_model::prelude::TimePoint;
+use rstest::rstest;
 
-use crate::builders::{size, step, worker};
+use crate::builders::{size, step, task, worker};
 use crate::fixture::Cluster;
 
 /// The factor by which tasks on a slow worker take longer.
@@ -164,3 +166,95 @@
     assert!(spell.count() <= 10);
     assert!(after.count() >= 5);
 }
+
+/// Returns a step of one task that takes some seconds.
+fn longer_step(seconds: u64, has_checkpoints: bool) -> StepRequest {
+    StepRequest {
+        estimate: Duration::from_secs(seconds),
+        has_checkpoints,
+        ..step(1)
+    }
+}
+
+/// Load: a run that takes longer than its worker stays. Failure: the worker leaves at a notice of 2 s.
+/// Guards against a task that waits for the lease of the gone worker.
+#[rstest]
+#[case::told(Some(Duration::from_secs(2)), false)]
+#[case::told_with_checkpoints(Some(Duration::from_secs(2)), true)]
+#[case::not_told_with_checkpoints(None, true)]
+fn run_that_cannot_end_leaves_before_its_worker(
+    #[case] leaves_in: Option<Duration>,
+    #[case] has_checkpoints: bool,
+) {
+    let mut cluster = cluster(4);
+    let id = cluster.submit(1, vec![longer_step(5, has_checkpoints)]);
+    cluster.advance(Duration::from_secs(1));
+    let leaving = cluster.starts[0].worker.clone();
+    give_notice(&mut cluster, &leaving, leaves_in);
+    cluster.advance(Duration::from_secs(2));
+    assert_eq!(cluster.starts.len(), 2);
+    cluster.remove_worker(&leaving);
+    cluster.advance(Duration::from_secs(6));
+    assert_eq!(cluster.phase(id), Some(JobPhase::Completed));
+    assert_eq!(cluster.duplicated, []);
+}
+
+/// Load: a run that ends before its worker leaves. Failure: the worker gives notice. Guards against work
+/// that is done twice.
+#[test]
+fn run_that_ends_before_its_worker_leaves_is_not_stopped() {
+    let mut cluster = cluster(4);
+    let id = cluster.submit(1, vec![longer_step(2, false)]);
+    cluster.advance(Duration::from_secs(1));
+    let leaving = cluster.starts[0].worker.clone();
+    give_notice(&mut cluster, &leaving, Some(Duration::from_secs(2)));
+    cluster.advance(Duration::from_secs(2));
+    assert_eq!(cluster.phase(id), Some(JobPhase::Completed));
+    assert_eq!(cluster.starts.len(), 1);
+}
+
+/// Load: long runs without checkpoints. Failure: workers leave 2 s after a notice that doesn't tell the
+/// time. Guards against runs that are lost with each of them.
+#[test]
+fn notice_is_learned_from_exits() {
+    let mut cluster = cluster(6);
+    let notice = Duration::from_secs(2);
+    let mut run_on_leaving_worker = |number: u64| {
+        let id = cluster.submit(number, vec![longer_step(20, false)]);
+        cluster.advance(Duration::from_secs(1));
+        let worker = cluster.starts_of(task(id, 0, 0))[0].worker.clone();
+        give_notice(&mut cluster, &worker, None);
+        cluster.advance(notice);
+        let before_exit = cluster.starts_of(task(id, 0, 0)).len();
+        cluster.remove_worker(&worker);
+        cluster.advance(Duration::from_secs(8));
+        before_exit
+    };
+    assert_eq!(run_on_leaving_worker(1), 1);
+    assert_eq!(run_on_leaving_worker(2), 2);
+}
+
+/// Load: steps of one task each. Failure: a worker fails everything. Guards against a worker that goes on
+/// to get tasks which others have room for.
+#[test]
+fn worker_that_fails_everything_gets_few_tasks() {
+    let mut cluster = cluster(8);
+    cluster.workers.get_mut(&worker(3)).unwrap().fault.fails = true;
+    let jobs = submit_every(LONG_JOB_INTERVAL, &mut cluster, 1, 60);
+    cluster.advance(Duration::from_secs(4));
+    for (id, _) in jobs {
+        assert_eq!(cluster.phase(id), Some(JobPhase::Completed), "{id}");
+    }
+    let starts = cluster.starts.iter();
+    let failing = starts.filter(|start| start.worker == worker(3)).count();
+    assert!(failing <= 11, "{failing} starts");
+}
+
+fn give_notice(cluster: &mut Cluster, worker: &WorkerId, leaves_in: Option<Duration>) {
+    let entry = cluster.workers.get_mut(worker).unwrap();
+    entry.listing.is_draining = true;
+    entry.listing.leaves_in = leaves_in;
+    let change = WorkerChange::Listed(entry.listing.clone());
+    let now = cluster.planner_time();
+    cluster.planner.update_workers(now, vec![change]);
+}
--- a/crates/geraniumshed-core/tests/start_rights/simulation/machines.rs
+++ b/crates/geraniumshed-core/tests/start_rights/simulation/machines.rs
@@ -74,6 +74,7 @@
             labels: Vec::new(),
             rack: None,
             is_draining: false,
+            leaves_in: None,
         };
         listed.map(listing).collect()
     }
--- a/crates/geraniumshed-core/tests/start_rights/world/mod.rs
+++ b/crates/geraniumshed-core/tests/start_rights/world/mod.rs
@@ -322,6 +322,7 @@
         labels: Vec::new(),
         rack: None,
         is_draining: false,
+        leaves_in: None,
     }
 }
 
--- a/crates/geraniumshed/src/bench/jobs/workload.rs
+++ b/crates/geraniumshed/src/bench/jobs/workload.rs
@@ -266,5 +266,6 @@
         labels: vec![SmolStr::new("a"), rack.clone()],
         rack: Some(rack),
         is_draining: false,
+        leaves_in: None,
     }
 }
