Store the bad track records of workers for a successor

Cause: a new leader places urgent tasks on slow workers until it has found them slow itself.

A successor starts from them.

--- a/crates/geraniumshed-batch/src/leader/run.rs
+++ b/crates/geraniumshed-batch/src/leader/run.rs
@@ -216,6 +216,7 @@
             self.planner.restore_crashes(id, crashes);
         }
         self.planner.restore_waits(now, recovered.waits);
+        self.planner.restore_tracks(now.point, recovered.tracks);
         self.planner.restore_interference(recovered.interference);
         for (id, stored) in recovered.ended_without_request {
             self.planner.restore_ended(id, stored);
--- a/crates/geraniumshed-batch/src/leader/takeover.rs
+++ b/crates/geraniumshed-batch/src/leader/takeover.rs
@@ -3,7 +3,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use geraniumshed_core::assignment::{InterferenceSnapshot, LeaseSnapshot, WaitSnapshot};
+use geraniumshed_core::assignment::{
+    InterferenceSnapshot, LeaseSnapshot, TrackSnapshot, WaitSnapshot,
+};
 use geraniumshed_core::job::{JobId, JobRequest, QueueName, QueuePolicy, StoredJob, TaskCrashes};
 use geraniumshed_core::leadership::{LeaderRecord, LeaderTerm, MemberIdentity};
 use geraniumshed_model::prelude::{LogOffset, TimePoint, whole_millis};
@@ -16,12 +18,12 @@
     read_newest_up_to,
 };
 use crate::topic::{
-    INTERFERENCE_KEY, LEADER_KEY, LEADERS, LEASES_KEY, PROGRESS, REQUESTS, TAKEOVER_KEY, WAITS_KEY,
-    job_key, parse_crashes_key, parse_job_key, parse_queue_key,
+    INTERFERENCE_KEY, LEADER_KEY, LEADERS, LEASES_KEY, PROGRESS, REQUESTS, TAKEOVER_KEY,
+    TRACKS_KEY, WAITS_KEY, job_key, parse_crashes_key, parse_job_key, parse_queue_key,
 };
 use crate::wire::{
     InterferenceWire, JobCrashesWire, JobRequestWire, LeaseSnapshotWire, MemberWire,
-    QueuePolicyWire, StoredJobWire, WaitSnapshotWire, decode, encode,
+    QueuePolicyWire, StoredJobWire, TrackSnapshotWire, WaitSnapshotWire, decode, encode,
 };
 
 /// The timeout for an append during the takeover.
@@ -73,6 +75,8 @@
     pub(crate) leases: Option<LeaseSnapshot>,
     /// The waits of long-running tasks and the runs without progress.
     pub(crate) waits: WaitSnapshot,
+    /// The bad track records of workers.
+    pub(crate) tracks: TrackSnapshot,
     /// The crashes under the tasks of each job.
     pub(crate) crashes: Vec<(JobId, Vec<TaskCrashes>)>,
     /// The policies of the queues that had open jobs.
@@ -148,6 +152,7 @@
         leases.as_ref(),
     );
     let waits = find(&WAITS_KEY).map(decode_waits);
+    let tracks = find(&TRACKS_KEY).map(decode_tracks);
     let crashes = progress.iter().filter_map(decode_crashes).collect();
     let queues = progress.iter().filter_map(decode_queue).collect();
     let jobs = requests
@@ -175,6 +180,7 @@
         leases_counted_from,
         leases,
         waits: waits.unwrap_or_default(),
+        tracks: tracks.unwrap_or_default(),
         crashes,
         queues,
         next_request,
@@ -260,6 +266,18 @@
     )
 }
 
+/// Decodes the bad track records of workers. If they can't be decoded, the planner learns them again.
+fn decode_tracks(record: &KeyedRecord) -> TrackSnapshot {
+    let decoded = decode::<TrackSnapshotWire>(&record.value);
+    decoded.map_or_else(
+        |error| {
+            log::error!(error:% = error; "could not decode the track records of workers");
+            TrackSnapshot::default()
+        },
+        TrackSnapshot::from,
+    )
+}
+
 /// Decodes the crashes under a job's tasks. If they can't be decoded, they are counted anew.
 fn decode_crashes(record: &KeyedRecord) -> Option<(JobId, Vec<TaskCrashes>)> {
     let id = parse_crashes_key(&record.key)?;
--- a/crates/geraniumshed-batch/src/leader/writer.rs
+++ b/crates/geraniumshed-batch/src/leader/writer.rs
@@ -19,11 +19,12 @@
 use crate::store_monitor::StoreMonitor;
 use crate::telemetry::{DependencyWatch, NodeMetrics};
 use crate::topic::{
-    INTERFERENCE_KEY, LEASES_KEY, PROGRESS, REQUESTS, WAITS_KEY, crashes_key, job_key, queue_key,
+    INTERFERENCE_KEY, LEASES_KEY, PROGRESS, REQUESTS, TRACKS_KEY, WAITS_KEY, crashes_key, job_key,
+    queue_key,
 };
 use crate::wire::{
     InterferenceWire, JobCrashesWire, LeaseSnapshotWire, QueuePolicyWire, StoredJobWire,
-    WaitSnapshotWire, encode,
+    TrackSnapshotWire, WaitSnapshotWire, encode,
 };
 
 /// The timeout for deleting requests.
@@ -121,6 +122,7 @@
                 | StoreChange::Interference(_)
                 | StoreChange::Leases(_)
                 | StoreChange::Waits(_)
+                | StoreChange::Tracks(_)
                 | StoreChange::Crashes(..)
                 | StoreChange::Queue(..) => others.push(change),
             }
@@ -218,6 +220,10 @@
             key: WAITS_KEY,
             value: encode(&WaitSnapshotWire::from(snapshot)),
         },
+        StoreChange::Tracks(snapshot) => KeyedRecord {
+            key: TRACKS_KEY,
+            value: encode(&TrackSnapshotWire::from(snapshot)),
+        },
         StoreChange::Crashes(id, crashes) if crashes.is_empty() => {
             KeyedRecord::deletion(crashes_key(id))
         }
--- a/crates/geraniumshed-batch/src/topic.rs
+++ b/crates/geraniumshed-batch/src/topic.rs
@@ -27,6 +27,10 @@
 /// without progress.
 pub const WAITS_KEY: SmolStr = SmolStr::new_static("waits");
 
+/// The key of the record in [`PROGRESS`] that holds the bad track records of workers. Earlier releases
+/// ignore it.
+pub const TRACKS_KEY: SmolStr = SmolStr::new_static("tracks");
+
 /// The key of the record that a new leader appends to [`PROGRESS`] before it reads the topic. What it reads
 /// has to include this record.
 pub const TAKEOVER_KEY: SmolStr = SmolStr::new_static("takeover");
--- a/crates/geraniumshed-batch/src/wire/mod.rs
+++ b/crates/geraniumshed-batch/src/wire/mod.rs
@@ -15,6 +15,7 @@
 mod request;
 mod stored_job;
 mod task;
+mod track;
 mod wait;
 
 pub use call::{JobAnswerWire, JobCallWire, JobPhaseWire};
@@ -31,4 +32,5 @@
 pub use queue::QueuePolicyWire;
 pub use request::JobRequestWire;
 pub use stored_job::StoredJobWire;
+pub use track::TrackSnapshotWire;
 pub use wait::WaitSnapshotWire;
--- a/crates/geraniumshed-batch/tests/wire.rs
+++ b/crates/geraniumshed-batch/tests/wire.rs
@@ -5,11 +5,12 @@
 use geraniumshed_batch::topic::{crashes_key, job_key, parse_crashes_key, parse_job_key};
 use geraniumshed_batch::wire::{
     ConfigUpdateWire, InterferenceWire, JobCrashesWire, JobRequestWire, LeaseSnapshotWire,
-    MemberWire, StoredJobWire, WaitSnapshotWire, WireDecodeError, decode, encode,
+    MemberWire, StoredJobWire, TrackSnapshotWire, WaitSnapshotWire, WireDecodeError, decode,
+    encode,
 };
 use geraniumshed_core::assignment::{
     IdleRun, InterferenceSnapshot, LeaseSnapshot, ServedImageRecord, SlopeRecord, StepWait,
-    WaitSnapshot, WorkerHold,
+    TrackSnapshot, WaitSnapshot, WorkerHold,
 };
 use geraniumshed_core::job::{
     AdvicePolicy, CrashEvidence, CrashHistory, JobEntry, JobId, JobPhase, JobRequest, QueuePolicy,
@@ -18,6 +19,7 @@
 };
 use geraniumshed_core::leadership::MemberIdentity;
 use geraniumshed_core::site::{ConfigUpdate, ConfigVersion, RouteEntry, RouteKey};
+use geraniumshed_core::worker::StoredTrack;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use rstest::rstest;
@@ -56,6 +58,22 @@
     assert_eq!(WaitSnapshot::from(read), snapshot);
 }
 
+/// A record that lost a field would give a slow worker tasks after a takeover.
+#[test]
+fn track_records_are_read_as_stored() {
+    let stored = StoredTrack {
+        is_slow: true,
+        speed_percent: 12,
+        incident_percent: 150,
+    };
+    let snapshot = TrackSnapshot {
+        tracks: vec![("w".into(), stored)],
+    };
+    let bytes = encode(&TrackSnapshotWire::from(snapshot.clone()));
+    let read: TrackSnapshotWire = decode(&bytes).unwrap();
+    assert_eq!(TrackSnapshot::from(read), snapshot);
+}
+
 #[rstest]
 #[case(CrashEvidence::None)]
 #[case(CrashEvidence::Shared)]
@@ -182,6 +200,7 @@
     drop(decode::<StoredJobWire>(bytes).map(StoredJob::from));
     drop(decode::<JobCrashesWire>(bytes).map(|wire| wire.into_crashes(JobId(1))));
     drop(decode::<WaitSnapshotWire>(bytes).map(WaitSnapshot::from));
+    drop(decode::<TrackSnapshotWire>(bytes).map(TrackSnapshot::from));
     drop(decode::<InterferenceWire>(bytes).map(InterferenceSnapshot::from));
     drop(decode::<LeaseSnapshotWire>(bytes).map(LeaseSnapshot::from));
     drop(decode::<MemberWire>(bytes).map(MemberIdentity::from));
--- a/crates/geraniumshed-core/src/assignment/action.rs
+++ b/crates/geraniumshed-core/src/assignment/action.rs
@@ -5,6 +5,7 @@
 use super::event::PlannerEvent;
 use super::interference::InterferenceSnapshot;
 use super::lease_ledger::LeaseSnapshot;
+use super::track_ledger::TrackSnapshot;
 use super::wait_ledger::WaitSnapshot;
 use crate::job::{JobId, JobPhase, QueueName, QueuePolicy, StoredJob, TaskCrashes};
 use crate::worker::{
@@ -50,6 +51,8 @@
     Leases(LeaseSnapshot),
     /// The waits of long-running tasks and the runs without progress.
     Waits(WaitSnapshot),
+    /// The bad track records of workers.
+    Tracks(TrackSnapshot),
     /// The crashes under a job's tasks. The record is removed if there are none.
     Crashes(JobId, Vec<TaskCrashes>),
     /// The policy of a queue with open jobs. The record is removed if there is none.
--- a/crates/geraniumshed-core/src/assignment/planner.rs
+++ b/crates/geraniumshed-core/src/assignment/planner.rs
@@ -27,6 +27,7 @@
 use super::silence_log::SilenceLog;
 use super::start_window::StartWindow;
 use super::stragglers::ActiveMove;
+use super::track_ledger::TrackLedger;
 use super::unproved_loss::UnprovedLosses;
 use super::wait_ledger::WaitLedger;
 use super::worker_index::WorkerIndex;
@@ -73,6 +74,7 @@
     pub(super) is_window_full: bool,
     pub(super) lease_ledger: LeaseLedger,
     pub(super) wait_ledger: WaitLedger,
+    pub(super) track_ledger: TrackLedger,
     pub(super) silence_log: SilenceLog,
     pub(super) unproved_losses: UnprovedLosses,
     pub(super) interference: InterferenceModel,
@@ -135,6 +137,7 @@
             start_window: StartWindow::default(),
             is_window_full: false,
             wait_ledger: WaitLedger::default(),
+            track_ledger: TrackLedger::default(),
             silence_log: SilenceLog::default(),
             unproved_losses: UnprovedLosses::default(),
             interference: InterferenceModel::default(),
@@ -280,6 +283,7 @@
         self.change_tracker.has_changes()
             || self.lease_ledger.is_due()
             || self.wait_ledger.is_due()
+            || self.track_ledger.is_due()
             || self.queues.has_changes()
             || self.order_permit.needs_batch()
     }
@@ -321,6 +325,8 @@
         changes.extend(leases.map(StoreChange::Leases));
         let waits = self.take_wait_snapshot();
         changes.extend(waits.map(StoreChange::Waits));
+        let tracks = self.take_track_snapshot(now.point);
+        changes.extend(tracks.map(StoreChange::Tracks));
         let queues = self.queues.take_changes().into_iter();
         changes.extend(queues.map(|(queue, policy)| StoreChange::Queue(queue, policy)));
         Some(StoreBatch { number, changes })
@@ -353,6 +359,7 @@
             self.assess_silent_workers(now.point);
             self.watch_leases(now.point);
             self.watch_waits(now.point);
+            self.watch_tracks(now.point);
             self.watch_batches(now.point);
             self.begin_occurrences(now);
         }
--- a/crates/geraniumshed-core/src/assignment/registry.rs
+++ b/crates/geraniumshed-core/src/assignment/registry.rs
@@ -68,7 +68,9 @@
         entry.contact.known_since = now.point;
         entry.up_since = now.point;
         entry.has_stored_lease = self.lease_ledger.contains(entry.id());
+        let id = entry.id().clone();
         self.workers.insert(entry);
+        self.inherit_track(now.point, &id);
         self.is_placement_due = true;
     }
 
--- a/crates/geraniumshed-core/src/assignment/stragglers.rs
+++ b/crates/geraniumshed-core/src/assignment/stragglers.rs
@@ -10,9 +10,8 @@
 use super::action::PlannerTime;
 use super::event::{MoveCause, MovedRun, PlannerEvent};
 use super::planner::JobPlanner;
-use super::worker_speed::percent;
 use crate::job::{TaskKey, WorkerId};
-use crate::worker::{FULL_PERCENT, RunEntry, RunPhase, SLOW_SPEED};
+use crate::worker::{FULL_PERCENT, RunEntry, RunPhase, SLOW_SPEED, whole_percent};
 
 /// The longest time that a stop takes, which is up to half a second, and that the next start takes.
 pub(super) const MOVE_TIME: Duration = Duration::from_millis(700);
@@ -136,7 +135,10 @@
             target,
             cause,
             percent: run.percent,
-            speed_percent: run.progress.speed.map(|speed| percent(speed.relative)),
+            speed_percent: run
+                .progress
+                .speed
+                .map(|speed| whole_percent(speed.relative)),
             here: times.here,
             elsewhere: times.elsewhere,
         };
--- a/crates/geraniumshed-core/src/assignment/worker_speed.rs
+++ b/crates/geraniumshed-core/src/assignment/worker_speed.rs
@@ -13,7 +13,7 @@
 use crate::job::{JobEntry, StepRequest, TaskKey, WorkerId};
 use crate::worker::{
     FULL_PERCENT, ProgressMark, RecordCredence, RunEntry, RunPhase, RunSpeed, SpeedChange,
-    WorkerEntry, WorkerTime,
+    WorkerEntry, WorkerTime, whole_percent,
 };
 
 /// The progress, as a fraction of the task, that a run has to be expected to make in an observation.
@@ -65,7 +65,7 @@
 
     /// Returns whether so many workers look slow that it is the load or the estimates.
     fn is_load(self) -> bool {
-        self.bad > 0 && (self.bad * 3 > self.all || self.all < MIN_FLEET_SIZE)
+        self.bad > 1 && self.bad * 3 > self.all
     }
 
     /// Returns whether most workers of a zone or a rack have a bad record.
@@ -91,6 +91,9 @@
                 continue;
             }
             let step = (*key).into();
+            if !is_due(run, now, clock) {
+                continue;
+            }
             let usual = self.peer_speeds.usual(step, &job.request.queue);
             let Some(observation) = observe_run(run, now, clock, usual) else {
                 continue;
@@ -181,6 +184,11 @@
 
     /// Returns the workers whose records count in another way from now on.
     fn credences(&self, now: TimePoint) -> Vec<(WorkerId, RecordCredence)> {
+        // Almost always, no worker has a bad record.
+        let mut tracks = self.workers.values().map(|entry| &entry.track);
+        if tracks.all(|track| track.is_unremarkable(now)) {
+            return Vec::new();
+        }
         let speeds = self.count_slow(now);
         let mut groups: BTreeMap<&SmolStr, GroupCount> = BTreeMap::new();
         for entry in self.workers.values().filter(|entry| entry.is_listed) {
@@ -238,7 +246,7 @@
             Some(SpeedChange::Slow(speed)) => {
                 self.emit(PlannerEvent::WorkerSlow(SlowWorker {
                     worker: worker.clone(),
-                    speed_percent: percent(speed),
+                    speed_percent: whole_percent(speed),
                     runs,
                 }));
             }
@@ -274,6 +282,12 @@
     }
 }
 
+/// Returns whether a run may be observed by now. It need not be if its last mark is too recent.
+fn is_due(run: &RunEntry, now: TimePoint, clock: WorkerTime) -> bool {
+    let mark = run.progress.mark.as_ref();
+    mark.is_none_or(|mark| mark.span(now, clock) >= MIN_SPAN)
+}
+
 /// Observes the speed of a run since its last mark, once enough progress is expected. Sets the mark for
 /// the next observation.
 fn observe_run(
@@ -346,11 +360,3 @@
         .into_iter()
         .flatten()
 }
-
-/// Returns a fraction as a whole number of percents.
-pub(super) fn percent(fraction: f64) -> u32 {
-    let percent = (0..=400_u32)
-        .rev()
-        .find(|one| f64::from(*one) <= fraction * 100.0);
-    percent.unwrap_or(0)
-}
--- a/crates/geraniumshed-core/src/worker/mod.rs
+++ b/crates/geraniumshed-core/src/worker/mod.rs
@@ -28,4 +28,5 @@
 pub use quarantine::WorkerQuarantine;
 pub use run::{FULL_PERCENT, RunEntry, RunPhase};
 pub use table::WorkerTable;
-pub use track_record::{RecordCredence, SLOW_SPEED, SpeedChange, TrackRecord};
+pub(crate) use track_record::whole_percent;
+pub use track_record::{RecordCredence, SLOW_SPEED, SpeedChange, StoredTrack, TrackRecord};
--- a/crates/geraniumshed-core/src/worker/track_record.rs
+++ b/crates/geraniumshed-core/src/worker/track_record.rs
@@ -89,6 +89,17 @@
     Full,
 }
 
+/// A bad record, as it is stored for a successor.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StoredTrack {
+    /// Whether the worker counts as slow.
+    pub is_slow: bool,
+    /// The speed relative to the peers of its runs, in percent.
+    pub speed_percent: u32,
+    /// The weight of the incidents, in percent.
+    pub incident_percent: u32,
+}
+
 /// A change of what a record says about the speed of its worker.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum SpeedChange {
@@ -156,9 +167,9 @@
             self.slow_since = is_slow.then_some(now);
             return is_slow.then_some(SpeedChange::Slow(speed));
         };
-        let observed_for = self.observed_at.map(|at| now.since(at));
-        let is_forgotten = observed_for.is_none_or(|age| age >= FORGET_TIME);
-        let is_healthy = speed >= HEALTHY_SPEED && observed_for.is_some_and(|age| age.is_zero());
+        let newest = self.observed_at.unwrap_or(since);
+        let is_forgotten = now.since(newest) >= FORGET_TIME;
+        let is_healthy = speed >= HEALTHY_SPEED && self.observed_at == Some(now);
         if !is_forgotten && !is_healthy {
             return None;
         }
@@ -192,11 +203,39 @@
         self.observed_at.is_some_and(|at| now.since(at) <= span)
     }
 
-    /// Returns whether the incidents weigh as much as one that is certainly the worker's fault.
+    /// Returns whether the incidents still weigh at least half as much as a new one.
     pub fn has_incidents(&self, now: TimePoint) -> bool {
         self.incidents(now) >= DOUBTFUL_INCIDENT / 2.0
     }
 
+    /// Returns whether nothing is held against the worker.
+    pub fn is_unremarkable(&self, now: TimePoint) -> bool {
+        !self.is_slow() && !self.has_incidents(now) && self.credence == RecordCredence::Full
+    }
+
+    /// Returns the record to store, if it is a bad one.
+    pub fn stored(&self, now: TimePoint) -> Option<StoredTrack> {
+        let is_bad = self.is_slow() || self.has_incidents(now);
+        is_bad.then(|| StoredTrack {
+            is_slow: self.is_slow(),
+            speed_percent: whole_percent(self.speed(now)),
+            incident_percent: whole_percent(self.incidents(now)),
+        })
+    }
+
+    /// Continues the record that an earlier planner has stored.
+    pub fn restore(&mut self, now: TimePoint, stored: StoredTrack) {
+        self.incidents = (f64::from(stored.incident_percent) / 100.0).min(MAX_INCIDENTS);
+        self.incidents_aged_at = now;
+        if stored.is_slow {
+            let speed = f64::from(stored.speed_percent.max(1)) / 100.0;
+            self.observe_speed(now, speed, Duration::from_secs(1));
+            // The worker isn't compared with others before it is observed again.
+            self.observed_at = None;
+            self.slow_since = Some(now);
+        }
+    }
+
     /// Returns how far the record counts.
     pub fn credence(&self) -> RecordCredence {
         self.credence
@@ -254,6 +293,9 @@
     }
 
     fn incidents(&self, now: TimePoint) -> f64 {
+        if self.incidents == 0.0 {
+            return 0.0;
+        }
         self.incidents * decay(now.since(self.incidents_aged_at), INCIDENT_TIME_CONSTANT)
     }
 }
@@ -261,3 +303,11 @@
 fn decay(span: Duration, time_constant: Duration) -> f64 {
     (-span.as_secs_f64() / time_constant.as_secs_f64()).exp()
 }
+
+/// Returns a fraction as a whole number of percents.
+pub(crate) fn whole_percent(fraction: f64) -> u32 {
+    let percent = (0..=400_u32)
+        .rev()
+        .find(|one| f64::from(*one) <= fraction * 100.0);
+    percent.unwrap_or(0)
+}
--- a/crates/geraniumshed-core/tests/planner/simulation.rs
+++ b/crates/geraniumshed-core/tests/planner/simulation.rs
@@ -179,6 +179,14 @@
         }
     }
 
+    /// Takes the ordered speeds into account for a time step.
+    pub fn throttle(&mut self, paces: &BTreeMap<TaskKey, u32>) {
+        for (task, run) in &mut self.runs {
+            let percent = paces.get(task).copied().unwrap_or(100);
+            run.lost += STEP * (100 - percent) / 100;
+        }
+    }
+
     /// Ends a run, if the worker has it.
     pub fn end(&mut self, task: TaskKey, kind: EndKind) {
         let Some(run) = self.runs.remove(&task) else {
--- a/crates/geraniumshed-core/tests/planner/slow_workers.rs
+++ b/crates/geraniumshed-core/tests/planner/slow_workers.rs
@@ -258,3 +258,54 @@
     let now = cluster.planner_time();
     cluster.planner.update_workers(now, vec![change]);
 }
+
+/// Load: steps of ten tasks. Failure: a takeover while a worker is slow. Guards against a successor that
+/// places tasks there until it has found the worker slow itself.
+#[test]
+fn successor_knows_slow_workers() {
+    let mut cluster = cluster(8);
+    submit_every(LONG_JOB_INTERVAL, &mut cluster, 1, 20);
+    set_slowness(&mut cluster, &[2], SLOWNESS);
+    submit_every(LONG_JOB_INTERVAL, &mut cluster, 100, 12);
+    cluster.replace_planner();
+    cluster.starts.clear();
+    submit_every(LONG_JOB_INTERVAL, &mut cluster, 200, 5);
+    let mut starts = cluster.starts.iter();
+    assert!(starts.all(|start| start.worker != worker(2)));
+    assert_eq!(cluster.duplicated, []);
+}
+
+/// Load: best-effort runs that are throttled to protect a tail latency. Failure: none. Guards against
+/// workers that look slow because their runs were throttled.
+#[test]
+fn throttled_runs_speak_against_no_worker() {
+    let mut cluster = cluster(8);
+    cluster.slows_throttled_runs = true;
+    cluster
+        .pressures
+        .insert(("calls".into(), "noisy".into()), 0.08);
+    let serving = StepRequest {
+        is_long_running: true,
+        image: Some("calls".into()),
+        latency_target: Some(Duration::from_millis(20)),
+        size: size(6_000, 8),
+        ..step(8)
+    };
+    cluster.submit(1, vec![serving]);
+    cluster.advance(Duration::from_secs(3));
+    for number in 10..40 {
+        let noisy = StepRequest {
+            is_best_effort: true,
+            image: Some("noisy".into()),
+            size: size(3_000, 4),
+            estimate: Duration::from_secs(3),
+            ..step(4)
+        };
+        cluster.submit(number, vec![noisy]);
+        cluster.advance(Duration::from_millis(500));
+    }
+    assert!(cluster.paces.values().any(|percent| *percent < 100));
+    let is_slow = |event: &&PlannerEvent| matches!(event, PlannerEvent::WorkerSlow(_));
+    assert_eq!(cluster.events.iter().filter(is_slow).count(), 0);
+    assert_eq!(moves(&cluster), Vec::<&MovedRun>::new());
+}
--- a/crates/geraniumshed-core/tests/start_rights/store.rs
+++ b/crates/geraniumshed-core/tests/start_rights/store.rs
@@ -89,7 +89,7 @@
                 self.crashes.remove(&id);
             }
             // The queues of the model never change.
-            StoreChange::Queue(..) => {}
+            StoreChange::Queue(..) | StoreChange::Tracks(_) => {}
             StoreChange::Crashes(id, crashes) => {
                 self.crashes.insert(id, crashes);
             }
