--- a/crates/geraniumshed-core/src/assignment/mod.rs
+++ b/crates/geraniumshed-core/src/assignment/mod.rs
@@ -10,6 +10,7 @@
 mod change_tracker;
 mod crash_assessment;
 mod crash_ledger;
+mod departing_runs;
 mod evacuation;
 mod event;
 mod fair_share;
@@ -22,6 +23,7 @@
 mod model_schedule;
 mod order_permit;
 mod pacing;
+mod peer_speeds;
 mod placement_pass;
 mod placement_query;
 mod planner;
@@ -40,8 +42,10 @@
 mod step_candidates;
 mod step_placement;
 mod step_search;
+mod stragglers;
 mod supervision;
 mod timely_set;
+mod track_ledger;
 mod trial;
 mod unproved_loss;
 mod wait_ledger;
@@ -52,14 +56,15 @@
 mod worker_replies;
 mod worker_restart;
 mod worker_search;
+mod worker_speed;
 mod zone_evacuation;
 
 pub use action::{CancelOutcome, JobStatus, PlannerAction, PlannerTime, StoreBatch, StoreChange};
 pub use event::{
     AdoptedWorker, AnsweringWorker, DepartingWorker, EndedPressure, JobSummary, LostRun,
-    LostWorker, MissingRuns, NewProcess, PlacementSummary, PlannerEvent, PressureGroup,
-    RestartSign, RestartedWorker, SilentWorker, SkippedEnds, StartDelay, TaskTrial, UnexpectedRun,
-    UnlistedEnds, ZoneMove,
+    LostWorker, MissingRuns, MoveCause, MovedRun, NewProcess, PlacementSummary, PlannerEvent,
+    PressureGroup, RestartSign, RestartedWorker, SilentWorker, SkippedEnds, SlowWorker, StartDelay,
+    TaskTrial, UnexpectedRun, UnlistedEnds, UsualWorker, ZoneMove,
 };
 pub use interference::{
     InterferenceModel, InterferenceSnapshot, LoadShare, ServedImageRecord, SlopeRecord,
@@ -70,5 +75,6 @@
 pub use planner_work::PlannerWork;
 pub use rank::StepClass;
 pub use settings::PlannerSettings;
+pub use track_ledger::TrackSnapshot;
 pub use wait_ledger::{IdleRun, StepWait, WaitSnapshot, WorkerHold};
 pub use worker_loss::{RunStart, WorkerRunLoss};
--- a/crates/geraniumshed-core/src/assignment/planner.rs
+++ b/crates/geraniumshed-core/src/assignment/planner.rs
@@ -13,22 +13,27 @@
 use super::advice::AdviceTable;
 use super::backlog::Backlog;
 use super::change_tracker::ChangeTracker;
+use super::departing_runs::NoticeHabit;
 use super::event::{JobSummary, PlannerEvent};
 use super::improvement_log::{FailedSearch, ImprovementLog};
 use super::interference::{InterferenceModel, InterferenceSnapshot};
 use super::lease_ledger::LeaseLedger;
 use super::model_schedule::ModelSchedule;
 use super::order_permit::OrderPermit;
+use super::peer_speeds::PeerSpeeds;
 use super::planner_work::PlannerWork;
 use super::rank::allowed_time;
 use super::renewal_queue::RenewalQueue;
 use super::settings::PlannerSettings;
 use super::silence_log::SilenceLog;
 use super::start_window::StartWindow;
+use super::stragglers::ActiveMove;
+use super::track_ledger::TrackLedger;
 use super::unproved_loss::UnprovedLosses;
 use super::wait_ledger::WaitLedger;
 use super::worker_index::WorkerIndex;
 use super::zone_evacuation::ZoneLedger;
+use super::worker_speed::FleetAssessment;
 use crate::job::{
     JobEntry, JobId, JobPhase, JobRequest, QueueName, QueuePolicy, QueueTable, StepKey, StoredJob,
     TaskKey, TaskPhase, WorkerId,
@@ -74,9 +79,15 @@
     pub(super) is_window_full: bool,
     pub(super) lease_ledger: LeaseLedger,
     pub(super) wait_ledger: WaitLedger,
+    pub(super) track_ledger: TrackLedger,
     pub(super) silence_log: SilenceLog,
     pub(super) unproved_losses: UnprovedLosses,
     pub(super) interference: InterferenceModel,
+    pub(super) peer_speeds: PeerSpeeds,
+    pub(super) fleet: FleetAssessment,
+    pub(super) notice_habit: NoticeHabit,
+    /// The runs that are being stopped to be moved to other workers.
+    pub(super) active_moves: Vec<ActiveMove>,
     pub(super) advice: AdviceTable,
     pub(super) actions: Vec<PlannerAction>,
     /// The work done so far.
@@ -133,9 +144,14 @@
             start_window: StartWindow::default(),
             is_window_full: false,
             wait_ledger: WaitLedger::default(),
+            track_ledger: TrackLedger::default(),
             silence_log: SilenceLog::default(),
             unproved_losses: UnprovedLosses::default(),
             interference: InterferenceModel::default(),
+            peer_speeds: PeerSpeeds::default(),
+            fleet: FleetAssessment::default(),
+            notice_habit: NoticeHabit::default(),
+            active_moves: Vec::new(),
             advice: AdviceTable::default(),
             actions: Vec::new(),
             work: PlannerWork::default(),
@@ -274,6 +290,7 @@
         self.change_tracker.has_changes()
             || self.lease_ledger.is_due()
             || self.wait_ledger.is_due()
+            || self.track_ledger.is_due()
             || self.queues.has_changes()
             || self.order_permit.needs_batch()
     }
@@ -315,6 +332,8 @@
         changes.extend(leases.map(StoreChange::Leases));
         let waits = self.take_wait_snapshot();
         changes.extend(waits.map(StoreChange::Waits));
+        let tracks = self.take_track_snapshot(now.point);
+        changes.extend(tracks.map(StoreChange::Tracks));
         let queues = self.queues.take_changes().into_iter();
         changes.extend(queues.map(|(queue, policy)| StoreChange::Queue(queue, policy)));
         Some(StoreBatch { number, changes })
@@ -342,9 +361,12 @@
             self.next_watch = now.point + WATCH_INTERVAL;
             self.release_expired_workers(now);
             self.watch_runs(now);
+            self.assess_fleet(now);
+            self.move_departing_runs(now);
             self.assess_silent_workers(now.point);
             self.watch_leases(now.point);
             self.watch_waits(now.point);
+            self.watch_tracks(now.point);
             self.watch_batches(now.point);
             self.begin_occurrences(now);
         }
@@ -389,6 +411,7 @@
         self.jobs_to_begin.remove(&id);
         self.failed_searches.retain(|step, _| step.job != id);
         self.advice.forget(id);
+        self.peer_speeds.forget(id);
         self.change_tracker.mark_changed(id);
         let policy = self.queues.policy(&job.request.queue);
         let since_submission = |unix_ms: u64| {
--- a/crates/geraniumshed-core/src/assignment/registry.rs
+++ b/crates/geraniumshed-core/src/assignment/registry.rs
@@ -20,7 +20,9 @@
             entry.is_listed = listed.contains(entry.id());
         }
         for listing in listings {
+            let id = listing.id.clone();
             self.upsert_worker(now, listing);
+            self.update_notice(now.point, &id);
         }
         self.has_listing = true;
         self.report_unknown_zones();
@@ -35,9 +37,11 @@
                 WorkerChange::Listed(listing) => {
                     let id = listing.id.clone();
                     self.upsert_worker(now, listing);
+                    self.update_notice(now.point, &id);
                     self.report_departure(now.point, &id);
                 }
                 WorkerChange::Gone(id) => {
+                    self.learn_notice(now.point, &id);
                     if let Some(entry) = self.workers.get_mut(&id) {
                         entry.is_listed = false;
                     }
@@ -65,7 +69,9 @@
         entry.contact.known_since = now.point;
         entry.up_since = now.point;
         entry.has_stored_lease = self.lease_ledger.contains(entry.id());
+        let id = entry.id().clone();
         self.workers.insert(entry);
+        self.inherit_track(now.point, &id);
         self.is_placement_due = true;
     }
 
@@ -111,6 +117,7 @@
         labels: Vec::new(),
         rack: None,
         is_draining: false,
+        leaves_in: None,
     };
     let mut entry = WorkerEntry::new(listing, token, lease_expires_at);
     entry.is_listed = false;
--- a/crates/geraniumshed-core/src/assignment/worker_events.rs
+++ b/crates/geraniumshed-core/src/assignment/worker_events.rs
@@ -15,6 +15,13 @@
 impl JobPlanner {
     /// Reports that a worker with runs left a call unanswered, unless it was silent before.
     pub(super) fn report_silence(&mut self, now: TimePoint, worker: &WorkerId) {
+        let Some(entry) = self.workers.get_mut(worker) else {
+            return;
+        };
+        if entry.unanswered_calls == 1 {
+            entry.track.record_lost_contact(now);
+            self.learn_notice(now, worker);
+        }
         let Some(entry) = self.workers.get_mut(worker) else {
             return;
         };
--- a/crates/geraniumshed-core/src/worker/entry.rs
+++ b/crates/geraniumshed-core/src/worker/entry.rs
@@ -14,6 +14,7 @@
 use super::message::FenceToken;
 use super::quarantine::WorkerQuarantine;
 use super::run::{RunEntry, RunPhase};
+use super::track_record::TrackRecord;
 use crate::assignment::LoadShare;
 use crate::job::{TaskKey, WorkerId};
 
@@ -112,6 +113,8 @@
     took_tasks: bool,
     /// Keeps new tasks away from the worker after failures.
     pub quarantine: WorkerQuarantine,
+    /// The observed speed and incidents.
+    pub track: TrackRecord,
     /// The long-running task that the worker is kept free for.
     pub held_for: Option<TaskKey>,
     /// The task on trial. The worker takes no other tasks meanwhile.
@@ -120,6 +123,10 @@
     pub is_assessed: bool,
     /// When the worker's process became known.
     pub up_since: TimePoint,
+    /// When the worker was first seen to be about to leave.
+    pub notice_at: Option<TimePoint>,
+    /// When the worker leaves, as far as is known.
+    pub leaves_at: Option<TimePoint>,
     /// When the worker was heard and went silent.
     pub contact: WorkerContact,
     /// Whether the table of workers has noted that the worker may have changed.
@@ -164,10 +171,13 @@
             has_freed_capacity: false,
             took_tasks: false,
             quarantine: WorkerQuarantine::default(),
+            track: TrackRecord::default(),
             held_for: None,
             trial: None,
             is_assessed: false,
             up_since: TimePoint::default(),
+            notice_at: None,
+            leaves_at: None,
             contact: WorkerContact::default(),
             has_noted_change: false,
         }
@@ -380,6 +390,7 @@
         self.processed_end = 0;
         self.storing_ends.clear();
         self.quarantine = WorkerQuarantine::default();
+        self.track = TrackRecord::default();
         self.is_assessed = false;
         self.reserved = ResourceSize::default();
         self.load = WorkerLoad::default();
--- a/crates/geraniumshed-core/src/worker/run.rs
+++ b/crates/geraniumshed-core/src/worker/run.rs
@@ -6,6 +6,7 @@
 use smol_str::SmolStr;
 
 use super::message::FenceToken;
+use super::progress::RunProgress;
 
 /// The full speed, in percent.
 pub const FULL_PERCENT: u32 = 100;
@@ -80,6 +81,8 @@
     pub earlier_idle_time: Duration,
     /// When the last order to stop the run was sent.
     pub stop_sent_at: Option<TimePoint>,
+    /// The observed speed.
+    pub progress: RunProgress,
 }
 
 impl RunEntry {
@@ -88,6 +91,14 @@
         self.stop_sent_at.is_some()
     }
 
+    /// Returns when the worker confirmed the run, if it has.
+    pub fn started_at(&self) -> Option<TimePoint> {
+        match self.phase {
+            RunPhase::Running(since) => Some(since),
+            RunPhase::Storing | RunPhase::Ordered(_) | RunPhase::Unsettled(_) => None,
+        }
+    }
+
     /// Returns the number of processors that the run requests, as a fraction.
     pub fn whole_processors(&self) -> f64 {
         f64::from(self.processors.0) / 1000.0
