Bound what clients hold of the adapter's process

Nothing limited what all clients together had sent and not been answered, a reader that takes nothing kept its connection for ever, and a body of empty JSON objects was decoded at thirty times its size.

The new crate geraniumshed-gate accounts for connections: memory is reserved before bytes are read and released with the answer, the connections that hold most for longest are closed under pressure, and timeouts follow progress.

The test ran out of workers after 128 runs of its own jobs on any code; it has 12 workers now, and waits for the run of the very job that it submits, which is stricter. The daemon's listeners have the gate too; their test is not complete yet.

--- a/crates/geraniumshed-batch/src/telemetry/metrics.rs
+++ b/crates/geraniumshed-batch/src/telemetry/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::fmt::{self, Debug, Formatter};
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use geraniumshed_core::assignment::{JobSummary, LostWorker, PlannerEvent, PlannerWork};
@@ -147,6 +148,8 @@
     pub(crate) leading: Gauge,
     /// The version of the configuration in force.
     pub(crate) config_version: Gauge,
+    client_refusals: Family<ReasonLabels, Counter>,
+    client_memory: Gauge,
     config_reads: Family<ConfigLabels, Counter>,
     config_read_seconds: Family<ConfigLabels, Histogram, fn() -> Histogram>,
     /// The time that decoding a configuration takes.
@@ -195,6 +198,8 @@
             couriers: Gauge::default(),
             leading: Gauge::default(),
             config_version: Gauge::default(),
+            client_refusals: Family::default(),
+            client_memory: Gauge::default(),
             config_reads: Family::default(),
             config_read_seconds: Family::new_with_constructor(latency),
             config_decode_seconds: latency(),
@@ -207,6 +212,20 @@
         }
     }
 
+    /// Sets how often clients were refused for a reason.
+    pub fn record_refusals(&self, reason: &'static str, total: u64) {
+        let counter = self
+            .client_refusals
+            .get_or_create_owned(&ReasonLabels { reason });
+        counter.inner().store(total, Ordering::Relaxed);
+    }
+
+    /// Sets the memory in bytes that clients' requests hold.
+    pub fn record_client_memory(&self, bytes: usize) {
+        self.client_memory
+            .set(i64::try_from(bytes).unwrap_or(i64::MAX));
+    }
+
     /// Creates the most common series, so that they are exported as 0 from the start.
     fn create_default_series(&self) {
         let call = CallLabels {
@@ -219,6 +238,8 @@
         drop(self.appends.get_or_create(&OutcomeLabels { outcome }));
         let lost = ReasonLabels { reason: "failed" };
         drop(self.lost_runs.get_or_create(&lost));
+        let refused = ReasonLabels { reason: "memory" };
+        drop(self.client_refusals.get_or_create(&refused));
         let ended = EndLabels {
             phase: phase_name(JobPhase::Completed),
             in_time: "yes",
@@ -258,6 +279,7 @@
             "The time that an append to the store takes",
             self.append_seconds.clone(),
         );
+        self.register_clients(&mut registry);
         self.register_runs(&mut registry);
         registry.register(
             "worker_loss_seconds",
@@ -338,6 +360,19 @@
         registry
     }
 
+    fn register_clients(&self, registry: &mut Registry) {
+        registry.register(
+            "client_refusals",
+            "Requests and connections of clients that were refused before they ran",
+            self.client_refusals.clone(),
+        );
+        registry.register(
+            "client_memory_bytes",
+            "The memory for clients' requests that are not answered yet",
+            self.client_memory.clone(),
+        );
+    }
+
     /// Registers the counters of placements and of the ends of runs.
     fn register_runs(&self, registry: &mut Registry) {
         registry.register(
--- a/crates/geraniumshed-daemon/src/operator/listener.rs
+++ b/crates/geraniumshed-daemon/src/operator/listener.rs
@@ -5,15 +5,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use geraniumshed_gate::{
+    ClientGate, ConnectionAccount, GateSettings, serve_connection as serve_gated,
+};
 use http::{HeaderMap, Method};
-use hyper::server::conn::http1;
-use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::server::graceful::{GracefulShutdown, Watcher};
 use hyper_util::service::TowerToHyperService;
 use log::{debug, warn};
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 use tokio_rustls::TlsAcceptor;
@@ -30,6 +31,8 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// The minimum size in bytes of the buffer for headers.
 const HEADER_BUFFER_MIN: usize = 64 * 1024;
+/// The memory of all operators' requests together, as a multiple of the largest one.
+const REQUEST_MEMORY_FACTOR: usize = 8;
 /// The maximum time that a graceful stop waits for requests in flight.
 const STOP_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -63,7 +66,7 @@
         let address = listener.local_addr()?;
         let (stop, stopped) = watch::channel(false);
         let server = OperatorServer {
-            connections: Arc::new(Semaphore::new(settings.connection_limit)),
+            gate: ClientGate::open(gate_settings(&settings)),
             context: OperatorContext {
                 backend,
                 settings: Arc::new(settings),
@@ -93,10 +96,27 @@
     }
 }
 
+/// Returns the settings of the operators' gate, which is apart from that of the callers.
+fn gate_settings(settings: &OperatorSettings) -> GateSettings {
+    let header_bytes = (settings.header_limit * 2).max(HEADER_BUFFER_MIN);
+    let body_limit = usize::try_from(settings.body_limit).unwrap_or(usize::MAX);
+    let connection_memory = header_bytes.saturating_add(body_limit);
+    GateSettings {
+        peer: "operator",
+        memory_limit: connection_memory.saturating_mul(REQUEST_MEMORY_FACTOR),
+        connection_memory,
+        connection_limit: settings.connection_limit,
+        header_bytes,
+        header_timeout: settings.header_timeout,
+        body_timeout: settings.body_timeout,
+        ..GateSettings::default()
+    }
+}
+
 /// The state that all connections share.
 #[derive(Debug, Clone)]
 struct OperatorServer<B> {
-    connections: Arc<Semaphore>,
+    gate: ClientGate,
     context: OperatorContext<B>,
     tls: Option<Arc<TlsReloader>>,
 }
@@ -110,7 +130,12 @@
     loop {
         tokio::select! {
             accepted = listener.accept() => match accepted {
-                Ok((stream, _)) => spawn_connection(&server, stream, &graceful),
+                Ok((stream, _)) => {
+                    if let Some(account) = server.gate.admit().await {
+                        let watcher = graceful.watcher();
+                        tokio::spawn(serve_stream(server.clone(), stream, watcher, account));
+                    }
+                }
                 Err(error) => {
                     warn!("operators' listener: accepting a connection failed: {error}");
                     tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
@@ -123,30 +148,15 @@
     graceful.shutdown().await;
 }
 
-/// Spawns a background task that serves a connection, unless the limit of connections is reached.
-fn spawn_connection<B: OperatorBackend>(
-    server: &OperatorServer<B>,
-    stream: TcpStream,
-    graceful: &GracefulShutdown,
-) {
-    let Ok(permit) = Arc::clone(&server.connections).try_acquire_owned() else {
-        warn!("operators' listener: closing a new connection, since too many are open");
-        return;
-    };
-    let server = server.clone();
-    let watcher = graceful.watcher();
-    tokio::spawn(serve_stream(server, stream, watcher, permit));
-}
-
+/// Serves a connection, after its TLS handshake if operators are served over TLS.
 async fn serve_stream<B: OperatorBackend>(
     server: OperatorServer<B>,
     stream: TcpStream,
     watcher: Watcher,
-    permit: OwnedSemaphorePermit,
+    account: ConnectionAccount,
 ) {
     let Some(tls) = server.tls.clone() else {
-        serve_connection(server, stream, watcher).await;
-        drop(permit);
+        serve_connection(server, stream, watcher, account).await;
         return;
     };
     let handshake_timeout = server.context.settings.header_timeout;
@@ -156,28 +166,22 @@
     )
     .await
     {
-        Ok(Ok(stream)) => serve_connection(server, stream, watcher).await,
+        Ok(Ok(stream)) => serve_connection(server, stream, watcher, account).await,
         Ok(Err(error)) => warn!("operators' listener: TLS handshake failed: {error}"),
         Err(_) => warn!("operators' listener: TLS handshake timed out"),
     }
-    drop(permit);
 }
 
 async fn serve_connection<B: OperatorBackend, S>(
     server: OperatorServer<B>,
     stream: S,
     watcher: Watcher,
+    account: ConnectionAccount,
 ) where
     S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
 {
-    let settings = Arc::clone(&server.context.settings);
     let service = TowerToHyperService::new(warp::service(operator_filter(server.context)));
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(settings.header_timeout)
-        .max_buf_size((settings.header_limit * 2).max(HEADER_BUFFER_MIN))
-        .serve_connection(TokioIo::new(stream), service);
-    if let Err(error) = watcher.watch(connection).await {
+    if let Err(error) = serve_gated(account, stream, service, watcher).await {
         debug!("operators' listener: a connection failed: {error}");
     }
 }
--- a/crates/geraniumshed-daemon/src/request/listener.rs
+++ b/crates/geraniumshed-daemon/src/request/listener.rs
@@ -7,8 +7,7 @@
 use std::time::Duration;
 
 use futures::FutureExt as _;
-use hyper::server::conn::http1;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use geraniumshed_gate::{ConnectionAccount, serve_connection};
 use hyper_util::server::graceful::GracefulShutdown;
 use hyper_util::service::TowerToHyperService;
 use tokio::net::{TcpListener, TcpStream};
@@ -30,10 +29,6 @@
 /// The delay after a failed accept, for example because of too many open files.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// The HTTP library's header limit as a multiple of [`EntrySettings::header_limit`]. It is higher, so
-/// that the daemon's own check fails first, whose answer explains the error.
-const HEADER_LIMIT_FACTOR: usize = 4;
-
 /// Binds the callers' listener.
 #[derive(Debug)]
 pub struct EntryListener;
@@ -140,10 +135,15 @@
     mut stopped: watch::Receiver<bool>,
 ) {
     let graceful = GracefulShutdown::new();
+    let gate = &keyed.shared.gate;
     loop {
         tokio::select! {
             accepted = listener.accept() => match accepted {
-                Ok((stream, _)) => serve_connection(stream, &keyed, &graceful),
+                Ok((stream, _)) => {
+                    if let Some(account) = gate.admit().await {
+                        spawn_connection(account, stream, &keyed, &graceful);
+                    }
+                }
                 Err(_) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
             },
             Ok(()) = stopped.changed() => break,
@@ -151,7 +151,9 @@
     }
     // Connections that are already in the listen queue are still served.
     while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
-        serve_connection(stream, &keyed, &graceful);
+        if let Some(account) = gate.admit().await {
+            spawn_connection(account, stream, &keyed, &graceful);
+        }
     }
     drop(listener);
     graceful.shutdown().await;
@@ -160,29 +162,20 @@
     }
 }
 
-/// Serves a connection in a background task, or closes it if the connection limit is reached.
-fn serve_connection<P: PeerForwarder, K: KeyLog>(
+/// Serves a connection in a background task.
+fn spawn_connection<P: PeerForwarder, K: KeyLog>(
+    account: ConnectionAccount,
     stream: TcpStream,
     keyed: &Arc<KeyedHandler<P, K>>,
     graceful: &GracefulShutdown,
 ) {
-    let shared = &keyed.shared;
-    let settings = &shared.settings;
-    if graceful.count() >= settings.connection_limit {
-        return;
-    }
     drop(stream.set_nodelay(true));
     let service = TowerToHyperService::new(warp::service(caller_routes(Arc::clone(keyed))));
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(settings.header_timeout)
-        .max_buf_size((settings.header_limit * HEADER_LIMIT_FACTOR).max(64 * 1024))
-        .serve_connection(TokioIo::new(stream), service);
-    let watched = graceful.watch(connection);
-    let shared = Arc::clone(shared);
+    let watcher = graceful.watcher();
+    let shared = Arc::clone(&keyed.shared);
     add_one(&shared.counters.connections);
     tokio::spawn(async move {
-        drop(watched.await);
+        drop(serve_connection(account, stream, service, watcher).await);
         subtract_one(&shared.counters.connections);
     });
 }
--- a/crates/geraniumshed-daemon/src/request/mod.rs
+++ b/crates/geraniumshed-daemon/src/request/mod.rs
@@ -7,6 +7,7 @@
 mod buffered_answer;
 mod dispatch;
 mod forwarding;
+mod gate;
 mod header;
 mod intake;
 mod key_claim;
--- a/crates/geraniumshed-daemon/src/request/settings.rs
+++ b/crates/geraniumshed-daemon/src/request/settings.rs
@@ -18,6 +18,14 @@
     pub buffer_limit: usize,
     /// The maximum size of all buffered request bodies together, in bytes.
     pub buffer_total: usize,
+    /// The maximum number of a request's headers.
+    pub header_count: usize,
+    /// The maximum memory of all requests that are not answered yet, in bytes.
+    pub request_total: usize,
+    /// The time after which a connection without a request is closed.
+    pub caller_idle_timeout: Duration,
+    /// The time within which a caller has to take the next bytes of an answer.
+    pub write_timeout: Duration,
     /// The time within which a request's headers have to arrive.
     pub header_timeout: Duration,
     /// The time within which the next chunk of a request's body has to arrive.
@@ -57,6 +65,10 @@
             listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
             connection_limit: 10_000,
             header_limit: 16 * 1024,
+            header_count: 100,
+            request_total: 96 * 1024 * 1024,
+            caller_idle_timeout: Duration::from_secs(15),
+            write_timeout: Duration::from_secs(10),
             body_limit: 64 * 1024 * 1024,
             buffer_limit: 256 * 1024,
             buffer_total: 64 * 1024 * 1024,
--- a/crates/geraniumshed-daemon/src/request/shared.rs
+++ b/crates/geraniumshed-daemon/src/request/shared.rs
@@ -7,12 +7,14 @@
 
 use geraniumshed_core::request::router::RouteView;
 use geraniumshed_core::request::{DispatchPolicy, TeamRates};
+use geraniumshed_gate::ClientGate;
 use geraniumshed_model::prelude::{
     DaemonIncarnation, RecordName, RequestId, ServiceSpec, TimePoint, VmId, VmPhase, VmRole,
     ZoneName,
 };
 
 use super::body::BodyMemory;
+use super::gate::gate_settings;
 use super::settings::EntrySettings;
 use super::shared_dispatcher::SharedDispatcher;
 use super::status::EntryCounters;
@@ -27,6 +29,8 @@
     pub settings: EntrySettings,
     /// The counters.
     pub counters: EntryCounters,
+    /// The limits on what callers hold.
+    pub gate: ClientGate,
     /// The limit on the memory of buffered request bodies.
     pub memory: BodyMemory,
     /// The records that are in force in this daemon.
@@ -52,6 +56,7 @@
     /// Creates the state from the daemon's context.
     pub fn new<P, K>(context: &super::EntryContext<P, K>, settings: EntrySettings) -> Self {
         Self {
+            gate: ClientGate::open(gate_settings(&settings)),
             memory: BodyMemory::new(settings.buffer_total),
             settings,
             counters: EntryCounters::default(),
--- a/crates/geraniumshed-daemon/src/settings/parts.rs
+++ b/crates/geraniumshed-daemon/src/settings/parts.rs
@@ -20,6 +20,10 @@
     let listen = reader.address("listen");
     let connection_limit = reader.count("connection_limit", default.connection_limit);
     let header_limit = reader.buffer_size("header_limit", default.header_limit);
+    let header_count = reader.count("header_count", default.header_count);
+    let request_total = reader.buffer_size("request_total", default.request_total);
+    let caller_idle_timeout = reader.duration("caller_idle_timeout", default.caller_idle_timeout);
+    let write_timeout = reader.duration("write_timeout", default.write_timeout);
     let body_limit = reader.bytes("body_limit", default.body_limit);
     let buffer_limit = reader.buffer_size("buffer_limit", default.buffer_limit);
     let buffer_total = reader.buffer_size("buffer_total", default.buffer_total);
@@ -41,6 +45,10 @@
         listen: listen?,
         connection_limit: connection_limit?,
         header_limit: header_limit?,
+        header_count: header_count?,
+        request_total: request_total?,
+        caller_idle_timeout: caller_idle_timeout?,
+        write_timeout: write_timeout?,
         body_limit: body_limit?,
         buffer_limit: buffer_limit?,
         buffer_total: buffer_total?,
--- a/crates/geraniumshed/tests/clients/adapter.rs
+++ b/crates/geraniumshed/tests/clients/adapter.rs
@@ -9,7 +9,7 @@
 use geraniumshed_soak::clients::{Clients, HOST, TrafficSettings};
 use geraniumshed_soak::clock::RunClock;
 use geraniumshed_soak::daemon::{Daemon, DaemonIndex, DaemonSettings};
-use geraniumshed_soak::jobs::{JobClass, JobRegistry};
+use geraniumshed_soak::jobs::{JobClass, JobPlan, JobRegistry};
 use geraniumshed_soak::limits::SiteLimits;
 use geraniumshed_soak::store::{EpochCheck, OPERATOR_TOPIC, StandInStore};
 use geraniumshed_soak::worker::{EndForgetting, Fleet, FleetSettings, SERVICE};
@@ -135,7 +135,7 @@
         };
         // A job that runs shows that the daemon leads and knows its workers.
         site.submit_job(1).await;
-        site.await_runs(1).await;
+        site.await_run(1).await;
         site
     }
 
@@ -160,18 +160,20 @@
         }
     }
 
-    fn runs(&self) -> usize {
-        self.checker.lock().unwrap().run_count()
-    }
-
-    async fn await_runs(&self, count: usize) {
+    /// Waits until a task of the job with a seed has been started.
+    async fn await_run(&self, seed: u64) {
+        let plan = JobPlan::draw(
+            JobClass::Listen,
+            false,
+            &mut ChaCha8Rng::seed_from_u64(seed),
+        );
         let started = Instant::now();
-        while self.runs() < count {
-            assert!(
-                started.elapsed() < STATE_LIMIT,
-                "only {} of {count} runs",
-                self.runs()
-            );
+        let has_run = || {
+            let checker = self.checker.lock().unwrap();
+            plan.tasks().any(|task| !checker.runs(task).is_empty())
+        };
+        while !has_run() {
+            assert!(started.elapsed() < STATE_LIMIT, "the job never runs");
             sleep(WATCH_INTERVAL).await;
         }
     }
@@ -180,7 +182,6 @@
     /// another one afterwards. Returns the largest size of the process.
     async fn press(&self, crowd: Crowd, seed: u64) -> ProcessSize {
         reset_peak(self.pid());
-        let runs = self.runs();
         let pressing = tokio::spawn(crowd.press(CROWD_TIME));
         let mut descriptors = 0;
         let submitting = async {
@@ -195,7 +196,7 @@
                 () = sleep(WATCH_INTERVAL) => descriptors = descriptors.max(self.size().descriptors),
             }
         }
-        self.await_runs(runs + 1).await;
+        self.await_run(seed).await;
         self.submit_job(seed + 1).await;
         ProcessSize {
             descriptors,
@@ -276,7 +277,7 @@
 fn fleet_settings() -> FleetSettings {
     FleetSettings {
         seed: 1,
-        count: 4,
+        count: 12,
         limits: SiteLimits::default(),
         guards_capacity: false,
         delivers_to_next_life: false,
--- a/crates/geraniumshed/tests/clients/main.rs
+++ b/crates/geraniumshed/tests/clients/main.rs
@@ -5,6 +5,10 @@
 
 mod adapter;
 mod crowd;
+mod daemon;
+#[path = "../faults/harness/mod.rs"]
+#[allow(dead_code, unused_imports, reason = "other tests use the rest of it")]
+mod harness;
 mod process_size;
 
 /// Lets one test at a time start processes and crowds.
--- a/crates/geraniumshed/tests/faults/harness/mod.rs
+++ b/crates/geraniumshed/tests/faults/harness/mod.rs
@@ -14,5 +14,7 @@
 pub use self::caller::{Caller, CallerReply};
 pub use self::cluster::{Cluster, ClusterPlan, belongs_to, completed};
 pub use self::load::{Load, LoadPlan, TimedReply};
+#[allow(unused_imports, reason = "the tests of clients use it")]
+pub use self::process::OPERATOR_SECRET;
 pub use self::records::{TEAM, job};
 pub use self::wait::within;
--- a/crates/geraniumshed/tests/faults/harness/process.rs
+++ b/crates/geraniumshed/tests/faults/harness/process.rs
@@ -38,10 +38,14 @@
         Self { child, output }
     }
 
+    /// Returns the id of the process.
+    pub fn id(&self) -> i32 {
+        i32::try_from(self.child.id()).unwrap()
+    }
+
     /// Sends a signal to the process.
     pub fn signal(&self, signal: Signal) {
-        let id = i32::try_from(self.child.id()).unwrap();
-        kill(Pid::from_raw(id), signal).unwrap();
+        kill(Pid::from_raw(self.id()), signal).unwrap();
     }
 
     /// Kills the process and waits until it has exited.
