--- a/crates/geraniumshed-daemon/src/node/metrics.rs
+++ b/crates/geraniumshed-daemon/src/node/metrics.rs
@@ -25,6 +25,9 @@
     set.count(MetricName::EntryReplayed, entry.replayed);
     set.count(MetricName::EntryPoolsReplaced, entry.pools_replaced);
     set.count(MetricName::EntryHungUp, entry.hung_up);
+    set.count(MetricName::EntryRefused, entry.refused);
+    set.count(MetricName::EntryTooSlow, entry.too_slow);
+    set.count(MetricName::EntryHeldBytes, entry.held_bytes);
     set.count(MetricName::EntryConnections, entry.connections);
     set.count(MetricName::EntryActive, entry.active);
 }
--- a/crates/geraniumshed-daemon/src/operator/body.rs
+++ b/crates/geraniumshed-daemon/src/operator/body.rs
@@ -2,8 +2,9 @@
 
 use std::time::Duration;
 
-use bytes::{Buf, Bytes, BytesMut};
+use bytes::{Buf, Bytes};
 use futures::{Stream, StreamExt};
+use geraniumshed_gate::BodyBlocks;
 use geraniumshed_model::prelude::{ErrorKind, ProblemError};
 use smol_str::format_smolstr;
 use tokio::time::timeout;
@@ -37,7 +38,7 @@
     limit: u64,
 ) -> Result<Bytes, ProblemError> {
     let mut stream = std::pin::pin!(stream);
-    let mut body = BytesMut::new();
+    let mut body = BodyBlocks::default();
     while let Some(part) = stream.next().await {
         let mut part = part.map_err(|error| {
             ProblemError::new(
@@ -54,7 +55,7 @@
                 "publish fewer records at a time",
             ));
         }
-        body.extend_from_slice(&part.copy_to_bytes(part.remaining()));
+        body.extend(&part.copy_to_bytes(part.remaining()));
     }
-    Ok(body.freeze())
+    Ok(body.join())
 }
--- a/crates/geraniumshed-daemon/src/request/body.rs
+++ b/crates/geraniumshed-daemon/src/request/body.rs
@@ -5,9 +5,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::{Buf, Bytes, BytesMut};
+use bytes::{Buf, Bytes};
 use futures::channel::mpsc;
 use futures::{SinkExt as _, Stream, StreamExt as _};
+use geraniumshed_gate::BodyBlocks;
 use geraniumshed_model::prelude::ErrorKind;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
@@ -107,19 +108,19 @@
     let expected = declared.map_or(limit, |length| usize::try_from(length).unwrap_or(limit));
     let permit = memory.reserve(expected.min(limit))?;
     let mut stream = Box::pin(stream);
-    let mut buffered = BytesMut::new();
+    let mut buffered = BodyBlocks::default();
     while buffered.len() <= limit {
         let Some(chunk) = next_chunk(&mut stream, settings.body_timeout).await? else {
             let buffered = BufferedBytes {
-                bytes: buffered.freeze(),
+                bytes: buffered.join(),
                 _permit: permit,
             };
             return Ok(RequestBody::Buffered(Bytes::from_owner(buffered)));
         };
-        buffered.extend_from_slice(&chunk);
+        buffered.extend(&chunk);
     }
     Ok(RequestBody::Streamed(stream_rest(
-        buffered.freeze(),
+        buffered.join(),
         stream,
         settings,
     )))
--- a/crates/geraniumshed-daemon/src/request/gate.rs
+++ b/crates/geraniumshed-daemon/src/request/gate.rs
@@ -9,9 +9,9 @@
 const DESCRIPTOR_PART: usize = 2;
 /// The HTTP library's header limit as a multiple of [`EntrySettings::header_limit`]. It is higher, so
 /// that the daemon's own check fails first, whose answer explains the error.
-const HEADER_LIMIT_FACTOR: usize = 4;
-/// The minimum of the HTTP library's header limit, in bytes.
-const HEADER_BUFFER_MIN: usize = 64 * 1024;
+const HEADER_LIMIT_FACTOR: usize = 2;
+/// The minimum of the HTTP library's header limit, in bytes, which the library sets.
+const HEADER_BUFFER_MIN: usize = 8192;
 
 /// Returns the settings of the callers' gate.
 pub(super) fn gate_settings(settings: &EntrySettings) -> GateSettings {
--- a/crates/geraniumshed-daemon/src/request/listener.rs
+++ b/crates/geraniumshed-daemon/src/request/listener.rs
@@ -51,7 +51,7 @@
     /// Returns a snapshot of the counters.
     pub fn status(&self) -> EntryStatus {
         let draining = self.0.draining.load(Ordering::Relaxed);
-        EntryStatus::read(&self.0.counters, draining)
+        EntryStatus::read(&self.0.counters, &self.0.gate, draining)
     }
 }
 
@@ -124,7 +124,7 @@
         tokio::time::sleep(settings.drain_notice).await;
         let _ = self.stop.send(true);
         drop(tokio::time::timeout(settings.drain_limit, self.accept_task).await);
-        EntryStatus::read(&self.shared.counters, true)
+        EntryStatus::read(&self.shared.counters, &self.shared.gate, true)
     }
 }
 
--- a/crates/geraniumshed-daemon/src/request/status.rs
+++ b/crates/geraniumshed-daemon/src/request/status.rs
@@ -2,8 +2,22 @@
 
 use std::sync::atomic::{AtomicU64, Ordering};
 
+use geraniumshed_gate::{ClientGate, RefusalCause};
 use geraniumshed_model::prelude::RunOutcome;
 
+/// The causes for which the process has no room.
+const NO_ROOM: [RefusalCause; 3] = [
+    RefusalCause::Connections,
+    RefusalCause::Memory,
+    RefusalCause::Shed,
+];
+/// The causes of connections that make no progress, except those without a request.
+const NO_PROGRESS: [RefusalCause; 3] = [
+    RefusalCause::SlowHeader,
+    RefusalCause::SlowBody,
+    RefusalCause::SlowReader,
+];
+
 /// The live counters of the request path, which count from the start of the process.
 #[derive(Debug, Default)]
 pub struct EntryCounters {
@@ -78,6 +92,12 @@
     pub pools_replaced: u64,
     /// Requests whose callers disconnected before the dispatch.
     pub hung_up: u64,
+    /// Connections that were closed since the process had no room for them.
+    pub refused: u64,
+    /// Connections that were closed since they made no progress.
+    pub too_slow: u64,
+    /// The memory that requests which are not answered yet hold, in bytes.
+    pub held_bytes: u64,
     /// Open connections from callers.
     pub connections: u64,
     /// Requests that are waiting or in flight.
@@ -87,9 +107,13 @@
 }
 
 impl EntryStatus {
-    /// Reads all counters.
-    pub fn read(counters: &EntryCounters, draining: bool) -> Self {
+    /// Reads all counters, and those of the callers' gate.
+    pub fn read(counters: &EntryCounters, gate: &ClientGate, draining: bool) -> Self {
         let get = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
+        let sum = |causes: &[RefusalCause]| {
+            let counts = causes.iter().map(|cause| gate.refusals(*cause));
+            counts.sum()
+        };
         Self {
             received: get(&counters.received),
             forwarded_in: get(&counters.forwarded_in),
@@ -101,6 +125,9 @@
             replayed: get(&counters.replayed),
             pools_replaced: get(&counters.pools_replaced),
             hung_up: get(&counters.hung_up),
+            refused: sum(&NO_ROOM),
+            too_slow: sum(&NO_PROGRESS),
+            held_bytes: gate.held() as u64,
             connections: get(&counters.connections),
             active: get(&counters.active),
             draining,
--- a/crates/geraniumshed-daemon/src/telemetry/metric.rs
+++ b/crates/geraniumshed-daemon/src/telemetry/metric.rs
@@ -59,6 +59,9 @@
     EntryReplayed, "entry.replayed", Counter, "Kept answers given again to the same key.";
     EntryPoolsReplaced, "entry.pools_replaced", Counter, "Pools of connections replaced after a stall.";
     EntryHungUp, "entry.hung_up", Counter, "Requests that callers gave up before dispatch.";
+    EntryRefused, "entry.refused", Counter, "Connections and requests of callers that were closed since the process had no room for them: too many, too much memory, or shed for others.";
+    EntryTooSlow, "entry.too_slow", Counter, "Connections of callers that were closed since they made no progress.";
+    EntryHeldBytes, "entry.held_bytes", Gauge, "The memory that callers' requests which are not answered yet hold, in bytes.";
     EntryConnections, "entry.connections", Gauge, "Open connections of callers.";
     EntryActive, "entry.active", Gauge, "Requests that wait or are in flight.";
     LogAppends, "log.appends", Counter, "Entries appended to the log.";
--- a/crates/geraniumshed-gate/src/lib.rs
+++ b/crates/geraniumshed-gate/src/lib.rs
@@ -7,6 +7,7 @@
 //! while clients press the process.
 
 mod account;
+mod blocks;
 mod cause;
 mod connection;
 mod descriptors;
@@ -15,6 +16,7 @@
 mod stream;
 
 pub use account::{ClientGate, ConnectionAccount};
+pub use blocks::BodyBlocks;
 pub use cause::RefusalCause;
 pub use connection::{GuardedBody, serve_connection};
 pub use descriptors::descriptor_limit;
--- a/crates/geraniumshed/tests/clients/adapter.rs
+++ b/crates/geraniumshed/tests/clients/adapter.rs
@@ -17,10 +17,11 @@
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
 use serde_json::json;
+use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep};
 
 use crate::PROCESSES;
-use crate::crowd::{Conduct, Crowd};
+use crate::crowd::{Conduct, Crowd, send_legal};
 use crate::process_size::{ProcessSize, reset_peak};
 
 /// The memory of the machine in the test's settings, in megabytes.
@@ -43,6 +44,13 @@
 /// The longest time that a test waits for a state. It is far longer than any state takes.
 const STATE_LIMIT: Duration = Duration::from_secs(30);
 
+/// The memory of the smallest entry VM, in megabytes.
+const SMALLEST_MEMORY_MB: u32 = 160;
+/// The descriptors of the smallest entry VM.
+const SMALLEST_MAX_FDS: u32 = 4100;
+/// The number of clients that send the largest requests at once.
+const LEGAL_CLIENTS: usize = 64;
+
 /// The crowds, with the number of clients of each.
 const CROWDS: [(Conduct, usize); 13] = [
     (Conduct::StopsShort, 96),
@@ -79,8 +87,13 @@
 }
 
 impl Site {
-    /// Starts the stand-ins and the daemon, and waits until the daemon is ready.
+    /// Opens a site on a machine of the crowds' size.
     async fn open(name: &str) -> Self {
+        Self::open_on(name, MACHINE_MEMORY_MB, MACHINE_MAX_FDS).await
+    }
+
+    /// Starts the stand-ins and the daemon, and waits until the daemon is ready.
+    async fn open_on(name: &str, memory_mb: u32, max_fds: u32) -> Self {
         let clock = RunClock::start();
         let store = StandInStore::new(clock, EpochCheck::WhenExecuted);
         store.publish(OPERATOR_TOPIC, "config", config().into());
@@ -109,8 +122,8 @@
             cpu_share: 0.5,
             limits: SiteLimits::default(),
             store: store.listen(index, index.worker_address()).await.unwrap(),
-            memory_mb: MACHINE_MEMORY_MB,
-            max_fds: MACHINE_MAX_FDS,
+            memory_mb,
+            max_fds,
             arguments: vec!["--metrics-port".to_owned(), METRICS_PORT.to_string()],
             directory,
         });
@@ -261,6 +274,23 @@
     );
 }
 
+/// Guards against limits that clients within the documented ones meet: on the smallest entry VM, 64
+/// connections at once send jobs of the largest body with headers of 16,384 bytes, and some send
+/// their headers slowly. All of them are answered, and none with a refusal for a limit.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn clients_within_the_limits_meet_none() {
+    let _processes = PROCESSES.lock().await;
+    let site = Site::open_on("legal", SMALLEST_MEMORY_MB, SMALLEST_MAX_FDS).await;
+    let mut clients = JoinSet::new();
+    for index in 0..LEGAL_CLIENTS {
+        let address = site.daemon.front();
+        clients.spawn(async move { send_legal(address, HOST, index).await.unwrap() });
+    }
+    for status in clients.join_all().await {
+        assert_eq!(status, 200);
+    }
+}
+
 /// Returns a configuration with the largest bodies that clients may send by default.
 fn config() -> String {
     let name = JobClass::Listen.queue();
--- a/crates/geraniumshed/tests/clients/crowd.rs
+++ b/crates/geraniumshed/tests/clients/crowd.rs
@@ -33,6 +33,11 @@
 /// The time between two bytes of a slow sender.
 const SLOW_INTERVAL: Duration = Duration::from_millis(400);
 
+/// The largest headers that the adapter accepts by default, in bytes.
+const LEGAL_HEADERS: usize = 16_384;
+/// The pause of a slow client within its headers.
+const HEADER_PAUSE: Duration = Duration::from_millis(1500);
+
 /// What a client does.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Conduct {
@@ -228,3 +233,29 @@
     }
     body + "]}"
 }
+
+/// Submits a job of the largest body, with the largest headers, and returns the status. Each fourth
+/// client takes a part of the documented 3 s for its headers.
+pub async fn send_legal(address: SocketAddr, host: &str, index: usize) -> std::io::Result<u16> {
+    let job = "{\"spec\":\"x\",\"steps\":[{\"count\":1,\"cpu\":10,\"memMb\":1,\"estimateMs\":10}]";
+    let body = format!("{job}{}}}", " ".repeat(LEGAL_BODY - job.len() - 1));
+    let id = 0xfee_0000 + index;
+    let head = format!(
+        "POST /listen/{id:016x} HTTP/1.1\r\nHost: {host}\r\nDeadline-Ms: 20000\r\nContent-Length: {}\r\n",
+        body.len()
+    );
+    let filler = LEGAL_HEADERS - head.len() - "X-Filler: \r\n\r\n".len();
+    let head = format!("{head}X-Filler: {}\r\n\r\n", "y".repeat(filler));
+    let mut stream = TcpStream::connect(address).await?;
+    let (first, second) = head.as_bytes().split_at(LEGAL_HEADERS / 2);
+    stream.write_all(first).await?;
+    if index.is_multiple_of(4) {
+        sleep(HEADER_PAUSE).await;
+    }
+    stream.write_all(second).await?;
+    stream.write_all(body.as_bytes()).await?;
+    let mut answer = [0; 12];
+    stream.read_exact(&mut answer).await?;
+    let status = String::from_utf8_lossy(&answer[9..]).parse();
+    Ok(status.unwrap_or_default())
+}
