--- a/crates/geraniumshed-core/src/assignment/planner.rs
+++ b/crates/geraniumshed-core/src/assignment/planner.rs
@@ -32,8 +32,8 @@
 use super::unproved_loss::UnprovedLosses;
 use super::wait_ledger::WaitLedger;
 use super::worker_index::WorkerIndex;
-use super::zone_evacuation::ZoneLedger;
 use super::worker_speed::FleetAssessment;
+use super::zone_evacuation::ZoneLedger;
 use crate::job::{
     JobEntry, JobId, JobPhase, JobRequest, QueueName, QueuePolicy, QueueTable, StepKey, StoredJob,
     TaskKey, TaskPhase, WorkerId,
