Forecast how long a new job waits, and judge jobs by it

In a lasting overload, jobs were accepted that could only end after three times their allowed time, when they are of no use to their clients.

After a placement pass, at most four times a second and only while a step found no worker, the planner walks once over the jobs that are to be placed, and divides the work that ranks ahead of a new job by the rate at which such work was started.

--- a/crates/geraniumshed-core/src/assignment/mod.rs
+++ b/crates/geraniumshed-core/src/assignment/mod.rs
@@ -6,11 +6,13 @@
 
 mod action;
 mod advice;
+mod backlog_walk;
 mod change_tracker;
 mod crash_assessment;
 mod crash_ledger;
 mod evacuation;
 mod event;
+mod forecast;
 mod gang;
 mod improvement_log;
 mod interference;
@@ -31,6 +33,7 @@
 mod run_end;
 mod settings;
 mod silence_log;
+mod start_history;
 mod start_window;
 mod starting;
 mod step_candidates;
@@ -54,6 +57,7 @@
     NewProcess, PlacementSummary, PlannerEvent, RestartSign, RestartedWorker, SilentWorker,
     SkippedEnds, StartDelay, TaskTrial, UnexpectedRun, UnlistedEnds,
 };
+pub use forecast::{MAX_FORECAST_QUEUES, QueueWait, WaitForecast};
 pub use interference::{
     InterferenceModel, InterferenceSnapshot, LoadShare, ServedImageRecord, SlopeRecord,
 };
--- a/crates/geraniumshed-core/src/assignment/order_permit.rs
+++ b/crates/geraniumshed-core/src/assignment/order_permit.rs
@@ -83,6 +83,13 @@
         (self.may_extend_leases && !limited.is_zero()).then_some(limited)
     }
 
+    /// Returns whether the store has left a batch unanswered for a time, or starts are suspended until it
+    /// answers.
+    pub(super) fn is_store_silent(&self, now: TimePoint, limit: Duration) -> bool {
+        let oldest = self.unstored.front();
+        !self.may_start() || oldest.is_some_and(|(_, taken_at)| now.since(*taken_at) > limit)
+    }
+
     /// Records that no successor can have taken over by a given time.
     fn confirm(&mut self, led_at: TimePoint) {
         self.led_at = self.led_at.max(led_at);
--- a/crates/geraniumshed-core/src/assignment/placement_pass.rs
+++ b/crates/geraniumshed-core/src/assignment/placement_pass.rs
@@ -56,6 +56,11 @@
         self.is_exhausted
     }
 
+    /// Returns whether no start remains, so that steps may wait for answers to starts.
+    pub(super) fn has_no_starts_left(&self) -> bool {
+        self.remaining_starts == 0
+    }
+
     /// Records that no worker was found for a task of a step.
     pub(super) fn record_failure(
         &mut self,
--- a/crates/geraniumshed-core/src/assignment/planner.rs
+++ b/crates/geraniumshed-core/src/assignment/planner.rs
@@ -13,6 +13,7 @@
 use super::advice::AdviceTable;
 use super::change_tracker::ChangeTracker;
 use super::event::{JobSummary, PlannerEvent};
+use super::forecast::ForecastRecord;
 use super::improvement_log::{FailedSearch, ImprovementLog};
 use super::interference::{InterferenceModel, InterferenceSnapshot};
 use super::lease_ledger::LeaseLedger;
@@ -81,6 +82,7 @@
     /// Whether calls to workers ask for the prolonged lease.
     pub(super) is_prolonging_leases: bool,
     pub(super) order_permit: OrderPermit,
+    pub(super) forecast: ForecastRecord,
     /// Whether this planner is handing over to a successor.
     pub(super) is_handing_over: bool,
     /// The workers that are held for long-running tasks that found no room or are evacuated.
@@ -135,6 +137,7 @@
             compared_workers: Cell::new(0),
             is_prolonging_leases: false,
             order_permit: OrderPermit::default(),
+            forecast: ForecastRecord::default(),
             is_handing_over: false,
             held_workers: BTreeMap::new(),
             is_placement_due: false,
--- a/crates/geraniumshed-core/src/assignment/planner_work.rs
+++ b/crates/geraniumshed-core/src/assignment/planner_work.rs
@@ -18,6 +18,8 @@
     /// The number of times that the pressure of a best-effort step on all served images was
     /// computed.
     pub pressure_forecasts: u64,
+    /// The number of jobs that forecasts of waits looked at.
+    pub forecast_jobs: u64,
     /// The number of placed tasks.
     pub placed_tasks: u64,
 }
@@ -37,6 +39,7 @@
             pressure_forecasts: self
                 .pressure_forecasts
                 .saturating_sub(earlier.pressure_forecasts),
+            forecast_jobs: self.forecast_jobs.saturating_sub(earlier.forecast_jobs),
             placed_tasks: self.placed_tasks.saturating_sub(earlier.placed_tasks),
         }
     }
--- a/crates/geraniumshed-core/src/assignment/rank.rs
+++ b/crates/geraniumshed-core/src/assignment/rank.rs
@@ -65,11 +65,7 @@
 /// Returns the time that an occurrence of a job may take to meet the queue's objective, saturating on
 /// overflow.
 pub(super) fn allowed_time(job: &JobEntry, policy: &QueuePolicy) -> Duration {
-    let chain = job.longest_chain().as_secs_f64();
-    let stretched = Duration::try_from_secs_f64(chain * policy.stretch.max(1.0));
-    stretched
-        .unwrap_or(Duration::MAX)
-        .saturating_add(policy.latency_objective)
+    policy.allowed_time(job.longest_chain())
 }
 
 /// Returns the indices of the ready steps of an occurrence.
--- a/crates/geraniumshed-core/src/assignment/step_placement.rs
+++ b/crates/geraniumshed-core/src/assignment/step_placement.rs
@@ -72,6 +72,7 @@
         for due in evacuations {
             self.evacuate(now, &due, &mut pass);
         }
+        self.update_forecast(now, pass.has_no_starts_left());
     }
 
     /// Returns the steps with tasks that can start now, and forgets the jobs without tasks to place
@@ -143,6 +144,7 @@
         self.work.pressure_forecasts += u64::from(has_forecast);
         if let Some(placed) = placed {
             pass.use_starts(placed);
+            self.observe_placement(now, &startable, placed);
             self.report_placement(now, &startable, placed);
         }
     }
--- a/crates/geraniumshed-core/src/assignment/worker_index.rs
+++ b/crates/geraniumshed-core/src/assignment/worker_index.rs
@@ -130,6 +130,16 @@
             .map(|position| &self.ids[position])
     }
 
+    /// Returns the processors of a service's workers that take tasks and aren't kept for one.
+    pub(super) fn open_processors(&self, service: &ServiceName) -> f64 {
+        let number = self.services.iter().position(|one| one == service);
+        let number = number.and_then(|number| u32::try_from(number).ok());
+        let open = self.slots.iter().filter(|slot| slot.is_open);
+        let open = open.filter(|slot| Some(slot.service) == number);
+        let half_units: i64 = open.map(|slot| slot.capacity).sum();
+        half_units as f64 / 2000.0
+    }
+
     /// Returns whether less than half of the processors of a service's workers are in use.
     pub(super) fn is_mostly_idle(&self, service: &ServiceName) -> bool {
         let number = self.services.iter().position(|one| one == service);
--- a/crates/geraniumshed-core/src/job/mod.rs
+++ b/crates/geraniumshed-core/src/job/mod.rs
@@ -18,7 +18,7 @@
 pub use diagnostics::JobDiagnostics;
 pub use entry::{JobEntry, JobPhase, Occurrence};
 pub use id::{JobId, QueueName, ServiceName, StepKey, TaskKey, WorkerId};
-pub use queue::{AdvicePolicy, QueuePolicy, QueueTable};
+pub use queue::{AdvicePolicy, QueuePolicy, QueueTable, USABLE_FACTOR};
 pub use request::{JobRequest, MAX_JOB_TASKS, RepeatPlan, StepRequest};
 pub use stored::{StoredJob, StoredOccurrence, StoredTask, TaskStage};
 pub use task::{TaskEntry, TaskPhase};
--- a/crates/geraniumshed-core/src/job/queue.rs
+++ b/crates/geraniumshed-core/src/job/queue.rs
@@ -5,6 +5,9 @@
 
 use super::id::{QueueName, ServiceName};
 
+/// The multiple of the allowed time up to which a late job is still of use to its client.
+pub const USABLE_FACTOR: u32 = 3;
+
 /// The scheduling policy for the jobs of a queue.
 #[derive(Debug, Clone, PartialEq)]
 pub struct QueuePolicy {
@@ -23,6 +26,17 @@
     pub advice: Option<AdvicePolicy>,
 }
 
+impl QueuePolicy {
+    /// Returns the time that a job with a longest chain of steps may take to meet the queue's
+    /// objective, saturating on overflow.
+    pub fn allowed_time(&self, chain: Duration) -> Duration {
+        let stretched = Duration::try_from_secs_f64(chain.as_secs_f64() * self.stretch.max(1.0));
+        stretched
+            .unwrap_or(Duration::MAX)
+            .saturating_add(self.latency_objective)
+    }
+}
+
 /// The expected duration of a call that asks which workers may run a step.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct AdvicePolicy {
--- a/crates/geraniumshed-core/src/job/request.rs
+++ b/crates/geraniumshed-core/src/job/request.rs
@@ -83,4 +83,9 @@
         }
         size
     }
+
+    /// Returns the estimated work of one task in processor-seconds.
+    pub fn task_work(&self) -> f64 {
+        f64::from(self.size.processors.0) / 1000.0 * self.estimate.as_secs_f64()
+    }
 }
--- a/crates/geraniumshed-core/tests/planner/main.rs
+++ b/crates/geraniumshed-core/tests/planner/main.rs
@@ -7,6 +7,7 @@
 mod draining;
 mod events;
 mod fixture;
+mod forecast;
 mod gangs;
 mod leases;
 mod listed_runs;
