Reject jobs on arrival that would be of no use by the leader's forecast

Daemons accepted all jobs, also those that would start after the end of their late period.

The leader's forecast reaches the other nodes by a long poll of its own, NodePeer::wait_forecast, over connections of its own; heartbeats stay as they are on the wire. Before a job is stored, the daemon judges it. Before it rejects one, it asks the leader whether the id is known, for 200 ms at most; known, not answered or not certain: the job is stored as before. The answer is 503 with Retry-After (CallOutcome::Overloaded).

A forecast of 32 queues takes at most 512 bytes.

--- a/crates/geraniumshed-batch/src/handler.rs
+++ b/crates/geraniumshed-batch/src/handler.rs
@@ -11,15 +11,16 @@
 use tokio::time::Instant;
 
 use crate::config::answer_config_query;
+use crate::forecast::answer_forecast_query;
 use crate::node::{LeadRequest, NodeShared, TrackedMember};
 use crate::service::{CallOutcome, JobService, ask_local_leader};
 use crate::site::{SiteFeed, WorkerCaller};
 use crate::store::{StoreClient, StoreError};
 use crate::topic::LEADERS;
 use crate::wire::{
-    ConfigQueryWire, ConfigReplyWire, CourierReplyBatchWire, CourierRequestWire,
-    HeartbeatReplyWire, HeartbeatWire, JobAnswerWire, JobCallWire, LeaderWire, MemberWire,
-    NodePeer,
+    ConfigQueryWire, ConfigReplyWire, CourierReplyBatchWire, CourierRequestWire, ForecastQueryWire,
+    ForecastReplyWire, HeartbeatReplyWire, HeartbeatWire, JobAnswerWire, JobCallWire, LeaderWire,
+    MemberWire, NodePeer,
 };
 
 /// The time within which a forwarded call has to be answered.
@@ -110,7 +111,9 @@
             Some(CallOutcome::Cancelled) => JobAnswerWire::Cancelled,
             Some(CallOutcome::Unknown) => JobAnswerWire::Unknown,
             Some(CallOutcome::Pending(count)) => JobAnswerWire::Pending(count),
-            Some(CallOutcome::Unavailable) => JobAnswerWire::Unavailable,
+            Some(CallOutcome::Unavailable | CallOutcome::Overloaded(_)) => {
+                JobAnswerWire::Unavailable
+            }
             Some(CallOutcome::Undecided) | None => JobAnswerWire::Undecided,
         }
     }
@@ -142,6 +145,10 @@
             .await
     }
 
+    async fn wait_forecast(self, _: Context, query: ForecastQueryWire) -> ForecastReplyWire {
+        answer_forecast_query(self.shared(), query).await
+    }
+
     async fn become_leader(self, _: Context, term: u64) {
         let shared = self.shared();
         let is_known = shared
--- a/crates/geraniumshed-batch/src/leader/run.rs
+++ b/crates/geraniumshed-batch/src/leader/run.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use geraniumshed_core::assignment::{
-    CancelOutcome, JobPlanner, JobStatus, PlannerSettings, StoreBatch,
+    CancelOutcome, JobPlanner, JobStatus, PlannerSettings, StoreBatch, WaitForecast,
 };
 use geraniumshed_core::job::{JobId, QueueName, QueuePolicy};
 use geraniumshed_core::leadership::LeaderTerm;
@@ -21,6 +21,7 @@
 use super::writer::{BatchWriter, UnansweredSince};
 use crate::clock::{NodeClock, ReadMark};
 use crate::courier::CourierRoster;
+use crate::forecast::ForecastBoard;
 use crate::site::{RenewOutcome, SiteFeed, WorkerCaller};
 use crate::store::StoreClient;
 use crate::store_monitor::StoreMonitor;
@@ -62,6 +63,8 @@
     pub(crate) settings: PlannerSettings,
     /// The nodes that call workers for this one while it leads.
     pub(crate) couriers: CourierRoster,
+    /// The forecasts of waits that this node knows.
+    pub(crate) forecasts: ForecastBoard,
 }
 
 /// The reason why the leader task has ended.
@@ -87,6 +90,9 @@
     W: WorkerCaller,
 {
     let (handle, events) = LeaderHandle::open();
+    // What the leader before has seen doesn't count any more.
+    let now = context.clock.now();
+    context.forecasts.publish(now, WaitForecast::default());
     let (batches, unanswered_since) = BatchWriter::spawn(&context, handle.clone(), term);
     let next_request = recovered.next_request;
     let store = context.store.clone();
@@ -105,6 +111,7 @@
         dispatcher,
         clock: context.clock,
         metrics: context.metrics,
+        forecasts: context.forecasts,
         progress_monitor: context.progress_monitor,
         handle: handle.clone(),
         planner,
@@ -170,6 +177,7 @@
     dispatcher: ActionDispatcher<W>,
     clock: NodeClock,
     metrics: NodeMetrics,
+    forecasts: ForecastBoard,
     progress_monitor: StoreMonitor,
     handle: LeaderHandle,
     planner: JobPlanner,
@@ -338,6 +346,9 @@
         // A slow store prolongs a takeover, so leases have to last longer.
         self.planner.prolong_leases(self.progress_monitor.is_slow());
         self.planner.advance(self.clock.planner_time());
+        if let Some(forecast) = self.planner.take_forecast() {
+            self.forecasts.publish(self.clock.now(), forecast);
+        }
         let advanced = Instant::now();
         self.timer
             .record_part(StepPart::Plan, advanced.duration_since(now));
--- a/crates/geraniumshed-batch/src/lib.rs
+++ b/crates/geraniumshed-batch/src/lib.rs
@@ -4,10 +4,12 @@
 //! them, the leader, runs the planner that places tasks on workers. Nodes access the platform
 //! through the traits in [`store`] and [`site`], so that tests can replace it.
 
+mod admission;
 mod cancel;
 pub mod clock;
 mod config;
 pub mod courier;
+mod forecast;
 mod handler;
 mod intake;
 pub mod leader;
--- a/crates/geraniumshed-batch/src/node.rs
+++ b/crates/geraniumshed-batch/src/node.rs
@@ -17,6 +17,7 @@
 use crate::clock::NodeClock;
 use crate::config::{ConfigState, follow_config};
 use crate::courier::{CourierRoster, CourierSessions};
+use crate::forecast::{ForecastBoard, follow_forecasts};
 use crate::handler::PeerHandler;
 use crate::intake::RequestWriter;
 use crate::leader::{LeaderContext, LeaderHandle};
@@ -155,6 +156,8 @@
     pub(crate) pool: PeerPool,
     /// Connections for configurations, which would hold up heartbeats on a narrow link.
     pub(crate) config_pool: PeerPool,
+    /// Connections for forecasts. A node of an earlier release closes them.
+    pub(crate) forecast_pool: PeerPool,
     /// Connections to couriers.
     pub(crate) courier_pool: PeerPool,
     /// The sessions of leaders with this node as their courier.
@@ -220,6 +223,7 @@
             metrics: NodeMetrics::open(),
             settings: settings.planner.clone(),
             couriers: CourierRoster::open(settings.courier_density),
+            forecasts: ForecastBoard::default(),
         };
         let address = settings.identity.address;
         let intake = RequestWriter::spawn(
@@ -232,6 +236,7 @@
             context,
             pool: PeerPool::default(),
             config_pool: PeerPool::default(),
+            forecast_pool: PeerPool::default(),
             courier_pool: PeerPool::default(),
             courier_sessions: CourierSessions::default(),
             intake,
@@ -243,6 +248,7 @@
         });
         PeerServer::bind(address, PeerHandler::new(Arc::clone(&shared))).await?;
         tokio::spawn(follow_config(Arc::clone(&shared)));
+        tokio::spawn(follow_forecasts(Arc::clone(&shared)));
         tokio::spawn(MemberTask::new(Arc::clone(&shared)).run());
         Ok(Self { shared })
     }
--- a/crates/geraniumshed-batch/src/peer/client.rs
+++ b/crates/geraniumshed-batch/src/peer/client.rs
@@ -18,8 +18,9 @@
 use super::stream::frame_codec;
 use crate::net::prepare_stream;
 use crate::wire::{
-    ConfigQueryWire, ConfigReplyWire, CourierReplyBatchWire, CourierRequestWire,
-    HeartbeatReplyWire, HeartbeatWire, JobAnswerWire, JobCallWire, NodePeerClient,
+    ConfigQueryWire, ConfigReplyWire, CourierReplyBatchWire, CourierRequestWire, ForecastQueryWire,
+    ForecastReplyWire, HeartbeatReplyWire, HeartbeatWire, JobAnswerWire, JobCallWire,
+    NodePeerClient,
 };
 
 /// The timeout for opening a connection.
@@ -177,6 +178,23 @@
         .await
     }
 
+    /// Asks a node for another forecast of waits than the caller knows.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is no answer.
+    pub async fn wait_forecast(
+        &self,
+        address: SocketAddr,
+        query: ForecastQueryWire,
+        limit: Duration,
+    ) -> Result<ForecastReplyWire, PeerFailure> {
+        self.request(address, limit, async |client, context| {
+            client.wait_forecast(context, query).await
+        })
+        .await
+    }
+
     /// Makes a call. Drops the connection if there is no answer, so that the next call opens a new
     /// one.
     async fn request<T>(
--- a/crates/geraniumshed-batch/src/service.rs
+++ b/crates/geraniumshed-batch/src/service.rs
@@ -55,6 +55,9 @@
     Unavailable,
     /// The call may have taken effect.
     Undecided,
+    /// The job isn't stored, since it would be of no use to its client now. A return pays after this
+    /// time.
+    Overloaded(Duration),
 }
 
 /// Whether a job is stored.
@@ -126,7 +129,10 @@
     /// Stores a job.
     pub async fn submit(&self, id: JobId, request: &JobRequest, deadline: Instant) -> CallOutcome {
         let started = Instant::now();
-        let outcome = self.store(id, request, deadline).await;
+        let outcome = match self.reject(id, request).await {
+            Some(delay) => CallOutcome::Overloaded(delay),
+            None => self.store(id, request, deadline).await,
+        };
         let taken = started.elapsed();
         self.metrics().record_call(CallKind::Submit, outcome, taken);
         log::info!(
--- a/crates/geraniumshed-batch/src/telemetry/metrics.rs
+++ b/crates/geraniumshed-batch/src/telemetry/metrics.rs
@@ -74,6 +74,28 @@
     pub in_time: &'static str,
 }
 
+/// What became of a job that was judged by a forecast of waits.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub(crate) enum AdmissionName {
+    /// It can still be of use.
+    Admitted,
+    /// It is rejected.
+    Rejected,
+    /// It would be rejected, but the leader knows it already.
+    Known,
+    /// It would be rejected, but the leader hasn't told in time whether it knows it.
+    Unconfirmed,
+}
+
+/// The labels of a job that was judged by a forecast of waits.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct AdmissionLabels {
+    /// The priority of the job's queue.
+    pub priority: u32,
+    /// What became of the job.
+    pub verdict: AdmissionName,
+}
+
 /// The labels of a read of the configuration.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct ConfigLabels {
@@ -112,6 +134,8 @@
     registry: Arc<Registry>,
     calls: Family<CallLabels, Counter>,
     call_seconds: Family<CallLabels, Histogram, fn() -> Histogram>,
+    admissions: Family<AdmissionLabels, Counter>,
+    forecast_wait_seconds: Histogram,
     /// The appends that store jobs and progress.
     pub(crate) appends: Family<OutcomeLabels, Counter>,
     /// The duration of these appends.
@@ -175,6 +199,8 @@
             registry: Arc::new(Registry::default()),
             calls: Family::default(),
             call_seconds: Family::new_with_constructor(latency),
+            admissions: Family::default(),
+            forecast_wait_seconds: Histogram::new(JOB_BOUNDS),
             appends: Family::default(),
             append_seconds: latency(),
             placements: Counter::default(),
@@ -215,6 +241,11 @@
         };
         drop(self.calls.get_or_create(&call));
         drop(self.call_seconds.get_or_create(&call));
+        let admission = AdmissionLabels {
+            priority: 0,
+            verdict: AdmissionName::Rejected,
+        };
+        drop(self.admissions.get_or_create(&admission));
         let outcome = append_outcome(&Ok(()));
         drop(self.appends.get_or_create(&OutcomeLabels { outcome }));
         let lost = ReasonLabels { reason: "failed" };
@@ -252,6 +283,7 @@
             "The time to the answer of a client's call",
             self.call_seconds.clone(),
         );
+        self.register_admissions(&mut registry);
         registry.register("appends", "Appends to the store", self.appends.clone());
         registry.register(
             "append_seconds",
@@ -338,6 +370,20 @@
         registry
     }
 
+    /// Registers what the admission of jobs counts.
+    fn register_admissions(&self, registry: &mut Registry) {
+        registry.register(
+            "admissions",
+            "Jobs of queues with a forecast of their wait",
+            self.admissions.clone(),
+        );
+        registry.register(
+            "forecast_wait_seconds",
+            "The forecast wait of these jobs, once late, for a worker",
+            self.forecast_wait_seconds.clone(),
+        );
+    }
+
     /// Registers the counters of placements and of the ends of runs.
     fn register_runs(&self, registry: &mut Registry) {
         registry.register(
@@ -390,6 +436,13 @@
         seconds.observe(taken.as_secs_f64());
     }
 
+    /// Counts a job that was judged by a forecast of its wait.
+    pub(crate) fn record_admission(&self, priority: u32, verdict: AdmissionName, wait: Duration) {
+        let labels = AdmissionLabels { priority, verdict };
+        self.admissions.get_or_create(&labels).inc();
+        self.forecast_wait_seconds.observe(wait.as_secs_f64());
+    }
+
     /// Counts an append.
     pub(crate) fn record_append<T>(&self, result: &Result<T, StoreError>, taken: Duration) {
         let labels = OutcomeLabels {
@@ -525,6 +578,7 @@
         CallOutcome::Pending(_) => "counted",
         CallOutcome::Unavailable => "unavailable",
         CallOutcome::Undecided => "undecided",
+        CallOutcome::Overloaded(_) => "overloaded",
     }
 }
 
--- a/crates/geraniumshed-batch/src/telemetry/mod.rs
+++ b/crates/geraniumshed-batch/src/telemetry/mod.rs
@@ -9,4 +9,4 @@
 pub(crate) use dependency::DependencyWatch;
 pub(crate) use events::log_event;
 pub use metrics::NodeMetrics;
-pub(crate) use metrics::{CallKind, outcome_name};
+pub(crate) use metrics::{AdmissionName, CallKind, outcome_name};
--- a/crates/geraniumshed-batch/src/wire/peer.rs
+++ b/crates/geraniumshed-batch/src/wire/peer.rs
@@ -5,6 +5,7 @@
 
 use super::call::{JobAnswerWire, JobCallWire};
 use super::courier::{CourierReplyBatchWire, CourierRequestWire};
+use super::forecast::{ForecastQueryWire, ForecastReplyWire};
 use super::leader::{LeaderWire, MemberWire};
 
 /// A heartbeat, which members send to the leader, or to any peer to find the leader.
@@ -89,4 +90,8 @@
     /// Makes calls to workers for the leader, and returns the answers that are known by then or within a
     /// short time.
     async fn call_workers(request: CourierRequestWire) -> CourierReplyBatchWire;
+
+    /// Returns the leader's newest forecast of waits. The callee waits up to a second for one that the
+    /// caller doesn't know. Nodes of earlier releases don't know the call and close the connection.
+    async fn wait_forecast(query: ForecastQueryWire) -> ForecastReplyWire;
 }
--- a/crates/geraniumshed-batch/tests/nodes/main.rs
+++ b/crates/geraniumshed-batch/tests/nodes/main.rs
@@ -8,4 +8,5 @@
 mod leases;
 mod odd_jobs;
 mod odd_peers;
+mod overload;
 mod support;
--- a/crates/geraniumshed-batch/tests/nodes/support/mod.rs
+++ b/crates/geraniumshed-batch/tests/nodes/support/mod.rs
@@ -10,11 +10,11 @@
 
 use bytes::Bytes;
 use geraniumshed_batch::store::{KeyedRecord, TopicName};
-use geraniumshed_batch::topic::{LEASES_KEY, PROGRESS, WAITS_KEY};
+use geraniumshed_batch::topic::{LEASES_KEY, PROGRESS, REQUESTS, WAITS_KEY, job_key};
 use geraniumshed_batch::wire::{LeaseSnapshotWire, WaitSnapshotWire, decode};
 use geraniumshed_batch::{BatchNode, DEFAULT_COURIER_DENSITY, NodeSettings};
 use geraniumshed_core::assignment::{PlannerSettings, WaitSnapshot};
-use geraniumshed_core::job::{JobRequest, StepRequest};
+use geraniumshed_core::job::{JobId, JobRequest, StepRequest};
 use geraniumshed_core::leadership::MemberIdentity;
 use geraniumshed_core::worker::{RunEnd, RunReport, WorkerTime};
 use geraniumshed_model::prelude::{AcceleratorCount, MemorySize, ProcessorShare, ResourceSize};
@@ -294,6 +294,14 @@
         topic.ends.push((Instant::now(), topic.records.len()));
     }
 
+    /// Returns whether the store has the request of a job.
+    pub fn has_request(&self, id: JobId) -> bool {
+        let key = job_key(id);
+        let state = self.lock();
+        let requests = state.topics.get(&REQUESTS);
+        requests.is_some_and(|topic| topic.records.iter().any(|record| record.key == key))
+    }
+
     fn newest_progress(&self, key: &SmolStr) -> Option<Bytes> {
         let state = self.lock();
         let mut records = state.topics.get(&PROGRESS)?.records.iter().rev();
--- a/crates/geraniumshed-batch/tests/wire.rs
+++ b/crates/geraniumshed-batch/tests/wire.rs
@@ -4,12 +4,13 @@
 
 use geraniumshed_batch::topic::{crashes_key, job_key, parse_crashes_key, parse_job_key};
 use geraniumshed_batch::wire::{
-    ConfigUpdateWire, InterferenceWire, JobCrashesWire, JobRequestWire, LeaseSnapshotWire,
-    MemberWire, StoredJobWire, WaitSnapshotWire, WireDecodeError, decode, encode,
+    ConfigUpdateWire, ForecastReplyWire, ForecastWire, InterferenceWire, JobCrashesWire,
+    JobRequestWire, LeaseSnapshotWire, MemberWire, StoredJobWire, WaitSnapshotWire,
+    WireDecodeError, decode, encode,
 };
 use geraniumshed_core::assignment::{
-    IdleRun, InterferenceSnapshot, LeaseSnapshot, ServedImageRecord, SlopeRecord, StepWait,
-    WaitSnapshot, WorkerHold,
+    IdleRun, InterferenceSnapshot, LeaseSnapshot, QueueWait, ServedImageRecord, SlopeRecord,
+    StepWait, WaitForecast, WaitSnapshot, WorkerHold,
 };
 use geraniumshed_core::job::{
     AdvicePolicy, CrashEvidence, CrashHistory, JobEntry, JobId, JobPhase, JobRequest, QueuePolicy,
@@ -18,10 +19,44 @@
 };
 use geraniumshed_core::leadership::MemberIdentity;
 use geraniumshed_core::site::{ConfigUpdate, ConfigVersion, RouteEntry, RouteKey};
+use geraniumshed_model::prelude::TimePoint;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use rstest::rstest;
 
+/// Guards against forecasts that take more of a link than 2 KB a second, at four a second.
+#[test]
+fn forecasts_survive_the_way_and_are_small() {
+    let wait = |number: u64| QueueWait {
+        queue: format!("team-{number}").as_str().into(),
+        in_time: Duration::from_millis(1_500 + number),
+        late: Duration::from_millis(90_000 + number),
+    };
+    let forecast = WaitForecast {
+        queues: (0..40).map(wait).collect(),
+    };
+    let record = encode(&ForecastWire::from(&forecast));
+    assert!(record.len() <= 512, "{}", record.len());
+    let decoded = decode::<ForecastWire>(&record).map(WaitForecast::from);
+    assert_eq!(decoded.unwrap().queues, forecast.queues[..32]);
+}
+
+/// Guards against a forecast that counts as recent since its answer took long to arrive.
+#[test]
+fn age_of_a_forecast_counts_from_the_answer_of_the_leader() {
+    let reply = ForecastReplyWire {
+        held_ms: 700,
+        age_ms: 200,
+        ..ForecastReplyWire::default()
+    };
+    assert_eq!(reply.made_at(TimePoint(1_000_000)), TimePoint(1_500_000));
+    let old = ForecastReplyWire {
+        age_ms: 9_000,
+        ..reply
+    };
+    assert_eq!(old.made_at(TimePoint(1_000_000)), TimePoint(0));
+}
+
 #[test]
 fn waits_survive_storage() {
     let task = TaskKey {
