--- a/crates/geraniumshed-batch/tests/nodes/main.rs
+++ b/crates/geraniumshed-batch/tests/nodes/main.rs
@@ -9,5 +9,6 @@
 mod odd_jobs;
 mod odd_peers;
 mod outages;
+mod overload;
 mod support;
 mod zones;
--- a/crates/geraniumshed-batch/tests/nodes/support/mod.rs
+++ b/crates/geraniumshed-batch/tests/nodes/support/mod.rs
@@ -349,6 +349,14 @@
         topic.ends.push((Instant::now(), topic.records.len()));
     }
 
+    /// Returns whether the store has the request of a job.
+    pub fn has_request(&self, id: JobId) -> bool {
+        let key = job_key(id);
+        let state = self.lock();
+        let requests = state.topics.get(&REQUESTS);
+        requests.is_some_and(|topic| topic.records.iter().any(|record| record.key == key))
+    }
+
     fn newest_progress(&self, key: &SmolStr) -> Option<Bytes> {
         let state = self.lock();
         let mut records = state.topics.get(&PROGRESS)?.records.iter().rev();
--- a/crates/geraniumshed-core/src/assignment/mod.rs
+++ b/crates/geraniumshed-core/src/assignment/mod.rs
@@ -7,6 +7,7 @@
 mod action;
 mod advice;
 mod backlog;
+mod backlog_walk;
 mod change_tracker;
 mod crash_assessment;
 mod crash_ledger;
@@ -14,6 +15,7 @@
 mod evacuation;
 mod event;
 mod fair_share;
+mod forecast;
 mod gang;
 mod improvement_log;
 mod interference;
@@ -37,6 +39,7 @@
 mod run_time;
 mod settings;
 mod silence_log;
+mod start_history;
 mod start_window;
 mod starting;
 mod step_candidates;
@@ -66,6 +69,7 @@
     PressureGroup, RestartSign, RestartedWorker, SilentWorker, SkippedEnds, SlowWorker, StartDelay,
     TaskTrial, UnexpectedRun, UnlistedEnds, UsualWorker, ZoneMove,
 };
+pub use forecast::{MAX_FORECAST_QUEUES, QueueWait, WaitForecast};
 pub use interference::{
     InterferenceModel, InterferenceSnapshot, LoadShare, ServedImageRecord, SlopeRecord,
 };
--- a/crates/geraniumshed-core/src/assignment/step_placement.rs
+++ b/crates/geraniumshed-core/src/assignment/step_placement.rs
@@ -77,6 +77,7 @@
             self.evacuate(now, &due, &mut pass);
         }
         self.move_from_evacuated_zones(now, &mut pass, &leaving);
+        self.update_forecast(now, pass.has_no_starts_left());
     }
 
     /// Returns the steps with tasks that can start now, and forgets the jobs without tasks to place
@@ -164,6 +165,7 @@
                 pass.record_waiting(ready);
                 pass.record_stuck(ready.into());
             }
+            self.observe_placement(now, &startable, placed);
             self.record_backlog(now, &startable, placed);
             // The last turn of a step reports its remaining tasks.
             let has_further_turn = startable.keys.len() == ready.max_tasks as usize;
