--- a/crates/geraniumshed-batch/tests/nodes/support/mod.rs
+++ b/crates/geraniumshed-batch/tests/nodes/support/mod.rs
@@ -229,13 +229,6 @@
         self.lock().request_appends.clone()
     }
 
-    /// Returns whether a job is stored.
-    pub fn has_request(&self, id: JobId) -> bool {
-        let state = self.lock();
-        let requests = state.topics.get(&REQUESTS);
-        requests.is_some_and(|topic| topic.records.iter().any(|one| one.key == job_key(id)))
-    }
-
     /// Makes the store refuse appends of progress, and no other calls.
     pub fn refuse_progress(&self) {
         self.lock().is_refusing_progress = true;
--- a/crates/geraniumshed-core/src/assignment/backlog_walk.rs
+++ b/crates/geraniumshed-core/src/assignment/backlog_walk.rs
@@ -7,7 +7,7 @@
 
 use super::action::PlannerTime;
 use super::forecast::useless_unix_ms;
-use super::rank::step_rank;
+use super::rank::latest_start_within;
 use super::start_history::ServiceLevel;
 use crate::job::{JobEntry, Occurrence, QueueName, QueuePolicy, StepRequest, TaskPhase};
 
@@ -96,11 +96,11 @@
                     continue;
                 }
                 let entry = self.levels.entry(level.clone()).or_default();
-                let rank = step_rank(job, policy, occurrence.number, index, now.unix_ms);
-                if rank.latest_start_unix_ms < now.unix_ms {
+                let latest_start = latest_start_within(job, occurrence.number, index, allowed);
+                if latest_start < now.unix_ms {
                     entry.late += work;
                 } else {
-                    entry.in_time.push((rank.latest_start_unix_ms, work));
+                    entry.in_time.push((latest_start, work));
                 }
                 is_waiting |= occurrence.is_step_due(step);
             }
--- a/crates/geraniumshed-core/src/assignment/rank.rs
+++ b/crates/geraniumshed-core/src/assignment/rank.rs
@@ -103,6 +103,19 @@
     }
 }
 
+/// Returns the latest start of a step with which its job ends within a time, in milliseconds of Unix
+/// time.
+pub(super) fn latest_start_within(
+    job: &JobEntry,
+    occurrence: u32,
+    step: u32,
+    limit: Duration,
+) -> u64 {
+    let remaining = limit.saturating_sub(job.chain_from(step));
+    job.due_unix_ms(occurrence)
+        .saturating_add(whole_millis(remaining))
+}
+
 /// Returns the rank of a step, with the jobs that the backlog lets be late.
 pub(super) fn step_rank(
     job: &JobEntry,
@@ -114,9 +127,7 @@
 ) -> StepRank {
     let allowed = allowed_time(job, policy);
     let due_unix_ms = job.due_unix_ms(occurrence);
-    let chain = job.chain_from(step);
-    let latest_start =
-        |limit: Duration| due_unix_ms.saturating_add(whole_millis(limit.saturating_sub(chain)));
+    let latest_start = |limit| latest_start_within(job, occurrence, step, limit);
     let latest_start_unix_ms = latest_start(allowed);
     let request = job.request.steps.get(step as usize);
     let is_long_running = request.is_some_and(|step| step.is_long_running);
