--- a/crates/geraniumshed/tests/explain.rs
+++ b/crates/geraniumshed/tests/explain.rs
@@ -48,6 +48,32 @@
     assert_eq!(select(&lines), expected);
 }
 
+/// Guards against a rejected job that can't be explained: it leaves no other line than these.
+#[test]
+fn rejection_is_shown_with_its_inputs() {
+    let inputs = job_fields(
+        r#","queue":"q","forecast_wait_ms":22000,"forecast_age_ms":90,"allowed_ms":5000"#,
+    );
+    let text = "job is rejected, since it would start too late to be of use";
+    let lines = [
+        line(3, "a", text, &inputs),
+        line(
+            3,
+            "a",
+            "job was handed in",
+            &job_fields(r#","outcome":"overloaded""#),
+        ),
+    ];
+    let parsed = lines
+        .iter()
+        .filter_map(|line| LogLine::parse(line, "f.log"));
+    let timeline = JobTimeline::select(JOB, parsed.collect());
+    let rejection = &timeline.lines()[0];
+    assert_eq!(rejection.text, text);
+    assert_eq!(rejection.fields["forecast_wait_ms"], 22_000);
+    assert_eq!(rejection.fields["allowed_ms"], 5_000);
+}
+
 #[rstest]
 #[case::own_worker(5, "worker is given up", r#""worker":"w1""#, true)]
 #[case::other_worker(5, "worker is given up", r#""worker":"w2""#, false)]
