Export the backlog as 0 while nothing waits

Cause: a family without series isn't exported, so the page of metrics listed one that nodes don't serve. Change: the series of priority 0 always exist.

--- a/crates/geraniumshed-batch/src/telemetry/metrics.rs
+++ b/crates/geraniumshed-batch/src/telemetry/metrics.rs
@@ -253,6 +253,7 @@
             drop(self.start_seconds.get_or_create(&labels));
         }
         self.record_work(&PlannerWork::default());
+        self.record_backlog(&BTreeMap::new());
         drop(self.config_read_seconds.get_or_create(&read));
     }
 
@@ -439,8 +440,15 @@
 
     /// Sets the number of steps that wait, by priority and class.
     pub(crate) fn record_backlog(&self, counts: &BTreeMap<(u32, StepClass), usize>) {
-        // Series that were set before are set to 0 by clearing them.
         self.backlog.clear();
+        // The most urgent priority is exported as 0 while nothing waits.
+        for class in StepClass::ALL {
+            let labels = BacklogLabels {
+                priority: 0,
+                class: class.name(),
+            };
+            drop(self.backlog.get_or_create(&labels));
+        }
         for ((priority, class), count) in counts {
             let labels = BacklogLabels {
                 priority: *priority,
