--- a/crates/geraniumshed/tests/clients/crowd.rs
+++ b/crates/geraniumshed/tests/clients/crowd.rs
@@ -96,7 +96,7 @@
                     return;
                 };
                 let sending = crowd.send(&mut stream, index);
-                timeout(time, sending).await.ok();
+                let _ended = timeout(time, sending).await;
                 drop(stream);
             });
         }
@@ -106,7 +106,7 @@
     /// Sends what the client sends, and then waits without reading.
     async fn send(&self, stream: &mut TcpStream, index: usize) {
         self.write(stream, index).await.unwrap_or_default();
-        std::future::pending().await
+        std::future::pending::<()>().await;
     }
 
     async fn write(&self, stream: &mut TcpStream, index: usize) -> std::io::Result<()> {
@@ -124,7 +124,7 @@
             }
             Conduct::HugeChunked => {
                 stream.write_all(&chunked(&head)).await?;
-                let chunk = [b"fa00\r\n".as_slice(), &[b' '; 64_000], b"\r\n"].concat();
+                let chunk = format!("fa00\r\n{}\r\n", " ".repeat(64_000)).into_bytes();
                 for _ in 0..HUGE_BODY / 64_000 {
                     stream.write_all(&chunk).await?;
                 }
@@ -139,11 +139,13 @@
                 send_pieces(stream, b" ").await
             }
             Conduct::ManyHeaders => {
-                let headers: String = (0..HEADERS).map(|n| format!("a{n}: b\r\n")).collect();
+                let headers: Vec<String> = (0..HEADERS).map(|n| format!("a{n}: b\r\n")).collect();
+                let headers = headers.concat();
                 stream.write_all((head + &headers).as_bytes()).await
             }
             Conduct::ManyParameters => {
-                let query: String = (0..PARAMETERS).map(|n| format!("{n}=&")).collect();
+                let query: Vec<String> = (0..PARAMETERS).map(|n| format!("{n}=&")).collect();
+                let query = query.concat();
                 let request = format!(
                     "{}?{query} HTTP/1.1\r\nHost: {}\r\n\r\n",
                     self.target, self.host
