Wait for a place in a rack as long as that pays

A task whose data is in a full rack, and a gang that asked for one rack, took other workers at once, also if a near place became free a moment later. It takes effect where the platform tells a factor above 1.

--- a/crates/geraniumshed-batch/src/leader/start_delays.rs
+++ b/crates/geraniumshed-batch/src/leader/start_delays.rs
@@ -86,6 +86,8 @@
             | PlannerEvent::WorkerAdopted(_)
             | PlannerEvent::TrialBegun(_)
             | PlannerEvent::TaskGivenUp(_)
+            | PlannerEvent::LocalityWaitBegan(_)
+            | PlannerEvent::LocalityWaitEnded(_)
             | PlannerEvent::ZoneMoveBegun(_)
             | PlannerEvent::ZoneUnknown(_) => {}
         }
--- a/crates/geraniumshed-batch/src/telemetry/events.rs
+++ b/crates/geraniumshed-batch/src/telemetry/events.rs
@@ -33,6 +33,24 @@
                 "tasks wait, since no worker takes them"
             );
         }
+        PlannerEvent::LocalityWaitBegan(wait) => log::info!(
+            job:% = wait.job,
+            occurrence = wait.occurrence,
+            step = wait.step,
+            rack:? = wait.rack,
+            expected_ms = whole_millis(wait.expected),
+            saved_ms = whole_millis(wait.saved);
+            "tasks wait for places in a rack"
+        ),
+        PlannerEvent::LocalityWaitEnded(ended) => log::info!(
+            job:% = ended.job,
+            occurrence = ended.occurrence,
+            step = ended.step,
+            rack:? = ended.rack,
+            waited_ms = whole_millis(ended.waited),
+            outcome = ended.outcome.name();
+            "tasks wait no longer for places in a rack"
+        ),
         PlannerEvent::PressureBegan(group) => log::info!(
             service:% = group.service,
             priority = group.priority;
--- a/crates/geraniumshed-batch/src/telemetry/metrics.rs
+++ b/crates/geraniumshed-batch/src/telemetry/metrics.rs
@@ -195,6 +195,7 @@
     pub(crate) evacuated_zones: Gauge,
     /// The long-running runs that were stopped to move out of evacuated zones.
     zone_moves: Counter,
+    locality_waits: Family<ReasonLabels, Counter>,
     /// The version of the configuration in force.
     pub(crate) config_version: Gauge,
     client_refusals: Family<ReasonLabels, Counter>,
@@ -255,6 +256,7 @@
             leading: Gauge::default(),
             evacuated_zones: Gauge::default(),
             zone_moves: Counter::default(),
+            locality_waits: Family::default(),
             config_version: Gauge::default(),
             client_refusals: Family::default(),
             client_memory: Gauge::default(),
@@ -307,6 +309,8 @@
             let reason = refusal_reason(verdict);
             drop(self.refused_jobs.get_or_create(&ReasonLabels { reason }));
         }
+        let near = ReasonLabels { reason: "near" };
+        drop(self.locality_waits.get_or_create(&near));
         let lost = ReasonLabels { reason: "failed" };
         drop(self.lost_runs.get_or_create(&lost));
         for cause in [MoveCause::Slow, MoveCause::Leaving] {
@@ -440,8 +444,13 @@
         registry
     }
 
-    /// Registers the metrics of evacuated zones.
+    /// Registers the metrics of evacuated zones and of waits for racks.
     fn register_zones(&self, registry: &mut Registry) {
+        registry.register(
+            "locality_waits",
+            "Steps that waited for places in a rack",
+            self.locality_waits.clone(),
+        );
         registry.register(
             "evacuated_zones",
             "The availability zones in which no task starts, as far as this node knows",
@@ -692,7 +701,14 @@
             PlannerEvent::WorkerSlow(_) => {
                 self.slow_workers.inc();
             }
-            PlannerEvent::PressureBegan(_)
+            PlannerEvent::LocalityWaitEnded(ended) => {
+                let labels = ReasonLabels {
+                    reason: ended.outcome.name(),
+                };
+                self.locality_waits.get_or_create(&labels).inc();
+            }
+            PlannerEvent::LocalityWaitBegan(_)
+            | PlannerEvent::PressureBegan(_)
             | PlannerEvent::PressureEnded(_)
             | PlannerEvent::WorkerQuarantined(_)
             | PlannerEvent::WorkerUsual(_)
--- a/crates/geraniumshed-core/src/assignment/event.rs
+++ b/crates/geraniumshed-core/src/assignment/event.rs
@@ -6,6 +6,7 @@
 
 use smol_str::SmolStr;
 
+use super::locality_wait::LocalityOutcome;
 use super::placement_query::PlacementRefusal;
 use super::rank::StepClass;
 use super::worker_loss::WorkerRunLoss;
@@ -22,6 +23,10 @@
     /// Tasks of a step began to wait because no worker can take them. Counts the workers by the
     /// reason why they can't.
     StepWaiting(PlacementSummary, BTreeMap<PlacementRefusal, u32>),
+    /// Tasks of a step wait for near places although others are free.
+    LocalityWaitBegan(LocalityWait),
+    /// They wait no longer.
+    LocalityWaitEnded(EndedLocalityWait),
     /// Tasks of a service and a priority wait for capacity, which is divided among them from now on.
     PressureBegan(PressureGroup),
     /// Tasks of a service and a priority no longer wait for capacity.
@@ -112,6 +117,40 @@
     pub slack_ms: i64,
 }
 
+/// A step that begins to wait for places near its data, or for a rack with room for all its tasks.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LocalityWait {
+    /// The job.
+    pub job: JobId,
+    /// The number of the job's occurrence.
+    pub occurrence: u32,
+    /// The number of the step.
+    pub step: u32,
+    /// The rack of its data; `None` if any rack will do that has room for all tasks.
+    pub rack: Option<SmolStr>,
+    /// The expected wait.
+    pub expected: Duration,
+    /// The run time that a near place saves.
+    pub saved: Duration,
+}
+
+/// A step that no longer waits for near places.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EndedLocalityWait {
+    /// The job.
+    pub job: JobId,
+    /// The number of the job's occurrence.
+    pub occurrence: u32,
+    /// The number of the step.
+    pub step: u32,
+    /// The rack of its data; `None` if any rack will do that has room for all tasks.
+    pub rack: Option<SmolStr>,
+    /// How long the step has waited.
+    pub waited: Duration,
+    /// Why it waits no longer.
+    pub outcome: LocalityOutcome,
+}
+
 /// A service and a priority whose tasks compete for the same capacity.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub struct PressureGroup {
--- a/crates/geraniumshed-core/src/assignment/gang.rs
+++ b/crates/geraniumshed-core/src/assignment/gang.rs
@@ -14,6 +14,8 @@
     Incomplete,
     /// The workers can't take all members at once.
     NoRoom,
+    /// The members wait until one rack has room for all of them.
+    Waits,
 }
 
 impl JobPlanner {
@@ -55,6 +57,15 @@
             self.reserve(now.point, step, *key, &worker, run);
             placed.push((*key, worker));
         }
+        if step.wants_one_rack {
+            self.release_gang(&placed, run);
+            if self.gang_waits_for_rack(now, startable, &placed) {
+                return GangOutcome::Waits;
+            }
+            for (key, worker) in &placed {
+                self.reserve(now.point, step, *key, worker, run);
+            }
+        }
         for (key, worker) in placed {
             if let Some(task) = self
                 .jobs
--- a/crates/geraniumshed-core/src/assignment/mod.rs
+++ b/crates/geraniumshed-core/src/assignment/mod.rs
@@ -22,6 +22,7 @@
 mod job_start;
 mod lease_ledger;
 mod listed_run;
+mod locality_wait;
 mod model_schedule;
 mod order_permit;
 mod pacing;
@@ -64,16 +65,18 @@
 
 pub use action::{CancelOutcome, JobStatus, PlannerAction, PlannerTime, StoreBatch, StoreChange};
 pub use event::{
-    AdoptedWorker, AnsweringWorker, DepartingWorker, EndedPressure, JobSummary, LostRun,
-    LostWorker, MissingRuns, MoveCause, MovedRun, NewProcess, PlacementSummary, PlannerEvent,
-    PressureGroup, RestartSign, RestartedWorker, SilentWorker, SkippedEnds, SlowWorker, StartDelay,
-    TaskTrial, UnexpectedRun, UnlistedEnds, UsualWorker, ZoneMove,
+    AdoptedWorker, AnsweringWorker, DepartingWorker, EndedLocalityWait, EndedPressure, JobSummary,
+    LocalityWait, LostRun, LostWorker, MissingRuns, MoveCause, MovedRun, NewProcess,
+    PlacementSummary, PlannerEvent, PressureGroup, RestartSign, RestartedWorker, SilentWorker,
+    SkippedEnds, SlowWorker, StartDelay, TaskTrial, UnexpectedRun, UnlistedEnds, UsualWorker,
+    ZoneMove,
 };
 pub use forecast::{MAX_FORECAST_QUEUES, QueueWait, WaitForecast};
 pub use interference::{
     InterferenceModel, InterferenceSnapshot, LoadShare, ServedImageRecord, SlopeRecord,
 };
 pub use lease_ledger::{LeaseSnapshot, UnconfirmedRun, WorkerLease};
+pub use locality_wait::LocalityOutcome;
 pub use placement_query::PlacementRefusal;
 pub use planner::JobPlanner;
 pub use planner_work::PlannerWork;
--- a/crates/geraniumshed-core/src/assignment/placement_pass.rs
+++ b/crates/geraniumshed-core/src/assignment/placement_pass.rs
@@ -1,6 +1,7 @@
 //! Results that are shared between the steps of one placement pass.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use geraniumshed_model::prelude::ResourceSize;
 use smol_str::SmolStr;
@@ -21,6 +22,10 @@
     /// The steps with startable tasks that found no worker.
     waiting: Vec<ReadyStep>,
     mostly_idle: BTreeMap<ServiceName, bool>,
+    /// The number of tasks that wait for a place in each rack.
+    rack_waits: BTreeMap<SmolStr, usize>,
+    /// When places for the tasks of a step become free in its rack.
+    rack_places: BTreeMap<StepKey, Vec<Duration>>,
     /// The steps placed in several turns that found no worker for some task.
     stuck: BTreeSet<StepKey>,
 }
@@ -124,6 +129,26 @@
         })
     }
 
+    /// Returns the number of tasks that wait for a place in a rack, as decided in this pass.
+    pub(super) fn rack_waits(&self, rack: &SmolStr) -> usize {
+        self.rack_waits.get(rack).copied().unwrap_or_default()
+    }
+
+    /// Records that a task waits for a place in a rack.
+    pub(super) fn add_rack_wait(&mut self, rack: &SmolStr) {
+        *self.rack_waits.entry(rack.clone()).or_default() += 1;
+    }
+
+    /// Returns when places for the tasks of a step become free in its rack, if that was computed.
+    pub(super) fn rack_places(&self, step: StepKey) -> Option<&[Duration]> {
+        self.rack_places.get(&step).map(Vec::as_slice)
+    }
+
+    /// Records when places for the tasks of a step become free in its rack.
+    pub(super) fn set_rack_places(&mut self, step: StepKey, places: Vec<Duration>) {
+        self.rack_places.insert(step, places);
+    }
+
     /// Returns whether most of a service's capacity is idle, computed once per pass.
     pub(super) fn is_mostly_idle(
         &mut self,
--- a/crates/geraniumshed-core/src/assignment/placement_query.rs
+++ b/crates/geraniumshed-core/src/assignment/placement_query.rs
@@ -230,6 +230,24 @@
                 .fits(&worker.size_beside_long_running())
     }
 
+    /// Returns whether the worker takes the task now, or once enough of its short tasks have ended.
+    pub(super) fn takes_eventually(&self, worker: &WorkerEntry) -> bool {
+        let refusal = self.refusal(worker);
+        worker.listing.service == *self.service
+            && matches!(refusal, None | Some(PlacementRefusal::NoRoom))
+            && self.has_permission(worker)
+            && self.has_label(worker)
+            && self.is_below_limit(worker)
+    }
+
+    /// Returns the number of tasks of the step that the worker may take by the step's limit.
+    pub(super) fn free_task_count(&self, worker: &WorkerEntry) -> usize {
+        let limit = self.step.worker_limit;
+        limit.map_or(usize::MAX, |limit| {
+            (limit as usize).saturating_sub(self.sibling_count(worker))
+        })
+    }
+
     /// Returns whether the worker belongs to the service and can take the task, regardless of
     /// advice.
     fn is_allowed(&self, worker: &WorkerEntry) -> bool {
--- a/crates/geraniumshed-core/src/assignment/planner.rs
+++ b/crates/geraniumshed-core/src/assignment/planner.rs
@@ -19,6 +19,7 @@
 use super::improvement_log::{FailedSearch, ImprovementLog};
 use super::interference::{InterferenceModel, InterferenceSnapshot};
 use super::lease_ledger::LeaseLedger;
+use super::locality_wait::WaitingStep;
 use super::model_schedule::ModelSchedule;
 use super::order_permit::OrderPermit;
 use super::peer_speeds::PeerSpeeds;
@@ -80,6 +81,8 @@
     pub(super) is_window_full: bool,
     pub(super) lease_ledger: LeaseLedger,
     pub(super) wait_ledger: WaitLedger,
+    /// The steps that wait for places in a rack.
+    pub(super) locality_waits: BTreeMap<StepKey, WaitingStep>,
     pub(super) track_ledger: TrackLedger,
     pub(super) silence_log: SilenceLog,
     pub(super) unproved_losses: UnprovedLosses,
@@ -146,6 +149,7 @@
             start_window: StartWindow::default(),
             is_window_full: false,
             wait_ledger: WaitLedger::default(),
+            locality_waits: BTreeMap::new(),
             track_ledger: TrackLedger::default(),
             silence_log: SilenceLog::default(),
             unproved_losses: UnprovedLosses::default(),
--- a/crates/geraniumshed-core/src/assignment/settings.rs
+++ b/crates/geraniumshed-core/src/assignment/settings.rs
@@ -26,6 +26,9 @@
     pub stall_limit: Duration,
     /// How long an ended job is kept.
     pub job_retention: Duration,
+    /// The factor by which tasks take longer away from the rack of their data, or on several racks if
+    /// they ask for one. With 1, no task waits for a place in a rack.
+    pub remote_run_factor: f64,
 }
 
 impl Default for PlannerSettings {
@@ -41,6 +44,7 @@
             stop_retry: Duration::from_millis(400),
             stall_limit: Duration::from_millis(1800),
             job_retention: Duration::from_mins(4),
+            remote_run_factor: 1.0,
         }
     }
 }
--- a/crates/geraniumshed-core/src/assignment/step_placement.rs
+++ b/crates/geraniumshed-core/src/assignment/step_placement.rs
@@ -43,6 +43,15 @@
     pub(super) pressures: OnceCell<BTreeMap<SmolStr, f64>>,
 }
 
+/// How many tasks of a step were placed one by one.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+struct SinglePlacements {
+    /// The number of placed tasks.
+    placed: usize,
+    /// The number of tasks that wait for a place in their rack.
+    near_waits: usize,
+}
+
 impl JobPlanner {
     /// Places all tasks that can start now and find a worker, and evacuates workers that are about
     /// to leave. What capacity remains may go to the long-running tasks in evacuated zones.
@@ -52,6 +61,7 @@
         self.sync_workers(now.point);
         self.sync_resting_workers(now.point);
         self.release_stale_holds(now);
+        self.forget_locality_waits();
         self.work.passes += 1;
         self.update_backlog(now);
         let steps = self.ready_steps(now);
@@ -144,7 +154,7 @@
         if keys.is_empty() {
             return;
         }
-        let startable = StartableStep {
+        let mut startable = StartableStep {
             ready,
             policy: &policy,
             step,
@@ -155,7 +165,11 @@
         let placed = if step.is_gang {
             self.place_gang_step(now, &startable)
         } else {
-            Some(self.place_single_tasks(now, &startable, pass))
+            let outcome = self.place_single_tasks(now, &startable, pass);
+            // Tasks that wait for a near place don't lack capacity.
+            let others = startable.keys.len() - outcome.near_waits;
+            startable.keys.truncate(others);
+            Some(outcome.placed)
         };
         let has_forecast = step.is_best_effort && startable.pressures.get().is_some();
         self.work.pressure_forecasts += u64::from(has_forecast);
@@ -184,7 +198,7 @@
     ) -> Option<usize> {
         match self.place_gang(now, startable) {
             GangOutcome::Placed => Some(startable.keys.len()),
-            GangOutcome::Incomplete => None,
+            GangOutcome::Incomplete | GangOutcome::Waits => None,
             GangOutcome::NoRoom => {
                 self.request_permission(now.point, startable, 0);
                 Some(0)
@@ -192,20 +206,20 @@
         }
     }
 
-    /// Places the tasks of a step one by one, and returns the number of placed tasks.
+    /// Places the tasks of a step one by one.
     fn place_single_tasks(
         &mut self,
         now: PlannerTime,
         startable: &StartableStep<'_>,
         pass: &mut PlacementPass,
-    ) -> usize {
+    ) -> SinglePlacements {
         let StartableStep { policy, step, .. } = *startable;
         let min_speed = startable.min_speed;
         let service = &policy.service;
         // Advice is given per step, so a failed query of another step says nothing about this one.
         let mut has_failed = policy.advice.is_none() && pass.has_failed(service, step, min_speed);
         let mut search = self.open_search(now.point, startable);
-        let mut placed = 0;
+        let mut outcome = SinglePlacements::default();
         for (position, key) in startable.keys.iter().copied().enumerate() {
             // All tasks of a step have the same requirements in the end, but for those that have a
             // worker held for them: workers to avoid are taken if there are no others.
@@ -219,9 +233,13 @@
             }
             self.work.searches += 1;
             if let Some(worker) = self.find_worker(now.point, startable, key, &mut search) {
-                self.place_task(now.point, step, key, &worker);
+                if self.waits_for_rack(now, startable, key, &worker, pass) {
+                    outcome.near_waits += 1;
+                } else {
+                    self.place_task(now.point, step, key, &worker);
+                    outcome.placed += 1;
+                }
                 self.note_placed(now.point, startable, key, &mut search);
-                placed += 1;
                 continue;
             }
             self.try_hold_worker(now, startable, key);
@@ -237,7 +255,7 @@
         if !has_failed {
             self.failed_searches.remove(&startable.ready.into());
         }
-        placed
+        outcome
     }
 
     /// Emits the events about the placement of a step's startable tasks.
--- a/crates/geraniumshed-core/tests/planner/main.rs
+++ b/crates/geraniumshed-core/tests/planner/main.rs
@@ -13,6 +13,7 @@
 mod leases;
 mod listed_runs;
 mod load_patterns;
+mod locality;
 mod odd_jobs;
 mod pending_jobs;
 mod planner_work;
