--- a/crates/geraniumshed-core/src/assignment/rank.rs
+++ b/crates/geraniumshed-core/src/assignment/rank.rs
@@ -5,11 +5,9 @@
 use geraniumshed_model::prelude::{TimePoint, whole_millis};
 
 use super::backlog::Backlog;
-use crate::job::{JobEntry, JobId, Occurrence, QueuePolicy, StepRequest, TaskEntry, TaskKey};
-
-/// The multiple of its allowed time after which a job's result is of no use to its client. Up to
-/// then, clients accept a late result.
-pub(super) const LATE_PERIOD_FACTOR: u32 = 3;
+use crate::job::{
+    JobEntry, JobId, Occurrence, QueuePolicy, StepRequest, TaskEntry, TaskKey, USABLE_FACTOR,
+};
 
 /// The multiple of its allowed time after which a late job claims a part of the starts. A late result
 /// is worth the same until the late period is over, so that spare capacity serves most late jobs
@@ -133,15 +131,14 @@
     let is_long_running = request.is_some_and(|step| step.is_long_running);
     let is_let_late = || !is_long_running && backlog.is_let_late(job.id, occurrence);
     // A long-running task is of use whenever it starts.
-    let class = if !is_long_running
-        && latest_start(allowed.saturating_mul(LATE_PERIOD_FACTOR)) < now_unix_ms
-    {
-        StepClass::Expired
-    } else if latest_start_unix_ms < now_unix_ms || is_let_late() {
-        StepClass::Late
-    } else {
-        StepClass::InTime
-    };
+    let class =
+        if !is_long_running && latest_start(allowed.saturating_mul(USABLE_FACTOR)) < now_unix_ms {
+            StepClass::Expired
+        } else if latest_start_unix_ms < now_unix_ms || is_let_late() {
+            StepClass::Late
+        } else {
+            StepClass::InTime
+        };
     StepRank {
         priority: policy.priority,
         turn: 0,
