--- a/crates/geraniumshed-batch/src/telemetry/events.rs
+++ b/crates/geraniumshed-batch/src/telemetry/events.rs
@@ -4,9 +4,9 @@
 use std::fmt::Display;
 
 use geraniumshed_core::assignment::{
-    AdoptedWorker, AnsweringWorker, DepartingWorker, JobSummary, LostRun, LostWorker, MissingRuns,
-    MovedRun, NewProcess, PlacementSummary, PlannerEvent, RestartSign, RestartedWorker, RunStart,
-    SilentWorker, TaskTrial, UnexpectedRun, ZoneMove,
+    AdoptedWorker, AnsweringWorker, DepartingWorker, EndedLocalityWait, JobSummary, LocalityWait,
+    LostRun, LostWorker, MissingRuns, MovedRun, NewProcess, PlacementSummary, PlannerEvent,
+    RestartSign, RestartedWorker, RunStart, SilentWorker, TaskTrial, UnexpectedRun, ZoneMove,
 };
 use geraniumshed_core::job::CrashEvidence;
 use geraniumshed_core::worker::{EndKind, WorkerStanding};
@@ -33,24 +33,8 @@
                 "tasks wait, since no worker takes them"
             );
         }
-        PlannerEvent::LocalityWaitBegan(wait) => log::info!(
-            job:% = wait.job,
-            occurrence = wait.occurrence,
-            step = wait.step,
-            rack:? = wait.rack,
-            expected_ms = whole_millis(wait.expected),
-            saved_ms = whole_millis(wait.saved);
-            "tasks wait for places in a rack"
-        ),
-        PlannerEvent::LocalityWaitEnded(ended) => log::info!(
-            job:% = ended.job,
-            occurrence = ended.occurrence,
-            step = ended.step,
-            rack:? = ended.rack,
-            waited_ms = whole_millis(ended.waited),
-            outcome = ended.outcome.name();
-            "tasks wait no longer for places in a rack"
-        ),
+        PlannerEvent::LocalityWaitBegan(wait) => log_locality_wait(wait),
+        PlannerEvent::LocalityWaitEnded(ended) => log_locality_end(ended),
         PlannerEvent::PressureBegan(group) => log::info!(
             service:% = group.service,
             priority = group.priority;
@@ -144,6 +128,32 @@
     );
 }
 
+/// Logs that tasks of a step wait for places in a rack.
+fn log_locality_wait(wait: &LocalityWait) {
+    log::info!(
+        job:% = wait.job,
+        occurrence = wait.occurrence,
+        step = wait.step,
+        rack:? = wait.rack,
+        expected_ms = whole_millis(wait.expected),
+        saved_ms = whole_millis(wait.saved);
+        "tasks wait for places in a rack"
+    );
+}
+
+/// Logs that tasks of a step wait no longer for places in a rack.
+fn log_locality_end(ended: &EndedLocalityWait) {
+    log::info!(
+        job:% = ended.job,
+        occurrence = ended.occurrence,
+        step = ended.step,
+        rack:? = ended.rack,
+        waited_ms = whole_millis(ended.waited),
+        outcome = ended.outcome.name();
+        "tasks wait no longer for places in a rack"
+    );
+}
+
 fn log_placement(placement: &PlacementSummary) {
     log::info!(
         job:% = placement.job,
--- a/crates/geraniumshed-core/src/assignment/locality_wait.rs
+++ b/crates/geraniumshed-core/src/assignment/locality_wait.rs
@@ -4,7 +4,7 @@
 //! shorter than the time that a near place saves. A fixed delay, as in delay scheduling, waits too
 //! long for a rack that many tasks want, and not long enough for a place that is free in a moment.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use geraniumshed_model::prelude::TimePoint;
@@ -126,17 +126,12 @@
             self.end_locality_wait(now.point, step, LocalityOutcome::Near);
             return false;
         }
-        let ahead = pass.rack_waits(rack);
-        let wait = match pass.rack_places(step) {
-            Some(places) => places.get(ahead).copied(),
-            None => {
-                let places = self.places_near(now.point, startable, key, saved);
-                let places = places.get(rack).cloned().unwrap_or_default();
-                let wait = places.get(ahead).copied();
-                pass.set_rack_places(step, places);
-                wait
-            }
-        };
+        if pass.rack_places(step).is_none() {
+            let racks = self.places_near(now.point, startable, key, saved);
+            pass.set_rack_places(step, racks.get(rack).cloned().unwrap_or_default());
+        }
+        let places = pass.rack_places(step).unwrap_or_default();
+        let wait = places.get(pass.rack_waits(rack)).copied();
         let waits = self.judge_locality(now, startable, Some(rack), saved, wait);
         if waits {
             pass.add_rack_wait(rack);
@@ -152,12 +147,10 @@
         startable: &StartableStep<'_>,
         placed: &[(TaskKey, WorkerId)],
     ) -> bool {
-        let racks = |worker: &WorkerId| self.workers.get(worker)?.listing.rack.clone();
-        let mut racks: Vec<_> = placed.iter().map(|(_, worker)| racks(worker)).collect();
-        racks.sort_unstable();
-        racks.dedup();
+        let rack_of = |worker: &WorkerId| self.workers.get(worker)?.listing.rack.clone();
+        let taken: BTreeSet<_> = placed.iter().map(|(_, worker)| rack_of(worker)).collect();
         let step = StepKey::from(startable.ready);
-        if racks.len() < 2 {
+        if taken.len() < 2 {
             self.end_locality_wait(now.point, step, LocalityOutcome::Near);
             return false;
         }
@@ -166,8 +159,8 @@
             return false;
         };
         let last = placed.len() - 1;
-        let places = self.places_near(now.point, startable, *key, saved);
-        let wait = places.values().filter_map(|rack| rack.get(last)).min();
+        let racks = self.places_near(now.point, startable, *key, saved);
+        let wait = racks.values().filter_map(|rack| rack.get(last)).min();
         let wait = wait.copied();
         self.judge_locality(now, startable, None, saved, wait)
     }
