Compute the work of a task in one place

Cause: the backlog and the forecast were written side by side, and both added the processor-seconds of a task: rank::task_work and StepRequest::task_work, the same expression. Change: the backlog calls the method of the request.

--- a/crates/geraniumshed-core/src/assignment/backlog.rs
+++ b/crates/geraniumshed-core/src/assignment/backlog.rs
@@ -14,7 +14,7 @@
 use super::fair_share::{FairShare, Flow, FlowPart};
 use super::planner::JobPlanner;
 use super::queue_load::QueueLoad;
-use super::rank::{ReadyStep, StepClass, startable_count, task_work};
+use super::rank::{ReadyStep, StepClass, startable_count};
 use super::run_time::RunTimeFactor;
 use super::step_placement::StartableStep;
 use super::timely_set::OccurrenceKey;
@@ -288,7 +288,7 @@
         let job = self.jobs.get(&startable.ready.job);
         if let (Some(group), Some(job)) = (group, job) {
             #[expect(clippy::cast_precision_loss, reason = "a step has few tasks")]
-            let work = placed as f64 * task_work(startable.step);
+            let work = placed as f64 * startable.step.task_work();
             let class = startable.ready.rank.starts_class();
             group.record_started(&job.request.queue, class, work);
         }
@@ -405,7 +405,7 @@
             queue: job.request.queue.clone(),
             flow: ready.rank.starts_class(),
             task_count: u32::try_from(startable_count(job, ready, now.point)).unwrap_or(u32::MAX),
-            task_work: task_work(step),
+            task_work: step.task_work(),
             is_gang: step.is_gang,
         })
     }
--- a/crates/geraniumshed-core/src/assignment/queue_load.rs
+++ b/crates/geraniumshed-core/src/assignment/queue_load.rs
@@ -6,7 +6,7 @@
 use geraniumshed_model::prelude::whole_millis;
 
 use super::backlog::class_weight;
-use super::rank::{LATE_CLAIM_FACTOR, StepClass, allowed_time, task_work};
+use super::rank::{LATE_CLAIM_FACTOR, StepClass, allowed_time};
 use super::run_time::RunTimeFactor;
 use super::timely_set::{OccurrenceKey, TimelyCandidate, choose_late};
 use crate::job::{JobEntry, Occurrence, QueuePolicy, TaskPhase};
@@ -123,7 +123,7 @@
             if step.is_long_running {
                 continue;
             }
-            let work = task_work(step);
+            let work = step.task_work();
             let processors = f64::from(step.size.processors.0) / 1000.0;
             let mut is_waiting = false;
             for task in tasks {
--- a/crates/geraniumshed-core/src/assignment/rank.rs
+++ b/crates/geraniumshed-core/src/assignment/rank.rs
@@ -5,9 +5,7 @@
 use geraniumshed_model::prelude::{TimePoint, whole_millis};
 
 use super::backlog::Backlog;
-use crate::job::{
-    JobEntry, JobId, Occurrence, QueuePolicy, StepRequest, TaskEntry, TaskKey, USABLE_FACTOR,
-};
+use crate::job::{JobEntry, JobId, Occurrence, QueuePolicy, TaskEntry, TaskKey, USABLE_FACTOR};
 
 /// The multiple of its allowed time after which a late job claims a part of the starts. A late result
 /// is worth the same until the late period is over, so that spare capacity serves most late jobs
@@ -153,11 +151,6 @@
     }
 }
 
-/// Returns the estimated work of a task of a step, in processor-seconds.
-pub(super) fn task_work(step: &StepRequest) -> f64 {
-    f64::from(step.size.processors.0) / 1000.0 * step.estimate.as_secs_f64()
-}
-
 /// Returns the time that an occurrence of a job may take to meet the queue's objective, saturating on
 /// overflow.
 pub(super) fn allowed_time(job: &JobEntry, policy: &QueuePolicy) -> Duration {
