Show that large jobs don't survive an outage of the store

The progress of all jobs that change goes into one append, and the store takes 2,097,152 bytes at a time. After an outage of 4.5 s during which runs of 40 large jobs end, the append has 3.2 MB. The leader and each successor give up when the store rejects it, so that all runs lapse and nothing starts any more.

--- a/review/standin-3/src/clients.rs
+++ b/review/standin-3/src/clients.rs
@@ -34,24 +34,26 @@
 impl Site {
     /// Submits a job of one step, up to the given number of attempts.
     pub fn submit(&self, number: u64, queue: &'static str, step: Step, attempts: usize) -> Job {
+        self.submit_chain(number, queue, &[step], attempts)
+    }
+
+    /// Submits a job of steps that follow each other.
+    pub fn submit_chain(
+        &self,
+        number: u64,
+        queue: &'static str,
+        steps: &[Step],
+        attempts: usize,
+    ) -> Job {
         let id = format!("{:016x}", 0x00c0_ffee_0000_0000 + number);
-        let Step { count, shape } = step;
-        let mut wire = json!({"count": count, "cpu": shape.cpu, "memMb": shape.mem_mb});
-        match shape.time {
-            Some(time) => wire["estimateMs"] = json!(time.as_millis() as u64),
-            None => wire["longRunning"] = json!(true),
-        }
-        if shape.saves {
-            wire["enableCheckpoints"] = json!(true);
-        }
-        if shape.gang > 0 {
-            wire["gang"] = json!(true);
-        }
-        let body = json!({"spec": "review", "steps": [wire]}).to_string();
+        let wire: Vec<Value> = steps.iter().enumerate().map(step_wire).collect();
+        let body = json!({"spec": "review", "steps": wire}).to_string();
+        let shapes = steps.iter().map(|step| step.shape).collect();
         self.jobs
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
-            .insert(id.clone(), vec![shape]);
+            .insert(id.clone(), shapes);
+        let count: u64 = steps.iter().map(|step| step.count).sum();
         let path = format!("/{queue}/{id}");
         let mut job = Job {
             id,
@@ -151,3 +153,23 @@
         (idle, used)
     }
 }
+
+/// Returns a step as a client sends it. Each one but the first follows the one before.
+fn step_wire((index, step): (usize, &Step)) -> Value {
+    let Step { count, shape } = *step;
+    let mut wire = json!({"count": count, "cpu": shape.cpu, "memMb": shape.mem_mb});
+    match shape.time {
+        Some(time) => wire["estimateMs"] = json!(time.as_millis() as u64),
+        None => wire["longRunning"] = json!(true),
+    }
+    if shape.saves {
+        wire["enableCheckpoints"] = json!(true);
+    }
+    if shape.gang > 0 {
+        wire["gang"] = json!(true);
+    }
+    if index > 0 {
+        wire["after"] = json!([index - 1]);
+    }
+    wire
+}
--- a/review/standin-3/src/main.rs
+++ b/review/standin-3/src/main.rs
@@ -11,6 +11,7 @@
 mod record;
 mod site;
 mod store;
+mod store_outage;
 mod wide_cancel;
 mod wide_job;
 mod worker;
@@ -38,6 +39,7 @@
     let played = Recorder::open(&PathBuf::from(record)).and_then(|recorder| {
         recorder.tell(&format!("case {case}, trouble {has_trouble}"));
         let outcome = match case.as_str() {
+            "store-outage" => store_outage::play(&daemon, &directory, &recorder, has_trouble),
             "wide-cancel" => wide_cancel::play(&daemon, &directory, &recorder, has_trouble),
             "wide-job" => wide_job::play(&daemon, &directory, &recorder, has_trouble),
             "endless-gangs" => endless_gangs::play(&daemon, &directory, &recorder, has_trouble),
--- a/review/standin-3/src/site.rs
+++ b/review/standin-3/src/site.rs
@@ -29,6 +29,7 @@
 /// A deployment that runs.
 pub struct Site {
     pub recorder: Recorder,
+    pub store: Store,
     pub jobs: Jobs,
     pub fleet: Fleet,
     pub daemons: Arc<Mutex<Vec<Daemon>>>,
@@ -69,6 +70,7 @@
         let ready = daemons.iter().map(|daemon| daemon.ready).collect();
         let site = Self {
             recorder: recorder.clone(),
+            store,
             jobs,
             fleet,
             daemons: Arc::new(Mutex::new(daemons)),
--- a/review/standin-3/src/store.rs
+++ b/review/standin-3/src/store.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -60,6 +61,8 @@
     state: Arc<(Mutex<State>, Condvar)>,
     /// Held while an append is carried out.
     turns: Arc<Mutex<HashMap<String, Arc<Mutex<()>>>>>,
+    /// Whether all calls are refused.
+    is_down: Arc<AtomicBool>,
     recorder: Recorder,
     pub address: SocketAddr,
 }
@@ -70,6 +73,7 @@
         let store = Self {
             state: Arc::default(),
             turns: Arc::default(),
+            is_down: Arc::default(),
             recorder,
             address: listener.local_addr()?,
         };
@@ -92,12 +96,19 @@
         self.state.1.notify_all();
     }
 
+    /// Makes the store refuse all calls, or ends that.
+    pub fn set_down(&self, is_down: bool) {
+        self.is_down.store(is_down, Ordering::SeqCst);
+        self.recorder.note(&format!("store: down: {is_down}"));
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.0.lock().expect("no thread panics with the lock")
     }
 
     fn answer(&self, request: &Request) -> Answer {
         let answer = match request.path.as_str() {
+            _ if self.is_down.load(Ordering::SeqCst) => Answer::json(503, &json!({})),
             "/v1/log-append" => self.append(request),
             "/v1/log-read" => self.read(request),
             "/v1/log-newest" => self.newest(request),
--- a/review/standin-3/src/worker.rs
+++ b/review/standin-3/src/worker.rs
@@ -44,8 +44,12 @@
     /// Returns the time that a task takes.
     fn time_of(&self, task: &str) -> Option<Duration> {
         let index: u32 = task.rsplit('.').next()?.parse().ok()?;
-        let tenths = if self.is_uneven { 1 + index % 19 } else { 10 };
-        self.time.map(|time| time * tenths / 10)
+        let per_mille = if self.is_uneven {
+            100 + index.wrapping_mul(97) % 1_800
+        } else {
+            1_000
+        };
+        self.time.map(|time| time * per_mille / 1_000)
     }
 }
 
