Show the gang that never starts with 100 members

The members require a label that one runner has, so that a gang of 100 is enough for a start to wait for over 250 ms.

--- a/review/standin-3/src/clients.rs
+++ b/review/standin-3/src/clients.rs
@@ -168,6 +168,9 @@
     if shape.gang > 0 {
         wire["gang"] = json!(true);
     }
+    if let Some(label) = shape.requires {
+        wire["requires"] = json!(label);
+    }
     if index > 0 {
         wire["after"] = json!([index - 1]);
     }
--- a/review/standin-3/src/endless_gangs.rs
+++ b/review/standin-3/src/endless_gangs.rs
@@ -24,6 +24,7 @@
     saves: false,
     is_uneven: false,
     gang: 0,
+    requires: None,
 };
 /// The seconds for which small jobs are submitted, one a second.
 const SECONDS: u64 = 15;
--- a/review/standin-3/src/gang_starts.rs
+++ b/review/standin-3/src/gang_starts.rs
@@ -1,4 +1,4 @@
-//! One large gang in calm, with room for it several times over.
+//! One gang in calm, whose members all have to run on one runner, which has room for them.
 
 use std::io;
 use std::path::Path;
@@ -9,18 +9,19 @@
 use crate::clients::Step;
 use crate::record::Recorder;
 use crate::site::Site;
-use crate::worker::Shape;
+use crate::worker::{RARE_KIND, Shape};
 
 /// The number of members, with the trouble and without.
-const MEMBERS: (u64, u64) = (1_200, 60);
+const MEMBERS: (u64, u64) = (100, 40);
 /// The members of the gang.
 const MEMBER: Shape = Shape {
-    cpu: 50,
-    mem_mb: 10,
+    cpu: 300,
+    mem_mb: 500,
     time: Some(Duration::from_secs(2)),
     saves: false,
     is_uneven: false,
     gang: 0,
+    requires: Some(RARE_KIND),
 };
 /// The ways of a call to the runners in each zone and back: two of them are in other zones than the daemons,
 /// 5.4 ms away.
--- a/review/standin-3/src/large_jobs.rs
+++ b/review/standin-3/src/large_jobs.rs
@@ -27,6 +27,7 @@
     saves: false,
     is_uneven: false,
     gang: 0,
+    requires: None,
 };
 
 pub fn play(
--- a/review/standin-3/src/store_outage.rs
+++ b/review/standin-3/src/store_outage.rs
@@ -24,6 +24,7 @@
     saves: false,
     is_uneven: true,
     gang: 0,
+    requires: None,
 };
 /// The time for which the store refuses all calls.
 const OUTAGE: Duration = Duration::from_millis(4_500);
--- a/review/standin-3/src/wide_cancel.rs
+++ b/review/standin-3/src/wide_cancel.rs
@@ -22,6 +22,7 @@
     saves: false,
     is_uneven: false,
     gang: 0,
+    requires: None,
 };
 /// The time within which all tasks have to run.
 const START_TIME: Duration = Duration::from_secs(60);
--- a/review/standin-3/src/wide_job.rs
+++ b/review/standin-3/src/wide_job.rs
@@ -23,6 +23,7 @@
     saves: false,
     is_uneven: false,
     gang: 0,
+    requires: None,
 };
 /// The tasks of a small job.
 pub const SMALL: Step = Step {
@@ -34,6 +35,7 @@
         saves: false,
         is_uneven: false,
         gang: 0,
+        requires: None,
     },
 };
 /// The seconds for which small jobs are submitted, one a second.
--- a/review/standin-3/src/worker.rs
+++ b/review/standin-3/src/worker.rs
@@ -12,6 +12,9 @@
 use crate::record::Recorder;
 use crate::store::Store;
 
+/// The kind of most runners, and that of the second one.
+const KIND: &str = "a";
+pub const RARE_KIND: &str = "b";
 /// The service whose tasks the runners run.
 pub const SERVICE: &str = "runners";
 /// The longest lease.
@@ -38,6 +41,8 @@
     pub is_uneven: bool,
     /// The number of members of the gang that the step is, or 0.
     pub gang: usize,
+    /// The label that a runner must have.
+    pub requires: Option<&'static str>,
 }
 
 impl Shape {
@@ -156,13 +161,14 @@
             });
             let (store, registered) = (store.clone(), Arc::clone(&worker));
             let zone = ["zone-a", "zone-b", "zone-c"][number % 3];
+            let kind = if number == 1 { RARE_KIND } else { KIND };
             thread::spawn(move || {
                 for sequence in 1u64.. {
                     let entry = json!({
                         "service": SERVICE, "address": address, "zone": zone, "version": "1",
                         "slots": 8, "state": "ready", "coldRemainingMs": 0, "sequence": sequence,
                         "capacity": {"cpu": cpu, "memMb": mem_mb},
-                        "labels": ["a", format!("r-{}", number / 4)],
+                        "labels": [kind, format!("r-{}", number / 4)],
                         "born": registered.born_ms
                     });
                     store.publish("keyed.servers", &registered.id, &entry);
