Show the gangs that start in part with the width of the site's jobs

Four gangs of 36 members that come at once for one runner are enough for starts to wait for over 250 ms.

--- a/review/standin-3/src/gang_starts.rs
+++ b/review/standin-3/src/gang_starts.rs
@@ -1,4 +1,5 @@
-//! One gang in calm, whose members all have to run on one runner, which has room for them.
+//! Gangs of the width that the site's jobs have, whose members all have to run on one runner, which has room for
+//! them. With the trouble they come at once, and without it one after the other.
 
 use std::io;
 use std::path::Path;
@@ -6,21 +7,25 @@
 use std::time::Duration;
 
 use crate::Outcome;
-use crate::clients::Step;
+use crate::clients::{Job, Step};
 use crate::record::Recorder;
 use crate::site::Site;
 use crate::worker::{RARE_KIND, Shape};
 
-/// The number of members, with the trouble and without.
-const MEMBERS: (u64, u64) = (100, 40);
+/// The number of gangs.
+const GANGS: u64 = 4;
+/// The number of members of each: the largest `width` of the site's jobs.
+const MEMBERS: u64 = 36;
+/// The time between two gangs without the trouble.
+const GAP: Duration = Duration::from_secs(4);
 /// The members of the gang.
 const MEMBER: Shape = Shape {
-    cpu: 300,
+    cpu: 220,
     mem_mb: 500,
     time: Some(Duration::from_secs(2)),
     saves: false,
     is_uneven: false,
-    gang: 0,
+    gang: MEMBERS as usize,
     requires: Some(RARE_KIND),
 };
 /// The ways of a call to the runners in each zone and back: two of them are in other zones than the daemons,
@@ -30,8 +35,8 @@
     Duration::from_micros(10_800),
     Duration::from_micros(10_800),
 ];
-/// The time after which the gang is looked at.
-const TIME: Duration = Duration::from_secs(30);
+/// The time after the last gang at which the ends are looked at.
+const TIME: Duration = Duration::from_secs(20);
 
 pub fn play(
     program: &Path,
@@ -40,20 +45,36 @@
     has_trouble: bool,
 ) -> io::Result<Outcome> {
     let site = Site::open(program, directory, recorder, 9, WAYS)?;
-    let count = if has_trouble { MEMBERS.0 } else { MEMBERS.1 };
-    let shape = Shape {
-        gang: count as usize,
-        ..MEMBER
+    let step = Step {
+        count: MEMBERS,
+        shape: MEMBER,
     };
-    let job = site.submit(100, "batch", Step { count, shape }, 3);
-    if !job.is_accepted {
-        return Err(io::Error::other("the gang isn't accepted"));
+    let submit = |number| site.submit(100 + number, "urgent", step, 3);
+    let jobs: Vec<Job> = if has_trouble {
+        thread::scope(|scope| {
+            let sending: Vec<_> = (0..GANGS)
+                .map(|number| scope.spawn(move || submit(number)))
+                .collect();
+            sending
+                .into_iter()
+                .filter_map(|one| one.join().ok())
+                .collect()
+        })
+    } else {
+        let submit_later = |number| {
+            thread::sleep(GAP);
+            submit(number)
+        };
+        (0..GANGS).map(submit_later).collect()
+    };
+    if jobs.iter().filter(|job| job.is_accepted).count() < GANGS as usize {
+        return Err(io::Error::other("a gang isn't accepted"));
     }
     thread::sleep(TIME);
     let ends = site.fleet.count_ends();
+    let states: Vec<_> = jobs.iter().map(|job| site.state(job)).collect();
     recorder.tell(&format!(
-        "{count} members; ends: {ends:?}; state: {:?}",
-        site.state(&job)
+        "{GANGS} gangs of {MEMBERS}; ends: {ends:?}; states: {states:?}"
     ));
     match ends.get("alone") {
         Some(alone) => Ok(Outcome::Broken(format!(
