--- a/review/standin-3/src/clients.rs
+++ b/review/standin-3/src/clients.rs
@@ -9,10 +9,13 @@
 
 use crate::http::call;
 use crate::site::{HOST, Site};
+use crate::wide_job::SMALL;
 use crate::worker::Shape;
 
 /// The time for which a client waits for an answer.
 const CALL_LIMIT: Duration = Duration::from_secs(3);
+/// The time after its last run from which on a task that lasts has to run.
+const LAST_RUN_TIME: Duration = Duration::from_secs(6);
 /// The delay before a call is repeated.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
 
@@ -108,8 +111,19 @@
 
     /// Returns how many of a number of tasks of jobs run at no moment of the given time, and the largest share of
     /// the capacity in use. The rule asks for 3 s.
-    pub fn idle_tasks(&self, jobs: &[Job], tasks: usize, time: Duration) -> (usize, f64) {
+    pub fn idle_tasks(
+        &self,
+        jobs: &[Job],
+        tasks: usize,
+        time: Duration,
+        shape: &Shape,
+    ) -> (usize, f64, u64) {
         let mut seen = HashSet::new();
+        // The time begins 6 s after the last run of a task.
+        for job in jobs {
+            self.fleet.add_ended(&job.id, LAST_RUN_TIME, &mut seen);
+        }
+        let mut room = u64::MAX;
         let mut used = 0.0f64;
         let until = Instant::now() + time;
         while Instant::now() < until {
@@ -117,20 +131,27 @@
                 self.fleet.add_running(&job.id, &mut seen);
             }
             used = used.max(self.fleet.used_share());
+            room = room.min(self.fleet.room_for(shape));
             thread::sleep(Duration::from_millis(20));
         }
-        (tasks.saturating_sub(seen.len()), used)
+        for job in jobs {
+            self.fleet
+                .add_ended(&job.id, time + LAST_RUN_TIME, &mut seen);
+        }
+        (tasks.saturating_sub(seen.len()), used, room)
     }
 
     /// Returns the jobs that are neither completed nor have a task that runs at any moment of the given time.
     /// The rule asks for 3 s.
-    pub fn idle_jobs(&self, jobs: &[Job], time: Duration) -> (Vec<Job>, f64) {
+    pub fn idle_jobs(&self, jobs: &[Job], time: Duration) -> (Vec<Job>, f64, u64) {
         let mut idle: Vec<Job> = jobs.iter().filter(|job| job.is_accepted).cloned().collect();
         let mut used = 0.0f64;
+        let mut room = u64::MAX;
         let until = Instant::now() + time;
         while Instant::now() < until {
             idle.retain(|job| self.fleet.running(&job.id) == 0);
             used = used.max(self.fleet.used_share());
+            room = room.min(self.fleet.room_for(&SMALL.shape));
             thread::sleep(Duration::from_millis(20));
         }
         let states: Vec<Option<(u16, String)>> = thread::scope(|scope| {
@@ -150,7 +171,7 @@
                 .note(&format!("client: GET {}: {state:?}", job.id));
             !state.is_some_and(|(_, state)| state == "completed")
         });
-        (idle, used)
+        (idle, used, room)
     }
 }
 
--- a/review/standin-3/src/store_outage.rs
+++ b/review/standin-3/src/store_outage.rs
@@ -27,7 +27,7 @@
     requires: None,
 };
 /// The time for which the store refuses all calls.
-const OUTAGE: Duration = Duration::from_millis(4_500);
+const OUTAGE: Duration = Duration::from_millis(4_200);
 /// The time from the end of the outage to the first small job.
 const CALM: Duration = Duration::from_secs(5);
 /// The seconds for which small jobs are submitted, one a second.
--- a/review/standin-3/src/wide_job.rs
+++ b/review/standin-3/src/wide_job.rs
@@ -82,7 +82,7 @@
     }
     thread::sleep(FINISH);
     let all = usize::try_from(TASKS).unwrap_or(0);
-    let (idle, used) = site.idle_tasks(&jobs[..parts as usize], all, IDLE);
+    let (idle, used, room) = site.idle_tasks(&jobs[..parts as usize], all, IDLE, &LARGE);
     let completed = |job: &&Job| {
         site.state(job)
             .is_some_and(|(_, state)| state == "completed")
@@ -90,15 +90,17 @@
     let done = jobs[parts as usize..].iter().filter(completed).count();
     recorder.tell(&format!(
         "{all} tasks are to last; {idle} of them don't run for {} s, {FINISH:?} after the end of the traffic; \
-         at most {:.0} % of the capacity in use; {done} of {SECONDS} small jobs are completed",
+         at most {:.0} % of the capacity in use, room for {room} such tasks; {done} of {SECONDS} small jobs are completed",
         IDLE.as_secs(),
         used * 100.0
     ));
     if idle == 0 {
         return Ok(Outcome::Held);
     }
-    if used >= 0.5 {
-        return Err(io::Error::other("too much of the capacity is in use"));
+    if used >= 0.5 || room < 2 * idle as u64 {
+        return Err(io::Error::other(
+            "there is too little room to judge the rule",
+        ));
     }
     let reason = format!("LOST: {idle} tasks that last don't run, with capacity for them");
     Ok(Outcome::Broken(reason))
@@ -108,11 +110,11 @@
 /// 3 s while there is room for it twice over and under half of the capacity is in use.
 pub fn judge_idle(site: &Site, jobs: &[Job]) -> io::Result<Outcome> {
     thread::sleep(FINISH);
-    let (idle, used) = site.idle_jobs(jobs, IDLE);
+    let (idle, used, room) = site.idle_jobs(jobs, IDLE);
     let accepted = jobs.iter().filter(|job| job.is_accepted).count();
     site.recorder.tell(&format!(
         "{} jobs sent, {accepted} accepted, {} of them not completed and without a task that runs for {} s, \
-         {FINISH:?} after the end of the traffic; at most {:.0} % of the capacity in use",
+         {FINISH:?} after the end of the traffic; at most {:.0} % of the capacity in use, room for {room} of their tasks",
         jobs.len(),
         idle.len(),
         IDLE.as_secs(),
@@ -124,8 +126,10 @@
     if idle.is_empty() {
         return Ok(Outcome::Held);
     }
-    if used >= 0.5 {
-        return Err(io::Error::other("too much of the capacity is in use"));
+    if used >= 0.5 || room < 2 * SMALL.count * idle.len() as u64 {
+        return Err(io::Error::other(
+            "there is too little room to judge the rule",
+        ));
     }
     let reason = format!("LOST: {} accepted jobs have nothing running", idle.len());
     Ok(Outcome::Broken(reason))
--- a/review/standin-3/src/worker.rs
+++ b/review/standin-3/src/worker.rs
@@ -93,6 +93,8 @@
     ends: VecDeque<(u64, String, u64, &'static str, String)>,
     next_end: u64,
     closed: HashMap<String, u64>,
+    /// When the last run of each task ended here.
+    ended_at: HashMap<String, Instant>,
     /// How many runs have ended in each way.
     counts: BTreeMap<&'static str, usize>,
 }
@@ -193,6 +195,29 @@
         self.workers.iter().map(of_job).sum()
     }
 
+    /// Adds the tasks of a job of which a run has ended within the given time.
+    pub fn add_ended(&self, job: &str, within: Duration, tasks: &mut HashSet<String>) {
+        for worker in &self.workers {
+            let state = worker.lock();
+            let recent = state
+                .ended_at
+                .iter()
+                .filter(|(_, at)| at.elapsed() <= within);
+            let of_job = recent.filter(|(task, _)| task.starts_with(job));
+            tasks.extend(of_job.map(|(task, _)| task.clone()));
+        }
+    }
+
+    /// Returns how many tasks of a shape the runners have room for.
+    pub fn room_for(&self, shape: &Shape) -> u64 {
+        let room = |worker: &Arc<Worker>| {
+            let (cpu, mem_mb) = worker.lock().used();
+            let by_cpu = worker.cpu.saturating_sub(cpu) / shape.cpu.max(1);
+            by_cpu.min(worker.mem_mb.saturating_sub(mem_mb) / shape.mem_mb.max(1))
+        };
+        self.workers.iter().map(room).sum()
+    }
+
     /// Adds the tasks of a job that run now.
     pub fn add_running(&self, job: &str, tasks: &mut HashSet<String>) {
         for worker in &self.workers {
@@ -243,6 +268,7 @@
         self.ends
             .push_back((self.next_end, task.to_owned(), run.run, how, saved));
         self.next_end += 1;
+        self.ended_at.insert(task.to_owned(), Instant::now());
         *self.counts.entry(how).or_default() += 1;
         Some(format!("run {task} {} ends {how} on {worker}", run.run))
     }
